--- a/crates/beamwall-config/src/resolve.rs
+++ b/crates/beamwall-config/src/resolve.rs
@@ -45,6 +45,10 @@
     pub serve_when_platform_away: bool,
     /// Longest whole request.
     pub request_timeout_ms: u64,
+    /// Longest wait for an engine's first output before another is tried.
+    pub first_token_timeout_ms: u64,
+    /// Longest silence of a started stream before another engine is tried.
+    pub stall_timeout_ms: u64,
     /// Most tokens one answer may have.
     pub max_tokens: u32,
     /// Whether a session stays on its engine.
@@ -279,6 +283,8 @@
         key_required: settings.text("service.idempotency_key") == Some("required"),
         serve_when_platform_away: settings.text("service.when_platform_away") == Some("serve"),
         request_timeout_ms: count(settings, "service.request_timeout_ms") as u64,
+        first_token_timeout_ms: count(settings, "service.first_token_timeout_ms") as u64,
+        stall_timeout_ms: count(settings, "service.stall_timeout_ms") as u64,
         max_tokens: count(settings, "service.max_tokens") as u32,
         affinity: settings.boolean("routing.affinity").unwrap_or(true),
         max_load_skew: settings.number("routing.max_load_skew").unwrap_or(1.5),
--- a/crates/beamwall-config/src/tree_rules.rs
+++ b/crates/beamwall-config/src/tree_rules.rs
@@ -63,6 +63,18 @@
         "what a keyed call gets while claims cannot be written",
     ),
     rule("service.request_timeout_ms", integer(10, DAY_MS), Some("120000"), "longest whole request"),
+    rule(
+        "service.first_token_timeout_ms",
+        integer(10, DAY_MS),
+        Some("30000"),
+        "longest wait for an engine's first output before another is tried",
+    ),
+    rule(
+        "service.stall_timeout_ms",
+        integer(10, DAY_MS),
+        Some("3000"),
+        "longest silence of a started stream before another engine is tried",
+    ),
     rule("service.max_tokens", integer(1, 1_000_000), Some("4096"), "most tokens one answer may have"),
     rule(
         "tenant.class",
--- a/crates/beamwall-ctl/src/lab/overhead.rs
+++ b/crates/beamwall-ctl/src/lab/overhead.rs
@@ -3,7 +3,7 @@
 //! Direct calls and calls through the node alternate within one run, so that both see the same
 //! machine. The throughput figure is calls for each second of the node's own processor time.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -11,6 +11,7 @@
 
 use beamwall_config::KeyDigest;
 use beamwall_http::{Pool, PoolError, full, read_limited};
+use beamwall_lab::running::free_addresses;
 use bytes::Bytes;
 use hdrhistogram::Histogram;
 use hyper::header::{AUTHORIZATION, HOST};
@@ -204,15 +205,6 @@
     Ok(line.split_whitespace().nth(1).and_then(|field| field.parse().ok()).unwrap_or(0))
 }
 
-/// Free loopback ports.
-pub fn free_addresses(count: usize) -> Result<Vec<SocketAddr>, CommandError> {
-    let bound = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0"))
-        .collect::<Result<Vec<_>, _>>()
-        .map_err(failed)?;
-    bound.iter().map(|listener| listener.local_addr().map_err(failed)).collect()
-}
-
 fn write(path: PathBuf, text: String) -> Result<(), CommandError> {
     if let Some(parent) = path.parent() {
         std::fs::create_dir_all(parent).map_err(failed)?;
@@ -222,7 +214,7 @@
 
 /// A deployment of one node on one thread, one engine and one application.
 fn write_deployment(directory: &Path) -> Result<Addresses, CommandError> {
-    let free = free_addresses(7)?;
+    let free = free_addresses(7);
     let [callers, operators, peers, platform, cloud, engine, application] = free[..] else {
         return Err(failed("not enough free ports"));
     };
--- a/crates/beamwall-lab/src/engine/handler.rs
+++ b/crates/beamwall-lab/src/engine/handler.rs
@@ -78,6 +78,7 @@
     state: Mutex<State>,
     work: Notify,
     dead: AtomicBool,
+    stalled: AtomicBool,
     died: Notify,
 }
 
@@ -109,6 +110,7 @@
             state: Mutex::new(state),
             work: Notify::new(),
             dead: AtomicBool::new(false),
+            stalled: AtomicBool::new(false),
             died: Notify::new(),
         })
     }
@@ -116,7 +118,7 @@
     /// Computes steps until killed.
     pub async fn step_loop(self: Arc<Self>) {
         while !self.dead.load(Ordering::Relaxed) {
-            if self.lock().batch.is_idle() {
+            if self.stalled.load(Ordering::Relaxed) || self.lock().batch.is_idle() {
                 let _ = tokio::time::timeout(Duration::from_millis(100), self.work.notified()).await;
                 continue;
             }
@@ -133,6 +135,11 @@
         self.died.notify_waiters();
     }
 
+    /// Stops computing while still answering polls, as a wedged accelerator would.
+    pub fn stall(&self) {
+        self.stalled.store(true, Ordering::Relaxed);
+    }
+
     /// Marks the engine as leaving and kills it after `notice`.
     pub fn reclaim(self: &Arc<Self>, notice: Duration) {
         self.lock().leaving = true;
@@ -315,8 +322,9 @@
             return json_response(StatusCode::OK, &json!({}));
         }
         tokio::select! {
-            response = self.answer(request) => response,
+            biased;
             () = self.until_dead() => crate::object_store::lost_answer().await,
+            response = self.answer(request) => response,
         }
     }
 }
--- a/crates/beamwall-request/src/attempt.rs
+++ b/crates/beamwall-request/src/attempt.rs
@@ -126,7 +126,7 @@
         open: &mut DispatchGuard,
     ) -> AttemptEnd {
         let mut lines = Lines::new(body);
-        let mut pace = TokenPace::default();
+        let mut pace = TokenPace::new();
         let mut check = tokio::time::interval(LEAVING_CHECK_PERIOD);
         let mut transfer: Option<Transfer<'_>> = None;
         loop {
@@ -134,12 +134,16 @@
                 line = lines.next() => {
                     let Some(line) = line else { return AttemptEnd::Broken };
                     open.note_started();
+                    pace.note_line();
                     if let Some(end) = self.take_line(input, &line, attempt, &mut pace) {
                         return end;
                     }
                 }
-                _ = check.tick(), if transfer.is_none() => {
-                    if self.must_move(input, &pace) {
+                _ = check.tick() => {
+                    if self.is_down(input) || pace.is_stalled(input.request) {
+                        return AttemptEnd::Broken;
+                    }
+                    if transfer.is_none() && self.must_move(input, &pace) {
                         transfer = Some(Box::pin(self.prepare_move(input, attempt.clone())));
                     }
                 }
@@ -190,6 +194,12 @@
         }
     }
 
+    /// Whether polls say that the engine does not answer. It may hold the connection open without
+    /// ever sending anything.
+    fn is_down(&self, input: &AttemptInput<'_>) -> bool {
+        self.view.load().backend(&input.route.backend.backend.id).is_none_or(|backend| backend.down)
+    }
+
     /// Whether the engine stops before the stream would end.
     fn must_move(&self, input: &AttemptInput<'_>, pace: &TokenPace) -> bool {
         let view = self.view.load();
@@ -209,13 +219,31 @@
 }
 
 /// Observes the time between tokens of one attempt.
-#[derive(Default)]
 struct TokenPace {
+    begun: Instant,
+    last_line: Option<Instant>,
     last: Option<Instant>,
     mean: Option<Duration>,
 }
 
 impl TokenPace {
+    fn new() -> Self {
+        Self { begun: Instant::now(), last_line: None, last: None, mean: None }
+    }
+
+    fn note_line(&mut self) {
+        self.last_line = Some(Instant::now());
+    }
+
+    /// Whether the engine has been silent for longer than the service allows.
+    fn is_stalled(&self, request: &ModelRequest) -> bool {
+        let (since, limit_ms) = match self.last_line {
+            Some(last) => (last, request.service.stall_timeout_ms),
+            None => (self.begun, request.service.first_token_timeout_ms),
+        };
+        since.elapsed() > Duration::from_millis(limit_ms)
+    }
+
     fn note(&mut self, input: &AttemptInput<'_>, index: u32) {
         let now = Instant::now();
         if index == 0 {
