--- a/crates/beamwall-node/tests/leaving.rs
+++ b/crates/beamwall-node/tests/leaving.rs
@@ -82,7 +82,8 @@
 async fn a_new_machine_that_the_plan_asks_for_comes_into_service() {
     let placement = "kind = \"placement\"\n[placement]\nservice = \"/helper\"\nzones = [\"a\", \"b\", \"c\"]\nreplicas = 2\n";
     let documents = vec![("/engines".to_owned(), placement.to_owned())];
-    let cluster = Cluster::start(Plan { speed: 20.0, documents, ..Plan::default() }).await;
+    let cluster =
+        Cluster::start(Plan { speed: 20.0, list_lag_ms: 4_000, documents, ..Plan::default() }).await;
     cluster.reclaim_zone("c", Duration::from_millis(500));
     let started = Instant::now();
     let is_new = |id: &str| id.starts_with("helper-c-");
@@ -101,4 +102,6 @@
     })
     .await;
     assert!(started.elapsed() < Duration::from_secs(20));
+    let replacements = cluster.cloud.machines().iter().filter(|machine| is_new(&machine.id)).count();
+    assert_eq!(replacements, 1, "the list lags: a start must not be made twice");
 }
--- a/crates/beamwall-node/tests/support/mod.rs
+++ b/crates/beamwall-node/tests/support/mod.rs
@@ -34,6 +34,7 @@
     pub applications_per_zone: usize,
     pub speed: f64,
     pub drain_ms: u64,
+    pub list_lag_ms: u64,
     /// Document of the plain service, without its kind.
     pub plain_service: String,
     /// Further documents of the tree.
@@ -48,6 +49,7 @@
             applications_per_zone: 1,
             speed: 4.0,
             drain_ms: 3_000,
+            list_lag_ms: 500,
             plain_service: "[service]\ntype = \"plain\"\nrequest_timeout_ms = 5000\n".to_owned(),
             documents: Vec::new(),
         }
@@ -180,7 +182,7 @@
                 servers.push(server);
             }
         }
-        let options = CloudOptions { list_lag: Duration::from_millis(500), speed: plan.speed };
+        let options = CloudOptions { list_lag: Duration::from_millis(plan.list_lag_ms), speed: plan.speed };
         let cloud = CloudStandIn::new(machines, options);
         let cloud_server = Running::start(loopback(), cloud.clone()).await.expect("the cloud starts");
         let platform_address = platform_server.address;
