lab load: both fleets' workloads, open-loop, with reports and a check against what truly ran

Change: seeded workloads of both fleets, recorded by kind and tenant as JSON and SVG; a zone can be taken back in the middle; calls and keys are held against the applications' own records, streams against the text that their prompt determines. Routing policies least-requests and round-robin stand in the tree as baselines.

--- a/crates/beamwall-config/src/lib.rs
+++ b/crates/beamwall-config/src/lib.rs
@@ -21,5 +21,5 @@
 pub use keys::{KeyDigest, KeyIndex};
 pub use path::TreePath;
 pub use process::ProcessSettings;
-pub use resolve::{OperatorKey, Placement, ResolvedTree, Service, ServiceType, Tenant};
+pub use resolve::{OperatorKey, Placement, ResolvedTree, RoutingPolicy, Service, ServiceType, Tenant};
 pub use tree::{ConfigTree, NodeKind};
--- a/crates/beamwall-config/src/resolve.rs
+++ b/crates/beamwall-config/src/resolve.rs
@@ -20,6 +20,27 @@
     Plain,
 }
 
+/// How engines are chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RoutingPolicy {
+    /// Session affinity where asked for, else the lowest predicted time to the first token.
+    PredictedWait,
+    /// The fewest running and waiting requests: a baseline.
+    LeastRequests,
+    /// Each in turn: a baseline.
+    RoundRobin,
+}
+
+impl RoutingPolicy {
+    fn parse(text: Option<&str>) -> Self {
+        match text {
+            Some("least-requests") => Self::LeastRequests,
+            Some("round-robin") => Self::RoundRobin,
+            _ => Self::PredictedWait,
+        }
+    }
+}
+
 /// A service as resolved.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
@@ -51,6 +72,8 @@
     pub stall_timeout_ms: u64,
     /// Most tokens one answer may have.
     pub max_tokens: u32,
+    /// How engines are chosen.
+    pub policy: RoutingPolicy,
     /// Whether a session stays on its engine.
     pub affinity: bool,
     /// Load over the average at which a session leaves its engine.
@@ -286,6 +309,7 @@
         first_token_timeout_ms: count(settings, "service.first_token_timeout_ms") as u64,
         stall_timeout_ms: count(settings, "service.stall_timeout_ms") as u64,
         max_tokens: count(settings, "service.max_tokens") as u32,
+        policy: RoutingPolicy::parse(settings.text("routing.policy")),
         affinity: settings.boolean("routing.affinity").unwrap_or(true),
         max_load_skew: settings.number("routing.max_load_skew").unwrap_or(1.5),
         retry_budget_percent: count(settings, "retry.budget_percent") as u32,
--- a/crates/beamwall-config/src/tree_rules.rs
+++ b/crates/beamwall-config/src/tree_rules.rs
@@ -103,6 +103,12 @@
         "replicas on machines that are not reclaimable",
     ),
     rule("placement.machine_classes", ValueKind::TextList, Some("[]"), "machine classes allowed"),
+    rule(
+        "routing.policy",
+        ValueKind::Choice(&["predicted-wait", "least-requests", "round-robin"]),
+        Some("\"predicted-wait\""),
+        "how engines are chosen; the last two are baselines for comparison",
+    ),
     rule("routing.affinity", ValueKind::Boolean, Some("true"), "whether a session stays on its engine"),
     rule(
         "routing.max_load_skew",
--- a/crates/beamwall-ctl/src/arguments.rs
+++ b/crates/beamwall-ctl/src/arguments.rs
@@ -329,6 +329,9 @@
     /// Notice of the reclaim.
     #[options(help = "milliseconds of notice of the reclaim", default = "5000")]
     pub notice_ms: u64,
+    /// Routing policy to measure.
+    #[options(help = "routing policy to measure: predicted-wait, least-requests or round-robin", no_short)]
+    pub policy: Option<String>,
     /// Report file.
     #[options(help = "file for the JSON report")]
     pub report: Option<PathBuf>,
--- a/crates/beamwall-ctl/src/lab/deployment.rs
+++ b/crates/beamwall-ctl/src/lab/deployment.rs
@@ -178,8 +178,7 @@
         }
         let client = self.operator(0);
         let revision = operate::apply(&client, &documents).await?;
-        self.wait_until(|status| status["revision"].as_u64() >= Some(revision), "the tree to be in force")
-            .await
+        self.wait_for_revision(revision).await
     }
 
     /// Waits until every node sees every machine as usable.
@@ -197,6 +196,12 @@
         self.wait_until(usable, "back ends to be usable").await
     }
 
+    /// Waits until every node has a revision in force.
+    pub async fn wait_for_revision(&self, revision: u64) -> Result<(), CommandError> {
+        self.wait_until(|status| status["revision"].as_u64() >= Some(revision), "the revision to be in force")
+            .await
+    }
+
     async fn wait_until(
         &self,
         condition: impl Fn(&serde_json::Value) -> bool,
--- a/crates/beamwall-ctl/src/lab/mod.rs
+++ b/crates/beamwall-ctl/src/lab/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod demo;
 pub mod deployment;
+pub mod load;
 pub mod overhead;
 pub mod stand_ins;
 
@@ -17,6 +18,6 @@
         LabCommand::Application(options) => stand_ins::run_application(options).await,
         LabCommand::Demo(options) => demo::run(options).await,
         LabCommand::Overhead(options) => overhead::run(options).await,
-        LabCommand::Load(_) => Err(CommandError::Usage("not built yet".to_owned())),
+        LabCommand::Load(options) => load::run(options).await,
     }
 }
--- a/crates/beamwall-lab/src/lib.rs
+++ b/crates/beamwall-lab/src/lib.rs
@@ -10,8 +10,11 @@
 pub mod cloud;
 pub mod engine;
 pub mod link;
+pub mod load;
 pub mod object_store;
+pub mod report;
 pub mod running;
 pub mod text;
+pub mod workload;
 
 pub use running::Running;
--- a/crates/beamwall-peer/src/membership.rs
+++ b/crates/beamwall-peer/src/membership.rs
@@ -371,7 +371,7 @@
         // What was told least goes first, so that a wave of changes does not hold up the newest.
         let mut waiting: Vec<(u32, NodeId)> =
             self.untold.iter().map(|(node, left)| (*left, node.clone())).collect();
-        waiting.sort_by(|one, other| other.0.cmp(&one.0));
+        waiting.sort_by_key(|(left, _)| std::cmp::Reverse(*left));
         let mut chosen: Vec<NodeId> =
             waiting.into_iter().take(UPDATES_PER_HEARTBEAT).map(|(_, node)| node).collect();
         for node in &chosen {
--- a/crates/beamwall-request/src/dispatcher.rs
+++ b/crates/beamwall-request/src/dispatcher.rs
@@ -1,6 +1,7 @@
 //! What all requests of one node share, and the life of a model request from admission to its end.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
@@ -47,6 +48,7 @@
     /// Metrics.
     pub metrics: RequestMetrics,
     queues: RwLock<HashMap<ServiceName, Arc<ServiceLane>>>,
+    turn: AtomicUsize,
 }
 
 /// Queue and retry budget of one service.
@@ -69,6 +71,7 @@
             prefixes: PrefixIndex::default(),
             metrics,
             queues: RwLock::default(),
+            turn: AtomicUsize::new(0),
         }
     }
 
@@ -230,6 +233,7 @@
             session: request.session.as_deref(),
             prompt_tokens: request.prompt_tokens(),
             zone: &self.zone,
+            turn: self.turn.fetch_add(1, Ordering::Relaxed),
             excluded,
             cached_tokens: &cached_tokens,
         };
--- a/crates/beamwall-routing/src/route.rs
+++ b/crates/beamwall-routing/src/route.rs
@@ -8,7 +8,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use beamwall_config::Service;
+use beamwall_config::{RoutingPolicy, Service};
 use beamwall_fleet::{BackendView, FleetView};
 use beamwall_model::{BackendId, ZoneName, rendezvous};
 use quick_error::quick_error;
@@ -48,6 +48,8 @@
     LowestPredictedWait,
     /// The fewest open requests, own zone first.
     LeastOpenRequests,
+    /// The next in turn.
+    RoundRobin,
 }
 
 impl RouteReason {
@@ -58,6 +60,7 @@
             Self::SessionSpill => "session-spill",
             Self::LowestPredictedWait => "lowest-predicted-wait",
             Self::LeastOpenRequests => "least-open-requests",
+            Self::RoundRobin => "round-robin",
         }
     }
 }
@@ -78,6 +81,8 @@
     pub prompt_tokens: u32,
     /// This node's zone.
     pub zone: &'a ZoneName,
+    /// Number of the request at this node, for the round-robin baseline.
+    pub turn: usize,
     /// Back ends that failed this request before.
     pub excluded: &'a [BackendId],
     /// Prompt tokens believed cached at an engine.
@@ -143,15 +148,37 @@
     if free.is_empty() {
         return Err(NoRoute::AllFull);
     }
-    let chosen = match query.session {
-        Some(session) if query.service.affinity => choose_for_session(&loaded, &free, session, query),
-        _ => None,
+    let (backend, reason) = match query.service.policy {
+        RoutingPolicy::PredictedWait => choose_by_prediction(&loaded, &free, query),
+        RoutingPolicy::LeastRequests => (fewest_requests(&free), RouteReason::LeastOpenRequests),
+        RoutingPolicy::RoundRobin => (free[query.turn % free.len()], RouteReason::RoundRobin),
     };
-    let (backend, reason) =
-        chosen.unwrap_or_else(|| (lowest_wait(&free, query), RouteReason::LowestPredictedWait));
     Ok(Route { backend: backend.clone(), reason, predicted_ms: predict_ms(backend, query) })
 }
 
+fn choose_by_prediction<'a>(
+    loaded: &[&'a Arc<BackendView>],
+    free: &[&'a Arc<BackendView>],
+    query: &RouteQuery<'_>,
+) -> (&'a Arc<BackendView>, RouteReason) {
+    let for_session = match query.session {
+        Some(session) if query.service.affinity => choose_for_session(loaded, free, session, query),
+        _ => None,
+    };
+    for_session.unwrap_or_else(|| (lowest_wait(free, query), RouteReason::LowestPredictedWait))
+}
+
+/// The engine with the fewest requests; `free` is not empty.
+fn fewest_requests<'a>(free: &[&'a Arc<BackendView>]) -> &'a Arc<BackendView> {
+    let mut best = free[0];
+    for candidate in &free[1..] {
+        if candidate.requests() < best.requests() {
+            best = candidate;
+        }
+    }
+    best
+}
+
 /// Walks the session's rendezvous order and takes the first engine within the skew limit.
 fn choose_for_session<'a>(
     loaded: &[&'a Arc<BackendView>],
