Reports reach every node, restarted pollers are believed, and refused senders read why

Cause, each found by a test that failed first: (1) a node that restarted numbered its polls from 1 and its peers took them for old; (2) with three nodes in a zone the one that is no relay never heard of back ends in other zones; (3) a sender of too large a body was cut off before it could read the 413. Ruled out for (1): leaving marks, which travel by themselves and hid the fault in a first version of the test. Change: poll numbers start above any of an earlier life; relays pass reports on where not every node is one, everyone does in large zones; like reports are told once a second only; refused bodies are read on for a while.

--- a/crates/beamwall-ctl/src/lab/deployment.rs
+++ b/crates/beamwall-ctl/src/lab/deployment.rs
@@ -57,6 +57,24 @@
     read_toml(&directory.join("keys.toml"))
 }
 
+/// The programs that a deployment runs.
+#[derive(Debug, Clone)]
+pub struct Programs {
+    /// The entry node.
+    pub node: PathBuf,
+    /// This command, for the stand-ins.
+    pub control: PathBuf,
+}
+
+impl Programs {
+    /// This program and the node's program beside it.
+    pub fn beside_this() -> Result<Self, CommandError> {
+        let control =
+            std::env::current_exe().map_err(|cause| CommandError::File("own program".to_owned(), cause))?;
+        Ok(Self { node: control.with_file_name("beamwall"), control })
+    }
+}
+
 /// One process.
 struct Process {
     name: String,
@@ -71,6 +89,8 @@
     pub machines: Vec<LabMachine>,
     /// Its keys.
     pub keys: SampleKeys,
+    programs: Programs,
+    directory: PathBuf,
     processes: Vec<Process>,
 }
 
@@ -92,27 +112,42 @@
 impl Deployment {
     /// Starts every process of a directory and loads its tree.
     pub async fn start(directory: &Path, speed: f64) -> Result<Self, CommandError> {
+        Self::start_with(Programs::beside_this()?, directory, speed).await
+    }
+
+    /// Starts every process of a directory with the programs given, and loads its tree.
+    pub async fn start_with(programs: Programs, directory: &Path, speed: f64) -> Result<Self, CommandError> {
         let files = node_files(directory)?;
         let nodes = files.iter().map(|file| read_node(file)).collect::<Result<Vec<_>, _>>()?;
         let mut deployment = Self {
             nodes,
             machines: read_machines(directory)?,
             keys: read_keys(directory)?,
+            programs,
+            directory: directory.to_owned(),
             processes: Vec::new(),
         };
         deployment.start_stand_ins(directory, speed)?;
         deployment.wait_for_stand_ins().await?;
-        for (file, settings) in files.iter().zip(deployment.nodes.clone()) {
-            let arguments = ["run".to_owned(), "--settings".to_owned(), file.display().to_string()];
-            deployment.spawn(settings.node.as_str(), &node_program()?, &arguments)?;
+        for number in 0..files.len() {
+            deployment.start_node(number)?;
         }
         deployment.load_tree(&directory.join("tree")).await?;
         deployment.wait_until_serving().await?;
         Ok(deployment)
     }
 
+    /// Starts the process of a node.
+    pub fn start_node(&mut self, number: usize) -> Result<(), CommandError> {
+        let file = node_files(&self.directory)?.swap_remove(number);
+        let arguments = ["run".to_owned(), "--settings".to_owned(), file.display().to_string()];
+        let (name, program) = (self.nodes[number].node.to_string(), self.programs.node.clone());
+        self.processes.retain(|process| process.name != name);
+        self.spawn(&name, &program, &arguments)
+    }
+
     fn start_stand_ins(&mut self, directory: &Path, speed: f64) -> Result<(), CommandError> {
-        let own = own_program()?;
+        let own = self.programs.control.clone();
         let Some(first) = self.nodes.first().cloned() else {
             return Err(CommandError::Usage("the deployment has no nodes".to_owned()));
         };
@@ -236,6 +271,23 @@
         self.processes.iter().find(|process| process.name == name)?.child.id()
     }
 
+    /// Sends a signal, by its name without `SIG`, to a process of this deployment.
+    pub async fn signal(&self, name: &str, signal: &str) -> Result<(), CommandError> {
+        let id = self.process_id(name).ok_or_else(|| CommandError::Usage(format!("no process {name}")))?;
+        let sent = Command::new("kill").args([format!("-{signal}"), id.to_string()]).status().await;
+        match sent {
+            Ok(status) if status.success() => Ok(()),
+            Ok(status) => Err(CommandError::Experiment(format!("kill ended with {status}"))),
+            Err(cause) => Err(CommandError::File("kill".to_owned(), cause)),
+        }
+    }
+
+    /// Waits for the end of a process; gives its exit status.
+    pub async fn wait_for_end(&mut self, name: &str, limit: Duration) -> Option<i32> {
+        let process = self.processes.iter_mut().find(|process| process.name == name)?;
+        tokio::time::timeout(limit, process.child.wait()).await.ok()?.ok()?.code()
+    }
+
     /// Stops everything that was started.
     pub async fn stop(mut self) {
         for process in &mut self.processes {
@@ -275,12 +327,3 @@
         tokio::time::sleep(CHECK_PERIOD).await;
     }
 }
-
-fn own_program() -> Result<PathBuf, CommandError> {
-    std::env::current_exe().map_err(|cause| CommandError::File("own program".to_owned(), cause))
-}
-
-/// The node's program stands beside this one.
-fn node_program() -> Result<PathBuf, CommandError> {
-    Ok(own_program()?.with_file_name("beamwall"))
-}
--- a/crates/beamwall-ctl/src/lab/mod.rs
+++ b/crates/beamwall-ctl/src/lab/mod.rs
@@ -4,6 +4,7 @@
 pub mod deployment;
 pub mod load;
 pub mod overhead;
+pub mod sample;
 pub mod stand_ins;
 
 use crate::arguments::LabCommand;
--- a/crates/beamwall-ctl/src/lab/overhead.rs
+++ b/crates/beamwall-ctl/src/lab/overhead.rs
@@ -4,14 +4,11 @@
 //! machine. The throughput figure is calls for each second of the node's own processor time.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use beamwall_config::KeyDigest;
 use beamwall_http::{Pool, PoolError, full, read_limited};
-use beamwall_lab::running::free_addresses;
 use bytes::Bytes;
 use hdrhistogram::Histogram;
 use hyper::header::{AUTHORIZATION, HOST};
@@ -21,9 +18,8 @@
 use crate::arguments::OverheadOptions;
 use crate::error::CommandError;
 use crate::lab::deployment::Deployment;
+use crate::lab::sample::{NODE, Sample, TENANT_KEY};
 
-const KEY: &str = "overhead-key";
-const OPERATOR_KEY: &str = "overhead-operator-key";
 const LIMIT: Duration = Duration::from_secs(30);
 const BODY_LIMIT_BYTES: usize = 1 << 20;
 /// Engines run so fast that their own time does not hide the node's.
@@ -40,40 +36,38 @@
 /// Runs the measurement and prints a table.
 pub async fn run(options: &OverheadOptions) -> Result<(), CommandError> {
     let directory = std::env::temp_dir().join(format!("beamwall-overhead-{}", std::process::id()));
-    let addresses = write_deployment(&directory)?;
+    let sample =
+        Sample { zones: 1, nodes_per_zone: 1, engines_per_zone: 1, applications_per_zone: 1, threads: 1 };
+    sample.write(&directory)?;
     let deployment = Deployment::start(&directory, ENGINE_SPEED).await?;
-    let result = measure(options, &deployment, &addresses).await;
+    let result = measure(options, &deployment).await;
     deployment.stop().await;
     let _ = std::fs::remove_dir_all(&directory);
     result
 }
 
-struct Addresses {
-    callers: SocketAddr,
-    engine: SocketAddr,
-    application: SocketAddr,
-}
-
 struct Target<'a> {
     address: SocketAddr,
     path: &'a str,
     body: String,
 }
 
-async fn measure(
-    options: &OverheadOptions,
-    deployment: &Deployment,
-    addresses: &Addresses,
-) -> Result<(), CommandError> {
+async fn measure(options: &OverheadOptions, deployment: &Deployment) -> Result<(), CommandError> {
+    let callers = deployment.nodes[0].callers;
+    let machine = |class: &str| {
+        let found = deployment.machines.iter().find(|machine| machine.class == class);
+        found.and_then(|machine| machine.address.parse::<SocketAddr>().ok()).ok_or_else(|| failed(class))
+    };
+    let (engine, application) = (machine("large")?, machine("application")?);
     let pool = Pool::new(LIMIT);
     let small = json!({"child": "c-17", "badge": "bridge-builder"}).to_string();
     let prompt = "a question of a few words";
-    let direct_plain = Target { address: addresses.application, path: "/badges", body: small.clone() };
-    let node_plain = Target { address: addresses.callers, path: "/services/game/badges", body: small };
+    let direct_plain = Target { address: application, path: "/badges", body: small.clone() };
+    let node_plain = Target { address: callers, path: "/services/game/badges", body: small };
     let generate = json!({"attempt": "direct", "prompt": prompt, "max_tokens": 1}).to_string();
-    let direct_model = Target { address: addresses.engine, path: "/generate", body: generate };
+    let direct_model = Target { address: engine, path: "/generate", body: generate };
     let complete = json!({"model": "helper", "prompt": prompt, "max_tokens": 1, "stream": true}).to_string();
-    let node_model = Target { address: addresses.callers, path: "/v1/completions", body: complete };
+    let node_model = Target { address: callers, path: "/v1/completions", body: complete };
     println!(
         "| call | direct p50 ms | through node p50 ms | added p50 ms | direct p99 ms | through node p99 ms | added p99 ms |"
     );
@@ -130,7 +124,7 @@
         .method(Method::POST)
         .uri(target.path)
         .header(HOST, "lab")
-        .header(AUTHORIZATION, format!("Bearer {KEY}"))
+        .header(AUTHORIZATION, format!("Bearer {TENANT_KEY}"))
         .body(full(Bytes::from(target.body.clone())))
         .map_err(failed)?;
     let response = pool.send(target.address, request).await.map_err(|error: PoolError| failed(error))?;
@@ -149,7 +143,7 @@
     pool: &Pool,
     target: &Target<'_>,
 ) -> Result<(), CommandError> {
-    let id = deployment.process_id("overhead").ok_or_else(|| failed("the node has no process id"))?;
+    let id = deployment.process_id(NODE).ok_or_else(|| failed("the node has no process id"))?;
     let left = Arc::new(AtomicUsize::new(options.throughput_calls));
     let (cpu_before, memory_before) = (processor_seconds(id)?, resident_kib(id)?);
     let started = Instant::now();
@@ -204,54 +198,3 @@
     let line = text.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or("");
     Ok(line.split_whitespace().nth(1).and_then(|field| field.parse().ok()).unwrap_or(0))
 }
-
-fn write(path: PathBuf, text: String) -> Result<(), CommandError> {
-    if let Some(parent) = path.parent() {
-        std::fs::create_dir_all(parent).map_err(failed)?;
-    }
-    std::fs::write(path, text).map_err(failed)
-}
-
-/// A deployment of one node on one thread, one engine and one application.
-fn write_deployment(directory: &Path) -> Result<Addresses, CommandError> {
-    let free = free_addresses(7);
-    let [callers, operators, peers, platform, cloud, engine, application] = free[..] else {
-        return Err(failed("not enough free ports"));
-    };
-    let digest = KeyDigest::of(OPERATOR_KEY);
-    let node = format!(
-        "[node]\nname = \"overhead\"\nzone = \"a\"\nthreads = 1\n[listen]\ncallers = \"{callers}\"\n\
-         operators = \"{operators}\"\npeers = \"{peers}\"\n[platform]\naddress = \"{platform}\"\n\
-         [cloud]\naddress = \"{cloud}\"\n[operators]\nkey_digests = [\"{digest}\"]\n"
-    );
-    let machine = |id: &str, class: &str, address: SocketAddr, service: &str| {
-        format!(
-            "[[machines]]\nid = \"{id}\"\nzone = \"a\"\nclass = \"{class}\"\nreclaimable = false\n\
-             price_micros_per_hour = 1\naddress = \"{address}\"\nservice = \"{service}\"\nstate = \"running\"\n"
-        )
-    };
-    let machines = machine("engine", "large", engine, "helper")
-        + &machine("application", "application", application, "game");
-    let tenant = format!(
-        "kind = \"tenant\"\n[tenant]\nclass = \"interactive\"\nservices = [\"helper\", \"game\"]\n\
-         tokens_per_second = 1000000000\ncalls_per_second = 10000000\nkey_digests = [\"{}\"]\n",
-        KeyDigest::of(KEY)
-    );
-    write(directory.join("nodes/overhead.toml"), node)?;
-    write(directory.join("machines.toml"), machines)?;
-    write(
-        directory.join("keys.toml"),
-        format!("operator = \"{OPERATOR_KEY}\"\n[tenants]\ncaller = \"{KEY}\"\n"),
-    )?;
-    write(directory.join("tree/node.toml"), "kind = \"group\"\n".to_owned())?;
-    write(
-        directory.join("tree/helper/node.toml"),
-        "kind = \"service\"\n[service]\ntype = \"model\"\norders_checked = true\n".to_owned(),
-    )?;
-    write(
-        directory.join("tree/game/node.toml"),
-        "kind = \"service\"\n[service]\ntype = \"plain\"\n".to_owned(),
-    )?;
-    write(directory.join("tree/caller/node.toml"), tenant)?;
-    Ok(Addresses { callers, engine, application })
-}
--- a/crates/beamwall-fleet/src/backend.rs
+++ b/crates/beamwall-fleet/src/backend.rs
@@ -68,7 +68,32 @@
     pub version: String,
 }
 
+/// Requests in one step of a quantised load.
+const REQUESTS_STEP: u32 = 4;
+/// Prompt tokens in one step of a quantised load.
+const TOKENS_STEP: u32 = 2_048;
+
+/// A report without what changes all the time: equal ones need not be told again soon.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct QuantisedReport {
+    up: bool,
+    leaving: bool,
+    requests: u32,
+    queued_tokens: u32,
+    loaded: (String, String),
+}
+
 impl BackendReport {
+    /// The report in coarse steps.
+    pub fn quantise(&self) -> QuantisedReport {
+        QuantisedReport {
+            up: self.up,
+            leaving: self.leaving,
+            requests: (self.running + self.waiting) / REQUESTS_STEP,
+            queued_tokens: self.queued_tokens / TOKENS_STEP,
+            loaded: (self.model.clone(), self.version.clone()),
+        }
+    }
     /// The report of a poll that got no answer.
     pub fn down(backend: BackendId, observer: NodeId, sequence: u64) -> Self {
         Self {
--- a/crates/beamwall-fleet/src/fleet.rs
+++ b/crates/beamwall-fleet/src/fleet.rs
@@ -103,17 +103,18 @@
         self.entries.insert(machine.id.clone(), entry);
     }
 
-    /// Takes a poll's result, from this node or from a peer.
-    pub fn apply_report(&mut self, report: BackendReport) -> Vec<FleetChange> {
-        let Some(entry) = self.entries.get_mut(&report.backend) else { return Vec::new() };
+    /// Takes a poll's result, from this node or from a peer. `None` when it is older than one that
+    /// the same observer gave, or its back end is not known.
+    pub fn apply_report(&mut self, report: BackendReport) -> Option<Vec<FleetChange>> {
+        let entry = self.entries.get_mut(&report.backend)?;
         let newest = entry.newest_by_observer.entry(report.observer.to_string()).or_insert(0);
         if report.sequence <= *newest {
-            return Vec::new();
+            return None;
         }
         *newest = report.sequence;
         let mut changes = entry.note_health(&report);
         if !report.up {
-            return changes;
+            return Some(changes);
         }
         entry.note_own_part(report.learned);
         let id = report.backend.clone();
@@ -124,7 +125,7 @@
         } else if let Some(entry) = self.entries.get_mut(&id) {
             entry.leaving.unmark(LeavingSource::Engine);
         }
-        changes
+        Some(changes)
     }
 
     /// Marks a back end as leaving. A mark on one not yet listed is kept for when it is.
--- a/crates/beamwall-http/src/body.rs
+++ b/crates/beamwall-http/src/body.rs
@@ -17,6 +17,9 @@
 /// The body type of every response the servers give.
 pub type Body = UnsyncBoxBody<Bytes, BodyError>;
 
+/// Of a refused body, at most this many times the limit is read and dropped.
+const DISCARD_FACTOR: usize = 4;
+
 quick_error! {
     /// Why a body could not be read.
     #[derive(Debug)]
@@ -65,19 +68,36 @@
     B: hyper::body::Body<Data = Bytes> + Unpin,
     B::Error: std::fmt::Display,
 {
-    let declared = body.size_hint().lower();
-    if declared > limit_bytes as u64 {
-        return Err(ReadError::TooLarge(limit_bytes));
-    }
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
+    let mut body = body;
+    if body.size_hint().lower() > limit_bytes as u64 {
+        let _ = tokio::time::timeout(limit, discard(&mut body, limit_bytes)).await;
+        return Err(ReadError::TooLarge(limit_bytes));
+    }
     match tokio::time::timeout(limit, collect(body, limit_bytes)).await {
         Ok(result) => result,
         Err(_) => Err(ReadError::TooSlow(limit)),
     }
 }
 
+/// Reads on past a refused body for a while: a sender that is cut off while it sends does not get to
+/// read why it was refused.
+async fn discard<B>(body: &mut B, limit_bytes: usize)
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin,
+{
+    let mut left = limit_bytes.saturating_mul(DISCARD_FACTOR);
+    while let Some(Ok(frame)) = body.frame().await {
+        let size = frame.data_ref().map_or(0, Bytes::len);
+        if size > left {
+            return;
+        }
+        left -= size;
+    }
+}
+
 async fn collect<B>(mut body: B, limit_bytes: usize) -> Result<Bytes, ReadError>
 where
     B: hyper::body::Body<Data = Bytes> + Unpin,
@@ -97,6 +117,7 @@
             }
         }
         if first.as_ref().map_or(rest.len(), Bytes::len) > limit_bytes {
+            discard(&mut body, limit_bytes).await;
             return Err(ReadError::TooLarge(limit_bytes));
         }
     }
--- a/crates/beamwall-node/src/actors/fleet.rs
+++ b/crates/beamwall-node/src/actors/fleet.rs
@@ -2,11 +2,13 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use beamwall_config::Service;
 use beamwall_events::emit;
 use beamwall_events::internal_events::{BackendDown, BackendLeaving, BackendUp};
+use beamwall_fleet::backend::QuantisedReport;
 use beamwall_fleet::{BackendReport, Fleet, FleetChange, LeavingSource};
 use beamwall_model::BackendId;
 use beamwall_platform::Machine;
@@ -17,6 +19,9 @@
 
 use crate::shared::ActiveTree;
 
+/// Time after which a report is told again although nothing changed.
+const REFRESH_PERIOD: Duration = Duration::from_secs(1);
+
 /// Owner of the fleet.
 #[derive(Actor)]
 pub struct FleetActor {
@@ -24,13 +29,21 @@
     dispatcher: Arc<Dispatcher>,
     tree: Arc<ArcSwap<ActiveTree>>,
     unpublished: bool,
-    untold: HashMap<BackendId, BackendReport>,
+    untold: HashMap<BackendId, (BackendReport, u8)>,
+    told: HashMap<BackendId, (QuantisedReport, Instant)>,
 }
 
 impl FleetActor {
     /// An owner that publishes to the dispatcher.
     pub fn new(dispatcher: Arc<Dispatcher>, tree: Arc<ArcSwap<ActiveTree>>) -> Self {
-        Self { fleet: Fleet::default(), dispatcher, tree, unpublished: false, untold: HashMap::new() }
+        Self {
+            fleet: Fleet::default(),
+            dispatcher,
+            tree,
+            unpublished: false,
+            untold: HashMap::new(),
+            told: HashMap::new(),
+        }
     }
 
     /// Logs changes and publishes at once when work must be routed otherwise.
@@ -58,6 +71,22 @@
         }
     }
 
+    /// Keeps a report for the next heartbeats, unless a like one was told lately.
+    fn keep_for_telling(&mut self, report: &BackendReport, tell: Tell) {
+        let times = match tell {
+            Tell::No => return,
+            Tell::Times(times) => times,
+        };
+        let quantised = report.quantise();
+        let is_known = self.told.get(&report.backend).is_some_and(|(told, at)| {
+            *told == quantised && report.learned.duration_since(*at) < REFRESH_PERIOD
+        });
+        if !is_known {
+            self.told.insert(report.backend.clone(), (quantised, report.learned));
+            self.untold.insert(report.backend.clone(), (report.clone(), times));
+        }
+    }
+
     fn publish(&mut self) {
         self.unpublished = false;
         let tree = self.tree.load();
@@ -78,12 +107,21 @@
     }
 }
 
+/// In how many heartbeats a report is told to peers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Tell {
+    /// In none: all who need it have it from its observer.
+    No,
+    /// In the next few.
+    Times(u8),
+}
+
 /// Poll results.
 pub struct ApplyReports {
     /// The results.
     pub reports: Vec<BackendReport>,
     /// Whether to tell peers of them.
-    pub tell: bool,
+    pub tell: Tell,
 }
 
 impl Message<ApplyReports> for FleetActor {
@@ -92,10 +130,8 @@
     async fn handle(&mut self, message: ApplyReports, _: &mut Context<Self, Self::Reply>) -> bool {
         let mut urgent = false;
         for report in message.reports {
-            if message.tell {
-                self.untold.insert(report.backend.clone(), report.clone());
-            }
-            let changes = self.fleet.apply_report(report);
+            let Some(changes) = self.fleet.apply_report(report.clone()) else { continue };
+            self.keep_for_telling(&report, message.tell);
             urgent |= self.after(&changes);
         }
         urgent
@@ -158,7 +194,11 @@
     type Reply = FleetNews;
 
     async fn handle(&mut self, _: TakeNews, _: &mut Context<Self, Self::Reply>) -> FleetNews {
-        let reports = self.untold.drain().map(|(_, report)| report).collect();
+        let reports = self.untold.values().map(|(report, _)| report.clone()).collect();
+        self.untold.retain(|_, (_, times)| {
+            *times = times.saturating_sub(1);
+            *times > 0
+        });
         FleetNews { reports, leaving: self.fleet.leaving_marks() }
     }
 }
--- a/crates/beamwall-node/src/actors/membership.rs
+++ b/crates/beamwall-node/src/actors/membership.rs
@@ -32,7 +32,12 @@
 
     fn publish(&self) {
         let members = self.membership.members().cloned().collect();
-        self.view.store(Arc::new(MembershipView { incarnation: self.membership.incarnation(), members }));
+        self.view.store(Arc::new(MembershipView {
+            incarnation: self.membership.incarnation(),
+            members,
+            is_relay: self.membership.is_relay(),
+            zone_size: self.membership.zone_size(),
+        }));
     }
 
     fn log(changes: &[MembershipChange]) {
--- a/crates/beamwall-node/src/shared.rs
+++ b/crates/beamwall-node/src/shared.rs
@@ -8,6 +8,7 @@
 use arc_swap::ArcSwap;
 use beamwall_config::{ConfigTree, KeyIndex, OperatorKey, ProcessSettings, ResolvedTree, TreePath};
 use beamwall_model::{NodeId, TenantName};
+use beamwall_peer::membership::{FULL_MESH_LIMIT, RELAYS_PER_ZONE};
 use beamwall_peer::{Envelope, Member, PeerNetwork};
 use beamwall_platform::{CloudClient, LeaseState, ObjectStore};
 use beamwall_request::async_record::AsyncRecords;
@@ -17,7 +18,7 @@
 use kameo::actor::ActorRef;
 use tokio::sync::{Notify, watch};
 
-use crate::actors::fleet::FleetActor;
+use crate::actors::fleet::{FleetActor, Tell};
 use crate::actors::membership::MembershipActor;
 use crate::actors::tree::TreeActor;
 use crate::metrics::NodeMetrics;
@@ -41,9 +42,32 @@
     pub incarnation: u64,
     /// Everyone known.
     pub members: Vec<Member>,
+    /// Whether this node speaks with other zones.
+    pub is_relay: bool,
+    /// Nodes of this zone, this one included.
+    pub zone_size: usize,
 }
 
+/// Heartbeats that carry a report in a zone where each reaches a few members only.
+const LARGE_ZONE_TELLS: u8 = 3;
+
 impl MembershipView {
+    /// How often to tell a report of an own poll.
+    pub fn tell_polled(&self) -> Tell {
+        Tell::Times(if self.zone_size > FULL_MESH_LIMIT { LARGE_ZONE_TELLS } else { 1 })
+    }
+
+    /// How often to tell a report that a peer told. In a large zone everyone passes news on; in a
+    /// small one the relays do where not every node is a relay.
+    pub fn tell_learned(&self) -> Tell {
+        if self.zone_size > FULL_MESH_LIMIT {
+            Tell::Times(LARGE_ZONE_TELLS)
+        } else if self.is_relay && self.zone_size > RELAYS_PER_ZONE {
+            Tell::Times(1)
+        } else {
+            Tell::No
+        }
+    }
     /// Names of nodes that are alive, this one included.
     pub fn alive_with(&self, own: &NodeId) -> Vec<NodeId> {
         let alive = self.members.iter().filter(|member| member.state == beamwall_peer::MemberState::Alive);
--- a/crates/beamwall-node/src/tasks/inbox.rs
+++ b/crates/beamwall-node/src/tasks/inbox.rs
@@ -163,7 +163,8 @@
     let reports: Vec<BackendReport> =
         heartbeat.backends.iter().map(|report| to_report(report, now)).collect();
     if !reports.is_empty() {
-        let _ = shared.fleet_actor.tell(ApplyReports { reports, tell: false }).await;
+        let tell = shared.members.load().tell_learned();
+        let _ = shared.fleet_actor.tell(ApplyReports { reports, tell }).await;
     }
     take_demands(shared, envelope, &heartbeat);
 }
--- a/crates/beamwall-node/src/tasks/polling.rs
+++ b/crates/beamwall-node/src/tasks/polling.rs
@@ -15,12 +15,16 @@
 const POLL_PERIOD: Duration = Duration::from_millis(200);
 /// Longest poll.
 const POLL_LIMIT: Duration = Duration::from_millis(500);
+/// Polls that no node reaches in a millisecond.
+const SEQUENCES_PER_MILLISECOND: u64 = 1_024;
 /// Nodes that poll one back end.
 const POLLERS: usize = 2;
 
 /// Runs until the node stops.
 pub async fn run(shared: Arc<Shared>) {
-    let sequence = Arc::new(AtomicU64::new(1));
+    // Larger than any number of an earlier life, or peers would take the reports for old ones.
+    let first = shared.members.load().incarnation.saturating_mul(SEQUENCES_PER_MILLISECOND);
+    let sequence = Arc::new(AtomicU64::new(first));
     loop {
         tokio::time::sleep(POLL_PERIOD).await;
         let view = shared.dispatcher.view.load_full();
@@ -53,7 +57,8 @@
     let client = EngineClient::new(shared.dispatcher.pool.clone(), backend.address, POLL_LIMIT);
     let number = sequence.fetch_add(1, Ordering::Relaxed);
     let report = client.poll(&backend.id, &shared.settings.node, number).await;
-    let apply = ApplyReports { reports: vec![report], tell: true };
+    let tell = shared.members.load().tell_polled();
+    let apply = ApplyReports { reports: vec![report], tell };
     if shared.fleet_actor.ask(apply).await.unwrap_or(false) {
         shared.urgent.notify_one();
     }
--- a/crates/beamwall-node/tests/leaving.rs
+++ b/crates/beamwall-node/tests/leaving.rs
@@ -94,14 +94,39 @@
     let shared = cluster.nodes[0].shared();
     wait_until("the replacement to serve", || {
         let view = shared.dispatcher.view.load();
-        let serves = view.backends().any(|backend| {
+        let backends: Vec<_> = view.backends().cloned().collect();
+        backends.iter().any(|backend| {
             let model = backend.report.as_ref().is_some_and(|report| report.model == "helper");
             is_new(backend.backend.id.as_str()) && backend.accepts_work() && model
-        });
-        serves
+        })
     })
     .await;
     assert!(started.elapsed() < Duration::from_secs(20));
     let replacements = cluster.cloud.machines().iter().filter(|machine| is_new(&machine.id)).count();
     assert_eq!(replacements, 1, "the list lags: a start must not be made twice");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_a_restarted_node_polls_is_believed_by_the_others() {
+    let mut cluster = Cluster::start(Plan::default()).await;
+    // Long enough that the polls of the earlier life outnumber those of the next few seconds.
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    cluster.nodes[0].restart();
+    let restarted = cluster.nodes[0].shared();
+    wait_until("the restarted node to be ready", || restarted.is_ready()).await;
+    // Only the node of zone a polls the application of zone a.
+    tokio::time::sleep(BOUND).await;
+    let shared = cluster.nodes[1].shared();
+    let view = shared.dispatcher.view.load();
+    let report =
+        view.backend(&"game-a0".into()).and_then(|backend| backend.report.clone()).expect("a report");
+    assert!(report.learned.elapsed() < BOUND, "the reports of the restarted node were ignored");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_that_are_not_relays_hear_of_back_ends_in_other_zones() {
+    // The start waits until every node sees every back end as usable.
+    let cluster = Cluster::start(Plan { nodes_per_zone: 3, ..Plan::default() }).await;
+    let relays = cluster.nodes.iter().filter(|node| node.shared().members.load().is_relay).count();
+    assert_eq!(relays, 6, "two relays a zone");
+}
--- a/crates/beamwall-node/tests/support/mod.rs
+++ b/crates/beamwall-node/tests/support/mod.rs
@@ -14,6 +14,7 @@
 use beamwall_lab::caller::{Caller, Question};
 use beamwall_lab::cloud::{CloudOptions, CloudStandIn, LabMachine, Wave};
 use beamwall_lab::engine::{EngineOptions, EngineStandIn, EngineTiming, start_engine};
+use beamwall_lab::link::Link;
 use beamwall_lab::object_store::{ObjectRates, ObjectStandIn};
 use beamwall_lab::running::{free_addresses, loopback};
 use beamwall_node::Node;
@@ -141,7 +142,8 @@
 /// A deployment.
 pub struct Cluster {
     pub platform: Arc<ObjectStandIn>,
-    pub platform_address: SocketAddr,
+    /// One link to the platform for each node, which a test can cut.
+    pub platform_links: Vec<Link>,
     pub cloud: Arc<CloudStandIn>,
     pub engines: Vec<TestEngine>,
     pub applications: Vec<Arc<ApplicationStandIn>>,
@@ -185,10 +187,14 @@
         let options = CloudOptions { list_lag: Duration::from_millis(plan.list_lag_ms), speed: plan.speed };
         let cloud = CloudStandIn::new(machines, options);
         let cloud_server = Running::start(loopback(), cloud.clone()).await.expect("the cloud starts");
-        let platform_address = platform_server.address;
-        let nodes = start_nodes(&plan, platform_address, cloud_server.address);
+        let mut platform_links = Vec::new();
+        for _ in 0..plan.nodes_per_zone * ZONES.len() {
+            platform_links
+                .push(Link::start(loopback(), platform_server.address).await.expect("a link starts"));
+        }
+        let nodes = start_nodes(&plan, &platform_links, cloud_server.address);
         servers.extend([platform_server, cloud_server]);
-        let cluster = Self { platform, platform_address, cloud, engines, applications, nodes, servers };
+        let cluster = Self { platform, platform_links, cloud, engines, applications, nodes, servers };
         cluster.load_tree(&plan).await;
         cluster.wait_until_serving().await;
         cluster
@@ -271,12 +277,13 @@
     engines
 }
 
-fn start_nodes(plan: &Plan, platform: SocketAddr, cloud: SocketAddr) -> Vec<TestNode> {
+fn start_nodes(plan: &Plan, platform_links: &[Link], cloud: SocketAddr) -> Vec<TestNode> {
     let count = plan.nodes_per_zone * ZONES.len();
     let addresses = free_addresses(count * 3);
     let seeds: Vec<String> = (0..count).map(|number| format!("\"{}\"", addresses[number * 3 + 2])).collect();
     let settings = |number: usize| {
         let zone = ZONES[number / plan.nodes_per_zone];
+        let platform = platform_links[number].address;
         let text = format!(
             "[node]\nname = \"entry-{zone}{}\"\nzone = \"{zone}\"\n[listen]\ncallers = \"{}\"\noperators = \"{}\"\n\
              peers = \"{}\"\n[peers]\nseeds = [{}]\n[platform]\naddress = \"{platform}\"\ncalls_per_second = 100\n\
--- a/crates/beamwall-peer/src/membership.rs
+++ b/crates/beamwall-peer/src/membership.rs
@@ -269,6 +269,11 @@
             .filter(|member| member.zone == self.zone && member.state <= MemberState::Suspect)
     }
 
+    /// Nodes of this zone that are not dead, this one included.
+    pub fn zone_size(&self) -> usize {
+        self.in_zone().count() + 1
+    }
+
     /// Whether this node speaks with other zones.
     pub fn is_relay(&self) -> bool {
         let mut names: Vec<&str> = self
