Settings spread by flooding and by changes lacked; lab scale measures control by size

Cause: an edit was pushed by its node to every member and a node that lacked one fetched the whole tree; neither holds at thousands of nodes. The cost of control for each node had not been measured. Change: a node pushes a newly activated change to the nodes it sends heartbeats to; a node that lacks changes gets just those (64 are remembered). Sessions that are idle for two minutes close. 'lab scale' runs real nodes beside hollow ones that share a process.

--- a/crates/beamwall-ctl/src/arguments.rs
+++ b/crates/beamwall-ctl/src/arguments.rs
@@ -204,6 +204,15 @@
     /// Load.
     #[options(help = "replay a fleet's workload against a deployment and report")]
     Load(LoadOptions),
+    /// Scale.
+    #[options(help = "measure the cost of control for each node over several sizes")]
+    Scale(ScaleOptions),
+    /// Hollow nodes.
+    #[options(help = "run all hollow nodes of a deployment directory in one process")]
+    HollowNodes(DirectoryOptions),
+    /// Hollow engines.
+    #[options(help = "run all machines of a deployment directory as engines in one process")]
+    HollowEngines(DirectoryOptions),
 }
 
 /// Where to listen.
@@ -302,6 +311,29 @@
     pub connections: usize,
 }
 
+/// Options of `lab scale`.
+#[derive(Debug, Options)]
+pub struct ScaleOptions {
+    /// Help.
+    #[options(help = "show this help")]
+    pub help: bool,
+    /// Nodes of each zone, one number for each measurement.
+    #[options(help = "nodes of each zone, separated by commas", default = "2,4,8,16,24")]
+    pub sizes: String,
+    /// Zones.
+    #[options(help = "zones", default = "5")]
+    pub zones: u8,
+    /// Engines for each node.
+    #[options(help = "engines for each node", default = "4")]
+    pub engines_per_node: usize,
+    /// Further documents of the tree.
+    #[options(help = "further documents of the settings tree", default = "0")]
+    pub documents: usize,
+    /// Seconds of each measurement.
+    #[options(help = "seconds of each measurement", default = "15")]
+    pub seconds: u64,
+}
+
 /// Options of `lab load`.
 #[derive(Debug, Options)]
 pub struct LoadOptions {
--- a/crates/beamwall-ctl/src/lab/mod.rs
+++ b/crates/beamwall-ctl/src/lab/mod.rs
@@ -2,9 +2,11 @@
 
 pub mod demo;
 pub mod deployment;
+pub mod hollow;
 pub mod load;
 pub mod overhead;
 pub mod sample;
+pub mod scale;
 pub mod stand_ins;
 
 use crate::arguments::LabCommand;
@@ -20,5 +22,8 @@
         LabCommand::Demo(options) => demo::run(options).await,
         LabCommand::Overhead(options) => overhead::run(options).await,
         LabCommand::Load(options) => load::run(options).await,
+        LabCommand::Scale(options) => scale::run(options).await,
+        LabCommand::HollowNodes(options) => hollow::run_nodes(options).await,
+        LabCommand::HollowEngines(options) => hollow::run_engines(options).await,
     }
 }
--- a/crates/beamwall-ctl/src/lab/overhead.rs
+++ b/crates/beamwall-ctl/src/lab/overhead.rs
@@ -36,8 +36,14 @@
 /// Runs the measurement and prints a table.
 pub async fn run(options: &OverheadOptions) -> Result<(), CommandError> {
     let directory = std::env::temp_dir().join(format!("beamwall-overhead-{}", std::process::id()));
-    let sample =
-        Sample { zones: 1, nodes_per_zone: 1, engines_per_zone: 1, applications_per_zone: 1, threads: 1 };
+    let sample = Sample {
+        zones: 1,
+        nodes_per_zone: 1,
+        engines_per_zone: 1,
+        applications_per_zone: 1,
+        threads: 1,
+        ..Sample::default()
+    };
     sample.write(&directory)?;
     let deployment = Deployment::start(&directory, ENGINE_SPEED).await?;
     let result = measure(options, &deployment).await;
--- a/crates/beamwall-node/src/actors/tree.rs
+++ b/crates/beamwall-node/src/actors/tree.rs
@@ -11,7 +11,10 @@
 use kameo::Actor;
 use kameo::message::{Context, Message};
 
-use crate::shared::ActiveTree;
+use crate::shared::{ActiveTree, RecentChange};
+
+/// Changes remembered for peers that lack them.
+const REMEMBERED_CHANGES: usize = 64;
 
 /// Owner of the settings in force.
 #[derive(Actor)]
@@ -27,10 +30,11 @@
 
     fn activate(
         &self,
-        revision: u64,
+        change: RecentChange,
         source: &str,
         result: Result<(ConfigTree, ResolvedTree), Faults>,
     ) -> bool {
+        let revision = change.revision;
         match result {
             Ok((tree, resolved)) => {
                 emit(&RevisionActivated {
@@ -38,7 +42,8 @@
                     digest: format!("{:016x}", resolved.digest),
                     source: source.to_owned(),
                 });
-                self.active.store(Arc::new(ActiveTree { revision, tree, resolved }));
+                let recent = remember(&self.active.load().recent, change);
+                self.active.store(Arc::new(ActiveTree { revision, tree, resolved, recent }));
                 true
             }
             Err(faults) => {
@@ -49,6 +54,24 @@
     }
 }
 
+/// Adds a change to the remembered ones. They form a chain: a change that does not continue it starts
+/// a new one.
+fn remember(recent: &[Arc<RecentChange>], change: RecentChange) -> Vec<Arc<RecentChange>> {
+    let continues = recent.last().is_some_and(|last| last.revision == change.base_revision);
+    let kept = if continues { &recent[(recent.len() + 1).saturating_sub(REMEMBERED_CHANGES)..] } else { &[] };
+    kept.iter().cloned().chain(std::iter::once(Arc::new(change))).collect()
+}
+
+/// The changes that lead from one set of documents to another.
+fn difference(from: &ConfigTree, to: &BTreeMap<TreePath, String>) -> Vec<Change> {
+    let removed = from.nodes().filter(|(path, _)| !to.contains_key(*path));
+    let removed = removed.map(|(path, _)| Change { path: path.clone(), text: None });
+    let is_new = |path: &TreePath, text: &String| from.node(path).is_none_or(|node| node.text != *text);
+    let written = to.iter().filter(|(path, text)| is_new(path, text));
+    let written = written.map(|(path, text)| Change { path: path.clone(), text: Some(text.clone()) });
+    removed.chain(written).collect()
+}
+
 /// A whole tree, from the platform or a peer.
 pub struct ActivateWhole {
     /// Its revision.
@@ -63,11 +86,14 @@
     type Reply = bool;
 
     async fn handle(&mut self, message: ActivateWhole, _: &mut Context<Self, Self::Reply>) -> bool {
-        if message.revision <= self.active.load().revision {
+        let active = self.active.load_full();
+        if message.revision <= active.revision {
             return false;
         }
-        let result = ConfigTree::from_documents(&message.documents);
-        self.activate(message.revision, &message.source, result)
+        let changes = difference(&active.tree, &message.documents);
+        let result = active.tree.with_changes(&changes);
+        let change = RecentChange { base_revision: active.revision, revision: message.revision, changes };
+        self.activate(change, &message.source, result)
     }
 }
 
@@ -92,6 +118,11 @@
             return false;
         }
         let result = active.tree.with_changes(&message.changes);
-        self.activate(message.revision, &message.source, result)
+        let change = RecentChange {
+            base_revision: message.base_revision,
+            revision: message.revision,
+            changes: message.changes,
+        };
+        self.activate(change, &message.source, result)
     }
 }
--- a/crates/beamwall-node/src/node.rs
+++ b/crates/beamwall-node/src/node.rs
@@ -153,6 +153,8 @@
         own_demands: Default::default(),
         peer_demands: Default::default(),
         leases: Default::default(),
+        targets: ArcSwap::default(),
+        fetching_tree: AtomicBool::new(false),
         highest_revision: AtomicU64::new(0),
         settings,
     }))
--- a/crates/beamwall-node/src/operators/mod.rs
+++ b/crates/beamwall-node/src/operators/mod.rs
@@ -38,7 +38,14 @@
     fn ready(&self) -> Response<Body> {
         let ready = self.shared.is_ready();
         let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-        json_response(status, &json!({"ready": ready, "draining": self.shared.is_draining()}))
+        json_response(
+            status,
+            &json!({
+                "ready": ready,
+                "draining": self.shared.is_draining(),
+                "revision": self.shared.tree.load().revision,
+            }),
+        )
     }
 
     async fn administer(&self, request: Request<Incoming>) -> Result<Response<Body>, ApiError> {
--- a/crates/beamwall-node/src/operators/tree.rs
+++ b/crates/beamwall-node/src/operators/tree.rs
@@ -9,8 +9,6 @@
 use beamwall_events::internal_events::{EditCommitted, EditConflict, EditRefused};
 use beamwall_http::{Body, json_response};
 use beamwall_model::Outcome;
-use beamwall_peer::Body as PeerBody;
-use beamwall_peer::message::{TreeChange, TreeDocument};
 use bytes::Bytes;
 use hyper::{Response, StatusCode};
 use serde_json::{Value, json};
@@ -20,6 +18,7 @@
 use crate::callers::api_error::ApiError;
 use crate::operators::access::{may_edit, may_view};
 use crate::shared::{ActiveTree, Shared};
+use crate::tasks::tree_spread;
 use crate::tasks::tree_watch::load_head;
 use crate::tree_store::{Head, Manifest, TreeStoreError, content_digest};
 
@@ -161,13 +160,6 @@
         operator: operator.subtree.to_string(),
         paths: paths.join(" "),
     });
-    let document =
-        |change: &Change| TreeDocument { path: change.path.to_string(), text: change.text.clone() };
-    let push = TreeChange {
-        base_revision: edit.base_revision,
-        revision,
-        documents: edit.changes.iter().map(document).collect(),
-    };
     let activate = ActivateChange {
         base_revision: edit.base_revision,
         revision,
@@ -176,10 +168,7 @@
     };
     let _ = shared.tree_actor.ask(activate).await;
     shared.note_revision(revision);
-    let envelope = shared.envelope(PeerBody::TreeChange(push));
-    for member in &shared.members.load().members {
-        shared.network.send(member.address, &envelope);
-    }
+    tree_spread::push(shared);
 }
 
 /// The answer to an edit that lost a race: the revision in force and how it differs at the paths
--- a/crates/beamwall-node/src/shared.rs
+++ b/crates/beamwall-node/src/shared.rs
@@ -1,11 +1,13 @@
 //! What the tasks and handlers of one node share.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use beamwall_config::edit::Change;
 use beamwall_config::{ConfigTree, KeyIndex, OperatorKey, ProcessSettings, ResolvedTree, TreePath};
 use beamwall_model::{NodeId, TenantName};
 use beamwall_peer::membership::{FULL_MESH_LIMIT, RELAYS_PER_ZONE};
@@ -33,6 +35,19 @@
     pub tree: ConfigTree,
     /// The resolved values.
     pub resolved: ResolvedTree,
+    /// The last changes, each on top of the one before, for peers that lack them.
+    pub recent: Vec<Arc<RecentChange>>,
+}
+
+/// One change of the revision in force.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RecentChange {
+    /// The revision before.
+    pub base_revision: u64,
+    /// The revision after.
+    pub revision: u64,
+    /// The changed documents.
+    pub changes: Vec<Change>,
 }
 
 /// The other nodes as known now.
@@ -125,6 +140,10 @@
     pub leases: Mutex<BTreeMap<String, watch::Receiver<LeaseState>>>,
     /// Operator keys of the process settings.
     pub bootstrap_operators: KeyIndex<OperatorKey>,
+    /// Addresses that got the last heartbeat.
+    pub targets: ArcSwap<Vec<SocketAddr>>,
+    /// Set while a peer is asked for settings.
+    pub fetching_tree: AtomicBool,
     /// Highest revision heard of from anyone.
     pub highest_revision: AtomicU64,
 }
--- a/crates/beamwall-node/src/tasks/heartbeat.rs
+++ b/crates/beamwall-node/src/tasks/heartbeat.rs
@@ -35,6 +35,7 @@
     };
     let probe = shared.envelope(Body::Heartbeat(Heartbeat { wants_answer: true, ..heartbeat.clone() }));
     let plain = shared.envelope(Body::Heartbeat(heartbeat));
+    shared.targets.store(Arc::new(targets.iter().map(|target| target.address).collect()));
     for target in &targets {
         shared.network.send(target.address, if target.wants_answer { &probe } else { &plain });
     }
--- a/crates/beamwall-node/src/tasks/inbox.rs
+++ b/crates/beamwall-node/src/tasks/inbox.rs
@@ -1,17 +1,12 @@
 //! Handles messages from peers.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use beamwall_config::TreePath;
-use beamwall_config::edit::Change;
 use beamwall_fleet::{BackendReport, LeavingSource};
 use beamwall_model::{BackendId, NodeId, TenantName};
-use beamwall_peer::message::{
-    self, HandoverAnswer, Heartbeat, ProbeRequest, RequestFound, TreeChange, TreeDocument, TreeRequest,
-    TreeWhole,
-};
+use beamwall_peer::message::{self, HandoverAnswer, Heartbeat, ProbeRequest, RequestFound};
 use beamwall_peer::{Body, Envelope};
 use beamwall_routing::tenant_limit::Demand;
 use tokio::sync::mpsc;
@@ -19,12 +14,8 @@
 
 use crate::actors::fleet::{ApplyReports, MarkLeaving};
 use crate::actors::membership::{Hear, Introduction};
-use crate::actors::tree::{ActivateChange, ActivateWhole};
 use crate::shared::{Shared, lock};
-use crate::tasks::{claims, drain};
-
-/// Longest wait for a peer's settings tree.
-const TREE_LIMIT: Duration = Duration::from_secs(2);
+use crate::tasks::{claims, drain, tree_spread};
 
 /// Runs until the peer network closes.
 pub async fn run(shared: Arc<Shared>, mut inbox: mpsc::Receiver<Envelope>) {
@@ -54,8 +45,11 @@
             take_heartbeat(shared, &envelope, heartbeat).await;
         }
         Some(Body::ProbeRequest(probe)) => probe_for(shared, &probe),
-        Some(Body::TreeRequest(_)) => answer(shared, &envelope, Body::TreeWhole(whole_tree(shared))),
-        Some(Body::TreeChange(change)) => take_change(shared, change).await,
+        Some(Body::TreeRequest(request)) => {
+            let body = tree_spread::answer_for(&shared.tree.load(), request.have_revision);
+            answer(shared, &envelope, body);
+        }
+        Some(Body::TreeChange(change)) => tree_spread::take_change(shared, change).await,
         Some(Body::Handover(handover)) => {
             let taken = drain::take_handover(shared, handover);
             answer(shared, &envelope, Body::HandoverAnswer(HandoverAnswer { taken }));
@@ -69,7 +63,13 @@
         Some(Body::ClaimRequest(request)) => {
             tokio::spawn(claims::decide(shared.clone(), envelope, request));
         }
-        Some(Body::TreeWhole(_) | Body::HandoverAnswer(_) | Body::RequestFound(_) | Body::ClaimAnswer(_))
+        Some(
+            Body::TreeWhole(_)
+            | Body::TreeChanges(_)
+            | Body::HandoverAnswer(_)
+            | Body::RequestFound(_)
+            | Body::ClaimAnswer(_),
+        )
         | None => {}
     }
 }
@@ -94,53 +94,9 @@
         let detail = format!("{} resolved revision {} otherwise", envelope.sender, envelope.revision);
         shared.dispatcher.metrics.break_invariant("same-revision-same-settings", detail);
     }
-    if envelope.revision > active.revision
-        && let Ok(address) = envelope.address.parse()
-    {
-        tokio::spawn(fetch_tree(shared.clone(), address));
-    }
-}
-
-/// Asks a peer for its tree and activates it if newer. True when the peer answered.
-pub async fn fetch_tree(shared: Arc<Shared>, peer: std::net::SocketAddr) -> bool {
-    let question = shared.envelope(Body::TreeRequest(TreeRequest {}));
-    let Ok(answer) = shared.network.ask(peer, question, TREE_LIMIT).await else { return false };
-    let Some(Body::TreeWhole(whole)) = answer.body else { return false };
-    if whole.revision > shared.tree.load().revision {
-        let documents = whole
-            .documents
-            .into_iter()
-            .filter_map(|document| Some((document.path.parse::<TreePath>().ok()?, document.text?)));
-        let activate = ActivateWhole {
-            revision: whole.revision,
-            documents: documents.collect::<BTreeMap<_, _>>(),
-            source: format!("peer {}", answer.sender),
-        };
-        let _ = shared.tree_actor.ask(activate).await;
+    if let Some(peer) = tree_spread::newer_at(shared, envelope) {
+        tree_spread::fetch_later(shared, peer);
     }
-    true
-}
-
-fn whole_tree(shared: &Shared) -> TreeWhole {
-    let active = shared.tree.load();
-    let document =
-        |(path, text): (TreePath, String)| TreeDocument { path: path.to_string(), text: Some(text) };
-    let documents = active.tree.documents().into_iter().map(document).collect();
-    TreeWhole { revision: active.revision, documents }
-}
-
-async fn take_change(shared: &Arc<Shared>, change: TreeChange) {
-    let changes = change
-        .documents
-        .into_iter()
-        .filter_map(|document| Some(Change { path: document.path.parse().ok()?, text: document.text }));
-    let activate = ActivateChange {
-        base_revision: change.base_revision,
-        revision: change.revision,
-        changes: changes.collect(),
-        source: "peer edit".to_owned(),
-    };
-    let _ = shared.tree_actor.ask(activate).await;
 }
 
 fn probe_for(shared: &Shared, probe: &ProbeRequest) {
--- a/crates/beamwall-node/src/tasks/mod.rs
+++ b/crates/beamwall-node/src/tasks/mod.rs
@@ -9,5 +9,6 @@
 pub mod inbox;
 pub mod limits;
 pub mod polling;
+pub mod tree_spread;
 pub mod tree_watch;
 pub mod upkeep;
--- a/crates/beamwall-node/src/tasks/tree_watch.rs
+++ b/crates/beamwall-node/src/tasks/tree_watch.rs
@@ -10,7 +10,7 @@
 
 use crate::actors::tree::ActivateWhole;
 use crate::shared::Shared;
-use crate::tasks::inbox::fetch_tree;
+use crate::tasks::tree_spread;
 use crate::tree_store::{HEAD, TreeStoreError, content_digest};
 
 /// Nodes of a zone that watch.
@@ -57,7 +57,12 @@
 
 async fn ask_peers(shared: &Arc<Shared>) -> bool {
     let seeds = shared.settings.seeds.iter().filter(|seed| **seed != shared.settings.peers);
-    let questions: Vec<_> = seeds.map(|seed| tokio::spawn(fetch_tree(shared.clone(), *seed))).collect();
+    let questions: Vec<_> = seeds
+        .map(|seed| {
+            let (shared, seed) = (shared.clone(), *seed);
+            tokio::spawn(async move { tree_spread::fetch(&shared, seed).await })
+        })
+        .collect();
     let mut answered = false;
     for question in questions {
         answered |= question.await.unwrap_or(false);
@@ -92,6 +97,8 @@
         active.tree.documents().into_values().map(|text| (content_digest(&text), text)).collect();
     let documents: BTreeMap<_, _> = shared.tree_store.documents(&manifest, &known).await?;
     let activate = ActivateWhole { revision: manifest.revision, documents, source: "platform".to_owned() };
-    let _ = shared.tree_actor.ask(activate).await;
+    if shared.tree_actor.ask(activate).await.unwrap_or(false) {
+        tree_spread::push(shared);
+    }
     Ok(())
 }
--- a/crates/beamwall-peer/src/message.rs
+++ b/crates/beamwall-peer/src/message.rs
@@ -39,7 +39,7 @@
     #[prost(uint64, tag = "10")]
     pub answers: u64,
     /// The body.
-    #[prost(oneof = "Body", tags = "20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30")]
+    #[prost(oneof = "Body", tags = "20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31")]
     pub body: Option<Body>,
 }
 
@@ -79,6 +79,9 @@
     /// The owner's decision.
     #[prost(message, tag = "30")]
     ClaimAnswer(ClaimAnswer),
+    /// Several committed settings edits.
+    #[prost(message, tag = "31")]
+    TreeChanges(TreeChanges),
 }
 
 /// Periodic sign of life with piggybacked news.
@@ -198,9 +201,21 @@
     pub address: String,
 }
 
-/// Asks for the receiver's settings tree.
+/// Asks for the receiver's settings tree, or for the edits that the sender lacks.
 #[derive(Clone, PartialEq, Message)]
-pub struct TreeRequest {}
+pub struct TreeRequest {
+    /// Revision in force at the sender; 0 for none.
+    #[prost(uint64, tag = "1")]
+    pub have_revision: u64,
+}
+
+/// Several committed settings edits, each on top of the one before.
+#[derive(Clone, PartialEq, Message)]
+pub struct TreeChanges {
+    /// The edits.
+    #[prost(message, repeated, tag = "1")]
+    pub changes: Vec<TreeChange>,
+}
 
 /// A document of the settings tree.
 #[derive(Clone, PartialEq, Message)]
--- a/crates/beamwall-peer/src/network.rs
+++ b/crates/beamwall-peer/src/network.rs
@@ -25,6 +25,8 @@
 const INBOUND_CAPACITY: usize = 4_096;
 /// Largest message: a whole settings tree.
 const MESSAGE_LIMIT_BYTES: usize = 64 << 20;
+/// A session that sent nothing for this long is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(120);
 const RECONNECT_MIN: Duration = Duration::from_millis(50);
 const RECONNECT_MAX: Duration = Duration::from_millis(1_000);
 
@@ -201,7 +203,7 @@
 /// The task of one peer: sends what is queued until the queue is dropped.
 async fn run_session(to: SocketAddr, mut queue: mpsc::Receiver<Vec<u8>>) {
     let Ok(socket) = open_session(to) else { return };
-    while let Some(bytes) = queue.recv().await {
+    while let Ok(Some(bytes)) = tokio::time::timeout(IDLE_LIMIT, queue.recv()).await {
         let _ = socket.try_send(bytes.as_slice());
     }
     socket.close();
