--- a/crates/beamwall-ctl/src/lab/scale.rs
+++ b/crates/beamwall-ctl/src/lab/scale.rs
@@ -137,7 +137,7 @@
     let mut waiting: Vec<SocketAddr> = all.to_vec();
     while !waiting.is_empty() {
         if Instant::now() > deadline {
-            return Err(failed(format!("{} nodes do not have revision {revision}", waiting.len())));
+            return Err(failed(format!("without revision {revision}: {waiting:?}")));
         }
         let mut behind = Vec::new();
         for node in waiting {
--- a/crates/beamwall-fleet/src/fleet.rs
+++ b/crates/beamwall-fleet/src/fleet.rs
@@ -164,6 +164,11 @@
         self.entries.values().map(|entry| &entry.backend)
     }
 
+    /// The newest report of every back end that has one.
+    pub fn reports(&self) -> impl Iterator<Item = &BackendReport> {
+        self.entries.values().filter_map(|entry| entry.report.as_ref())
+    }
+
     /// The newest report of a back end.
     pub fn report(&self, id: &BackendId) -> Option<&BackendReport> {
         self.entries.get(id)?.report.as_ref()
--- a/crates/beamwall-node/src/actors/fleet.rs
+++ b/crates/beamwall-node/src/actors/fleet.rs
@@ -20,7 +20,7 @@
 use crate::shared::ActiveTree;
 
 /// Time after which a report is told again although nothing changed.
-const REFRESH_PERIOD: Duration = Duration::from_secs(1);
+const REFRESH_PERIOD: Duration = Duration::from_secs(10);
 
 /// Owner of the fleet.
 #[derive(Actor)]
@@ -52,7 +52,9 @@
             self.log(change);
         }
         self.unpublished = true;
-        if !changes.is_empty() {
+        // A back end that came up can wait for the next regular publication; one that must get no
+        // more work cannot.
+        if changes.iter().any(|change| !matches!(change, FleetChange::Up(..))) {
             self.publish();
         }
         changes.iter().any(|change| matches!(change, FleetChange::Leaving(..)))
@@ -178,6 +180,19 @@
     }
 }
 
+/// A peer joined: what it lacks is told again.
+pub struct TellAgain;
+
+impl Message<TellAgain> for FleetActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: TellAgain, _: &mut Context<Self, Self::Reply>) {
+        for report in self.fleet.reports() {
+            self.untold.entry(report.backend.clone()).or_insert_with(|| (report.clone(), 1));
+        }
+    }
+}
+
 /// What to tell peers.
 #[derive(Debug, Default, kameo::Reply)]
 pub struct FleetNews {
--- a/crates/beamwall-node/src/actors/membership.rs
+++ b/crates/beamwall-node/src/actors/membership.rs
@@ -8,7 +8,7 @@
 use beamwall_events::internal_events::{PeerAlive, PeerDead, PeerSuspect};
 use beamwall_model::NodeId;
 use beamwall_peer::message::MemberUpdate;
-use beamwall_peer::{Envelope, MemberState, Membership, MembershipChange, Target};
+use beamwall_peer::{Envelope, Member, MemberState, Membership, MembershipChange, Target};
 use kameo::Actor;
 use kameo::message::{Context, Message};
 use tokio::time::Instant;
@@ -53,6 +53,11 @@
     }
 }
 
+/// What others decide by; the time of the last message is not part of it.
+fn standing(member: &Member) -> (MemberState, u64, u64, bool, bool) {
+    (member.state, member.incarnation, member.revision, member.ready, member.draining)
+}
+
 /// A message came from a peer, with what it tells of others.
 pub struct Hear {
     /// The message without its body.
@@ -71,13 +76,16 @@
     async fn handle(&mut self, message: Hear, _: &mut Context<Self, Self::Reply>) -> Introduction {
         let now = Instant::now();
         let sender = NodeId::new(&message.envelope.sender);
-        let was_known = self.membership.member(&sender).is_some();
+        let before = self.membership.member(&sender).map(standing);
         let mut changes: Vec<MembershipChange> =
             self.membership.hear(&message.envelope, now).into_iter().collect();
         changes.extend(self.membership.merge(&message.members, now));
         Self::log(&changes);
-        self.publish();
-        Introduction(self.membership.introduction(&sender, was_known))
+        let after = self.membership.member(&sender).map(standing);
+        if !changes.is_empty() || before != after {
+            self.publish();
+        }
+        Introduction(self.membership.introduction(&sender, before.is_some()))
     }
 }
 
--- a/crates/beamwall-node/src/node.rs
+++ b/crates/beamwall-node/src/node.rs
@@ -115,7 +115,8 @@
     let metrics = NodeMetrics::new(registry)?;
     let pool = Pool::new(CONNECT_LIMIT);
     let platform = JsonClient::new(pool.clone(), settings.platform, settings.platform_timeout);
-    let budget = Arc::new(CallBudget::new(settings.platform_calls_per_second));
+    let budget =
+        Arc::new(CallBudget::new(settings.platform_calls_per_second, settings.platform_writes_per_second));
     let store = ObjectStore::new(platform, budget);
     let cloud = CloudClient::new(JsonClient::new(pool.clone(), settings.cloud, settings.platform_timeout));
     let ledger = ClaimLedger::start(&store, &request_metrics.claims, &request_metrics.claim_writes);
@@ -154,6 +155,8 @@
         peer_demands: Default::default(),
         leases: Default::default(),
         targets: ArcSwap::default(),
+        machines_digest: AtomicU64::new(0),
+        peer_machines_digest: AtomicU64::new(0),
         fetching_tree: AtomicBool::new(false),
         highest_revision: AtomicU64::new(0),
         settings,
--- a/crates/beamwall-node/src/shared.rs
+++ b/crates/beamwall-node/src/shared.rs
@@ -9,9 +9,9 @@
 use arc_swap::ArcSwap;
 use beamwall_config::edit::Change;
 use beamwall_config::{ConfigTree, KeyIndex, OperatorKey, ProcessSettings, ResolvedTree, TreePath};
-use beamwall_model::{NodeId, TenantName};
+use beamwall_model::{NodeId, TenantName, rendezvous};
 use beamwall_peer::membership::{FULL_MESH_LIMIT, RELAYS_PER_ZONE};
-use beamwall_peer::{Envelope, Member, PeerNetwork};
+use beamwall_peer::{Envelope, Member, MemberState, PeerNetwork};
 use beamwall_platform::{CloudClient, LeaseState, ObjectStore};
 use beamwall_request::async_record::AsyncRecords;
 use beamwall_request::{ClaimLedger, Dispatcher, RequestRegistry};
@@ -142,6 +142,10 @@
     pub bootstrap_operators: KeyIndex<OperatorKey>,
     /// Addresses that got the last heartbeat.
     pub targets: ArcSwap<Vec<SocketAddr>>,
+    /// Digest of the machine list read last; 0 before the first.
+    pub machines_digest: AtomicU64,
+    /// Digest of the machine list that a reader of the zone told last; 0 before the first.
+    pub peer_machines_digest: AtomicU64,
     /// Set while a peer is asked for settings.
     pub fetching_tree: AtomicBool,
     /// Highest revision heard of from anyone.
@@ -179,6 +183,19 @@
         self.draining.load(Ordering::Relaxed)
     }
 
+    /// Whether this node is one of `count` that the zone's live nodes choose for a duty.
+    pub fn is_chosen_in_zone(&self, duty: &[u8], count: usize) -> bool {
+        let members = self.members.load();
+        let own = &self.settings.node;
+        let in_zone = members
+            .members
+            .iter()
+            .filter(|member| member.zone == self.settings.zone && member.state == MemberState::Alive);
+        let nodes: Vec<NodeId> =
+            in_zone.map(|member| member.node.clone()).chain(std::iter::once(own.clone())).collect();
+        rendezvous::choose(duty, &nodes, count, NodeId::as_str).into_iter().any(|node| node == own)
+    }
+
     /// A message from this node.
     pub fn envelope(&self, body: beamwall_peer::Body) -> Envelope {
         let tree = self.tree.load();
--- a/crates/beamwall-node/src/tasks/cloud_watch.rs
+++ b/crates/beamwall-node/src/tasks/cloud_watch.rs
@@ -1,19 +1,27 @@
 //! Reads the machine list and waits for the cloud's notices.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use beamwall_events::emit;
 use beamwall_events::internal_events::ReclaimNotice;
 use beamwall_fleet::LeavingSource;
-use beamwall_platform::Notice;
+use beamwall_platform::{Machine, Notice};
 use tokio::time::Instant;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::actors::fleet::{ApplyMachines, MarkLeaving};
 use crate::shared::Shared;
 
-/// Time between readings of the machine list.
-const LIST_PERIOD: Duration = Duration::from_millis(1_000);
+/// Time between readings of the machine list by the readers of a zone.
+const READER_PERIOD: Duration = Duration::from_millis(1_000);
+/// Time between readings by the other nodes, unless a peer has read another list.
+const OTHERS_PERIOD: Duration = Duration::from_secs(15);
+/// The duty of reading the machine list and the notices for a zone.
+const LIST_DUTY: &[u8] = b"machines";
+/// Readers of a zone.
+const READERS: usize = 2;
 /// Longest wait of one call for notices.
 const NOTICE_WAIT: Duration = Duration::from_secs(5);
 /// Pause after a failure.
@@ -21,20 +29,53 @@
 
 /// Reads the machine list until the node stops.
 pub async fn run_list(shared: Arc<Shared>) {
+    let mut read_at = None;
     loop {
-        if let Ok(machines) = shared.cloud.machines().await
-            && shared.fleet_actor.ask(ApplyMachines(machines)).await.unwrap_or(false)
+        if is_due(&shared, read_at)
+            && let Ok(machines) = shared.cloud.machines().await
         {
-            shared.urgent.notify_one();
+            read_at = Some(Instant::now());
+            shared.machines_digest.store(digest(&machines), Ordering::Relaxed);
+            if shared.fleet_actor.ask(ApplyMachines(machines)).await.unwrap_or(false) {
+                shared.urgent.notify_one();
+            }
         }
-        tokio::time::sleep(LIST_PERIOD).await;
+        tokio::time::sleep(READER_PERIOD).await;
     }
 }
 
-/// Waits for notices until the node stops.
+fn is_due(shared: &Shared, read_at: Option<Instant>) -> bool {
+    let Some(read_at) = read_at else { return true };
+    let own = shared.machines_digest.load(Ordering::Relaxed);
+    let heard = shared.peer_machines_digest.load(Ordering::Relaxed);
+    let differs = heard != 0 && heard != own;
+    differs || read_at.elapsed() >= OTHERS_PERIOD || shared.is_chosen_in_zone(LIST_DUTY, READERS)
+}
+
+/// The digest that this node tells: its own when it is a reader of its zone.
+pub fn told_digest(shared: &Shared) -> u64 {
+    let is_reader = shared.is_chosen_in_zone(LIST_DUTY, READERS);
+    if is_reader { shared.machines_digest.load(Ordering::Relaxed) } else { 0 }
+}
+
+/// Digest of a machine list: another one means that something changed.
+fn digest(machines: &[Machine]) -> u64 {
+    let mut hasher = Xxh3::new();
+    for machine in machines {
+        hasher.update(machine.id.as_str().as_bytes());
+        hasher.update(&[machine.state as u8]);
+    }
+    hasher.digest().max(1)
+}
+
+/// Waits for notices until the node stops. The readers of each zone do; the others hear from them.
 pub async fn run_notices(shared: Arc<Shared>) {
     let mut sequence = 0;
     loop {
+        if !shared.is_chosen_in_zone(LIST_DUTY, READERS) {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        }
         match shared.cloud.notices(sequence, NOTICE_WAIT).await {
             Ok(notices) => {
                 let newest = notices.iter().map(|notice| notice.sequence).max();
--- a/crates/beamwall-node/src/tasks/control/mod.rs
+++ b/crates/beamwall-node/src/tasks/control/mod.rs
@@ -11,8 +11,6 @@
 
 use beamwall_events::emit;
 use beamwall_events::internal_events::{LeaseLost, LeaseTaken};
-use beamwall_model::{NodeId, rendezvous};
-use beamwall_peer::MemberState;
 use beamwall_platform::{Lease, LeaseState};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -68,17 +66,7 @@
     if shared.is_draining() || !shared.is_ready() {
         return false;
     }
-    let members = shared.members.load();
-    let own = &shared.settings.node;
-    let in_zone = members
-        .members
-        .iter()
-        .filter(|member| member.zone == shared.settings.zone && member.state == MemberState::Alive);
-    let nodes: Vec<NodeId> =
-        in_zone.map(|member| member.node.clone()).chain(std::iter::once(own.clone())).collect();
-    rendezvous::choose(name.as_bytes(), &nodes, CONTENDERS, NodeId::as_str)
-        .into_iter()
-        .any(|node| node == own)
+    shared.is_chosen_in_zone(name.as_bytes(), CONTENDERS)
 }
 
 fn contend(shared: &Shared, name: &str) -> (JoinHandle<()>, watch::Receiver<LeaseState>) {
--- a/crates/beamwall-node/src/tasks/heartbeat.rs
+++ b/crates/beamwall-node/src/tasks/heartbeat.rs
@@ -11,7 +11,7 @@
 use crate::actors::fleet::{FleetNews, TakeNews};
 use crate::actors::membership::{Tick, TickResult};
 use crate::shared::{Shared, lock};
-use crate::tasks::asynchronous;
+use crate::tasks::{asynchronous, cloud_watch};
 
 /// Runs until the node stops.
 pub async fn run(shared: Arc<Shared>) {
@@ -31,6 +31,7 @@
         backends: news.reports.iter().map(to_report).collect(),
         leaving: to_marks(&news),
         demands: own_demands(shared),
+        machines_digest: cloud_watch::told_digest(shared),
         wants_answer: false,
     };
     let probe = shared.envelope(Body::Heartbeat(Heartbeat { wants_answer: true, ..heartbeat.clone() }));
--- a/crates/beamwall-node/src/tasks/inbox.rs
+++ b/crates/beamwall-node/src/tasks/inbox.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use beamwall_fleet::{BackendReport, LeavingSource};
@@ -12,7 +13,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::actors::fleet::{ApplyReports, MarkLeaving};
+use crate::actors::fleet::{ApplyReports, MarkLeaving, TellAgain};
 use crate::actors::membership::{Hear, Introduction};
 use crate::shared::{Shared, lock};
 use crate::tasks::{claims, drain, tree_spread};
@@ -34,6 +35,7 @@
     if let Ok(Introduction(members)) = shared.membership_actor.ask(hear).await
         && !members.is_empty()
     {
+        let _ = shared.fleet_actor.tell(TellAgain).await;
         answer(shared, &envelope, Body::Heartbeat(Heartbeat { members, ..Heartbeat::default() }));
     }
     compare_revisions(shared, &envelope);
@@ -107,24 +109,34 @@
 }
 
 async fn take_heartbeat(shared: &Arc<Shared>, envelope: &Envelope, heartbeat: Heartbeat) {
+    if heartbeat.machines_digest != 0 && envelope.zone == shared.settings.zone.as_str() {
+        shared.peer_machines_digest.store(heartbeat.machines_digest, Ordering::Relaxed);
+    }
     let now = Instant::now();
     let mark = |mark: &message::LeavingMark| {
         let deadline = mark.remaining_ms.map(|left| now + Duration::from_millis(left));
         (BackendId::new(&mark.backend), LeavingSource::parse(&mark.source), deadline)
     };
     let marks: Vec<_> = heartbeat.leaving.iter().map(mark).collect();
-    if !marks.is_empty() && shared.fleet_actor.ask(MarkLeaving(marks)).await.unwrap_or(false) {
-        shared.urgent.notify_one();
+    if !marks.is_empty() {
+        tokio::spawn(take_marks(shared.clone(), marks));
     }
     let reports: Vec<BackendReport> =
         heartbeat.backends.iter().map(|report| to_report(report, now)).collect();
     if !reports.is_empty() {
         let tell = shared.members.load().tell_learned();
-        let _ = shared.fleet_actor.tell(ApplyReports { reports, tell }).await;
+        // A busy fleet loses reports, which come again; it must not hold up settings and membership.
+        let _ = shared.fleet_actor.tell(ApplyReports { reports, tell }).try_send();
     }
     take_demands(shared, envelope, &heartbeat);
 }
 
+async fn take_marks(shared: Arc<Shared>, marks: Vec<(BackendId, LeavingSource, Option<Instant>)>) {
+    if shared.fleet_actor.ask(MarkLeaving(marks)).await.unwrap_or(false) {
+        shared.urgent.notify_one();
+    }
+}
+
 fn take_demands(shared: &Shared, envelope: &Envelope, heartbeat: &Heartbeat) {
     let demand = |demand: &message::TenantDemand| {
         let rates = Demand { tokens: demand.tokens_per_second as f64, calls: demand.calls_per_second as f64 };
--- a/crates/beamwall-node/src/tasks/polling.rs
+++ b/crates/beamwall-node/src/tasks/polling.rs
@@ -11,8 +11,12 @@
 use crate::actors::fleet::{ApplyReports, Publish};
 use crate::shared::Shared;
 
-/// Time between polls of one back end.
-const POLL_PERIOD: Duration = Duration::from_millis(200);
+/// Shortest time between polls of one back end.
+const SHORTEST_PERIOD: Duration = Duration::from_millis(200);
+/// Longest time between polls of one back end: news of its leaving must reach the zone in two seconds.
+const LONGEST_PERIOD: Duration = Duration::from_millis(1_000);
+/// Added to the period for each back end that this node polls, to bound the polls a second.
+const PERIOD_PER_BACKEND: Duration = Duration::from_millis(100);
 /// Longest poll.
 const POLL_LIMIT: Duration = Duration::from_millis(500);
 /// Polls that no node reaches in a millisecond.
@@ -25,12 +29,17 @@
     // Larger than any number of an earlier life, or peers would take the reports for old ones.
     let first = shared.members.load().incarnation.saturating_mul(SEQUENCES_PER_MILLISECOND);
     let sequence = Arc::new(AtomicU64::new(first));
+    let mut period = SHORTEST_PERIOD;
     loop {
-        tokio::time::sleep(POLL_PERIOD).await;
+        tokio::time::sleep(period).await;
         let view = shared.dispatcher.view.load_full();
-        for backend in view.backends().map(|view| &view.backend).filter(|backend| polls(&shared, backend)) {
-            tokio::spawn(poll(shared.clone(), backend.clone(), sequence.clone()));
+        let polled: Vec<&Backend> =
+            view.backends().map(|view| &view.backend).filter(|backend| polls(&shared, backend)).collect();
+        for backend in &polled {
+            tokio::spawn(poll(shared.clone(), (*backend).clone(), sequence.clone()));
         }
+        let count = u32::try_from(polled.len()).unwrap_or(u32::MAX);
+        period = PERIOD_PER_BACKEND.saturating_mul(count).clamp(SHORTEST_PERIOD, LONGEST_PERIOD);
         let _ = shared.fleet_actor.tell(Publish).await;
     }
 }
--- a/crates/beamwall-node/src/tasks/tree_watch.rs
+++ b/crates/beamwall-node/src/tasks/tree_watch.rs
@@ -5,9 +5,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use beamwall_model::{NodeId, rendezvous};
-use beamwall_peer::MemberState;
-
 use crate::actors::tree::ActivateWhole;
 use crate::shared::Shared;
 use crate::tasks::tree_spread;
@@ -71,17 +68,7 @@
 }
 
 fn is_watcher(shared: &Shared) -> bool {
-    let members = shared.members.load();
-    let own = &shared.settings.node;
-    let in_zone = members
-        .members
-        .iter()
-        .filter(|member| member.zone == shared.settings.zone && member.state == MemberState::Alive);
-    let candidates: Vec<NodeId> =
-        in_zone.map(|member| member.node.clone()).chain(std::iter::once(own.clone())).collect();
-    rendezvous::choose(HEAD.as_bytes(), &candidates, WATCHERS, NodeId::as_str)
-        .into_iter()
-        .any(|node| node == own)
+    shared.is_chosen_in_zone(HEAD.as_bytes(), WATCHERS)
 }
 
 /// Reads the head and activates its revision if newer.
--- a/crates/beamwall-node/src/tasks/upkeep.rs
+++ b/crates/beamwall-node/src/tasks/upkeep.rs
@@ -18,9 +18,6 @@
         tokio::time::sleep(PERIOD).await;
         shared.registry.sweep();
         refresh_gauges(&shared);
-        let alive = shared.members.load().alive_with(&shared.settings.node).len();
-        let part = f64::from(shared.settings.platform_writes_per_second) / alive as f64;
-        shared.store.budget().set_writes_per_second(part).await;
         match (shared.store.healthy(), away_since) {
             (false, None) => {
                 away_since = Some(Instant::now());
--- a/crates/beamwall-peer/src/membership.rs
+++ b/crates/beamwall-peer/src/membership.rs
@@ -28,7 +28,7 @@
 /// Members asked to probe a suspect.
 const INDIRECT_PROBERS: usize = 4;
 /// Periods between two full lists that a node sends to one other.
-const SYNC_PERIODS: u64 = 120;
+const SYNC_PERIODS: u64 = 60;
 /// Unchanged members told in one heartbeat.
 const REFRESHED_PER_HEARTBEAT: usize = 4;
 /// Relays of a zone that speak with the relays of other zones.
@@ -54,8 +54,8 @@
 impl Default for MembershipTiming {
     fn default() -> Self {
         Self {
-            period: Duration::from_millis(250),
-            suspect_after: Duration::from_millis(1_500),
+            period: Duration::from_millis(500),
+            suspect_after: Duration::from_millis(2_000),
             dead_after: Duration::from_millis(2_500),
             forget_after: Duration::from_secs(600),
         }
@@ -387,7 +387,8 @@
                 self.untold.insert(node.clone(), left - 1);
             }
         }
-        let room = UPDATES_PER_HEARTBEAT.saturating_sub(chosen.len()).min(REFRESHED_PER_HEARTBEAT);
+        let refreshed = if self.zone_size() > FULL_MESH_LIMIT { REFRESHED_PER_HEARTBEAT } else { 1 };
+        let room = UPDATES_PER_HEARTBEAT.saturating_sub(chosen.len()).min(refreshed);
         let names: Vec<&NodeId> = self.members.keys().collect();
         for offset in 0..room.min(names.len()) {
             chosen.push(names[(self.told_cursor + offset) % names.len()].clone());
--- a/crates/beamwall-peer/src/message.rs
+++ b/crates/beamwall-peer/src/message.rs
@@ -99,6 +99,9 @@
     /// What tenants want at the sender.
     #[prost(message, repeated, tag = "4")]
     pub demands: Vec<TenantDemand>,
+    /// Digest of the machine list that the sender, a reader of its zone, read last; 0 for none.
+    #[prost(fixed64, tag = "6")]
+    pub machines_digest: u64,
     /// Whether the receiver shall answer at once with a heartbeat.
     #[prost(bool, tag = "5")]
     pub wants_answer: bool,
--- a/crates/beamwall-peer/src/network.rs
+++ b/crates/beamwall-peer/src/network.rs
@@ -23,6 +23,8 @@
 const SEND_BUFFER: i32 = 64;
 /// Messages received and not yet handled.
 const INBOUND_CAPACITY: usize = 4_096;
+/// Pause after a failed receive.
+const RECEIVE_ERROR_PAUSE: Duration = Duration::from_millis(10);
 /// Largest message: a whole settings tree.
 const MESSAGE_LIMIT_BYTES: usize = 64 << 20;
 /// A session that sent nothing for this long is closed.
@@ -172,7 +174,16 @@
     }
 
     fn receive_loop(&self, listener: &Socket, inbound: &mpsc::Sender<Envelope>) {
-        while let Ok(message) = listener.recv() {
+        loop {
+            let message = match listener.recv() {
+                Ok(message) => message,
+                Err(nng::Error::Closed) => return,
+                // Anything else concerns one message or one connection; the node must not go deaf.
+                Err(_) => {
+                    std::thread::sleep(RECEIVE_ERROR_PAUSE);
+                    continue;
+                }
+            };
             self.traffic.received_messages.fetch_add(1, Ordering::Relaxed);
             self.traffic.received_bytes.fetch_add(message.len() as u64, Ordering::Relaxed);
             let envelope = match Envelope::decode(message.as_slice()) {
--- a/crates/beamwall-platform/src/budget.rs
+++ b/crates/beamwall-platform/src/budget.rs
@@ -12,28 +12,42 @@
 
 /// Calls that may be made at once after a quiet time, in seconds of budget.
 const BURST_SECONDS: f64 = 1.0;
+/// Writes a second that a node starts with.
+const FIRST_WRITE_RATE: f64 = 20.0;
+/// Lowest rate of writes.
+const LOWEST_WRITE_RATE: f64 = 0.5;
+/// Writes that may be made at once after a quiet time.
+const WRITE_BURST: f64 = 10.0;
+/// Added to the rate of writes for each write that the platform took.
+const RAISE_PER_WRITE: f64 = 0.2;
+/// The rate of writes after a refusal, of what it was before.
+const LOWER_TO: f64 = 0.7;
 
 /// Two token buckets: one over all calls of this node, one over its writes.
 ///
-/// The platform's limit on writes holds for the deployment, so each node has a part of it that
-/// changes with the number of nodes.
+/// The platform's limit on writes holds for the deployment, and only the platform sees all of them.
+/// A node raises its rate a little with each write that was taken and lowers it at each refusal, so
+/// that the nodes which write share the limit and the others keep none of it.
 #[derive(Debug)]
 pub struct CallBudget {
     calls: Mutex<Bucket>,
     writes: Mutex<Bucket>,
+    highest_write_rate: f64,
     made: AtomicU64,
 }
 
 #[derive(Debug)]
 struct Bucket {
     rate: f64,
+    least_burst: f64,
     tokens: f64,
     refilled: Instant,
 }
 
 impl Bucket {
-    fn new(rate: f64) -> Self {
-        Self { rate, tokens: rate * BURST_SECONDS, refilled: Instant::now() }
+    fn new(rate: f64, least_burst: f64) -> Self {
+        let tokens = (rate * BURST_SECONDS).max(least_burst);
+        Self { rate, least_burst, tokens, refilled: Instant::now() }
     }
 
     /// Takes one token, which may be one of the future; returns how long to wait for it.
@@ -41,25 +55,30 @@
         let now = Instant::now();
         let refill = now.duration_since(self.refilled).as_secs_f64() * self.rate;
         self.refilled = now;
-        self.tokens = (self.tokens + refill).min((self.rate * BURST_SECONDS).max(1.0)) - 1.0;
+        let burst = (self.rate * BURST_SECONDS).max(self.least_burst);
+        self.tokens = (self.tokens + refill).min(burst) - 1.0;
         Duration::from_secs_f64((-self.tokens / self.rate).max(0.0))
     }
 }
 
 impl CallBudget {
-    /// A budget of `calls_per_second` of this node, with as many writes until told otherwise.
-    pub fn new(calls_per_second: u32) -> Self {
-        let rate = f64::from(calls_per_second.max(1));
+    /// A budget of `calls_per_second` of this node and `deployment_writes` writes a second of all.
+    pub fn new(calls_per_second: u32, deployment_writes: u32) -> Self {
+        let highest_write_rate = f64::from(deployment_writes.max(1));
+        let first_rate = FIRST_WRITE_RATE.min(highest_write_rate);
         Self {
-            calls: Mutex::new(Bucket::new(rate)),
-            writes: Mutex::new(Bucket::new(rate)),
+            calls: Mutex::new(Bucket::new(f64::from(calls_per_second.max(1)), 1.0)),
+            writes: Mutex::new(Bucket::new(first_rate, WRITE_BURST)),
+            highest_write_rate,
             made: AtomicU64::new(0),
         }
     }
 
-    /// Sets this node's part of the deployment's writes.
-    pub async fn set_writes_per_second(&self, rate: f64) {
-        self.writes.lock().await.rate = rate.max(f64::MIN_POSITIVE);
+    /// Notes whether the platform took a write or refused it as over its rate.
+    pub async fn note_write(&self, taken: bool) {
+        let mut writes = self.writes.lock().await;
+        let rate = if taken { writes.rate + RAISE_PER_WRITE } else { writes.rate * LOWER_TO };
+        writes.rate = rate.clamp(LOWEST_WRITE_RATE, self.highest_write_rate);
     }
 
     /// Waits for the right to make one call that does not write.
--- a/crates/beamwall-platform/src/object.rs
+++ b/crates/beamwall-platform/src/object.rs
@@ -153,12 +153,18 @@
         path: &str,
         body: Bytes,
     ) -> Result<beamwall_http::client::Answer, ObjectError> {
-        if method == Method::GET {
-            self.budget.take().await;
-        } else {
+        let is_write = method != Method::GET;
+        if is_write {
             self.budget.take_write().await;
+        } else {
+            self.budget.take().await;
         }
         let result = client.call(method, path, body).await;
+        if let Ok(answer) = &result
+            && is_write
+        {
+            self.budget.note_write(answer.status != StatusCode::TOO_MANY_REQUESTS).await;
+        }
         let answered = matches!(&result, Ok(answer) if answer.status != StatusCode::SERVICE_UNAVAILABLE);
         self.healthy.store(answered, Ordering::Relaxed);
         Ok(result?)
--- a/crates/beamwall-platform/tests/lease.rs
+++ b/crates/beamwall-platform/tests/lease.rs
@@ -18,7 +18,7 @@
 
 fn store(running: &Running) -> ObjectStore {
     let client = JsonClient::new(Pool::new(Duration::from_secs(1)), running.address, Duration::from_secs(1));
-    ObjectStore::new(client, Arc::new(CallBudget::new(100)))
+    ObjectStore::new(client, Arc::new(CallBudget::new(100, 100)))
 }
 
 #[tokio::test]
