--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 demo: tools
 	cargo build --release --locked
-	target/release/beamwallctl lab demo $(DEPLOYMENT)
+	cargo run --release --locked --quiet --bin beamwallctl -- lab demo $(DEPLOYMENT)
 
 test: tools format lint unit
 
