A request that no engine has begun leaves a stalled engine in time

The wait for the first output (30 s) was as long as the whole request. Change: one engine may use at most a quarter of the time left before it has begun.

--- a/crates/beamwall-node/tests/random_faults.rs
+++ b/crates/beamwall-node/tests/random_faults.rs
@@ -17,7 +17,15 @@
 use support::{ALDER_KEY, Cluster, Plan, question};
 use tokio::task::JoinHandle;
 
-const SEEDS: [u64; 4] = [0x51_0000_0100, 0x52_0000_0100, 0x53_0000_0100, 0x54_0000_0100];
+const SEEDS: [u64; 7] = [
+    0x51_0000_0100,
+    0x52_0000_0100,
+    0x53_0000_0100,
+    0x54_0000_0100,
+    0x61_0000_0100,
+    0x62_0000_0100,
+    0x63_0000_0100,
+];
 const STREAMS: usize = 60;
 const CALLS: usize = 120;
 const FAULTS: usize = 10;
--- a/crates/beamwall-node/tests/streams.rs
+++ b/crates/beamwall-node/tests/streams.rs
@@ -153,3 +153,12 @@
     stream.abort();
     wait_until("the request to be cancelled", || open() == 0).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_no_engine_has_begun_leaves_one_that_computes_nothing_in_time() {
+    let cluster = Cluster::start(Plan { speed: 8.0, ..Plan::default() }).await;
+    cluster.engine("helper-a0").engine.stall();
+    let answers = assert_all_exact(start_streams(&cluster, 9, 20).await, 20).await;
+    let moved = answers.iter().filter(|answer| answer.usage["attempts"].as_u64() > Some(1)).count();
+    assert!(moved > 0, "no stream had to move: the test proves nothing");
+}
--- a/crates/beamwall-request/src/attempt.rs
+++ b/crates/beamwall-request/src/attempt.rs
@@ -29,6 +29,8 @@
 const CONTROL_LIMIT: Duration = Duration::from_secs(2);
 /// A stream is moved when it would not end this long before its engine stops.
 const STOP_MARGIN: Duration = Duration::from_millis(250);
+/// One engine may use this part of the time left before it has begun.
+const FIRST_LINE_PARTS: u32 = 4;
 /// Assumed time between tokens before any was seen.
 const ASSUMED_TOKEN_TIME: Duration = Duration::from_millis(30);
 
@@ -237,11 +239,19 @@
 
     /// Whether the engine has been silent for longer than the service allows.
     fn is_stalled(&self, request: &ModelRequest) -> bool {
-        let (since, limit_ms) = match self.last_line {
-            Some(last) => (last, request.service.stall_timeout_ms),
-            None => (self.begun, request.service.first_token_timeout_ms),
+        let (since, limit) = match self.last_line {
+            Some(last) => (last, Duration::from_millis(request.service.stall_timeout_ms)),
+            None => (self.begun, self.first_line_limit(request)),
         };
-        since.elapsed() > Duration::from_millis(limit_ms)
+        since.elapsed() > limit
+    }
+
+    /// Longest wait for the first line. It is a part of the time left, so that other engines can be
+    /// tried before the request's deadline.
+    fn first_line_limit(&self, request: &ModelRequest) -> Duration {
+        let left = request.deadline.saturating_duration_since(self.begun);
+        let allowed = Duration::from_millis(request.service.first_token_timeout_ms);
+        allowed.min(left / FIRST_LINE_PARTS)
     }
 
     fn note(&mut self, input: &AttemptInput<'_>, index: u32) {
