Remove what the change made dead

Cause: read once more as a whole. Pool::forget and PeerNetwork::forget have no caller (sessions close when idle), and add_operators took a list of faults that it never used. Ruled out: any change of behaviour; the compiler finds no other use. Run: format and clippy with warnings denied on the workspace; tests of config, fleet, settings_tree and zone_cut pass.

--- a/crates/beamwall-config/src/resolve.rs
+++ b/crates/beamwall-config/src/resolve.rs
@@ -162,7 +162,7 @@
         for (path, node) in tree.nodes() {
             let settings = tree.resolve_node(path);
             hash_settings(&mut hasher, path, &settings);
-            resolved.add_operators(path, &node.settings, faults);
+            resolved.add_operators(path, &node.settings);
             match tree.kind(path) {
                 Some(NodeKind::Service) => resolved.add_service(path, &settings, faults),
                 Some(NodeKind::Tenant) => resolved.add_tenant(path, &settings, faults),
@@ -228,7 +228,7 @@
         });
     }
 
-    fn add_operators(&mut self, path: &TreePath, settings: &Settings, _faults: &mut Faults) {
+    fn add_operators(&mut self, path: &TreePath, settings: &Settings) {
         let may_edit = settings.text("operator.role") != Some("view");
         for text in settings.list("operator.key_digests") {
             let Some(digest) = KeyDigest::from_hex(text) else { continue };
--- a/crates/beamwall-http/src/pool.rs
+++ b/crates/beamwall-http/src/pool.rs
@@ -89,11 +89,6 @@
         self.try_send(address, sender, request).await.map_err(|(error, _)| error)
     }
 
-    /// Closes the idle connections to an address.
-    pub fn forget(&self, address: SocketAddr) {
-        lock(&self.idle).remove(&address);
-    }
-
     fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
         let mut idle = lock(&self.idle);
         let senders = idle.get_mut(&address)?;
--- a/crates/beamwall-peer/src/network.rs
+++ b/crates/beamwall-peer/src/network.rs
@@ -155,11 +155,6 @@
         }
     }
 
-    /// Ends the session with a peer that is gone.
-    pub fn forget(&self, peer: SocketAddr) {
-        lock(&self.queues).remove(&peer);
-    }
-
     fn queue(&self, to: SocketAddr) -> mpsc::Sender<Vec<u8>> {
         let mut queues = lock(&self.queues);
         if let Some(queue) = queues.get(&to)
