--- /dev/null
+++ b/crates/beamwall-ctl/src/lab/mod.rs
@@ -0,0 +1,20 @@
+//! The lab's commands.
+
+pub mod demo;
+pub mod deployment;
+pub mod stand_ins;
+
+use crate::arguments::LabCommand;
+use crate::error::CommandError;
+
+/// Runs one command of the lab.
+pub async fn run(command: &LabCommand) -> Result<(), CommandError> {
+    match command {
+        LabCommand::Platform(options) => stand_ins::run_platform(options).await,
+        LabCommand::Cloud(options) => stand_ins::run_cloud(options).await,
+        LabCommand::Engine(options) => stand_ins::run_engine(options).await,
+        LabCommand::Application(options) => stand_ins::run_application(options).await,
+        LabCommand::Demo(options) => demo::run(options).await,
+        LabCommand::Overhead(_) | LabCommand::Load(_) => Err(CommandError::Usage("not built yet".to_owned())),
+    }
+}
--- /dev/null
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -0,0 +1,126 @@
+//! The catalogue of numbered events. docs/EVENTS.md says what each means and what to do.
+//!
+//! Numbers are never reused. 1xxx: life of a node; 2xxx: settings; 3xxx: peers and membership;
+//! 4xxx: back ends; 5xxx: requests; 6xxx: platform and cloud; 9xxx: broken invariants.
+
+use log::Level;
+
+use crate::Event;
+
+/// One row of the catalogue.
+#[derive(Debug, Clone, Copy)]
+pub struct CatalogueEntry {
+    /// The fixed number.
+    pub number: u16,
+    /// The name of the struct.
+    pub name: &'static str,
+    /// The level at which the event is logged.
+    pub level: Level,
+    /// What happened, in one line.
+    pub message: &'static str,
+}
+
+macro_rules! events {
+    ($(
+        $(#[$doc:meta])*
+        $number:literal $level:ident $name:ident $message:literal { $($field:ident),* }
+    )*) => {
+        $(
+            $(#[$doc])*
+            #[derive(Debug, Clone)]
+            pub struct $name {
+                $(
+                    #[doc = concat!("The field `", stringify!($field), "` of the log line.")]
+                    pub $field: String,
+                )*
+            }
+
+            impl Event for $name {
+                const NUMBER: u16 = $number;
+                const LEVEL: Level = Level::$level;
+                const MESSAGE: &'static str = $message;
+
+                fn fields(&self) -> Vec<(&'static str, String)> {
+                    vec![$((stringify!($field), self.$field.clone())),*]
+                }
+            }
+        )*
+
+        /// Every event, in order of number.
+        pub const CATALOGUE: &[CatalogueEntry] = &[
+            $(CatalogueEntry {
+                number: $number,
+                name: stringify!($name),
+                level: Level::$level,
+                message: $message,
+            }),*
+        ];
+    };
+}
+
+events! {
+    /// The process started and opened its listeners.
+    1001 Info NodeStarted "node started" { node, zone, callers, operators, peers }
+    /// The node holds a settings revision and serves callers.
+    1002 Info NodeReady "node ready" { node, revision }
+    /// The node stops taking new connections and lets requests finish.
+    1003 Info DrainStarted "drain started" { node, open_requests, limit_ms }
+    /// The drain ended.
+    1004 Info DrainFinished "drain finished" { node, handed_over, abandoned }
+    /// The process settings were refused.
+    1005 Error SettingsRefused "process settings refused" { file, faults }
+    /// A settings revision came into force on this node.
+    2001 Info RevisionActivated "settings revision in force" { revision, digest, source }
+    /// An operator's edit was committed.
+    2002 Info EditCommitted "settings edit committed" { revision, operator, paths }
+    /// An operator's edit was refused by validation.
+    2003 Warn EditRefused "settings edit refused" { operator, reason }
+    /// An edit lost a race against another edit.
+    2004 Warn EditConflict "settings edit lost a race" { operator, base_revision, current_revision }
+    /// A stored tree could not be read or validated; the last good revision stays in force.
+    2005 Error RevisionUnusable "settings revision cannot be used" { revision, reason }
+    /// A peer became a member.
+    3001 Info PeerAlive "peer alive" { peer, zone }
+    /// A peer missed heartbeats.
+    3002 Warn PeerSuspect "peer suspected" { peer, zone }
+    /// A suspected peer stayed silent.
+    3003 Warn PeerDead "peer dead" { peer, zone }
+    /// A message from a peer could not be decoded.
+    3004 Warn PeerMessageUnreadable "peer message unreadable" { reason }
+    /// A back end is leaving and gets no new work.
+    4001 Info BackendLeaving "back end leaving" { backend, source }
+    /// A back end failed its health polls.
+    4002 Warn BackendDown "back end down" { backend, reason }
+    /// A back end answers health polls again.
+    4003 Info BackendUp "back end up" { backend, zone }
+    /// An order was given to a back end.
+    4004 Info OrderGiven "order given" { backend, order, epoch }
+    /// A back end refused an order as outdated.
+    4005 Warn OrderRefused "order refused" { backend, order, epoch, reason }
+    /// A stream continued on another engine.
+    5001 Info StreamMigrated "stream migrated" { request, from, to, delivered_tokens, recomputed_tokens }
+    /// An answer reached nobody because its attempt was over.
+    5002 Warn LateAnswerDropped "late answer dropped" { attempt }
+    /// A request on a leaving node was handed to a peer.
+    5003 Info RequestHandedOver "request handed over" { request, peer }
+    /// An asynchronous request was taken over from a dead node.
+    5004 Info RequestTakenOver "asynchronous request taken over" { request, from }
+    /// A request got its final failure answer.
+    5005 Warn RequestFailed "request failed" { request, outcome, reason }
+    /// The platform stopped answering.
+    6001 Warn PlatformAway "platform away" { reason }
+    /// The platform answers again.
+    6002 Info PlatformBack "platform back" { away_ms }
+    /// A lease was taken.
+    6003 Info LeaseTaken "lease taken" { lease, epoch }
+    /// A lease was lost or given up.
+    6004 Warn LeaseLost "lease lost" { lease, epoch }
+    /// A machine was asked for.
+    6005 Info MachineRequested "machine requested" { zone, class, result }
+    /// A machine was given back.
+    6006 Info MachineReleased "machine released" { machine, reason }
+    /// The cloud announced that it takes machines back.
+    6007 Warn ReclaimNotice "reclaim notice" { machine, deadline_ms }
+    /// An invariant was broken: a fault in the program, to be reported.
+    9001 Error InvariantBroken "invariant broken" { invariant, detail }
+}
--- /dev/null
+++ b/crates/beamwall-fleet/src/fleet.rs
@@ -0,0 +1,212 @@
+//! The `Fleet` aggregate: every back end with its reports and marks.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use beamwall_model::{BackendId, ZoneName};
+use beamwall_platform::{Machine, MachineState};
+use tokio::time::Instant;
+
+use crate::backend::{Backend, BackendReport};
+use crate::leaving::{Leaving, LeavingSource};
+use crate::local_load::LocalLoad;
+use crate::view::{BackendView, FleetView};
+
+/// Failed polls in a row, seen by any observers, after which a back end is down.
+const FAILURES_UNTIL_DOWN: u32 = 2;
+/// How much older than its arrival a load report may be.
+const REPORT_LAG: Duration = Duration::from_millis(700);
+/// Dispatch totals remembered for matching against late reports.
+const TOTALS_KEPT: usize = 16;
+/// A back end that left the machine list and does not answer is forgotten after this time.
+const FORGET_AFTER: Duration = Duration::from_secs(10);
+
+/// A change worth logging and telling others.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FleetChange {
+    /// A back end began leaving.
+    Leaving(BackendId, LeavingSource),
+    /// A back end stopped answering.
+    Down(BackendId),
+    /// A back end answers.
+    Up(BackendId, ZoneName),
+}
+
+#[derive(Debug)]
+struct Entry {
+    backend: Backend,
+    report: Option<BackendReport>,
+    newest_by_observer: BTreeMap<String, u64>,
+    failures: u32,
+    leaving: Leaving,
+    load: Arc<LocalLoad>,
+    totals: VecDeque<(Instant, u64, u64)>,
+    listed: bool,
+    unlisted_since: Instant,
+}
+
+/// Every back end with its reports and marks.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    entries: BTreeMap<BackendId, Entry>,
+    early_marks: BTreeMap<BackendId, Leaving>,
+}
+
+impl Fleet {
+    /// Takes the machine list. It lags: a machine that vanished from it stays while it answers.
+    pub fn apply_machines(&mut self, machines: &[Machine], now: Instant) -> Vec<FleetChange> {
+        for entry in self.entries.values_mut().filter(|entry| entry.listed) {
+            let still = machines.iter().any(|machine| machine.id == entry.backend.id);
+            if !still {
+                entry.listed = false;
+                entry.unlisted_since = now;
+            }
+        }
+        let mut changes = Vec::new();
+        for machine in machines.iter().filter(|machine| machine.state != MachineState::Starting) {
+            self.list_machine(machine, now);
+            if machine.state == MachineState::Leaving {
+                changes.extend(self.mark_leaving(&machine.id, LeavingSource::List, None));
+            }
+        }
+        self.entries.retain(|_, entry| !entry.is_forgotten(now));
+        changes
+    }
+
+    fn list_machine(&mut self, machine: &Machine, now: Instant) {
+        if let Some(entry) = self.entries.get_mut(&machine.id) {
+            entry.backend = Backend::from(machine);
+            entry.listed = true;
+            return;
+        }
+        let leaving = self.early_marks.remove(&machine.id).unwrap_or_default();
+        let entry = Entry {
+            backend: Backend::from(machine),
+            report: None,
+            newest_by_observer: BTreeMap::new(),
+            failures: 0,
+            leaving,
+            load: Arc::default(),
+            totals: VecDeque::new(),
+            listed: true,
+            unlisted_since: now,
+        };
+        self.entries.insert(machine.id.clone(), entry);
+    }
+
+    /// Takes a poll's result, from this node or from a peer.
+    pub fn apply_report(&mut self, report: BackendReport) -> Vec<FleetChange> {
+        let Some(entry) = self.entries.get_mut(&report.backend) else { return Vec::new() };
+        let newest = entry.newest_by_observer.entry(report.observer.to_string()).or_insert(0);
+        if report.sequence <= *newest {
+            return Vec::new();
+        }
+        *newest = report.sequence;
+        let mut changes = entry.note_health(&report);
+        if !report.up {
+            return changes;
+        }
+        entry.cover_dispatches(report.learned);
+        let id = report.backend.clone();
+        let leaving = report.leaving;
+        entry.report = Some(report);
+        if leaving {
+            changes.extend(self.mark_leaving(&id, LeavingSource::Engine, None));
+        } else if let Some(entry) = self.entries.get_mut(&id) {
+            entry.leaving.unmark(LeavingSource::Engine);
+        }
+        changes
+    }
+
+    /// Marks a back end as leaving. A mark on one not yet listed is kept for when it is.
+    pub fn mark_leaving(
+        &mut self,
+        id: &BackendId,
+        source: LeavingSource,
+        deadline: Option<Instant>,
+    ) -> Option<FleetChange> {
+        let leaving = match self.entries.get_mut(id) {
+            Some(entry) => &mut entry.leaving,
+            None => self.early_marks.entry(id.clone()).or_default(),
+        };
+        leaving.mark(source, deadline).then(|| FleetChange::Leaving(id.clone(), source))
+    }
+
+    /// Takes back a mark of the plan.
+    pub fn unmark(&mut self, id: &BackendId, source: LeavingSource) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.leaving.unmark(source);
+        }
+    }
+
+    /// Marks to tell others: back end, source and deadline.
+    pub fn leaving_marks(&self) -> Vec<(BackendId, LeavingSource, Option<Instant>)> {
+        let listed = self.entries.iter().map(|(id, entry)| (id, &entry.leaving));
+        let all = listed.chain(self.early_marks.iter());
+        all.flat_map(|(id, leaving)| {
+            leaving.sources().map(move |(source, deadline)| (id.clone(), source, deadline))
+        })
+        .collect()
+    }
+
+    /// The back ends, for pollers.
+    pub fn backends(&self) -> impl Iterator<Item = &Backend> {
+        self.entries.values().map(|entry| &entry.backend)
+    }
+
+    /// The newest report of a back end.
+    pub fn report(&self, id: &BackendId) -> Option<&BackendReport> {
+        self.entries.get(id)?.report.as_ref()
+    }
+
+    /// An immutable view for the request path.
+    pub fn view(&self) -> FleetView {
+        FleetView::new(self.entries.values().map(Entry::view).collect())
+    }
+}
+
+impl Entry {
+    fn note_health(&mut self, report: &BackendReport) -> Vec<FleetChange> {
+        let id = report.backend.clone();
+        let was_down = self.failures >= FAILURES_UNTIL_DOWN;
+        if report.up {
+            let is_news = was_down || self.report.is_none();
+            self.failures = 0;
+            return if is_news { vec![FleetChange::Up(id, self.backend.zone.clone())] } else { Vec::new() };
+        }
+        self.failures = self.failures.saturating_add(1);
+        let is_down = self.failures >= FAILURES_UNTIL_DOWN;
+        if is_down && !was_down { vec![FleetChange::Down(id)] } else { Vec::new() }
+    }
+
+    /// The report describes the back end as it was [`REPORT_LAG`] ago: dispatches up to then are in it.
+    fn cover_dispatches(&mut self, learned: Instant) {
+        let (requests, tokens) = self.load.dispatched();
+        self.totals.push_back((learned, requests, tokens));
+        if self.totals.len() > TOTALS_KEPT {
+            self.totals.pop_front();
+        }
+        let old_enough = |total: &&(Instant, u64, u64)| learned.duration_since(total.0) >= REPORT_LAG;
+        if let Some((_, requests, tokens)) = self.totals.iter().rev().find(old_enough) {
+            self.load.cover(*requests, *tokens);
+        }
+    }
+
+    fn is_forgotten(&self, now: Instant) -> bool {
+        let silent = self.failures >= FAILURES_UNTIL_DOWN || self.report.is_none();
+        !self.listed && silent && now.duration_since(self.unlisted_since) >= FORGET_AFTER
+    }
+
+    fn view(&self) -> BackendView {
+        BackendView {
+            backend: self.backend.clone(),
+            report: self.report.clone(),
+            leaving: self.leaving.is_leaving(),
+            released: self.leaving.has(LeavingSource::Plan),
+            deadline: self.leaving.deadline(),
+            down: self.failures >= FAILURES_UNTIL_DOWN,
+            load: self.load.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/beamwall-http/src/body.rs
@@ -0,0 +1,104 @@
+//! Response bodies and bounded reading of request bodies.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Empty, Full};
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
+use quick_error::quick_error;
+use serde::Serialize;
+
+/// The error type of streamed bodies.
+pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
+
+/// The body type of every response the servers give.
+pub type Body = UnsyncBoxBody<Bytes, BodyError>;
+
+quick_error! {
+    /// Why a body could not be read.
+    #[derive(Debug)]
+    pub enum ReadError {
+        /// The body is longer than allowed.
+        TooLarge(limit_bytes: usize) {
+            display("body is larger than {} bytes", limit_bytes)
+        }
+        /// The sender did not finish in time.
+        TooSlow(limit: Duration) {
+            display("body was not received within {} ms", limit.as_millis())
+        }
+        /// The connection failed or the framing was broken.
+        Broken(reason: String) {
+            display("body could not be read: {}", reason)
+        }
+    }
+}
+
+fn never(error: Infallible) -> BodyError {
+    match error {}
+}
+
+/// A body of known bytes.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).map_err(never).boxed_unsync()
+}
+
+/// An empty body.
+pub fn empty() -> Body {
+    Empty::new().map_err(never).boxed_unsync()
+}
+
+/// A JSON response.
+pub fn json_response<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
+    let bytes = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(full(bytes));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+/// Reads a whole body, refusing one that is too large or too slow.
+pub async fn read_limited<B>(body: B, limit_bytes: usize, limit: Duration) -> Result<Bytes, ReadError>
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin,
+    B::Error: std::fmt::Display,
+{
+    let declared = body.size_hint().lower();
+    if declared > limit_bytes as u64 {
+        return Err(ReadError::TooLarge(limit_bytes));
+    }
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    match tokio::time::timeout(limit, collect(body, limit_bytes)).await {
+        Ok(result) => result,
+        Err(_) => Err(ReadError::TooSlow(limit)),
+    }
+}
+
+async fn collect<B>(mut body: B, limit_bytes: usize) -> Result<Bytes, ReadError>
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin,
+    B::Error: std::fmt::Display,
+{
+    let mut first: Option<Bytes> = None;
+    let mut rest = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| ReadError::Broken(error.to_string()))?;
+        let Ok(data) = frame.into_data() else { continue };
+        match first.take() {
+            None if rest.is_empty() => first = Some(data),
+            None => rest.extend_from_slice(&data),
+            Some(head) => {
+                rest.extend_from_slice(&head);
+                rest.extend_from_slice(&data);
+            }
+        }
+        if first.as_ref().map_or(rest.len(), Bytes::len) > limit_bytes {
+            return Err(ReadError::TooLarge(limit_bytes));
+        }
+    }
+    Ok(first.unwrap_or_else(|| rest.freeze()))
+}
--- /dev/null
+++ b/crates/beamwall-http/src/pool.rs
@@ -0,0 +1,208 @@
+//! Client connections, kept for reuse by address.
+//!
+//! Two rules that a general pool does not give us: a request that was never written is told apart
+//! from one that may have been received, and a connection whose answer was not read to its end is
+//! closed and never reused, so a late answer cannot reach another request.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::{Frame, Incoming, SizeHint};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use quick_error::quick_error;
+use tokio::net::TcpStream;
+
+use crate::Body;
+
+/// Idle connections kept for one address.
+const MAX_IDLE_PER_ADDRESS: usize = 256;
+
+quick_error! {
+    /// Why a request got no response.
+    #[derive(Debug)]
+    pub enum PoolError {
+        /// No connection could be opened: nothing was sent.
+        Connect(address: SocketAddr, reason: String) {
+            display("no connection to {}: {}", address, reason)
+        }
+        /// The connection closed before the first byte was written.
+        NotWritten(address: SocketAddr) {
+            display("connection to {} closed before the request was written", address)
+        }
+        /// The request may have been received; its answer was lost.
+        Lost(address: SocketAddr, reason: String) {
+            display("answer from {} was lost: {}", address, reason)
+        }
+    }
+}
+
+impl PoolError {
+    /// Whether it is certain that the other side received nothing.
+    pub fn nothing_sent(&self) -> bool {
+        !matches!(self, Self::Lost(..))
+    }
+}
+
+type Sender = SendRequest<Body>;
+type IdleConnections = Arc<Mutex<HashMap<SocketAddr, Vec<Sender>>>>;
+
+/// Connections to back ends, peers and the platform.
+#[derive(Clone)]
+pub struct Pool {
+    idle: IdleConnections,
+    connect_limit: Duration,
+}
+
+fn lock(idle: &IdleConnections) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Sender>>> {
+    idle.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Pool {
+    /// A pool that gives up opening a connection after `connect_limit`.
+    pub fn new(connect_limit: Duration) -> Self {
+        Self { idle: Arc::default(), connect_limit }
+    }
+
+    /// Sends one request once. A reused connection that turns out closed before anything was
+    /// written is replaced by a new one; nothing is ever sent twice.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+    ) -> Result<Response<PooledBody>, PoolError> {
+        let mut request = request;
+        while let Some(sender) = self.take_idle(address) {
+            match self.try_send(address, sender, request).await {
+                Ok(response) => return Ok(response),
+                Err((error, None)) => return Err(error),
+                Err((_, Some(unsent))) => request = unsent,
+            }
+        }
+        let sender = self.connect(address).await?;
+        self.try_send(address, sender, request).await.map_err(|(error, _)| error)
+    }
+
+    /// Closes the idle connections to an address.
+    pub fn forget(&self, address: SocketAddr) {
+        lock(&self.idle).remove(&address);
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
+        let mut idle = lock(&self.idle);
+        let senders = idle.get_mut(&address)?;
+        while let Some(sender) = senders.pop() {
+            if !sender.is_closed() && sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        idle.remove(&address);
+        None
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Sender, PoolError> {
+        let failed = |reason: String| PoolError::Connect(address, reason);
+        let stream = tokio::time::timeout(self.connect_limit, TcpStream::connect(address))
+            .await
+            .map_err(|_| failed("timed out".to_owned()))?
+            .map_err(|error| failed(error.to_string()))?;
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(|error| failed(error.to_string()))?;
+        tokio::spawn(connection);
+        Ok(sender)
+    }
+
+    async fn try_send(
+        &self,
+        address: SocketAddr,
+        mut sender: Sender,
+        request: Request<Body>,
+    ) -> Result<Response<PooledBody>, (PoolError, Option<Request<Body>>)> {
+        if sender.ready().await.is_err() {
+            return Err((PoolError::NotWritten(address), Some(request)));
+        }
+        match sender.try_send_request(request).await {
+            Ok(response) => {
+                let lease = ConnectionLease { idle: self.idle.clone(), address, sender: Some(sender) };
+                Ok(response.map(|inner| PooledBody::new(inner, lease)))
+            }
+            Err(mut failure) => match failure.take_message() {
+                Some(unsent) => Err((PoolError::NotWritten(address), Some(unsent))),
+                None => Err((PoolError::Lost(address, failure.into_error().to_string()), None)),
+            },
+        }
+    }
+}
+
+/// A borrowed connection. It returns to the pool only when told so; otherwise it closes.
+struct ConnectionLease {
+    idle: IdleConnections,
+    address: SocketAddr,
+    sender: Option<Sender>,
+}
+
+impl ConnectionLease {
+    fn give_back(&mut self) {
+        let Some(sender) = self.sender.take() else { return };
+        if sender.is_closed() {
+            return;
+        }
+        let mut idle = lock(&self.idle);
+        let senders = idle.entry(self.address).or_default();
+        if senders.len() < MAX_IDLE_PER_ADDRESS {
+            senders.push(sender);
+        }
+    }
+}
+
+/// A response body that returns its connection to the pool when read to the end, and closes the
+/// connection when dropped earlier.
+pub struct PooledBody {
+    inner: Incoming,
+    lease: ConnectionLease,
+}
+
+impl PooledBody {
+    fn new(inner: Incoming, mut lease: ConnectionLease) -> Self {
+        if hyper::body::Body::is_end_stream(&inner) {
+            lease.give_back();
+        }
+        Self { inner, lease }
+    }
+}
+
+impl hyper::body::Body for PooledBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let polled = Pin::new(&mut self.inner).poll_frame(context);
+        let finished = match &polled {
+            Poll::Ready(None) => true,
+            Poll::Ready(Some(Ok(_))) => self.inner.is_end_stream(),
+            _ => false,
+        };
+        if finished {
+            self.lease.give_back();
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/beamwall-http/src/server.rs
@@ -0,0 +1,74 @@
+//! The accept loop: one task for each connection.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::Body;
+
+/// A sender of request headers slower than this is cut off.
+const HEADER_READ_LIMIT: Duration = Duration::from_secs(10);
+/// Pause after a failed accept, for example when file descriptors run out.
+const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers requests.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one request; failures are answers too.
+    fn handle(self: &Arc<Self>, request: Request<Incoming>) -> impl Future<Output = Response<Body>> + Send;
+}
+
+/// Accepts connections until `stop` turns true. Open connections then finish the request they
+/// carry and close; the function returns when all have closed.
+pub async fn serve<H: Handler>(listener: TcpListener, handler: Arc<H>, mut stop: watch::Receiver<bool>) {
+    let connections = Arc::new(());
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stopped| *stopped) => break,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let guard = connections.clone();
+                tokio::spawn(serve_connection(stream, handler.clone(), stop.clone(), guard));
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_RETRY_PAUSE).await,
+        }
+    }
+    drop(listener);
+    while Arc::strong_count(&connections) > 1 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn serve_connection<H: Handler>(
+    stream: TcpStream,
+    handler: Arc<H>,
+    mut stop: watch::Receiver<bool>,
+    _open: Arc<()>,
+) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let handler = handler.clone();
+        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_READ_LIMIT)
+        .half_close(false)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = stop.wait_for(|stopped| *stopped) => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
--- /dev/null
+++ b/crates/beamwall-model/src/identifiers.rs
@@ -0,0 +1,111 @@
+//! Typed names. Each wraps a shared string, so cloning is cheap.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Wraps a name.
+            pub fn new(text: impl AsRef<str>) -> Self {
+                Self(Arc::from(text.as_ref()))
+            }
+
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self::new(text)
+            }
+        }
+
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                serializer.serialize_str(&self.0)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                Ok(Self::new(String::deserialize(deserializer)?))
+            }
+        }
+    };
+}
+
+name_type!(
+    /// An entry node of the deployment.
+    NodeId
+);
+name_type!(
+    /// A model engine or an application back end.
+    BackendId
+);
+name_type!(
+    /// A tenant: the last segment of its path in the settings tree.
+    TenantName
+);
+name_type!(
+    /// A service: the last segment of its path in the settings tree.
+    ServiceName
+);
+name_type!(
+    /// An availability zone of the cloud.
+    ZoneName
+);
+name_type!(
+    /// One request as accepted from a caller.
+    RequestId
+);
+name_type!(
+    /// One try of a request at one back end; unique over nodes and restarts.
+    AttemptId
+);
+
+/// Hands out request and attempt identifiers that are unique over nodes and restarts: the node's
+/// name, a random number drawn at start, and a counter.
+#[derive(Debug)]
+pub struct IdentifierSource {
+    prefix: String,
+    next: AtomicU64,
+}
+
+impl IdentifierSource {
+    /// Starts a source for one life of one node.
+    pub fn new(node: &NodeId) -> Self {
+        let start: u32 = rand::random();
+        Self { prefix: format!("{node}-{start:08x}"), next: AtomicU64::new(1) }
+    }
+
+    /// The next request identifier.
+    pub fn request(&self) -> RequestId {
+        RequestId::new(self.take())
+    }
+
+    /// The next attempt identifier.
+    pub fn attempt(&self) -> AttemptId {
+        AttemptId::new(self.take())
+    }
+
+    fn take(&self) -> String {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{number:x}", self.prefix)
+    }
+}
--- /dev/null
+++ b/crates/beamwall-model/src/lib.rs
@@ -0,0 +1,14 @@
+//! Identifiers, units, service classes and outcomes shared by every package.
+//!
+//! This is the innermost package: it performs no input or output and depends on no other
+//! package of the workspace. Every aggregate elsewhere is built from these types, so that a
+//! tenant name can never be passed where an engine name is expected.
+
+pub mod class;
+pub mod identifiers;
+pub mod outcome;
+pub mod rendezvous;
+
+pub use class::ServiceClass;
+pub use identifiers::{AttemptId, BackendId, NodeId, RequestId, ServiceName, TenantName, ZoneName};
+pub use outcome::Outcome;
--- /dev/null
+++ b/crates/beamwall-node/src/actors/fleet.rs
@@ -0,0 +1,164 @@
+//! Owner of the fleet.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use beamwall_config::Service;
+use beamwall_events::emit;
+use beamwall_events::internal_events::{BackendDown, BackendLeaving, BackendUp};
+use beamwall_fleet::{BackendReport, Fleet, FleetChange, LeavingSource};
+use beamwall_model::BackendId;
+use beamwall_platform::Machine;
+use beamwall_request::Dispatcher;
+use kameo::Actor;
+use kameo::message::{Context, Message};
+use tokio::time::Instant;
+
+use crate::shared::ActiveTree;
+
+/// Owner of the fleet.
+#[derive(Actor)]
+pub struct FleetActor {
+    fleet: Fleet,
+    dispatcher: Arc<Dispatcher>,
+    tree: Arc<ArcSwap<ActiveTree>>,
+    unpublished: bool,
+    untold: HashMap<BackendId, BackendReport>,
+}
+
+impl FleetActor {
+    /// An owner that publishes to the dispatcher.
+    pub fn new(dispatcher: Arc<Dispatcher>, tree: Arc<ArcSwap<ActiveTree>>) -> Self {
+        Self { fleet: Fleet::default(), dispatcher, tree, unpublished: false, untold: HashMap::new() }
+    }
+
+    /// Logs changes and publishes at once when work must be routed otherwise.
+    fn after(&mut self, changes: &[FleetChange]) -> bool {
+        for change in changes {
+            self.log(change);
+        }
+        self.unpublished = true;
+        if !changes.is_empty() {
+            self.publish();
+        }
+        changes.iter().any(|change| matches!(change, FleetChange::Leaving(..)))
+    }
+
+    fn log(&self, change: &FleetChange) {
+        match change {
+            FleetChange::Leaving(id, source) => {
+                emit(&BackendLeaving { backend: id.to_string(), source: source.as_str().to_owned() });
+            }
+            FleetChange::Down(id) => {
+                self.dispatcher.prefixes.forget(id);
+                emit(&BackendDown { backend: id.to_string(), reason: "polls failed".to_owned() });
+            }
+            FleetChange::Up(id, zone) => emit(&BackendUp { backend: id.to_string(), zone: zone.to_string() }),
+        }
+    }
+
+    fn publish(&mut self) {
+        self.unpublished = false;
+        let tree = self.tree.load();
+        let services: Vec<&Service> = tree.resolved.services.values().collect();
+        self.dispatcher.set_view(self.fleet.view(), &services);
+    }
+}
+
+/// The machine list as read.
+pub struct ApplyMachines(pub Vec<Machine>);
+
+impl Message<ApplyMachines> for FleetActor {
+    type Reply = bool;
+
+    async fn handle(&mut self, message: ApplyMachines, _: &mut Context<Self, Self::Reply>) -> bool {
+        let changes = self.fleet.apply_machines(&message.0, Instant::now());
+        self.after(&changes)
+    }
+}
+
+/// Poll results.
+pub struct ApplyReports {
+    /// The results.
+    pub reports: Vec<BackendReport>,
+    /// Whether to tell peers of them.
+    pub tell: bool,
+}
+
+impl Message<ApplyReports> for FleetActor {
+    type Reply = bool;
+
+    async fn handle(&mut self, message: ApplyReports, _: &mut Context<Self, Self::Reply>) -> bool {
+        let mut urgent = false;
+        for report in message.reports {
+            if message.tell {
+                self.untold.insert(report.backend.clone(), report.clone());
+            }
+            let changes = self.fleet.apply_report(report);
+            urgent |= self.after(&changes);
+        }
+        urgent
+    }
+}
+
+/// Back ends are leaving.
+pub struct MarkLeaving(pub Vec<(BackendId, LeavingSource, Option<Instant>)>);
+
+impl Message<MarkLeaving> for FleetActor {
+    type Reply = bool;
+
+    async fn handle(&mut self, message: MarkLeaving, _: &mut Context<Self, Self::Reply>) -> bool {
+        let mark = |(id, source, deadline): &(BackendId, LeavingSource, Option<Instant>)| {
+            self.fleet.mark_leaving(id, *source, *deadline)
+        };
+        let changes: Vec<FleetChange> = message.0.iter().filter_map(mark).collect();
+        if changes.is_empty() { false } else { self.after(&changes) }
+    }
+}
+
+/// The plan wants a back end again.
+pub struct UnmarkPlan(pub BackendId);
+
+impl Message<UnmarkPlan> for FleetActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: UnmarkPlan, _: &mut Context<Self, Self::Reply>) {
+        self.fleet.unmark(&message.0, LeavingSource::Plan);
+        self.unpublished = true;
+    }
+}
+
+/// Publishes if something changed since the last time.
+pub struct Publish;
+
+impl Message<Publish> for FleetActor {
+    type Reply = ();
+
+    async fn handle(&mut self, _: Publish, _: &mut Context<Self, Self::Reply>) {
+        if self.unpublished {
+            self.publish();
+        }
+    }
+}
+
+/// What to tell peers.
+#[derive(Debug, Default, kameo::Reply)]
+pub struct FleetNews {
+    /// Poll results since the last time.
+    pub reports: Vec<BackendReport>,
+    /// Marks in force.
+    pub leaving: Vec<(BackendId, LeavingSource, Option<Instant>)>,
+}
+
+/// Takes what to tell peers.
+pub struct TakeNews;
+
+impl Message<TakeNews> for FleetActor {
+    type Reply = FleetNews;
+
+    async fn handle(&mut self, _: TakeNews, _: &mut Context<Self, Self::Reply>) -> FleetNews {
+        let reports = self.untold.drain().map(|(_, report)| report).collect();
+        FleetNews { reports, leaving: self.fleet.leaving_marks() }
+    }
+}
--- /dev/null
+++ b/crates/beamwall-node/src/actors/membership.rs
@@ -0,0 +1,111 @@
+//! Owner of the membership.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use beamwall_events::emit;
+use beamwall_events::internal_events::{PeerAlive, PeerDead, PeerSuspect};
+use beamwall_model::NodeId;
+use beamwall_peer::message::MemberUpdate;
+use beamwall_peer::{Envelope, MemberState, Membership, MembershipChange};
+use kameo::Actor;
+use kameo::message::{Context, Message};
+use tokio::time::Instant;
+
+use crate::shared::MembershipView;
+
+/// Owner of the membership.
+#[derive(Actor)]
+pub struct MembershipActor {
+    membership: Membership,
+    view: Arc<ArcSwap<MembershipView>>,
+}
+
+impl MembershipActor {
+    /// An owner that publishes to `view`.
+    pub fn new(membership: Membership, view: Arc<ArcSwap<MembershipView>>) -> Self {
+        let actor = Self { membership, view };
+        actor.publish();
+        actor
+    }
+
+    fn publish(&self) {
+        let members = self.membership.members().cloned().collect();
+        self.view.store(Arc::new(MembershipView { incarnation: self.membership.incarnation(), members }));
+    }
+
+    fn log(changes: &[MembershipChange]) {
+        for change in changes {
+            let peer = change.node.to_string();
+            let zone = change.zone.to_string();
+            match change.state {
+                MemberState::Alive => emit(&PeerAlive { peer, zone }),
+                MemberState::Suspect => emit(&PeerSuspect { peer, zone }),
+                MemberState::Dead | MemberState::Left => emit(&PeerDead { peer, zone }),
+            }
+        }
+    }
+}
+
+/// A message came from a peer, with what it tells of others.
+pub struct Hear {
+    /// The message without its body.
+    pub envelope: Envelope,
+    /// What it tells of others.
+    pub members: Vec<MemberUpdate>,
+}
+
+impl Message<Hear> for MembershipActor {
+    type Reply = ();
+
+    async fn handle(&mut self, message: Hear, _: &mut Context<Self, Self::Reply>) {
+        let now = Instant::now();
+        let mut changes: Vec<MembershipChange> =
+            self.membership.hear(&message.envelope, now).into_iter().collect();
+        changes.extend(self.membership.merge(&message.members, now));
+        Self::log(&changes);
+        self.publish();
+    }
+}
+
+/// A heartbeat period has passed.
+pub struct Tick;
+
+/// What to do in this period.
+#[derive(Debug, Default, kameo::Reply)]
+pub struct TickResult {
+    /// Who gets the heartbeat.
+    pub targets: Vec<SocketAddr>,
+    /// What to tell of others.
+    pub updates: Vec<MemberUpdate>,
+    /// Nodes that died.
+    pub died: Vec<NodeId>,
+    /// Nodes newly suspected, with those who can probe them.
+    pub suspected: Vec<(NodeId, SocketAddr, Vec<SocketAddr>)>,
+}
+
+impl Message<Tick> for MembershipActor {
+    type Reply = TickResult;
+
+    async fn handle(&mut self, _: Tick, _: &mut Context<Self, Self::Reply>) -> TickResult {
+        let changes = self.membership.tick(Instant::now());
+        Self::log(&changes);
+        let in_state = |state| changes.iter().filter(move |change| change.state == state);
+        let died = in_state(MemberState::Dead).map(|change| change.node.clone()).collect();
+        let suspected = in_state(MemberState::Suspect)
+            .filter_map(|change| {
+                let address = self.membership.member(&change.node)?.address;
+                Some((change.node.clone(), address, self.membership.probers(&change.node)))
+            })
+            .collect();
+        let result = TickResult {
+            targets: self.membership.targets(),
+            updates: self.membership.updates(),
+            died,
+            suspected,
+        };
+        self.publish();
+        result
+    }
+}
--- /dev/null
+++ b/crates/beamwall-node/src/actors/mod.rs
@@ -0,0 +1,6 @@
+//! Actors: the owners of state that changes by message. Each publishes a snapshot for the request
+//! path after every change.
+
+pub mod fleet;
+pub mod membership;
+pub mod tree;
--- /dev/null
+++ b/crates/beamwall-node/src/tasks/inbox.rs
@@ -0,0 +1,179 @@
+//! Handles messages from peers.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use beamwall_config::TreePath;
+use beamwall_config::edit::Change;
+use beamwall_fleet::{BackendReport, LeavingSource};
+use beamwall_model::{BackendId, NodeId, TenantName};
+use beamwall_peer::message::{
+    self, HandoverAnswer, Heartbeat, ProbeRequest, RequestFound, TreeChange, TreeDocument, TreeRequest,
+    TreeWhole,
+};
+use beamwall_peer::{Body, Envelope};
+use beamwall_routing::tenant_limit::Demand;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::actors::fleet::{ApplyReports, MarkLeaving};
+use crate::actors::membership::Hear;
+use crate::actors::tree::{ActivateChange, ActivateWhole};
+use crate::shared::{Shared, lock};
+use crate::tasks::drain;
+
+/// Longest wait for a peer's settings tree.
+const TREE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Runs until the peer network closes.
+pub async fn run(shared: Arc<Shared>, mut inbox: mpsc::Receiver<Envelope>) {
+    while let Some(envelope) = inbox.recv().await {
+        handle(&shared, envelope).await;
+    }
+}
+
+async fn handle(shared: &Arc<Shared>, mut envelope: Envelope) {
+    let body = envelope.body.take();
+    let members = match &body {
+        Some(Body::Heartbeat(heartbeat)) => heartbeat.members.clone(),
+        _ => Vec::new(),
+    };
+    let _ = shared.membership_actor.tell(Hear { envelope: envelope.clone(), members }).await;
+    compare_revisions(shared, &envelope);
+    match body {
+        Some(Body::Heartbeat(heartbeat)) => take_heartbeat(shared, &envelope, heartbeat).await,
+        Some(Body::ProbeRequest(probe)) => probe_for(shared, &probe),
+        Some(Body::TreeRequest(_)) => answer(shared, &envelope, Body::TreeWhole(whole_tree(shared))),
+        Some(Body::TreeChange(change)) => take_change(shared, change).await,
+        Some(Body::Handover(handover)) => {
+            let taken = drain::take_handover(shared, handover);
+            answer(shared, &envelope, Body::HandoverAnswer(HandoverAnswer { taken }));
+        }
+        Some(Body::RequestQuery(query)) => {
+            let id = beamwall_model::RequestId::new(&query.request);
+            let found = shared.registry.find(&id, &TenantName::new(&query.tenant)).is_some();
+            let callers = shared.settings.callers.to_string();
+            answer(shared, &envelope, Body::RequestFound(RequestFound { found, callers }));
+        }
+        Some(Body::TreeWhole(_) | Body::HandoverAnswer(_) | Body::RequestFound(_)) | None => {}
+    }
+}
+
+fn answer(shared: &Shared, question: &Envelope, body: Body) {
+    let Ok(address) = question.address.parse() else { return };
+    let mut envelope = shared.envelope(body);
+    envelope.answers = question.question;
+    shared.network.send(address, &envelope);
+}
+
+/// A peer with a newer revision is asked for it; one with the same revision must have resolved it
+/// to the same values.
+fn compare_revisions(shared: &Arc<Shared>, envelope: &Envelope) {
+    shared.note_revision(envelope.revision);
+    let active = shared.tree.load();
+    if envelope.revision == active.revision
+        && envelope.revision > 0
+        && envelope.digest != active.resolved.digest
+    {
+        let detail = format!("{} resolved revision {} otherwise", envelope.sender, envelope.revision);
+        shared.dispatcher.metrics.break_invariant("same-revision-same-settings", detail);
+    }
+    if envelope.revision > active.revision
+        && let Ok(address) = envelope.address.parse()
+    {
+        tokio::spawn(fetch_tree(shared.clone(), address));
+    }
+}
+
+/// Asks a peer for its tree and activates it if newer. True when the peer answered.
+pub async fn fetch_tree(shared: Arc<Shared>, peer: std::net::SocketAddr) -> bool {
+    let question = shared.envelope(Body::TreeRequest(TreeRequest {}));
+    let Ok(answer) = shared.network.ask(peer, question, TREE_LIMIT).await else { return false };
+    let Some(Body::TreeWhole(whole)) = answer.body else { return false };
+    if whole.revision > shared.tree.load().revision {
+        let documents = whole
+            .documents
+            .into_iter()
+            .filter_map(|document| Some((document.path.parse::<TreePath>().ok()?, document.text?)));
+        let activate = ActivateWhole {
+            revision: whole.revision,
+            documents: documents.collect::<BTreeMap<_, _>>(),
+            source: format!("peer {}", answer.sender),
+        };
+        let _ = shared.tree_actor.ask(activate).await;
+    }
+    true
+}
+
+fn whole_tree(shared: &Shared) -> TreeWhole {
+    let active = shared.tree.load();
+    let document =
+        |(path, text): (TreePath, String)| TreeDocument { path: path.to_string(), text: Some(text) };
+    let documents = active.tree.documents().into_iter().map(document).collect();
+    TreeWhole { revision: active.revision, documents }
+}
+
+async fn take_change(shared: &Arc<Shared>, change: TreeChange) {
+    let changes = change
+        .documents
+        .into_iter()
+        .filter_map(|document| Some(Change { path: document.path.parse().ok()?, text: document.text }));
+    let activate = ActivateChange {
+        base_revision: change.base_revision,
+        revision: change.revision,
+        changes: changes.collect(),
+        source: "peer edit".to_owned(),
+    };
+    let _ = shared.tree_actor.ask(activate).await;
+}
+
+fn probe_for(shared: &Shared, probe: &ProbeRequest) {
+    if let Ok(address) = probe.address.parse() {
+        shared.network.send(address, &shared.envelope(Body::Heartbeat(Heartbeat::default())));
+    }
+}
+
+async fn take_heartbeat(shared: &Arc<Shared>, envelope: &Envelope, heartbeat: Heartbeat) {
+    let now = Instant::now();
+    let mark = |mark: &message::LeavingMark| {
+        let deadline = mark.remaining_ms.map(|left| now + Duration::from_millis(left));
+        (BackendId::new(&mark.backend), LeavingSource::parse(&mark.source), deadline)
+    };
+    let marks: Vec<_> = heartbeat.leaving.iter().map(mark).collect();
+    if !marks.is_empty() && shared.fleet_actor.ask(MarkLeaving(marks)).await.unwrap_or(false) {
+        shared.urgent.notify_one();
+    }
+    let reports: Vec<BackendReport> =
+        heartbeat.backends.iter().map(|report| to_report(report, now)).collect();
+    if !reports.is_empty() {
+        let _ = shared.fleet_actor.tell(ApplyReports { reports, tell: false }).await;
+    }
+    take_demands(shared, envelope, &heartbeat);
+}
+
+fn take_demands(shared: &Shared, envelope: &Envelope, heartbeat: &Heartbeat) {
+    let demand = |demand: &message::TenantDemand| {
+        let rates = Demand { tokens: demand.tokens_per_second as f64, calls: demand.calls_per_second as f64 };
+        (TenantName::new(&demand.tenant), rates)
+    };
+    let demands: HashMap<TenantName, Demand> = heartbeat.demands.iter().map(demand).collect();
+    lock(&shared.peer_demands).insert(NodeId::new(&envelope.sender), demands);
+}
+
+fn to_report(report: &message::BackendReport, learned: Instant) -> BackendReport {
+    BackendReport {
+        backend: BackendId::new(&report.backend),
+        observer: NodeId::new(&report.observer),
+        sequence: report.sequence,
+        learned,
+        up: report.up,
+        running: report.running,
+        waiting: report.waiting,
+        queued_tokens: report.queued_tokens,
+        prefill_tokens_per_second: report.prefill_tokens_per_second,
+        leaving: report.leaving,
+        model: report.model.clone(),
+        version: report.version.clone(),
+    }
+}
--- /dev/null
+++ b/crates/beamwall-node/src/tasks/mod.rs
@@ -0,0 +1,12 @@
+//! Periodic duties of a node, one task each.
+
+pub mod asynchronous;
+pub mod cloud_watch;
+pub mod control;
+pub mod drain;
+pub mod heartbeat;
+pub mod inbox;
+pub mod limits;
+pub mod polling;
+pub mod tree_watch;
+pub mod upkeep;
--- /dev/null
+++ b/crates/beamwall-node/src/tasks/polling.rs
@@ -0,0 +1,60 @@
+//! Polls back ends. Each is polled by two nodes of its zone, which tell the others.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use beamwall_fleet::{Backend, EngineClient};
+use beamwall_model::{NodeId, rendezvous};
+use beamwall_peer::MemberState;
+
+use crate::actors::fleet::{ApplyReports, Publish};
+use crate::shared::Shared;
+
+/// Time between polls of one back end.
+const POLL_PERIOD: Duration = Duration::from_millis(200);
+/// Longest poll.
+const POLL_LIMIT: Duration = Duration::from_millis(500);
+/// Nodes that poll one back end.
+const POLLERS: usize = 2;
+
+/// Runs until the node stops.
+pub async fn run(shared: Arc<Shared>) {
+    let sequence = Arc::new(AtomicU64::new(1));
+    loop {
+        tokio::time::sleep(POLL_PERIOD).await;
+        let view = shared.dispatcher.view.load_full();
+        for backend in view.backends().map(|view| &view.backend).filter(|backend| polls(&shared, backend)) {
+            tokio::spawn(poll(shared.clone(), backend.clone(), sequence.clone()));
+        }
+        let _ = shared.fleet_actor.tell(Publish).await;
+    }
+}
+
+/// Whether this node is one of the pollers of a back end: of its zone's nodes, or of all when none
+/// of that zone can be reached from here.
+fn polls(shared: &Shared, backend: &Backend) -> bool {
+    let members = shared.members.load();
+    let own = &shared.settings.node;
+    let alive = members.members.iter().filter(|member| member.state == MemberState::Alive);
+    let mut candidates: Vec<NodeId> =
+        alive.filter(|member| member.zone == backend.zone).map(|member| member.node.clone()).collect();
+    if shared.settings.zone == backend.zone {
+        candidates.push(own.clone());
+    }
+    if candidates.is_empty() {
+        candidates = members.alive_with(own);
+    }
+    let key = backend.id.as_str().as_bytes();
+    rendezvous::choose(key, &candidates, POLLERS, NodeId::as_str).into_iter().any(|node| node == own)
+}
+
+async fn poll(shared: Arc<Shared>, backend: Backend, sequence: Arc<AtomicU64>) {
+    let client = EngineClient::new(shared.dispatcher.pool.clone(), backend.address, POLL_LIMIT);
+    let number = sequence.fetch_add(1, Ordering::Relaxed);
+    let report = client.poll(&backend.id, &shared.settings.node, number).await;
+    let apply = ApplyReports { reports: vec![report], tell: true };
+    if shared.fleet_actor.ask(apply).await.unwrap_or(false) {
+        shared.urgent.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/beamwall-peer/src/lib.rs
@@ -0,0 +1,15 @@
+//! Messages, sessions and membership between the nodes.
+//!
+//! Nodes exchange tagged-field messages over `nng` push/pull sockets, one task for each peer.
+//! [`Membership`] decides from them who is alive; it never uses the platform's machine list as
+//! proof of life or death.
+
+pub mod member;
+pub mod membership;
+pub mod message;
+pub mod network;
+
+pub use member::{Member, MemberState};
+pub use membership::{Membership, MembershipChange, MembershipTiming};
+pub use message::{Body, Envelope};
+pub use network::{PeerError, PeerNetwork};
--- /dev/null
+++ b/crates/beamwall-platform/src/lease.rs
@@ -0,0 +1,139 @@
+//! Leases on control duties, with a rising epoch.
+//!
+//! No wall clock is compared between machines. The holder counts its time from the moment it sent
+//! the last renewal that succeeded; a contender counts from the moment it first saw the current
+//! version and waits longer than the holder may count on. A holder that was paused finds its own
+//! time over before it acts.
+
+use std::time::Duration;
+
+use beamwall_model::NodeId;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::object::{ABSENT, Object, ObjectError, ObjectStore, Version};
+use crate::settle::{Settled, put_settled};
+
+/// Time a holder may act after sending a renewal.
+pub const LEASE_TTL: Duration = Duration::from_secs(3);
+/// Time a contender waits on an unchanged lease; longer than [`LEASE_TTL`] by the longest time an
+/// order may be in flight.
+pub const TAKEOVER_WAIT: Duration = Duration::from_secs(5);
+/// Time between renewals and between looks at somebody else's lease.
+const RENEW_PERIOD: Duration = Duration::from_secs(1);
+/// A holder stops this long before its time ends.
+const SAFETY_MARGIN: Duration = Duration::from_millis(300);
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct LeaseRecord {
+    holder: String,
+    epoch: u64,
+    renewal: u64,
+}
+
+/// What this node knows of a lease.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct LeaseState {
+    /// The holder last seen; empty when never held.
+    pub holder: String,
+    /// The epoch last seen.
+    pub epoch: u64,
+    /// Until when this node may act; `None` when it is not the holder.
+    pub valid_until: Option<Instant>,
+}
+
+impl LeaseState {
+    /// The epoch under which this node may act right now.
+    pub fn held_epoch(&self) -> Option<u64> {
+        let until = self.valid_until?;
+        (Instant::now() + SAFETY_MARGIN < until).then_some(self.epoch)
+    }
+}
+
+/// A lease that this node tries to hold.
+pub struct Lease {
+    key: String,
+    node: NodeId,
+    store: ObjectStore,
+    state: watch::Sender<LeaseState>,
+    seen: Option<(Version, Instant)>,
+    renewal: u64,
+}
+
+impl Lease {
+    /// A lease under `leases/<name>`; the receiver follows its state.
+    pub fn new(name: &str, node: NodeId, store: ObjectStore) -> (Self, watch::Receiver<LeaseState>) {
+        let (state, receiver) = watch::channel(LeaseState::default());
+        let renewal = rand::random::<u32>().into();
+        (Self { key: format!("leases/{name}"), node, store, state, seen: None, renewal }, receiver)
+    }
+
+    /// Renews or contends until the task is ended.
+    pub async fn run(mut self) {
+        loop {
+            let _ = self.step().await;
+            tokio::time::sleep(RENEW_PERIOD).await;
+        }
+    }
+
+    /// One look and, when due, one write.
+    pub async fn step(&mut self) -> Result<(), ObjectError> {
+        let sent = Instant::now();
+        let Some(object) = self.store.get(&self.key).await? else {
+            return self.write(ABSENT, 1, sent).await;
+        };
+        let record: LeaseRecord = serde_json::from_slice(&object.value)
+            .map_err(|error| ObjectError::Unexpected(error.to_string()))?;
+        if self.is_holder(&record) {
+            return self.write(object.version, record.epoch, sent).await;
+        }
+        self.note_other(&object, &record);
+        if self.unchanged_for() >= TAKEOVER_WAIT {
+            return self.write(object.version, record.epoch + 1, Instant::now()).await;
+        }
+        Ok(())
+    }
+
+    /// A record under this node's name counts as held only while this process remembers holding
+    /// it: after a restart the name is the same and the earlier process may have orders in flight.
+    fn is_holder(&self, record: &LeaseRecord) -> bool {
+        let state = self.state.borrow();
+        let current = state.valid_until.is_some_and(|until| Instant::now() < until);
+        record.holder == self.node.as_str() && record.epoch == state.epoch && current
+    }
+
+    fn note_other(&mut self, object: &Object, record: &LeaseRecord) {
+        if self.seen.is_none_or(|(version, _)| version != object.version) {
+            self.seen = Some((object.version, Instant::now()));
+        }
+        let state = LeaseState { holder: record.holder.clone(), epoch: record.epoch, valid_until: None };
+        self.state.send_if_modified(|current| {
+            let changed = *current != state;
+            *current = state;
+            changed
+        });
+    }
+
+    fn unchanged_for(&self) -> Duration {
+        self.seen.map_or(Duration::ZERO, |(_, since)| since.elapsed())
+    }
+
+    async fn write(&mut self, expected: Version, epoch: u64, sent: Instant) -> Result<(), ObjectError> {
+        self.renewal += 1;
+        let record = LeaseRecord { holder: self.node.to_string(), epoch, renewal: self.renewal };
+        let value =
+            serde_json::to_vec(&record).map_err(|error| ObjectError::Unexpected(error.to_string()))?;
+        let mine = |object: &Object| object.value.as_ref() == value.as_slice();
+        let deadline = sent + LEASE_TTL;
+        let settled =
+            put_settled(&self.store, &self.key, expected, Bytes::from(value.clone()), deadline, mine).await;
+        if let Ok(Settled::Written(_)) = settled {
+            self.seen = None;
+            let valid_until = Some(sent + LEASE_TTL);
+            self.state.send_replace(LeaseState { holder: record.holder, epoch, valid_until });
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/beamwall-platform/src/lib.rs
@@ -0,0 +1,19 @@
+//! Client of the platform: object API, cloud API, machine list, leases and call budget.
+//!
+//! The ports ([`ObjectStore`], [`CloudClient`]) speak in typed values. Their wire formats stand in
+//! one adapter module each ([`object_wire`], [`cloud_wire`]); another dialect of the platform
+//! means another adapter and no other change.
+
+pub mod budget;
+pub mod cloud;
+pub mod cloud_wire;
+pub mod lease;
+pub mod object;
+pub mod object_wire;
+pub mod settle;
+
+pub use budget::CallBudget;
+pub use cloud::{CloudClient, CloudError, Machine, MachineState, Notice};
+pub use lease::{Lease, LeaseState};
+pub use object::{Object, ObjectError, ObjectStore, Version};
+pub use settle::{SettleError, Settled, put_settled};
--- /dev/null
+++ b/crates/beamwall-platform/src/object.rs
@@ -0,0 +1,162 @@
+//! The object API port: versioned objects, conditional writes and watches.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use beamwall_http::{ClientError, JsonClient};
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use quick_error::quick_error;
+
+use crate::budget::CallBudget;
+use crate::object_wire;
+
+/// Versions of one object rise with every write; an object that does not exist has version 0.
+pub type Version = u64;
+
+/// The version that a conditional write names to create an object.
+pub const ABSENT: Version = 0;
+
+quick_error! {
+    /// Why a call to the object API failed.
+    #[derive(Debug)]
+    pub enum ObjectError {
+        /// The object has another version than the write named; the write did not take effect.
+        Conflict(current: Version) {
+            display("object has version {}", current)
+        }
+        /// The platform refused the call before acting on it, or could not be reached.
+        Unavailable(reason: String) {
+            display("platform unavailable: {}", reason)
+        }
+        /// The call was sent and its answer lost: a write may have taken effect.
+        Ambiguous(reason: String) {
+            display("answer from the platform was lost: {}", reason)
+        }
+        /// The platform answered in a way this client does not know.
+        Unexpected(reason: String) {
+            display("unexpected answer from the platform: {}", reason)
+        }
+    }
+}
+
+impl From<ClientError> for ObjectError {
+    fn from(error: ClientError) -> Self {
+        if error.nothing_sent() {
+            Self::Unavailable(error.to_string())
+        } else {
+            Self::Ambiguous(error.to_string())
+        }
+    }
+}
+
+/// An object as read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Object {
+    /// The key.
+    pub key: String,
+    /// The version read.
+    pub version: Version,
+    /// The value.
+    pub value: Bytes,
+}
+
+/// What a watch saw.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WatchAnswer {
+    /// Pass this to the next watch.
+    pub sequence: u64,
+    /// Keys that changed.
+    pub changed: Vec<String>,
+}
+
+/// Client of the object API. Cloning shares the budget and the health mark.
+#[derive(Clone)]
+pub struct ObjectStore {
+    client: JsonClient,
+    budget: Arc<CallBudget>,
+    healthy: Arc<AtomicBool>,
+}
+
+impl ObjectStore {
+    /// A client within a budget.
+    pub fn new(client: JsonClient, budget: Arc<CallBudget>) -> Self {
+        Self { client, budget, healthy: Arc::new(AtomicBool::new(true)) }
+    }
+
+    /// Whether the last call was answered.
+    pub fn healthy(&self) -> bool {
+        self.healthy.load(Ordering::Relaxed)
+    }
+
+    /// The budget, for metrics.
+    pub fn budget(&self) -> &CallBudget {
+        &self.budget
+    }
+
+    /// Reads an object; `None` when it does not exist.
+    pub async fn get(&self, key: &str) -> Result<Option<Object>, ObjectError> {
+        let answer =
+            self.call(&self.client, Method::GET, &object_wire::object_path(key), Bytes::new()).await?;
+        match answer.status {
+            StatusCode::NOT_FOUND => Ok(None),
+            StatusCode::OK => object_wire::read_object(key, &answer.body).map(Some),
+            _ => Err(object_wire::read_failure(&answer)),
+        }
+    }
+
+    /// Writes an object if it has the version named; [`ABSENT`] creates it.
+    pub async fn put(&self, key: &str, expected: Version, value: Bytes) -> Result<Version, ObjectError> {
+        let path = object_wire::conditional_path(key, expected);
+        let answer = self.call(&self.client, Method::PUT, &path, value).await?;
+        object_wire::read_version(&answer)
+    }
+
+    /// Deletes an object if it has the version named.
+    pub async fn delete(&self, key: &str, expected: Version) -> Result<(), ObjectError> {
+        let path = object_wire::conditional_path(key, expected);
+        let answer = self.call(&self.client, Method::DELETE, &path, Bytes::new()).await?;
+        object_wire::read_version(&answer).map(|_| ())
+    }
+
+    /// Reads all objects whose key starts with `prefix`.
+    pub async fn list(&self, prefix: &str) -> Result<Vec<Object>, ObjectError> {
+        let answer =
+            self.call(&self.client, Method::GET, &object_wire::list_path(prefix), Bytes::new()).await?;
+        if answer.status != StatusCode::OK {
+            return Err(object_wire::read_failure(&answer));
+        }
+        object_wire::read_list(&answer.body)
+    }
+
+    /// Waits up to `wait` for a change after `sequence` to keys that start with `prefix`.
+    pub async fn watch(
+        &self,
+        prefix: &str,
+        sequence: u64,
+        wait: Duration,
+    ) -> Result<WatchAnswer, ObjectError> {
+        let path = object_wire::watch_path(prefix, sequence, wait);
+        let client = self.client.clone().with_limit(wait + Duration::from_secs(2));
+        let answer = self.call(&client, Method::GET, &path, Bytes::new()).await?;
+        if answer.status != StatusCode::OK {
+            return Err(object_wire::read_failure(&answer));
+        }
+        object_wire::read_watch(&answer.body)
+    }
+
+    async fn call(
+        &self,
+        client: &JsonClient,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<beamwall_http::client::Answer, ObjectError> {
+        self.budget.take().await;
+        let result = client.call(method, path, body).await;
+        let answered = matches!(&result, Ok(answer) if answer.status != StatusCode::SERVICE_UNAVAILABLE);
+        self.healthy.store(answered, Ordering::Relaxed);
+        Ok(result?)
+    }
+}
--- /dev/null
+++ b/crates/beamwall-routing/src/prefix.rs
@@ -0,0 +1,109 @@
+//! What this node believes engines have cached, from its own dispatches.
+//!
+//! Engines publish cache events late and with gaps, so the belief is kept from what was sent where
+//! and corrected by the hit counts that engines report with each answer.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use beamwall_model::BackendId;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Prompt bytes in one block of the belief.
+const BLOCK_BYTES: usize = 1_024;
+/// Blocks of one prompt that are looked at.
+const BLOCKS_PER_PROMPT: usize = 64;
+/// Blocks remembered in all; the oldest half is dropped when full.
+const BLOCK_LIMIT: usize = 65_536;
+
+#[derive(Debug, Default)]
+struct State {
+    clock: u64,
+    blocks: HashMap<u64, Vec<(BackendId, u64)>>,
+}
+
+/// The belief.
+#[derive(Debug, Default)]
+pub struct PrefixIndex {
+    state: Mutex<State>,
+}
+
+/// The chained block hashes of a prompt.
+pub fn block_hashes(prompt: &str) -> Vec<u64> {
+    let mut previous = 0;
+    let chunks = prompt.as_bytes().chunks_exact(BLOCK_BYTES).take(BLOCKS_PER_PROMPT);
+    chunks
+        .map(|chunk| {
+            previous = xxh3_64_with_seed(chunk, previous);
+            previous
+        })
+        .collect()
+}
+
+impl PrefixIndex {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Prompt bytes believed cached, by engine.
+    pub fn cached_bytes(&self, blocks: &[u64]) -> HashMap<BackendId, usize> {
+        let state = self.lock();
+        let mut cached = HashMap::new();
+        for (position, block) in blocks.iter().enumerate() {
+            for (engine, _) in state.blocks.get(block).map_or(&[][..], Vec::as_slice) {
+                let known = cached.entry(engine.clone()).or_insert(0);
+                if *known == position * BLOCK_BYTES {
+                    *known = (position + 1) * BLOCK_BYTES;
+                }
+            }
+        }
+        cached
+    }
+
+    /// Notes that an engine computed a prompt.
+    pub fn note_computed(&self, engine: &BackendId, blocks: &[u64]) {
+        let mut state = self.lock();
+        state.clock += 1;
+        let now = state.clock;
+        for block in blocks {
+            let engines = state.blocks.entry(*block).or_default();
+            match engines.iter_mut().find(|(known, _)| known == engine) {
+                Some((_, used)) => *used = now,
+                None => engines.push((engine.clone(), now)),
+            }
+        }
+        if state.blocks.len() > BLOCK_LIMIT {
+            drop_oldest_half(&mut state);
+        }
+    }
+
+    /// Corrects the belief after an engine found only `cached_bytes` of a prompt.
+    pub fn correct(&self, engine: &BackendId, blocks: &[u64], cached_bytes: usize) {
+        let mut state = self.lock();
+        for block in &blocks[(cached_bytes / BLOCK_BYTES).min(blocks.len())..] {
+            if let Some(engines) = state.blocks.get_mut(block) {
+                engines.retain(|(known, _)| known != engine);
+            }
+        }
+    }
+
+    /// Forgets an engine that is gone.
+    pub fn forget(&self, engine: &BackendId) {
+        let mut state = self.lock();
+        for engines in state.blocks.values_mut() {
+            engines.retain(|(known, _)| known != engine);
+        }
+        state.blocks.retain(|_, engines| !engines.is_empty());
+    }
+}
+
+fn drop_oldest_half(state: &mut State) {
+    let mut ages: Vec<u64> = state.blocks.values().filter_map(|engines| newest(engines)).collect();
+    ages.sort_unstable();
+    let median = ages.get(ages.len() / 2).copied().unwrap_or(0);
+    state.blocks.retain(|_, engines| newest(engines).is_some_and(|used| used > median));
+}
+
+fn newest(engines: &[(BackendId, u64)]) -> Option<u64> {
+    engines.iter().map(|(_, used)| *used).max()
+}
--- /dev/null
+++ b/crates/beamwall-routing/src/route.rs
@@ -0,0 +1,205 @@
+//! Route choice: which back end gets a request, and why.
+//!
+//! The skew guard follows the reviewer's finding in `PAPER-dp-attention-add-prefix-7d3f.md`: it
+//! counts running and waiting requests, not resident tokens, so that a long session is not taken
+//! for load. docs/design/routing.md holds the measurement.
+
+use std::cmp::Ordering;
+use std::fmt;
+use std::sync::Arc;
+
+use beamwall_config::Service;
+use beamwall_fleet::{BackendView, FleetView};
+use beamwall_model::{BackendId, ZoneName, rendezvous};
+use quick_error::quick_error;
+
+/// Assumed prefill rate of an engine that has not reported one, in tokens a second.
+const ASSUMED_PREFILL_RATE: f64 = 4_000.0;
+/// Predicted time that each running or waiting request adds, in milliseconds.
+const REQUEST_COST_MS: f64 = 0.5;
+/// Predicted time of crossing a zone, in milliseconds.
+const ZONE_COST_MS: f64 = 2.0;
+/// Requests over the skew limit that are tolerated on an almost idle fleet.
+const SKEW_SLACK: f64 = 2.0;
+
+quick_error! {
+    /// Why no back end can take a request now.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum NoRoute {
+        /// No back end of the service answers and stays.
+        NoneAvailable {
+            display("no back end of the service is available")
+        }
+        /// Every back end has as many requests as allowed.
+        AllFull {
+            display("every back end of the service is full")
+        }
+    }
+}
+
+/// Why a back end was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteReason {
+    /// The session's preferred engine.
+    SessionAffinity,
+    /// The session's preferred engine was overloaded; the next in its order.
+    SessionSpill,
+    /// The lowest predicted time to the first token.
+    LowestPredictedWait,
+    /// The fewest open requests, own zone first.
+    LeastOpenRequests,
+}
+
+impl RouteReason {
+    /// The word used in headers and in `explain`.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::SessionAffinity => "session-affinity",
+            Self::SessionSpill => "session-spill",
+            Self::LowestPredictedWait => "lowest-predicted-wait",
+            Self::LeastOpenRequests => "least-open-requests",
+        }
+    }
+}
+
+impl fmt::Display for RouteReason {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.as_str())
+    }
+}
+
+/// What to route.
+pub struct RouteQuery<'a> {
+    /// The service asked for.
+    pub service: &'a Service,
+    /// The caller's session key.
+    pub session: Option<&'a str>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// This node's zone.
+    pub zone: &'a ZoneName,
+    /// Back ends that failed this request before.
+    pub excluded: &'a [BackendId],
+    /// Prompt tokens believed cached at an engine.
+    pub cached_tokens: &'a dyn Fn(&BackendId) -> u32,
+}
+
+/// The choice.
+#[derive(Debug, Clone)]
+pub struct Route {
+    /// The back end.
+    pub backend: Arc<BackendView>,
+    /// Why.
+    pub reason: RouteReason,
+    /// Predicted time to the first token, in milliseconds.
+    pub predicted_ms: f64,
+}
+
+/// Candidates: back ends that accept work, without those excluded unless nothing else is left.
+fn candidates<'a>(view: &'a FleetView, query: &RouteQuery<'_>) -> Vec<&'a Arc<BackendView>> {
+    let backends = view.of_service(&query.service.name);
+    let accepting: Vec<&Arc<BackendView>> =
+        backends.iter().filter(|candidate| candidate.accepts_work()).collect();
+    let fresh: Vec<&Arc<BackendView>> = accepting
+        .iter()
+        .copied()
+        .filter(|candidate| !query.excluded.contains(&candidate.backend.id))
+        .collect();
+    if fresh.is_empty() { accepting } else { fresh }
+}
+
+/// Whether an engine has the service's model and version loaded. An engine that reports no model
+/// has not been ordered yet and cannot serve.
+fn has_model(candidate: &BackendView, service: &Service) -> bool {
+    candidate
+        .report
+        .as_ref()
+        .is_some_and(|report| report.model == service.model && report.version == service.version)
+}
+
+/// Predicted time to the first token at an engine, in milliseconds.
+pub fn predict_ms(candidate: &BackendView, query: &RouteQuery<'_>) -> f64 {
+    let reported = candidate.report.as_ref().map_or(0, |report| report.prefill_tokens_per_second);
+    let rate = if reported > 0 { f64::from(reported) } else { ASSUMED_PREFILL_RATE };
+    let cached = (query.cached_tokens)(&candidate.backend.id).min(query.prompt_tokens);
+    let uncached = query.prompt_tokens - cached;
+    let prefill = f64::from(candidate.queued_tokens().saturating_add(uncached)) / rate * 1_000.0;
+    let requests = f64::from(candidate.requests()) * REQUEST_COST_MS;
+    let zone = if candidate.backend.zone == *query.zone { 0.0 } else { ZONE_COST_MS };
+    prefill + requests + zone
+}
+
+/// Chooses a model engine.
+pub fn choose_engine(view: &FleetView, query: &RouteQuery<'_>) -> Result<Route, NoRoute> {
+    let all = candidates(view, query);
+    let loaded: Vec<&Arc<BackendView>> =
+        all.into_iter().filter(|candidate| has_model(candidate, query.service)).collect();
+    if loaded.is_empty() {
+        return Err(NoRoute::NoneAvailable);
+    }
+    let limit = u32::try_from(query.service.max_engine_requests).unwrap_or(u32::MAX);
+    let free: Vec<&Arc<BackendView>> =
+        loaded.iter().copied().filter(|candidate| candidate.requests() < limit).collect();
+    if free.is_empty() {
+        return Err(NoRoute::AllFull);
+    }
+    let chosen = match query.session {
+        Some(session) if query.service.affinity => choose_for_session(&loaded, &free, session, query),
+        _ => None,
+    };
+    let (backend, reason) =
+        chosen.unwrap_or_else(|| (lowest_wait(&free, query), RouteReason::LowestPredictedWait));
+    Ok(Route { backend: backend.clone(), reason, predicted_ms: predict_ms(backend, query) })
+}
+
+/// Walks the session's rendezvous order and takes the first engine within the skew limit.
+fn choose_for_session<'a>(
+    loaded: &[&'a Arc<BackendView>],
+    free: &[&'a Arc<BackendView>],
+    session: &str,
+    query: &RouteQuery<'_>,
+) -> Option<(&'a Arc<BackendView>, RouteReason)> {
+    let total: f64 = loaded.iter().map(|candidate| f64::from(candidate.requests())).sum();
+    let limit = total / loaded.len() as f64 * query.service.max_load_skew + SKEW_SLACK;
+    let order = rendezvous::choose(session.as_bytes(), loaded, loaded.len(), |view| view.backend.id.as_str());
+    for (position, candidate) in order.into_iter().enumerate() {
+        let is_free = free.iter().any(|other| other.backend.id == candidate.backend.id);
+        if is_free && f64::from(candidate.requests()) <= limit {
+            let reason = if position == 0 { RouteReason::SessionAffinity } else { RouteReason::SessionSpill };
+            return Some((candidate, reason));
+        }
+    }
+    None
+}
+
+fn lowest_wait<'a>(free: &[&'a Arc<BackendView>], query: &RouteQuery<'_>) -> &'a Arc<BackendView> {
+    let mut best = free[0];
+    let mut best_ms = predict_ms(best, query);
+    for candidate in &free[1..] {
+        let predicted = predict_ms(candidate, query);
+        let order = predicted.partial_cmp(&best_ms).unwrap_or(Ordering::Equal);
+        let tie = order == Ordering::Equal && candidate.backend.id < best.backend.id;
+        if order == Ordering::Less || tie {
+            best = candidate;
+            best_ms = predicted;
+        }
+    }
+    best
+}
+
+/// Chooses a back end of a plain service: fewest open requests, own zone first on a tie.
+pub fn choose_backend(view: &FleetView, query: &RouteQuery<'_>) -> Result<Route, NoRoute> {
+    let backends = view.of_service(&query.service.name);
+    let mut best: Option<(u32, bool, &Arc<BackendView>)> = None;
+    for candidate in backends.iter().filter(|candidate| candidate.accepts_work()) {
+        if query.excluded.contains(&candidate.backend.id) {
+            continue;
+        }
+        let rank = (candidate.load.open_requests(), candidate.backend.zone != *query.zone);
+        if best.is_none_or(|(open, far, _)| rank < (open, far)) {
+            best = Some((rank.0, rank.1, candidate));
+        }
+    }
+    let (_, _, backend) = best.ok_or(NoRoute::NoneAvailable)?;
+    Ok(Route { backend: backend.clone(), reason: RouteReason::LeastOpenRequests, predicted_ms: 0.0 })
+}
--- /dev/null
+++ b/crates/beamwall-routing/src/tenant_limit.rs
@@ -0,0 +1,254 @@
+//! Tenant limits that hold over all nodes.
+//!
+//! Each node has a share of a tenant's limit, in proportion to the demand that it reported. A node
+//! lowers its share at once and raises it only after the others have had time to lower theirs, so
+//! that the sum stays within the limit while nodes are connected. In a cut, each side keeps the
+//! last share.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use beamwall_config::Tenant;
+use beamwall_model::TenantName;
+use quick_error::quick_error;
+use tokio::time::Instant;
+
+/// Work that may be done at once after a quiet time, in seconds of the share.
+const BURST_SECONDS: f64 = 1.0;
+/// Time after which a larger share is taken: longer than a heartbeat takes to reach everyone.
+const RAISE_DELAY: Duration = Duration::from_millis(1_500);
+/// Demand that every node is counted with, so that an idle one can start, as a part of the limit.
+const IDLE_DEMAND_PART: f64 = 0.02;
+/// Weight of the newest second in the demand.
+const DEMAND_SMOOTHING: f64 = 0.5;
+
+quick_error! {
+    /// The tenant is over its limit.
+    #[derive(Debug, Clone, PartialEq)]
+    pub enum LimitExceeded {
+        /// Over a rate; `retry_after` tells when the work would fit.
+        Rate(retry_after: Duration) {
+            display("tenant rate limit exceeded")
+        }
+        /// Too many open requests.
+        Concurrency(limit: usize) {
+            display("tenant has {} open requests", limit)
+        }
+    }
+}
+
+/// The two kinds of limited work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Work {
+    /// Tokens of prompt and answer.
+    Tokens(u32),
+    /// One plain call.
+    Call,
+}
+
+#[derive(Debug)]
+struct Meter {
+    limit: f64,
+    share: f64,
+    raise_to: Option<(f64, Instant)>,
+    available: f64,
+    refilled: Instant,
+    asked: f64,
+    demand: f64,
+}
+
+impl Meter {
+    fn new(limit: f64, share: f64, now: Instant) -> Self {
+        Self {
+            limit,
+            share,
+            raise_to: None,
+            available: limit * share,
+            refilled: now,
+            asked: 0.0,
+            demand: 0.0,
+        }
+    }
+
+    fn refill(&mut self, now: Instant) {
+        if let Some((share, at)) = self.raise_to
+            && now >= at
+        {
+            self.share = share;
+            self.raise_to = None;
+        }
+        let rate = self.limit * self.share;
+        let gained = now.duration_since(self.refilled).as_secs_f64() * rate;
+        self.refilled = now;
+        self.available = (self.available + gained).min(rate * BURST_SECONDS);
+    }
+
+    fn take(&mut self, amount: f64, now: Instant) -> Result<(), LimitExceeded> {
+        self.asked += amount;
+        self.refill(now);
+        let rate = (self.limit * self.share).max(f64::MIN_POSITIVE);
+        // Work larger than a whole burst could never pass; it passes when the bucket is full.
+        let needed = amount.min(rate * BURST_SECONDS);
+        if self.available + 1e-9 >= needed {
+            self.available -= amount;
+            return Ok(());
+        }
+        let wait = ((needed - self.available) / rate).min(60.0);
+        Err(LimitExceeded::Rate(Duration::from_secs_f64(wait)))
+    }
+
+    fn set_share(&mut self, share: f64, now: Instant) {
+        if share <= self.share {
+            self.share = share;
+            self.raise_to = None;
+        } else {
+            let at = self.raise_to.map_or(now + RAISE_DELAY, |(_, at)| at);
+            self.raise_to = Some((share, at));
+        }
+    }
+
+    fn close_period(&mut self, period: Duration) -> f64 {
+        let rate = self.asked / period.as_secs_f64().max(1e-3);
+        self.asked = 0.0;
+        self.demand = self.demand * (1.0 - DEMAND_SMOOTHING) + rate * DEMAND_SMOOTHING;
+        self.demand
+    }
+}
+
+#[derive(Debug)]
+struct Account {
+    tokens: Meter,
+    calls: Meter,
+    open: usize,
+}
+
+/// Demand of one tenant at one node, a second.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Demand {
+    /// Tokens asked for.
+    pub tokens: f64,
+    /// Plain calls asked for.
+    pub calls: f64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    accounts: HashMap<TenantName, Account>,
+    peers: HashMap<TenantName, Vec<Demand>>,
+    peer_count: usize,
+}
+
+impl State {
+    /// Demands of all other nodes; those that reported none count as idle.
+    fn others(&self, tenant: &TenantName) -> Vec<Demand> {
+        let mut others = self.peers.get(tenant).cloned().unwrap_or_default();
+        others.resize(self.peer_count.max(others.len()), Demand::default());
+        others
+    }
+}
+
+/// The accounts of all tenants at this node.
+#[derive(Debug, Default)]
+pub struct TenantLimits {
+    state: Mutex<State>,
+}
+
+impl TenantLimits {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes work from a tenant's account and opens a request. A tenant seen for the first time
+    /// gets the share of an idle node, which the others already leave to this one.
+    pub fn open(&self, tenant: &Tenant, work: Work) -> Result<(), LimitExceeded> {
+        let now = Instant::now();
+        let mut state = self.lock();
+        if !state.accounts.contains_key(&tenant.name) {
+            let account = new_account(tenant, &state.others(&tenant.name), now);
+            state.accounts.insert(tenant.name.clone(), account);
+        }
+        let Some(account) = state.accounts.get_mut(&tenant.name) else { return Ok(()) };
+        account.tokens.limit = tenant.tokens_per_second as f64;
+        account.calls.limit = tenant.calls_per_second as f64;
+        if account.open >= tenant.max_concurrent {
+            return Err(LimitExceeded::Concurrency(tenant.max_concurrent));
+        }
+        match work {
+            Work::Tokens(tokens) => account.tokens.take(tokens.into(), now)?,
+            Work::Call => account.calls.take(1.0, now)?,
+        }
+        account.open += 1;
+        Ok(())
+    }
+
+    /// Closes a request.
+    pub fn close(&self, tenant: &TenantName) {
+        if let Some(account) = self.lock().accounts.get_mut(tenant) {
+            account.open = account.open.saturating_sub(1);
+        }
+    }
+
+    /// Ends a reporting period and gives this node's demands.
+    pub fn close_period(&self, period: Duration) -> Vec<(TenantName, Demand)> {
+        let mut state = self.lock();
+        let demand = |account: &mut Account| Demand {
+            tokens: account.tokens.close_period(period),
+            calls: account.calls.close_period(period),
+        };
+        state.accounts.iter_mut().map(|(tenant, account)| (tenant.clone(), demand(account))).collect()
+    }
+
+    /// Sets shares from the demands that all nodes reported. `own` must be what this node last
+    /// reported, so that every node computes from the same numbers.
+    pub fn set_shares(
+        &self,
+        own: &HashMap<TenantName, Demand>,
+        peers: HashMap<TenantName, Vec<Demand>>,
+        peer_count: usize,
+    ) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        state.peers = peers;
+        state.peer_count = peer_count;
+        let tenants: Vec<TenantName> = state.accounts.keys().cloned().collect();
+        for tenant in tenants {
+            let others = state.others(&tenant);
+            let own = own.get(&tenant).copied().unwrap_or_default();
+            let Some(account) = state.accounts.get_mut(&tenant) else { continue };
+            let (tokens, calls) = both_shares(own, &others, account.tokens.limit, account.calls.limit);
+            account.tokens.set_share(tokens, now);
+            account.calls.set_share(calls, now);
+        }
+    }
+
+    /// This node's shares of a tenant's token and call limits.
+    pub fn shares(&self, tenant: &TenantName) -> Option<(f64, f64)> {
+        self.lock().accounts.get(tenant).map(|account| (account.tokens.share, account.calls.share))
+    }
+}
+
+fn new_account(tenant: &Tenant, others: &[Demand], now: Instant) -> Account {
+    let token_limit = tenant.tokens_per_second as f64;
+    let call_limit = tenant.calls_per_second as f64;
+    let (tokens, calls) = both_shares(Demand::default(), others, token_limit, call_limit);
+    Account {
+        tokens: Meter::new(token_limit, tokens, now),
+        calls: Meter::new(call_limit, calls, now),
+        open: 0,
+    }
+}
+
+fn both_shares(own: Demand, others: &[Demand], token_limit: f64, call_limit: f64) -> (f64, f64) {
+    let token_demands: Vec<f64> = others.iter().map(|demand| demand.tokens).collect();
+    let call_demands: Vec<f64> = others.iter().map(|demand| demand.calls).collect();
+    (share(own.tokens, &token_demands, token_limit), share(own.calls, &call_demands, call_limit))
+}
+
+/// A node's part of a limit. The parts of all nodes sum to one.
+pub fn share(own: f64, others: &[f64], limit: f64) -> f64 {
+    let floor = limit * IDLE_DEMAND_PART;
+    let counted = |demand: f64| demand.max(0.0) + floor;
+    let total = counted(own) + others.iter().map(|demand| counted(*demand)).sum::<f64>();
+    counted(own) / total
+}
