Quotas as one bucket kept by all nodes; silent engines are told from busy ones

A first-event limit of 0.8 objectives left engines that were reading long prompts (109 attempts), each read twice and counted twice. Ruled out: the limit itself (levels in the log were far above what was asked). Change: every node tells what it let pass and takes off its level what others tell; between tellings it keeps to its part of level and slack. A resumable stream leaves an engine only when it is well past the expected time and sends nothing to other streams either. Usage counts a stream from its first event.

--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -196,9 +196,18 @@
     }
 }
 
+/// The back end of the next attempt.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Choice {
+    /// The back end.
+    pub backend: BackendId,
+    /// Expected time until it begins to answer, in milliseconds.
+    pub cost_ms: f64,
+}
+
 impl Forwarder {
     /// Chooses a back end for the next attempt, notes it as tried and logs the decision.
-    pub fn choose(&self, call: &Call, attempts: &mut Attempts) -> Option<BackendId> {
+    pub fn choose(&self, call: &Call, attempts: &mut Attempts) -> Option<Choice> {
         let directory = self.directory.load();
         let candidates = self.knowledge.candidates(
             &directory,
@@ -221,7 +230,7 @@
             remaining_ms: call.deadline.saturating_duration_since(Instant::now()).as_millis().to_string(),
         });
         attempts.tried.push(backend.clone());
-        Some(backend)
+        Some(Choice { backend, cost_ms })
     }
 
     /// Counts a request that a back end began to run.
--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{HeaderMap, Request, Response};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::forward::{Call, Forwarder};
@@ -22,6 +23,10 @@
 
 /// Longest time that a caller may take to send a body.
 const BODY_READ_LIMIT: Duration = Duration::from_secs(10);
+/// Time in which peers are told what passed here.
+const TELLING_TIME: Duration = Duration::from_millis(20);
+/// Times that a request waits for that.
+const TELLING_ROUNDS: usize = 4;
 /// Kinds of route in metrics.
 const fn kind_name(kind: RouteKind) -> &'static str {
     match kind {
@@ -40,6 +45,8 @@
     pub quotas: QuotaBook,
     /// Forwarding.
     pub forwarder: Arc<Forwarder>,
+    /// Told when the peers should hear at once.
+    pub news: Arc<Notify>,
 }
 
 /// Answers callers.
@@ -177,7 +184,7 @@
     }
 
     async fn forward(&self, call: Arc<Call>) -> Result<Response<Body>, Refusal> {
-        let charge = self.charge(&call)?;
+        let charge = self.charge(&call).await?;
         self.forwarder.retries.earn(&call.service);
         let result = if call.route.kind.is_stream() {
             stream::forward(&self.forwarder, &call).await
@@ -190,15 +197,28 @@
         result
     }
 
-    fn charge(&self, call: &Call) -> Result<Option<Charge>, Refusal> {
+    /// Charges the tenant. Work that fits once the peers know what passed here waits for that.
+    async fn charge(&self, call: &Call) -> Result<Option<Charge>, Refusal> {
         let Some(tenant) = &call.tenant else { return Ok(None) };
         let amount = match (tenant.counts_tokens, &call.prompt) {
             (false, _) => 1.0,
             (true, Some(prompt)) => work_tokens(prompt),
             (true, None) => f64::from(tenant.plain_tokens),
         };
-        let charged = self.quotas.charge(tenant, amount, Instant::now());
-        charged.map_err(|exceeded| Refusal::QuotaExceeded(exceeded.retry_after))
+        let mut charged = self.quotas.charge(tenant, amount, Instant::now());
+        for _ in 0..TELLING_ROUNDS {
+            if !matches!(charged, Err(exceeded) if exceeded.fits_when_told) {
+                break;
+            }
+            self.news.notify_one();
+            tokio::time::sleep(TELLING_TIME).await;
+            charged = self.quotas.charge(tenant, amount, Instant::now());
+        }
+        let charge = charged.map_err(Refusal::QuotaExceeded)?;
+        if charge.as_ref().is_some_and(|charge| charge.is_urgent) {
+            self.news.notify_one();
+        }
+        Ok(charge)
     }
 }
 
--- a/crates/beamwall-gateway/src/health.rs
+++ b/crates/beamwall-gateway/src/health.rs
@@ -38,6 +38,8 @@
 #[derive(Debug, Default)]
 pub struct HealthBook {
     records: Mutex<HashMap<BackendId, Record>>,
+    /// When each back end last sent anything.
+    heard: Mutex<HashMap<BackendId, Instant>>,
 }
 
 impl HealthBook {
@@ -45,6 +47,22 @@
         self.records.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Notes that a back end sent something, whatever it was.
+    pub fn note_heard(&self, backend: &BackendId, now: Instant) {
+        let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        match heard.get_mut(backend) {
+            Some(at) => *at = now,
+            None => {
+                heard.insert(backend.clone(), now);
+            }
+        }
+    }
+
+    /// When a back end last sent anything to this node.
+    pub fn last_heard(&self, backend: &BackendId) -> Option<Instant> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner).get(backend).copied()
+    }
+
     /// Notes an answered request and whether it failed.
     pub fn note(&self, backend: &BackendId, failed: bool, now: Instant) {
         let mut records = self.lock();
@@ -83,6 +101,7 @@
     /// Forgets back ends that are gone.
     pub fn retain(&self, is_known: impl Fn(&BackendId) -> bool) {
         self.lock().retain(|backend, _| is_known(backend));
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner).retain(|backend, _| is_known(backend));
     }
 }
 
--- a/crates/beamwall-gateway/src/quota.rs
+++ b/crates/beamwall-gateway/src/quota.rs
@@ -1,56 +1,73 @@
 //! Tenant quotas that hold over all nodes.
 //!
-//! Each node holds a share of every tenant's rate and burst, in proportion to the demand that the
-//! nodes told each other. A share shrinks at once and grows only after the others have had time to
-//! shrink theirs. A node that is silent keeps its share in the others' sums, because it may be cut
-//! off and still serving; so the sum of all shares stays within one while nodes are cut off.
+//! All nodes that hear each other keep the same bucket for a tenant: each tells what it has let pass
+//! since its start, and takes off its own level what the others tell. What a node lets pass between
+//! two tellings is bounded by its part of the level and of the tolerated slack, so all together stay
+//! within both.
+//!
+//! A node that is not heard may be cut off and still serve its callers. So the nodes that hear each
+//! other refill their bucket at their part of the rate only: as many parts as they are, of as many
+//! nodes as are known. The sum over all sides of a cut never exceeds the whole rate.
 
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use beamwall_model::TenantName;
+use beamwall_model::{NodeId, TenantName};
 use beamwall_policy::Tenant;
-use beamwall_routing::tenant_limit::share;
 use tokio::time::Instant;
 
-/// Time after which a larger share is taken: longer than news takes to reach every node.
-const RAISE_DELAY: Duration = Duration::from_millis(1_200);
-/// Weight of the newest period in the demand.
-const DEMAND_SMOOTHING: f64 = 0.4;
 /// Longest time that a refused caller is told to wait.
-const LONGEST_WAIT: Duration = Duration::from_secs(5);
+const LONGEST_WAIT: Duration = Duration::from_secs(4);
+/// Part of the burst below which a node tells the others at once what it lets pass.
+const LOW_LEVEL: f64 = 0.5;
+
+/// The nodes among which quotas are divided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sharing {
+    /// Nodes that hear each other, this one included.
+    pub heard: usize,
+    /// Nodes that are known, silent ones included.
+    pub known: usize,
+}
 
-/// What the whole deployment may exceed a quota by, and the number of nodes that share it.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Tolerance {
-    /// Work beyond the quota that is tolerated in one window, over all nodes.
-    pub slack: f64,
-    /// Nodes among which it is divided.
-    pub nodes: usize,
+impl Sharing {
+    fn part(self) -> f64 {
+        let known = self.known.max(1) as f64;
+        (self.heard.max(1) as f64 / known).min(1.0)
+    }
 }
 
 #[derive(Debug)]
 struct Account {
-    share: f64,
-    raise: Option<(f64, Instant)>,
-    available: f64,
+    /// Work that may pass now; negative after work that was larger than what was left.
+    level: f64,
     refilled: Instant,
-    asked: f64,
-    demand: f64,
+    /// Work let pass by this node since its start.
+    passed: f64,
+    /// Part of it that the others were not told yet.
+    untold: f64,
+}
+
+/// What a peer told last.
+#[derive(Debug, Default)]
+struct PeerUse {
+    life: u64,
+    passed: HashMap<TenantName, f64>,
 }
 
 #[derive(Debug)]
 struct State {
     accounts: HashMap<TenantName, Account>,
-    peers: HashMap<TenantName, Vec<f64>>,
-    peer_count: usize,
-    tolerance: Tolerance,
+    peers: HashMap<NodeId, PeerUse>,
+    sharing: Sharing,
 }
 
 /// The tenants' accounts at this node.
 #[derive(Debug)]
 pub struct QuotaBook {
+    /// Work beyond a quota that is tolerated in one window, over all nodes.
+    slack: f64,
     state: Mutex<State>,
 }
 
@@ -61,6 +78,8 @@
     pub tenant: TenantName,
     /// The work.
     pub amount: f64,
+    /// Whether the others should be told at once.
+    pub is_urgent: bool,
 }
 
 /// A tenant is beyond its quota here.
@@ -68,25 +87,29 @@
 pub struct QuotaExceeded {
     /// When the work would fit.
     pub retry_after: Duration,
-    /// This node's share of the quota.
-    pub share: f64,
-    /// Work that was available.
-    pub available: f64,
+    /// Work that could have passed.
+    pub level: f64,
+    /// Work that was asked for.
+    pub amount: f64,
+    /// The nodes among which the quota was divided.
+    pub sharing: Sharing,
+    /// Whether it would fit once the others have been told what passed here before.
+    pub fits_when_told: bool,
 }
 
 impl QuotaBook {
-    /// Accounts of a node that assumes `tolerance.nodes - 1` peers until it hears of them.
-    pub fn new(tolerance: Tolerance) -> Self {
-        let peer_count = tolerance.nodes.saturating_sub(1);
-        let state = State { accounts: HashMap::new(), peers: HashMap::new(), peer_count, tolerance };
-        Self { state: Mutex::new(state) }
+    /// Accounts of a node that assumes to be one of `expected_nodes` until it hears of others.
+    pub fn new(slack: f64, expected_nodes: usize) -> Self {
+        let sharing = Sharing { heard: 1, known: expected_nodes.max(1) };
+        let state = State { accounts: HashMap::new(), peers: HashMap::new(), sharing };
+        Self { slack, state: Mutex::new(state) }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Charges work to a tenant, unless it is beyond its quota.
+    /// Charges work to a tenant, unless it is beyond its quota. Tenants without a rate have none.
     pub fn charge(
         &self,
         tenant: &Tenant,
@@ -97,116 +120,101 @@
             return Ok(None);
         }
         let mut state = self.lock();
-        let part_of_slack = state.tolerance.slack / state.tolerance.nodes.max(1) as f64;
-        let others = state.others(&tenant.name);
-        let account = state.accounts.entry(tenant.name.clone()).or_insert_with(|| {
-            let share = share(0.0, &others, tenant.rate_per_second);
-            Account::new(share, share * tenant.burst + part_of_slack, now)
-        });
-        account.asked += amount;
-        account.refill(tenant, part_of_slack, now);
-        let needed = amount.min(account.capacity(tenant, part_of_slack));
-        if account.available + 1e-6 < needed {
-            let rate = (account.share * tenant.rate_per_second).max(1.0);
-            let seconds = ((needed - account.available) / rate).min(LONGEST_WAIT.as_secs_f64());
+        let sharing = state.sharing;
+        let slack_part = self.slack / sharing.known.max(1) as f64;
+        let account = state.accounts.entry(tenant.name.clone()).or_insert_with(|| Account::new(now));
+        account.refill(tenant, sharing, now);
+        let part_of_level = account.level.max(0.0) / sharing.heard.max(1) as f64;
+        let needed = amount.min(tenant.burst + slack_part);
+        let fits_level = account.level + slack_part >= needed;
+        let fits_part = account.untold <= 0.0 || account.untold + amount <= part_of_level + slack_part;
+        if !(fits_level && fits_part) {
+            let missing = (needed - slack_part - account.level).max(0.0);
+            let rate = (tenant.rate_per_second * sharing.part()).max(1.0);
+            let wait = Duration::from_secs_f64((missing / rate).min(LONGEST_WAIT.as_secs_f64()));
             return Err(QuotaExceeded {
-                retry_after: Duration::from_secs_f64(seconds),
-                share: account.share,
-                available: account.available,
+                retry_after: wait,
+                level: account.level,
+                amount,
+                sharing,
+                fits_when_told: fits_level,
             });
         }
-        account.available -= amount;
-        Ok(Some(Charge { tenant: tenant.name.clone(), amount }))
+        account.level -= amount;
+        account.passed += amount;
+        account.untold += amount;
+        let is_urgent = account.level < tenant.burst * LOW_LEVEL;
+        Ok(Some(Charge { tenant: tenant.name.clone(), amount, is_urgent }))
     }
 
     /// Gives back work that did not run.
     pub fn refund(&self, charge: &Charge) {
         if let Some(account) = self.lock().accounts.get_mut(&charge.tenant) {
-            account.available += charge.amount;
+            account.level += charge.amount;
+            account.passed -= charge.amount;
+            account.untold -= charge.amount;
         }
     }
 
-    /// Ends a period of `length` and gives this node's demands, in work a second.
-    pub fn close_period(&self, length: Duration) -> Vec<(TenantName, f64)> {
+    /// What this node has let pass since its start, to be told to the others now.
+    pub fn tell(&self) -> Vec<(TenantName, f64)> {
         let mut state = self.lock();
-        let close = |account: &mut Account| {
-            let rate = account.asked / length.as_secs_f64().max(1e-3);
-            account.asked = 0.0;
-            account.demand = account.demand * (1.0 - DEMAND_SMOOTHING) + rate * DEMAND_SMOOTHING;
-            account.demand
+        let told = |(tenant, account): (&TenantName, &mut Account)| {
+            account.untold = 0.0;
+            (tenant.clone(), account.passed)
         };
-        state.accounts.iter_mut().map(|(tenant, account)| (tenant.clone(), close(account))).collect()
+        state.accounts.iter_mut().map(told).collect()
     }
 
-    /// Sets shares from the demands that all nodes told. `own` is what this node told last, so that
-    /// every node reckons with the same numbers; `rates` are the tenants' whole rates.
-    pub fn set_shares(
-        &self,
-        own: &HashMap<TenantName, f64>,
-        peers: HashMap<TenantName, Vec<f64>>,
-        peer_count: usize,
-        rates: &HashMap<TenantName, f64>,
-        now: Instant,
-    ) {
+    /// Takes what a peer told of one of its lives. What was let pass before the first telling is not
+    /// held against this node's level, which began without it.
+    pub fn hear(&self, node: &NodeId, life: u64, passed: HashMap<TenantName, f64>) {
         let mut state = self.lock();
-        state.peers = peers;
-        state.peer_count = peer_count;
-        state.tolerance.nodes = state.tolerance.nodes.max(peer_count + 1);
-        let tenants: Vec<TenantName> = state.accounts.keys().cloned().collect();
-        for tenant in tenants {
-            let others = state.others(&tenant);
-            let demand = own.get(&tenant).copied().unwrap_or(0.0);
-            let rate = rates.get(&tenant).copied().unwrap_or(0.0);
-            if let Some(account) = state.accounts.get_mut(&tenant) {
-                account.set_share(share(demand, &others, rate), now);
+        let State { accounts, peers, .. } = &mut *state;
+        let is_first = !peers.contains_key(node);
+        let known = peers.entry(node.clone()).or_default();
+        if life < known.life {
+            return;
+        }
+        if life > known.life {
+            *known = PeerUse { life, passed: HashMap::new() };
+        }
+        for (tenant, total) in passed {
+            let before = known.passed.insert(tenant.clone(), total).unwrap_or(0.0);
+            if let Some(account) = accounts.get_mut(&tenant).filter(|_| !is_first) {
+                account.level -= total - before;
             }
         }
     }
 
-    /// This node's share of a tenant's quota.
-    pub fn share(&self, tenant: &TenantName) -> Option<f64> {
-        self.lock().accounts.get(tenant).map(|account| account.share)
+    /// Sets the nodes among which quotas are divided, and opens the accounts of all tenants, so that
+    /// what peers tell is held against them from now on.
+    pub fn share(&self, sharing: Sharing, tenants: &[Tenant], now: Instant) {
+        let mut state = self.lock();
+        let before = state.sharing;
+        state.sharing = sharing;
+        for tenant in tenants.iter().filter(|tenant| tenant.rate_per_second > 0.0) {
+            let account = state.accounts.entry(tenant.name.clone()).or_insert_with(|| Account::new(now));
+            account.refill(tenant, before, now);
+        }
     }
-}
 
-impl State {
-    /// Demands of all other nodes; those that told none count as idle.
-    fn others(&self, tenant: &TenantName) -> Vec<f64> {
-        let mut others = self.peers.get(tenant).cloned().unwrap_or_default();
-        others.resize(self.peer_count.max(others.len()), 0.0);
-        others
+    /// The nodes among which quotas are divided.
+    pub fn sharing(&self) -> Sharing {
+        self.lock().sharing
     }
 }
 
 impl Account {
-    fn new(share: f64, available: f64, now: Instant) -> Self {
-        Self { share, raise: None, available, refilled: now, asked: 0.0, demand: 0.0 }
-    }
-
-    fn capacity(&self, tenant: &Tenant, part_of_slack: f64) -> f64 {
-        self.share * tenant.burst + part_of_slack
+    /// An account begins empty: what passed elsewhere before is not known.
+    fn new(now: Instant) -> Self {
+        Self { level: 0.0, refilled: now, passed: 0.0, untold: 0.0 }
     }
 
-    fn refill(&mut self, tenant: &Tenant, part_of_slack: f64, now: Instant) {
-        if let Some((share, at)) = self.raise
-            && now >= at
-        {
-            self.share = share;
-            self.raise = None;
-        }
+    fn refill(&mut self, tenant: &Tenant, sharing: Sharing, now: Instant) {
         let passed = now.saturating_duration_since(self.refilled).as_secs_f64();
         self.refilled = now;
-        let gained = passed * self.share * tenant.rate_per_second;
-        self.available = (self.available + gained).min(self.capacity(tenant, part_of_slack));
-    }
-
-    fn set_share(&mut self, share: f64, now: Instant) {
-        if share <= self.share {
-            self.share = share;
-            self.raise = None;
-        } else {
-            let at = self.raise.map_or(now + RAISE_DELAY, |(_, at)| at);
-            self.raise = Some((share, at));
-        }
+        let gained = passed * tenant.rate_per_second * sharing.part();
+        self.level = (self.level + gained).min(tenant.burst);
     }
 }
--- a/crates/beamwall-gateway/src/refusal.rs
+++ b/crates/beamwall-gateway/src/refusal.rs
@@ -7,6 +7,7 @@
 use hyper::{Response, StatusCode};
 
 use crate::ports::Dialect;
+use crate::quota::QuotaExceeded;
 
 /// When a caller may come back after a refusal for a passing reason.
 const SOON: Duration = Duration::from_millis(100);
@@ -25,7 +26,7 @@
     /// The body is too large.
     BodyTooLarge,
     /// The tenant is beyond its quota.
-    QuotaExceeded(Duration),
+    QuotaExceeded(QuotaExceeded),
     /// No back end could take it; it has not run.
     NotRun(String),
     /// It may have run and its answer is lost.
@@ -54,7 +55,7 @@
     /// When the caller may come back, where the request has not run.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::QuotaExceeded(after) => Some(*after),
+            Self::QuotaExceeded(exceeded) => Some(exceeded.retry_after),
             Self::NotReady | Self::NotRun(_) => Some(SOON),
             _ => None,
         }
@@ -68,7 +69,10 @@
             Self::UnknownKey => "the key is missing or unknown".to_owned(),
             Self::BadBody(reason) => reason.clone(),
             Self::BodyTooLarge => "the body is too large".to_owned(),
-            Self::QuotaExceeded(_) => "the tenant is beyond its quota".to_owned(),
+            Self::QuotaExceeded(exceeded) => format!(
+                "the tenant is beyond its quota: {:.0} asked for, {:.0} left, {} of {} nodes heard",
+                exceeded.amount, exceeded.level, exceeded.sharing.heard, exceeded.sharing.known
+            ),
             Self::NotRun(reason) => format!("not run: {reason}"),
             Self::AnswerLost(reason) => format!("the answer is lost: {reason}"),
             Self::TimedOut => "no answer in time".to_owned(),
--- a/crates/beamwall-gateway/src/stream.rs
+++ b/crates/beamwall-gateway/src/stream.rs
@@ -16,7 +16,7 @@
 
 use crate::attempt::{self, AttemptFailure, Opened};
 use crate::event_stream::EventSplitter;
-use crate::forward::{Attempts, Call, Forwarder};
+use crate::forward::{Attempts, Call, Choice, Forwarder};
 use crate::load::OpenWork;
 use crate::refusal::Refusal;
 use crate::unary;
@@ -25,8 +25,12 @@
 const PIECES_AHEAD: usize = 64;
 /// Silence between two events after which an engine is taken for dead.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
-/// Part of the objective that a first event may take before another engine is asked, in hundredths.
-const FIRST_EVENT_PERCENT: u32 = 80;
+/// Part of the objective that a first event may take before a silent engine is left, in hundredths.
+const FIRST_EVENT_PERCENT: u32 = 60;
+/// Multiple of the expected time after which a silent engine is left.
+const EXPECTED_TIMES: u32 = 3;
+/// An engine that sent anything within this time is not silent.
+const HEARD_WITHIN: Duration = Duration::from_millis(400);
 
 /// What came from an engine.
 enum Piece {
@@ -51,8 +55,8 @@
 /// Forwards a call whose answer is an event stream. Returns once the first events are there.
 pub async fn forward(forwarder: &Arc<Forwarder>, call: &Arc<Call>) -> Result<Response<Body>, Refusal> {
     let mut attempts = Attempts::default();
-    while let Some(backend) = forwarder.choose(call, &mut attempts) {
-        let failure = match begin(forwarder, call, &backend, call.last_event, &attempts).await {
+    while let Some(choice) = forwarder.choose(call, &mut attempts) {
+        let failure = match begin(forwarder, call, &choice, call.last_event, &attempts).await {
             Ok(Begun::Stream(begun)) => {
                 attempts.begin();
                 return Ok(relay(forwarder, call, *begun, attempts));
@@ -60,10 +64,7 @@
             Ok(Begun::Answer(response)) => return Ok(response),
             Err(failure) => failure,
         };
-        if failure.ran == attempt::Ran::Maybe {
-            forwarder.record_run(call);
-        }
-        attempts.fail(call, &backend, failure);
+        attempts.fail(call, &choice.backend, failure);
         if !attempts.may_continue(forwarder, call) {
             break;
         }
@@ -96,13 +97,16 @@
 async fn begin(
     forwarder: &Arc<Forwarder>,
     call: &Call,
-    backend: &BackendId,
+    choice: &Choice,
     last_event: Option<u64>,
     attempts: &Attempts,
 ) -> Result<Begun, AttemptFailure> {
-    let limit = first_event_limit(call, attempts);
-    let until = Instant::now() + limit;
-    let opened = attempt::open(forwarder, call, backend, last_event, limit).await?;
+    let patience = Patience::new(forwarder, call, choice, attempts);
+    let limit = call.deadline.saturating_duration_since(Instant::now());
+    let opened = tokio::select! {
+        opened = attempt::open(forwarder, call, &choice.backend, last_event, limit) => opened?,
+        () = patience.ends() => return Err(given_up(forwarder, choice)),
+    };
     if !opened.response.status().is_success() {
         return unary::pass_opened(forwarder, call, opened).await.map(Begun::Answer);
     }
@@ -111,15 +115,18 @@
     let is_framed =
         parts.headers.contains_key(CONTENT_LENGTH) || parts.headers.contains_key(TRANSFER_ENCODING);
     let mut source = Source { backend, body, work, splitter: EventSplitter::default(), is_framed };
-    let first = match tokio::time::timeout_at(until, source.next_piece()).await {
-        Ok(Piece::Broken(failure)) => Err(failure),
-        Ok(piece) => Ok(piece),
-        Err(_) => Err(AttemptFailure::may_have_run("no first event in time")),
+    let first = tokio::select! {
+        piece = source.next_piece() => piece,
+        () = patience.ends() => return Err(given_up(forwarder, choice)),
+        () = tokio::time::sleep_until(call.deadline) => {
+            Piece::Broken(AttemptFailure::may_have_run("no first event in time"))
+        }
     };
-    if first.is_err() {
+    if let Piece::Broken(failure) = first {
         forwarder.knowledge.health.note(&source.backend, true, Instant::now());
+        return Err(failure);
     }
-    let first = first?;
+    forwarder.knowledge.health.note_heard(&source.backend, Instant::now());
     source.work.begin_answer();
     forwarder.record_run(call);
     if let Some(prompt) = &call.prompt {
@@ -129,14 +136,49 @@
     Ok(Begun::Stream(Box::new(BegunStream { head, source, first })))
 }
 
-/// A resumable stream leaves an engine that is silent while there is time for another.
-fn first_event_limit(call: &Call, attempts: &Attempts) -> Duration {
-    let left = call.deadline.saturating_duration_since(Instant::now());
-    let is_last = attempts.sent + 1 >= call.route.attempt_limit;
-    if !call.route.kind.is_idempotent() || is_last {
-        return left;
+/// Notes that an engine was given up on because it was silent.
+fn given_up(forwarder: &Forwarder, choice: &Choice) -> AttemptFailure {
+    forwarder.knowledge.health.note_unreachable(&choice.backend, Instant::now());
+    AttemptFailure::may_have_run("the engine is silent")
+}
+
+/// How long a stream waits for its first events: without end where it may not move or the engine
+/// sends to others, else until it is well past the time expected.
+struct Patience<'a> {
+    forwarder: &'a Forwarder,
+    backend: &'a BackendId,
+    may_move: bool,
+    until: Instant,
+}
+
+impl<'a> Patience<'a> {
+    fn new(forwarder: &'a Forwarder, call: &Call, choice: &'a Choice, attempts: &Attempts) -> Self {
+        let is_last = attempts.sent + 1 >= call.route.attempt_limit;
+        let usual = Duration::from_millis(call.route.objective_ms) * FIRST_EVENT_PERCENT / 100;
+        let expected = Duration::from_secs_f64(choice.cost_ms.max(0.0) / 1_000.0) * EXPECTED_TIMES;
+        Self {
+            forwarder,
+            backend: &choice.backend,
+            may_move: call.route.kind.is_idempotent() && !is_last,
+            until: Instant::now() + usual.max(expected),
+        }
+    }
+
+    /// Returns when the engine shall be given up on.
+    async fn ends(&self) {
+        if !self.may_move {
+            return std::future::pending().await;
+        }
+        tokio::time::sleep_until(self.until).await;
+        while self.heard_lately() {
+            tokio::time::sleep(HEARD_WITHIN).await;
+        }
+    }
+
+    fn heard_lately(&self) -> bool {
+        let heard = self.forwarder.knowledge.health.last_heard(self.backend);
+        heard.is_some_and(|heard| heard.elapsed() < HEARD_WITHIN)
     }
-    left.min(Duration::from_millis(call.route.objective_ms) * FIRST_EVENT_PERCENT / 100)
 }
 
 impl Source {
@@ -276,6 +318,7 @@
             };
             match piece {
                 Piece::Events(events) => {
+                    self.forwarder.knowledge.health.note_heard(&source.backend, Instant::now());
                     let last = last_event_in(&events);
                     if self.sender.send(events).await.is_err() {
                         return Stop::CallerGone;
@@ -305,9 +348,9 @@
     async fn continue_elsewhere(&mut self, from: &BackendId) -> Option<(Source, Piece)> {
         while self.call.route.kind.is_idempotent() && self.attempts.may_continue(&self.forwarder, &self.call)
         {
-            let backend = self.forwarder.choose(&self.call, &mut self.attempts)?;
+            let choice = self.forwarder.choose(&self.call, &mut self.attempts)?;
             let begun = tokio::select! {
-                begun = begin(&self.forwarder, &self.call, &backend, self.last_event, &self.attempts) => begun,
+                begun = begin(&self.forwarder, &self.call, &choice, self.last_event, &self.attempts) => begun,
                 () = self.sender.disconnected() => return None,
             };
             match begun {
@@ -316,7 +359,7 @@
                     emit(&StreamContinued {
                         request: self.call.log_id(),
                         from: from.to_string(),
-                        to: backend.to_string(),
+                        to: choice.backend.to_string(),
                         last_event: self.last_event.map(|id| id.to_string()).unwrap_or_default(),
                     });
                     self.forwarder.metrics.streams_continued.inc();
@@ -324,9 +367,10 @@
                 }
                 Ok(Begun::Answer(response)) => {
                     let reason = format!("answered {} to a stream that continues", response.status());
-                    self.attempts.fail(&self.call, &backend, AttemptFailure::may_have_run(reason));
+                    let failure = AttemptFailure::may_have_run(reason);
+                    self.attempts.fail(&self.call, &choice.backend, failure);
                 }
-                Err(failure) => self.attempts.fail(&self.call, &backend, failure),
+                Err(failure) => self.attempts.fail(&self.call, &choice.backend, failure),
             }
         }
         None
--- a/crates/beamwall-gateway/src/unary.rs
+++ b/crates/beamwall-gateway/src/unary.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use crate::attempt::{self, AttemptFailure, Opened};
-use crate::forward::{Attempts, Call, Forwarder};
+use crate::forward::{Attempts, Call, Choice, Forwarder};
 use crate::refusal::Refusal;
 
 /// Largest answer that is held in memory.
@@ -28,7 +28,7 @@
 pub async fn forward(forwarder: &Forwarder, call: &Call) -> Result<Response<Body>, Refusal> {
     let mut attempts = Attempts::default();
     let mut failed_answer = None;
-    while let Some(backend) = forwarder.choose(call, &mut attempts) {
+    while let Some(Choice { backend, .. }) = forwarder.choose(call, &mut attempts) {
         let limit = attempt_limit(call, &attempts);
         let failure = match attempt::open(forwarder, call, &backend, None, limit).await {
             Ok(opened) => match read_whole(forwarder, call, opened).await {
--- a/crates/beamwall-node/src/gateway/beat.rs
+++ b/crates/beamwall-node/src/gateway/beat.rs
@@ -5,7 +5,7 @@
 use beamwall_gateway::load::OpenLoad;
 use beamwall_gateway::usage::WindowCounts;
 use beamwall_model::{BackendId, TenantName};
-use beamwall_peer::gateway_message::{BackendLoad, QuotaDemand, UsageCount, UsageWindow};
+use beamwall_peer::gateway_message::{BackendLoad, QuotaUse, UsageCount, UsageWindow};
 
 /// Open work as told.
 pub fn encode_loads(loads: Vec<(BackendId, OpenLoad)>) -> Vec<BackendLoad> {
@@ -26,16 +26,15 @@
     loads.into_iter().map(decode).collect()
 }
 
-/// Demands as told.
-pub fn encode_demands(demands: &HashMap<TenantName, f64>) -> Vec<QuotaDemand> {
-    let encode =
-        |(tenant, rate): (&TenantName, &f64)| QuotaDemand { tenant: tenant.to_string(), rate: *rate };
-    demands.iter().map(encode).collect()
+/// Work let pass as told.
+pub fn encode_quota_uses(uses: Vec<(TenantName, f64)>) -> Vec<QuotaUse> {
+    let encode = |(tenant, passed): (TenantName, f64)| QuotaUse { tenant: tenant.to_string(), passed };
+    uses.into_iter().map(encode).collect()
 }
 
-/// Demands as heard.
-pub fn decode_demands(demands: &[QuotaDemand]) -> HashMap<TenantName, f64> {
-    demands.iter().map(|demand| (TenantName::new(&demand.tenant), demand.rate)).collect()
+/// Work let pass as heard.
+pub fn decode_quota_uses(uses: &[QuotaUse]) -> HashMap<TenantName, f64> {
+    uses.iter().map(|one| (TenantName::new(&one.tenant), one.passed)).collect()
 }
 
 /// Usage as told.
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -6,19 +6,20 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use beamwall_gateway::ports::DirectorySnapshot;
+use beamwall_gateway::quota::Sharing;
 use beamwall_gateway::{Backend, Directory, Gateway};
-use beamwall_model::{NodeId, TenantName, ZoneName};
+use beamwall_model::{NodeId, ZoneName};
 use beamwall_peer::gateway_message::{
     DirectoryRequest, DirectoryWhole, GatewayBeat, PolicyRequest, PolicyWhole,
 };
-use beamwall_peer::message::ProbeRequest;
-use beamwall_peer::{Body, Envelope, MemberState, MembershipTiming, PeerNetwork};
+use beamwall_peer::message::{MemberUpdate, ProbeRequest};
+use beamwall_peer::{Body, Envelope, Member, MemberState, MembershipTiming, PeerNetwork};
 use beamwall_policy::TrafficPolicy;
 use kameo::actor::ActorRef;
 use tokio::sync::{Notify, mpsc};
@@ -35,6 +36,14 @@
 const FULL_MESH_LIMIT: usize = 24;
 /// Time that a node's own watch gets to bring what a peer has, before the peer is asked.
 const OWN_WATCH_TIME: Duration = Duration::from_millis(60);
+/// Silence after which a peer may be cut off.
+const HEARD_WITHIN: Duration = Duration::from_millis(1_600);
+/// Time for which a dead member keeps its part of quotas.
+const DEAD_COUNTED_FOR: Duration = Duration::from_secs(20);
+/// Time after the start until all members are known.
+const INTRODUCTION_TIME: Duration = Duration::from_secs(3);
+/// Least time between two heartbeats.
+const LEAST_PERIOD: Duration = Duration::from_millis(40);
 /// Longest wait for a peer's answer.
 const ANSWER_LIMIT: Duration = Duration::from_millis(800);
 
@@ -70,20 +79,12 @@
     pub readiness: Arc<Readiness>,
     /// Told when something is newer.
     pub news: Arc<Notify>,
-    /// Demands: this node's as last told, and the peers' as last heard.
-    pub demands: Mutex<Demands>,
+    /// When this life began.
+    pub started: Instant,
     /// What is being asked of a peer.
     pub fetching: Fetching,
 }
 
-/// Demands of all nodes.
-#[derive(Debug, Default)]
-pub struct Demands {
-    own: HashMap<TenantName, f64>,
-    peers: HashMap<NodeId, HashMap<TenantName, f64>>,
-    closed: Option<Instant>,
-}
-
 /// What is being asked of a peer right now.
 #[derive(Debug, Default)]
 pub struct Fetching {
@@ -92,10 +93,6 @@
 }
 
 impl Exchange {
-    fn demands(&self) -> MutexGuard<'_, Demands> {
-        self.demands.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Requests open at this node.
     pub fn open_requests(&self) -> u32 {
         self.gateway.forwarder.knowledge.loads.own().iter().map(|(_, load)| load.requests).sum()
@@ -117,14 +114,16 @@
         loop {
             let _ = tokio::time::timeout(period, self.news.notified()).await;
             self.beat().await;
+            tokio::time::sleep(LEAST_PERIOD).await;
         }
     }
 
     /// Sends one heartbeat to every peer.
     pub async fn beat(&self) {
-        self.renew_quotas();
+        self.share_quotas();
         let Ok(tick) = self.membership.ask(Tick).await else { return };
-        let beat = self.to_beat(tick.updates);
+        let quota_uses = beat::encode_quota_uses(self.gateway.quotas.tell());
+        let beat = GatewayBeat { quota_uses, ..self.to_reply(tick.updates) };
         let probe = self.envelope(Body::GatewayBeat(GatewayBeat { wants_answer: true, ..beat.clone() }));
         let plain = self.envelope(Body::GatewayBeat(beat));
         let probed: HashSet<SocketAddr> =
@@ -157,7 +156,8 @@
         targets
     }
 
-    fn to_beat(&self, members: Vec<beamwall_peer::message::MemberUpdate>) -> GatewayBeat {
+    /// A heartbeat for one peer: without quota uses, which all must be told together.
+    fn to_reply(&self, members: Vec<MemberUpdate>) -> GatewayBeat {
         let directory = self.directory.load();
         let forwarder = &self.gateway.forwarder;
         GatewayBeat {
@@ -166,7 +166,7 @@
             policy_version: self.gateway.policy.load().version(),
             directory_revision: directory.revision(),
             directory_digest: directory.digest(),
-            demands: beat::encode_demands(&self.demands().own),
+            quota_uses: Vec::new(),
             loads: beat::encode_loads(forwarder.knowledge.loads.own()),
             life: self.life,
             usage: beat::encode_usage(forwarder.usage.own()),
@@ -189,31 +189,25 @@
         }
     }
 
-    /// Measures this node's demands and sets its shares. Silent members keep their last demand,
-    /// because they may be cut off and serving; members that left give theirs up.
-    fn renew_quotas(&self) {
+    /// Tells the quotas who shares them: silent members count as known, because they may be cut off and
+    /// serving, until they have been dead for long; members that left don't.
+    fn share_quotas(&self) {
         let now = Instant::now();
-        let policy = self.gateway.policy.load();
-        let rates: HashMap<TenantName, f64> = policy
-            .policy()
-            .tenants
-            .iter()
-            .map(|tenant| (tenant.name.clone(), tenant.rate_per_second))
-            .collect();
         let view = self.members.load();
-        let staying = view.members.iter().filter(|member| member.state != MemberState::Left);
-        let nodes: HashSet<&NodeId> = staying.map(|member| &member.node).collect();
-        let peer_count = nodes.len().max(self.expected_nodes.saturating_sub(1));
-        let mut demands = self.demands();
-        demands.peers.retain(|node, _| nodes.contains(node));
-        let mut by_tenant: HashMap<TenantName, Vec<f64>> = HashMap::new();
-        for (tenant, rate) in demands.peers.values().flatten() {
-            by_tenant.entry(tenant.clone()).or_default().push(*rate);
-        }
-        self.gateway.quotas.set_shares(&demands.own, by_tenant, peer_count, &rates, now);
-        let length = demands.closed.map_or(MembershipTiming::default().period, |closed| now - closed);
-        demands.own = self.gateway.quotas.close_period(length).into_iter().collect();
-        demands.closed = Some(now);
+        let is_counted = |member: &&Member| match member.state {
+            MemberState::Left => false,
+            MemberState::Dead => now.duration_since(member.since) < DEAD_COUNTED_FOR,
+            MemberState::Alive | MemberState::Suspect => true,
+        };
+        let known = view.members.iter().filter(is_counted).count() + 1;
+        let is_heard =
+            |member: &&Member| member.heard.is_some_and(|heard| now.duration_since(heard) < HEARD_WITHIN);
+        let heard = view.members.iter().filter(is_heard).count() + 1;
+        // A node that has just started does not know everyone yet.
+        let known =
+            if self.started.elapsed() < INTRODUCTION_TIME { known.max(self.expected_nodes) } else { known };
+        let policy = self.gateway.policy.load();
+        self.gateway.quotas.share(Sharing { heard, known }, &policy.policy().tenants, now);
     }
 
     /// Handles messages until the network closes.
@@ -233,7 +227,7 @@
         if let Ok(Introduction(members)) = self.membership.ask(hear).await
             && !members.is_empty()
         {
-            let introduction = GatewayBeat { members, ..self.to_beat(Vec::new()) };
+            let introduction = GatewayBeat { members, ..self.to_reply(Vec::new()) };
             self.reply(&envelope, Body::GatewayBeat(introduction));
         }
         match body {
@@ -263,7 +257,7 @@
 
     fn probe_for(&self, probe: &ProbeRequest) {
         if let Ok(address) = probe.address.parse() {
-            let beat = GatewayBeat { wants_answer: true, ..self.to_beat(Vec::new()) };
+            let beat = GatewayBeat { wants_answer: true, ..self.to_reply(Vec::new()) };
             self.network.send(address, &self.envelope(Body::GatewayBeat(beat)));
         }
     }
@@ -271,13 +265,13 @@
     fn take_beat(self: &Arc<Self>, envelope: &Envelope, beat: GatewayBeat) {
         let node = NodeId::new(&envelope.sender);
         if beat.wants_answer {
-            self.reply(envelope, Body::GatewayBeat(self.to_beat(Vec::new())));
+            self.reply(envelope, Body::GatewayBeat(self.to_reply(Vec::new())));
         }
         let Ok(address) = envelope.address.parse() else { return };
         let forwarder = &self.gateway.forwarder;
         forwarder.knowledge.loads.set_peer(&node, beat::decode_loads(beat.loads));
         forwarder.usage.merge(&node, beat.life, beat::decode_usage(beat.usage));
-        self.demands().peers.insert(node, beat::decode_demands(&beat.demands));
+        self.gateway.quotas.hear(&node, beat.life, beat::decode_quota_uses(&beat.quota_uses));
         if beat.policy_version > self.gateway.policy.load().version() {
             tokio::spawn(self.clone().fetch_policy(address, beat.policy_version));
         }
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -23,7 +23,7 @@
 use beamwall_gateway::candidates::Knowledge;
 use beamwall_gateway::forward::{Forwarder, RetryBudgets};
 use beamwall_gateway::metrics::GatewayMetrics;
-use beamwall_gateway::quota::{QuotaBook, Tolerance};
+use beamwall_gateway::quota::QuotaBook;
 use beamwall_gateway::usage::UsageLedger;
 use beamwall_gateway::{ControlStore, Dialect, Directory, DutyPort, Gateway, GatewayHandler};
 use beamwall_http::{Pool, serve};
@@ -35,6 +35,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use crate::actors::directory::DirectoryActor;
 use crate::actors::membership::MembershipActor;
@@ -97,7 +98,7 @@
         let directory: Arc<ArcSwap<Directory>> = Arc::default();
         let news = Arc::new(Notify::new());
         let status = Arc::new(StoreStatus::default());
-        let gateway = assemble_gateway(&settings, &ports, &registry, &policy, &directory)?;
+        let gateway = assemble_gateway(&settings, &ports, &registry, &policy, &directory, &news)?;
         let policy_actor = PolicyActor::spawn(PolicyActor::new(policy.clone(), news.clone()));
         let directory_actor =
             DirectoryActor::spawn(DirectoryActor::new(directory.clone(), gateway.clone(), news.clone()));
@@ -176,6 +177,7 @@
     registry: &Registry,
     policy: &Arc<ArcSwap<PolicyIndex>>,
     directory: &Arc<ArcSwap<Directory>>,
+    news: &Arc<Notify>,
 ) -> Result<Arc<Gateway>, NodeError> {
     let nodes = settings.expected_nodes.max(1);
     let percent = (settings.retry_ratio * RETRY_RATIO_USED * 100.0) as u32;
@@ -190,8 +192,8 @@
         usage: UsageLedger::new(settings.usage_window),
         metrics: GatewayMetrics::new(registry)?,
     });
-    let tolerance = Tolerance { slack: settings.quota_slack * QUOTA_SLACK_USED, nodes };
-    Ok(Arc::new(Gateway { policy: policy.clone(), quotas: QuotaBook::new(tolerance), forwarder }))
+    let quotas = QuotaBook::new(settings.quota_slack * QUOTA_SLACK_USED, nodes);
+    Ok(Arc::new(Gateway { policy: policy.clone(), quotas, forwarder, news: news.clone() }))
 }
 
 #[allow(clippy::too_many_arguments)]
@@ -229,7 +231,7 @@
         directory_actor,
         readiness: readiness.clone(),
         news,
-        demands: Default::default(),
+        started: Instant::now(),
         fetching: Default::default(),
     }
 }
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -25,9 +25,9 @@
     /// Digest of the list of back ends.
     #[prost(fixed64, tag = "5")]
     pub directory_digest: u64,
-    /// Work that tenants ask for.
+    /// Work of tenants that the sender let pass in this life.
     #[prost(message, repeated, tag = "6")]
-    pub demands: Vec<QuotaDemand>,
+    pub quota_uses: Vec<QuotaUse>,
     /// Open work at back ends.
     #[prost(message, repeated, tag = "7")]
     pub loads: Vec<BackendLoad>,
@@ -39,15 +39,15 @@
     pub usage: Vec<UsageWindow>,
 }
 
-/// Work that a tenant asks for at the sender.
+/// Work of a tenant that the sender let pass.
 #[derive(Clone, PartialEq, Message)]
-pub struct QuotaDemand {
+pub struct QuotaUse {
     /// Tenant.
     #[prost(string, tag = "1")]
     pub tenant: String,
-    /// Work a second.
+    /// Work since the sender's start.
     #[prost(double, tag = "2")]
-    pub rate: f64,
+    pub passed: f64,
 }
 
 /// Open work of the sender at one back end.
