A quiet watch counts as progress of the directory

Failures were hidden in the log because answers about the policy reset those about back ends. Ruled out: lost watches (they answered), the peers' spreading. Change: an empty answer moves the directory's revision; failures are kept by subject.

--- a/crates/beamwall-gateway/src/directory.rs
+++ b/crates/beamwall-gateway/src/directory.rs
@@ -83,9 +83,10 @@
 
     /// Takes changes that follow `base`; returns whether they were taken. Changes are refused when
     /// this directory is not at least at `base`, because some between would be missing, and when
-    /// it is already beyond them.
+    /// it is already beyond them. An empty answer counts, too: it says that nothing has changed up to
+    /// its revision, from which the next will follow.
     pub fn apply(&mut self, base: u64, changes: DirectoryChanges) -> bool {
-        if self.revision < base || changes.revision <= self.revision || changes.changes.is_empty() {
+        if self.revision < base || changes.revision <= self.revision {
             return false;
         }
         for change in changes.changes {
--- /dev/null
+++ b/crates/beamwall-gateway/tests/directory.rs
@@ -0,0 +1,110 @@
+//! The directory follows a store's watch and peers' snapshots: nothing is missed, nothing goes back.
+
+use std::collections::BTreeMap;
+
+use arbtest::arbitrary::Unstructured;
+use arbtest::arbtest;
+use beamwall_gateway::ports::{DirectoryChange, DirectoryChanges, DirectorySnapshot};
+use beamwall_gateway::{Backend, Directory};
+
+fn backend(number: u8, draining: bool) -> Backend {
+    Backend {
+        id: format!("b{number}").as_str().into(),
+        service: "model".into(),
+        address: ([127, 0, 0, 1], 9_000 + u16::from(number)).into(),
+        zone: "a".into(),
+        slots: 4,
+        draining,
+        reclaimable: false,
+    }
+}
+
+fn changes(revision: u64, changes: Vec<DirectoryChange>) -> DirectoryChanges {
+    DirectoryChanges { revision, changes }
+}
+
+fn listed(revision: u64, backends: Vec<Backend>) -> Directory {
+    let mut directory = Directory::default();
+    assert!(directory.replace(DirectorySnapshot { revision, backends }));
+    directory
+}
+
+#[test]
+fn a_change_after_a_quiet_wait_is_taken() {
+    let mut directory = listed(46, vec![backend(1, false)]);
+    // Other kinds of object changed meanwhile: the wait ended without changes at a higher revision.
+    directory.apply(46, changes(49, Vec::new()));
+    assert!(directory.apply(49, changes(53, vec![DirectoryChange::Changed(backend(1, true))])));
+    assert_eq!(directory.usable(&"model".into()).count(), 0);
+}
+
+#[test]
+fn changes_that_do_not_follow_are_refused() {
+    let mut directory = listed(10, vec![backend(1, false)]);
+    assert!(!directory.apply(12, changes(13, vec![DirectoryChange::Gone("b1".into())])));
+    assert_eq!(directory.revision(), 10);
+}
+
+#[test]
+fn an_older_snapshot_of_a_peer_is_refused() {
+    let mut directory = listed(10, vec![backend(1, true)]);
+    assert!(!directory.replace(DirectorySnapshot { revision: 9, backends: vec![backend(1, false)] }));
+    assert!(directory.backends().all(|known| known.draining));
+}
+
+/// One true history; a watch that follows it in random steps, and snapshots of random moments.
+#[test]
+fn any_mix_of_watch_answers_and_snapshots_ends_at_the_truth() {
+    arbtest(|random| {
+        let history = draw_history(random)?;
+        let last = history.len() as u64;
+        let mut directory = Directory::default();
+        let mut watched = 0;
+        while watched < last {
+            if random.arbitrary::<bool>()? {
+                let at = random.int_in_range(1..=last)?;
+                directory.replace(snapshot_at(&history, at));
+            } else {
+                let until = random.int_in_range(watched + 1..=last)?;
+                directory.apply(watched, changes_between(&history, watched, until));
+                watched = until;
+            }
+            let known: Vec<Backend> = directory.backends().cloned().collect();
+            assert_eq!(known, snapshot_at(&history, directory.revision()).backends);
+        }
+        assert_eq!(directory.revision(), last);
+        Ok(())
+    });
+}
+
+/// Each entry is the change of one revision; `None` is a change of something else.
+type History = Vec<Option<DirectoryChange>>;
+
+fn draw_history(random: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<History> {
+    let length = random.int_in_range(1..=20)?;
+    (0..length)
+        .map(|_| {
+            let number = random.int_in_range(1..=3)?;
+            Ok(match random.int_in_range(0..=3)? {
+                0 => None,
+                1 => Some(DirectoryChange::Gone(backend(number, false).id)),
+                kind => Some(DirectoryChange::Changed(backend(number, kind == 2))),
+            })
+        })
+        .collect()
+}
+
+fn snapshot_at(history: &History, revision: u64) -> DirectorySnapshot {
+    let mut backends = BTreeMap::new();
+    for change in history[..revision as usize].iter().flatten() {
+        match change {
+            DirectoryChange::Changed(backend) => backends.insert(backend.id.clone(), backend.clone()),
+            DirectoryChange::Gone(id) => backends.remove(id),
+        };
+    }
+    DirectorySnapshot { revision, backends: backends.into_values().collect() }
+}
+
+fn changes_between(history: &History, from: u64, to: u64) -> DirectoryChanges {
+    changes(to, history[from as usize..to as usize].iter().flatten().cloned().collect())
+}
--- a/crates/beamwall-node/src/gateway/store_status.rs
+++ b/crates/beamwall-node/src/gateway/store_status.rs
@@ -1,6 +1,6 @@
 //! Whether the store of decisions answers this node.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, PoisonError};
 
@@ -11,6 +11,7 @@
 /// Failed calls in a row after which the store counts as lost: single watches may be cut.
 const FAILURES_TO_LOSE: u32 = 2;
 
+/// Failures about one subject.
 #[derive(Debug, Default)]
 struct Failures {
     in_a_row: u32,
@@ -22,27 +23,27 @@
 pub struct StoreStatus {
     has_failed: AtomicBool,
     answered: Mutex<HashSet<String>>,
-    failures: Mutex<Failures>,
+    failures: Mutex<HashMap<String, Failures>>,
 }
 
 impl StoreStatus {
     /// Notes an answer to a call about `what`.
     pub fn note_answer(&self, what: &str) {
         self.answered.lock().unwrap_or_else(PoisonError::into_inner).insert(what.to_owned());
-        let mut failures = self.failures.lock().unwrap_or_else(PoisonError::into_inner);
-        if failures.in_a_row >= FAILURES_TO_LOSE
-            && let Some(since) = failures.since
+        let ended = self.failures.lock().unwrap_or_else(PoisonError::into_inner).remove(what);
+        if let Some(Failures { in_a_row, since: Some(since) }) = ended
+            && in_a_row >= FAILURES_TO_LOSE
         {
             let away_ms = since.elapsed().as_millis().to_string();
             emit(&ControlStoreRegained { what: what.to_owned(), away_ms });
         }
-        *failures = Failures::default();
     }
 
     /// Notes a call about `what` that failed.
     pub fn note_failure(&self, what: &str, reason: &str) {
         self.has_failed.store(true, Ordering::Relaxed);
-        let mut failures = self.failures.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut by_subject = self.failures.lock().unwrap_or_else(PoisonError::into_inner);
+        let failures = by_subject.entry(what.to_owned()).or_default();
         failures.in_a_row += 1;
         failures.since.get_or_insert_with(Instant::now);
         if failures.in_a_row == FAILURES_TO_LOSE {
