A draining gateway stops taking requests after 2.4 s

The balancer takes a node out after at most 2 s, so taking requests for 3.2 s only took requests from kept connections.

--- a/crates/beamwall-node/src/gateway/drain.rs
+++ b/crates/beamwall-node/src/gateway/drain.rs
@@ -11,8 +11,9 @@
 use crate::gateway::exchange::Exchange;
 use crate::gateway::readiness::Readiness;
 
-/// Time for the balancer to see twice that the node is not ready; new connections are taken until then.
-const BALANCER_TIME: Duration = Duration::from_millis(3_200);
+/// Time for the balancer, which asks each second, to see twice that the node is not ready. Requests are
+/// taken until then, and no longer: the longest streams need the rest of the limit to end.
+const BALANCER_TIME: Duration = Duration::from_millis(2_400);
 /// Part of the limit that the balancer gets at most.
 const BALANCER_PART: u32 = 2;
 /// Time kept at the end for the last heartbeat.
