Lasting engines where reclaimable ones can't be had; headroom in each zone

A falling load gave engines back within seconds and ordered them again. Ruled out: choice (busiest engine 1.02 of the mean), quotas (31 refusals).

--- a/crates/beamwall-gateway/src/scaling.rs
+++ b/crates/beamwall-gateway/src/scaling.rs
@@ -1,8 +1,8 @@
 //! How many back ends each zone shall hold: one function from inputs to a plan.
 //!
-//! Lasting back ends carry the base, so that the loss of every reclaimable one is borne; reclaimable
-//! ones, which cost a part, carry what the base can't. Zones share the load evenly; a zone's
-//! minimum holds in any case.
+//! Reclaimable back ends cost a part of lasting ones, but a whole zone of them may go at short notice
+//! and for a while none can be had. So a zone keeps its minimum in lasting ones and its headroom in
+//! reclaimable ones; what is wanted and can't be had as reclaimable is ordered as lasting.
 
 use std::collections::BTreeMap;
 
@@ -11,6 +11,17 @@
 
 use crate::ports::CapacityOrder;
 
+/// The state of one zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ZoneSupply {
+    /// The zone.
+    pub zone: ZoneName,
+    /// Reclaimable back ends that take requests.
+    pub reclaimable_usable: u32,
+    /// Whether an order of reclaimable ones was refused a moment ago.
+    pub is_exhausted: bool,
+}
+
 /// What a plan starts from.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ScalingInputs<'a> {
@@ -19,35 +30,49 @@
     /// Its limits.
     pub limits: &'a ScalingLimits,
     /// The zones that may hold back ends.
-    pub zones: &'a [ZoneName],
+    pub zones: &'a [ZoneSupply],
     /// Work offered by all nodes, in busy back ends: 1.0 keeps one fully busy.
     pub offered_load: f64,
 }
 
 /// Part of its time that a back end should be busy at most.
 const TARGET_UTILISATION: f64 = 0.5;
+/// Reclaimable back ends that a zone holds whatever the load: headroom for bursts and losses.
+const RECLAIMABLE_HEADROOM: u32 = 1;
 
 /// The orders for one service: for each zone its lasting and its reclaimable back ends.
 pub fn plan(inputs: &ScalingInputs<'_>) -> Vec<CapacityOrder> {
-    let zone_count = inputs.zones.len().max(1) as f64;
+    let wanted = wanted_in_zone(inputs);
+    inputs.zones.iter().flat_map(|supply| zone_orders(inputs, supply, wanted)).collect()
+}
+
+fn wanted_in_zone(inputs: &ScalingInputs<'_>) -> u32 {
+    let limits = inputs.limits;
+    let lowest = limits.minimum.max(1);
+    let headroom = if limits.reclaimable_price.is_some() { RECLAIMABLE_HEADROOM } else { 0 };
     let wanted_in_all = inputs.offered_load / TARGET_UTILISATION;
-    let wanted_each = (wanted_in_all / zone_count).ceil().max(0.0) as u32;
+    let each = (wanted_in_all / inputs.zones.len().max(1) as f64).ceil().max(0.0) as u32;
+    each.max(lowest + headroom).min(limits.maximum.max(lowest))
+}
+
+fn zone_orders(inputs: &ScalingInputs<'_>, supply: &ZoneSupply, wanted: u32) -> Vec<CapacityOrder> {
     let lowest = inputs.limits.minimum.max(1);
-    let highest = inputs.limits.maximum.max(lowest);
-    let wanted = wanted_each.clamp(lowest, highest);
-    let lasting = if inputs.limits.reclaimable_price.is_some() { lowest } else { wanted };
-    let reclaimable = wanted.saturating_sub(lasting);
-    let orders = |zone: &ZoneName| {
-        let order = |reclaimable, wanted| CapacityOrder {
-            service: inputs.service.clone(),
-            zone: zone.clone(),
-            reclaimable,
-            wanted,
-        };
-        let cheap = inputs.limits.reclaimable_price.map(|_| order(true, reclaimable));
-        std::iter::once(order(false, lasting)).chain(cheap).collect::<Vec<_>>()
+    let order = |reclaimable, wanted| CapacityOrder {
+        service: inputs.service.clone(),
+        zone: supply.zone.clone(),
+        reclaimable,
+        wanted,
+    };
+    if inputs.limits.reclaimable_price.is_none() {
+        return vec![order(false, wanted)];
+    }
+    let lasting = if supply.is_exhausted {
+        wanted.saturating_sub(supply.reclaimable_usable).max(lowest)
+    } else {
+        lowest
     };
-    inputs.zones.iter().flat_map(orders).collect()
+    let room = inputs.limits.maximum.saturating_sub(lasting);
+    vec![order(false, lasting), order(true, wanted.saturating_sub(lowest).min(room))]
 }
 
 /// The orders of `plan` that differ from what was last ordered.
@@ -65,6 +90,11 @@
 }
 
 impl OrderKey {
+    /// The key of orders of reclaimable back ends.
+    pub fn reclaimable(service: &ServiceName, zone: &ZoneName) -> Self {
+        Self { service: service.clone(), zone: zone.clone(), reclaimable: true }
+    }
+
     /// The key of an order.
     pub fn of(order: &CapacityOrder) -> Self {
         Self { service: order.service.clone(), zone: order.zone.clone(), reclaimable: order.reclaimable }
--- a/crates/beamwall-node/src/gateway/duties.rs
+++ b/crates/beamwall-node/src/gateway/duties.rs
@@ -10,8 +10,8 @@
 use beamwall_config::GatewaySettings;
 use beamwall_events::emit;
 use beamwall_events::internal_events::{CapacityOrdered, LeaseLost, LeaseTaken, UsageReported};
-use beamwall_gateway::ports::DutyHolder;
-use beamwall_gateway::scaling::{self, OrderKey, ScalingInputs};
+use beamwall_gateway::ports::{CapacityOrder, DutyHolder};
+use beamwall_gateway::scaling::{self, OrderKey, ScalingInputs, ZoneSupply};
 use beamwall_gateway::usage::WindowCounts;
 use beamwall_gateway::{DutyError, DutyPort, Gateway};
 use beamwall_model::{NodeId, ZoneName};
@@ -41,6 +41,8 @@
 const WRITE_LIMIT: Duration = Duration::from_secs(2);
 /// Pause after an order that could not be carried out.
 const ORDER_PAUSE: Duration = Duration::from_secs(3);
+/// Time after a refusal for which reclaimable back ends count as not to be had.
+const EXHAUSTED_FOR: Duration = Duration::from_millis(4_500);
 /// The lease on all duties.
 const LEASE_NAME: &str = "gateway-duties";
 /// The object that holds fixed counts.
@@ -48,7 +50,7 @@
 /// Open model requests that keep one engine fully busy.
 const REQUESTS_PER_BUSY_ENGINE: f64 = 12.0;
 /// Weight of the newest sample when the offered load falls; when it rises it is taken at once.
-const LOAD_FALL_WEIGHT: f64 = 0.1;
+const LOAD_FALL_WEIGHT: f64 = 0.02;
 
 /// Counts that were fixed, oldest first.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -73,7 +75,8 @@
     usage: Option<(Version, FixedUsage)>,
     reported_through: Option<u64>,
     ordered: BTreeMap<OrderKey, u32>,
-    paused_until: BTreeMap<OrderKey, Instant>,
+    /// When an order was last refused.
+    refused: BTreeMap<OrderKey, Instant>,
     next_scaling: Option<Instant>,
 }
 
@@ -244,9 +247,9 @@
     async fn order_due(&self, tenure: &mut Tenure, lease: &watch::Receiver<LeaseState>) {
         let policy = self.gateway.policy.load_full();
         for service in &policy.policy().services {
-            for order in self.orders_for(service, &tenure.ordered) {
+            for order in self.orders_for(service, tenure) {
                 let key = OrderKey::of(&order);
-                if tenure.paused_until.get(&key).is_some_and(|until| Instant::now() < *until) {
+                if tenure.refused.get(&key).is_some_and(|at| at.elapsed() < ORDER_PAUSE) {
                     continue;
                 }
                 let Some(holder) = self.holder(tenure, lease) else { return };
@@ -262,34 +265,42 @@
                 });
                 match result {
                     Ok(()) => {
+                        tenure.refused.remove(&key);
                         tenure.ordered.insert(key, order.wanted);
                     }
                     Err(_) => {
-                        tenure.paused_until.insert(key, Instant::now() + ORDER_PAUSE);
+                        tenure.refused.insert(key, Instant::now());
                     }
                 }
             }
         }
     }
 
+    fn supply(&self, service: &Service, zone: &ZoneName, tenure: &Tenure) -> ZoneSupply {
+        let directory = self.gateway.forwarder.directory.load();
+        let usable = directory.usable(&service.name);
+        let reclaimable_usable =
+            usable.filter(|backend| backend.reclaimable && &backend.zone == zone).count() as u32;
+        let refused = tenure.refused.get(&OrderKey::reclaimable(&service.name, zone));
+        let is_exhausted = refused.is_some_and(|at| at.elapsed() < EXHAUSTED_FOR);
+        ZoneSupply { zone: zone.clone(), reclaimable_usable, is_exhausted }
+    }
+
     fn offered_to(&self, service: &Service) -> f64 {
         self.offered.get(service.name.as_str()).copied().unwrap_or(0.0)
     }
 
-    fn orders_for(
-        &self,
-        service: &Service,
-        ordered: &BTreeMap<OrderKey, u32>,
-    ) -> Vec<beamwall_gateway::ports::CapacityOrder> {
+    fn orders_for(&self, service: &Service, tenure: &Tenure) -> Vec<CapacityOrder> {
         let Some(limits) = &service.scaling else { return Vec::new() };
-        let zones: Vec<ZoneName> = limits.zone_prices.keys().cloned().collect();
+        let zones: Vec<ZoneSupply> =
+            limits.zone_prices.keys().map(|zone| self.supply(service, zone, tenure)).collect();
         let inputs = ScalingInputs {
             service: &service.name,
             limits,
             zones: &zones,
             offered_load: self.offered_to(service),
         };
-        scaling::changed(&scaling::plan(&inputs), ordered)
+        scaling::changed(&scaling::plan(&inputs), &tenure.ordered)
     }
 }
 
