A peer's past is not charged to a node that has just started

Its first message from each peer was an answer to a probe, which tells no uses; the heartbeat after it then counted all that the peer had passed in its life. Ruled out: the tenants' limits (other nodes held levels near 0), cuts (8 of 9 nodes heard). Change: what a peer that started earlier tells first is the base line; one that started later is counted from its start.

--- a/crates/beamwall-gateway/src/quota.rs
+++ b/crates/beamwall-gateway/src/quota.rs
@@ -68,6 +68,8 @@
 pub struct QuotaBook {
     /// Work beyond a quota that is tolerated in one window, over all nodes.
     slack: f64,
+    /// Number of this node's own life; lives of all nodes are numbered by their start.
+    life: u64,
     state: Mutex<State>,
 }
 
@@ -102,7 +104,13 @@
     pub fn new(slack: f64, expected_nodes: usize) -> Self {
         let sharing = Sharing { heard: 1, known: expected_nodes.max(1) };
         let state = State { accounts: HashMap::new(), peers: HashMap::new(), sharing };
-        Self { slack, state: Mutex::new(state) }
+        Self { slack, life: u64::MAX, state: Mutex::new(state) }
+    }
+
+    /// The same accounts of a node whose life has this number.
+    pub fn started_at(mut self, life: u64) -> Self {
+        self.life = life;
+        self
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -166,12 +174,11 @@
         state.accounts.iter_mut().map(told).collect()
     }
 
-    /// Takes what a peer told of one of its lives. What was let pass before the first telling is not
-    /// held against this node's level, which began without it.
+    /// Takes what a peer told of one of its lives. What a peer that started earlier had let pass before
+    /// its first telling is not held against this node's level, which began without it.
     pub fn hear(&self, node: &NodeId, life: u64, passed: HashMap<TenantName, f64>) {
         let mut state = self.lock();
         let State { accounts, peers, .. } = &mut *state;
-        let is_first = !peers.contains_key(node);
         let known = peers.entry(node.clone()).or_default();
         if life < known.life {
             return;
@@ -179,9 +186,11 @@
         if life > known.life {
             *known = PeerUse { life, passed: HashMap::new() };
         }
+        let is_younger = life > self.life;
         for (tenant, total) in passed {
-            let before = known.passed.insert(tenant.clone(), total).unwrap_or(0.0);
-            if let Some(account) = accounts.get_mut(&tenant).filter(|_| !is_first) {
+            let unknown_before = if is_younger { 0.0 } else { total };
+            let before = known.passed.insert(tenant.clone(), total).unwrap_or(unknown_before);
+            if let Some(account) = accounts.get_mut(&tenant) {
                 account.level -= total - before;
             }
         }
--- /dev/null
+++ b/crates/beamwall-gateway/tests/choice.rs
@@ -0,0 +1,141 @@
+//! The choice of a back end, against what an obviously right chooser would want.
+
+use std::time::Duration;
+
+use arbtest::arbtest;
+use beamwall_gateway::choice::{Candidate, choose, cost_ms};
+use beamwall_gateway::health::{HealthBook, HealthView};
+use beamwall_gateway::load::{LoadBook, OpenLoad};
+use beamwall_gateway::prefix::{PrefixBelief, home, shared_tokens};
+use beamwall_gateway::{Prompt, PromptPart};
+use beamwall_model::BackendId;
+use std::sync::Arc;
+use tokio::time::Instant;
+
+fn candidate(name: &str) -> Candidate {
+    Candidate {
+        backend: name.into(),
+        same_zone: true,
+        slots: 128,
+        load: OpenLoad::default(),
+        unread_tokens: Some(1_000),
+        health: HealthView::default(),
+    }
+}
+
+fn chosen(candidates: &[Candidate]) -> String {
+    choose(candidates).expect("a candidate").0.backend.to_string()
+}
+
+#[test]
+fn an_engine_that_keeps_the_prompt_wins_until_it_is_busy() {
+    let keeps = Candidate { unread_tokens: Some(0), ..candidate("keeps") };
+    assert_eq!(chosen(&[candidate("other"), keeps.clone()]), "keeps");
+    let busy = Candidate { load: OpenLoad { requests: 10, prompt_tokens: 40_000 }, ..keeps };
+    assert_eq!(chosen(&[candidate("other"), busy]), "other");
+}
+
+#[test]
+fn a_failing_or_unreachable_back_end_is_the_last_resort() {
+    let failing =
+        Candidate { health: HealthView { failure_share: 0.8, unreachable: false }, ..candidate("failing") };
+    let away =
+        Candidate { health: HealthView { failure_share: 0.2, unreachable: true }, ..candidate("away") };
+    let far = Candidate { same_zone: false, ..candidate("far") };
+    assert_eq!(chosen(&[away.clone(), failing.clone(), far]), "far");
+    assert_eq!(chosen(&[away.clone(), failing]), "failing");
+    assert_eq!(chosen(&[away]), "away");
+}
+
+#[test]
+fn a_usual_share_of_failures_is_not_held_against_a_back_end() {
+    let usual =
+        Candidate { health: HealthView { failure_share: 0.2, unreachable: false }, ..candidate("usual") };
+    assert!((cost_ms(&usual) - cost_ms(&candidate("well"))).abs() < 1e-9);
+}
+
+#[test]
+fn the_choice_is_never_dearer_than_any_other() {
+    arbtest(|random| {
+        let count = random.int_in_range(1..=8)?;
+        let candidates = (0..count)
+            .map(|number| {
+                let load = OpenLoad {
+                    requests: random.int_in_range(0..=200)?,
+                    prompt_tokens: random.int_in_range(0..=99_999)?,
+                };
+                Ok(Candidate {
+                    same_zone: random.arbitrary()?,
+                    load,
+                    unread_tokens: random.arbitrary::<bool>()?.then_some(random.int_in_range(0..=30_000)?),
+                    ..candidate(&format!("b{number}"))
+                })
+            })
+            .collect::<arbtest::arbitrary::Result<Vec<_>>>()?;
+        let (best, cost) = choose(&candidates).expect("a candidate");
+        assert!(candidates.iter().all(|other| cost_ms(other) >= cost));
+        // Less work at the best never makes it worse.
+        let mut idle = best.clone();
+        idle.load = OpenLoad::default();
+        assert!(cost_ms(&idle) <= cost);
+        Ok(())
+    });
+}
+
+#[test]
+fn failures_fade_so_that_a_back_end_is_tried_again() {
+    let (book, start) = (HealthBook::default(), Instant::now());
+    let engine: BackendId = "e".into();
+    for _ in 0..20 {
+        book.note_unreachable(&engine, start);
+    }
+    assert!(book.view(&engine, start).failure_share > 0.9 && book.view(&engine, start).unreachable);
+    let later = book.view(&engine, start + Duration::from_secs(9));
+    assert!(later.failure_share < 0.15 && !later.unreachable);
+}
+
+#[test]
+fn open_work_counts_until_it_ends_and_prompts_until_they_are_read() {
+    let book = Arc::new(LoadBook::default());
+    let engine: BackendId = "e".into();
+    let mut work = book.open(&engine, 500);
+    book.set_peer(&"n1".into(), [(engine.clone(), OpenLoad { requests: 2, prompt_tokens: 100 })].into());
+    assert_eq!(book.total(&engine), OpenLoad { requests: 3, prompt_tokens: 600 });
+    work.begin_answer();
+    assert_eq!(book.total(&engine), OpenLoad { requests: 3, prompt_tokens: 100 });
+    drop(work);
+    book.retain_peers(|_| false);
+    assert_eq!(book.total(&engine), OpenLoad::default());
+    assert!(book.own().is_empty());
+}
+
+fn prompt(parts: &[u64]) -> Prompt {
+    let parts: Vec<PromptPart> = parts.iter().map(|id| PromptPart { id: *id, tokens: 100 }).collect();
+    Prompt { prompt_tokens: 100 * parts.len() as u32, output_tokens: 10, parts }
+}
+
+#[test]
+fn parts_count_as_kept_only_behind_kept_ones_and_for_a_while() {
+    let (belief, start) = (PrefixBelief::default(), Instant::now());
+    let engine: BackendId = "e".into();
+    belief.note_read(&engine, &prompt(&[1, 2, 3]), start);
+    assert_eq!(belief.kept_tokens(&engine, &prompt(&[1, 2, 9]), start), 200);
+    assert_eq!(belief.kept_tokens(&engine, &prompt(&[9, 2, 3]), start), 0);
+    assert_eq!(belief.kept_tokens(&"other".into(), &prompt(&[1, 2]), start), 0);
+    assert_eq!(belief.kept_tokens(&engine, &prompt(&[1, 2, 3]), start + Duration::from_secs(60)), 0);
+    belief.retain(|_| false);
+    assert_eq!(belief.kept_tokens(&engine, &prompt(&[1, 2, 3]), start), 0);
+}
+
+#[test]
+fn all_nodes_prefer_the_same_engine_for_a_shared_beginning() {
+    let engines: Vec<BackendId> = (0..6).map(|number| BackendId::new(format!("e{number}"))).collect();
+    let mut turned = engines.clone();
+    turned.reverse();
+    for id in 0..50 {
+        let (one, other) = (prompt(&[7, id, 1_000 + id]), prompt(&[7, id, 2_000 + id]));
+        assert_eq!(home(&one, &engines), home(&other, &turned));
+        assert_eq!(shared_tokens(&one), 200);
+    }
+    assert_eq!(home(&prompt(&[1]), &engines), None, "nothing is shared");
+}
--- /dev/null
+++ b/crates/beamwall-gateway/tests/quotas.rs
@@ -0,0 +1,181 @@
+//! One bucket kept by all nodes: bounds, tellings, starts and cuts.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use arbtest::arbtest;
+use beamwall_gateway::quota::{QuotaBook, Sharing};
+use beamwall_model::NodeId;
+use beamwall_policy::Tenant;
+use tokio::time::Instant;
+
+const RATE: f64 = 1_000.0;
+
+fn tenant() -> Tenant {
+    Tenant {
+        name: "alder".into(),
+        keys: Vec::new(),
+        rank: None,
+        rate_per_second: RATE,
+        burst: RATE,
+        counts_tokens: true,
+        plain_tokens: 200,
+    }
+}
+
+fn node(number: usize) -> NodeId {
+    NodeId::new(format!("n{number}"))
+}
+
+/// A book that has known its tenant for long: the bucket is full.
+fn full_book(sharing: Sharing, start: Instant) -> QuotaBook {
+    let book = QuotaBook::new(0.0, sharing.known);
+    book.share(sharing, &[tenant()], start);
+    book.share(sharing, &[tenant()], start + Duration::from_secs(10));
+    book
+}
+
+fn passes(book: &QuotaBook, amount: f64, now: Instant) -> bool {
+    book.charge(&tenant(), amount, now).is_ok()
+}
+
+const ALONE: Sharing = Sharing { heard: 1, known: 1 };
+
+#[test]
+fn a_full_bucket_passes_its_burst_and_then_its_rate() {
+    let start = Instant::now();
+    let book = full_book(ALONE, start);
+    let now = start + Duration::from_secs(10);
+    assert!(passes(&book, 600.0, now));
+    book.tell();
+    assert!(passes(&book, 400.0, now));
+    book.tell();
+    assert!(!passes(&book, 100.0, now));
+    assert!(passes(&book, 100.0, now + Duration::from_millis(100)));
+}
+
+#[test]
+fn a_refusal_tells_when_to_come_back_and_the_work_then_passes() {
+    let start = Instant::now();
+    let book = full_book(ALONE, start);
+    let now = start + Duration::from_secs(10);
+    assert!(passes(&book, 1_000.0, now));
+    book.tell();
+    let refused = book.charge(&tenant(), 500.0, now).expect_err("beyond the quota");
+    assert_eq!(refused.retry_after, Duration::from_millis(500));
+    assert!(passes(&book, 500.0, now + refused.retry_after));
+}
+
+#[test]
+fn work_larger_than_the_burst_passes_when_the_bucket_is_full_and_is_paid_for() {
+    let start = Instant::now();
+    let book = full_book(ALONE, start);
+    let now = start + Duration::from_secs(10);
+    assert!(passes(&book, 3_000.0, now));
+    book.tell();
+    assert!(!passes(&book, 10.0, now + Duration::from_millis(1_900)));
+    assert!(passes(&book, 10.0, now + Duration::from_millis(2_100)));
+}
+
+#[test]
+fn what_a_peer_tells_is_taken_off() {
+    let start = Instant::now();
+    let book = full_book(Sharing { heard: 2, known: 2 }, start);
+    let now = start + Duration::from_secs(10);
+    book.hear(&node(1), 1, HashMap::from([("alder".into(), 0.0)]));
+    book.hear(&node(1), 1, HashMap::from([("alder".into(), 900.0)]));
+    assert!(!passes(&book, 200.0, now));
+    assert!(passes(&book, 100.0, now));
+}
+
+/// On a day that lost a machine, its successor held everything that the peers had passed in their lives
+/// against its new account and refused for minutes.
+#[test]
+fn what_passed_before_the_start_is_not_held_against_a_new_node() {
+    let start = Instant::now();
+    let book = full_book(Sharing { heard: 2, known: 2 }, start);
+    let now = start + Duration::from_secs(10);
+    // An answer to a probe tells no uses; the heartbeat after it does.
+    book.hear(&node(1), 1, HashMap::new());
+    book.hear(&node(1), 1, HashMap::from([("alder".into(), 300_000.0)]));
+    assert!(passes(&book, 500.0, now));
+}
+
+#[test]
+fn a_peer_that_started_later_is_counted_from_its_start() {
+    let start = Instant::now();
+    let book = full_book(Sharing { heard: 2, known: 2 }, start).started_at(5);
+    let now = start + Duration::from_secs(10);
+    book.hear(&node(1), 6, HashMap::from([("alder".into(), 900.0)]));
+    assert!(!passes(&book, 200.0, now));
+}
+
+#[test]
+fn a_refund_is_given_back_here_and_at_the_peers() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(10);
+    let (here, there) =
+        (full_book(Sharing { heard: 2, known: 2 }, start), full_book(Sharing { heard: 2, known: 2 }, start));
+    let charge = here.charge(&tenant(), 800.0, now).expect("it fits").expect("it is charged");
+    there.hear(&node(0), 1, HashMap::new());
+    there.hear(&node(0), 1, HashMap::from([("alder".into(), 0.0)]));
+    there.hear(&node(0), 1, here.tell().into_iter().collect());
+    assert!(!passes(&there, 500.0, now));
+    here.refund(&charge);
+    there.hear(&node(0), 1, here.tell().into_iter().collect());
+    assert!(passes(&there, 500.0, now));
+    assert!(passes(&here, 500.0, now));
+}
+
+#[test]
+fn a_node_that_hears_a_third_of_the_nodes_passes_a_third_of_the_rate() {
+    let start = Instant::now();
+    let sharing = Sharing { heard: 1, known: 3 };
+    let book = full_book(sharing, start);
+    let mut now = start + Duration::from_secs(10);
+    let mut passed = 0.0;
+    for _ in 0..1_000 {
+        now += Duration::from_millis(10);
+        passed += if passes(&book, 10.0, now) { 10.0 } else { 0.0 };
+        book.tell();
+    }
+    // Ten seconds at a third, and the burst that was saved up.
+    assert!((3_000.0..=4_400.0).contains(&passed), "{passed}");
+}
+
+/// Any number of nodes, requests of any size at any of them, tellings that take a moment: in every
+/// window what passes stays within rate, burst, slack and one request a node.
+#[test]
+fn all_nodes_together_stay_within_the_quota() {
+    arbtest(|random| {
+        let nodes = random.int_in_range(1..=6_usize)?;
+        let sharing = Sharing { heard: nodes, known: nodes };
+        let start = Instant::now();
+        let books: Vec<QuotaBook> = (0..nodes).map(|_| full_book(sharing, start)).collect();
+        for (number, book) in books.iter().enumerate() {
+            for other in (0..nodes).filter(|other| *other != number) {
+                book.hear(&node(other), 1, HashMap::from([("alder".into(), 0.0)]));
+            }
+        }
+        let mut now = start + Duration::from_secs(10);
+        let begun = now;
+        let mut passed = 0.0;
+        for step in 0..300 {
+            now += Duration::from_millis(10);
+            let amount = f64::from(random.int_in_range(1..=400_u32)?);
+            let at = random.int_in_range(0..=nodes - 1)?;
+            passed += if passes(&books[at], amount, now) { amount } else { 0.0 };
+            if step % 5 == 0 {
+                let told: Vec<_> = books.iter().map(|book| book.tell().into_iter().collect()).collect();
+                for (number, book) in books.iter().enumerate() {
+                    for (other, uses) in told.iter().enumerate().filter(|(other, _)| *other != number) {
+                        book.hear(&node(other), 1, HashMap::clone(uses));
+                    }
+                }
+            }
+            let bound = RATE * (now - begun).as_secs_f64() + RATE + 400.0 * nodes as f64;
+            assert!(passed <= bound, "{passed} of {bound} with {nodes} nodes");
+        }
+        Ok(())
+    });
+}
--- /dev/null
+++ b/crates/beamwall-gateway/tests/usage.rs
@@ -0,0 +1,48 @@
+//! Usage counts of several lives of several nodes.
+
+use std::time::{Duration, UNIX_EPOCH};
+
+use beamwall_gateway::usage::UsageLedger;
+
+const WINDOW: Duration = Duration::from_secs(5);
+
+fn second(number: u64) -> std::time::SystemTime {
+    UNIX_EPOCH + Duration::from_secs(number)
+}
+
+#[test]
+fn requests_count_in_the_window_in_which_they_began() {
+    let ledger = UsageLedger::new(WINDOW);
+    ledger.record(&"alder".into(), second(14));
+    ledger.record(&"alder".into(), second(15));
+    ledger.record(&"birch".into(), second(19));
+    assert_eq!(ledger.total(2).counts, [("alder".into(), 1)].into());
+    assert_eq!(ledger.total(3).counts, [("alder".into(), 1), ("birch".into(), 1)].into());
+    assert_eq!(ledger.window_at(second(17)), (3, Duration::from_secs(2)));
+}
+
+#[test]
+fn counts_of_killed_lives_stay_and_repeated_tellings_count_once() {
+    let (here, before, after) =
+        (UsageLedger::new(WINDOW), UsageLedger::new(WINDOW), UsageLedger::new(WINDOW));
+    before.record(&"alder".into(), second(11));
+    here.merge(&"n1".into(), 1, before.own());
+    here.merge(&"n1".into(), 1, before.own());
+    // The node is killed and counts anew in its next life.
+    after.record(&"alder".into(), second(12));
+    after.record(&"alder".into(), second(13));
+    here.merge(&"n1".into(), 2, after.own());
+    // A telling of the earlier life that arrives late changes nothing.
+    here.merge(&"n1".into(), 1, before.own());
+    assert_eq!(here.total(2).counts, [("alder".into(), 3)].into());
+}
+
+#[test]
+fn old_windows_are_forgotten() {
+    let ledger = UsageLedger::new(WINDOW);
+    for number in 0..100 {
+        ledger.record(&"alder".into(), second(number * 5));
+    }
+    assert!(ledger.own().len() < 20);
+    assert_eq!(ledger.total(99).counts, [("alder".into(), 1)].into());
+}
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -98,7 +98,8 @@
         let directory: Arc<ArcSwap<Directory>> = Arc::default();
         let news = Arc::new(Notify::new());
         let status = Arc::new(StoreStatus::default());
-        let gateway = assemble_gateway(&settings, &ports, &registry, &policy, &directory, &news)?;
+        let life = new_incarnation();
+        let gateway = assemble_gateway(&settings, &ports, &registry, &policy, &directory, &news, life)?;
         let policy_actor = PolicyActor::spawn(PolicyActor::new(policy.clone(), news.clone()));
         let directory_actor =
             DirectoryActor::spawn(DirectoryActor::new(directory.clone(), gateway.clone(), news.clone()));
@@ -112,6 +113,7 @@
             directory_actor.clone(),
             news,
             &readiness,
+            life,
         ));
         let stopping = watch::channel(false).0;
         let callers =
@@ -178,6 +180,7 @@
     policy: &Arc<ArcSwap<PolicyIndex>>,
     directory: &Arc<ArcSwap<Directory>>,
     news: &Arc<Notify>,
+    life: u64,
 ) -> Result<Arc<Gateway>, NodeError> {
     let nodes = settings.expected_nodes.max(1);
     let percent = (settings.retry_ratio * RETRY_RATIO_USED * 100.0) as u32;
@@ -192,7 +195,7 @@
         usage: UsageLedger::new(settings.usage_window),
         metrics: GatewayMetrics::new(registry)?,
     });
-    let quotas = QuotaBook::new(settings.quota_slack * QUOTA_SLACK_USED, nodes);
+    let quotas = QuotaBook::new(settings.quota_slack * QUOTA_SLACK_USED, nodes).started_at(life);
     Ok(Arc::new(Gateway { policy: policy.clone(), quotas, forwarder, news: news.clone() }))
 }
 
@@ -206,22 +209,18 @@
     directory_actor: kameo::actor::ActorRef<DirectoryActor>,
     news: Arc<Notify>,
     readiness: &Arc<Readiness>,
+    life: u64,
 ) -> Exchange {
-    let incarnation = new_incarnation();
     let members = Arc::new(ArcSwap::default());
-    let membership = Membership::new(
-        settings.node.clone(),
-        settings.zone.clone(),
-        incarnation,
-        MembershipTiming::default(),
-    );
+    let membership =
+        Membership::new(settings.node.clone(), settings.zone.clone(), life, MembershipTiming::default());
     Exchange {
         node: settings.node.clone(),
         zone: settings.zone.clone(),
         address: settings.peers,
         seeds: settings.seeds.clone(),
         expected_nodes: settings.expected_nodes,
-        life: incarnation,
+        life,
         network,
         membership: MembershipActor::spawn(MembershipActor::new(membership, members.clone())),
         members,
--- /dev/null
+++ b/crates/beamwall-policy/tests/policy.rs
@@ -0,0 +1,96 @@
+//! Routes, keys and splits of a policy.
+
+use arbtest::arbtest;
+use beamwall_policy::{PolicyIndex, Route, RouteKind, Tenant, TrafficPolicy, WeightedService};
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "a.example".to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RouteKind::Repeatable,
+        hold_limit_ms: 1_000,
+        objective_ms: 100,
+        gap_objective_ms: None,
+        rank: 0,
+        targets: vec![WeightedService { service: "one".into(), weight: 1 }],
+        attempt_limit: 1,
+        public: false,
+    }
+}
+
+fn index(routes: Vec<Route>) -> PolicyIndex {
+    PolicyIndex::new(TrafficPolicy { version: 3, routes, ..TrafficPolicy::default() })
+}
+
+fn found<'a>(index: &'a PolicyIndex, host: &str, path: &str) -> Option<&'a str> {
+    index.route(host, path).map(|route| route.name.as_str())
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let index = index(vec![route("short", "/a/"), route("long", "/a/b/"), route("other", "/c/")]);
+    assert_eq!(found(&index, "a.example", "/a/b/c"), Some("long"));
+    assert_eq!(found(&index, "A.Example:8080", "/a/x"), Some("short"));
+    assert_eq!(found(&index, "a.example", "/a"), None);
+    assert_eq!(found(&index, "b.example", "/a/"), None);
+}
+
+#[test]
+fn a_split_follows_its_weights() {
+    let weighted = |name: &str, weight| WeightedService { service: name.into(), weight };
+    let split = Route { targets: vec![weighted("one", 90), weighted("two", 10)], ..route("r", "/") };
+    let to_two = (0..1_000).filter(|spread| split.service_for(*spread) == Some(&"two".into())).count();
+    assert_eq!(to_two, 100);
+    let empty = Route { targets: Vec::new(), ..route("r", "/") };
+    assert_eq!(empty.service_for(1), None);
+    let weightless = Route { targets: vec![weighted("one", 0)], ..route("r", "/") };
+    assert_eq!(weightless.service_for(7), Some(&"one".into()));
+}
+
+#[test]
+fn any_look_up_agrees_with_a_naive_search() {
+    arbtest(|random| {
+        let prefixes = ["/", "/a/", "/a/b/", "/b/", "/a/b/c/"];
+        let mut routes = Vec::new();
+        for prefix in prefixes {
+            if random.arbitrary()? {
+                routes.push(route(prefix, prefix));
+            }
+        }
+        let path = *random.choose(&["/", "/a/", "/a/b/x", "/b", "/a/b/c/d", "/z/"])?;
+        let naive = routes
+            .iter()
+            .filter(|route| path.starts_with(&route.path_prefix))
+            .max_by_key(|route| route.path_prefix.len())
+            .map(|route| route.name.clone());
+        assert_eq!(found(&index(routes), "a.example", path).map(str::to_owned), naive);
+        Ok(())
+    });
+}
+
+#[test]
+fn keys_lead_to_their_tenant_and_a_policy_survives_its_text_form() {
+    let tenant = Tenant {
+        name: "alder".into(),
+        keys: vec!["k1".to_owned(), "k2".to_owned()],
+        rank: Some(1),
+        rate_per_second: 5.0,
+        burst: 5.0,
+        counts_tokens: true,
+        plain_tokens: 200,
+    };
+    let policy = TrafficPolicy {
+        version: 7,
+        routes: vec![route("r", "/")],
+        tenants: vec![tenant],
+        ..Default::default()
+    };
+    let text = serde_json::to_string(&policy).expect("text");
+    let read: TrafficPolicy = serde_json::from_str(&text).expect("a policy");
+    assert_eq!(read, policy);
+    let index = PolicyIndex::new(read);
+    assert!(index.needs_keys());
+    assert_eq!(index.tenant_by_key("k2").map(|tenant| tenant.name.as_str()), Some("alder"));
+    assert!(index.tenant_by_key("k3").is_none());
+}
