The story of a request from its id; log lines bounded; headroom not replaced by lasting engines

Change: beamwallctl why reads log lines of several nodes and tells a request's attempts, their inputs, what its nodes had come to believe, and the outcome. Every line names its node. Tests: explain.rs (three kinds of failure with real processes), bound.rs, scaling.rs.

--- a/crates/beamwall-ctl/src/arguments.rs
+++ b/crates/beamwall-ctl/src/arguments.rs
@@ -46,11 +46,28 @@
     /// Digest of a key.
     #[options(help = "print the digest of a key read from a file, for the tree")]
     KeyDigest(FileOptions),
+    /// The story of a request.
+    #[options(help = "tell from log lines what happened to a request, and why")]
+    Why(WhyOptions),
     /// Lab.
     #[options(help = "stand-ins, load and experiments")]
     Lab(LabOptions),
 }
 
+/// A request and where to look for it.
+#[derive(Debug, Options)]
+pub struct WhyOptions {
+    /// Help.
+    #[options(help = "show this help")]
+    pub help: bool,
+    /// The request.
+    #[options(free, required, help = "identifier of the request")]
+    pub request: String,
+    /// Files of log lines.
+    #[options(meta = "FILE", help = "log of a node, several times; without: standard input")]
+    pub file: Vec<PathBuf>,
+}
+
 /// No options.
 #[derive(Debug, Options)]
 pub struct NoOptions {
--- a/crates/beamwall-ctl/src/lib.rs
+++ b/crates/beamwall-ctl/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod error;
 pub mod lab;
 pub mod operate;
+pub mod why;
--- a/crates/beamwall-ctl/src/main.rs
+++ b/crates/beamwall-ctl/src/main.rs
@@ -2,9 +2,9 @@
 
 use std::process::ExitCode;
 
-use beamwall_ctl::arguments::{Arguments, Command};
+use beamwall_ctl::arguments::{Arguments, Command, WhyOptions};
 use beamwall_ctl::error::CommandError;
-use beamwall_ctl::{lab, operate};
+use beamwall_ctl::{lab, operate, why};
 use gumdrop::Options;
 
 /// Exit status of a command line or settings that are not valid.
@@ -45,7 +45,17 @@
                 Some(command) => lab::run(command).await,
                 None => Err(CommandError::Usage("a lab command is required".to_owned())),
             },
+            Command::Why(options) => tell_why(options),
             other => operate::run(arguments, other).await,
         }
     })
 }
+
+fn tell_why(options: &WhyOptions) -> Result<(), CommandError> {
+    let lines = why::read_lines(&options.file)?;
+    let story = why::explain(&options.request, &lines);
+    let story =
+        story.ok_or_else(|| CommandError::Usage(format!("no line tells of request {}", options.request)))?;
+    print!("{story}");
+    Ok(())
+}
--- a/crates/beamwall-ctl/src/operate.rs
+++ b/crates/beamwall-ctl/src/operate.rs
@@ -57,7 +57,7 @@
             println!("{digest}");
             Ok(())
         }
-        Command::Lab(_) => Ok(()),
+        Command::Lab(_) | Command::Why(_) => Ok(()),
     }
 }
 
--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -71,6 +71,8 @@
     1005 Error SettingsRefused "process settings refused" { file, faults }
     /// The settings file was read again.
     1006 Info SettingsReloaded "process settings reloaded" { file, changed }
+    /// Log lines were dropped because there were too many.
+    1007 Warn LogLinesDropped "log lines dropped" { lines }
     /// A settings revision came into force on this node.
     2001 Info RevisionActivated "settings revision in force" { revision, digest, source }
     /// An operator's edit was committed.
--- a/crates/beamwall-events/src/logging.rs
+++ b/crates/beamwall-events/src/logging.rs
@@ -1,14 +1,20 @@
 //! Starts logging to standard output as JSON or text.
 //!
-//! Lines go through a bounded queue to a thread that writes them: whoever logs never waits. When the
-//! queue is full, newer lines are dropped.
+//! Lines go through a queue to a thread that writes them: whoever logs never waits. How many may wait
+//! is bounded by [`crate::bound`].
 
 use log::LevelFilter;
 use logforth::append::Stdout;
 use logforth::append::asynchronous::AsyncBuilder;
+use logforth::diagnostic::StaticDiagnostic;
 use logforth::layout::{JsonLayout, TextLayout};
+use logforth::record::Record;
+use logforth::{Append, Diagnostic, Error};
 use quick_error::quick_error;
 
+use crate::BOUND;
+use crate::bound::QUEUE_LIMIT;
+
 quick_error! {
     /// Why logging could not be started.
     #[derive(Debug)]
@@ -29,22 +35,39 @@
     Text,
 }
 
-/// Lines that wait to be written.
-const QUEUE_CAPACITY: usize = 8_192;
+/// Writes lines and counts them.
+#[derive(Debug)]
+struct CountedOutput(Stdout);
+
+impl Append for CountedOutput {
+    fn append(&self, record: &Record, diagnostics: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+        let result = self.0.append(record, diagnostics);
+        BOUND.note_written();
+        result
+    }
+
+    fn flush(&self) -> Result<(), Error> {
+        self.0.flush()
+    }
+}
 
-/// Starts logging for the whole process.
-pub fn start_logging(format: LogFormat, level: LevelFilter) -> Result<(), LoggingError> {
+/// Starts logging for the whole process; every line names `node`.
+pub fn start_logging(format: LogFormat, level: LevelFilter, node: &str) -> Result<(), LoggingError> {
     let output = match format {
         LogFormat::Json => Stdout::default().with_layout(JsonLayout::default()),
         LogFormat::Text => Stdout::default().with_layout(TextLayout::default().no_color()),
     };
     let queue = AsyncBuilder::new("log")
-        .buffered_lines_limit(Some(QUEUE_CAPACITY))
+        .buffered_lines_limit(usize::try_from(2 * QUEUE_LIMIT).ok())
         .overflow_drop_incoming()
-        .append(output)
+        .append(CountedOutput(output))
         .build();
-    let builder = logforth::starter_log::builder().dispatch(|dispatch| dispatch.append(queue));
+    let mut names = StaticDiagnostic::default();
+    names.insert("node", node);
+    let builder =
+        logforth::starter_log::builder().dispatch(|dispatch| dispatch.diagnostic(names).append(queue));
     builder.try_apply().map_err(|_| LoggingError::AlreadyStarted)?;
+    BOUND.activate();
     log::set_max_level(level);
     Ok(())
 }
--- a/crates/beamwall-gateway/src/scaling.rs
+++ b/crates/beamwall-gateway/src/scaling.rs
@@ -42,20 +42,19 @@
 
 /// The orders for one service: for each zone its lasting and its reclaimable back ends.
 pub fn plan(inputs: &ScalingInputs<'_>) -> Vec<CapacityOrder> {
-    let wanted = wanted_in_zone(inputs);
-    inputs.zones.iter().flat_map(|supply| zone_orders(inputs, supply, wanted)).collect()
+    let needed = needed_in_zone(inputs);
+    inputs.zones.iter().flat_map(|supply| zone_orders(inputs, supply, needed)).collect()
 }
 
-fn wanted_in_zone(inputs: &ScalingInputs<'_>) -> u32 {
-    let limits = inputs.limits;
-    let lowest = limits.minimum.max(1);
-    let headroom = if limits.reclaimable_price.is_some() { RECLAIMABLE_HEADROOM } else { 0 };
-    let wanted_in_all = inputs.offered_load / TARGET_UTILISATION;
-    let each = (wanted_in_all / inputs.zones.len().max(1) as f64).ceil().max(0.0) as u32;
-    each.max(lowest + headroom).min(limits.maximum.max(lowest))
+/// Back ends that the offered load needs in each zone, within the limits.
+fn needed_in_zone(inputs: &ScalingInputs<'_>) -> u32 {
+    let needed_in_all = inputs.offered_load / TARGET_UTILISATION;
+    let each = (needed_in_all / inputs.zones.len().max(1) as f64).ceil().max(0.0) as u32;
+    let lowest = inputs.limits.minimum.max(1);
+    each.clamp(lowest, inputs.limits.maximum.max(lowest))
 }
 
-fn zone_orders(inputs: &ScalingInputs<'_>, supply: &ZoneSupply, wanted: u32) -> Vec<CapacityOrder> {
+fn zone_orders(inputs: &ScalingInputs<'_>, supply: &ZoneSupply, needed: u32) -> Vec<CapacityOrder> {
     let lowest = inputs.limits.minimum.max(1);
     let order = |reclaimable, wanted| CapacityOrder {
         service: inputs.service.clone(),
@@ -64,15 +63,16 @@
         wanted,
     };
     if inputs.limits.reclaimable_price.is_none() {
-        return vec![order(false, wanted)];
+        return vec![order(false, needed)];
     }
     let lasting = if supply.is_exhausted {
-        wanted.saturating_sub(supply.reclaimable_usable).max(lowest)
+        needed.saturating_sub(supply.reclaimable_usable).max(lowest)
     } else {
         lowest
     };
     let room = inputs.limits.maximum.saturating_sub(lasting);
-    vec![order(false, lasting), order(true, wanted.saturating_sub(lowest).min(room))]
+    let reclaimable = needed.saturating_sub(lowest).max(RECLAIMABLE_HEADROOM).min(room);
+    vec![order(false, lasting), order(true, reclaimable)]
 }
 
 /// The orders of `plan` that differ from what was last ordered.
--- a/crates/beamwall-gateway/tests/scaling.rs
+++ b/crates/beamwall-gateway/tests/scaling.rs
@@ -40,6 +40,10 @@
     let lasting: Vec<u32> =
         orders.iter().filter(|order| !order.reclaimable).map(|order| order.wanted).collect();
     assert_eq!(lasting, [4, 1]);
+    // Headroom alone is not worth lasting ones.
+    let idle =
+        plan(&ScalingInputs { service: &"model".into(), limits: &limits, zones: &zones, offered_load: 0.0 });
+    assert!(idle.iter().all(|order| order.wanted == 1));
 }
 
 #[test]
--- a/crates/beamwall-node/src/gateway_process.rs
+++ b/crates/beamwall-node/src/gateway_process.rs
@@ -25,7 +25,7 @@
         Ok(settings) => settings,
         Err(faults) => return refuse(path, faults),
     };
-    begin_logging(settings.log_json, &settings.log_level);
+    begin_logging(settings.log_json, &settings.log_level, settings.node.as_str());
     let mut builder = match settings.threads {
         1 => tokio::runtime::Builder::new_current_thread(),
         threads => {
--- a/crates/beamwall-node/src/main.rs
+++ b/crates/beamwall-node/src/main.rs
@@ -94,16 +94,16 @@
 
 /// Logs and prints why settings were refused.
 fn refuse(path: &Path, faults: String) -> ExitCode {
-    let _ = start_logging(LogFormat::Json, log::LevelFilter::Info);
+    let _ = start_logging(LogFormat::Json, log::LevelFilter::Info, "");
     eprintln!("{faults}");
     emit(&SettingsRefused { file: path.display().to_string(), faults });
     ExitCode::from(EXIT_INVALID)
 }
 
 /// Starts logging as the settings say.
-fn begin_logging(json: bool, level: &str) {
+fn begin_logging(json: bool, level: &str, node: &str) {
     let format = if json { LogFormat::Json } else { LogFormat::Text };
-    let _ = start_logging(format, level.parse().unwrap_or(log::LevelFilter::Info));
+    let _ = start_logging(format, level.parse().unwrap_or(log::LevelFilter::Info), node);
 }
 
 fn run(options: &SettingsOptions) -> ExitCode {
@@ -111,7 +111,7 @@
         Ok(settings) => settings,
         Err(faults) => return refuse(&options.settings, faults),
     };
-    begin_logging(settings.log_json, &settings.log_level);
+    begin_logging(settings.log_json, &settings.log_level, settings.node.as_str());
     let runtime =
         tokio::runtime::Builder::new_multi_thread().worker_threads(settings.threads).enable_all().build();
     match runtime {
