Engine numbers from the work that arrivals ask for; a large deployment's control

Change: demand is measured at arrival and told; the numbers found at the start are kept as reclaimable until it is known; a few nodes of a zone watch and contend; extra retries are divided among the nodes known; loads of peers are summed once; of many engines a sample is looked at, with those that keep parts of the prompt.

--- a/crates/beamwall-gateway/src/candidates.rs
+++ b/crates/beamwall-gateway/src/candidates.rs
@@ -13,6 +13,10 @@
 use crate::ports::Prompt;
 use crate::prefix::{self, PrefixBelief};
 
+/// Back ends drawn at random for each request, beside those that keep parts of its prompt. Nodes that
+/// all looked at all back ends would all choose the one that was idle at the last heartbeat.
+const SAMPLED: usize = 10;
+
 /// What a node knows of back ends beside the directory.
 #[derive(Debug, Default)]
 pub struct Knowledge {
@@ -31,8 +35,8 @@
         self.prefixes.retain(|backend| directory.get(backend).is_some());
     }
 
-    /// The candidates for a request, in random order so that equal ones share the load. `tried` are
-    /// left out.
+    /// The candidates for a request, in random order so that equal ones share the load; of many back ends
+    /// a sample. `tried` are left out.
     pub fn candidates(
         &self,
         directory: &Directory,
@@ -45,8 +49,15 @@
         let usable: Vec<&Backend> = directory.usable(service).collect();
         let names: Vec<BackendId> = usable.iter().map(|backend| backend.id.clone()).collect();
         let home = prompt.and_then(|prompt| prefix::home(prompt, &names));
-        let untried = usable.iter().filter(|backend| !tried.contains(&backend.id));
-        let mut candidates: Vec<Candidate> = untried
+        let mut untried: Vec<&Backend> =
+            usable.into_iter().filter(|backend| !tried.contains(&backend.id)).collect();
+        untried.shuffle(&mut rand::rng());
+        let considered = untried.iter().enumerate().filter(|(position, backend)| {
+            let is_kept = || prompt.is_some_and(|prompt| self.prefixes.keeps_any(&backend.id, prompt, now));
+            *position < SAMPLED || home == Some(&backend.id) || is_kept()
+        });
+        considered
+            .map(|(_, backend)| backend)
             .map(|backend| Candidate {
                 backend: backend.id.clone(),
                 same_zone: &backend.zone == own_zone,
@@ -55,9 +66,7 @@
                 unread_tokens: prompt.map(|prompt| self.unread_tokens(&backend.id, home, prompt, now)),
                 health: self.health.view(&backend.id, now),
             })
-            .collect();
-        candidates.shuffle(&mut rand::rng());
-        candidates
+            .collect()
     }
 
     fn unread_tokens(
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -1,6 +1,7 @@
 //! Carries one request through its attempts.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::SystemTime;
 
@@ -18,6 +19,7 @@
 use crate::attempt::{AttemptFailure, Ran};
 use crate::candidates::Knowledge;
 use crate::choice;
+use crate::demand::DemandBook;
 use crate::directory::Directory;
 use crate::metrics::GatewayMetrics;
 use crate::ports::{Dialect, Prompt};
@@ -79,26 +81,41 @@
     }
 }
 
-/// Retry budgets by service.
+/// Retry budgets by service. What may be retried beside the share of requests is divided among nodes.
 #[derive(Debug)]
 pub struct RetryBudgets {
-    saved_retries: i64,
     percent: u32,
+    /// Retries over all nodes beside the share of requests.
+    extra: f64,
+    nodes: AtomicUsize,
     budgets: Mutex<HashMap<ServiceName, Arc<RetryBudget>>>,
 }
 
 impl RetryBudgets {
-    /// Budgets that earn `percent` of a retry with each request and save up `saved_retries`.
-    pub fn new(percent: u32, saved_retries: i64) -> Self {
-        Self { saved_retries, percent, budgets: Mutex::default() }
+    /// Budgets that earn `percent` of a retry with each request; `nodes` share `extra` more.
+    pub fn new(percent: u32, extra: f64, nodes: usize) -> Self {
+        Self { percent, extra, nodes: AtomicUsize::new(nodes.max(1)), budgets: Mutex::default() }
+    }
+
+    fn part(&self) -> f64 {
+        self.extra / self.nodes.load(Ordering::Relaxed) as f64
     }
 
     fn of(&self, service: &ServiceName) -> Arc<RetryBudget> {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        let new = || Arc::new(RetryBudget::saving(self.saved_retries));
+        let new = || Arc::new(RetryBudget::empty(self.part()));
         budgets.entry(service.clone()).or_insert_with(new).clone()
     }
 
+    /// Divides the extra retries among this many nodes.
+    pub fn divide_among(&self, nodes: usize) {
+        if self.nodes.swap(nodes.max(1), Ordering::Relaxed) == nodes {
+            return;
+        }
+        let budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        budgets.values().for_each(|budget| budget.set_most_saved(self.part()));
+    }
+
     /// Notes a caller's request.
     pub fn earn(&self, service: &ServiceName) {
         self.of(service).earn(self.percent);
@@ -122,6 +139,8 @@
     pub directory: Arc<ArcSwap<Directory>>,
     /// What is known of them beside.
     pub knowledge: Knowledge,
+    /// Work that callers ask for.
+    pub demand: DemandBook,
     /// Retry budgets.
     pub retries: RetryBudgets,
     /// What is billed.
@@ -203,6 +222,8 @@
     pub backend: BackendId,
     /// Expected time until it begins to answer, in milliseconds.
     pub cost_ms: f64,
+    /// Prompt tokens that it has to read.
+    pub unread_tokens: u64,
 }
 
 impl Forwarder {
@@ -230,7 +251,7 @@
             remaining_ms: call.deadline.saturating_duration_since(Instant::now()).as_millis().to_string(),
         });
         attempts.tried.push(backend.clone());
-        Some(Choice { backend, cost_ms })
+        Some(Choice { backend, cost_ms, unread_tokens: chosen.unread_tokens.unwrap_or(0) })
     }
 
     /// Counts a request that a back end began to run.
--- a/crates/beamwall-gateway/src/load.rs
+++ b/crates/beamwall-gateway/src/load.rs
@@ -21,10 +21,32 @@
     }
 }
 
+impl std::ops::SubAssign for OpenLoad {
+    fn sub_assign(&mut self, other: Self) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        self.prompt_tokens = self.prompt_tokens.saturating_sub(other.prompt_tokens);
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     own: HashMap<BackendId, OpenLoad>,
     peers: HashMap<NodeId, HashMap<BackendId, OpenLoad>>,
+    /// Sums over all peers, so that a look-up does not grow with their number.
+    of_peers: HashMap<BackendId, OpenLoad>,
+}
+
+impl State {
+    fn forget_peer(&mut self, node: &NodeId) {
+        for (backend, load) in self.peers.remove(node).unwrap_or_default() {
+            if let Some(sum) = self.of_peers.get_mut(&backend) {
+                *sum -= load;
+                if *sum == OpenLoad::default() {
+                    self.of_peers.remove(&backend);
+                }
+            }
+        }
+    }
 }
 
 /// Open work by back end.
@@ -50,11 +72,7 @@
     pub fn total(&self, backend: &BackendId) -> OpenLoad {
         let state = self.lock();
         let mut total = state.own.get(backend).copied().unwrap_or_default();
-        for loads in state.peers.values() {
-            if let Some(load) = loads.get(backend) {
-                total += *load;
-            }
-        }
+        total += state.of_peers.get(backend).copied().unwrap_or_default();
         total
     }
 
@@ -65,12 +83,17 @@
 
     /// Replaces what a peer told before.
     pub fn set_peer(&self, node: &NodeId, loads: HashMap<BackendId, OpenLoad>) {
-        self.lock().peers.insert(node.clone(), loads);
+        let mut state = self.lock();
+        state.forget_peer(node);
+        for (backend, load) in &loads {
+            *state.of_peers.entry(backend.clone()).or_default() += *load;
+        }
+        state.peers.insert(node.clone(), loads);
     }
 
-    /// Forgets peers that are not alive.
-    pub fn retain_peers(&self, is_alive: impl Fn(&NodeId) -> bool) {
-        self.lock().peers.retain(|node, _| is_alive(node));
+    /// Forgets a peer that is not alive.
+    pub fn forget_peer(&self, node: &NodeId) {
+        self.lock().forget_peer(node);
     }
 }
 
--- a/crates/beamwall-gateway/src/prefix.rs
+++ b/crates/beamwall-gateway/src/prefix.rs
@@ -44,6 +44,14 @@
         prompt.parts.iter().take_while(is_kept).map(|part| u64::from(part.tokens)).sum()
     }
 
+    /// Whether a back end is believed to keep the last shared part of a prompt.
+    pub fn keeps_any(&self, backend: &BackendId, prompt: &Prompt, now: Instant) -> bool {
+        let Some(position) = prompt.parts.len().checked_sub(2) else { return false };
+        let state = self.lock();
+        let used = state.parts.get(&prompt.parts[position].id).and_then(|engines| engines.get(backend));
+        used.is_some_and(|used| now.saturating_duration_since(*used) < BELIEVED_FOR)
+    }
+
     /// Notes that a back end has read a prompt.
     pub fn note_read(&self, backend: &BackendId, prompt: &Prompt, now: Instant) {
         let mut state = self.lock();
--- a/crates/beamwall-gateway/src/scaling.rs
+++ b/crates/beamwall-gateway/src/scaling.rs
@@ -31,8 +31,10 @@
     pub limits: &'a ScalingLimits,
     /// The zones that may hold back ends.
     pub zones: &'a [ZoneSupply],
-    /// Work offered by all nodes, in busy back ends: 1.0 keeps one fully busy.
+    /// Work that callers ask for at all nodes, in busy back ends: 1.0 keeps one fully busy.
     pub offered_load: f64,
+    /// Back ends that each zone holds at least, within its limits: while the load is not known yet.
+    pub floor: u32,
 }
 
 /// Part of its time that a back end should be busy at most.
@@ -51,7 +53,7 @@
     let needed_in_all = inputs.offered_load / TARGET_UTILISATION;
     let each = (needed_in_all / inputs.zones.len().max(1) as f64).ceil().max(0.0) as u32;
     let lowest = inputs.limits.minimum.max(1);
-    each.clamp(lowest, inputs.limits.maximum.max(lowest))
+    each.max(inputs.floor).clamp(lowest, inputs.limits.maximum.max(lowest))
 }
 
 fn zone_orders(inputs: &ScalingInputs<'_>, supply: &ZoneSupply, needed: u32) -> Vec<CapacityOrder> {
--- a/crates/beamwall-gateway/src/stream.rs
+++ b/crates/beamwall-gateway/src/stream.rs
@@ -56,6 +56,9 @@
 pub async fn forward(forwarder: &Arc<Forwarder>, call: &Arc<Call>) -> Result<Response<Body>, Refusal> {
     let mut attempts = Attempts::default();
     while let Some(choice) = forwarder.choose(call, &mut attempts) {
+        if attempts.tried.len() == 1 {
+            forwarder.demand.note_request(&call.service, &call.route.name, choice.unread_tokens);
+        }
         let failure = match begin(forwarder, call, &choice, call.last_event, &attempts).await {
             Ok(Begun::Stream(begun)) => {
                 attempts.begin();
@@ -377,6 +380,9 @@
     }
 
     fn finish(&self, backend: &BackendId) {
+        if let Some(last) = self.last_event {
+            self.forwarder.demand.note_events(&self.call.route.name, last);
+        }
         emit(&StreamFinished {
             request: self.call.log_id(),
             backend: backend.to_string(),
--- a/crates/beamwall-gateway/src/usage.rs
+++ b/crates/beamwall-gateway/src/usage.rs
@@ -63,14 +63,14 @@
         prune(&mut state.own, window);
     }
 
-    /// This node's own counts, to be told to the others.
-    pub fn own(&self) -> Vec<WindowCounts> {
+    /// This node's own counts in its newest windows, at most `windows`, to be told to the others.
+    pub fn recent(&self, windows: usize) -> Vec<WindowCounts> {
         let state = self.lock();
         let window = |(window, counts): (&u64, &BTreeMap<TenantName, u64>)| WindowCounts {
             window: *window,
             counts: counts.clone(),
         };
-        state.own.iter().map(window).collect()
+        state.own.iter().rev().take(windows).map(window).collect()
     }
 
     /// Takes what one life of another node counted; counts only grow.
--- a/crates/beamwall-gateway/tests/choice.rs
+++ b/crates/beamwall-gateway/tests/choice.rs
@@ -104,7 +104,9 @@
     work.begin_answer();
     assert_eq!(book.total(&engine), OpenLoad { requests: 3, prompt_tokens: 100 });
     drop(work);
-    book.retain_peers(|_| false);
+    book.set_peer(&"n1".into(), [(engine.clone(), OpenLoad { requests: 1, prompt_tokens: 7 })].into());
+    assert_eq!(book.total(&engine), OpenLoad { requests: 1, prompt_tokens: 7 });
+    book.forget_peer(&"n1".into());
     assert_eq!(book.total(&engine), OpenLoad::default());
     assert!(book.own().is_empty());
 }
--- a/crates/beamwall-gateway/tests/scaling.rs
+++ b/crates/beamwall-gateway/tests/scaling.rs
@@ -24,8 +24,13 @@
 fn an_idle_zone_keeps_one_lasting_and_one_reclaimable() {
     let zones = [supply("a", 0, false)];
     let limits = limits(true);
-    let orders =
-        plan(&ScalingInputs { service: &"model".into(), limits: &limits, zones: &zones, offered_load: 0.0 });
+    let orders = plan(&ScalingInputs {
+        service: &"model".into(),
+        limits: &limits,
+        zones: &zones,
+        offered_load: 0.0,
+        floor: 0,
+    });
     let wanted: Vec<(bool, u32)> = orders.iter().map(|order| (order.reclaimable, order.wanted)).collect();
     assert_eq!(wanted, [(false, 1), (true, 1)]);
 }
@@ -35,14 +40,24 @@
 fn what_cannot_be_had_as_reclaimable_is_ordered_as_lasting() {
     let zones = [supply("a", 0, true), supply("b", 3, false)];
     let limits = limits(true);
-    let orders =
-        plan(&ScalingInputs { service: &"model".into(), limits: &limits, zones: &zones, offered_load: 4.0 });
+    let orders = plan(&ScalingInputs {
+        service: &"model".into(),
+        limits: &limits,
+        zones: &zones,
+        offered_load: 4.0,
+        floor: 0,
+    });
     let lasting: Vec<u32> =
         orders.iter().filter(|order| !order.reclaimable).map(|order| order.wanted).collect();
     assert_eq!(lasting, [4, 1]);
     // Headroom alone is not worth lasting ones.
-    let idle =
-        plan(&ScalingInputs { service: &"model".into(), limits: &limits, zones: &zones, offered_load: 0.0 });
+    let idle = plan(&ScalingInputs {
+        service: &"model".into(),
+        limits: &limits,
+        zones: &zones,
+        offered_load: 0.0,
+        floor: 0,
+    });
     assert!(idle.iter().all(|order| order.wanted == 1));
 }
 
@@ -55,7 +70,13 @@
             .iter()
             .map(|zone| Ok(supply(zone, random.int_in_range(0..=6)?, random.arbitrary()?)))
             .collect::<arbtest::arbitrary::Result<_>>()?;
-        let inputs = ScalingInputs { service: &"model".into(), limits: &limits, zones: &zones, offered_load };
+        let inputs = ScalingInputs {
+            service: &"model".into(),
+            limits: &limits,
+            zones: &zones,
+            offered_load,
+            floor: random.int_in_range(0..=8)?,
+        };
         let orders = plan(&inputs);
         for zone in &zones {
             let of_zone = orders.iter().filter(|order| order.zone == zone.zone);
@@ -73,8 +94,13 @@
 fn only_orders_that_differ_from_the_last_are_given() {
     let zones = [supply("a", 0, false)];
     let limits = limits(true);
-    let inputs =
-        ScalingInputs { service: &"model".into(), limits: &limits, zones: &zones, offered_load: 0.0 };
+    let inputs = ScalingInputs {
+        service: &"model".into(),
+        limits: &limits,
+        zones: &zones,
+        offered_load: 0.0,
+        floor: 0,
+    };
     let orders = plan(&inputs);
     let mut ordered: BTreeMap<OrderKey, u32> =
         orders.iter().map(|order| (OrderKey::of(order), order.wanted)).collect();
@@ -82,3 +108,19 @@
     ordered.insert(OrderKey::of(&orders[0]), 5);
     assert_eq!(changed(&orders, &ordered), [orders[0].clone()]);
 }
+
+/// On a large deployment engines were given back before the first request and lacked for ten seconds.
+#[test]
+fn the_floor_is_kept_as_reclaimable_while_the_load_is_not_known() {
+    let zones = [supply("a", 0, false)];
+    let limits = limits(true);
+    let orders = plan(&ScalingInputs {
+        service: &"model".into(),
+        limits: &limits,
+        zones: &zones,
+        offered_load: 0.0,
+        floor: 5,
+    });
+    let wanted: Vec<(bool, u32)> = orders.iter().map(|order| (order.reclaimable, order.wanted)).collect();
+    assert_eq!(wanted, [(false, 1), (true, 4)]);
+}
--- a/crates/beamwall-gateway/tests/usage.rs
+++ b/crates/beamwall-gateway/tests/usage.rs
@@ -26,14 +26,14 @@
     let (here, before, after) =
         (UsageLedger::new(WINDOW), UsageLedger::new(WINDOW), UsageLedger::new(WINDOW));
     before.record(&"alder".into(), second(11));
-    here.merge(&"n1".into(), 1, before.own());
-    here.merge(&"n1".into(), 1, before.own());
+    here.merge(&"n1".into(), 1, before.recent(3));
+    here.merge(&"n1".into(), 1, before.recent(3));
     // The node is killed and counts anew in its next life.
     after.record(&"alder".into(), second(12));
     after.record(&"alder".into(), second(13));
-    here.merge(&"n1".into(), 2, after.own());
+    here.merge(&"n1".into(), 2, after.recent(3));
     // A telling of the earlier life that arrives late changes nothing.
-    here.merge(&"n1".into(), 1, before.own());
+    here.merge(&"n1".into(), 1, before.recent(3));
     assert_eq!(here.total(2).counts, [("alder".into(), 3)].into());
 }
 
@@ -43,6 +43,7 @@
     for number in 0..100 {
         ledger.record(&"alder".into(), second(number * 5));
     }
-    assert!(ledger.own().len() < 20);
+    assert!(ledger.recent(100).len() < 20);
+    assert_eq!(ledger.recent(2).iter().map(|counts| counts.window).collect::<Vec<_>>(), [99, 98]);
     assert_eq!(ledger.total(99).counts, [("alder".into(), 1)].into());
 }
--- a/crates/beamwall-node/src/gateway/beat.rs
+++ b/crates/beamwall-node/src/gateway/beat.rs
@@ -4,8 +4,8 @@
 
 use beamwall_gateway::load::OpenLoad;
 use beamwall_gateway::usage::WindowCounts;
-use beamwall_model::{BackendId, TenantName};
-use beamwall_peer::gateway_message::{BackendLoad, QuotaUse, UsageCount, UsageWindow};
+use beamwall_model::{BackendId, ServiceName, TenantName};
+use beamwall_peer::gateway_message::{BackendLoad, QuotaUse, ServiceDemand, UsageCount, UsageWindow};
 
 /// Open work as told.
 pub fn encode_loads(loads: Vec<(BackendId, OpenLoad)>) -> Vec<BackendLoad> {
@@ -37,6 +37,20 @@
     uses.iter().map(|one| (TenantName::new(&one.tenant), one.passed)).collect()
 }
 
+/// Demands as told.
+pub fn encode_demands(demands: HashMap<ServiceName, f64>) -> Vec<ServiceDemand> {
+    let encode = |(service, busy): (ServiceName, f64)| ServiceDemand {
+        service: service.to_string(),
+        busy: busy as f32,
+    };
+    demands.into_iter().map(encode).collect()
+}
+
+/// Demands as heard.
+pub fn decode_demands(demands: &[ServiceDemand]) -> HashMap<ServiceName, f64> {
+    demands.iter().map(|demand| (ServiceName::new(&demand.service), f64::from(demand.busy))).collect()
+}
+
 /// Usage as told.
 pub fn encode_usage(windows: Vec<WindowCounts>) -> Vec<UsageWindow> {
     let count = |(tenant, requests): (TenantName, u64)| UsageCount { tenant: tenant.to_string(), requests };
--- /dev/null
+++ b/crates/beamwall-node/src/gateway/chooser.rs
@@ -0,0 +1,48 @@
+//! Chooses the few nodes of a zone that do something for the others.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use beamwall_model::{NodeId, ZoneName, rendezvous};
+use beamwall_peer::MemberState;
+
+use crate::shared::MembershipView;
+
+/// Time between two looks at who is chosen.
+const CHECK_PERIOD: Duration = Duration::from_millis(250);
+
+/// Chooses nodes of this zone by rendezvous hash among those alive.
+#[derive(Clone)]
+pub struct ZoneChooser {
+    node: NodeId,
+    zone: ZoneName,
+    members: Arc<ArcSwap<MembershipView>>,
+}
+
+impl ZoneChooser {
+    /// A chooser for one node, from what it knows of members.
+    pub fn new(node: NodeId, zone: ZoneName, members: Arc<ArcSwap<MembershipView>>) -> Self {
+        Self { node, zone, members }
+    }
+
+    /// Whether this node is among the `count` of its zone that do `what`. Nodes that drain are not
+    /// counted: they are about to stop.
+    pub fn is_chosen(&self, what: &str, count: usize) -> bool {
+        let view = self.members.load();
+        let in_zone = view.members.iter().filter(|member| {
+            member.zone == self.zone && member.state == MemberState::Alive && !member.draining
+        });
+        let mut candidates: Vec<&NodeId> = in_zone.map(|member| &member.node).collect();
+        candidates.push(&self.node);
+        let chosen = rendezvous::choose(what.as_bytes(), &candidates, count, |node| node.as_str());
+        chosen.contains(&&&self.node)
+    }
+
+    /// Returns as soon as this node is chosen.
+    pub async fn wait_chosen(&self, what: &str, count: usize) {
+        while !self.is_chosen(what, count) {
+            tokio::time::sleep(CHECK_PERIOD).await;
+        }
+    }
+}
--- a/crates/beamwall-node/src/gateway/duties.rs
+++ b/crates/beamwall-node/src/gateway/duties.rs
@@ -14,7 +14,7 @@
 use beamwall_gateway::scaling::{self, OrderKey, ScalingInputs, ZoneSupply};
 use beamwall_gateway::usage::WindowCounts;
 use beamwall_gateway::{DutyError, DutyPort, Gateway};
-use beamwall_model::{NodeId, ZoneName};
+use beamwall_model::{NodeId, ServiceName, ZoneName};
 use beamwall_policy::Service;
 use beamwall_store::object::ABSENT;
 use beamwall_store::{Lease, LeaseState, Object, Settled, Version, VersionedObjects, put_settled};
@@ -23,6 +23,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::gateway::chooser::ZoneChooser;
 use crate::gateway::exchange::Exchange;
 
 /// Time between two looks at what is due.
@@ -43,12 +44,16 @@
 const ORDER_PAUSE: Duration = Duration::from_secs(3);
 /// Time after a refusal for which reclaimable back ends count as not to be had.
 const EXHAUSTED_FOR: Duration = Duration::from_millis(4_500);
+/// Time between renewals and between looks at somebody else's lease.
+const RENEW_PERIOD: Duration = Duration::from_secs(1);
+/// Nodes of a zone that contend for the lease.
+const CONTENDERS_PER_ZONE: usize = 2;
 /// The lease on all duties.
 const LEASE_NAME: &str = "gateway-duties";
 /// The object that holds fixed counts.
 const USAGE_KEY: &str = "reports/usage";
-/// Open model requests that keep one engine fully busy.
-const REQUESTS_PER_BUSY_ENGINE: f64 = 12.0;
+/// Time after the first request for which the number of back ends found at the start is kept.
+const DEMAND_UNKNOWN_FOR: Duration = Duration::from_secs(5);
 /// Weight of the newest sample when the offered load falls; when it rises it is taken at once.
 const LOAD_FALL_WEIGHT: f64 = 0.02;
 
@@ -80,6 +85,40 @@
     next_scaling: Option<Instant>,
 }
 
+/// The demand for one service as followed for planning.
+#[derive(Debug, Default)]
+struct FollowedDemand {
+    /// Busy back ends: up at once, down slowly.
+    busy: f64,
+    /// Most back ends seen before the demand was known.
+    found: usize,
+    first_request: Option<Instant>,
+}
+
+impl FollowedDemand {
+    fn follow(&mut self, gateway: &Gateway, service: &ServiceName) {
+        let asked = gateway.forwarder.demand.total(service);
+        if asked.is_some_and(|busy| busy > 0.0) {
+            self.first_request.get_or_insert_with(Instant::now);
+        }
+        let newest = asked.unwrap_or(0.0);
+        self.busy = newest.max(self.busy * (1.0 - LOAD_FALL_WEIGHT) + newest * LOAD_FALL_WEIGHT);
+        if self.is_unknown() {
+            let usable = gateway.forwarder.directory.load().usable(service).count();
+            self.found = self.found.max(usable);
+        }
+    }
+
+    fn is_unknown(&self) -> bool {
+        self.first_request.is_none_or(|at| at.elapsed() < DEMAND_UNKNOWN_FOR)
+    }
+
+    /// Back ends that each of `zones` keeps while the demand is not known.
+    fn floor(&self, zones: usize) -> u32 {
+        if self.is_unknown() { (self.found / zones.max(1)) as u32 } else { 0 }
+    }
+}
+
 /// The duties of one node.
 pub struct Duties {
     node: NodeId,
@@ -90,8 +129,9 @@
     objects: Arc<dyn VersionedObjects>,
     port: Arc<dyn DutyPort>,
     exchange: Arc<Exchange>,
+    chooser: ZoneChooser,
     first_window: u64,
-    offered: BTreeMap<String, f64>,
+    demands: BTreeMap<ServiceName, FollowedDemand>,
 }
 
 impl Duties {
@@ -102,6 +142,7 @@
         objects: Arc<dyn VersionedObjects>,
         port: Arc<dyn DutyPort>,
         exchange: Arc<Exchange>,
+        chooser: ZoneChooser,
     ) -> Self {
         let (first_window, _) = gateway.forwarder.usage.window_at(SystemTime::now());
         Self {
@@ -113,19 +154,20 @@
             objects,
             port,
             exchange,
+            chooser,
             first_window,
-            offered: BTreeMap::new(),
+            demands: BTreeMap::new(),
         }
     }
 
     /// Contends for the lease and does what is due while holding it, until the task is ended.
     pub async fn run(mut self) {
         let (lease, state) = Lease::over(LEASE_NAME, self.node.clone(), self.objects.clone());
-        let _renewal = AbortOnDrop(tokio::spawn(lease.run()));
+        let _contending = AbortOnDrop(tokio::spawn(contend(lease, state.clone(), self.chooser.clone())));
         let mut tenure: Option<Tenure> = None;
         loop {
             tokio::time::sleep(PERIOD).await;
-            self.follow_load();
+            self.follow_demand();
             let epoch = state.borrow().held_epoch();
             log_change(tenure.as_ref().map(|tenure| tenure.epoch), epoch);
             let Some(epoch) = epoch else {
@@ -230,17 +272,12 @@
         }
     }
 
-    /// Follows the load offered to each service that is scaled: up at once, down slowly.
-    fn follow_load(&mut self) {
+    /// Follows the demand for each service that is scaled: up at once, down slowly.
+    fn follow_demand(&mut self) {
         let policy = self.gateway.policy.load();
-        let directory = self.gateway.forwarder.directory.load();
         for service in policy.policy().services.iter().filter(|service| service.scaling.is_some()) {
-            let loads = &self.gateway.forwarder.knowledge.loads;
-            let open = |backend: &beamwall_gateway::Backend| loads.total(&backend.id).requests;
-            let backends = directory.backends().filter(|backend| backend.service == service.name);
-            let busy = f64::from(backends.map(open).sum::<u32>()) / REQUESTS_PER_BUSY_ENGINE;
-            let known = self.offered.entry(service.name.to_string()).or_insert(0.0);
-            *known = busy.max(*known * (1.0 - LOAD_FALL_WEIGHT) + busy * LOAD_FALL_WEIGHT);
+            let known = self.demands.entry(service.name.clone()).or_default();
+            known.follow(&self.gateway, &service.name);
         }
     }
 
@@ -287,7 +324,7 @@
     }
 
     fn offered_to(&self, service: &Service) -> f64 {
-        self.offered.get(service.name.as_str()).copied().unwrap_or(0.0)
+        self.demands.get(&service.name).map_or(0.0, |demand| demand.busy)
     }
 
     fn orders_for(&self, service: &Service, tenure: &Tenure) -> Vec<CapacityOrder> {
@@ -299,11 +336,23 @@
             limits,
             zones: &zones,
             offered_load: self.offered_to(service),
+            floor: self.demands.get(&service.name).map_or(0, |demand| demand.floor(zones.len())),
         };
         scaling::changed(&scaling::plan(&inputs), &tenure.ordered)
     }
 }
 
+/// Renews the lease while this node holds it, and contends for it while it is chosen to.
+async fn contend(mut lease: Lease, state: watch::Receiver<LeaseState>, chooser: ZoneChooser) {
+    loop {
+        let holds = state.borrow().held_epoch().is_some();
+        if holds || chooser.is_chosen(LEASE_NAME, CONTENDERS_PER_ZONE) {
+            let _ = lease.step().await;
+        }
+        tokio::time::sleep(RENEW_PERIOD).await;
+    }
+}
+
 /// Ends a task when its owner is dropped.
 struct AbortOnDrop(tokio::task::JoinHandle<()>);
 
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -6,15 +6,15 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use beamwall_gateway::ports::DirectorySnapshot;
 use beamwall_gateway::quota::Sharing;
 use beamwall_gateway::{Backend, Directory, Gateway};
-use beamwall_model::{NodeId, ZoneName};
+use beamwall_model::{NodeId, ServiceName, ZoneName};
 use beamwall_peer::gateway_message::{
     DirectoryRequest, DirectoryWhole, GatewayBeat, PolicyRequest, PolicyWhole,
 };
@@ -33,17 +33,23 @@
 use crate::shared::MembershipView;
 
 /// Members up to which every node speaks with every other; beyond, membership picks targets.
-const FULL_MESH_LIMIT: usize = 24;
+const FULL_MESH_LIMIT: usize = 128;
 /// Time that a node's own watch gets to bring what a peer has, before the peer is asked.
 const OWN_WATCH_TIME: Duration = Duration::from_millis(60);
 /// Silence after which a peer may be cut off.
-const HEARD_WITHIN: Duration = Duration::from_millis(1_600);
+const HEARD_WITHIN: Duration = Duration::from_millis(2_400);
 /// Time for which a dead member keeps its part of quotas.
 const DEAD_COUNTED_FOR: Duration = Duration::from_secs(20);
 /// Time after the start until all members are known.
 const INTRODUCTION_TIME: Duration = Duration::from_secs(3);
+/// Usage windows told in a heartbeat: the ones that may still be reported.
+const TOLD_WINDOWS: usize = 3;
 /// Least time between two heartbeats.
 const LEAST_PERIOD: Duration = Duration::from_millis(40);
+/// The same for each member.
+const LEAST_PERIOD_PER_MEMBER: Duration = Duration::from_micros(2_500);
+/// Members up to which heartbeats keep the usual period.
+const SMALL_DEPLOYMENT: u32 = 24;
 /// Longest wait for a peer's answer.
 const ANSWER_LIMIT: Duration = Duration::from_millis(800);
 
@@ -81,6 +87,8 @@
     pub news: Arc<Notify>,
     /// When this life began.
     pub started: Instant,
+    /// When demand was last measured.
+    pub demand_closed: Mutex<Instant>,
     /// What is being asked of a peer.
     pub fetching: Fetching,
 }
@@ -110,20 +118,30 @@
 
     /// Sends heartbeats, every period and at once when something is newer, until the task is ended.
     pub async fn send_beats(self: Arc<Self>) {
-        let period = MembershipTiming::default().period;
         loop {
+            let (period, pause) = self.beat_timing();
             let _ = tokio::time::timeout(period, self.news.notified()).await;
             self.beat().await;
-            tokio::time::sleep(LEAST_PERIOD).await;
+            tokio::time::sleep(pause).await;
         }
     }
 
+    /// The longest time between two heartbeats and the shortest: both grow with the number of members,
+    /// since each heartbeat goes to all of them.
+    fn beat_timing(&self) -> (Duration, Duration) {
+        let members = u32::try_from(self.members.load().members.len()).unwrap_or(u32::MAX);
+        let usual = MembershipTiming::default().period;
+        let period = if members > SMALL_DEPLOYMENT { usual * 2 } else { usual };
+        (period, LEAST_PERIOD.max(LEAST_PERIOD_PER_MEMBER * members))
+    }
+
     /// Sends one heartbeat to every peer.
     pub async fn beat(&self) {
         self.share_quotas();
         let Ok(tick) = self.membership.ask(Tick).await else { return };
         let quota_uses = beat::encode_quota_uses(self.gateway.quotas.tell());
-        let beat = GatewayBeat { quota_uses, ..self.to_reply(tick.updates) };
+        let demands = beat::encode_demands(self.close_demand_period());
+        let beat = GatewayBeat { quota_uses, demands, ..self.to_reply(tick.updates) };
         let probe = self.envelope(Body::GatewayBeat(GatewayBeat { wants_answer: true, ..beat.clone() }));
         let plain = self.envelope(Body::GatewayBeat(beat));
         let probed: HashSet<SocketAddr> =
@@ -138,10 +156,18 @@
             probers.iter().for_each(|prober| self.network.send(*prober, &question));
         }
         for node in tick.died {
-            self.gateway.forwarder.knowledge.loads.set_peer(&node, HashMap::new());
+            self.gateway.forwarder.knowledge.loads.forget_peer(&node);
+            self.gateway.forwarder.demand.forget_peer(&node);
         }
     }
 
+    fn close_demand_period(&self) -> HashMap<ServiceName, f64> {
+        let mut closed = self.demand_closed.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        let length = now.duration_since(std::mem::replace(&mut *closed, now));
+        self.gateway.forwarder.demand.close_period(length)
+    }
+
     /// Everyone alive while there are few, those that membership picks, and seeds not known yet.
     fn targets(&self, picked: impl Iterator<Item = SocketAddr>) -> HashSet<SocketAddr> {
         let view = self.members.load();
@@ -167,9 +193,10 @@
             directory_revision: directory.revision(),
             directory_digest: directory.digest(),
             quota_uses: Vec::new(),
+            demands: Vec::new(),
             loads: beat::encode_loads(forwarder.knowledge.loads.own()),
             life: self.life,
-            usage: beat::encode_usage(forwarder.usage.own()),
+            usage: beat::encode_usage(forwarder.usage.recent(TOLD_WINDOWS)),
         }
     }
 
@@ -208,6 +235,7 @@
             if self.started.elapsed() < INTRODUCTION_TIME { known.max(self.expected_nodes) } else { known };
         let policy = self.gateway.policy.load();
         self.gateway.quotas.share(Sharing { heard, known }, &policy.policy().tenants, now);
+        self.gateway.forwarder.retries.divide_among(known);
     }
 
     /// Handles messages until the network closes.
@@ -271,6 +299,9 @@
         let forwarder = &self.gateway.forwarder;
         forwarder.knowledge.loads.set_peer(&node, beat::decode_loads(beat.loads));
         forwarder.usage.merge(&node, beat.life, beat::decode_usage(beat.usage));
+        if !beat.demands.is_empty() {
+            forwarder.demand.set_peer(&node, beat::decode_demands(&beat.demands));
+        }
         self.gateway.quotas.hear(&node, beat.life, beat::decode_quota_uses(&beat.quota_uses));
         if beat.policy_version > self.gateway.policy.load().version() {
             tokio::spawn(self.clone().fetch_policy(address, beat.policy_version));
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! node does for all run under a lease.
 
 pub mod beat;
+pub mod chooser;
 pub mod drain;
 pub mod duties;
 pub mod exchange;
@@ -21,6 +22,7 @@
 use beamwall_events::emit;
 use beamwall_events::internal_events::NodeStarted;
 use beamwall_gateway::candidates::Knowledge;
+use beamwall_gateway::demand::DemandBook;
 use beamwall_gateway::forward::{Forwarder, RetryBudgets};
 use beamwall_gateway::metrics::GatewayMetrics;
 use beamwall_gateway::quota::QuotaBook;
@@ -41,6 +43,7 @@
 use crate::actors::membership::MembershipActor;
 use crate::actors::policy::PolicyActor;
 use crate::error::NodeError;
+use crate::gateway::chooser::ZoneChooser;
 use crate::gateway::duties::Duties;
 use crate::gateway::exchange::Exchange;
 use crate::gateway::readiness::{Readiness, StatusHandler};
@@ -119,16 +122,28 @@
         let callers =
             tokio::spawn(serve(callers, GatewayHandler::new(gateway.clone()), stopping.subscribe()));
         let status_handler = StatusHandler::new(readiness.clone(), registry, ports.readiness_path);
+        let chooser =
+            ZoneChooser::new(settings.node.clone(), settings.zone.clone(), exchange.members.clone());
         let mut tasks = vec![
             tokio::spawn(serve_forever(readiness_listener, status_handler.clone())),
             tokio::spawn(serve_forever(metrics_listener, status_handler)),
-            tokio::spawn(watches::follow_policy(ports.store.clone(), policy_actor, status.clone())),
-            tokio::spawn(watches::follow_backends(ports.store.clone(), directory_actor, status)),
+            tokio::spawn(watches::follow_policy(
+                ports.store.clone(),
+                policy_actor,
+                status.clone(),
+                chooser.clone(),
+            )),
+            tokio::spawn(watches::follow_backends(
+                ports.store.clone(),
+                directory_actor,
+                status,
+                chooser.clone(),
+            )),
             tokio::spawn(exchange.clone().send_beats()),
             tokio::spawn(exchange.clone().receive(inbox)),
         ];
         if let Some(port) = ports.duties {
-            let duties = Duties::new(&settings, gateway, ports.objects, port, exchange.clone());
+            let duties = Duties::new(&settings, gateway, ports.objects, port, exchange.clone(), chooser);
             tasks.push(tokio::spawn(duties.run()));
         }
         Ok(Self { readiness, exchange, settings, stopping, callers, tasks })
@@ -184,14 +199,15 @@
 ) -> Result<Arc<Gateway>, NodeError> {
     let nodes = settings.expected_nodes.max(1);
     let percent = (settings.retry_ratio * RETRY_RATIO_USED * 100.0) as u32;
-    let saved = (settings.retry_extra * RETRY_EXTRA_USED / nodes as f64) as i64;
+    let extra = settings.retry_extra * RETRY_EXTRA_USED;
     let forwarder = Arc::new(Forwarder {
         zone: settings.zone.clone(),
         dialect: ports.dialect.clone(),
         pool: Pool::new(CONNECT_LIMIT),
         directory: directory.clone(),
         knowledge: Knowledge::default(),
-        retries: RetryBudgets::new(percent, saved),
+        demand: DemandBook::default(),
+        retries: RetryBudgets::new(percent, extra, nodes),
         usage: UsageLedger::new(settings.usage_window),
         metrics: GatewayMetrics::new(registry)?,
     });
@@ -231,6 +247,7 @@
         readiness: readiness.clone(),
         news,
         started: Instant::now(),
+        demand_closed: std::sync::Mutex::new(Instant::now()),
         fetching: Default::default(),
     }
 }
--- a/crates/beamwall-node/src/gateway/watches.rs
+++ b/crates/beamwall-node/src/gateway/watches.rs
@@ -1,5 +1,8 @@
 //! Follows the store of decisions: one watch over the policy and one over the back ends.
 //!
+//! In a large zone a few nodes watch and tell the others; who does is chosen by rendezvous hash among
+//! those alive, so that another takes over as soon as one is missed. Every node reads once at its start.
+//!
 //! A watch that fails is taken up again at the revision it had reached, so nothing between is
 //! missed; when that history is gone, everything is read anew. Waits are short, because a watch
 //! on a connection that died silently hears nothing until its time is over.
@@ -13,10 +16,13 @@
 
 use crate::actors::directory::{ApplyChanges, DirectoryActor, TakeSnapshot};
 use crate::actors::policy::{OfferPolicy, PolicyActor};
+use crate::gateway::chooser::ZoneChooser;
 use crate::gateway::store_status::StoreStatus;
 
 /// Longest wait of one watch call.
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
+/// Nodes of a zone that watch each subject.
+const WATCHERS_PER_ZONE: usize = 3;
 /// First pause after a failure; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause.
@@ -51,10 +57,14 @@
     store: Arc<dyn ControlStore>,
     policy: ActorRef<PolicyActor>,
     status: Arc<StoreStatus>,
+    chooser: ZoneChooser,
 ) {
     let mut backoff = Backoff::new();
     let mut reached: Option<u64> = None;
     loop {
+        if reached.is_some() {
+            chooser.wait_chosen(POLICY, WATCHERS_PER_ZONE).await;
+        }
         let answer = match reached {
             None => store.policy().await,
             Some(revision) => store.watch_policy(revision, WATCH_WAIT).await,
@@ -82,10 +92,14 @@
     store: Arc<dyn ControlStore>,
     directory: ActorRef<DirectoryActor>,
     status: Arc<StoreStatus>,
+    chooser: ZoneChooser,
 ) {
     let mut backoff = Backoff::new();
     let mut reached: Option<u64> = None;
     loop {
+        if reached.is_some() {
+            chooser.wait_chosen(BACKENDS, WATCHERS_PER_ZONE).await;
+        }
         let step = match reached {
             None => read_whole(store.as_ref(), &directory).await,
             Some(revision) => watch_on(store.as_ref(), &directory, revision).await,
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -37,6 +37,20 @@
     /// Usage counted in this life.
     #[prost(message, repeated, tag = "9")]
     pub usage: Vec<UsageWindow>,
+    /// Work that callers ask for at the sender.
+    #[prost(message, repeated, tag = "10")]
+    pub demands: Vec<ServiceDemand>,
+}
+
+/// Work that callers ask for at the sender.
+#[derive(Clone, PartialEq, Message)]
+pub struct ServiceDemand {
+    /// Service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Back ends that it keeps busy.
+    #[prost(float, tag = "2")]
+    pub busy: f32,
 }
 
 /// Work of a tenant that the sender let pass.
--- a/crates/beamwall-routing/src/retry.rs
+++ b/crates/beamwall-routing/src/retry.rs
@@ -11,27 +11,37 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     credit: AtomicI64,
-    saved_retries: i64,
+    most_saved: AtomicI64,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self { credit: AtomicI64::new(SAVED_RETRIES * RETRY_COST), saved_retries: SAVED_RETRIES }
+        let saved = SAVED_RETRIES * RETRY_COST;
+        Self { credit: AtomicI64::new(saved), most_saved: AtomicI64::new(saved) }
     }
 }
 
 impl RetryBudget {
-    /// A budget that saves up to `saved_retries` and starts with half of them: a process that is
-    /// started again and again must not spend the whole each time.
-    pub fn saving(saved_retries: i64) -> Self {
-        Self { credit: AtomicI64::new(saved_retries * RETRY_COST / 2), saved_retries }
+    /// A budget that starts empty: a process that is started again and again must not spend anew each
+    /// time. It saves up to `most_saved` retries, which may be a fraction.
+    pub fn empty(most_saved: f64) -> Self {
+        let budget = Self { credit: AtomicI64::new(0), most_saved: AtomicI64::new(0) };
+        budget.set_most_saved(most_saved);
+        budget
+    }
+
+    /// Changes how many retries may be saved up.
+    pub fn set_most_saved(&self, most_saved: f64) {
+        let most = (most_saved * RETRY_COST as f64) as i64;
+        self.most_saved.store(most.max(RETRY_COST), Ordering::Relaxed);
     }
 
     /// Notes a first attempt, which earns `percent` of a retry.
     pub fn earn(&self, percent: u32) {
         let earned = i64::from(percent) * RETRY_COST / 100;
+        let most_saved = self.most_saved.load(Ordering::Relaxed);
         let _ = self.credit.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |credit| {
-            Some((credit + earned).min(self.saved_retries * RETRY_COST))
+            Some((credit + earned).min(most_saved))
         });
     }
 
