--- a/crates/beamwall-node/src/gateway/duties.rs
+++ b/crates/beamwall-node/src/gateway/duties.rs
@@ -54,6 +54,8 @@
 const USAGE_KEY: &str = "reports/usage";
 /// Time after the first request for which the number of back ends found at the start is kept.
 const DEMAND_UNKNOWN_FOR: Duration = Duration::from_secs(5);
+/// Time without a new back end after which all seem to be listed.
+const LIST_SETTLES: Duration = Duration::from_secs(3);
 /// Weight of the newest sample when the offered load falls; when it rises it is taken at once.
 const LOAD_FALL_WEIGHT: f64 = 0.02;
 
@@ -92,6 +94,8 @@
     busy: f64,
     /// Most back ends seen before the demand was known.
     found: usize,
+    /// When there were last more than before: at the start they are listed one after another.
+    found_at: Option<Instant>,
     first_request: Option<Instant>,
 }
 
@@ -105,10 +109,19 @@
         self.busy = newest.max(self.busy * (1.0 - LOAD_FALL_WEIGHT) + newest * LOAD_FALL_WEIGHT);
         if self.is_unknown() {
             let usable = gateway.forwarder.directory.load().usable(service).count();
-            self.found = self.found.max(usable);
+            if usable > self.found {
+                self.found = usable;
+                self.found_at = Some(Instant::now());
+            }
         }
     }
 
+    /// Whether a plan can be made: the demand is known, or all back ends seem to be listed.
+    fn is_settled(&self) -> bool {
+        let listed = self.found_at.is_some_and(|at| at.elapsed() >= LIST_SETTLES);
+        listed || !self.is_unknown()
+    }
+
     fn is_unknown(&self) -> bool {
         self.first_request.is_none_or(|at| at.elapsed() < DEMAND_UNKNOWN_FOR)
     }
@@ -283,7 +296,9 @@
 
     async fn order_due(&self, tenure: &mut Tenure, lease: &watch::Receiver<LeaseState>) {
         let policy = self.gateway.policy.load_full();
-        for service in &policy.policy().services {
+        let is_settled =
+            |service: &&Service| self.demands.get(&service.name).is_some_and(FollowedDemand::is_settled);
+        for service in policy.policy().services.iter().filter(is_settled) {
             for order in self.orders_for(service, tenure) {
                 let key = OrderKey::of(&order);
                 if tenure.refused.get(&key).is_some_and(|at| at.elapsed() < ORDER_PAUSE) {
