Engine plan: stand-ins stay until cheap engines serve, missing ones are ordered again

A silent stream was broken off although no engine was left to ask. Change: stand-ins stay until reclaimable ones take requests and are planned at 0.75 of their time; numbers are divided over all zones, cheapest first; orders whose engines are missing after the boot time are repeated; a stream that can't move waits on.

--- a/crates/beamwall-gateway/src/scaling.rs
+++ b/crates/beamwall-gateway/src/scaling.rs
@@ -5,9 +5,11 @@
 //! reclaimable ones; what is wanted and can't be had as reclaimable is ordered as lasting.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use beamwall_model::{ServiceName, ZoneName};
 use beamwall_policy::ScalingLimits;
+use tokio::time::Instant;
 
 use crate::ports::CapacityOrder;
 
@@ -16,9 +18,13 @@
 pub struct ZoneSupply {
     /// The zone.
     pub zone: ZoneName,
+    /// Lasting back ends that take requests.
+    pub lasting_usable: u32,
     /// Reclaimable back ends that take requests.
     pub reclaimable_usable: u32,
-    /// Whether an order of reclaimable ones was refused a moment ago.
+    /// Lasting back ends that are ordered.
+    pub lasting_ordered: u32,
+    /// Whether the last order of reclaimable ones was refused.
     pub is_exhausted: bool,
 }
 
@@ -33,54 +39,113 @@
     pub zones: &'a [ZoneSupply],
     /// Work that callers ask for at all nodes, in busy back ends: 1.0 keeps one fully busy.
     pub offered_load: f64,
-    /// Back ends that each zone holds at least, within its limits: while the load is not known yet.
+    /// Back ends in all zones that are kept whatever the load: while it is not known yet.
     pub floor: u32,
 }
 
-/// Part of its time that a back end should be busy at most.
+/// Part of its time that a back end should be busy at most, while cheap ones can be had.
 const TARGET_UTILISATION: f64 = 0.5;
+/// The same for lasting ones that stand in for missing reclaimable ones.
+const STAND_IN_UTILISATION: f64 = 0.75;
 /// Reclaimable back ends that a zone holds whatever the load: headroom for bursts and losses.
 const RECLAIMABLE_HEADROOM: u32 = 1;
 
 /// The orders for one service: for each zone its lasting and its reclaimable back ends.
 pub fn plan(inputs: &ScalingInputs<'_>) -> Vec<CapacityOrder> {
-    let needed = needed_in_zone(inputs);
-    inputs.zones.iter().flat_map(|supply| zone_orders(inputs, supply, needed)).collect()
+    let lowest = inputs.limits.minimum.max(1);
+    let zones = cheapest_first(inputs);
+    let base = lowest * zones.len() as u32;
+    let needed = back_ends_for(inputs.offered_load, TARGET_UTILISATION).max(inputs.floor);
+    if inputs.limits.reclaimable_price.is_none() {
+        let parts = divide(needed.saturating_sub(base), zones.len());
+        let lasting = |(zone, part): (&&ZoneSupply, u32)| order(inputs, zone, false, lowest + part);
+        return zones.iter().zip(parts).map(lasting).collect();
+    }
+    let stand_ins = divide(missing_stand_ins(inputs, lowest, base), zones.len());
+    let reclaimable = divide(needed.saturating_sub(base), zones.len());
+    let both = zones.iter().zip(stand_ins.into_iter().zip(reclaimable));
+    both.flat_map(|(zone, (stand_ins, reclaimable))| {
+        let lasting = (lowest + stand_ins).min(inputs.limits.maximum.max(lowest));
+        let room = inputs.limits.maximum.saturating_sub(lasting);
+        let reclaimable = reclaimable.max(RECLAIMABLE_HEADROOM).min(room);
+        [order(inputs, zone, false, lasting), order(inputs, zone, true, reclaimable)]
+    })
+    .collect()
 }
 
-/// Back ends that the offered load needs in each zone, within the limits.
-fn needed_in_zone(inputs: &ScalingInputs<'_>) -> u32 {
-    let needed_in_all = inputs.offered_load / TARGET_UTILISATION;
-    let each = (needed_in_all / inputs.zones.len().max(1) as f64).ceil().max(0.0) as u32;
-    let lowest = inputs.limits.minimum.max(1);
-    each.max(inputs.floor).clamp(lowest, inputs.limits.maximum.max(lowest))
+fn back_ends_for(load: f64, utilisation: f64) -> u32 {
+    (load / utilisation).ceil().max(0.0) as u32
 }
 
-fn zone_orders(inputs: &ScalingInputs<'_>, supply: &ZoneSupply, needed: u32) -> Vec<CapacityOrder> {
-    let lowest = inputs.limits.minimum.max(1);
-    let order = |reclaimable, wanted| CapacityOrder {
-        service: inputs.service.clone(),
-        zone: supply.zone.clone(),
-        reclaimable,
-        wanted,
-    };
-    if inputs.limits.reclaimable_price.is_none() {
-        return vec![order(false, needed)];
+/// The zones by price, so that what does not divide evenly goes to the cheapest.
+fn cheapest_first<'a>(inputs: &ScalingInputs<'a>) -> Vec<&'a ZoneSupply> {
+    let price = |supply: &ZoneSupply| inputs.limits.zone_prices.get(&supply.zone).copied().unwrap_or(1.0);
+    let mut zones: Vec<&ZoneSupply> = inputs.zones.iter().collect();
+    zones
+        .sort_by(|left, right| price(left).total_cmp(&price(right)).then_with(|| left.zone.cmp(&right.zone)));
+    zones
+}
+
+/// Lasting back ends beyond the base that the load needs where reclaimable ones can't be had. They stay
+/// until reclaimable ones take requests.
+fn missing_stand_ins(inputs: &ScalingInputs<'_>, lowest: u32, base: u32) -> u32 {
+    let stands_in = |supply: &ZoneSupply| supply.is_exhausted || supply.lasting_ordered > lowest;
+    if !inputs.zones.iter().any(stands_in) {
+        return 0;
     }
-    let lasting = if supply.is_exhausted {
-        needed.saturating_sub(supply.reclaimable_usable).max(lowest)
-    } else {
-        lowest
+    let present: u32 = inputs.zones.iter().map(|supply| supply.reclaimable_usable).sum();
+    back_ends_for(inputs.offered_load, STAND_IN_UTILISATION).saturating_sub(base + present)
+}
+
+/// Divides a number into equal parts; the first parts are larger by one where it does not go evenly.
+fn divide(number: u32, parts: usize) -> Vec<u32> {
+    let parts = parts.max(1) as u32;
+    (0..parts).map(|position| number / parts + u32::from(position < number % parts)).collect()
+}
+
+fn order(inputs: &ScalingInputs<'_>, supply: &ZoneSupply, reclaimable: bool, wanted: u32) -> CapacityOrder {
+    let wanted = wanted.min(inputs.limits.maximum.max(inputs.limits.minimum.max(1)));
+    CapacityOrder { service: inputs.service.clone(), zone: supply.zone.clone(), reclaimable, wanted }
+}
+
+/// An order that was given.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GivenOrder {
+    /// How many were ordered.
+    pub wanted: u32,
+    /// When.
+    pub at: Instant,
+}
+
+/// Time beyond the boot time after which ordered back ends that are missing are ordered again.
+const REPEAT_MARGIN: Duration = Duration::from_secs(2);
+
+/// The orders of `plan` that are due: those that differ from what was last ordered, and those whose
+/// back ends are missing although they had time to boot, because they crashed or were taken away.
+pub fn due(
+    plan: &[CapacityOrder],
+    given: &BTreeMap<OrderKey, GivenOrder>,
+    inputs: &ScalingInputs<'_>,
+    now: Instant,
+) -> Vec<CapacityOrder> {
+    let patience = Duration::from_millis(inputs.limits.boot_ms) + REPEAT_MARGIN;
+    let is_due = |order: &&CapacityOrder| match given.get(&OrderKey::of(order)) {
+        Some(last) if last.wanted == order.wanted => {
+            usable(inputs.zones, order) < order.wanted && now.duration_since(last.at) >= patience
+        }
+        _ => true,
     };
-    let room = inputs.limits.maximum.saturating_sub(lasting);
-    let reclaimable = needed.saturating_sub(lowest).max(RECLAIMABLE_HEADROOM).min(room);
-    vec![order(false, lasting), order(true, reclaimable)]
+    plan.iter().filter(is_due).cloned().collect()
 }
 
-/// The orders of `plan` that differ from what was last ordered.
-pub fn changed(plan: &[CapacityOrder], ordered: &BTreeMap<OrderKey, u32>) -> Vec<CapacityOrder> {
-    let differs = |order: &&CapacityOrder| ordered.get(&OrderKey::of(order)) != Some(&order.wanted);
-    plan.iter().filter(differs).cloned().collect()
+fn usable(zones: &[ZoneSupply], order: &CapacityOrder) -> u32 {
+    let supply = zones.iter().find(|supply| supply.zone == order.zone);
+    supply.map_or(
+        0,
+        |supply| {
+            if order.reclaimable { supply.reclaimable_usable } else { supply.lasting_usable }
+        },
+    )
 }
 
 /// What an order is about.
@@ -92,9 +157,9 @@
 }
 
 impl OrderKey {
-    /// The key of orders of reclaimable back ends.
-    pub fn reclaimable(service: &ServiceName, zone: &ZoneName) -> Self {
-        Self { service: service.clone(), zone: zone.clone(), reclaimable: true }
+    /// The key of orders of one kind of back end.
+    pub fn new(service: &ServiceName, zone: &ZoneName, reclaimable: bool) -> Self {
+        Self { service: service.clone(), zone: zone.clone(), reclaimable }
     }
 
     /// The key of an order.
--- a/crates/beamwall-gateway/src/stream.rs
+++ b/crates/beamwall-gateway/src/stream.rs
@@ -26,7 +26,7 @@
 /// Silence between two events after which an engine is taken for dead.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
 /// Part of the objective that a first event may take before a silent engine is left, in hundredths.
-const FIRST_EVENT_PERCENT: u32 = 60;
+const FIRST_EVENT_PERCENT: u32 = 100;
 /// Multiple of the expected time after which a silent engine is left.
 const EXPECTED_TIMES: u32 = 3;
 /// An engine that sent anything within this time is not silent.
@@ -337,7 +337,9 @@
     /// The next piece, or `None` when the caller has gone.
     async fn wait(&self, source: &mut Source) -> Option<Piece> {
         let silence = Instant::now() + SILENCE_LIMIT;
-        let may_move = self.call.route.kind.is_idempotent();
+        // A silent engine is left only where another may be asked: late events are better than none.
+        let may_move =
+            self.call.route.kind.is_idempotent() && self.attempts.sent < self.call.route.attempt_limit;
         let until = if may_move { silence.min(self.call.deadline) } else { self.call.deadline };
         tokio::select! {
             piece = source.next_piece() => Some(piece),
--- a/crates/beamwall-gateway/tests/scaling.rs
+++ b/crates/beamwall-gateway/tests/scaling.rs
@@ -1,10 +1,12 @@
 //! The plan of back ends for any load and supply.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use arbtest::arbtest;
-use beamwall_gateway::scaling::{OrderKey, ScalingInputs, ZoneSupply, changed, plan};
+use beamwall_gateway::scaling::{GivenOrder, OrderKey, ScalingInputs, ZoneSupply, due, plan};
 use beamwall_policy::ScalingLimits;
+use tokio::time::Instant;
 
 fn limits(reclaimable: bool) -> ScalingLimits {
     ScalingLimits {
@@ -17,7 +19,7 @@
 }
 
 fn supply(zone: &str, reclaimable_usable: u32, is_exhausted: bool) -> ZoneSupply {
-    ZoneSupply { zone: zone.into(), reclaimable_usable, is_exhausted }
+    ZoneSupply { zone: zone.into(), lasting_usable: 1, reclaimable_usable, lasting_ordered: 1, is_exhausted }
 }
 
 #[test]
@@ -35,30 +37,39 @@
     assert_eq!(wanted, [(false, 1), (true, 1)]);
 }
 
+fn wanted_at(load: f64, zones: &[ZoneSupply], limits: &ScalingLimits, reclaimable: bool) -> Vec<u32> {
+    let service = "model".into();
+    let inputs = ScalingInputs { service: &service, limits, zones, offered_load: load, floor: 0 };
+    let orders = plan(&inputs).into_iter().filter(|order| order.reclaimable == reclaimable);
+    orders.map(|order| order.wanted).collect()
+}
+
 /// On a busy day a reclaim left three lasting engines and none could be had for 13 s.
 #[test]
 fn what_cannot_be_had_as_reclaimable_is_ordered_as_lasting() {
-    let zones = [supply("a", 0, true), supply("b", 3, false)];
+    let zones = [supply("a", 0, true), supply("b", 1, false)];
     let limits = limits(true);
-    let orders = plan(&ScalingInputs {
-        service: &"model".into(),
-        limits: &limits,
-        zones: &zones,
-        offered_load: 4.0,
-        floor: 0,
-    });
-    let lasting: Vec<u32> =
-        orders.iter().filter(|order| !order.reclaimable).map(|order| order.wanted).collect();
-    assert_eq!(lasting, [4, 1]);
+    // Load 4.5 needs six back ends that stand in: two lasting and one reclaimable are there.
+    assert_eq!(wanted_at(4.5, &zones, &limits, false), [3, 2]);
     // Headroom alone is not worth lasting ones.
-    let idle = plan(&ScalingInputs {
-        service: &"model".into(),
-        limits: &limits,
-        zones: &zones,
-        offered_load: 0.0,
-        floor: 0,
-    });
-    assert!(idle.iter().all(|order| order.wanted == 1));
+    assert_eq!(wanted_at(0.0, &zones, &limits, false), [1, 1]);
+}
+
+#[test]
+fn what_does_not_divide_evenly_goes_to_the_cheapest_zone() {
+    let zones = [supply("a", 0, false), supply("b", 0, false)];
+    let mut limits = limits(true);
+    limits.zone_prices = [("a".into(), 1.2), ("b".into(), 0.85)].into();
+    let service = "model".into();
+    let inputs =
+        ScalingInputs { service: &service, limits: &limits, zones: &zones, offered_load: 2.5, floor: 0 };
+    let orders = plan(&inputs);
+    let reclaimable: Vec<(&str, u32)> = orders
+        .iter()
+        .filter(|order| order.reclaimable)
+        .map(|order| (order.zone.as_str(), order.wanted))
+        .collect();
+    assert_eq!(reclaimable, [("b", 2), ("a", 1)]);
 }
 
 #[test]
@@ -90,10 +101,32 @@
     });
 }
 
+/// On a busy day four lasting engines a zone were ordered and given back every five seconds.
 #[test]
-fn only_orders_that_differ_from_the_last_are_given() {
-    let zones = [supply("a", 0, false)];
+fn stand_ins_stay_until_reclaimable_ones_take_requests() {
+    let limits = limits(true);
+    let lasting = |supply: ZoneSupply| {
+        let zones = [supply];
+        let inputs = ScalingInputs {
+            service: &"model".into(),
+            limits: &limits,
+            zones: &zones,
+            offered_load: 2.0,
+            floor: 0,
+        };
+        plan(&inputs)[0].wanted
+    };
+    assert_eq!(lasting(supply("a", 0, true)), 3);
+    let booting = ZoneSupply { lasting_ordered: 4, ..supply("a", 0, false) };
+    assert_eq!(lasting(booting.clone()), 3, "the order was taken, but none serves yet");
+    assert_eq!(lasting(ZoneSupply { reclaimable_usable: 1, ..booting.clone() }), 2);
+    assert_eq!(lasting(ZoneSupply { reclaimable_usable: 2, ..booting }), 1);
+}
+
+#[test]
+fn orders_are_due_when_they_differ_or_their_back_ends_are_missing() {
     let limits = limits(true);
+    let zones = [supply("a", 1, false)];
     let inputs = ScalingInputs {
         service: &"model".into(),
         limits: &limits,
@@ -102,11 +135,18 @@
         floor: 0,
     };
     let orders = plan(&inputs);
-    let mut ordered: BTreeMap<OrderKey, u32> =
-        orders.iter().map(|order| (OrderKey::of(order), order.wanted)).collect();
-    assert!(changed(&orders, &ordered).is_empty());
-    ordered.insert(OrderKey::of(&orders[0]), 5);
-    assert_eq!(changed(&orders, &ordered), [orders[0].clone()]);
+    let at = Instant::now();
+    let mut given: BTreeMap<OrderKey, GivenOrder> =
+        orders.iter().map(|order| (OrderKey::of(order), GivenOrder { wanted: order.wanted, at })).collect();
+    let later = at + Duration::from_secs(60);
+    assert!(due(&orders, &given, &inputs, later).is_empty());
+    // The reclaimable one was taken away: it is ordered again once it had time to boot.
+    let taken = [supply("a", 0, false)];
+    let inputs = ScalingInputs { zones: &taken, ..inputs };
+    assert!(due(&orders, &given, &inputs, at + Duration::from_secs(5)).is_empty());
+    assert_eq!(due(&orders, &given, &inputs, later), [orders[1].clone()]);
+    given.insert(OrderKey::of(&orders[0]), GivenOrder { wanted: 5, at });
+    assert_eq!(due(&orders, &given, &inputs, at), [orders[0].clone()]);
 }
 
 /// On a large deployment engines were given back before the first request and lacked for ten seconds.
--- a/crates/beamwall-node/src/gateway/duties.rs
+++ b/crates/beamwall-node/src/gateway/duties.rs
@@ -11,7 +11,7 @@
 use beamwall_events::emit;
 use beamwall_events::internal_events::{CapacityOrdered, LeaseLost, LeaseTaken, UsageReported};
 use beamwall_gateway::ports::{CapacityOrder, DutyHolder};
-use beamwall_gateway::scaling::{self, OrderKey, ScalingInputs, ZoneSupply};
+use beamwall_gateway::scaling::{self, GivenOrder, OrderKey, ScalingInputs, ZoneSupply};
 use beamwall_gateway::usage::WindowCounts;
 use beamwall_gateway::{DutyError, DutyPort, Gateway};
 use beamwall_model::{NodeId, ServiceName, ZoneName};
@@ -42,8 +42,6 @@
 const WRITE_LIMIT: Duration = Duration::from_secs(2);
 /// Pause after an order that could not be carried out.
 const ORDER_PAUSE: Duration = Duration::from_secs(3);
-/// Time after a refusal for which reclaimable back ends count as not to be had.
-const EXHAUSTED_FOR: Duration = Duration::from_millis(4_500);
 /// Time between renewals and between looks at somebody else's lease.
 const RENEW_PERIOD: Duration = Duration::from_secs(1);
 /// Nodes of a zone that contend for the lease.
@@ -81,7 +79,7 @@
     epoch: u64,
     usage: Option<(Version, FixedUsage)>,
     reported_through: Option<u64>,
-    ordered: BTreeMap<OrderKey, u32>,
+    given: BTreeMap<OrderKey, GivenOrder>,
     /// When an order was last refused.
     refused: BTreeMap<OrderKey, Instant>,
     next_scaling: Option<Instant>,
@@ -126,9 +124,9 @@
         self.first_request.is_none_or(|at| at.elapsed() < DEMAND_UNKNOWN_FOR)
     }
 
-    /// Back ends that each of `zones` keeps while the demand is not known.
-    fn floor(&self, zones: usize) -> u32 {
-        if self.is_unknown() { (self.found / zones.max(1)) as u32 } else { 0 }
+    /// Back ends that are kept while the demand is not known.
+    fn floor(&self) -> u32 {
+        if self.is_unknown() { self.found as u32 } else { 0 }
     }
 }
 
@@ -318,7 +316,8 @@
                 match result {
                     Ok(()) => {
                         tenure.refused.remove(&key);
-                        tenure.ordered.insert(key, order.wanted);
+                        let given = GivenOrder { wanted: order.wanted, at: Instant::now() };
+                        tenure.given.insert(key, given);
                     }
                     Err(_) => {
                         tenure.refused.insert(key, Instant::now());
@@ -330,12 +329,18 @@
 
     fn supply(&self, service: &Service, zone: &ZoneName, tenure: &Tenure) -> ZoneSupply {
         let directory = self.gateway.forwarder.directory.load();
-        let usable = directory.usable(&service.name);
-        let reclaimable_usable =
-            usable.filter(|backend| backend.reclaimable && &backend.zone == zone).count() as u32;
-        let refused = tenure.refused.get(&OrderKey::reclaimable(&service.name, zone));
-        let is_exhausted = refused.is_some_and(|at| at.elapsed() < EXHAUSTED_FOR);
-        ZoneSupply { zone: zone.clone(), reclaimable_usable, is_exhausted }
+        let usable = |reclaimable: bool| {
+            let in_zone = directory.usable(&service.name).filter(|backend| &backend.zone == zone);
+            in_zone.filter(|backend| backend.reclaimable == reclaimable).count() as u32
+        };
+        let key = |reclaimable| OrderKey::new(&service.name, zone, reclaimable);
+        ZoneSupply {
+            zone: zone.clone(),
+            lasting_usable: usable(false),
+            reclaimable_usable: usable(true),
+            lasting_ordered: tenure.given.get(&key(false)).map_or(0, |given| given.wanted),
+            is_exhausted: tenure.refused.contains_key(&key(true)),
+        }
     }
 
     fn offered_to(&self, service: &Service) -> f64 {
@@ -351,9 +356,9 @@
             limits,
             zones: &zones,
             offered_load: self.offered_to(service),
-            floor: self.demands.get(&service.name).map_or(0, |demand| demand.floor(zones.len())),
+            floor: self.demands.get(&service.name).map_or(0, FollowedDemand::floor),
         };
-        scaling::changed(&scaling::plan(&inputs), &tenure.ordered)
+        scaling::due(&scaling::plan(&inputs), &tenure.given, &inputs, Instant::now())
     }
 }
 
