--- /dev/null
+++ b/crates/beamwall-node/src/gateway/gauges.rs
@@ -0,0 +1,74 @@
+//! What a gateway believes and holds, as gauges that are read when metrics are fetched.
+
+use std::sync::Arc;
+
+use beamwall_gateway::Gateway;
+use beamwall_peer::MemberState;
+use prometheus::{IntGauge, Registry};
+
+use crate::gateway::exchange::Exchange;
+use crate::gateway::readiness::Readiness;
+
+/// Gauges of one gateway.
+pub struct GatewayGauges {
+    policy_version: IntGauge,
+    directory_revision: IntGauge,
+    backends_usable: IntGauge,
+    backends_draining: IntGauge,
+    members_alive: IntGauge,
+    members_known: IntGauge,
+    ready: IntGauge,
+    open_requests: IntGauge,
+    log_lines_dropped: IntGauge,
+    peer_messages_dropped: IntGauge,
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
+    let gauge = IntGauge::new(name, help)?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
+
+impl GatewayGauges {
+    /// Registers the gauges.
+    pub fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let add = |name, help| gauge(registry, name, help);
+        Ok(Self {
+            policy_version: add("beamwall_gateway_policy_version", "version of the policy in force")?,
+            directory_revision: add(
+                "beamwall_gateway_directory_revision",
+                "revision of the back ends known",
+            )?,
+            backends_usable: add("beamwall_gateway_backends_usable", "back ends that take requests")?,
+            backends_draining: add("beamwall_gateway_backends_draining", "back ends that are leaving")?,
+            members_alive: add("beamwall_gateway_members_alive", "nodes believed alive, this one included")?,
+            members_known: add("beamwall_gateway_members_known", "nodes known, this one included")?,
+            ready: add("beamwall_gateway_ready", "1 while this node takes callers")?,
+            open_requests: add("beamwall_gateway_open_requests", "requests open at back ends")?,
+            log_lines_dropped: add("beamwall_gateway_log_lines_dropped", "log lines dropped since start")?,
+            peer_messages_dropped: add(
+                "beamwall_gateway_peer_messages_dropped",
+                "messages to peers dropped since start",
+            )?,
+        })
+    }
+
+    /// Sets all gauges to what holds now.
+    pub fn refresh(&self, gateway: &Arc<Gateway>, exchange: &Exchange, readiness: &Readiness) {
+        let directory = gateway.forwarder.directory.load();
+        let draining = directory.backends().filter(|backend| backend.draining).count();
+        let view = exchange.members.load();
+        let alive = view.members.iter().filter(|member| member.state == MemberState::Alive).count();
+        self.policy_version.set(gateway.policy.load().version() as i64);
+        self.directory_revision.set(directory.revision() as i64);
+        self.backends_usable.set((directory.backends().count() - draining) as i64);
+        self.backends_draining.set(draining as i64);
+        self.members_alive.set(alive as i64 + 1);
+        self.members_known.set(view.members.len() as i64 + 1);
+        self.ready.set(i64::from(readiness.is_ready()));
+        self.open_requests.set(i64::from(exchange.open_requests()));
+        self.log_lines_dropped.set(beamwall_events::dropped_lines() as i64);
+        let dropped = exchange.network.traffic.dropped_messages.load(std::sync::atomic::Ordering::Relaxed);
+        self.peer_messages_dropped.set(dropped as i64);
+    }
+}
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod drain;
 pub mod duties;
 pub mod exchange;
+pub mod gauges;
 pub mod readiness;
 pub mod store_status;
 pub mod watches;
@@ -46,6 +47,7 @@
 use crate::gateway::chooser::ZoneChooser;
 use crate::gateway::duties::Duties;
 use crate::gateway::exchange::Exchange;
+use crate::gateway::gauges::GatewayGauges;
 use crate::gateway::readiness::{Readiness, StatusHandler};
 use crate::gateway::store_status::StoreStatus;
 
@@ -121,7 +123,14 @@
         let stopping = watch::channel(false).0;
         let callers =
             tokio::spawn(serve(callers, GatewayHandler::new(gateway.clone()), stopping.subscribe()));
-        let status_handler = StatusHandler::new(readiness.clone(), registry, ports.readiness_path);
+        let status_handler = Arc::new(StatusHandler {
+            readiness: readiness.clone(),
+            gauges: GatewayGauges::new(&registry)?,
+            registry,
+            gateway: gateway.clone(),
+            exchange: exchange.clone(),
+            readiness_path: ports.readiness_path,
+        });
         let chooser =
             ZoneChooser::new(settings.node.clone(), settings.zone.clone(), exchange.members.clone());
         let mut tasks = vec![
--- a/crates/beamwall-node/src/gateway/readiness.rs
+++ b/crates/beamwall-node/src/gateway/readiness.rs
@@ -4,13 +4,15 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwap;
-use beamwall_gateway::Directory;
+use beamwall_gateway::{Directory, Gateway};
 use beamwall_http::{Body, Handler, empty, full};
 use beamwall_policy::PolicyIndex;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use prometheus::{Encoder, Registry, TextEncoder};
 
+use crate::gateway::exchange::Exchange;
+use crate::gateway::gauges::GatewayGauges;
 use crate::gateway::store_status::StoreStatus;
 use crate::gateway::watches::{BACKENDS, POLICY};
 
@@ -54,18 +56,23 @@
 
 /// Answers the balancer and whoever reads metrics.
 pub struct StatusHandler {
-    readiness: Arc<Readiness>,
-    registry: Registry,
-    readiness_path: &'static str,
+    /// Whether the node takes callers.
+    pub readiness: Arc<Readiness>,
+    /// All metrics.
+    pub registry: Registry,
+    /// Gauges to be set before metrics are read.
+    pub gauges: GatewayGauges,
+    /// What the gauges read.
+    pub gateway: Arc<Gateway>,
+    /// What the gauges read.
+    pub exchange: Arc<Exchange>,
+    /// Path of the balancer's question.
+    pub readiness_path: &'static str,
 }
 
 impl StatusHandler {
-    /// A handler of the two pages.
-    pub fn new(readiness: Arc<Readiness>, registry: Registry, readiness_path: &'static str) -> Arc<Self> {
-        Arc::new(Self { readiness, registry, readiness_path })
-    }
-
     fn metrics(&self) -> Response<Body> {
+        self.gauges.refresh(&self.gateway, &self.exchange, &self.readiness);
         let mut text = Vec::new();
         let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
         Response::new(full(text))
--- a/crates/beamwall-node/src/metrics.rs
+++ b/crates/beamwall-node/src/metrics.rs
@@ -38,8 +38,8 @@
             revision: add("beamwall_settings_revision", "settings revision in force")?,
             members_alive: add("beamwall_members_alive", "members believed alive, this node included")?,
             backends_usable: add("beamwall_backends_usable", "back ends that accept work")?,
-            platform_calls: add("beamwall_store_calls", "calls made to the platform since start")?,
-            platform_healthy: add("beamwall_store_healthy", "1 while the platform answers")?,
+            platform_calls: add("beamwall_platform_calls", "calls made to the platform since start")?,
+            platform_healthy: add("beamwall_platform_healthy", "1 while the platform answers")?,
             peer_bytes_sent: add("beamwall_peer_bytes_sent", "bytes sent to peers since start")?,
             peer_messages_dropped: add(
                 "beamwall_peer_messages_dropped",
