--- a/crates/beamwall-ctl/src/arguments.rs
+++ b/crates/beamwall-ctl/src/arguments.rs
@@ -224,6 +224,9 @@
     /// Scale.
     #[options(help = "measure the cost of control for each node over several sizes")]
     Scale(ScaleOptions),
+    /// Soak.
+    #[options(help = "run gateways as processes under random faults from outside and check promises")]
+    Soak(SoakOptions),
     /// Hollow nodes.
     #[options(help = "run all hollow nodes of a deployment directory in one process")]
     HollowNodes(DirectoryOptions),
@@ -328,6 +331,29 @@
     pub connections: usize,
 }
 
+/// Options of `lab soak`.
+#[derive(Debug, Options)]
+pub struct SoakOptions {
+    /// Help.
+    #[options(help = "show this help")]
+    pub help: bool,
+    /// Seeds to run.
+    #[options(help = "seeds to run", default = "50")]
+    pub seeds: u64,
+    /// First seed.
+    #[options(help = "first seed; 0: from the time of day", default = "0")]
+    pub first: u64,
+    /// Gateways.
+    #[options(help = "gateways of each run", default = "4")]
+    pub gateways: usize,
+    /// Seconds.
+    #[options(help = "seconds under faults of each run", default = "8")]
+    pub seconds: u64,
+    /// Runs at a time.
+    #[options(help = "runs at a time", default = "4")]
+    pub jobs: usize,
+}
+
 /// Options of `lab scale`.
 #[derive(Debug, Options)]
 pub struct ScaleOptions {
--- a/crates/beamwall-ctl/src/lab/mod.rs
+++ b/crates/beamwall-ctl/src/lab/mod.rs
@@ -7,6 +7,7 @@
 pub mod overhead;
 pub mod sample;
 pub mod scale;
+pub mod soak;
 pub mod stand_ins;
 
 use crate::arguments::LabCommand;
@@ -23,6 +24,7 @@
         LabCommand::Overhead(options) => overhead::run(options).await,
         LabCommand::Load(options) => load::run(options).await,
         LabCommand::Scale(options) => scale::run(options).await,
+        LabCommand::Soak(options) => soak::run(options).await,
         LabCommand::HollowNodes(options) => hollow::run_nodes(options).await,
         LabCommand::HollowEngines(options) => hollow::run_engines(options).await,
     }
