--- a/crates/beamwall-config/tests/settings.rs
+++ b/crates/beamwall-config/tests/settings.rs
@@ -146,6 +146,7 @@
 
 #[test]
 fn the_operators_page_lists_exactly_the_known_keys() {
+    use beamwall_config::gateway::GATEWAY_RULES;
     use beamwall_config::process::PROCESS_RULES;
     use beamwall_config::tree_rules::TREE_RULES;
     let page = std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/OPERATIONS.md"))
@@ -159,5 +160,32 @@
         rules.iter().map(|rule| rule.key.to_owned()).collect()
     };
     assert_eq!(listed("## Settings of a node", "## Settings tree"), known(PROCESS_RULES));
+    assert_eq!(listed("## Settings of a gateway", "## Logs"), known(GATEWAY_RULES));
     assert_eq!(listed("## Settings tree", "Tenants and services are named"), known(TREE_RULES));
 }
+
+#[test]
+fn a_gateway_lists_every_fault_of_its_settings_at_once() {
+    use beamwall_config::GatewaySettings;
+    let text = "[node]\nname = \"n\"\nthreads = 0\n[listen]\ncallers = \"here\"\nreadiness = \"127.0.0.1:2\"\n\
+        peers = \"127.0.0.1:3\"\nmetrics = \"127.0.0.1:4\"\n[usage]\nwindow_s = \"long\"\n[other]\nkey = 1\n";
+    let faults = GatewaySettings::parse("gateway.toml", text).expect_err("faults").0;
+    let found: Vec<&str> = faults.iter().map(|fault| fault.key.as_str()).collect();
+    let expected =
+        ["node.zone", "store.address", "node.threads", "listen.callers", "usage.window_s", "other"];
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn a_gateway_refuses_one_address_for_two_listeners() {
+    use beamwall_config::GatewaySettings;
+    let text = "[node]\nname = \"n\"\nzone = \"a\"\n[listen]\ncallers = \"127.0.0.1:1\"\n\
+        readiness = \"127.0.0.1:1\"\npeers = \"127.0.0.1:3\"\nmetrics = \"127.0.0.1:4\"\n\
+        [store]\naddress = \"127.0.0.1:9\"\n";
+    let faults = GatewaySettings::parse("gateway.toml", text).expect_err("faults").0;
+    assert_eq!(faults.len(), 1);
+    assert_eq!(faults[0].key, "listen.readiness");
+    let whole = text.replace("readiness = \"127.0.0.1:1\"", "readiness = \"127.0.0.1:2\"");
+    let settings = GatewaySettings::parse("gateway.toml", &whole).expect("valid");
+    assert_eq!((settings.duties, settings.threads), (None, 1));
+}
