--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -36,8 +36,9 @@
 const FULL_MESH_LIMIT: usize = 128;
 /// Time that a node's own watch gets to bring what a peer has, before the peer is asked.
 const OWN_WATCH_TIME: Duration = Duration::from_millis(60);
-/// Silence after which a peer may be cut off.
-const HEARD_WITHIN: Duration = Duration::from_millis(2_400);
+/// Silence, in halves of the longest time between two heartbeats, after which a peer may be cut off. What
+/// both sides of a cut let pass before they miss each other must stay within what is tolerated.
+const HEARD_WITHIN_HALVES: u32 = 3;
 /// Time for which a dead member keeps its part of quotas.
 const DEAD_COUNTED_FOR: Duration = Duration::from_secs(20);
 /// Time after the start until all members are known.
@@ -137,8 +138,9 @@
 
     /// Sends one heartbeat to every peer.
     pub async fn beat(&self) {
-        self.share_quotas();
+        // The tick publishes when each member was last heard.
         let Ok(tick) = self.membership.ask(Tick).await else { return };
+        self.share_quotas();
         let quota_uses = beat::encode_quota_uses(self.gateway.quotas.tell());
         let demands = beat::encode_demands(self.close_demand_period());
         let beat = GatewayBeat { quota_uses, demands, ..self.to_reply(tick.updates) };
@@ -227,8 +229,9 @@
             MemberState::Alive | MemberState::Suspect => true,
         };
         let known = view.members.iter().filter(is_counted).count() + 1;
+        let heard_within = self.beat_timing().0 * HEARD_WITHIN_HALVES / 2;
         let is_heard =
-            |member: &&Member| member.heard.is_some_and(|heard| now.duration_since(heard) < HEARD_WITHIN);
+            |member: &&Member| member.heard.is_some_and(|heard| now.duration_since(heard) < heard_within);
         let heard = view.members.iter().filter(is_heard).count() + 1;
         // A node that has just started does not know everyone yet.
         let known =
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -58,7 +58,7 @@
 /// Part of the fixed extra retries that nodes use in all.
 const RETRY_EXTRA_USED: f64 = 0.7;
 /// Part of the tolerated work beyond quotas that nodes use in all.
-const QUOTA_SLACK_USED: f64 = 0.7;
+const QUOTA_SLACK_USED: f64 = 0.5;
 
 /// What the gateway meets outside: the ports' implementations.
 pub struct Ports {
