Stream and duties split into modules of one job; a gateway starts with one retry

Change: a budget starts with one retry. stream.rs becomes forward, patience, source and relay; duties.rs becomes the lease with usage and capacity; the assembly takes few handles.

--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -103,7 +103,7 @@
 
     fn of(&self, service: &ServiceName) -> Arc<RetryBudget> {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        let new = || Arc::new(RetryBudget::empty(self.part()));
+        let new = || Arc::new(RetryBudget::saving(self.part()));
         budgets.entry(service.clone()).or_insert_with(new).clone()
     }
 
--- /dev/null
+++ b/crates/beamwall-gateway/src/stream/mod.rs
@@ -0,0 +1,114 @@
+//! Event streams: whole events are passed on as they come, and a stream that breaks off is continued
+//! at another engine where the route allows it.
+
+mod patience;
+mod relay;
+mod source;
+
+use std::sync::Arc;
+
+use beamwall_http::Body;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{HeaderMap, Response, StatusCode};
+use tokio::time::Instant;
+
+use crate::attempt::{self, AttemptFailure, Opened};
+use crate::forward::{Attempts, Call, Choice, Forwarder};
+use crate::refusal::Refusal;
+use crate::stream::patience::Patience;
+use crate::stream::relay::relay;
+use crate::stream::source::{Piece, Source};
+use crate::unary;
+
+/// Forwards a call whose answer is an event stream. Returns once the first events are there.
+pub async fn forward(forwarder: &Arc<Forwarder>, call: &Arc<Call>) -> Result<Response<Body>, Refusal> {
+    let mut attempts = Attempts::default();
+    while let Some(choice) = forwarder.choose(call, &mut attempts) {
+        if attempts.tried.len() == 1 {
+            forwarder.demand.note_request(&call.service, &call.route.name, choice.unread_tokens);
+        }
+        let failure = match begin(forwarder, call, &choice, call.last_event, &attempts).await {
+            Ok(Begun::Stream(begun)) => {
+                attempts.begin();
+                return Ok(relay(forwarder, call, *begun, attempts));
+            }
+            Ok(Begun::Answer(response)) => return Ok(response),
+            Err(failure) => failure,
+        };
+        attempts.fail(call, &choice.backend, failure);
+        if !attempts.may_continue(forwarder, call) {
+            break;
+        }
+    }
+    Err(attempts.refusal(call))
+}
+
+/// How an attempt began.
+enum Begun {
+    /// A stream.
+    Stream(Box<BegunStream>),
+    /// Another answer, read whole.
+    Answer(Response<Body>),
+}
+
+/// A stream that has begun.
+struct BegunStream {
+    head: StreamHead,
+    source: Source,
+    first: Piece,
+}
+
+/// The head of a stream's answer.
+struct StreamHead {
+    status: StatusCode,
+    headers: HeaderMap,
+}
+
+/// Opens a stream at one back end and waits for its first events.
+async fn begin(
+    forwarder: &Arc<Forwarder>,
+    call: &Call,
+    choice: &Choice,
+    last_event: Option<u64>,
+    attempts: &Attempts,
+) -> Result<Begun, AttemptFailure> {
+    let patience = Patience::new(forwarder, call, choice, attempts);
+    let limit = call.deadline.saturating_duration_since(Instant::now());
+    let opened = tokio::select! {
+        opened = attempt::open(forwarder, call, &choice.backend, last_event, limit) => opened?,
+        () = patience.ends() => return Err(given_up(forwarder, choice)),
+    };
+    if !opened.response.status().is_success() {
+        return unary::pass_opened(forwarder, call, opened).await.map(Begun::Answer);
+    }
+    let Opened { backend, response, work } = opened;
+    let (parts, body) = response.into_parts();
+    let is_framed =
+        parts.headers.contains_key(CONTENT_LENGTH) || parts.headers.contains_key(TRANSFER_ENCODING);
+    let mut source = Source::new(backend, body, work, is_framed);
+    let first = tokio::select! {
+        piece = source.next_piece() => piece,
+        () = patience.ends() => return Err(given_up(forwarder, choice)),
+        () = tokio::time::sleep_until(call.deadline) => {
+            Piece::Broken(AttemptFailure::may_have_run("no first event in time"))
+        }
+    };
+    if let Piece::Broken(failure) = first {
+        forwarder.knowledge.health.note(&source.backend, true, Instant::now());
+        return Err(failure);
+    }
+    forwarder.knowledge.health.note_heard(&source.backend, Instant::now());
+    source.work.begin_answer();
+    forwarder.record_run(call);
+    if let Some(prompt) = &call.prompt {
+        forwarder.knowledge.prefixes.note_read(&source.backend, prompt, Instant::now());
+    }
+    let head = StreamHead { status: parts.status, headers: forwarder.dialect.answer_headers(&parts.headers) };
+    Ok(Begun::Stream(Box::new(BegunStream { head, source, first })))
+}
+
+/// Notes that an engine was given up on because it was silent.
+fn given_up(forwarder: &Forwarder, choice: &Choice) -> AttemptFailure {
+    forwarder.knowledge.health.note_unreachable(&choice.backend, Instant::now());
+    AttemptFailure::may_have_run("the engine is silent")
+}
--- /dev/null
+++ b/crates/beamwall-gateway/src/stream/patience.rs
@@ -0,0 +1,60 @@
+//! How long a stream waits for its first events before another engine is asked.
+
+use std::time::Duration;
+
+use beamwall_model::BackendId;
+use tokio::time::Instant;
+
+use crate::forward::{Attempts, Call, Choice, Forwarder};
+
+/// Part of the objective that a first event may take before a silent engine is left, in hundredths.
+const FIRST_EVENT_PERCENT: u32 = 100;
+/// Multiple of the expected time after which a silent engine is left.
+const EXPECTED_TIMES: u32 = 3;
+/// An engine that sent anything within this time is not silent.
+const HEARD_WITHIN: Duration = Duration::from_millis(400);
+
+/// How long a stream waits for its first events: without end where it may not move or the engine
+/// sends to others, else until it is well past the time expected.
+pub(super) struct Patience<'a> {
+    forwarder: &'a Forwarder,
+    backend: &'a BackendId,
+    may_move: bool,
+    until: Instant,
+}
+
+impl<'a> Patience<'a> {
+    /// The patience with one chosen engine.
+    pub(super) fn new(
+        forwarder: &'a Forwarder,
+        call: &Call,
+        choice: &'a Choice,
+        attempts: &Attempts,
+    ) -> Self {
+        let is_last = attempts.sent + 1 >= call.route.attempt_limit;
+        let usual = Duration::from_millis(call.route.objective_ms) * FIRST_EVENT_PERCENT / 100;
+        let expected = Duration::from_secs_f64(choice.cost_ms.max(0.0) / 1_000.0) * EXPECTED_TIMES;
+        Self {
+            forwarder,
+            backend: &choice.backend,
+            may_move: call.route.kind.is_idempotent() && !is_last,
+            until: Instant::now() + usual.max(expected),
+        }
+    }
+
+    /// Returns when the engine shall be given up on.
+    pub(super) async fn ends(&self) {
+        if !self.may_move {
+            return std::future::pending().await;
+        }
+        tokio::time::sleep_until(self.until).await;
+        while self.heard_lately() {
+            tokio::time::sleep(HEARD_WITHIN).await;
+        }
+    }
+
+    fn heard_lately(&self) -> bool {
+        let heard = self.forwarder.knowledge.health.last_heard(self.backend);
+        heard.is_some_and(|heard| heard.elapsed() < HEARD_WITHIN)
+    }
+}
--- /dev/null
+++ b/crates/beamwall-gateway/src/stream/relay.rs
@@ -0,0 +1,188 @@
+//! Passes a stream on to its caller, and moves it to another engine when the first breaks off.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use beamwall_events::emit;
+use beamwall_events::internal_events::{CallerGone, StreamBroken, StreamContinued, StreamFinished};
+use beamwall_http::{Body, BodySender, channel};
+use beamwall_model::BackendId;
+use hyper::Response;
+use tokio::time::Instant;
+
+use crate::attempt::AttemptFailure;
+use crate::forward::{Attempts, Call, Forwarder};
+use crate::stream::source::{Piece, Source, last_event_in};
+use crate::stream::{Begun, BegunStream, begin};
+
+/// Pieces that a slow caller may lag behind before its own relay waits.
+const PIECES_AHEAD: usize = 64;
+/// Silence between two events after which an engine is taken for dead.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Starts the task that passes a stream on; gives the answer whose body it writes.
+pub(super) fn relay(
+    forwarder: &Arc<Forwarder>,
+    call: &Arc<Call>,
+    begun: BegunStream,
+    attempts: Attempts,
+) -> Response<Body> {
+    let BegunStream { head, source, first } = begun;
+    let (sender, body) = channel(PIECES_AHEAD);
+    let relay = Relay {
+        forwarder: forwarder.clone(),
+        call: call.clone(),
+        last_event: call.last_event,
+        attempts,
+        sender,
+    };
+    tokio::spawn(relay.run(source, first));
+    let mut response = Response::new(body);
+    *response.status_mut() = head.status;
+    *response.headers_mut() = head.headers;
+    response
+}
+
+/// The task that passes one stream on.
+struct Relay {
+    forwarder: Arc<Forwarder>,
+    call: Arc<Call>,
+    last_event: Option<u64>,
+    attempts: Attempts,
+    sender: BodySender,
+}
+
+/// Why a relay stopped reading an engine.
+enum Stop {
+    Finished,
+    CallerGone,
+    Failed(AttemptFailure),
+}
+
+impl Relay {
+    async fn run(mut self, source: Source, first: Piece) {
+        let mut source = source;
+        let mut first = Some(first);
+        loop {
+            let stop = self.pass_on(&mut source, first.take()).await;
+            let backend = source.backend.clone();
+            match stop {
+                Stop::Finished => return self.finish(&backend),
+                Stop::CallerGone => {
+                    let request = self.call.log_id();
+                    return emit(&CallerGone { request, backend: backend.to_string() });
+                }
+                Stop::Failed(failure) => {
+                    // The connection closes here, before another engine is asked.
+                    drop(source);
+                    self.forwarder.knowledge.health.note(&backend, true, Instant::now());
+                    self.attempts.note(&self.call, &backend, failure);
+                    match self.continue_elsewhere(&backend).await {
+                        Some((next, piece)) => {
+                            source = next;
+                            first = Some(piece);
+                        }
+                        None => return self.break_off(&backend).await,
+                    }
+                }
+            }
+        }
+    }
+
+    /// Passes pieces on until the engine's stream ends.
+    async fn pass_on(&mut self, source: &mut Source, first: Option<Piece>) -> Stop {
+        let mut next = first;
+        loop {
+            let piece = match next.take() {
+                Some(piece) => piece,
+                None => match self.wait(source).await {
+                    Some(piece) => piece,
+                    None => return Stop::CallerGone,
+                },
+            };
+            match piece {
+                Piece::Events(events) => {
+                    self.forwarder.knowledge.health.note_heard(&source.backend, Instant::now());
+                    let last = last_event_in(&events);
+                    if self.sender.send(events).await.is_err() {
+                        return Stop::CallerGone;
+                    }
+                    self.last_event = last.or(self.last_event);
+                }
+                Piece::End => return Stop::Finished,
+                Piece::Broken(failure) => return Stop::Failed(failure),
+            }
+        }
+    }
+
+    /// The next piece, or `None` when the caller has gone.
+    async fn wait(&self, source: &mut Source) -> Option<Piece> {
+        let silence = Instant::now() + SILENCE_LIMIT;
+        // A silent engine is left only where another may be asked: late events are better than none.
+        let may_move =
+            self.call.route.kind.is_idempotent() && self.attempts.sent < self.call.route.attempt_limit;
+        let until = if may_move { silence.min(self.call.deadline) } else { self.call.deadline };
+        tokio::select! {
+            piece = source.next_piece() => Some(piece),
+            () = self.sender.disconnected() => None,
+            () = tokio::time::sleep_until(until) => {
+                Some(Piece::Broken(AttemptFailure::may_have_run("silent for too long")))
+            }
+        }
+    }
+
+    async fn continue_elsewhere(&mut self, from: &BackendId) -> Option<(Source, Piece)> {
+        while self.call.route.kind.is_idempotent() && self.attempts.may_continue(&self.forwarder, &self.call)
+        {
+            let choice = self.forwarder.choose(&self.call, &mut self.attempts)?;
+            let begun = tokio::select! {
+                begun = begin(&self.forwarder, &self.call, &choice, self.last_event, &self.attempts) => begun,
+                () = self.sender.disconnected() => return None,
+            };
+            match begun {
+                Ok(Begun::Stream(begun)) => {
+                    self.attempts.begin();
+                    emit(&StreamContinued {
+                        request: self.call.log_id(),
+                        from: from.to_string(),
+                        to: choice.backend.to_string(),
+                        last_event: self.last_event.map(|id| id.to_string()).unwrap_or_default(),
+                    });
+                    self.forwarder.metrics.streams_continued.inc();
+                    return Some((begun.source, begun.first));
+                }
+                Ok(Begun::Answer(response)) => {
+                    let reason = format!("answered {} to a stream that continues", response.status());
+                    let failure = AttemptFailure::may_have_run(reason);
+                    self.attempts.fail(&self.call, &choice.backend, failure);
+                }
+                Err(failure) => self.attempts.fail(&self.call, &choice.backend, failure),
+            }
+        }
+        None
+    }
+
+    fn finish(&self, backend: &BackendId) {
+        if let Some(last) = self.last_event {
+            self.forwarder.demand.note_events(&self.call.route.name, last);
+        }
+        emit(&StreamFinished {
+            request: self.call.log_id(),
+            backend: backend.to_string(),
+            elapsed_ms: self.call.received.elapsed().as_millis().to_string(),
+        });
+    }
+
+    /// Ends the answer as broken, so that the caller can't take it for a whole one.
+    async fn break_off(self, backend: &BackendId) {
+        let reason = self.attempts.last_failure.as_ref().map(|failure| failure.reason.clone());
+        emit(&StreamBroken {
+            request: self.call.log_id(),
+            backend: backend.to_string(),
+            last_event: self.last_event.map(|id| id.to_string()).unwrap_or_default(),
+            reason: reason.unwrap_or_default(),
+        });
+        self.forwarder.metrics.streams_broken.inc();
+        self.sender.abort("the stream broke off").await;
+    }
+}
--- /dev/null
+++ b/crates/beamwall-gateway/src/stream/source.rs
@@ -0,0 +1,91 @@
+//! The stream of one engine: its bytes as whole events, and how it ended.
+
+use beamwall_http::PooledBody;
+use beamwall_model::BackendId;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+
+use crate::attempt::AttemptFailure;
+use crate::event_stream::EventSplitter;
+use crate::load::OpenWork;
+
+/// What came from an engine.
+pub(super) enum Piece {
+    /// Whole events.
+    Events(Bytes),
+    /// The whole stream ended.
+    End,
+    /// It broke off.
+    Broken(AttemptFailure),
+}
+
+/// The stream of one engine.
+pub(super) struct Source {
+    pub(super) backend: BackendId,
+    body: PooledBody,
+    pub(super) work: OpenWork,
+    splitter: EventSplitter,
+    /// Whether the answer's own framing tells its end.
+    is_framed: bool,
+}
+
+impl Source {
+    /// The stream of an answer whose head came; `is_framed`: the answer's own framing tells its end.
+    pub(super) fn new(backend: BackendId, body: PooledBody, work: OpenWork, is_framed: bool) -> Self {
+        Self { backend, body, work, splitter: EventSplitter::default(), is_framed }
+    }
+
+    /// Waits for whole events; all that are there are given out at once.
+    pub(super) async fn next_piece(&mut self) -> Piece {
+        loop {
+            if let Some(events) = self.take_events() {
+                return Piece::Events(events);
+            }
+            if self.splitter.is_overfull() {
+                return Piece::Broken(AttemptFailure::may_have_run("not an event stream"));
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Some(data) = frame.data_ref() {
+                        self.splitter.push(data);
+                    }
+                }
+                Some(Err(error)) => return Piece::Broken(AttemptFailure::may_have_run(error.to_string())),
+                None => return self.end(),
+            }
+        }
+    }
+
+    fn take_events(&mut self) -> Option<Bytes> {
+        let mut events = BytesMut::new();
+        while let Some(event) = self.splitter.next_event() {
+            events.extend_from_slice(&event.bytes);
+        }
+        (!events.is_empty()).then(|| events.freeze())
+    }
+
+    /// The stream's end: with framing of its own it is whole whatever its last bytes are; without,
+    /// only between two events.
+    fn end(&mut self) -> Piece {
+        let rest = self.splitter.rest().to_vec();
+        match (rest.is_empty(), self.is_framed) {
+            (true, _) => Piece::End,
+            (false, true) => {
+                self.splitter = EventSplitter::default();
+                Piece::Events(Bytes::from(rest))
+            }
+            (false, false) => Piece::Broken(AttemptFailure::may_have_run("ended within an event")),
+        }
+    }
+}
+
+/// The number of the last event in a run of whole events.
+pub(super) fn last_event_in(events: &[u8]) -> Option<u64> {
+    let mut splitter = EventSplitter::default();
+    splitter.push(events);
+    let mut last = None;
+    while let Some(event) = splitter.next_event() {
+        last = event.id.or(last);
+    }
+    last
+}
--- /dev/null
+++ b/crates/beamwall-node/src/gateway/duties/mod.rs
@@ -0,0 +1,166 @@
+//! Duties that one node does for all, under a lease: usage reports and the number of back ends.
+//!
+//! The counts of a window are fixed in the store before they are reported, so that a successor
+//! repeats the same numbers. The store's conditional write decides whose counts are fixed.
+
+mod capacity;
+mod usage;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use beamwall_config::GatewaySettings;
+use beamwall_events::emit;
+use beamwall_events::internal_events::{LeaseLost, LeaseTaken};
+use beamwall_gateway::ports::DutyHolder;
+use beamwall_gateway::{DutyError, DutyPort, Gateway};
+use beamwall_model::NodeId;
+use beamwall_store::{Lease, LeaseState, VersionedObjects};
+use tokio::sync::watch;
+
+use crate::gateway::chooser::ZoneChooser;
+use crate::gateway::duties::capacity::{CapacityDuty, OrderBook};
+use crate::gateway::duties::usage::{UsageDuty, UsageProgress};
+use crate::gateway::exchange::Exchange;
+
+/// Time between two looks at what is due.
+const PERIOD: Duration = Duration::from_millis(250);
+/// Time between renewals and between looks at somebody else's lease.
+const RENEW_PERIOD: Duration = Duration::from_secs(1);
+/// Nodes of a zone that contend for the lease.
+const CONTENDERS_PER_ZONE: usize = 2;
+/// The lease on all duties.
+const LEASE_NAME: &str = "gateway-duties";
+
+/// The right to act for one tenure: it ends with the lease.
+pub(crate) struct Holding {
+    node: NodeId,
+    epoch: u64,
+    lease: watch::Receiver<LeaseState>,
+}
+
+impl Holding {
+    /// The holder as told in calls, while the lease is held.
+    fn holder(&self) -> Option<DutyHolder> {
+        let held = self.lease.borrow().held_epoch();
+        (held == Some(self.epoch)).then(|| DutyHolder { node: self.node.to_string(), epoch: self.epoch })
+    }
+}
+
+/// What the holder of the lease has done in one tenure.
+struct Tenure {
+    holding: Holding,
+    usage: UsageProgress,
+    orders: OrderBook,
+}
+
+/// The duties of one node.
+pub struct Duties {
+    node: NodeId,
+    objects: Arc<dyn VersionedObjects>,
+    chooser: ZoneChooser,
+    usage: Option<UsageDuty>,
+    capacity: Option<CapacityDuty>,
+}
+
+impl Duties {
+    /// The duties that the settings name.
+    pub fn new(
+        settings: &GatewaySettings,
+        gateway: &Arc<Gateway>,
+        objects: Arc<dyn VersionedObjects>,
+        port: &Arc<dyn DutyPort>,
+        exchange: &Arc<Exchange>,
+        chooser: ZoneChooser,
+    ) -> Self {
+        let usage = || {
+            let window = settings.usage_window;
+            UsageDuty::new(window, gateway.clone(), objects.clone(), port.clone(), exchange.clone())
+        };
+        let capacity = || CapacityDuty::new(gateway.clone(), port.clone());
+        Self {
+            node: settings.node.clone(),
+            usage: settings.report_usage.then(usage),
+            capacity: settings.order_capacity.then(capacity),
+            objects,
+            chooser,
+        }
+    }
+
+    /// Contends for the lease and does what is due while holding it, until the task is ended.
+    pub async fn run(mut self) {
+        let (lease, state) = Lease::over(LEASE_NAME, self.node.clone(), self.objects.clone());
+        let _contending = AbortOnDrop(tokio::spawn(contend(lease, state.clone(), self.chooser.clone())));
+        let mut tenure: Option<Tenure> = None;
+        loop {
+            tokio::time::sleep(PERIOD).await;
+            if let Some(capacity) = &mut self.capacity {
+                capacity.follow_demand();
+            }
+            let epoch = state.borrow().held_epoch();
+            log_change(tenure.as_ref().map(|tenure| tenure.holding.epoch), epoch);
+            tenure = match (tenure, epoch) {
+                (_, None) => None,
+                (Some(tenure), Some(epoch)) if tenure.holding.epoch == epoch => Some(tenure),
+                (_, Some(epoch)) => Some(self.begin_tenure(epoch, &state)),
+            };
+            if let Some(tenure) = &mut tenure {
+                self.do_due(tenure).await;
+            }
+        }
+    }
+
+    fn begin_tenure(&self, epoch: u64, lease: &watch::Receiver<LeaseState>) -> Tenure {
+        let holding = Holding { node: self.node.clone(), epoch, lease: lease.clone() };
+        Tenure { holding, usage: UsageProgress::default(), orders: OrderBook::default() }
+    }
+
+    async fn do_due(&self, tenure: &mut Tenure) {
+        if let Some(usage) = &self.usage {
+            usage.report_due(&mut tenure.usage, &tenure.holding).await;
+        }
+        if let Some(capacity) = &self.capacity {
+            capacity.order_due(&mut tenure.orders, &tenure.holding).await;
+        }
+    }
+}
+
+/// Renews the lease while this node holds it, and contends for it while it is chosen to.
+async fn contend(mut lease: Lease, state: watch::Receiver<LeaseState>, chooser: ZoneChooser) {
+    loop {
+        let holds = state.borrow().held_epoch().is_some();
+        if holds || chooser.is_chosen(LEASE_NAME, CONTENDERS_PER_ZONE) {
+            let _ = lease.step().await;
+        }
+        tokio::time::sleep(RENEW_PERIOD).await;
+    }
+}
+
+/// Ends a task when its owner is dropped.
+struct AbortOnDrop(tokio::task::JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+fn describe(result: &Result<(), DutyError>) -> String {
+    match result {
+        Ok(()) => "done".to_owned(),
+        Err(error) => error.to_string(),
+    }
+}
+
+fn log_change(before: Option<u64>, now: Option<u64>) {
+    if before == now {
+        return;
+    }
+    let lease = LEASE_NAME.to_owned();
+    if let Some(epoch) = before {
+        emit(&LeaseLost { lease: lease.clone(), epoch: epoch.to_string() });
+    }
+    if let Some(epoch) = now {
+        emit(&LeaseTaken { lease, epoch: epoch.to_string() });
+    }
+}
--- /dev/null
+++ b/crates/beamwall-node/src/gateway/duties/usage.rs
@@ -0,0 +1,154 @@
+//! Usage reports: the counts of each window are fixed in the store, then reported.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use beamwall_events::emit;
+use beamwall_events::internal_events::UsageReported;
+use beamwall_gateway::usage::WindowCounts;
+use beamwall_gateway::{DutyError, DutyPort, Gateway};
+use beamwall_store::object::ABSENT;
+use beamwall_store::{Object, Settled, Version, VersionedObjects, put_settled};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::gateway::duties::{Holding, describe};
+use crate::gateway::exchange::Exchange;
+
+/// Time after a window's end until all nodes have told their counts.
+const USAGE_SETTLES: Duration = Duration::from_millis(1_700);
+/// Time after a window's end for which counts of silent nodes are waited for.
+const USAGE_WAITS: Duration = Duration::from_millis(6_500);
+/// Time after a window's end after which it is not reported any more.
+const USAGE_FORGOTTEN: Duration = Duration::from_secs(30);
+/// Windows whose fixed counts stay in the store.
+const FIXED_WINDOWS: usize = 8;
+/// Longest time for one write.
+const WRITE_LIMIT: Duration = Duration::from_secs(2);
+/// The object that holds fixed counts.
+const USAGE_KEY: &str = "reports/usage";
+
+/// Counts that were fixed, oldest first.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+struct FixedUsage {
+    windows: Vec<WindowCounts>,
+}
+
+impl FixedUsage {
+    fn get(&self, window: u64) -> Option<&WindowCounts> {
+        self.windows.iter().find(|fixed| fixed.window == window)
+    }
+
+    fn newest(&self) -> Option<u64> {
+        self.windows.last().map(|fixed| fixed.window)
+    }
+}
+
+/// What one tenure has read, fixed and reported.
+#[derive(Debug, Default)]
+pub(super) struct UsageProgress {
+    fixed: Option<(Version, FixedUsage)>,
+    reported_through: Option<u64>,
+}
+
+/// The duty of reporting usage.
+pub(super) struct UsageDuty {
+    window_length: Duration,
+    first_window: u64,
+    gateway: Arc<Gateway>,
+    objects: Arc<dyn VersionedObjects>,
+    port: Arc<dyn DutyPort>,
+    exchange: Arc<Exchange>,
+}
+
+impl UsageDuty {
+    /// A duty that begins with the window of now.
+    pub(super) fn new(
+        window_length: Duration,
+        gateway: Arc<Gateway>,
+        objects: Arc<dyn VersionedObjects>,
+        port: Arc<dyn DutyPort>,
+        exchange: Arc<Exchange>,
+    ) -> Self {
+        let (first_window, _) = gateway.forwarder.usage.window_at(SystemTime::now());
+        Self { window_length, first_window, gateway, objects, port, exchange }
+    }
+
+    /// Reports the oldest window that is due, if any.
+    pub(super) async fn report_due(&self, progress: &mut UsageProgress, holding: &Holding) {
+        if progress.fixed.is_none() {
+            progress.fixed = self.read_fixed().await;
+        }
+        let Some((_, fixed)) = &progress.fixed else { return };
+        let Some(due) = self.due_window(progress.reported_through, fixed) else { return };
+        let Some(counts) = self.fix(progress, due).await else { return };
+        let Some(holder) = holding.holder() else { return };
+        let result = self.port.report_usage(&holder, &counts).await;
+        emit(&UsageReported {
+            window: due.to_string(),
+            requests: counts.counts.values().sum::<u64>().to_string(),
+            epoch: holder.epoch.to_string(),
+            result: describe(&result),
+        });
+        if !matches!(result, Err(DutyError::Unanswered(_))) {
+            progress.reported_through = Some(due);
+        }
+    }
+
+    /// The oldest window that is due and not reported in this tenure. A new holder repeats the last
+    /// window that was fixed: its predecessor may not have reported it.
+    fn due_window(&self, reported_through: Option<u64>, fixed: &FixedUsage) -> Option<u64> {
+        let now = SystemTime::now();
+        let (current, passed) = self.gateway.forwarder.usage.window_at(now);
+        let first = reported_through.map(|window| window + 1).or(fixed.newest()).unwrap_or(self.first_window);
+        let forgotten = USAGE_FORGOTTEN.as_millis() / self.window_length.as_millis().max(1);
+        let oldest = current.saturating_sub(forgotten as u64);
+        let window = first.max(oldest);
+        let windows_since = u32::try_from(current.checked_sub(window + 1)?).unwrap_or(u32::MAX);
+        let ended_for = passed + self.window_length * windows_since;
+        let settled = ended_for >= USAGE_WAITS || (ended_for >= USAGE_SETTLES && self.exchange.hears_all());
+        (settled || fixed.get(window).is_some()).then_some(window)
+    }
+
+    async fn read_fixed(&self) -> Option<(Version, FixedUsage)> {
+        match self.objects.get(USAGE_KEY).await {
+            Ok(None) => Some((ABSENT, FixedUsage::default())),
+            Ok(Some(object)) => Some((object.version, parse_fixed(&object))),
+            Err(_) => None,
+        }
+    }
+
+    /// The counts of a window as fixed in the store; fixes this node's if none are.
+    async fn fix(&self, progress: &mut UsageProgress, window: u64) -> Option<WindowCounts> {
+        let (version, fixed) = progress.fixed.clone()?;
+        if let Some(counts) = fixed.get(window) {
+            return Some(counts.clone());
+        }
+        let counts = self.gateway.forwarder.usage.total(window);
+        let mut next = fixed;
+        next.windows.push(counts.clone());
+        let surplus = next.windows.len().saturating_sub(FIXED_WINDOWS);
+        next.windows.drain(..surplus);
+        let value = serde_json::to_vec(&next).ok()?;
+        let mine = |object: &Object| parse_fixed(object).get(window) == Some(&counts);
+        let deadline = Instant::now() + WRITE_LIMIT;
+        let bytes = Bytes::from(value);
+        let written = put_settled(self.objects.as_ref(), USAGE_KEY, version, bytes, deadline, mine).await;
+        match written {
+            Ok(Settled::Written(version)) => {
+                progress.fixed = Some((version, next));
+                Some(counts)
+            }
+            // Another holder wrote, or it is not known: read before the next try.
+            Ok(Settled::Lost) | Err(_) => {
+                progress.fixed = None;
+                None
+            }
+        }
+    }
+}
+
+fn parse_fixed(object: &Object) -> FixedUsage {
+    serde_json::from_slice(&object.value).unwrap_or_default()
+}
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -15,7 +15,7 @@
 pub mod watches;
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use arc_swap::ArcSwap;
@@ -28,15 +28,14 @@
 use beamwall_gateway::metrics::GatewayMetrics;
 use beamwall_gateway::quota::QuotaBook;
 use beamwall_gateway::usage::UsageLedger;
-use beamwall_gateway::{ControlStore, Dialect, Directory, DutyPort, Gateway, GatewayHandler};
+use beamwall_gateway::{ControlStore, Dialect, DutyPort, Gateway, GatewayHandler};
 use beamwall_http::{Pool, serve};
 use beamwall_peer::{Membership, MembershipTiming, PeerNetwork};
-use beamwall_policy::PolicyIndex;
 use beamwall_store::VersionedObjects;
 use kameo::actor::Spawn;
 use prometheus::Registry;
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
@@ -99,27 +98,12 @@
             peers: settings.peers.to_string(),
         });
         let registry = Registry::new();
-        let policy: Arc<ArcSwap<PolicyIndex>> = Arc::default();
-        let directory: Arc<ArcSwap<Directory>> = Arc::default();
-        let news = Arc::new(Notify::new());
         let status = Arc::new(StoreStatus::default());
         let life = new_incarnation();
-        let gateway = assemble_gateway(&settings, &ports, &registry, &policy, &directory, &news, life)?;
-        let policy_actor = PolicyActor::spawn(PolicyActor::new(policy.clone(), news.clone()));
-        let directory_actor =
-            DirectoryActor::spawn(DirectoryActor::new(directory.clone(), gateway.clone(), news.clone()));
-        let readiness = Arc::new(Readiness::new(policy.clone(), directory.clone(), status.clone()));
-        let exchange = Arc::new(assemble_exchange(
-            &settings,
-            network,
-            &gateway,
-            &directory,
-            policy_actor.clone(),
-            directory_actor.clone(),
-            news,
-            &readiness,
-            life,
-        ));
+        let gateway = assemble_gateway(&settings, &ports, &registry, life)?;
+        let directory = gateway.forwarder.directory.clone();
+        let readiness = Arc::new(Readiness::new(gateway.policy.clone(), directory, status.clone()));
+        let exchange = Arc::new(assemble_exchange(&settings, network, &gateway, &readiness, life));
         let stopping = watch::channel(false).0;
         let callers =
             tokio::spawn(serve(callers, GatewayHandler::new(gateway.clone()), stopping.subscribe()));
@@ -138,13 +122,13 @@
             tokio::spawn(serve_forever(metrics_listener, status_handler)),
             tokio::spawn(watches::follow_policy(
                 ports.store.clone(),
-                policy_actor,
+                exchange.policy_actor.clone(),
                 status.clone(),
                 chooser.clone(),
             )),
             tokio::spawn(watches::follow_backends(
                 ports.store.clone(),
-                directory_actor,
+                exchange.directory_actor.clone(),
                 status,
                 chooser.clone(),
             )),
@@ -152,7 +136,7 @@
             tokio::spawn(exchange.clone().receive(inbox)),
         ];
         if let Some(port) = ports.duties {
-            let duties = Duties::new(&settings, gateway, ports.objects, port, exchange.clone(), chooser);
+            let duties = Duties::new(&settings, &gateway, ports.objects, &port, &exchange, chooser);
             tasks.push(tokio::spawn(duties.run()));
         }
         Ok(Self { readiness, exchange, settings, stopping, callers, tasks })
@@ -201,9 +185,6 @@
     settings: &GatewaySettings,
     ports: &Ports,
     registry: &Registry,
-    policy: &Arc<ArcSwap<PolicyIndex>>,
-    directory: &Arc<ArcSwap<Directory>>,
-    news: &Arc<Notify>,
     life: u64,
 ) -> Result<Arc<Gateway>, NodeError> {
     let nodes = settings.expected_nodes.max(1);
@@ -213,7 +194,7 @@
         zone: settings.zone.clone(),
         dialect: ports.dialect.clone(),
         pool: Pool::new(CONNECT_LIMIT),
-        directory: directory.clone(),
+        directory: Arc::default(),
         knowledge: Knowledge::default(),
         demand: DemandBook::default(),
         retries: RetryBudgets::new(percent, extra, nodes),
@@ -221,24 +202,21 @@
         metrics: GatewayMetrics::new(registry)?,
     });
     let quotas = QuotaBook::new(settings.quota_slack * QUOTA_SLACK_USED, nodes).started_at(life);
-    Ok(Arc::new(Gateway { policy: policy.clone(), quotas, forwarder, news: news.clone() }))
+    Ok(Arc::new(Gateway { policy: Arc::default(), quotas, forwarder, news: Arc::default() }))
 }
 
-#[allow(clippy::too_many_arguments)]
 fn assemble_exchange(
     settings: &GatewaySettings,
     network: Arc<PeerNetwork>,
     gateway: &Arc<Gateway>,
-    directory: &Arc<ArcSwap<Directory>>,
-    policy_actor: kameo::actor::ActorRef<PolicyActor>,
-    directory_actor: kameo::actor::ActorRef<DirectoryActor>,
-    news: Arc<Notify>,
     readiness: &Arc<Readiness>,
     life: u64,
 ) -> Exchange {
     let members = Arc::new(ArcSwap::default());
     let membership =
         Membership::new(settings.node.clone(), settings.zone.clone(), life, MembershipTiming::default());
+    let directory = gateway.forwarder.directory.clone();
+    let news = gateway.news.clone();
     Exchange {
         node: settings.node.clone(),
         zone: settings.zone.clone(),
@@ -250,13 +228,17 @@
         membership: MembershipActor::spawn(MembershipActor::new(membership, members.clone())),
         members,
         gateway: gateway.clone(),
-        directory: directory.clone(),
-        policy_actor,
-        directory_actor,
+        policy_actor: PolicyActor::spawn(PolicyActor::new(gateway.policy.clone(), news.clone())),
+        directory_actor: DirectoryActor::spawn(DirectoryActor::new(
+            directory.clone(),
+            gateway.clone(),
+            news.clone(),
+        )),
+        directory,
         readiness: readiness.clone(),
         news,
         started: Instant::now(),
-        demand_closed: std::sync::Mutex::new(Instant::now()),
+        demand_closed: Mutex::new(Instant::now()),
         fetching: Default::default(),
     }
 }
--- a/crates/beamwall-routing/src/retry.rs
+++ b/crates/beamwall-routing/src/retry.rs
@@ -22,10 +22,10 @@
 }
 
 impl RetryBudget {
-    /// A budget that starts empty: a process that is started again and again must not spend anew each
-    /// time. It saves up to `most_saved` retries, which may be a fraction.
-    pub fn empty(most_saved: f64) -> Self {
-        let budget = Self { credit: AtomicI64::new(0), most_saved: AtomicI64::new(0) };
+    /// A budget that saves up to `most_saved` retries, which may be a fraction, and starts with one: a
+    /// process that is started again and again must not spend the whole each time.
+    pub fn saving(most_saved: f64) -> Self {
+        let budget = Self { credit: AtomicI64::new(RETRY_COST), most_saved: AtomicI64::new(0) };
         budget.set_most_saved(most_saved);
         budget
     }
