--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -189,9 +189,9 @@
         self.last_failure = Some(failure);
     }
 
-    /// Whether another attempt may be made: the route and the budget allow it, there is time, and
-    /// the request may run again.
-    pub fn may_continue(&self, forwarder: &Forwarder, call: &Call) -> bool {
+    /// Takes the right to another attempt, out of the retry budget from the second on: the route allows
+    /// it, there is time, and the request may run again.
+    pub fn take_next_attempt(&self, forwarder: &Forwarder, call: &Call) -> bool {
         let may_repeat = call.route.kind.is_idempotent() || !self.may_have_run;
         let is_allowed = self.sent < call.route.attempt_limit.max(1)
             && self.tried.len() < UNSENT_LIMIT + call.route.attempt_limit as usize;
--- a/crates/beamwall-gateway/src/stream/mod.rs
+++ b/crates/beamwall-gateway/src/stream/mod.rs
@@ -36,7 +36,7 @@
             Err(failure) => failure,
         };
         attempts.fail(call, &choice.backend, failure);
-        if !attempts.may_continue(forwarder, call) {
+        if !attempts.take_next_attempt(forwarder, call) {
             break;
         }
     }
--- a/crates/beamwall-gateway/src/stream/relay.rs
+++ b/crates/beamwall-gateway/src/stream/relay.rs
@@ -132,7 +132,8 @@
     }
 
     async fn continue_elsewhere(&mut self, from: &BackendId) -> Option<(Source, Piece)> {
-        while self.call.route.kind.is_idempotent() && self.attempts.may_continue(&self.forwarder, &self.call)
+        while self.call.route.kind.is_idempotent()
+            && self.attempts.take_next_attempt(&self.forwarder, &self.call)
         {
             let choice = self.forwarder.choose(&self.call, &mut self.attempts)?;
             let begun = tokio::select! {
--- a/crates/beamwall-gateway/src/unary.rs
+++ b/crates/beamwall-gateway/src/unary.rs
@@ -29,7 +29,7 @@
     let mut attempts = Attempts::default();
     let mut failed_answer = None;
     while let Some(Choice { backend, .. }) = forwarder.choose(call, &mut attempts) {
-        let limit = attempt_limit(call, &attempts);
+        let limit = patience(call, &attempts);
         let failure = match attempt::open(forwarder, call, &backend, None, limit).await {
             Ok(opened) => match read_whole(forwarder, call, opened).await {
                 Ok(whole) if !deserves_retry(call, whole.parts.status) => {
@@ -48,7 +48,7 @@
             forwarder.record_run(call);
         }
         attempts.fail(call, &backend, failure);
-        if !attempts.may_continue(forwarder, call) {
+        if !attempts.take_next_attempt(forwarder, call) {
             break;
         }
     }
@@ -69,14 +69,14 @@
 
 /// A repeatable call leaves a silent back end while there is time for another; any other call waits
 /// as long as it may.
-fn attempt_limit(call: &Call, attempts: &Attempts) -> Duration {
+fn patience(call: &Call, attempts: &Attempts) -> Duration {
     let left = call.deadline.saturating_duration_since(Instant::now());
     let is_last = attempts.sent + 1 >= call.route.attempt_limit;
     if !call.route.kind.is_idempotent() || is_last {
         return left;
     }
-    let patience = Duration::from_millis(call.route.objective_ms) * PATIENCE_IN_OBJECTIVES;
-    patience.min(left / PARTS_OF_TIME)
+    let usual = Duration::from_millis(call.route.objective_ms) * PATIENCE_IN_OBJECTIVES;
+    usual.min(left / PARTS_OF_TIME)
 }
 
 fn deserves_retry(call: &Call, status: StatusCode) -> bool {
