--- a/crates/beamwall-node/src/gateway/duties/capacity.rs
+++ b/crates/beamwall-node/src/gateway/duties/capacity.rs
@@ -8,7 +8,7 @@
 use beamwall_events::internal_events::CapacityOrdered;
 use beamwall_gateway::ports::CapacityOrder;
 use beamwall_gateway::scaling::{self, GivenOrder, OrderKey, ScalingInputs, ZoneSupply};
-use beamwall_gateway::{DutyPort, Gateway};
+use beamwall_gateway::{DutyError, DutyPort, Gateway};
 use beamwall_model::{ServiceName, ZoneName};
 use beamwall_policy::Service;
 use tokio::time::Instant;
@@ -71,12 +71,19 @@
     }
 }
 
+/// An order whose last try was not taken.
+#[derive(Debug, Clone, Copy)]
+struct RefusedOrder {
+    at: Instant,
+    /// Whether none could be had; otherwise no answer came.
+    is_exhausted: bool,
+}
+
 /// The orders of one tenure.
 #[derive(Debug, Default)]
 pub(super) struct OrderBook {
     given: BTreeMap<OrderKey, GivenOrder>,
-    /// When an order was last refused.
-    refused: BTreeMap<OrderKey, Instant>,
+    refused: BTreeMap<OrderKey, RefusedOrder>,
     next_look: Option<Instant>,
 }
 
@@ -114,31 +121,37 @@
             |service: &&Service| self.demands.get(&service.name).is_some_and(FollowedDemand::is_settled);
         for service in policy.policy().services.iter().filter(is_settled) {
             for order in self.orders_for(service, book) {
-                let key = OrderKey::of(&order);
-                if book.refused.get(&key).is_some_and(|at| at.elapsed() < ORDER_PAUSE) {
-                    continue;
-                }
-                let Some(holder) = holding.holder() else { return };
-                let result = self.port.order_capacity(&holder, &order).await;
-                emit(&CapacityOrdered {
-                    service: order.service.to_string(),
-                    zone: order.zone.to_string(),
-                    reclaimable: order.reclaimable.to_string(),
-                    wanted: order.wanted.to_string(),
-                    offered_load: format!("{:.2}", self.offered_to(service)),
-                    epoch: holder.epoch.to_string(),
-                    result: describe(&result),
-                });
-                match result {
-                    Ok(()) => {
-                        book.refused.remove(&key);
-                        let given = GivenOrder { wanted: order.wanted, at: Instant::now() };
-                        book.given.insert(key, given);
-                    }
-                    Err(_) => {
-                        book.refused.insert(key, Instant::now());
-                    }
-                }
+                self.give(order, self.offered_to(service), book, holding).await;
+            }
+        }
+    }
+
+    /// Gives one order, unless it was refused a moment ago, and notes what came of it.
+    async fn give(&self, order: CapacityOrder, offered_load: f64, book: &mut OrderBook, holding: &Holding) {
+        let key = OrderKey::of(&order);
+        if book.refused.get(&key).is_some_and(|refused| refused.at.elapsed() < ORDER_PAUSE) {
+            return;
+        }
+        let Some(holder) = holding.holder() else { return };
+        let result = self.port.order_capacity(&holder, &order).await;
+        emit(&CapacityOrdered {
+            service: order.service.to_string(),
+            zone: order.zone.to_string(),
+            reclaimable: order.reclaimable.to_string(),
+            wanted: order.wanted.to_string(),
+            offered_load: format!("{offered_load:.2}"),
+            epoch: holder.epoch.to_string(),
+            result: describe(&result),
+        });
+        let at = Instant::now();
+        match result {
+            Ok(()) => {
+                book.refused.remove(&key);
+                book.given.insert(key, GivenOrder { wanted: order.wanted, at });
+            }
+            Err(error) => {
+                let is_exhausted = error == DutyError::Exhausted;
+                book.refused.insert(key, RefusedOrder { at, is_exhausted });
             }
         }
     }
@@ -155,7 +168,7 @@
             lasting_usable: usable(false),
             reclaimable_usable: usable(true),
             lasting_ordered: book.given.get(&key(false)).map_or(0, |given| given.wanted),
-            is_exhausted: book.refused.contains_key(&key(true)),
+            is_exhausted: book.refused.get(&key(true)).is_some_and(|refused| refused.is_exhausted),
         }
     }
 
