--- a/crates/beamwall-node/src/gateway/gauges.rs
+++ b/crates/beamwall-node/src/gateway/gauges.rs
@@ -8,6 +8,7 @@
 
 use crate::gateway::exchange::Exchange;
 use crate::gateway::readiness::Readiness;
+use crate::metrics::gauge;
 
 /// Gauges of one gateway.
 pub struct GatewayGauges {
@@ -23,16 +24,10 @@
     peer_messages_dropped: IntGauge,
 }
 
-fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
-    let gauge = IntGauge::new(name, help)?;
-    registry.register(Box::new(gauge.clone()))?;
-    Ok(gauge)
-}
-
 impl GatewayGauges {
     /// Registers the gauges.
     pub fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
-        let add = |name, help| gauge(registry, name, help);
+        let add = |name, help| gauge(name, help, registry);
         Ok(Self {
             policy_version: add("beamwall_gateway_policy_version", "version of the policy in force")?,
             directory_revision: add(
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -49,6 +49,7 @@
 use crate::gateway::gauges::GatewayGauges;
 use crate::gateway::readiness::{Readiness, StatusHandler};
 use crate::gateway::store_status::StoreStatus;
+use crate::gateway::watches::{FollowedBackends, FollowedPolicy};
 
 /// Longest time to open a connection to a back end.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
@@ -117,21 +118,15 @@
         });
         let chooser =
             ZoneChooser::new(settings.node.clone(), settings.zone.clone(), exchange.members.clone());
+        let followed_policy =
+            FollowedPolicy { store: ports.store.clone(), policy: exchange.policy_actor.clone() };
+        let followed_backends =
+            FollowedBackends { store: ports.store, directory: exchange.directory_actor.clone() };
         let mut tasks = vec![
             tokio::spawn(serve_forever(readiness_listener, status_handler.clone())),
             tokio::spawn(serve_forever(metrics_listener, status_handler)),
-            tokio::spawn(watches::follow_policy(
-                ports.store.clone(),
-                exchange.policy_actor.clone(),
-                status.clone(),
-                chooser.clone(),
-            )),
-            tokio::spawn(watches::follow_backends(
-                ports.store.clone(),
-                exchange.directory_actor.clone(),
-                status,
-                chooser.clone(),
-            )),
+            tokio::spawn(watches::follow(followed_policy, status.clone(), chooser.clone())),
+            tokio::spawn(watches::follow(followed_backends, status, chooser.clone())),
             tokio::spawn(exchange.clone().send_beats()),
             tokio::spawn(exchange.clone().receive(inbox)),
         ];
--- a/crates/beamwall-node/src/gateway/watches.rs
+++ b/crates/beamwall-node/src/gateway/watches.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use beamwall_gateway::ports::{DirectoryChanges, DirectorySnapshot, PolicyAnswer};
+use beamwall_gateway::ports::PolicyAnswer;
 use beamwall_gateway::{ControlStore, ControlStoreError};
 use kameo::actor::ActorRef;
 
@@ -52,92 +52,91 @@
     }
 }
 
-/// Follows the policy until the task is ended.
-pub async fn follow_policy(
-    store: Arc<dyn ControlStore>,
-    policy: ActorRef<PolicyActor>,
-    status: Arc<StoreStatus>,
-    chooser: ZoneChooser,
-) {
+/// Something in the store that is followed: read whole once, then watched.
+pub trait Followed: Send + Sync + 'static {
+    /// Its name in logs, and by which its watchers are chosen.
+    const SUBJECT: &'static str;
+
+    /// Reads it whole, or watches on from the revision reached; gives the revision reached then.
+    fn step(
+        &self,
+        reached: Option<u64>,
+    ) -> impl std::future::Future<Output = Result<u64, ControlStoreError>> + Send;
+}
+
+/// Follows a subject until the task is ended. After the first reading only the nodes chosen watch on.
+pub async fn follow<F: Followed>(followed: F, status: Arc<StoreStatus>, chooser: ZoneChooser) {
     let mut backoff = Backoff::new();
     let mut reached: Option<u64> = None;
     loop {
         if reached.is_some() {
-            chooser.wait_chosen(POLICY, WATCHERS_PER_ZONE).await;
+            chooser.wait_chosen(F::SUBJECT, WATCHERS_PER_ZONE).await;
         }
-        let answer = match reached {
-            None => store.policy().await,
-            Some(revision) => store.watch_policy(revision, WATCH_WAIT).await,
-        };
-        match answer {
-            Ok(PolicyAnswer { revision, policy: newer }) => {
-                status.note_answer(POLICY);
+        match followed.step(reached).await {
+            Ok(revision) => {
+                status.note_answer(F::SUBJECT);
                 backoff.reset();
                 reached = Some(revision);
-                if let Some(newer) = newer {
-                    let _ = policy.ask(OfferPolicy { policy: newer, source: SOURCE.to_owned() }).await;
-                }
             }
             Err(error) => {
                 reached = reached.filter(|_| may_resume(&error));
-                status.note_failure(POLICY, &error.to_string());
+                status.note_failure(F::SUBJECT, &error.to_string());
                 backoff.pause().await;
             }
         }
     }
 }
 
-/// Follows the back ends until the task is ended.
-pub async fn follow_backends(
-    store: Arc<dyn ControlStore>,
-    directory: ActorRef<DirectoryActor>,
-    status: Arc<StoreStatus>,
-    chooser: ZoneChooser,
-) {
-    let mut backoff = Backoff::new();
-    let mut reached: Option<u64> = None;
-    loop {
-        if reached.is_some() {
-            chooser.wait_chosen(BACKENDS, WATCHERS_PER_ZONE).await;
-        }
-        let step = match reached {
-            None => read_whole(store.as_ref(), &directory).await,
-            Some(revision) => watch_on(store.as_ref(), &directory, revision).await,
+/// The policy in the store.
+pub struct FollowedPolicy {
+    /// The store.
+    pub store: Arc<dyn ControlStore>,
+    /// Takes newer policies.
+    pub policy: ActorRef<PolicyActor>,
+}
+
+impl Followed for FollowedPolicy {
+    const SUBJECT: &'static str = POLICY;
+
+    async fn step(&self, reached: Option<u64>) -> Result<u64, ControlStoreError> {
+        let PolicyAnswer { revision, policy } = match reached {
+            None => self.store.policy().await?,
+            Some(revision) => self.store.watch_policy(revision, WATCH_WAIT).await?,
         };
-        match step {
-            Ok(revision) => {
-                status.note_answer(BACKENDS);
-                backoff.reset();
-                reached = Some(revision);
-            }
-            Err(error) => {
-                reached = reached.filter(|_| may_resume(&error));
-                status.note_failure(BACKENDS, &error.to_string());
-                backoff.pause().await;
-            }
+        if let Some(policy) = policy {
+            let _ = self.policy.ask(OfferPolicy { policy, source: SOURCE.to_owned() }).await;
         }
+        Ok(revision)
     }
 }
 
-async fn read_whole(
-    store: &dyn ControlStore,
-    directory: &ActorRef<DirectoryActor>,
-) -> Result<u64, ControlStoreError> {
-    let snapshot: DirectorySnapshot = store.backends().await?;
-    let revision = snapshot.revision;
-    let _ = directory.ask(TakeSnapshot { snapshot, source: SOURCE.to_owned() }).await;
-    Ok(revision)
+/// The back ends in the store.
+pub struct FollowedBackends {
+    /// The store.
+    pub store: Arc<dyn ControlStore>,
+    /// Takes lists and changes.
+    pub directory: ActorRef<DirectoryActor>,
 }
 
-async fn watch_on(
-    store: &dyn ControlStore,
-    directory: &ActorRef<DirectoryActor>,
-    revision: u64,
-) -> Result<u64, ControlStoreError> {
-    let changes: DirectoryChanges = store.watch_backends(revision, WATCH_WAIT).await?;
-    let reached = changes.revision;
-    let _ = directory.ask(ApplyChanges { base: revision, changes }).await;
-    Ok(reached)
+impl Followed for FollowedBackends {
+    const SUBJECT: &'static str = BACKENDS;
+
+    async fn step(&self, reached: Option<u64>) -> Result<u64, ControlStoreError> {
+        match reached {
+            None => {
+                let snapshot = self.store.backends().await?;
+                let revision = snapshot.revision;
+                let _ = self.directory.ask(TakeSnapshot { snapshot, source: SOURCE.to_owned() }).await;
+                Ok(revision)
+            }
+            Some(base) => {
+                let changes = self.store.watch_backends(base, WATCH_WAIT).await?;
+                let revision = changes.revision;
+                let _ = self.directory.ask(ApplyChanges { base, changes }).await;
+                Ok(revision)
+            }
+        }
+    }
 }
 
 /// Whether a watch may be taken up again at the revision it had reached.
--- a/crates/beamwall-node/src/metrics.rs
+++ b/crates/beamwall-node/src/metrics.rs
@@ -24,7 +24,8 @@
     pub open_requests: IntGauge,
 }
 
-fn gauge(name: &str, help: &str, registry: &Registry) -> Result<IntGauge, prometheus::Error> {
+/// Registers a gauge.
+pub(crate) fn gauge(name: &str, help: &str, registry: &Registry) -> Result<IntGauge, prometheus::Error> {
     let gauge = IntGauge::new(name, help)?;
     registry.register(Box::new(gauge.clone()))?;
     Ok(gauge)
