A killed test node's sockets are closed before it starts again

A killed process has no sockets left. Ruled out: another process on the port (ports are handed out once), connections in TIME_WAIT (the listener reuses addresses). Change: kill waits for the runtime's end.

--- a/crates/beamwall-node/tests/support/mod.rs
+++ b/crates/beamwall-node/tests/support/mod.rs
@@ -57,6 +57,9 @@
     }
 }
 
+/// Longest wait for the tasks of a killed node to end.
+const SHUTDOWN_LIMIT: Duration = Duration::from_secs(5);
+
 /// A node with its runtime.
 pub struct TestNode {
     pub settings: ProcessSettings,
@@ -87,11 +90,12 @@
         self.node.is_some()
     }
 
-    /// Stops the node with everything it does, as a kill would.
+    /// Stops the node with everything it does, as a kill would: when it returns, all sockets are closed.
     pub fn kill(&mut self) {
         self.node = None;
         if let Some(runtime) = self.runtime.take() {
-            runtime.shutdown_background();
+            // The wait is not for an asynchronous context, so it is done on a thread of its own.
+            std::thread::scope(|scope| scope.spawn(|| runtime.shutdown_timeout(SHUTDOWN_LIMIT)).join().ok());
         }
     }
 
