--- a/crates/beamwall-gateway/src/quota.rs
+++ b/crates/beamwall-gateway/src/quota.rs
@@ -207,11 +207,6 @@
             account.refill(tenant, before, now);
         }
     }
-
-    /// The nodes among which quotas are divided.
-    pub fn sharing(&self) -> Sharing {
-        self.lock().sharing
-    }
 }
 
 impl Account {
