--- a/crates/beamwall-gateway/src/choice.rs
+++ b/crates/beamwall-gateway/src/choice.rs
@@ -11,8 +11,9 @@
 
 /// Prompt tokens that an engine reads in a millisecond when nothing else runs.
 const PROMPT_TOKENS_PER_MS: f64 = 32.0;
-/// Time that one running request adds to the start of another at a model engine.
-const MODEL_REQUEST_MS: f64 = 1.0;
+/// Time that the running requests add to the start of another at a model engine whose slots are all taken;
+/// in proportion where fewer are.
+const ALL_SLOTS_MS: f64 = 256.0;
 /// Time of one request at a plain back end.
 const PLAIN_REQUEST_MS: f64 = 15.0;
 /// Surcharge for another zone: the way there and back, and the price of the bytes.
@@ -46,12 +47,13 @@
 /// The expected time in milliseconds until a candidate begins to answer.
 pub fn cost_ms(candidate: &Candidate) -> f64 {
     let requests = f64::from(candidate.load.requests);
+    let slots = f64::from(candidate.slots.max(1));
     let work = match candidate.unread_tokens {
         Some(unread) => {
             let tokens = candidate.load.prompt_tokens + unread;
-            tokens as f64 / PROMPT_TOKENS_PER_MS + requests * MODEL_REQUEST_MS
+            tokens as f64 / PROMPT_TOKENS_PER_MS + requests / slots * ALL_SLOTS_MS
         }
-        None => requests * PLAIN_REQUEST_MS / f64::from(candidate.slots.max(1)),
+        None => requests / slots * PLAIN_REQUEST_MS,
     };
     let full = if candidate.load.requests >= candidate.slots { FULL_MS } else { 0.0 };
     let way = if candidate.same_zone { 0.0 } else { OTHER_ZONE_MS };
--- a/crates/beamwall-gateway/src/demand.rs
+++ b/crates/beamwall-gateway/src/demand.rs
@@ -7,7 +7,9 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use beamwall_model::{NodeId, ServiceName};
+use beamwall_model::ServiceName;
+
+use crate::reporter::Reporter;
 
 /// Prompt tokens that an engine reads in a millisecond.
 const PROMPT_TOKENS_PER_MS: f64 = 32.0;
@@ -29,7 +31,7 @@
 #[derive(Debug, Default)]
 struct State {
     own: HashMap<ServiceName, Meter>,
-    peers: HashMap<NodeId, HashMap<ServiceName, f64>>,
+    peers: HashMap<Reporter, HashMap<ServiceName, f64>>,
     events_by_route: HashMap<String, f64>,
 }
 
@@ -73,13 +75,25 @@
     }
 
     /// Replaces what a peer told before.
-    pub fn set_peer(&self, node: &NodeId, demand: HashMap<ServiceName, f64>) {
-        self.lock().peers.insert(node.clone(), demand);
+    pub fn set_peer(&self, peer: &Reporter, demand: HashMap<ServiceName, f64>) {
+        self.lock().peers.insert(peer.clone(), demand);
     }
 
     /// Forgets a peer that is not alive: its callers go elsewhere.
-    pub fn forget_peer(&self, node: &NodeId) {
-        self.lock().peers.remove(node);
+    pub fn forget_peer(&self, peer: &Reporter) {
+        self.lock().peers.remove(peer);
+    }
+
+    /// Demand at this node and all nodes that told their own, by service: told to other zones.
+    pub fn sum_of_nodes(&self) -> HashMap<ServiceName, f64> {
+        let state = self.lock();
+        let mut sum: HashMap<ServiceName, f64> =
+            state.own.iter().map(|(service, meter)| (service.clone(), meter.busy)).collect();
+        let of_nodes = state.peers.iter().filter(|(peer, _)| matches!(peer, Reporter::Node(_)));
+        for (service, busy) in of_nodes.flat_map(|(_, demand)| demand) {
+            *sum.entry(service.clone()).or_default() += busy;
+        }
+        sum
     }
 
     /// Demand for a service at all nodes, in busy back ends; `None` before any request.
--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod prefix;
 pub mod quota;
 pub mod refusal;
+pub mod reporter;
 pub mod scaling;
 pub mod stream;
 pub mod unary;
@@ -32,3 +33,4 @@
     AnswerHead, CallHead, ControlStore, ControlStoreError, Dialect, DutyError, DutyPort, ForwardHead, Prompt,
     PromptPart,
 };
+pub use reporter::Reporter;
--- a/crates/beamwall-gateway/src/load.rs
+++ b/crates/beamwall-gateway/src/load.rs
@@ -3,7 +3,14 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use beamwall_model::{BackendId, NodeId};
+use beamwall_model::BackendId;
+
+use crate::reporter::Reporter;
+
+/// Weight of a newly told number of prompt tokens against those told before, in hundredths. A prompt is
+/// read in a fraction of the time between two tellings, so a single number says little of now; their
+/// average says how busy the back end usually is.
+const NEWEST_PERCENT: u64 = 30;
 
 /// Open work at one back end.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -31,14 +38,16 @@
 #[derive(Debug, Default)]
 struct State {
     own: HashMap<BackendId, OpenLoad>,
-    peers: HashMap<NodeId, HashMap<BackendId, OpenLoad>>,
+    /// Own requests that have begun to answer.
+    answering: HashMap<BackendId, u32>,
+    peers: HashMap<Reporter, HashMap<BackendId, OpenLoad>>,
     /// Sums over all peers, so that a look-up does not grow with their number.
     of_peers: HashMap<BackendId, OpenLoad>,
 }
 
 impl State {
-    fn forget_peer(&mut self, node: &NodeId) {
-        for (backend, load) in self.peers.remove(node).unwrap_or_default() {
+    fn forget_peer(&mut self, peer: &Reporter) {
+        for (backend, load) in self.peers.remove(peer).unwrap_or_default() {
             if let Some(sum) = self.of_peers.get_mut(&backend) {
                 *sum -= load;
                 if *sum == OpenLoad::default() {
@@ -65,7 +74,12 @@
         let mut state = self.lock();
         let load = state.own.entry(backend.clone()).or_default();
         *load += OpenLoad { requests: 1, prompt_tokens };
-        OpenWork { book: self.clone(), backend: backend.clone(), prompt_tokens }
+        OpenWork { book: self.clone(), backend: backend.clone(), prompt_tokens, is_answering: false }
+    }
+
+    /// Requests of this node that a back end has begun to answer and not ended.
+    pub fn answering(&self, backend: &BackendId) -> u32 {
+        self.lock().answering.get(backend).copied().unwrap_or(0)
     }
 
     /// Open work of all nodes at a back end.
@@ -81,19 +95,33 @@
         self.lock().own.iter().map(|(backend, load)| (backend.clone(), *load)).collect()
     }
 
-    /// Replaces what a peer told before.
-    pub fn set_peer(&self, node: &NodeId, loads: HashMap<BackendId, OpenLoad>) {
+    /// Replaces what a peer told before; its prompt tokens are averaged with those.
+    pub fn set_peer(&self, peer: &Reporter, mut loads: HashMap<BackendId, OpenLoad>) {
         let mut state = self.lock();
-        state.forget_peer(node);
+        if let Some(before) = state.peers.get(peer) {
+            average_prompt_tokens(before, &mut loads);
+        }
+        state.forget_peer(peer);
         for (backend, load) in &loads {
             *state.of_peers.entry(backend.clone()).or_default() += *load;
         }
-        state.peers.insert(node.clone(), loads);
+        state.peers.insert(peer.clone(), loads);
     }
 
     /// Forgets a peer that is not alive.
-    pub fn forget_peer(&self, node: &NodeId) {
-        self.lock().forget_peer(node);
+    pub fn forget_peer(&self, peer: &Reporter) {
+        self.lock().forget_peer(peer);
+    }
+
+    /// Open work of this node and of all nodes that told their own, to be told to other zones.
+    pub fn sum_of_nodes(&self) -> HashMap<BackendId, OpenLoad> {
+        let state = self.lock();
+        let mut sum = state.own.clone();
+        let of_nodes = state.peers.iter().filter(|(peer, _)| matches!(peer, Reporter::Node(_)));
+        for (backend, load) in of_nodes.flat_map(|(_, loads)| loads) {
+            *sum.entry(backend.clone()).or_default() += *load;
+        }
+        sum
     }
 }
 
@@ -103,13 +131,23 @@
     book: Arc<LoadBook>,
     backend: BackendId,
     prompt_tokens: u64,
+    is_answering: bool,
 }
 
 impl OpenWork {
-    /// Notes that the back end has read the prompt.
+    /// Notes that the back end has read the prompt and answers.
     pub fn begin_answer(&mut self) {
+        let book = self.book.clone();
+        let mut state = book.lock();
+        self.note_read(&mut state);
+        if !std::mem::replace(&mut self.is_answering, true) {
+            *state.answering.entry(self.backend.clone()).or_default() += 1;
+        }
+    }
+
+    fn note_read(&mut self, state: &mut State) {
         let read = std::mem::take(&mut self.prompt_tokens);
-        if let Some(load) = self.book.lock().own.get_mut(&self.backend) {
+        if let Some(load) = state.own.get_mut(&self.backend) {
             load.prompt_tokens = load.prompt_tokens.saturating_sub(read);
         }
     }
@@ -117,8 +155,12 @@
 
 impl Drop for OpenWork {
     fn drop(&mut self) {
-        self.begin_answer();
-        let mut state = self.book.lock();
+        let book = self.book.clone();
+        let mut state = book.lock();
+        self.note_read(&mut state);
+        if self.is_answering {
+            count_down(&mut state.answering, &self.backend);
+        }
         if let Some(load) = state.own.get_mut(&self.backend) {
             load.requests = load.requests.saturating_sub(1);
             if load.requests == 0 {
@@ -127,3 +169,24 @@
         }
     }
 }
+
+/// Averages newly told prompt tokens with those before. Back ends without any are left out of tellings.
+fn average_prompt_tokens(before: &HashMap<BackendId, OpenLoad>, told: &mut HashMap<BackendId, OpenLoad>) {
+    for backend in before.keys() {
+        told.entry(backend.clone()).or_default();
+    }
+    for (backend, load) in told.iter_mut() {
+        let earlier = before.get(backend).map_or(0, |load| load.prompt_tokens);
+        load.prompt_tokens = (load.prompt_tokens * NEWEST_PERCENT + earlier * (100 - NEWEST_PERCENT)) / 100;
+    }
+    told.retain(|_, load| *load != OpenLoad::default());
+}
+
+fn count_down(counts: &mut HashMap<BackendId, u32>, backend: &BackendId) {
+    if let Some(count) = counts.get_mut(backend) {
+        *count = count.saturating_sub(1);
+        if *count == 0 {
+            counts.remove(backend);
+        }
+    }
+}
--- /dev/null
+++ b/crates/beamwall-gateway/src/quota/account.rs
@@ -0,0 +1,111 @@
+//! One tenant's account at one node.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use beamwall_policy::Tenant;
+use tokio::time::Instant;
+
+use super::Sharing;
+
+/// Time within which other zones learn what was let pass in this one.
+const ZONE_TELLING_TIME: Duration = Duration::from_millis(1_200);
+/// Work let pass within this time is kept as one entry.
+const ENTRY_TIME: Duration = Duration::from_millis(100);
+
+#[derive(Debug)]
+pub(super) struct Account {
+    /// Work that may pass now; negative after work that was larger than what was left.
+    pub(super) level: f64,
+    refilled: Instant,
+    /// Work let pass by this node since its start.
+    pub(super) passed: f64,
+    /// Part of it that the others were not told yet.
+    pub(super) untold: f64,
+    /// Work let pass by all nodes that tell their own, since this node's start.
+    pub(super) passed_by_nodes: f64,
+    /// The newest part of it, of which other zones may not know yet.
+    recent: RecentWork,
+}
+
+impl Account {
+    /// An account begins empty: what passed elsewhere before is not known.
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            level: 0.0,
+            refilled: now,
+            passed: 0.0,
+            untold: 0.0,
+            passed_by_nodes: 0.0,
+            recent: RecentWork::default(),
+        }
+    }
+
+    pub(super) fn refill(&mut self, tenant: &Tenant, sharing: Sharing, now: Instant) {
+        let passed = now.saturating_duration_since(self.refilled).as_secs_f64();
+        self.refilled = now;
+        let gained = passed * tenant.rate_per_second * sharing.part();
+        self.level = (self.level + gained).min(tenant.burst);
+    }
+
+    /// Lets work of this node pass.
+    pub(super) fn pass(&mut self, amount: f64, now: Instant) {
+        self.passed += amount;
+        self.untold += amount;
+        self.take_off_by_node(amount, now);
+    }
+
+    /// Gives work back that did not run.
+    pub(super) fn give_back(&mut self, amount: f64) {
+        self.level += amount;
+        self.passed -= amount;
+        self.untold -= amount;
+        self.passed_by_nodes -= amount;
+    }
+
+    /// Takes off what a node that tells its own has let pass.
+    pub(super) fn take_off_by_node(&mut self, amount: f64, now: Instant) {
+        self.level -= amount;
+        self.passed_by_nodes += amount;
+        self.recent.add(amount, now);
+    }
+
+    /// Whether work fits what this zone may let pass before the other zones know of it: of what was there
+    /// before the recent work, the zone's part. All zones together stay within it.
+    pub(super) fn fits_zone_part(&mut self, amount: f64, sharing: Sharing, slack: f64, now: Instant) -> bool {
+        if sharing.zone_part() >= 1.0 {
+            return true;
+        }
+        let recent = self.recent.sum(now);
+        let before = self.level.max(0.0) + recent;
+        recent <= 0.0 || recent + amount <= sharing.zone_part() * (before + slack)
+    }
+}
+
+/// Work let pass within [`ZONE_TELLING_TIME`].
+#[derive(Debug, Default)]
+struct RecentWork {
+    entries: VecDeque<(Instant, f64)>,
+}
+
+impl RecentWork {
+    fn add(&mut self, amount: f64, now: Instant) {
+        match self.entries.back_mut() {
+            Some((begun, sum)) if now.saturating_duration_since(*begun) < ENTRY_TIME => *sum += amount,
+            _ => self.entries.push_back((now, amount)),
+        }
+        self.drop_old(now);
+    }
+
+    fn sum(&mut self, now: Instant) -> f64 {
+        self.drop_old(now);
+        self.entries.iter().map(|(_, amount)| amount).sum()
+    }
+
+    fn drop_old(&mut self, now: Instant) {
+        let is_old = |begun: &Instant| now.saturating_duration_since(*begun) > ZONE_TELLING_TIME;
+        while self.entries.front().is_some_and(|(begun, _)| is_old(begun)) {
+            self.entries.pop_front();
+        }
+    }
+}
--- a/crates/beamwall-gateway/src/quota.rs
+++ b/crates/beamwall-gateway/src/quota/mod.rs
@@ -8,17 +8,28 @@
 //! A node that is not heard may be cut off and still serve its callers. So the nodes that hear each
 //! other refill their bucket at their part of the rate only: as many parts as they are, of as many
 //! nodes as are known. The sum over all sides of a cut never exceeds the whole rate.
+//!
+//! In a large deployment only the nodes of a zone tell each other; other zones are known by sums that
+//! arrive later. Then what a whole zone lets pass in that time is bounded by the zone's part as well.
+
+mod account;
+mod told;
 
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use beamwall_model::{NodeId, TenantName};
+use beamwall_model::{NodeId, TenantName, ZoneName};
 use beamwall_policy::Tenant;
 use tokio::time::Instant;
 
+use account::Account;
+use told::{NodeUse, ZoneUse};
+
 /// Longest time that a refused caller is told to wait.
 const LONGEST_WAIT: Duration = Duration::from_secs(4);
+/// Least wait of a caller refused because other zones don't know yet what passed in this one.
+const ZONE_WAIT: Duration = Duration::from_millis(300);
 /// Part of the burst below which a node tells the others at once what it lets pass.
 const LOW_LEVEL: f64 = 0.5;
 
@@ -29,37 +40,32 @@
     pub heard: usize,
     /// Nodes that are known, silent ones included.
     pub known: usize,
+    /// Those heard whose work is learnt at once: all in a small deployment, the zone's in a large one.
+    pub close: usize,
 }
 
 impl Sharing {
+    /// A deployment all of whose nodes tell each other.
+    pub fn small(heard: usize, known: usize) -> Self {
+        Self { heard, known, close: heard }
+    }
+
+    /// The part of the whole that the nodes told at once may use before the others know.
+    fn zone_part(self) -> f64 {
+        self.close.max(1) as f64 / self.heard.max(1) as f64
+    }
+
     fn part(self) -> f64 {
         let known = self.known.max(1) as f64;
         (self.heard.max(1) as f64 / known).min(1.0)
     }
 }
 
-#[derive(Debug)]
-struct Account {
-    /// Work that may pass now; negative after work that was larger than what was left.
-    level: f64,
-    refilled: Instant,
-    /// Work let pass by this node since its start.
-    passed: f64,
-    /// Part of it that the others were not told yet.
-    untold: f64,
-}
-
-/// What a peer told last.
-#[derive(Debug, Default)]
-struct PeerUse {
-    life: u64,
-    passed: HashMap<TenantName, f64>,
-}
-
 #[derive(Debug)]
 struct State {
     accounts: HashMap<TenantName, Account>,
-    peers: HashMap<NodeId, PeerUse>,
+    nodes: HashMap<NodeId, NodeUse>,
+    zones: HashMap<ZoneName, ZoneUse>,
     sharing: Sharing,
 }
 
@@ -102,8 +108,12 @@
 impl QuotaBook {
     /// Accounts of a node that assumes to be one of `expected_nodes` until it hears of others.
     pub fn new(slack: f64, expected_nodes: usize) -> Self {
-        let sharing = Sharing { heard: 1, known: expected_nodes.max(1) };
-        let state = State { accounts: HashMap::new(), peers: HashMap::new(), sharing };
+        let state = State {
+            accounts: HashMap::new(),
+            nodes: HashMap::new(),
+            zones: HashMap::new(),
+            sharing: Sharing::small(1, expected_nodes.max(1)),
+        };
         Self { slack, life: u64::MAX, state: Mutex::new(state) }
     }
 
@@ -136,21 +146,21 @@
         let needed = amount.min(tenant.burst + slack_part);
         let fits_level = account.level + slack_part >= needed;
         let fits_part = account.untold <= 0.0 || account.untold + amount <= part_of_level + slack_part;
-        if !(fits_level && fits_part) {
+        let fits_zone = account.fits_zone_part(amount, sharing, self.slack, now);
+        if !(fits_level && fits_part && fits_zone) {
             let missing = (needed - slack_part - account.level).max(0.0);
             let rate = (tenant.rate_per_second * sharing.part()).max(1.0);
-            let wait = Duration::from_secs_f64((missing / rate).min(LONGEST_WAIT.as_secs_f64()));
+            let refilled = Duration::from_secs_f64((missing / rate).min(LONGEST_WAIT.as_secs_f64()));
+            let wait = if fits_zone { refilled } else { refilled.max(ZONE_WAIT) };
             return Err(QuotaExceeded {
                 retry_after: wait,
                 level: account.level,
                 amount,
                 sharing,
-                fits_when_told: fits_level,
+                fits_when_told: fits_level && fits_zone,
             });
         }
-        account.level -= amount;
-        account.passed += amount;
-        account.untold += amount;
+        account.pass(amount, now);
         let is_urgent = account.level < tenant.burst * LOW_LEVEL;
         Ok(Some(Charge { tenant: tenant.name.clone(), amount, is_urgent }))
     }
@@ -158,9 +168,7 @@
     /// Gives back work that did not run.
     pub fn refund(&self, charge: &Charge) {
         if let Some(account) = self.lock().accounts.get_mut(&charge.tenant) {
-            account.level += charge.amount;
-            account.passed -= charge.amount;
-            account.untold -= charge.amount;
+            account.give_back(charge.amount);
         }
     }
 
@@ -174,24 +182,34 @@
         state.accounts.iter_mut().map(told).collect()
     }
 
+    /// What all nodes that tell their own have let pass since this node's start, to be told to other zones.
+    pub fn sum_of_nodes(&self) -> Vec<(TenantName, f64)> {
+        let state = self.lock();
+        state.accounts.iter().map(|(tenant, account)| (tenant.clone(), account.passed_by_nodes)).collect()
+    }
+
     /// Takes what a peer told of one of its lives. What a peer that started earlier had let pass before
     /// its first telling is not held against this node's level, which began without it.
-    pub fn hear(&self, node: &NodeId, life: u64, passed: HashMap<TenantName, f64>) {
+    pub fn hear(&self, node: &NodeId, life: u64, passed: HashMap<TenantName, f64>, now: Instant) {
         let mut state = self.lock();
-        let State { accounts, peers, .. } = &mut *state;
-        let known = peers.entry(node.clone()).or_default();
-        if life < known.life {
-            return;
-        }
-        if life > known.life {
-            *known = PeerUse { life, passed: HashMap::new() };
-        }
+        let State { accounts, nodes, .. } = &mut *state;
         let is_younger = life > self.life;
-        for (tenant, total) in passed {
-            let unknown_before = if is_younger { 0.0 } else { total };
-            let before = known.passed.insert(tenant.clone(), total).unwrap_or(unknown_before);
+        let new = nodes.entry(node.clone()).or_default().take(life, passed, is_younger);
+        for (tenant, amount) in new {
+            if let Some(account) = accounts.get_mut(&tenant) {
+                account.take_off_by_node(amount, now);
+            }
+        }
+    }
+
+    /// Takes what a relay told of all nodes of its zone.
+    pub fn hear_zone(&self, zone: &ZoneName, relay: &NodeId, life: u64, passed: HashMap<TenantName, f64>) {
+        let mut state = self.lock();
+        let State { accounts, zones, .. } = &mut *state;
+        let new = zones.entry(zone.clone()).or_default().take(relay, life, passed);
+        for (tenant, amount) in new {
             if let Some(account) = accounts.get_mut(&tenant) {
-                account.level -= total - before;
+                account.level -= amount;
             }
         }
     }
@@ -208,17 +226,3 @@
         }
     }
 }
-
-impl Account {
-    /// An account begins empty: what passed elsewhere before is not known.
-    fn new(now: Instant) -> Self {
-        Self { level: 0.0, refilled: now, passed: 0.0, untold: 0.0 }
-    }
-
-    fn refill(&mut self, tenant: &Tenant, sharing: Sharing, now: Instant) {
-        let passed = now.saturating_duration_since(self.refilled).as_secs_f64();
-        self.refilled = now;
-        let gained = passed * tenant.rate_per_second * sharing.part();
-        self.level = (self.level + gained).min(tenant.burst);
-    }
-}
--- a/crates/beamwall-gateway/src/scaling.rs
+++ b/crates/beamwall-gateway/src/scaling.rs
@@ -44,9 +44,11 @@
 }
 
 /// Part of its time that a back end should be busy at most, while cheap ones can be had.
-const TARGET_UTILISATION: f64 = 0.5;
+const TARGET_UTILISATION: f64 = 0.4;
 /// The same for lasting ones that stand in for missing reclaimable ones.
-const STAND_IN_UTILISATION: f64 = 0.75;
+const STAND_IN_UTILISATION: f64 = 0.6;
+/// The same after the next loss of a zone's reclaimable ones, while none can be had.
+const AFTER_LOSS_UTILISATION: f64 = 0.85;
 /// Reclaimable back ends that a zone holds whatever the load: headroom for bursts and losses.
 const RECLAIMABLE_HEADROOM: u32 = 1;
 
@@ -61,8 +63,10 @@
         let lasting = |(zone, part): (&&ZoneSupply, u32)| order(inputs, zone, false, lowest + part);
         return zones.iter().zip(parts).map(lasting).collect();
     }
-    let stand_ins = divide(missing_stand_ins(inputs, lowest, base), zones.len());
-    let reclaimable = divide(needed.saturating_sub(base), zones.len());
+    let are_scarce = are_scarce(&zones, lowest);
+    let missing = if are_scarce { missing_stand_ins(inputs, base) } else { 0 };
+    let stand_ins = divide(missing, zones.len());
+    let reclaimable = divide_reclaimable(&zones, needed.saturating_sub(base), are_scarce);
     let both = zones.iter().zip(stand_ins.into_iter().zip(reclaimable));
     both.flat_map(|(zone, (stand_ins, reclaimable))| {
         let lasting = (lowest + stand_ins).min(inputs.limits.maximum.max(lowest));
@@ -86,15 +90,33 @@
     zones
 }
 
-/// Lasting back ends beyond the base that the load needs where reclaimable ones can't be had. They stay
-/// until reclaimable ones take requests.
-fn missing_stand_ins(inputs: &ScalingInputs<'_>, lowest: u32, base: u32) -> u32 {
-    let stands_in = |supply: &ZoneSupply| supply.is_exhausted || supply.lasting_ordered > lowest;
-    if !inputs.zones.iter().any(stands_in) {
-        return 0;
+/// Whether reclaimable back ends are scarce: a zone can't get any, or lasting ones still stand in for them.
+fn are_scarce(zones: &[&ZoneSupply], lowest: u32) -> bool {
+    zones.iter().any(|zone| zone.is_exhausted || zone.lasting_ordered > lowest)
+}
+
+/// Lasting back ends beyond the base that the load needs while reclaimable ones are scarce. While a zone
+/// can't get any, they carry the load also when the zone that holds the most loses them next; later they
+/// stay until reclaimable ones take requests.
+fn missing_stand_ins(inputs: &ScalingInputs<'_>, base: u32) -> u32 {
+    let held = || inputs.zones.iter().map(|supply| supply.reclaimable_usable);
+    let present = base + held().sum::<u32>();
+    let now = back_ends_for(inputs.offered_load, STAND_IN_UTILISATION).saturating_sub(present);
+    if !inputs.zones.iter().any(|supply| supply.is_exhausted) {
+        return now;
+    }
+    let left = present - held().max().unwrap_or(0);
+    now.max(back_ends_for(inputs.offered_load, AFTER_LOSS_UTILISATION).saturating_sub(left))
+}
+
+/// Divides reclaimable back ends evenly. While they are scarce, every zone keeps what it holds:
+/// what is given back then can't be had again, and the next zone may be taken away meanwhile.
+fn divide_reclaimable(zones: &[&ZoneSupply], needed: u32, are_scarce: bool) -> Vec<u32> {
+    let parts = divide(needed, zones.len());
+    if !are_scarce {
+        return parts;
     }
-    let present: u32 = inputs.zones.iter().map(|supply| supply.reclaimable_usable).sum();
-    back_ends_for(inputs.offered_load, STAND_IN_UTILISATION).saturating_sub(base + present)
+    zones.iter().zip(parts).map(|(zone, part)| part.max(zone.reclaimable_usable)).collect()
 }
 
 /// Divides a number into equal parts; the first parts are larger by one where it does not go evenly.
--- a/crates/beamwall-gateway/src/stream/patience.rs
+++ b/crates/beamwall-gateway/src/stream/patience.rs
@@ -11,6 +11,8 @@
 const FIRST_EVENT_PERCENT: u32 = 100;
 /// Multiple of the expected time after which a silent engine is left.
 const EXPECTED_TIMES: u32 = 3;
+/// The same where this node has no other stream at the engine: its silence to one request says little.
+const UNHEARD_PERCENT: u32 = 300;
 /// An engine that sent anything within this time is not silent.
 const HEARD_WITHIN: Duration = Duration::from_millis(400);
 
@@ -21,6 +23,8 @@
     backend: &'a BackendId,
     may_move: bool,
     until: Instant,
+    /// When it is left also without a sign that it is dead.
+    at_the_latest: Instant,
 }
 
 impl<'a> Patience<'a> {
@@ -32,13 +36,15 @@
         attempts: &Attempts,
     ) -> Self {
         let is_last = attempts.sent + 1 >= call.route.attempt_limit;
-        let usual = Duration::from_millis(call.route.objective_ms) * FIRST_EVENT_PERCENT / 100;
+        let objective = Duration::from_millis(call.route.objective_ms);
+        let now = Instant::now();
         let expected = Duration::from_secs_f64(choice.cost_ms.max(0.0) / 1_000.0) * EXPECTED_TIMES;
         Self {
             forwarder,
             backend: &choice.backend,
             may_move: call.route.kind.is_idempotent() && !is_last,
-            until: Instant::now() + usual.max(expected),
+            until: now + (objective * FIRST_EVENT_PERCENT / 100).max(expected),
+            at_the_latest: now + (objective * UNHEARD_PERCENT / 100).max(expected),
         }
     }
 
@@ -48,11 +54,19 @@
             return std::future::pending().await;
         }
         tokio::time::sleep_until(self.until).await;
-        while self.heard_lately() {
+        while self.heard_lately() || !self.is_known_silent() {
             tokio::time::sleep(HEARD_WITHIN).await;
         }
     }
 
+    /// Whether the engine's silence tells something: it is not listed any more, it owes events to other
+    /// streams of this node, or it has been silent for very long.
+    fn is_known_silent(&self) -> bool {
+        let is_gone = self.forwarder.directory.load().get(self.backend).is_none();
+        let owes_events = self.forwarder.knowledge.loads.answering(self.backend) > 0;
+        is_gone || owes_events || Instant::now() >= self.at_the_latest
+    }
+
     fn heard_lately(&self) -> bool {
         let heard = self.forwarder.knowledge.health.last_heard(self.backend);
         heard.is_some_and(|heard| heard.elapsed() < HEARD_WITHIN)
--- a/crates/beamwall-gateway/src/usage.rs
+++ b/crates/beamwall-gateway/src/usage.rs
@@ -3,12 +3,15 @@
 //! Every node counts its own and tells its counts to all others with each heartbeat, so the counts of
 //! a node that is killed are known to the rest but for its last heartbeat period. A node's counts
 //! carry its incarnation: a restarted node counts anew and both lives are summed.
+//!
+//! In a large deployment other zones are known by sums that their relays tell. Each sum is a lower bound
+//! of what the zone counted, so of several the largest is right.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use beamwall_model::{NodeId, TenantName};
+use beamwall_model::{NodeId, TenantName, ZoneName};
 use serde::{Deserialize, Serialize};
 
 /// Windows that are kept after the newest.
@@ -29,6 +32,7 @@
 struct State {
     own: Windows,
     others: HashMap<(NodeId, u64), Windows>,
+    zones: HashMap<ZoneName, Windows>,
 }
 
 /// The counts of all nodes that are known here.
@@ -76,32 +80,64 @@
     /// Takes what one life of another node counted; counts only grow.
     pub fn merge(&self, node: &NodeId, incarnation: u64, told: Vec<WindowCounts>) {
         let mut state = self.lock();
-        let known = state.others.entry((node.clone(), incarnation)).or_default();
-        for window in told {
-            let counts = known.entry(window.window).or_default();
-            for (tenant, count) in window.counts {
-                let entry = counts.entry(tenant).or_default();
-                *entry = (*entry).max(count);
+        raise(state.others.entry((node.clone(), incarnation)).or_default(), told);
+    }
+
+    /// Takes the sums that a relay of another zone told.
+    pub fn merge_zone(&self, zone: &ZoneName, told: Vec<WindowCounts>) {
+        let mut state = self.lock();
+        raise(state.zones.entry(zone.clone()).or_default(), told);
+    }
+
+    /// Forgets all lives of a node whose counts come with its zone's sums from now on.
+    pub fn forget_node(&self, node: &NodeId) {
+        self.lock().others.retain(|(known, _), _| known != node);
+    }
+
+    /// The sums of this node and all nodes that told their own, in the newest `windows` windows.
+    pub fn sum_of_nodes(&self, windows: usize) -> Vec<WindowCounts> {
+        let state = self.lock();
+        let mut sums = Windows::new();
+        for counted in std::iter::once(&state.own).chain(state.others.values()) {
+            for (window, counts) in counted {
+                add(sums.entry(*window).or_default(), counts);
             }
         }
-        if let Some(newest) = known.keys().next_back().copied() {
-            prune(known, newest);
-        }
+        sums.into_iter().rev().take(windows).map(|(window, counts)| WindowCounts { window, counts }).collect()
     }
 
     /// The counts of all nodes for one window.
     pub fn total(&self, window: u64) -> WindowCounts {
         let state = self.lock();
         let mut total = WindowCounts { window, counts: BTreeMap::new() };
-        for windows in std::iter::once(&state.own).chain(state.others.values()) {
-            for (tenant, count) in windows.get(&window).into_iter().flatten() {
-                *total.counts.entry(tenant.clone()).or_default() += count;
-            }
+        let sources = std::iter::once(&state.own).chain(state.others.values()).chain(state.zones.values());
+        for counts in sources.filter_map(|windows| windows.get(&window)) {
+            add(&mut total.counts, counts);
         }
         total
     }
 }
 
+fn add(sum: &mut BTreeMap<TenantName, u64>, counts: &BTreeMap<TenantName, u64>) {
+    for (tenant, count) in counts {
+        *sum.entry(tenant.clone()).or_default() += count;
+    }
+}
+
+/// Raises counts to those that were told; counts only grow.
+fn raise(known: &mut Windows, told: Vec<WindowCounts>) {
+    for window in told {
+        let counts = known.entry(window.window).or_default();
+        for (tenant, count) in window.counts {
+            let entry = counts.entry(tenant).or_default();
+            *entry = (*entry).max(count);
+        }
+    }
+    if let Some(newest) = known.keys().next_back().copied() {
+        prune(known, newest);
+    }
+}
+
 fn prune(windows: &mut Windows, newest: u64) {
     let oldest = newest.saturating_sub(KEPT_WINDOWS);
     windows.retain(|window, _| *window >= oldest);
--- a/crates/beamwall-gateway/tests/usage.rs
+++ b/crates/beamwall-gateway/tests/usage.rs
@@ -47,3 +47,18 @@
     assert_eq!(ledger.recent(2).iter().map(|counts| counts.window).collect::<Vec<_>>(), [99, 98]);
     assert_eq!(ledger.total(99).counts, [("alder".into(), 1)].into());
 }
+
+#[test]
+fn a_zone_counts_once_whichever_relay_tells_its_sum() {
+    let (here, there) = (UsageLedger::new(WINDOW), UsageLedger::new(WINDOW));
+    here.record(&"alder".into(), second(11));
+    there.record(&"alder".into(), second(11));
+    let one = there.sum_of_nodes(3);
+    there.record(&"alder".into(), second(12));
+    here.merge_zone(&"east".into(), there.sum_of_nodes(3));
+    // The sum of a relay that has heard less arrives later.
+    here.merge_zone(&"east".into(), one);
+    assert_eq!(here.total(2).counts, [("alder".into(), 3)].into());
+    // What other zones told is not told to them again.
+    assert_eq!(here.sum_of_nodes(3)[0].counts, [("alder".into(), 1)].into());
+}
--- a/crates/beamwall-node/src/gateway/duties/capacity.rs
+++ b/crates/beamwall-node/src/gateway/duties/capacity.rs
@@ -163,11 +163,13 @@
             in_zone.filter(|backend| backend.reclaimable == reclaimable).count() as u32
         };
         let key = |reclaimable| OrderKey::new(&service.name, zone, reclaimable);
+        let lasting_usable = usable(false);
         ZoneSupply {
             zone: zone.clone(),
-            lasting_usable: usable(false),
+            lasting_usable,
             reclaimable_usable: usable(true),
-            lasting_ordered: book.given.get(&key(false)).map_or(0, |given| given.wanted),
+            // A new holder does not know what its predecessor ordered, but what came of it.
+            lasting_ordered: book.given.get(&key(false)).map_or(lasting_usable, |given| given.wanted),
             is_exhausted: book.refused.get(&key(true)).is_some_and(|refused| refused.is_exhausted),
         }
     }
--- a/crates/beamwall-node/src/gateway/duties/mod.rs
+++ b/crates/beamwall-node/src/gateway/duties/mod.rs
@@ -28,7 +28,7 @@
 /// Time between renewals and between looks at somebody else's lease.
 const RENEW_PERIOD: Duration = Duration::from_secs(1);
 /// Nodes of a zone that contend for the lease.
-const CONTENDERS_PER_ZONE: usize = 2;
+const CONTENDERS_PER_ZONE: usize = 1;
 /// The lease on all duties.
 const LEASE_NAME: &str = "gateway-duties";
 
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -12,8 +12,7 @@
 
 use arc_swap::ArcSwap;
 use beamwall_gateway::ports::DirectorySnapshot;
-use beamwall_gateway::quota::Sharing;
-use beamwall_gateway::{Backend, Directory, Gateway};
+use beamwall_gateway::{Backend, Directory, Gateway, Reporter};
 use beamwall_model::{NodeId, ServiceName, ZoneName};
 use beamwall_peer::gateway_message::{
     DirectoryRequest, DirectoryWhole, GatewayBeat, PolicyRequest, PolicyWhole,
@@ -30,27 +29,21 @@
 use crate::actors::policy::{OfferPolicy, PolicyActor};
 use crate::gateway::beat;
 use crate::gateway::readiness::Readiness;
+use crate::gateway::zones::HeardZones;
 use crate::shared::MembershipView;
 
-/// Members up to which every node speaks with every other; beyond, membership picks targets.
+/// Nodes that tell each other up to which every one speaks with every other; beyond, membership picks targets.
 const FULL_MESH_LIMIT: usize = 128;
 /// Time that a node's own watch gets to bring what a peer has, before the peer is asked.
 const OWN_WATCH_TIME: Duration = Duration::from_millis(60);
-/// Silence, in halves of the longest time between two heartbeats, after which a peer may be cut off. What
-/// both sides of a cut let pass before they miss each other must stay within what is tolerated.
-const HEARD_WITHIN_HALVES: u32 = 3;
-/// Time for which a dead member keeps its part of quotas.
-const DEAD_COUNTED_FOR: Duration = Duration::from_secs(20);
-/// Time after the start until all members are known.
-const INTRODUCTION_TIME: Duration = Duration::from_secs(3);
 /// Usage windows told in a heartbeat: the ones that may still be reported.
-const TOLD_WINDOWS: usize = 3;
+pub(super) const TOLD_WINDOWS: usize = 3;
 /// Least time between two heartbeats.
 const LEAST_PERIOD: Duration = Duration::from_millis(40);
 /// The same for each member.
 const LEAST_PERIOD_PER_MEMBER: Duration = Duration::from_micros(2_500);
-/// Members up to which heartbeats keep the usual period.
-const SMALL_DEPLOYMENT: u32 = 24;
+/// Nodes that tell each other up to which heartbeats keep the usual period.
+const USUAL_PERIOD_LIMIT: u32 = 12;
 /// Longest wait for a peer's answer.
 const ANSWER_LIMIT: Duration = Duration::from_millis(800);
 
@@ -92,6 +85,8 @@
     pub demand_closed: Mutex<Instant>,
     /// What is being asked of a peer.
     pub fetching: Fetching,
+    /// What is known of the other zones of a large deployment.
+    pub zones: HeardZones,
 }
 
 /// What is being asked of a peer right now.
@@ -128,19 +123,21 @@
     }
 
     /// The longest time between two heartbeats and the shortest: both grow with the number of members,
-    /// since each heartbeat goes to all of them.
-    fn beat_timing(&self) -> (Duration, Duration) {
-        let members = u32::try_from(self.members.load().members.len()).unwrap_or(u32::MAX);
+    /// since each heartbeat goes to all of them. In a large deployment the members of the zone count.
+    pub(super) fn beat_timing(&self) -> (Duration, Duration) {
+        let view = self.members.load();
+        let told = if self.is_large() { view.zone_size } else { view.members.len() };
+        let told = u32::try_from(told).unwrap_or(u32::MAX);
         let usual = MembershipTiming::default().period;
-        let period = if members > SMALL_DEPLOYMENT { usual * 2 } else { usual };
-        (period, LEAST_PERIOD.max(LEAST_PERIOD_PER_MEMBER * members))
+        let period = if told > USUAL_PERIOD_LIMIT { usual * 2 } else { usual };
+        (period, LEAST_PERIOD.max(LEAST_PERIOD_PER_MEMBER * told))
     }
 
     /// Sends one heartbeat to every peer.
     pub async fn beat(&self) {
         // The tick publishes when each member was last heard.
         let Ok(tick) = self.membership.ask(Tick).await else { return };
-        self.share_quotas();
+        self.share_limits();
         let quota_uses = beat::encode_quota_uses(self.gateway.quotas.tell());
         let demands = beat::encode_demands(self.close_demand_period());
         let beat = GatewayBeat { quota_uses, demands, ..self.to_reply(tick.updates) };
@@ -151,6 +148,7 @@
         for address in self.targets(tick.targets.iter().map(|target| target.address)) {
             self.network.send(address, if probed.contains(&address) { &probe } else { &plain });
         }
+        self.exchange_zone_sums(&tick.targets);
         for (node, address, probers) in tick.suspected {
             let body =
                 Body::ProbeRequest(ProbeRequest { node: node.to_string(), address: address.to_string() });
@@ -158,8 +156,7 @@
             probers.iter().for_each(|prober| self.network.send(*prober, &question));
         }
         for node in tick.died {
-            self.gateway.forwarder.knowledge.loads.forget_peer(&node);
-            self.gateway.forwarder.demand.forget_peer(&node);
+            self.forget_work_of(&Reporter::Node(node));
         }
     }
 
@@ -170,14 +167,17 @@
         self.gateway.forwarder.demand.close_period(length)
     }
 
-    /// Everyone alive while there are few, those that membership picks, and seeds not known yet.
+    /// Everyone alive while there are few, in a large deployment those of the zone; those that membership
+    /// picks, and seeds not known yet.
     fn targets(&self, picked: impl Iterator<Item = SocketAddr>) -> HashSet<SocketAddr> {
         let view = self.members.load();
         let mut targets: HashSet<SocketAddr> = picked.collect();
-        if view.members.len() <= FULL_MESH_LIMIT {
-            let alive = view.members.iter().filter(|member| member.state <= MemberState::Suspect);
-            targets.extend(alive.map(|member| member.address));
-        }
+        let is_large = self.is_large();
+        let is_told = |member: &&Member| {
+            member.state <= MemberState::Suspect && (!is_large || member.zone == self.zone)
+        };
+        targets
+            .extend(view.members.iter().filter(is_told).take(FULL_MESH_LIMIT).map(|member| member.address));
         let is_known = |seed: &&SocketAddr| view.members.iter().any(|member| member.address == **seed);
         targets.extend(self.seeds.iter().filter(|seed| !is_known(seed)));
         targets.remove(&self.address);
@@ -202,7 +202,7 @@
         }
     }
 
-    fn envelope(&self, body: Body) -> Envelope {
+    pub(super) fn envelope(&self, body: Body) -> Envelope {
         Envelope {
             sender: self.node.to_string(),
             incarnation: self.members.load().incarnation,
@@ -218,29 +218,6 @@
         }
     }
 
-    /// Tells the quotas who shares them: silent members count as known, because they may be cut off and
-    /// serving, until they have been dead for long; members that left don't.
-    fn share_quotas(&self) {
-        let now = Instant::now();
-        let view = self.members.load();
-        let is_counted = |member: &&Member| match member.state {
-            MemberState::Left => false,
-            MemberState::Dead => now.duration_since(member.since) < DEAD_COUNTED_FOR,
-            MemberState::Alive | MemberState::Suspect => true,
-        };
-        let known = view.members.iter().filter(is_counted).count() + 1;
-        let heard_within = self.beat_timing().0 * HEARD_WITHIN_HALVES / 2;
-        let is_heard =
-            |member: &&Member| member.heard.is_some_and(|heard| now.duration_since(heard) < heard_within);
-        let heard = view.members.iter().filter(is_heard).count() + 1;
-        // A node that has just started does not know everyone yet.
-        let known =
-            if self.started.elapsed() < INTRODUCTION_TIME { known.max(self.expected_nodes) } else { known };
-        let policy = self.gateway.policy.load();
-        self.gateway.quotas.share(Sharing { heard, known }, &policy.policy().tenants, now);
-        self.gateway.forwarder.retries.divide_among(known);
-    }
-
     /// Handles messages until the network closes.
     pub async fn receive(self: Arc<Self>, mut inbox: mpsc::Receiver<Envelope>) {
         while let Some(envelope) = inbox.recv().await {
@@ -263,6 +240,7 @@
         }
         match body {
             Some(Body::GatewayBeat(beat)) => self.take_beat(&envelope, beat),
+            Some(Body::ZoneSummary(summary)) => self.take_zone_sum(&envelope, summary),
             Some(Body::ProbeRequest(probe)) => self.probe_for(&probe),
             Some(Body::PolicyRequest(_)) => {
                 let policy = self.gateway.policy.load();
@@ -294,18 +272,10 @@
     }
 
     fn take_beat(self: &Arc<Self>, envelope: &Envelope, beat: GatewayBeat) {
-        let node = NodeId::new(&envelope.sender);
         if beat.wants_answer {
             self.reply(envelope, Body::GatewayBeat(self.to_reply(Vec::new())));
         }
         let Ok(address) = envelope.address.parse() else { return };
-        let forwarder = &self.gateway.forwarder;
-        forwarder.knowledge.loads.set_peer(&node, beat::decode_loads(beat.loads));
-        forwarder.usage.merge(&node, beat.life, beat::decode_usage(beat.usage));
-        if !beat.demands.is_empty() {
-            forwarder.demand.set_peer(&node, beat::decode_demands(&beat.demands));
-        }
-        self.gateway.quotas.hear(&node, beat.life, beat::decode_quota_uses(&beat.quota_uses));
         if beat.policy_version > self.gateway.policy.load().version() {
             tokio::spawn(self.clone().fetch_policy(address, beat.policy_version));
         }
@@ -313,6 +283,24 @@
         if beat.directory_revision > directory.revision() && beat.directory_digest != directory.digest() {
             tokio::spawn(self.clone().fetch_directory(address, beat.directory_revision));
         }
+        // In a large deployment the work of other zones comes as sums.
+        if !self.is_large() || envelope.zone == self.zone.as_str() {
+            self.take_work(&envelope.sender, beat);
+        }
+    }
+
+    /// Takes what a node tells of its own work.
+    fn take_work(&self, sender: &str, beat: GatewayBeat) {
+        let node = NodeId::new(sender);
+        let reporter = Reporter::Node(node.clone());
+        let forwarder = &self.gateway.forwarder;
+        forwarder.knowledge.loads.set_peer(&reporter, beat::decode_loads(beat.loads));
+        forwarder.usage.merge(&node, beat.life, beat::decode_usage(beat.usage));
+        if !beat.demands.is_empty() {
+            forwarder.demand.set_peer(&reporter, beat::decode_demands(&beat.demands));
+        }
+        let uses = beat::decode_quota_uses(&beat.quota_uses);
+        self.gateway.quotas.hear(&node, beat.life, uses, Instant::now());
     }
 
     async fn fetch_policy(self: Arc<Self>, peer: SocketAddr, version: u64) {
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -11,8 +11,10 @@
 pub mod exchange;
 pub mod gauges;
 pub mod readiness;
+mod sharing;
 pub mod store_status;
 pub mod watches;
+pub mod zones;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -235,5 +237,6 @@
         started: Instant::now(),
         demand_closed: Mutex::new(Instant::now()),
         fetching: Default::default(),
+        zones: Default::default(),
     }
 }
--- a/crates/beamwall-node/src/gateway/watches.rs
+++ b/crates/beamwall-node/src/gateway/watches.rs
@@ -22,7 +22,7 @@
 /// Longest wait of one watch call.
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
 /// Nodes of a zone that watch each subject.
-const WATCHERS_PER_ZONE: usize = 3;
+const WATCHERS_PER_ZONE: usize = 2;
 /// First pause after a failure; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause.
@@ -56,6 +56,8 @@
 pub trait Followed: Send + Sync + 'static {
     /// Its name in logs, and by which its watchers are chosen.
     const SUBJECT: &'static str;
+    /// Pause after a change, so that those that follow at once come in one answer.
+    const GATHERING_TIME: Duration;
 
     /// Reads it whole, or watches on from the revision reached; gives the revision reached then.
     fn step(
@@ -76,6 +78,9 @@
             Ok(revision) => {
                 status.note_answer(F::SUBJECT);
                 backoff.reset();
+                if reached.is_some_and(|before| before < revision) {
+                    tokio::time::sleep(F::GATHERING_TIME).await;
+                }
                 reached = Some(revision);
             }
             Err(error) => {
@@ -97,6 +102,7 @@
 
 impl Followed for FollowedPolicy {
     const SUBJECT: &'static str = POLICY;
+    const GATHERING_TIME: Duration = Duration::ZERO;
 
     async fn step(&self, reached: Option<u64>) -> Result<u64, ControlStoreError> {
         let PolicyAnswer { revision, policy } = match reached {
@@ -120,6 +126,7 @@
 
 impl Followed for FollowedBackends {
     const SUBJECT: &'static str = BACKENDS;
+    const GATHERING_TIME: Duration = Duration::from_millis(300);
 
     async fn step(&self, reached: Option<u64>) -> Result<u64, ControlStoreError> {
         match reached {
--- /dev/null
+++ b/crates/beamwall-node/src/gateway/zones.rs
@@ -0,0 +1,161 @@
+//! How the gateways of a large deployment know of other zones: by sums, not node by node.
+//!
+//! Where all nodes told each other, the cost of a node's heartbeats would grow with the whole deployment.
+//! So only the nodes of a zone do. The relays of a zone sum what they hear, send the sum to one relay of
+//! each other zone, in turn, and that one passes it on to its own zone. With two relays a zone the loss
+//! of one costs every second sum, until membership has chosen another.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use beamwall_gateway::Reporter;
+use beamwall_model::{NodeId, ZoneName};
+use beamwall_peer::gateway_message::ZoneSummary;
+use beamwall_peer::{Body, Envelope, Member, MemberState, Target};
+use tokio::time::Instant;
+
+use crate::gateway::beat;
+use crate::gateway::exchange::{Exchange, TOLD_WINDOWS};
+
+/// Members up to which all nodes tell each other, whatever their zone.
+pub(super) const SMALL_DEPLOYMENT: usize = 24;
+/// Time without a sum after which a zone's nodes count as not heard.
+const HEARD_WITHIN: Duration = Duration::from_millis(2_500);
+/// Time without a sum after which a zone's open work and demand are not counted any more.
+const BELIEVED_FOR: Duration = Duration::from_secs(5);
+
+/// What is known of the other zones beside their sums.
+#[derive(Debug, Default)]
+pub struct HeardZones {
+    heard: Mutex<HashMap<ZoneName, HeardZone>>,
+    /// Number of the next sum, by which the receiving relays take turns.
+    turn: AtomicUsize,
+    /// Whether zones have been known by sums since the start.
+    by_sums: AtomicBool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct HeardZone {
+    nodes: usize,
+    at: Instant,
+}
+
+impl HeardZones {
+    fn note(&self, zone: ZoneName, nodes: usize) {
+        let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        heard.insert(zone, HeardZone { nodes, at: Instant::now() });
+    }
+
+    /// Nodes of all other zones that are heard by relays that are heard.
+    pub(super) fn nodes_heard(&self) -> usize {
+        let heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        heard.values().filter(|zone| zone.at.elapsed() < HEARD_WITHIN).map(|zone| zone.nodes).sum()
+    }
+
+    fn take_silent(&self) -> Vec<ZoneName> {
+        let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        heard.extract_if(|_, zone| zone.at.elapsed() >= BELIEVED_FOR).map(|(zone, _)| zone).collect()
+    }
+}
+
+impl Exchange {
+    /// Whether other zones are known by sums.
+    pub(super) fn is_large(&self) -> bool {
+        self.members.load().members.len() + 1 > SMALL_DEPLOYMENT
+    }
+
+    /// Members of this zone that may live.
+    pub(super) fn zone_members<'a>(&'a self, members: &'a [Member]) -> impl Iterator<Item = &'a Member> {
+        members.iter().filter(|member| member.zone == self.zone && member.state <= MemberState::Suspect)
+    }
+
+    /// Sends this zone's sum to one relay of each other zone, if this node is a relay, and forgets zones
+    /// that have fallen silent.
+    pub(super) fn exchange_zone_sums(&self, targets: &[Target]) {
+        if !self.is_large() {
+            return;
+        }
+        self.forget_nodes_of_other_zones();
+        for zone in self.zones.take_silent() {
+            self.forget_work_of(&Reporter::Zone(zone));
+        }
+        if self.members.load().is_relay {
+            let sum = self.envelope(Body::ZoneSummary(self.sum_zone()));
+            for address in self.receiving_relays(targets) {
+                self.network.send(address, &sum);
+            }
+        }
+    }
+
+    /// Of the relays of other zones that are probed anyway, one a zone, by turns.
+    fn receiving_relays(&self, targets: &[Target]) -> Vec<SocketAddr> {
+        let turn = self.zones.turn.fetch_add(1, Ordering::Relaxed);
+        let view = self.members.load();
+        let mut by_zone: BTreeMap<&ZoneName, Vec<SocketAddr>> = BTreeMap::new();
+        for member in view.members.iter().filter(|member| member.zone != self.zone) {
+            let is_target = targets.iter().any(|target| target.address == member.address);
+            if is_target && member.state == MemberState::Alive {
+                by_zone.entry(&member.zone).or_default().push(member.address);
+            }
+        }
+        by_zone.values().map(|relays| relays[turn % relays.len()]).collect()
+    }
+
+    fn sum_zone(&self) -> ZoneSummary {
+        let forwarder = &self.gateway.forwarder;
+        let loads = forwarder.knowledge.loads.sum_of_nodes();
+        ZoneSummary {
+            zone: self.zone.to_string(),
+            relay: self.node.to_string(),
+            life: self.life,
+            nodes_heard: u32::try_from(self.close_nodes_heard()).unwrap_or(u32::MAX),
+            quota_uses: beat::encode_quota_uses(self.gateway.quotas.sum_of_nodes()),
+            loads: beat::encode_loads(loads.into_iter().collect()),
+            usage: beat::encode_usage(forwarder.usage.sum_of_nodes(TOLD_WINDOWS)),
+            demands: beat::encode_demands(forwarder.demand.sum_of_nodes()),
+        }
+    }
+
+    /// Takes another zone's sum; the relay that got it from that zone passes it on in its own.
+    pub(super) fn take_zone_sum(&self, envelope: &Envelope, summary: ZoneSummary) {
+        let zone = ZoneName::new(&summary.zone);
+        if !self.is_large() || zone == self.zone {
+            return;
+        }
+        if envelope.zone != self.zone.as_str() {
+            let passed_on = self.envelope(Body::ZoneSummary(summary.clone()));
+            let view = self.members.load();
+            self.zone_members(&view.members).for_each(|member| self.network.send(member.address, &passed_on));
+        }
+        let forwarder = &self.gateway.forwarder;
+        let reporter = Reporter::Zone(zone.clone());
+        forwarder.knowledge.loads.set_peer(&reporter, beat::decode_loads(summary.loads));
+        forwarder.demand.set_peer(&reporter, beat::decode_demands(&summary.demands));
+        forwarder.usage.merge_zone(&zone, beat::decode_usage(summary.usage));
+        let relay = NodeId::new(&summary.relay);
+        let uses = beat::decode_quota_uses(&summary.quota_uses);
+        self.gateway.quotas.hear_zone(&zone, &relay, summary.life, uses);
+        self.zones.note(zone, summary.nodes_heard as usize);
+    }
+
+    /// Drops what single nodes of other zones told while the deployment seemed small: from now on it is
+    /// part of their zones' sums.
+    fn forget_nodes_of_other_zones(&self) {
+        if self.zones.by_sums.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        for member in self.members.load().members.iter().filter(|member| member.zone != self.zone) {
+            self.forget_work_of(&Reporter::Node(member.node.clone()));
+            self.gateway.forwarder.usage.forget_node(&member.node);
+        }
+    }
+
+    /// Forgets the open work and the demand that somebody told.
+    pub(super) fn forget_work_of(&self, reporter: &Reporter) {
+        self.gateway.forwarder.knowledge.loads.forget_peer(reporter);
+        self.gateway.forwarder.demand.forget_peer(reporter);
+    }
+}
--- a/crates/beamwall-node/src/tasks/inbox.rs
+++ b/crates/beamwall-node/src/tasks/inbox.rs
@@ -77,7 +77,8 @@
             | Body::PolicyRequest(_)
             | Body::PolicyWhole(_)
             | Body::DirectoryRequest(_)
-            | Body::DirectoryWhole(_),
+            | Body::DirectoryWhole(_)
+            | Body::ZoneSummary(_),
         )
         | None => {}
     }
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -42,6 +42,36 @@
     pub demands: Vec<ServiceDemand>,
 }
 
+/// What the gateways of one zone do, summed by one of its relays for the other zones. The relay that
+/// gets it passes it on, unchanged, to the gateways of its own zone.
+#[derive(Clone, PartialEq, Message)]
+pub struct ZoneSummary {
+    /// The zone.
+    #[prost(string, tag = "1")]
+    pub zone: String,
+    /// The relay that summed.
+    #[prost(string, tag = "2")]
+    pub relay: String,
+    /// Number of the relay's life, during which it summed quota uses.
+    #[prost(fixed64, tag = "3")]
+    pub life: u64,
+    /// Gateways of the zone that the relay hears, itself included.
+    #[prost(uint32, tag = "4")]
+    pub nodes_heard: u32,
+    /// Work of tenants that they let pass during the relay's life.
+    #[prost(message, repeated, tag = "5")]
+    pub quota_uses: Vec<QuotaUse>,
+    /// Their open work at back ends.
+    #[prost(message, repeated, tag = "6")]
+    pub loads: Vec<BackendLoad>,
+    /// Usage that they counted.
+    #[prost(message, repeated, tag = "7")]
+    pub usage: Vec<UsageWindow>,
+    /// Work that callers ask for at them.
+    #[prost(message, repeated, tag = "8")]
+    pub demands: Vec<ServiceDemand>,
+}
+
 /// Work that callers ask for at the sender.
 #[derive(Clone, PartialEq, Message)]
 pub struct ServiceDemand {
--- a/crates/beamwall-peer/src/message.rs
+++ b/crates/beamwall-peer/src/message.rs
@@ -5,7 +5,9 @@
 
 use prost::{Message, Oneof};
 
-use crate::gateway_message::{DirectoryRequest, DirectoryWhole, GatewayBeat, PolicyRequest, PolicyWhole};
+use crate::gateway_message::{
+    DirectoryRequest, DirectoryWhole, GatewayBeat, PolicyRequest, PolicyWhole, ZoneSummary,
+};
 
 /// Every message: who sends it, what the sender holds, and the body.
 #[derive(Clone, PartialEq, Message)]
@@ -41,7 +43,7 @@
     #[prost(uint64, tag = "10")]
     pub answers: u64,
     /// The body.
-    #[prost(oneof = "Body", tags = "20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 40, 41, 42, 43, 44")]
+    #[prost(oneof = "Body", tags = "20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 40, 41, 42, 43, 44, 45")]
     pub body: Option<Body>,
 }
 
@@ -99,6 +101,9 @@
     /// A whole list of back ends.
     #[prost(message, tag = "44")]
     DirectoryWhole(DirectoryWhole),
+    /// What the gateways of one zone do, for another zone.
+    #[prost(message, tag = "45")]
+    ZoneSummary(ZoneSummary),
 }
 
 /// Periodic sign of life with piggybacked news.
