--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -93,6 +93,10 @@
     3003 Warn PeerDead "peer dead" { peer, zone }
     /// A message from a peer could not be decoded.
     3004 Warn PeerMessageUnreadable "peer message unreadable" { reason }
+    /// No relay of another zone was heard for a while; its work is not counted on any more.
+    3005 Warn ZoneSilent "zone silent" { zone }
+    /// A relay of another zone was heard for the first time, or again.
+    3006 Info ZoneHeard "zone heard" { zone, relay, nodes }
     /// A back end is leaving and gets no new work.
     4001 Info BackendLeaving "back end leaving" { backend, source }
     /// A back end failed its health polls.
@@ -105,6 +109,10 @@
     4005 Warn OrderRefused "order refused" { backend, order, epoch, reason }
     /// The list of back ends changed.
     4101 Info DirectoryChanged "list of back ends changed" { revision, source, usable, draining }
+    /// Back ends vanished from the list right after the store was away; they are used for a moment longer.
+    4102 Warn BackendsLapsed "entries of back ends lapsed" { lapsed, kept_ms }
+    /// Back ends whose entries lapsed were not listed again.
+    4103 Warn LapsedBackendsDropped "lapsed back ends dropped" { dropped }
     /// A stream continued on another engine.
     5001 Info StreamMigrated "stream migrated" { request, from, to, delivered_tokens, recomputed_tokens }
     /// An answer reached nobody because its attempt was over.
--- a/crates/beamwall-gateway/src/directory.rs
+++ b/crates/beamwall-gateway/src/directory.rs
@@ -2,6 +2,10 @@
 //!
 //! The store's revisions are totally ordered, so of two directories the one of the higher revision is
 //! right. A node learns from the store's watch or from a peer; it never goes back.
+//!
+//! Entries of back ends that live lapse while the store is away, since they can't renew them, and are
+//! listed again soon after its return. So what vanishes then without having announced it is still used
+//! for a moment, as lapsed; it is no part of the revision, and peers are not told of it.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -37,6 +41,16 @@
     revision: u64,
     digest: u64,
     backends: BTreeMap<BackendId, Backend>,
+    lapsed: BTreeMap<BackendId, Backend>,
+}
+
+/// What it means when a back end is not listed any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Vanishing {
+    /// It is gone.
+    Gone,
+    /// Its entry may have lapsed while the store was away.
+    MayHaveLapsed,
 }
 
 impl Directory {
@@ -55,14 +69,34 @@
         self.backends.values()
     }
 
-    /// One back end.
+    /// One back end, listed or lapsed.
     pub fn get(&self, id: &BackendId) -> Option<&Backend> {
-        self.backends.get(id)
+        self.backends.get(id).or_else(|| self.lapsed.get(id))
     }
 
-    /// Back ends of a service that take new requests.
+    /// Back ends of a service that take new requests, lapsed ones included.
     pub fn usable<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Backend> {
-        self.backends.values().filter(move |backend| &backend.service == service && !backend.draining)
+        let known = self.backends.values().chain(self.lapsed.values());
+        known.filter(move |backend| &backend.service == service && !backend.draining)
+    }
+
+    /// Back ends whose entries lapsed and are not listed again yet.
+    pub fn lapsed(&self) -> usize {
+        self.lapsed.len()
+    }
+
+    /// Takes lapsed back ends for gone; returns whether there were any.
+    pub fn drop_lapsed(&mut self) -> bool {
+        !std::mem::take(&mut self.lapsed).is_empty()
+    }
+
+    /// Keeps what has vanished since `before` as lapsed, and forgets what is listed again.
+    fn note_lapsed(&mut self, before: BTreeMap<BackendId, Backend>, vanishing: Vanishing) {
+        if vanishing == Vanishing::MayHaveLapsed {
+            self.lapsed.extend(before.into_iter().filter(|(_, backend)| !backend.draining));
+        }
+        let listed = &self.backends;
+        self.lapsed.retain(|id, _| !listed.contains_key(id));
     }
 
     /// The whole as a snapshot, for peers.
@@ -71,12 +105,14 @@
     }
 
     /// Takes a snapshot if it is newer; returns whether it was taken.
-    pub fn replace(&mut self, snapshot: DirectorySnapshot) -> bool {
+    pub fn replace(&mut self, snapshot: DirectorySnapshot, vanishing: Vanishing) -> bool {
         if snapshot.revision <= self.revision {
             return false;
         }
         self.revision = snapshot.revision;
-        self.backends = snapshot.backends.into_iter().map(|backend| (backend.id.clone(), backend)).collect();
+        let listed = snapshot.backends.into_iter().map(|backend| (backend.id.clone(), backend)).collect();
+        let before = std::mem::replace(&mut self.backends, listed);
+        self.note_lapsed(before, vanishing);
         self.digest = digest(&self.backends);
         true
     }
@@ -85,20 +121,22 @@
     /// this directory is not at least at `base`, because some between would be missing, and when
     /// it is already beyond them. An empty answer counts, too: it says that nothing has changed up to
     /// its revision, from which the next will follow.
-    pub fn apply(&mut self, base: u64, changes: DirectoryChanges) -> bool {
+    pub fn apply(&mut self, base: u64, changes: DirectoryChanges, vanishing: Vanishing) -> bool {
         if self.revision < base || changes.revision <= self.revision {
             return false;
         }
+        let mut vanished = BTreeMap::new();
         for change in changes.changes {
             match change {
                 DirectoryChange::Changed(backend) => {
                     self.backends.insert(backend.id.clone(), backend);
                 }
                 DirectoryChange::Gone(id) => {
-                    self.backends.remove(&id);
+                    vanished.extend(self.backends.remove_entry(&id));
                 }
             }
         }
+        self.note_lapsed(vanished, vanishing);
         self.revision = changes.revision;
         self.digest = digest(&self.backends);
         true
--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -27,7 +27,7 @@
 pub mod unary;
 pub mod usage;
 
-pub use directory::{Backend, Directory};
+pub use directory::{Backend, Directory, Vanishing};
 pub use handler::{Gateway, GatewayHandler};
 pub use ports::{
     AnswerHead, CallHead, ControlStore, ControlStoreError, Dialect, DutyError, DutyPort, ForwardHead, Prompt,
--- a/crates/beamwall-gateway/tests/directory.rs
+++ b/crates/beamwall-gateway/tests/directory.rs
@@ -5,7 +5,7 @@
 use arbtest::arbitrary::Unstructured;
 use arbtest::arbtest;
 use beamwall_gateway::ports::{DirectoryChange, DirectoryChanges, DirectorySnapshot};
-use beamwall_gateway::{Backend, Directory};
+use beamwall_gateway::{Backend, Directory, Vanishing};
 
 fn backend(number: u8, draining: bool) -> Backend {
     Backend {
@@ -25,7 +25,7 @@
 
 fn listed(revision: u64, backends: Vec<Backend>) -> Directory {
     let mut directory = Directory::default();
-    assert!(directory.replace(DirectorySnapshot { revision, backends }));
+    assert!(directory.replace(DirectorySnapshot { revision, backends }, Vanishing::Gone));
     directory
 }
 
@@ -33,22 +33,29 @@
 fn a_change_after_a_quiet_wait_is_taken() {
     let mut directory = listed(46, vec![backend(1, false)]);
     // Other kinds of object changed meanwhile: the wait ended without changes at a higher revision.
-    directory.apply(46, changes(49, Vec::new()));
-    assert!(directory.apply(49, changes(53, vec![DirectoryChange::Changed(backend(1, true))])));
+    directory.apply(46, changes(49, Vec::new()), Vanishing::Gone);
+    assert!(directory.apply(
+        49,
+        changes(53, vec![DirectoryChange::Changed(backend(1, true))]),
+        Vanishing::Gone
+    ));
     assert_eq!(directory.usable(&"model".into()).count(), 0);
 }
 
 #[test]
 fn changes_that_do_not_follow_are_refused() {
     let mut directory = listed(10, vec![backend(1, false)]);
-    assert!(!directory.apply(12, changes(13, vec![DirectoryChange::Gone("b1".into())])));
+    assert!(!directory.apply(12, changes(13, vec![DirectoryChange::Gone("b1".into())]), Vanishing::Gone));
     assert_eq!(directory.revision(), 10);
 }
 
 #[test]
 fn an_older_snapshot_of_a_peer_is_refused() {
     let mut directory = listed(10, vec![backend(1, true)]);
-    assert!(!directory.replace(DirectorySnapshot { revision: 9, backends: vec![backend(1, false)] }));
+    assert!(
+        !directory
+            .replace(DirectorySnapshot { revision: 9, backends: vec![backend(1, false)] }, Vanishing::Gone)
+    );
     assert!(directory.backends().all(|known| known.draining));
 }
 
@@ -63,14 +70,19 @@
         while watched < last {
             if random.arbitrary::<bool>()? {
                 let at = random.int_in_range(1..=last)?;
-                directory.replace(snapshot_at(&history, at));
+                directory.replace(snapshot_at(&history, at), vanishing(random)?);
             } else {
                 let until = random.int_in_range(watched + 1..=last)?;
-                directory.apply(watched, changes_between(&history, watched, until));
+                let vanishing = vanishing(random)?;
+                directory.apply(watched, changes_between(&history, watched, until), vanishing);
                 watched = until;
             }
             let known: Vec<Backend> = directory.backends().cloned().collect();
             assert_eq!(known, snapshot_at(&history, directory.revision()).backends);
+            // Whatever has lapsed, nothing that is listed as leaving is used.
+            let service = "model".into();
+            let leaving = |used: &Backend| known.iter().any(|one| one.id == used.id && one.draining);
+            assert!(!directory.usable(&service).any(leaving));
         }
         assert_eq!(directory.revision(), last);
         Ok(())
@@ -108,3 +120,33 @@
 fn changes_between(history: &History, from: u64, to: u64) -> DirectoryChanges {
     changes(to, history[from as usize..to as usize].iter().flatten().cloned().collect())
 }
+
+fn vanishing(random: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<Vanishing> {
+    Ok(if random.arbitrary()? { Vanishing::Gone } else { Vanishing::MayHaveLapsed })
+}
+
+/// Back ends can't renew their entries while the store is away; they are listed again soon after its return.
+#[test]
+fn entries_that_lapsed_are_used_until_they_are_listed_again_or_dropped() {
+    let service = "model".into();
+    let mut directory = listed(10, vec![backend(1, false), backend(2, true), backend(3, false)]);
+    let gone = |number: u8| DirectoryChange::Gone(backend(number, false).id);
+    let all_gone = changes(20, vec![gone(1), gone(2), gone(3)]);
+    assert!(directory.apply(10, all_gone, Vanishing::MayHaveLapsed));
+    assert_eq!(directory.backends().count(), 0, "peers are told what is listed");
+    assert_eq!(directory.usable(&service).count(), 2, "one had said that it leaves");
+    assert!(directory.get(&"b1".into()).is_some());
+    let listed_again = changes(21, vec![DirectoryChange::Changed(backend(1, false))]);
+    assert!(directory.apply(20, listed_again, Vanishing::MayHaveLapsed));
+    assert_eq!((directory.usable(&service).count(), directory.lapsed()), (2, 1));
+    assert!(directory.drop_lapsed());
+    assert_eq!(directory.usable(&service).count(), 1);
+    assert!(!directory.drop_lapsed());
+}
+
+#[test]
+fn an_entry_that_vanishes_while_the_store_answers_is_gone() {
+    let mut directory = listed(10, vec![backend(1, false)]);
+    directory.apply(10, changes(11, vec![DirectoryChange::Gone("b1".into())]), Vanishing::Gone);
+    assert!(directory.get(&"b1".into()).is_none());
+}
--- a/crates/beamwall-node/src/actors/directory.rs
+++ b/crates/beamwall-node/src/actors/directory.rs
@@ -1,29 +1,66 @@
 //! Owner of the list of back ends: its revision only grows.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use beamwall_events::emit;
-use beamwall_events::internal_events::DirectoryChanged;
+use beamwall_events::internal_events::{BackendsLapsed, DirectoryChanged, LapsedBackendsDropped};
 use beamwall_gateway::ports::{DirectoryChanges, DirectorySnapshot};
-use beamwall_gateway::{Directory, Gateway};
+use beamwall_gateway::{Directory, Gateway, Vanishing};
 use kameo::Actor;
+use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
 use tokio::sync::Notify;
 
+use crate::gateway::store_status::StoreStatus;
+use crate::gateway::watches::BACKENDS;
+
+/// Time for which lapsed back ends are used. Those that live are listed again about two seconds after the
+/// store's return; those that don't must not get requests for longer.
+const LAPSED_FOR: Duration = Duration::from_millis(1_700);
+
 /// Owner of the list of back ends.
 #[derive(Actor)]
 pub struct DirectoryActor {
     directory: Directory,
     view: Arc<ArcSwap<Directory>>,
     gateway: Arc<Gateway>,
+    status: Arc<StoreStatus>,
     news: Arc<Notify>,
 }
 
 impl DirectoryActor {
-    /// An owner that publishes to `view` and tells `news` of changes.
-    pub fn new(view: Arc<ArcSwap<Directory>>, gateway: Arc<Gateway>, news: Arc<Notify>) -> Self {
-        Self { directory: Directory::default(), view, gateway, news }
+    /// An owner that publishes to `view` and tells `news` of changes; `status` says whether the store was away.
+    pub fn new(
+        view: Arc<ArcSwap<Directory>>,
+        gateway: Arc<Gateway>,
+        status: Arc<StoreStatus>,
+        news: Arc<Notify>,
+    ) -> Self {
+        Self { directory: Directory::default(), view, gateway, status, news }
+    }
+
+    /// What it means that a back end is not listed any more.
+    fn vanishing(&self) -> Vanishing {
+        if self.status.was_away(BACKENDS, LAPSED_FOR) { Vanishing::MayHaveLapsed } else { Vanishing::Gone }
+    }
+
+    /// Publishes a newer list. Where entries have lapsed by it, they are dropped after a while.
+    fn publish_newer(&mut self, source: String, before: &Before, actor: ActorRef<Self>) {
+        self.publish(source, before.digest);
+        let lapsed = self.directory.lapsed();
+        if lapsed > before.lapsed {
+            emit(&BackendsLapsed { lapsed: lapsed.to_string(), kept_ms: LAPSED_FOR.as_millis().to_string() });
+            tokio::spawn(async move {
+                tokio::time::sleep(LAPSED_FOR).await;
+                let _ = actor.tell(DropLapsed).await;
+            });
+        }
+    }
+
+    fn before(&self) -> Before {
+        Before { digest: self.directory.digest(), lapsed: self.directory.lapsed() }
     }
 
     fn publish(&mut self, source: String, digest_before: u64) {
@@ -43,6 +80,12 @@
     }
 }
 
+/// What the list was before a change.
+struct Before {
+    digest: u64,
+    lapsed: usize,
+}
+
 /// The whole list was read or heard of.
 pub struct TakeSnapshot {
     /// The list.
@@ -55,11 +98,11 @@
     type Reply = bool;
 
     /// Takes the list if it is newer; answers whether it was.
-    async fn handle(&mut self, message: TakeSnapshot, _: &mut Context<Self, Self::Reply>) -> bool {
-        let before = self.directory.digest();
-        let taken = self.directory.replace(message.snapshot);
+    async fn handle(&mut self, message: TakeSnapshot, context: &mut Context<Self, Self::Reply>) -> bool {
+        let before = self.before();
+        let taken = self.directory.replace(message.snapshot, self.vanishing());
         if taken {
-            self.publish(message.source, before);
+            self.publish_newer(message.source, &before, context.actor_ref().clone());
         }
         taken
     }
@@ -77,12 +120,29 @@
     type Reply = bool;
 
     /// Applies the changes; answers whether they were new.
-    async fn handle(&mut self, message: ApplyChanges, _: &mut Context<Self, Self::Reply>) -> bool {
-        let before = self.directory.digest();
-        let taken = self.directory.apply(message.base, message.changes);
+    async fn handle(&mut self, message: ApplyChanges, context: &mut Context<Self, Self::Reply>) -> bool {
+        let before = self.before();
+        let taken = self.directory.apply(message.base, message.changes, self.vanishing());
         if taken {
-            self.publish("store".to_owned(), before);
+            self.publish_newer("store".to_owned(), &before, context.actor_ref().clone());
         }
         taken
     }
 }
+
+/// The time of lapsed back ends is over.
+struct DropLapsed;
+
+impl Message<DropLapsed> for DirectoryActor {
+    type Reply = ();
+
+    /// Takes those that are not listed again for gone.
+    async fn handle(&mut self, _: DropLapsed, _: &mut Context<Self, Self::Reply>) {
+        let lapsed = self.directory.lapsed();
+        if self.directory.drop_lapsed() {
+            emit(&LapsedBackendsDropped { dropped: lapsed.to_string() });
+            self.view.store(Arc::new(self.directory.clone()));
+            self.gateway.forwarder.knowledge.follow(&self.directory);
+        }
+    }
+}
--- a/crates/beamwall-node/src/gateway/duties/usage.rs
+++ b/crates/beamwall-node/src/gateway/duties/usage.rs
@@ -18,6 +18,8 @@
 
 /// Time after a window's end until all nodes have told their counts.
 const USAGE_SETTLES: Duration = Duration::from_millis(1_700);
+/// The same in a large deployment, where counts of other zones pass through two relays.
+const USAGE_SETTLES_LARGE: Duration = Duration::from_millis(2_600);
 /// Time after a window's end for which counts of silent nodes are waited for.
 const USAGE_WAITS: Duration = Duration::from_millis(6_500);
 /// Time after a window's end after which it is not reported any more.
@@ -107,7 +109,8 @@
         let window = first.max(oldest);
         let windows_since = u32::try_from(current.checked_sub(window + 1)?).unwrap_or(u32::MAX);
         let ended_for = passed + self.window_length * windows_since;
-        let settled = ended_for >= USAGE_WAITS || (ended_for >= USAGE_SETTLES && self.exchange.hears_all());
+        let settles = if self.exchange.is_large() { USAGE_SETTLES_LARGE } else { USAGE_SETTLES };
+        let settled = ended_for >= USAGE_WAITS || (ended_for >= settles && self.exchange.hears_all());
         (settled || fixed.get(window).is_some()).then_some(window)
     }
 
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -106,7 +106,7 @@
         let gateway = assemble_gateway(&settings, &ports, &registry, life)?;
         let directory = gateway.forwarder.directory.clone();
         let readiness = Arc::new(Readiness::new(gateway.policy.clone(), directory, status.clone()));
-        let exchange = Arc::new(assemble_exchange(&settings, network, &gateway, &readiness, life));
+        let exchange = Arc::new(assemble_exchange(&settings, network, &gateway, &readiness, &status, life));
         let stopping = watch::channel(false).0;
         let callers =
             tokio::spawn(serve(callers, GatewayHandler::new(gateway.clone()), stopping.subscribe()));
@@ -207,6 +207,7 @@
     network: Arc<PeerNetwork>,
     gateway: &Arc<Gateway>,
     readiness: &Arc<Readiness>,
+    status: &Arc<StoreStatus>,
     life: u64,
 ) -> Exchange {
     let members = Arc::new(ArcSwap::default());
@@ -229,6 +230,7 @@
         directory_actor: DirectoryActor::spawn(DirectoryActor::new(
             directory.clone(),
             gateway.clone(),
+            status.clone(),
             news.clone(),
         )),
         directory,
--- a/crates/beamwall-node/src/gateway/store_status.rs
+++ b/crates/beamwall-node/src/gateway/store_status.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
 
 use beamwall_events::emit;
 use beamwall_events::internal_events::{ControlStoreLost, ControlStoreRegained};
@@ -24,6 +25,8 @@
     has_failed: AtomicBool,
     answered: Mutex<HashSet<String>>,
     failures: Mutex<HashMap<String, Failures>>,
+    /// When the store answered again after it had been lost.
+    regained: Mutex<HashMap<String, Instant>>,
 }
 
 impl StoreStatus {
@@ -34,6 +37,10 @@
         if let Some(Failures { in_a_row, since: Some(since) }) = ended
             && in_a_row >= FAILURES_TO_LOSE
         {
+            self.regained
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .insert(what.to_owned(), Instant::now());
             let away_ms = since.elapsed().as_millis().to_string();
             emit(&ControlStoreRegained { what: what.to_owned(), away_ms });
         }
@@ -51,6 +58,16 @@
         }
     }
 
+    /// Whether the store is lost to this node, or was `ago` at most.
+    pub fn was_away(&self, what: &str, ago: Duration) -> bool {
+        let failures = self.failures.lock().unwrap_or_else(PoisonError::into_inner);
+        if failures.get(what).is_some_and(|failures| failures.in_a_row >= FAILURES_TO_LOSE) {
+            return true;
+        }
+        let regained = self.regained.lock().unwrap_or_else(PoisonError::into_inner);
+        regained.get(what).is_some_and(|at| at.elapsed() <= ago)
+    }
+
     /// Whether what is known here is the newest that can be had: the store has told all `subjects`, or
     /// it has failed, and then what peers tell is as good as it gets.
     pub fn has_settled(&self, subjects: &[&str]) -> bool {
--- a/crates/beamwall-node/src/gateway/watches.rs
+++ b/crates/beamwall-node/src/gateway/watches.rs
@@ -126,7 +126,7 @@
 
 impl Followed for FollowedBackends {
     const SUBJECT: &'static str = BACKENDS;
-    const GATHERING_TIME: Duration = Duration::from_millis(300);
+    const GATHERING_TIME: Duration = Duration::from_millis(60);
 
     async fn step(&self, reached: Option<u64>) -> Result<u64, ControlStoreError> {
         match reached {
--- a/crates/beamwall-node/src/gateway/zones.rs
+++ b/crates/beamwall-node/src/gateway/zones.rs
@@ -11,6 +11,8 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+use beamwall_events::emit;
+use beamwall_events::internal_events::{ZoneHeard, ZoneSilent};
 use beamwall_gateway::Reporter;
 use beamwall_model::{NodeId, ZoneName};
 use beamwall_peer::gateway_message::ZoneSummary;
@@ -44,9 +46,12 @@
 }
 
 impl HeardZones {
-    fn note(&self, zone: ZoneName, nodes: usize) {
+    fn note(&self, zone: ZoneName, relay: String, nodes: usize) {
         let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
-        heard.insert(zone, HeardZone { nodes, at: Instant::now() });
+        let before = heard.insert(zone.clone(), HeardZone { nodes, at: Instant::now() });
+        if before.is_none() {
+            emit(&ZoneHeard { zone: zone.to_string(), relay, nodes: nodes.to_string() });
+        }
     }
 
     /// Nodes of all other zones that are heard by relays that are heard.
@@ -80,6 +85,7 @@
         }
         self.forget_nodes_of_other_zones();
         for zone in self.zones.take_silent() {
+            emit(&ZoneSilent { zone: zone.to_string() });
             self.forget_work_of(&Reporter::Zone(zone));
         }
         if self.members.load().is_relay {
@@ -138,7 +144,7 @@
         let relay = NodeId::new(&summary.relay);
         let uses = beat::decode_quota_uses(&summary.quota_uses);
         self.gateway.quotas.hear_zone(&zone, &relay, summary.life, uses);
-        self.zones.note(zone, summary.nodes_heard as usize);
+        self.zones.note(zone, summary.relay, summary.nodes_heard as usize);
     }
 
     /// Drops what single nodes of other zones told while the deployment seemed small: from now on it is
