Short prompts level with the next more urgent kind; metrics of limits, lease and store calls

Engines serve by the rank told; a chat of 700 tokens (22 ms of reading) waited behind prompts of 9,000 and more, and its objective is the shortest. Change: a prompt below 1,024 tokens is told one rank more urgent within its tenant's rank, so it is level with the next kind and never ahead of it.

--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -31,6 +31,9 @@
 /// Ranks of routes within one rank of a tenant.
 const RANKS_PER_TENANT_RANK: u8 = 3;
 
+/// Prompts below this length are short: an engine reads them in some 30 ms.
+const SHORT_PROMPT_TOKENS: u32 = 1_024;
+
 /// A caller's request, read whole, with what was decided on arrival.
 #[derive(Debug, Clone)]
 pub struct Call {
@@ -73,10 +76,13 @@
         self.tenant.as_ref().map(|tenant| tenant.name.to_string()).unwrap_or_default()
     }
 
-    /// The rank told to back ends: the tenant's goes before the route's.
+    /// The rank told to back ends: the tenant's goes before the route's. A short prompt is level with the next
+    /// more urgent kind, never ahead of it: it holds others up for some milliseconds and would else wait
+    /// for seconds behind their long ones.
     pub fn rank(&self) -> u8 {
         let tenant = self.tenant.as_ref().and_then(|tenant| tenant.rank).unwrap_or(0);
-        let route = self.route.rank.min(RANKS_PER_TENANT_RANK - 1);
+        let is_short = self.prompt.as_ref().is_some_and(|prompt| prompt.prompt_tokens < SHORT_PROMPT_TOKENS);
+        let route = self.route.rank.min(RANKS_PER_TENANT_RANK - 1).saturating_sub(u8::from(is_short));
         tenant.saturating_mul(RANKS_PER_TENANT_RANK).saturating_add(route).min(LOWEST_URGENCY)
     }
 }
@@ -121,6 +127,12 @@
         self.of(service).earn(self.percent);
     }
 
+    /// Retries that may be taken now, by service.
+    pub fn left(&self) -> Vec<(ServiceName, f64)> {
+        let budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        budgets.iter().map(|(service, budget)| (service.clone(), budget.left())).collect()
+    }
+
     /// Takes one retry, if there is one.
     pub fn take(&self, service: &ServiceName) -> bool {
         self.of(service).take()
--- a/crates/beamwall-gateway/src/quota/mod.rs
+++ b/crates/beamwall-gateway/src/quota/mod.rs
@@ -172,6 +172,16 @@
         }
     }
 
+    /// Work that may pass now, by tenant, as last computed; negative after large work.
+    pub fn levels(&self) -> Vec<(TenantName, f64)> {
+        self.lock().accounts.iter().map(|(tenant, account)| (tenant.clone(), account.level)).collect()
+    }
+
+    /// The nodes among which quotas are divided.
+    pub fn sharing(&self) -> Sharing {
+        self.lock().sharing
+    }
+
     /// What this node has let pass since its start, to be told to the others now.
     pub fn tell(&self) -> Vec<(TenantName, f64)> {
         let mut state = self.lock();
--- /dev/null
+++ b/crates/beamwall-gateway/tests/ranks.rs
@@ -0,0 +1,64 @@
+//! The rank that back ends are told.
+
+use std::sync::Arc;
+
+use beamwall_gateway::Prompt;
+use beamwall_gateway::forward::Call;
+use beamwall_policy::{Route, RouteKind, Tenant, TenantRef};
+use tokio::time::Instant;
+
+/// A request of a route and a tenant with these ranks.
+fn call(route_rank: u8, tenant_rank: Option<u8>, prompt_tokens: u32) -> Call {
+    let now = Instant::now();
+    let tenant = Tenant {
+        name: "alder".into(),
+        keys: Vec::new(),
+        rank: tenant_rank,
+        rate_per_second: 0.0,
+        burst: 0.0,
+        counts_tokens: true,
+        plain_tokens: 200,
+    };
+    let route = Route {
+        name: "chat".to_owned(),
+        host: "h".to_owned(),
+        path_prefix: "/".to_owned(),
+        kind: RouteKind::ResumableStream,
+        hold_limit_ms: 15_000,
+        objective_ms: 600,
+        gap_objective_ms: None,
+        rank: route_rank,
+        targets: Vec::new(),
+        attempt_limit: 2,
+        public: false,
+    };
+    Call {
+        request_id: None,
+        method: hyper::Method::POST,
+        target: hyper::Uri::from_static("/"),
+        headers: hyper::HeaderMap::new(),
+        body: bytes::Bytes::new(),
+        route: Arc::new(route),
+        service: "model".into(),
+        tenant: Some(TenantRef::new(tenant)),
+        prompt: Some(Prompt { prompt_tokens, output_tokens: 10, parts: Vec::new() }),
+        last_event: None,
+        received: now,
+        deadline: now,
+        policy_version: 1,
+    }
+}
+
+/// On busy days of both sites chats, the least urgent kind, waited for seconds behind prompts ten times as long.
+#[test]
+fn a_short_prompt_is_level_with_the_next_more_urgent_kind_and_not_ahead_of_it() {
+    assert_eq!(call(2, None, 700).rank(), call(1, None, 9_000).rank());
+    assert!(call(2, None, 700).rank() > call(0, None, 9_000).rank());
+    assert_eq!(call(0, None, 700).rank(), 0);
+    assert_eq!(call(2, None, 9_000).rank(), 2);
+}
+
+#[test]
+fn a_tenant_with_a_lower_rank_stays_behind_whatever_its_prompts() {
+    assert!(call(0, Some(1), 10).rank() > call(2, Some(0), 9_000).rank());
+}
--- a/crates/beamwall-node/src/gateway/duties/mod.rs
+++ b/crates/beamwall-node/src/gateway/duties/mod.rs
@@ -16,6 +16,7 @@
 use beamwall_gateway::{DutyError, DutyPort, Gateway};
 use beamwall_model::NodeId;
 use beamwall_store::{Lease, LeaseState, VersionedObjects};
+use prometheus::IntGauge;
 use tokio::sync::watch;
 
 use crate::gateway::chooser::ZoneChooser;
@@ -59,6 +60,8 @@
     node: NodeId,
     objects: Arc<dyn VersionedObjects>,
     chooser: ZoneChooser,
+    /// The epoch held, for metrics; 0 while none is.
+    lease_epoch: IntGauge,
     usage: Option<UsageDuty>,
     capacity: Option<CapacityDuty>,
 }
@@ -72,6 +75,7 @@
         port: &Arc<dyn DutyPort>,
         exchange: &Arc<Exchange>,
         chooser: ZoneChooser,
+        lease_epoch: IntGauge,
     ) -> Self {
         let usage = || {
             let window = settings.usage_window;
@@ -84,6 +88,7 @@
             capacity: settings.order_capacity.then(capacity),
             objects,
             chooser,
+            lease_epoch,
         }
     }
 
@@ -98,6 +103,7 @@
                 capacity.follow_demand();
             }
             let epoch = state.borrow().held_epoch();
+            self.lease_epoch.set(epoch.unwrap_or(0) as i64);
             log_change(tenure.as_ref().map(|tenure| tenure.holding.epoch), epoch);
             tenure = match (tenure, epoch) {
                 (_, None) => None,
--- a/crates/beamwall-node/src/gateway/gauges.rs
+++ b/crates/beamwall-node/src/gateway/gauges.rs
@@ -4,7 +4,7 @@
 
 use beamwall_gateway::Gateway;
 use beamwall_peer::MemberState;
-use prometheus::{IntGauge, Registry};
+use prometheus::{GaugeVec, IntGauge, Opts, Registry};
 
 use crate::gateway::exchange::Exchange;
 use crate::gateway::readiness::Readiness;
@@ -22,6 +22,15 @@
     open_requests: IntGauge,
     log_lines_dropped: IntGauge,
     peer_messages_dropped: IntGauge,
+    nodes_heard: IntGauge,
+    quota_level: GaugeVec,
+    retries_left: GaugeVec,
+}
+
+fn gauge_by(label: &str, name: &str, help: &str, registry: &Registry) -> Result<GaugeVec, prometheus::Error> {
+    let gauge = GaugeVec::new(Opts::new(name, help), &[label])?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
 }
 
 impl GatewayGauges {
@@ -45,6 +54,19 @@
                 "beamwall_gateway_peer_messages_dropped",
                 "messages to peers dropped since start",
             )?,
+            nodes_heard: add("beamwall_gateway_nodes_heard", "nodes that share quotas and are heard")?,
+            quota_level: gauge_by(
+                "tenant",
+                "beamwall_gateway_quota_level",
+                "work that a tenant may pass now, in the unit of its quota",
+                registry,
+            )?,
+            retries_left: gauge_by(
+                "service",
+                "beamwall_gateway_retries_left",
+                "retries that may be taken now",
+                registry,
+            )?,
         })
     }
 
@@ -65,5 +87,18 @@
         self.log_lines_dropped.set(beamwall_events::dropped_lines() as i64);
         let dropped = exchange.network.traffic.dropped_messages.load(std::sync::atomic::Ordering::Relaxed);
         self.peer_messages_dropped.set(dropped as i64);
+        self.refresh_limits(gateway);
+    }
+    /// Tenants and services that are gone keep no value.
+    fn refresh_limits(&self, gateway: &Gateway) {
+        self.nodes_heard.set(gateway.quotas.sharing().heard as i64);
+        self.quota_level.reset();
+        for (tenant, level) in gateway.quotas.levels() {
+            self.quota_level.with_label_values(&[tenant.as_str()]).set(level);
+        }
+        self.retries_left.reset();
+        for (service, left) in gateway.forwarder.retries.left() {
+            self.retries_left.with_label_values(&[service.as_str()]).set(left);
+        }
     }
 }
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -52,6 +52,7 @@
 use crate::gateway::readiness::{Readiness, StatusHandler};
 use crate::gateway::store_status::StoreStatus;
 use crate::gateway::watches::{FollowedBackends, FollowedPolicy};
+use crate::metrics;
 
 /// Longest time to open a connection to a back end.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
@@ -101,7 +102,7 @@
             peers: settings.peers.to_string(),
         });
         let registry = Registry::new();
-        let status = Arc::new(StoreStatus::default());
+        let status = Arc::new(StoreStatus::new(&registry)?);
         let life = new_incarnation();
         let gateway = assemble_gateway(&settings, &ports, &registry, life)?;
         let directory = gateway.forwarder.directory.clone();
@@ -110,6 +111,11 @@
         let stopping = watch::channel(false).0;
         let callers =
             tokio::spawn(serve(callers, GatewayHandler::new(gateway.clone()), stopping.subscribe()));
+        let lease_epoch = metrics::gauge(
+            "beamwall_gateway_lease_epoch",
+            "epoch of the lease on duties while this node holds it, else 0",
+            &registry,
+        )?;
         let status_handler = Arc::new(StatusHandler {
             readiness: readiness.clone(),
             gauges: GatewayGauges::new(&registry)?,
@@ -133,7 +139,8 @@
             tokio::spawn(exchange.clone().receive(inbox)),
         ];
         if let Some(port) = ports.duties {
-            let duties = Duties::new(&settings, &gateway, ports.objects, &port, &exchange, chooser);
+            let duties =
+                Duties::new(&settings, &gateway, ports.objects, &port, &exchange, chooser, lease_epoch);
             tasks.push(tokio::spawn(duties.run()));
         }
         Ok(Self { readiness, exchange, settings, stopping, callers, tasks })
--- a/crates/beamwall-node/src/gateway/store_status.rs
+++ b/crates/beamwall-node/src/gateway/store_status.rs
@@ -7,6 +7,7 @@
 
 use beamwall_events::emit;
 use beamwall_events::internal_events::{ControlStoreLost, ControlStoreRegained};
+use prometheus::{IntCounterVec, Opts, Registry};
 use tokio::time::Instant;
 
 /// Failed calls in a row after which the store counts as lost: single watches may be cut.
@@ -20,8 +21,9 @@
 }
 
 /// Whether the store of decisions answers this node.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct StoreStatus {
+    calls: IntCounterVec,
     has_failed: AtomicBool,
     answered: Mutex<HashSet<String>>,
     failures: Mutex<HashMap<String, Failures>>,
@@ -30,8 +32,24 @@
 }
 
 impl StoreStatus {
+    /// A store that has not been called yet; its calls are counted among the metrics.
+    pub fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let name =
+            Opts::new("beamwall_gateway_store_calls_total", "calls to the store by subject and outcome");
+        let calls = IntCounterVec::new(name, &["subject", "outcome"])?;
+        registry.register(Box::new(calls.clone()))?;
+        Ok(Self {
+            calls,
+            has_failed: AtomicBool::default(),
+            answered: Mutex::default(),
+            failures: Mutex::default(),
+            regained: Mutex::default(),
+        })
+    }
+
     /// Notes an answer to a call about `what`.
     pub fn note_answer(&self, what: &str) {
+        self.calls.with_label_values(&[what, "answered"]).inc();
         self.answered.lock().unwrap_or_else(PoisonError::into_inner).insert(what.to_owned());
         let ended = self.failures.lock().unwrap_or_else(PoisonError::into_inner).remove(what);
         if let Some(Failures { in_a_row, since: Some(since) }) = ended
@@ -48,6 +66,7 @@
 
     /// Notes a call about `what` that failed.
     pub fn note_failure(&self, what: &str, reason: &str) {
+        self.calls.with_label_values(&[what, "failed"]).inc();
         self.has_failed.store(true, Ordering::Relaxed);
         let mut by_subject = self.failures.lock().unwrap_or_else(PoisonError::into_inner);
         let failures = by_subject.entry(what.to_owned()).or_default();
--- a/crates/beamwall-routing/src/retry.rs
+++ b/crates/beamwall-routing/src/retry.rs
@@ -45,6 +45,11 @@
         });
     }
 
+    /// Retries that may be taken now.
+    pub fn left(&self) -> f64 {
+        self.credit.load(Ordering::Relaxed) as f64 / RETRY_COST as f64
+    }
+
     /// Takes one retry, if there is one.
     pub fn take(&self) -> bool {
         let spend = |credit: i64| (credit >= RETRY_COST).then_some(credit - RETRY_COST);
