Tests of the plan build their inputs in one place

Found on reading the change again: five tests of the plan of back ends spelled out the same inputs, two of them whole tests alike but for a number. One builder and one reader of the orders serve them; every assertion and expected value stays. A doc comment for the quota account, a blank line in the gauges.

--- a/crates/beamwall-gateway/src/quota/account.rs
+++ b/crates/beamwall-gateway/src/quota/account.rs
@@ -13,6 +13,7 @@
 /// Work let pass within this time is kept as one entry.
 const ENTRY_TIME: Duration = Duration::from_millis(100);
 
+/// What a tenant may let pass at this node, and what of it others know.
 #[derive(Debug)]
 pub(super) struct Account {
     /// Work that may pass now; negative after work that was larger than what was left.
--- a/crates/beamwall-gateway/tests/scaling.rs
+++ b/crates/beamwall-gateway/tests/scaling.rs
@@ -5,6 +5,7 @@
 
 use arbtest::arbtest;
 use beamwall_gateway::scaling::{GivenOrder, OrderKey, ScalingInputs, ZoneSupply, due, plan};
+use beamwall_model::ServiceName;
 use beamwall_policy::ScalingLimits;
 use tokio::time::Instant;
 
@@ -18,6 +19,23 @@
     }
 }
 
+/// The inputs of a plan for the service under test.
+fn inputs<'a>(
+    service: &'a ServiceName,
+    limits: &'a ScalingLimits,
+    zones: &'a [ZoneSupply],
+    offered_load: f64,
+    floor: u32,
+) -> ScalingInputs<'a> {
+    ScalingInputs { service, limits, zones, offered_load, floor }
+}
+
+/// The orders of a plan, each as whether it is for reclaimable back ends and how many it wants.
+fn planned(limits: &ScalingLimits, zones: &[ZoneSupply], offered_load: f64, floor: u32) -> Vec<(bool, u32)> {
+    let orders = plan(&inputs(&"model".into(), limits, zones, offered_load, floor));
+    orders.iter().map(|order| (order.reclaimable, order.wanted)).collect()
+}
+
 fn supply(zone: &str, reclaimable_usable: u32, is_exhausted: bool) -> ZoneSupply {
     ZoneSupply { zone: zone.into(), lasting_usable: 1, reclaimable_usable, lasting_ordered: 1, is_exhausted }
 }
@@ -25,23 +43,12 @@
 #[test]
 fn an_idle_zone_keeps_one_lasting_and_one_reclaimable() {
     let zones = [supply("a", 0, false)];
-    let limits = limits(true);
-    let orders = plan(&ScalingInputs {
-        service: &"model".into(),
-        limits: &limits,
-        zones: &zones,
-        offered_load: 0.0,
-        floor: 0,
-    });
-    let wanted: Vec<(bool, u32)> = orders.iter().map(|order| (order.reclaimable, order.wanted)).collect();
-    assert_eq!(wanted, [(false, 1), (true, 1)]);
+    assert_eq!(planned(&limits(true), &zones, 0.0, 0), [(false, 1), (true, 1)]);
 }
 
 fn wanted_at(load: f64, zones: &[ZoneSupply], limits: &ScalingLimits, reclaimable: bool) -> Vec<u32> {
-    let service = "model".into();
-    let inputs = ScalingInputs { service: &service, limits, zones, offered_load: load, floor: 0 };
-    let orders = plan(&inputs).into_iter().filter(|order| order.reclaimable == reclaimable);
-    orders.map(|order| order.wanted).collect()
+    let orders = planned(limits, zones, load, 0).into_iter();
+    orders.filter(|(is_reclaimable, _)| *is_reclaimable == reclaimable).map(|(_, wanted)| wanted).collect()
 }
 
 /// On a busy day a reclaim left three lasting engines and none could be had for 13 s.
@@ -107,14 +114,7 @@
     let limits = limits(true);
     let lasting = |supply: ZoneSupply| {
         let zones = [supply];
-        let inputs = ScalingInputs {
-            service: &"model".into(),
-            limits: &limits,
-            zones: &zones,
-            offered_load: 1.8,
-            floor: 0,
-        };
-        plan(&inputs)[0].wanted
+        planned(&limits, &zones, 1.8, 0)[0].1
     };
     assert_eq!(lasting(supply("a", 0, true)), 3);
     let booting = ZoneSupply { lasting_ordered: 4, ..supply("a", 0, false) };
@@ -178,16 +178,7 @@
 #[test]
 fn the_floor_is_kept_as_reclaimable_while_the_load_is_not_known() {
     let zones = [supply("a", 0, false)];
-    let limits = limits(true);
-    let orders = plan(&ScalingInputs {
-        service: &"model".into(),
-        limits: &limits,
-        zones: &zones,
-        offered_load: 0.0,
-        floor: 5,
-    });
-    let wanted: Vec<(bool, u32)> = orders.iter().map(|order| (order.reclaimable, order.wanted)).collect();
-    assert_eq!(wanted, [(false, 1), (true, 4)]);
+    assert_eq!(planned(&limits(true), &zones, 0.0, 5), [(false, 1), (true, 4)]);
 }
 
 /// On a quiet day of a large deployment one zone's engines were taken away, none could be had anywhere, and
--- a/crates/beamwall-node/src/gateway/gauges.rs
+++ b/crates/beamwall-node/src/gateway/gauges.rs
@@ -89,6 +89,7 @@
         self.peer_messages_dropped.set(dropped as i64);
         self.refresh_limits(gateway);
     }
+
     /// Tenants and services that are gone keep no value.
     fn refresh_limits(&self, gateway: &Gateway) {
         self.nodes_heard.set(gateway.quotas.sharing().heard as i64);
