Open work at an engine counts the prompt tokens that it must read, not the whole prompts

Engines that keep a prompt's beginning looked busy with it, so the next request of the same subject went elsewhere and read the beginning again.

--- a/crates/beamwall-gateway/src/attempt.rs
+++ b/crates/beamwall-gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use hyper::{Request, Response, StatusCode};
 use tokio::time::Instant;
 
-use crate::forward::{Call, Forwarder};
+use crate::forward::{Call, Choice, Forwarder};
 use crate::load::OpenWork;
 use crate::ports::{AnswerHead, ForwardHead};
 
@@ -73,22 +73,22 @@
     pub work: OpenWork,
 }
 
-/// Sends a call to a back end and waits up to `limit` for the head of its answer. `last_event` is
+/// Sends a call to the chosen back end and waits up to `limit` for the head of its answer. `last_event` is
 /// the last event delivered, when a stream continues. Health is noted here.
 pub async fn open(
     forwarder: &Forwarder,
     call: &Call,
-    backend: &BackendId,
+    choice: &Choice,
     last_event: Option<u64>,
     limit: Duration,
 ) -> Result<Opened, AttemptFailure> {
+    let backend = &choice.backend;
     let directory = forwarder.directory.load();
     let Some(target) = directory.get(backend) else {
         return Err(AttemptFailure::not_sent("the back end is gone".to_owned()));
     };
     let request = build_request(forwarder, call, backend, last_event);
-    let prompt_tokens = call.prompt.as_ref().map_or(0, |prompt| u64::from(prompt.prompt_tokens));
-    let work = forwarder.knowledge.loads.open(backend, prompt_tokens);
+    let work = forwarder.knowledge.loads.open(backend, choice.unread_tokens);
     let sent = tokio::time::timeout(limit, forwarder.pool.send(target.address, request)).await;
     let result = match sent {
         Err(_) => Err(AttemptFailure::timed_out(limit)),
--- a/crates/beamwall-gateway/src/stream/mod.rs
+++ b/crates/beamwall-gateway/src/stream/mod.rs
@@ -75,7 +75,7 @@
     let patience = Patience::new(forwarder, call, choice, attempts);
     let limit = call.deadline.saturating_duration_since(Instant::now());
     let opened = tokio::select! {
-        opened = attempt::open(forwarder, call, &choice.backend, last_event, limit) => opened?,
+        opened = attempt::open(forwarder, call, choice, last_event, limit) => opened?,
         () = patience.ends() => return Err(given_up(forwarder, choice)),
     };
     if !opened.response.status().is_success() {
--- a/crates/beamwall-gateway/src/unary.rs
+++ b/crates/beamwall-gateway/src/unary.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use crate::attempt::{self, AttemptFailure, Opened};
-use crate::forward::{Attempts, Call, Choice, Forwarder};
+use crate::forward::{Attempts, Call, Forwarder};
 use crate::refusal::Refusal;
 
 /// Largest answer that is held in memory.
@@ -28,9 +28,9 @@
 pub async fn forward(forwarder: &Forwarder, call: &Call) -> Result<Response<Body>, Refusal> {
     let mut attempts = Attempts::default();
     let mut failed_answer = None;
-    while let Some(Choice { backend, .. }) = forwarder.choose(call, &mut attempts) {
+    while let Some(choice) = forwarder.choose(call, &mut attempts) {
         let limit = patience(call, &attempts);
-        let failure = match attempt::open(forwarder, call, &backend, None, limit).await {
+        let failure = match attempt::open(forwarder, call, &choice, None, limit).await {
             Ok(opened) => match read_whole(forwarder, call, opened).await {
                 Ok(whole) if !deserves_retry(call, whole.parts.status) => {
                     return Ok(pass(forwarder, whole));
@@ -47,7 +47,7 @@
         if failure.ran == attempt::Ran::Maybe && failed_answer.is_none() {
             forwarder.record_run(call);
         }
-        attempts.fail(call, &backend, failure);
+        attempts.fail(call, &choice.backend, failure);
         if !attempts.take_next_attempt(forwarder, call) {
             break;
         }
