The time to read a prompt grows with its square

Queues looked shorter than they were.

Tests: placement.rs; an engine with one long prompt is free later than one with two short ones (failed before: did not compile without reading_tokens, and by tokens alone both are equal).

--- a/crates/beamwall-gateway/src/candidates.rs
+++ b/crates/beamwall-gateway/src/candidates.rs
@@ -6,7 +6,7 @@
 use rand::seq::SliceRandom;
 use tokio::time::Instant;
 
-use crate::choice::Candidate;
+use crate::choice::{self, Candidate};
 use crate::directory::{Backend, Directory};
 use crate::health::HealthBook;
 use crate::load::{LoadBook, OpenLoad};
@@ -111,6 +111,7 @@
     ) -> u64 {
         let kept = self.prefixes.kept_tokens(backend, prompt, now);
         let assumed = if home == Some(backend) { prefix::shared_tokens(prompt) } else { 0 };
-        u64::from(prompt.prompt_tokens).saturating_sub(kept.max(assumed))
+        let kept = kept.max(assumed).min(u64::from(prompt.prompt_tokens));
+        choice::reading_tokens(kept, u64::from(prompt.prompt_tokens) - kept)
     }
 }
--- a/crates/beamwall-gateway/src/choice.rs
+++ b/crates/beamwall-gateway/src/choice.rs
@@ -11,6 +11,8 @@
 
 /// Prompt tokens that an engine reads in a millisecond when nothing else runs.
 pub(crate) const PROMPT_TOKENS_PER_MS: f64 = 32.0;
+/// Tokens that take as long to read as a million pairs of a prompt's token with one before it take to compare.
+const TOKENS_PER_MILLION_PAIRS: u64 = 38;
 /// Time that the running requests add to the start of another at a model engine whose slots are all taken;
 /// in proportion where fewer are.
 const ALL_SLOTS_MS: f64 = 256.0;
@@ -44,6 +46,13 @@
     pub health: HealthView,
 }
 
+/// How long the rest of a prompt takes to read, in tokens of a short prompt: each token is compared with all
+/// before it, so the later ones of a long prompt take longer.
+pub fn reading_tokens(kept: u64, unread: u64) -> u64 {
+    let pairs = unread * (kept + unread / 2);
+    unread + pairs * TOKENS_PER_MILLION_PAIRS / 1_000_000
+}
+
 /// The expected time in milliseconds until a candidate begins to answer.
 pub fn cost_ms(candidate: &Candidate) -> f64 {
     let requests = f64::from(candidate.load.requests);
--- a/crates/beamwall-gateway/tests/placement.rs
+++ b/crates/beamwall-gateway/tests/placement.rs
@@ -5,7 +5,7 @@
 
 use arbtest::arbtest;
 use beamwall_gateway::candidates::{ChosenBy, Knowledge, Search};
-use beamwall_gateway::choice::choose;
+use beamwall_gateway::choice::{choose, reading_tokens};
 use beamwall_gateway::health::HealthBook;
 use beamwall_gateway::placement::ReadingQueues;
 use beamwall_gateway::ports::DirectorySnapshot;
@@ -81,7 +81,7 @@
             let least = directory.backends().map(|backend| waiting(&backend.id)).fold(f64::MAX, f64::min);
             // Queues are told in whole tokens and go on while the test runs.
             assert!(waiting(&chosen) <= least + 1.0, "{} instead of {least}", waiting(&chosen));
-            let unread = u64::from(prompt.prompt_tokens);
+            let unread = reading_tokens(0, u64::from(prompt.prompt_tokens));
             knowledge.queues.add(&chosen, unread, now);
             let begin = now_ms + waiting(&chosen);
             free_at_ms.insert(chosen, begin + unread as f64 / TOKENS_PER_MS as f64);
@@ -107,3 +107,26 @@
     assert_eq!(health.unreachable(now), vec![BackendId::from("e0")]);
     assert!(health.unreachable(now + Duration::from_secs(2)).is_empty());
 }
+
+#[test]
+fn the_rest_of_a_long_prompt_takes_longer_to_read() {
+    assert_eq!(reading_tokens(0, 500), 504);
+    assert_eq!(reading_tokens(6_000, 0), 0);
+    assert_eq!(reading_tokens(6_000, 3_000), 3_855);
+    assert_eq!(reading_tokens(0, 30_000), 47_100);
+}
+
+/// Counted by tokens alone, one prompt of 20,000 looked as long as two of 10,000, and the next request waited
+/// behind it.
+#[test]
+fn an_engine_with_a_long_prompt_is_free_later_than_one_with_two_short_ones() {
+    let (directory, knowledge) = (directory(2), Knowledge::default());
+    let now = Instant::now();
+    let (long, short): (BackendId, BackendId) = ("e0".into(), "e1".into());
+    for (engine, tokens) in [(&long, 20_000), (&short, 10_000), (&short, 10_000)] {
+        knowledge.queues.add(engine, reading_tokens(0, tokens), now);
+    }
+    for number in 0..10 {
+        assert_eq!(place(&knowledge, &directory, &own_prompt(500, number), &[]), short);
+    }
+}
