More reclaimable engines are held; the plan is looked at twice a second

Change: utilisation aimed at 0.33 instead of 0.4, looks each 0.5 s instead of 1 s.

Two expectations of scaling tests change with the utilisation: loads 2.0 -> 1.6 and 8.0 -> 6.5 give the same plans as before.

--- a/crates/beamwall-gateway/src/scaling.rs
+++ b/crates/beamwall-gateway/src/scaling.rs
@@ -44,7 +44,7 @@
 }
 
 /// Part of its time that a back end should be busy at most, while cheap ones can be had.
-const TARGET_UTILISATION: f64 = 0.4;
+const TARGET_UTILISATION: f64 = 0.33;
 /// The same for lasting ones that stand in for missing reclaimable ones.
 const STAND_IN_UTILISATION: f64 = 0.6;
 /// The same after the next loss of a zone's reclaimable ones, while none can be had.
--- a/crates/beamwall-gateway/tests/scaling.rs
+++ b/crates/beamwall-gateway/tests/scaling.rs
@@ -69,7 +69,7 @@
     limits.zone_prices = [("a".into(), 1.2), ("b".into(), 0.85)].into();
     let service = "model".into();
     let inputs =
-        ScalingInputs { service: &service, limits: &limits, zones: &zones, offered_load: 2.0, floor: 0 };
+        ScalingInputs { service: &service, limits: &limits, zones: &zones, offered_load: 1.6, floor: 0 };
     let orders = plan(&inputs);
     let reclaimable: Vec<(&str, u32)> = orders
         .iter()
@@ -186,7 +186,7 @@
 #[test]
 fn what_other_zones_hold_is_kept_while_one_cannot_get_its_part() {
     let limits = ScalingLimits { maximum: 46, ..limits(true) };
-    let held = |zones: &[ZoneSupply]| wanted_at(8.0, zones, &limits, true);
+    let held = |zones: &[ZoneSupply]| wanted_at(6.5, zones, &limits, true);
     let zones = [supply("a", 0, true), supply("b", 9, false), supply("c", 9, false)];
     assert_eq!(held(&zones), [6, 9, 9]);
     let recovered = [supply("a", 6, false), supply("b", 9, false), supply("c", 9, false)];
--- a/crates/beamwall-node/src/gateway/duties/capacity.rs
+++ b/crates/beamwall-node/src/gateway/duties/capacity.rs
@@ -16,7 +16,7 @@
 use crate::gateway::duties::{Holding, describe};
 
 /// Time between two looks at the number of back ends.
-const SCALING_PERIOD: Duration = Duration::from_millis(1_000);
+const SCALING_PERIOD: Duration = Duration::from_millis(500);
 /// Pause after an order that could not be carried out.
 const ORDER_PAUSE: Duration = Duration::from_secs(3);
 /// Time after the first request for which the number of back ends found at the start is kept.
