Retries saved for a burst; crashed engines avoided for all; reset answers counted as begun

The retries that a node may save were its part of the extra (1.8 at 77 nodes), so it could continue one or two streams of an engine that went, though it had left its share of the window unused. A crashed engine has nothing to read, so the placing node chose it first for each node until that had found out by itself. Streams reset before their first event were not counted. Ruled out: counts lost between nodes (what was reported equals what all logs answered, window by window). Resets count as begun; connections closed in order don't: that is how engines that go close what they had not begun. Counts of silent nodes are waited for 8 s instead of 6.5 (due after 10).

--- a/crates/beamwall-config/src/gateway.rs
+++ b/crates/beamwall-config/src/gateway.rs
@@ -42,6 +42,12 @@
     optional("usage.window_s", seconds(0.1, 86_400.0), "5", "length of one usage window in seconds"),
     optional("retries.ratio", seconds(0.0, 1.0), "0.2", "retries allowed for each request to a service"),
     optional("retries.extra", seconds(0.0, 1e6), "50", "retries allowed beside, over all nodes"),
+    optional(
+        "retries.window_s",
+        seconds(0.1, 3_600.0),
+        "10",
+        "window in which retries are counted, in seconds",
+    ),
     optional(
         "quotas.slack",
         seconds(0.0, 1e12),
@@ -100,6 +106,8 @@
     pub retry_ratio: f64,
     /// Retries allowed beside, over all nodes.
     pub retry_extra: f64,
+    /// Window in which retries are counted.
+    pub retry_window: Duration,
     /// Work beyond a quota that is tolerated, over all nodes.
     pub quota_slack: f64,
     /// Time from SIGTERM to the end of the process.
@@ -143,6 +151,7 @@
             usage_window: Duration::from_secs_f64(number("usage.window_s")),
             retry_ratio: number("retries.ratio"),
             retry_extra: number("retries.extra"),
+            retry_window: Duration::from_secs_f64(number("retries.window_s")),
             quota_slack: number("quotas.slack"),
             drain_limit: Duration::from_secs_f64(number("limits.drain_s")),
             log_json: settings.text("log.format") != Some("text"),
--- a/crates/beamwall-gateway/src/attempt.rs
+++ b/crates/beamwall-gateway/src/attempt.rs
@@ -38,6 +38,8 @@
     pub ran: Ran,
     /// Whether it was sent at all, so that it counts as an attempt.
     pub sent: bool,
+    /// Whether it is known to have begun: the back end began to answer, or reset the answer's connection.
+    pub begun: bool,
     /// Whether its time was up.
     pub timed_out: bool,
     /// What happened.
@@ -47,20 +49,25 @@
 impl AttemptFailure {
     /// A failure after which the request may have run.
     pub fn may_have_run(reason: impl Into<String>) -> Self {
-        Self { ran: Ran::Maybe, sent: true, timed_out: false, reason: reason.into() }
+        Self { ran: Ran::Maybe, sent: true, begun: false, timed_out: false, reason: reason.into() }
+    }
+
+    /// A failure of a request that is known to have begun.
+    pub fn after_begin(self) -> Self {
+        Self { begun: true, ..self }
     }
 
     fn not_sent(reason: String) -> Self {
-        Self { ran: Ran::No, sent: false, timed_out: false, reason }
+        Self { ran: Ran::No, sent: false, begun: false, timed_out: false, reason }
     }
 
     fn not_run(reason: String) -> Self {
-        Self { ran: Ran::No, sent: true, timed_out: false, reason }
+        Self { ran: Ran::No, sent: true, begun: false, timed_out: false, reason }
     }
 
     fn timed_out(limit: Duration) -> Self {
         let reason = format!("no answer within {} ms", limit.as_millis());
-        Self { ran: Ran::Maybe, sent: true, timed_out: true, reason }
+        Self { ran: Ran::Maybe, sent: true, begun: false, timed_out: true, reason }
     }
 }
 
@@ -121,10 +128,10 @@
 }
 
 fn from_pool(error: &PoolError) -> AttemptFailure {
-    if error.nothing_sent() {
-        AttemptFailure::not_sent(error.to_string())
-    } else {
-        AttemptFailure::may_have_run(error.to_string())
+    match error {
+        PoolError::Reset(_) => AttemptFailure::may_have_run(error.to_string()).after_begin(),
+        PoolError::Lost(..) => AttemptFailure::may_have_run(error.to_string()),
+        PoolError::Connect(..) | PoolError::NotWritten(_) => AttemptFailure::not_sent(error.to_string()),
     }
 }
 
--- a/crates/beamwall-gateway/src/candidates.rs
+++ b/crates/beamwall-gateway/src/candidates.rs
@@ -9,8 +9,9 @@
 use crate::choice::{self, Candidate};
 use crate::directory::{Backend, Directory};
 use crate::health::HealthBook;
+use crate::health::HealthView;
 use crate::load::{LoadBook, OpenLoad};
-use crate::placement::ReadingQueues;
+use crate::placement::{ReadingQueues, UnreachableReports};
 use crate::ports::Prompt;
 use crate::prefix::{self, PrefixBelief};
 
@@ -56,6 +57,8 @@
     pub prefixes: PrefixBelief,
     /// Prompts that this node placed for all.
     pub queues: ReadingQueues,
+    /// Engines that those could not reach for whom this node places.
+    pub reports: UnreachableReports,
 }
 
 impl Knowledge {
@@ -64,6 +67,7 @@
         self.health.retain(|backend| directory.get(backend).is_some());
         self.prefixes.retain(|backend| directory.get(backend).is_some());
         self.queues.retain(|backend| directory.get(backend).is_some());
+        self.reports.retain(|backend| directory.get(backend).is_some());
     }
 
     /// The candidates for a request, in random order so that equal ones share the load; of many back ends
@@ -89,11 +93,22 @@
                 slots: backend.slots,
                 load: self.load(&backend.id, search.by, now),
                 unread_tokens: search.prompt.map(|prompt| self.unread_tokens(&backend.id, home, prompt, now)),
-                health: self.health.view(&backend.id, now),
+                health: self.health(&backend.id, search.by, now),
             })
             .collect()
     }
 
+    fn health(&self, backend: &BackendId, by: ChosenBy, now: Instant) -> HealthView {
+        let own = self.health.view(backend, now);
+        match by {
+            ChosenBy::Sender => own,
+            ChosenBy::Placer => {
+                let unreachable = own.unreachable || self.reports.is_confirmed(backend, now);
+                HealthView { unreachable, ..own }
+            }
+        }
+    }
+
     fn load(&self, backend: &BackendId, by: ChosenBy, now: Instant) -> OpenLoad {
         let told = self.loads.total(backend);
         match by {
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -1,8 +1,6 @@
 //! Carries one request through its attempts.
 
-use std::collections::HashMap;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::SystemTime;
 
 use arc_swap::ArcSwap;
@@ -11,7 +9,6 @@
 use beamwall_http::Pool;
 use beamwall_model::{BackendId, NodeId, ServiceName, ZoneName};
 use beamwall_policy::{Route, TenantRef};
-use beamwall_routing::RetryBudget;
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Uri};
 use tokio::time::Instant;
@@ -25,6 +22,7 @@
 use crate::placement::{Choice, PlacementAnswer, PlacementPort, PlacementQuestion};
 use crate::ports::{Dialect, Prompt};
 use crate::refusal::Refusal;
+use crate::retries::RetryBudgets;
 use crate::usage::UsageLedger;
 
 /// Highest rank that is told to back ends.
@@ -88,58 +86,6 @@
     }
 }
 
-/// Retry budgets by service. What may be retried beside the share of requests is divided among nodes.
-#[derive(Debug)]
-pub struct RetryBudgets {
-    percent: u32,
-    /// Retries over all nodes beside the share of requests.
-    extra: f64,
-    nodes: AtomicUsize,
-    budgets: Mutex<HashMap<ServiceName, Arc<RetryBudget>>>,
-}
-
-impl RetryBudgets {
-    /// Budgets that earn `percent` of a retry with each request; `nodes` share `extra` more.
-    pub fn new(percent: u32, extra: f64, nodes: usize) -> Self {
-        Self { percent, extra, nodes: AtomicUsize::new(nodes.max(1)), budgets: Mutex::default() }
-    }
-
-    fn part(&self) -> f64 {
-        self.extra / self.nodes.load(Ordering::Relaxed) as f64
-    }
-
-    fn of(&self, service: &ServiceName) -> Arc<RetryBudget> {
-        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        let new = || Arc::new(RetryBudget::saving(self.part()));
-        budgets.entry(service.clone()).or_insert_with(new).clone()
-    }
-
-    /// Divides the extra retries among this many nodes.
-    pub fn divide_among(&self, nodes: usize) {
-        if self.nodes.swap(nodes.max(1), Ordering::Relaxed) == nodes {
-            return;
-        }
-        let budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        budgets.values().for_each(|budget| budget.set_most_saved(self.part()));
-    }
-
-    /// Notes a caller's request.
-    pub fn earn(&self, service: &ServiceName) {
-        self.of(service).earn(self.percent);
-    }
-
-    /// Retries that may be taken now, by service.
-    pub fn left(&self) -> Vec<(ServiceName, f64)> {
-        let budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        budgets.iter().map(|(service, budget)| (service.clone(), budget.left())).collect()
-    }
-
-    /// Takes one retry, if there is one.
-    pub fn take(&self, service: &ServiceName) -> bool {
-        self.of(service).take()
-    }
-}
-
 /// What forwarding needs; shared by all requests of a node.
 pub struct Forwarder {
     /// This node.
@@ -213,7 +159,10 @@
         let is_allowed = self.sent < call.route.attempt_limit.max(1)
             && self.tried.len() < UNSENT_LIMIT + call.route.attempt_limit as usize;
         let in_time = Instant::now() < call.deadline;
-        may_repeat && is_allowed && in_time && (self.sent == 0 || forwarder.retries.take(&call.service))
+        may_repeat
+            && is_allowed
+            && in_time
+            && (self.sent == 0 || forwarder.retries.take(&call.service, Instant::now()))
     }
 
     /// The final answer after the last failure.
@@ -258,13 +207,13 @@
     }
 
     async fn ask_for_placement(&self, call: &Call, prompt: &Prompt, attempts: &Attempts) -> Option<Choice> {
-        let mut avoided = attempts.tried.clone();
-        avoided.extend(self.knowledge.health.unreachable(Instant::now()));
         let question = PlacementQuestion {
+            sender: self.node.clone(),
             service: call.service.clone(),
             zone: self.zone.clone(),
             prompt: prompt.clone(),
-            avoided,
+            tried: attempts.tried.clone(),
+            unreachable: self.knowledge.health.unreachable(Instant::now()),
         };
         match self.placement.place(&question).await {
             PlacementAnswer::Chosen(choice) if self.may_use(call, &choice.backend, attempts) => Some(choice),
@@ -283,14 +232,16 @@
 
     /// Places a request for any node, and counts its prompt as queued there.
     pub fn place(&self, question: &PlacementQuestion) -> Option<Choice> {
+        let now = Instant::now();
+        self.knowledge.reports.note(&question.sender, &question.unreachable, now);
+        let avoided = [question.tried.as_slice(), &question.unreachable].concat();
         let choice = self.find(Search {
             service: &question.service,
             zone: &question.zone,
             prompt: Some(&question.prompt),
-            avoided: &question.avoided,
+            avoided: &avoided,
             by: ChosenBy::Placer,
         })?;
-        let now = Instant::now();
         self.knowledge.queues.add(&choice.backend, choice.unread_tokens, now);
         self.knowledge.prefixes.note_read(&choice.backend, &question.prompt, now);
         Some(choice)
--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod quota;
 pub mod refusal;
 pub mod reporter;
+pub mod retries;
 pub mod scaling;
 pub mod stream;
 pub mod unary;
--- a/crates/beamwall-gateway/src/placement.rs
+++ b/crates/beamwall-gateway/src/placement.rs
@@ -17,17 +17,26 @@
 use crate::choice::PROMPT_TOKENS_PER_MS;
 use crate::ports::Prompt;
 
+/// Nodes that must have failed to reach an engine before it is avoided for all. One alone may be cut off itself.
+const CONFIRMING_NODES: usize = 2;
+/// Time for which a report of an unreachable engine counts.
+const REPORTED_FOR: Duration = Duration::from_millis(500);
+
 /// What a request needs of an engine.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PlacementQuestion {
+    /// The node that sends the request.
+    pub sender: NodeId,
     /// The service.
     pub service: ServiceName,
     /// The zone of the node that sends the request.
     pub zone: ZoneName,
     /// The prompt.
     pub prompt: Prompt,
-    /// Engines that it was sent to before, or that this node can't reach.
-    pub avoided: Vec<BackendId>,
+    /// Engines that it was sent to before.
+    pub tried: Vec<BackendId>,
+    /// Engines that the sender could not reach a moment ago.
+    pub unreachable: Vec<BackendId>,
 }
 
 /// The back end of an attempt, and what decided.
@@ -109,3 +118,37 @@
         self.lock().retain(|backend, _| is_known(backend));
     }
 }
+
+/// Engines that nodes could not reach. A crashed engine has nothing to read, so it would be chosen first for
+/// every node until each had found out by itself.
+#[derive(Debug, Default)]
+pub struct UnreachableReports {
+    reports: Mutex<HashMap<BackendId, HashMap<NodeId, Instant>>>,
+}
+
+impl UnreachableReports {
+    fn lock(&self) -> MutexGuard<'_, HashMap<BackendId, HashMap<NodeId, Instant>>> {
+        self.reports.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes what a node could not reach.
+    pub fn note(&self, sender: &NodeId, unreachable: &[BackendId], now: Instant) {
+        let mut reports = self.lock();
+        for backend in unreachable {
+            reports.entry(backend.clone()).or_default().insert(sender.clone(), now);
+        }
+    }
+
+    /// Whether several nodes could not reach an engine a moment ago.
+    pub fn is_confirmed(&self, backend: &BackendId, now: Instant) -> bool {
+        let reports = self.lock();
+        let Some(senders) = reports.get(backend) else { return false };
+        let is_recent = |at: &&Instant| now.saturating_duration_since(**at) < REPORTED_FOR;
+        senders.values().filter(is_recent).count() >= CONFIRMING_NODES
+    }
+
+    /// Forgets back ends that are gone.
+    pub fn retain(&self, is_known: impl Fn(&BackendId) -> bool) {
+        self.lock().retain(|backend, _| is_known(backend));
+    }
+}
--- a/crates/beamwall-gateway/src/stream/mod.rs
+++ b/crates/beamwall-gateway/src/stream/mod.rs
@@ -36,6 +36,9 @@
             Ok(Begun::Answer(response)) => return Ok(response),
             Err(failure) => failure,
         };
+        if failure.begun {
+            forwarder.record_run(call);
+        }
         attempts.fail(call, &choice.backend, failure);
         if !attempts.take_next_attempt(forwarder, call) {
             break;
@@ -96,7 +99,7 @@
     };
     if let Piece::Broken(failure) = first {
         forwarder.knowledge.health.note(&source.backend, true, Instant::now());
-        return Err(failure);
+        return Err(failure.after_begin());
     }
     forwarder.knowledge.health.note_heard(&source.backend, Instant::now());
     source.work.begin_answer();
--- a/crates/beamwall-gateway/tests/placement.rs
+++ b/crates/beamwall-gateway/tests/placement.rs
@@ -130,3 +130,19 @@
         assert_eq!(place(&knowledge, &directory, &own_prompt(500, number), &[]), short);
     }
 }
+
+/// A crashed engine has nothing to read; when it was found out node by node, each sent several requests there.
+#[test]
+fn an_engine_that_two_nodes_could_not_reach_is_avoided_for_all() {
+    let (directory, knowledge) = (directory(2), Knowledge::default());
+    let (crashed, busy): (BackendId, BackendId) = ("e0".into(), "e1".into());
+    let now = Instant::now();
+    knowledge.queues.add(&busy, 10_000, now);
+    let prompt = own_prompt(500, 1);
+    assert_eq!(place(&knowledge, &directory, &prompt, &[]), crashed);
+    knowledge.reports.note(&"n1".into(), std::slice::from_ref(&crashed), now);
+    assert_eq!(place(&knowledge, &directory, &prompt, &[]), crashed, "one node may be cut off itself");
+    knowledge.reports.note(&"n2".into(), std::slice::from_ref(&crashed), now);
+    assert_eq!(place(&knowledge, &directory, &prompt, &[]), busy);
+    assert!(!knowledge.reports.is_confirmed(&crashed, now + Duration::from_secs(1)));
+}
--- a/crates/beamwall-gateway/tests/retries.rs
+++ b/crates/beamwall-gateway/tests/retries.rs
@@ -1,35 +1,99 @@
 //! Retry budgets: a share of the requests, and a part of the extra that all nodes have together.
 
-use beamwall_gateway::forward::RetryBudgets;
+use std::time::Duration;
+
+use arbtest::arbtest;
+use beamwall_gateway::retries::{RetryAllowance, RetryBudgets};
 use beamwall_model::ServiceName;
+use tokio::time::Instant;
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// Each request earns a fifth of a retry; nothing is saved beside the extra.
+fn earning() -> RetryAllowance {
+    RetryAllowance { earned_percent: 20, saved_percent: 0, extra: 60.0, window: WINDOW }
+}
+
+fn take_all(budgets: &RetryBudgets, service: &ServiceName, now: Instant) -> usize {
+    (0..1_000).take_while(|_| budgets.take(service, now)).count()
+}
 
-fn take_all(budgets: &RetryBudgets, service: &ServiceName) -> usize {
-    (0..1_000).take_while(|_| budgets.take(service)).count()
+fn earn(budgets: &RetryBudgets, service: &ServiceName, requests: usize, now: Instant) {
+    (0..requests).for_each(|_| budgets.earn(service, now));
 }
 
 #[test]
 fn a_node_that_has_just_started_may_retry_once() {
-    let budgets = RetryBudgets::new(20, 60.0, 6);
-    assert_eq!(take_all(&budgets, &"one".into()), 1);
-    assert_eq!(take_all(&budgets, &"two".into()), 1, "each service has its own");
+    let (budgets, now) = (RetryBudgets::new(earning(), 6), Instant::now());
+    assert_eq!(take_all(&budgets, &"one".into(), now), 1);
+    assert_eq!(take_all(&budgets, &"two".into(), now), 1, "each service has its own");
 }
 
 #[test]
 fn retries_are_a_share_of_requests_and_saved_up_to_the_nodes_part() {
-    let (budgets, service) = (RetryBudgets::new(20, 60.0, 6), "one".into());
-    take_all(&budgets, &service);
-    (0..20).for_each(|_| budgets.earn(&service));
-    assert_eq!(take_all(&budgets, &service), 4);
-    (0..1_000).for_each(|_| budgets.earn(&service));
-    assert_eq!(take_all(&budgets, &service), 10);
+    let (budgets, service, now) = (RetryBudgets::new(earning(), 6), "one".into(), Instant::now());
+    take_all(&budgets, &service, now);
+    earn(&budgets, &service, 20, now);
+    assert_eq!(take_all(&budgets, &service, now), 4);
+    earn(&budgets, &service, 1_000, now);
+    assert_eq!(take_all(&budgets, &service, now), 10);
 }
 
 /// With 77 nodes that each took itself for one of six, 1,013 retries were made where 846 were allowed.
 #[test]
 fn the_extra_is_divided_among_the_nodes_that_are_known() {
-    let (budgets, service) = (RetryBudgets::new(20, 60.0, 6), "one".into());
-    take_all(&budgets, &service);
+    let (budgets, service, now) = (RetryBudgets::new(earning(), 6), "one".into(), Instant::now());
+    take_all(&budgets, &service, now);
     budgets.divide_among(30);
-    (0..1_000).for_each(|_| budgets.earn(&service));
-    assert_eq!(take_all(&budgets, &service), 2);
+    earn(&budgets, &service, 1_000, now);
+    assert_eq!(take_all(&budgets, &service, now), 2);
+}
+
+/// When a zone's engines went, each of 77 nodes could continue one or two of its twenty streams there: it
+/// could save no more than its part of the extra, whatever it had left unused before.
+#[test]
+fn a_share_of_the_last_windows_requests_is_saved_for_a_burst_of_failures() {
+    let allowance = RetryAllowance { earned_percent: 10, saved_percent: 8, extra: 77.0, window: WINDOW };
+    let (budgets, service, start) = (RetryBudgets::new(allowance, 77), "one".into(), Instant::now());
+    earn(&budgets, &service, 200, start);
+    assert_eq!(
+        take_all(&budgets, &service, start + WINDOW / 2),
+        16,
+        "8 in 100 of 200, and the part of the extra"
+    );
+    earn(&budgets, &service, 200, start + WINDOW / 2);
+    let later = start + WINDOW * 2;
+    assert_eq!(take_all(&budgets, &service, later), 1, "what was saved for an old window is lost");
+}
+
+/// Whatever arrives and fails, in each window the retries stay within the earned share of its requests, the
+/// saved share of the window's before it, and the extra.
+#[test]
+fn in_each_window_retries_stay_within_what_is_allowed() {
+    arbtest(|random| {
+        let allowance = RetryAllowance { earned_percent: 10, saved_percent: 8, extra: 5.0, window: WINDOW };
+        let (budgets, service) = (RetryBudgets::new(allowance, 1), "one".into());
+        let start = Instant::now();
+        let (mut requests, mut retries) = (Vec::new(), Vec::new());
+        for step in 0..200_u32 {
+            let now = start + Duration::from_millis(200) * step;
+            for _ in 0..random.int_in_range(0..=15)? {
+                budgets.earn(&service, now);
+                requests.push(now);
+            }
+            let wanted = random.int_in_range(0..=12_usize)?;
+            let taken = (0..wanted).take_while(|_| budgets.take(&service, now)).count();
+            retries.extend(std::iter::repeat_n(now, taken));
+            let within =
+                |times: &[Instant], from: Instant| times.iter().filter(|at| **at >= from).count() as f64;
+            let Some(begin) = now.checked_sub(WINDOW) else { continue };
+            let before = begin.checked_sub(WINDOW).unwrap_or(begin);
+            let in_window = within(&requests, begin);
+            let in_window_before = within(&requests, before) - in_window;
+            let allowed = 0.10 * in_window + 0.08 * in_window_before.max(in_window) + 5.0 + 2.0;
+            let made = within(&retries, begin);
+            assert!(made <= allowed, "{made} of {allowed}");
+        }
+        Ok(())
+    });
 }
--- a/crates/beamwall-http/src/pool.rs
+++ b/crates/beamwall-http/src/pool.rs
@@ -5,6 +5,8 @@
 //! closed and never reused, so a late answer cannot reach another request.
 
 use std::collections::HashMap;
+use std::error::Error;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -48,13 +50,18 @@
         Lost(address: SocketAddr, reason: String) {
             display("answer from {} was lost: {}", address, reason)
         }
+        /// The other side reset the connection after the request was sent. A process that ends closes the
+        /// connections whose requests it has read; a reset is a live one dropping a single answer.
+        Reset(address: SocketAddr) {
+            display("answer from {} was lost: the connection was reset", address)
+        }
     }
 }
 
 impl PoolError {
     /// Whether it is certain that the other side received nothing.
     pub fn nothing_sent(&self) -> bool {
-        !matches!(self, Self::Lost(..))
+        !matches!(self, Self::Lost(..) | Self::Reset(..))
     }
 }
 
@@ -152,12 +159,25 @@
             }
             Err(mut failure) => match failure.take_message() {
                 Some(unsent) => Err((PoolError::NotWritten(address), Some(unsent))),
-                None => Err((PoolError::Lost(address, failure.into_error().to_string()), None)),
+                None => Err((from_lost(address, &failure.into_error()), None)),
             },
         }
     }
 }
 
+/// The failure of a request that was sent.
+fn from_lost(address: SocketAddr, error: &hyper::Error) -> PoolError {
+    let mut cause = error.source();
+    while let Some(inner) = cause {
+        let kind = inner.downcast_ref::<io::Error>().map(io::Error::kind);
+        if kind == Some(io::ErrorKind::ConnectionReset) {
+            return PoolError::Reset(address);
+        }
+        cause = inner.source();
+    }
+    PoolError::Lost(address, error.to_string())
+}
+
 /// A borrowed connection. It returns to the pool only when told so; otherwise it closes.
 struct ConnectionLease {
     idle: IdleConnections,
--- a/crates/beamwall-node/src/gateway/duties/usage.rs
+++ b/crates/beamwall-node/src/gateway/duties/usage.rs
@@ -20,8 +20,8 @@
 const USAGE_SETTLES: Duration = Duration::from_millis(1_700);
 /// The same in a large deployment, where counts of other zones pass through two relays.
 const USAGE_SETTLES_LARGE: Duration = Duration::from_millis(2_600);
-/// Time after a window's end for which counts of silent nodes are waited for.
-const USAGE_WAITS: Duration = Duration::from_millis(6_500);
+/// Time after a window's end for which counts of silent nodes are waited for: they may be cut off and come back.
+const USAGE_WAITS: Duration = Duration::from_millis(8_000);
 /// Time after a window's end after which it is not reported any more.
 const USAGE_FORGOTTEN: Duration = Duration::from_secs(30);
 /// Windows whose fixed counts stay in the store.
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -271,7 +271,7 @@
     /// Places a request for a peer. It tells nothing of members, and there are many, so membership does not
     /// hear of it.
     fn answer_placement(&self, envelope: &Envelope, request: PlacementRequest) {
-        let question = placing::decode(request, &envelope.zone);
+        let question = placing::decode(request, envelope);
         let choice = self.gateway.forwarder.place(&question);
         self.reply(envelope, Body::PlacementReply(placing::encode_reply(choice)));
     }
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -27,9 +27,10 @@
 use beamwall_events::internal_events::NodeStarted;
 use beamwall_gateway::candidates::Knowledge;
 use beamwall_gateway::demand::DemandBook;
-use beamwall_gateway::forward::{Forwarder, RetryBudgets};
+use beamwall_gateway::forward::Forwarder;
 use beamwall_gateway::metrics::GatewayMetrics;
 use beamwall_gateway::quota::QuotaBook;
+use beamwall_gateway::retries::{RetryAllowance, RetryBudgets};
 use beamwall_gateway::usage::UsageLedger;
 use beamwall_gateway::{ControlStore, Dialect, DutyPort, Gateway, GatewayHandler, PlacementPort};
 use beamwall_http::{Pool, serve};
@@ -59,8 +60,11 @@
 
 /// Longest time to open a connection to a back end.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
-/// Part of the allowed retries for each request that nodes use; the rest is a margin.
-const RETRY_RATIO_USED: f64 = 0.75;
+/// Part of the allowed retries for each request that each request earns. With what may be saved, nodes use nine
+/// tenths of them; the rest is a margin.
+const RETRY_RATIO_EARNED: f64 = 0.5;
+/// Part of the allowed retries for each request of the last window that may be saved.
+const RETRY_RATIO_SAVED: f64 = 0.4;
 /// Part of the fixed extra retries that nodes use in all.
 const RETRY_EXTRA_USED: f64 = 0.7;
 /// Part of the tolerated work beyond quotas that nodes use in all.
@@ -199,8 +203,12 @@
     placement: Arc<dyn PlacementPort>,
 ) -> Result<Arc<Gateway>, NodeError> {
     let nodes = settings.expected_nodes.max(1);
-    let percent = (settings.retry_ratio * RETRY_RATIO_USED * 100.0) as u32;
-    let extra = settings.retry_extra * RETRY_EXTRA_USED;
+    let retries = RetryAllowance {
+        earned_percent: (settings.retry_ratio * RETRY_RATIO_EARNED * 100.0) as u32,
+        saved_percent: (settings.retry_ratio * RETRY_RATIO_SAVED * 100.0) as u32,
+        extra: settings.retry_extra * RETRY_EXTRA_USED,
+        window: settings.retry_window,
+    };
     let forwarder = Arc::new(Forwarder {
         node: settings.node.clone(),
         zone: settings.zone.clone(),
@@ -210,7 +218,7 @@
         knowledge: Knowledge::default(),
         placement,
         demand: DemandBook::default(),
-        retries: RetryBudgets::new(percent, extra, nodes),
+        retries: RetryBudgets::new(retries, nodes),
         usage: UsageLedger::new(settings.usage_window),
         metrics: GatewayMetrics::new(registry)?,
     });
--- a/crates/beamwall-node/src/gateway/placing.rs
+++ b/crates/beamwall-node/src/gateway/placing.rs
@@ -125,18 +125,21 @@
         prompt_tokens: prompt.prompt_tokens,
         output_tokens: prompt.output_tokens,
         parts: prompt.parts.iter().map(|part| PlacementPart { id: part.id, tokens: part.tokens }).collect(),
-        avoided: question.avoided.iter().map(ToString::to_string).collect(),
+        tried: question.tried.iter().map(ToString::to_string).collect(),
+        unreachable: question.unreachable.iter().map(ToString::to_string).collect(),
     }
 }
 
-/// The question of a peer in `zone`.
-pub(super) fn decode(request: PlacementRequest, zone: &str) -> PlacementQuestion {
+/// The question of a peer.
+pub(super) fn decode(request: PlacementRequest, envelope: &Envelope) -> PlacementQuestion {
     let parts = request.parts.iter().map(|part| PromptPart { id: part.id, tokens: part.tokens }).collect();
     PlacementQuestion {
+        sender: NodeId::new(&envelope.sender),
         service: ServiceName::new(&request.service),
-        zone: ZoneName::new(zone),
+        zone: ZoneName::new(&envelope.zone),
         prompt: Prompt { prompt_tokens: request.prompt_tokens, output_tokens: request.output_tokens, parts },
-        avoided: request.avoided.iter().map(BackendId::new).collect(),
+        tried: request.tried.iter().map(BackendId::new).collect(),
+        unreachable: request.unreachable.iter().map(BackendId::new).collect(),
     }
 }
 
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -172,9 +172,12 @@
     /// The prompt's parts in order.
     #[prost(message, repeated, tag = "4")]
     pub parts: Vec<PlacementPart>,
-    /// Engines that shall not be chosen.
+    /// Engines that it was sent to before.
     #[prost(string, repeated, tag = "5")]
-    pub avoided: Vec<String>,
+    pub tried: Vec<String>,
+    /// Engines that the sender could not reach a moment ago.
+    #[prost(string, repeated, tag = "6")]
+    pub unreachable: Vec<String>,
 }
 
 /// One part of a prompt.
--- a/crates/beamwall-policy/src/lib.rs
+++ b/crates/beamwall-policy/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod tenant;
 
 pub use index::{PolicyIndex, TenantRef};
-pub use route::{Route, RouteKind, WeightedService};
+pub use route::{Route, RouteKind, USUAL_HOLD_LIMIT_MS, USUAL_OBJECTIVE_MS, WeightedService};
 pub use service::{EngineTraits, ScalingLimits, Service};
 pub use tenant::Tenant;
 
--- a/crates/beamwall-policy/src/route.rs
+++ b/crates/beamwall-policy/src/route.rs
@@ -37,6 +37,11 @@
     pub weight: u32,
 }
 
+/// Longest time that requests of a route are held that states none, in milliseconds.
+pub const USUAL_HOLD_LIMIT_MS: u64 = 15_000;
+/// Objective of a route that states none, in milliseconds.
+pub const USUAL_OBJECTIVE_MS: u64 = 1_000;
+
 /// A route.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Route {
--- a/crates/beamwall-routing/src/retry.rs
+++ b/crates/beamwall-routing/src/retry.rs
@@ -30,10 +30,11 @@
         budget
     }
 
-    /// Changes how many retries may be saved up.
+    /// Changes how many retries may be saved up; what is saved beyond is lost.
     pub fn set_most_saved(&self, most_saved: f64) {
-        let most = (most_saved * RETRY_COST as f64) as i64;
-        self.most_saved.store(most.max(RETRY_COST), Ordering::Relaxed);
+        let most = ((most_saved * RETRY_COST as f64) as i64).max(RETRY_COST);
+        self.most_saved.store(most, Ordering::Relaxed);
+        self.credit.fetch_min(most, Ordering::Relaxed);
     }
 
     /// Notes a first attempt, which earns `percent` of a retry.
