Baselines of the choice: turns and fewest requests, by a setting

Change: choice.strategy in a gateway's settings (expected-time, least-requests, round-robin). A baseline compares all back ends and is not placed by another node. The default and what it does are unchanged. Weighed: patching scratch copies for each comparison, which nobody could repeat.

--- a/crates/beamwall-config/src/gateway.rs
+++ b/crates/beamwall-config/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use beamwall_model::{NodeId, ZoneName};
+use beamwall_model::{ChoiceStrategy, NodeId, ZoneName};
 
 use crate::document::Settings;
 use crate::fault::Faults;
@@ -54,6 +54,12 @@
         "0",
         "work beyond a quota that is tolerated, over all nodes",
     ),
+    optional(
+        "choice.strategy",
+        ValueKind::Choice(ChoiceStrategy::NAMES),
+        "\"expected-time\"",
+        "how a back end is chosen; all but the first are baselines for measurements",
+    ),
     optional(
         "limits.drain_s",
         seconds(0.0, 3_600.0),
@@ -110,6 +116,8 @@
     pub retry_window: Duration,
     /// Work beyond a quota that is tolerated, over all nodes.
     pub quota_slack: f64,
+    /// How a back end is chosen.
+    pub choice: ChoiceStrategy,
     /// Time from SIGTERM to the end of the process.
     pub drain_limit: Duration,
     /// Whether log lines are JSON.
@@ -153,6 +161,7 @@
             retry_extra: number("retries.extra"),
             retry_window: Duration::from_secs_f64(number("retries.window_s")),
             quota_slack: number("quotas.slack"),
+            choice: ChoiceStrategy::from_name(settings.text("choice.strategy").unwrap_or_default()),
             drain_limit: Duration::from_secs_f64(number("limits.drain_s")),
             log_json: settings.text("log.format") != Some("text"),
             log_level: settings.text("log.level").unwrap_or("info").to_owned(),
--- a/crates/beamwall-gateway/src/candidates.rs
+++ b/crates/beamwall-gateway/src/candidates.rs
@@ -44,6 +44,8 @@
     Sender,
     /// The node that places the requests of all: it knows the prompts placed a moment ago.
     Placer,
+    /// The node that sends the request, by a baseline that compares all.
+    Baseline,
 }
 
 /// What a node knows of back ends beside the directory.
@@ -80,7 +82,7 @@
         let mut allowed: Vec<&Backend> =
             usable.into_iter().filter(|backend| !search.avoided.contains(&backend.id)).collect();
         allowed.shuffle(&mut rand::rng());
-        let sampled = if search.by == ChosenBy::Placer { SAMPLED_FOR_ALL } else { SAMPLED };
+        let sampled = if search.by == ChosenBy::Sender { SAMPLED } else { SAMPLED_FOR_ALL };
         let considered = allowed.iter().enumerate().filter(|(position, backend)| {
             let is_kept =
                 || search.prompt.is_some_and(|prompt| self.prefixes.keeps_any(&backend.id, prompt, now));
@@ -101,7 +103,7 @@
     fn health(&self, backend: &BackendId, by: ChosenBy, now: Instant) -> HealthView {
         let own = self.health.view(backend, now);
         match by {
-            ChosenBy::Sender => own,
+            ChosenBy::Sender | ChosenBy::Baseline => own,
             ChosenBy::Placer => {
                 let unreachable = own.unreachable || self.reports.is_confirmed(backend, now);
                 HealthView { unreachable, ..own }
@@ -112,7 +114,7 @@
     fn load(&self, backend: &BackendId, by: ChosenBy, now: Instant) -> OpenLoad {
         let told = self.loads.total(backend);
         match by {
-            ChosenBy::Sender => told,
+            ChosenBy::Sender | ChosenBy::Baseline => told,
             ChosenBy::Placer => OpenLoad { prompt_tokens: self.queues.queued_tokens(backend, now), ..told },
         }
     }
--- a/crates/beamwall-gateway/src/choice.rs
+++ b/crates/beamwall-gateway/src/choice.rs
@@ -4,7 +4,9 @@
 //! of the request, what of its prompt must be read, the way there, and a surcharge for what its
 //! recent answers say.
 
-use beamwall_model::BackendId;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use beamwall_model::{BackendId, ChoiceStrategy};
 
 use crate::health::HealthView;
 use crate::load::OpenLoad;
@@ -76,3 +78,42 @@
     let costs = candidates.iter().map(|candidate| (candidate, cost_ms(candidate)));
     costs.min_by(|left, right| left.1.total_cmp(&right.1))
 }
+
+/// Chooses by one strategy.
+#[derive(Debug, Default)]
+pub struct Chooser {
+    strategy: ChoiceStrategy,
+    /// Number of the next choice, by which back ends take turns.
+    turn: AtomicUsize,
+}
+
+impl Chooser {
+    /// A chooser by `strategy`.
+    pub fn new(strategy: ChoiceStrategy) -> Self {
+        Self { strategy, turn: AtomicUsize::default() }
+    }
+
+    /// Whether it is a baseline, which compares all back ends and is not placed by another node.
+    pub fn is_baseline(&self) -> bool {
+        self.strategy != ChoiceStrategy::ExpectedTime
+    }
+
+    /// The chosen candidate with its expected time.
+    pub fn choose<'a>(&self, candidates: &'a [Candidate]) -> Option<(&'a Candidate, f64)> {
+        let chosen = match self.strategy {
+            ChoiceStrategy::ExpectedTime => return choose(candidates),
+            ChoiceStrategy::LeastRequests => {
+                candidates.iter().min_by_key(|candidate| candidate.load.requests)?
+            }
+            ChoiceStrategy::RoundRobin => self.next_in_turn(candidates)?,
+        };
+        Some((chosen, cost_ms(chosen)))
+    }
+
+    fn next_in_turn<'a>(&self, candidates: &'a [Candidate]) -> Option<&'a Candidate> {
+        let mut in_order: Vec<&Candidate> = candidates.iter().collect();
+        in_order.sort_by(|left, right| left.backend.cmp(&right.backend));
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+        in_order.get(turn % in_order.len().max(1)).copied()
+    }
+}
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -15,7 +15,7 @@
 
 use crate::attempt::{AttemptFailure, Ran};
 use crate::candidates::{ChosenBy, Knowledge, Search};
-use crate::choice;
+use crate::choice::Chooser;
 use crate::demand::DemandBook;
 use crate::directory::Directory;
 use crate::metrics::GatewayMetrics;
@@ -100,6 +100,8 @@
     pub directory: Arc<ArcSwap<Directory>>,
     /// What is known of them beside.
     pub knowledge: Knowledge,
+    /// Chooses among back ends.
+    pub chooser: Chooser,
     /// Asks the node that places requests for all.
     pub placement: Arc<dyn PlacementPort>,
     /// Work that callers ask for.
@@ -186,8 +188,10 @@
     /// request is chosen by the node that places requests for all, as long as it answers.
     pub async fn choose(&self, call: &Call, attempts: &mut Attempts) -> Option<Choice> {
         let placed = match &call.prompt {
-            Some(prompt) => self.ask_for_placement(call, prompt, attempts).await,
-            None => None,
+            Some(prompt) if !self.chooser.is_baseline() => {
+                self.ask_for_placement(call, prompt, attempts).await
+            }
+            _ => None,
         };
         let choice = placed.or_else(|| self.choose_as_sender(call, attempts))?;
         emit(&AttemptSent {
@@ -253,13 +257,13 @@
             zone: &self.zone,
             prompt: call.prompt.as_ref(),
             avoided: &attempts.tried,
-            by: ChosenBy::Sender,
+            by: if self.chooser.is_baseline() { ChosenBy::Baseline } else { ChosenBy::Sender },
         })
     }
 
     fn find(&self, search: Search<'_>) -> Option<Choice> {
         let candidates = self.knowledge.candidates(&self.directory.load(), search);
-        let (chosen, cost_ms) = choice::choose(&candidates)?;
+        let (chosen, cost_ms) = self.chooser.choose(&candidates)?;
         Some(Choice {
             backend: chosen.backend.clone(),
             cost_ms,
--- a/crates/beamwall-gateway/tests/choice.rs
+++ b/crates/beamwall-gateway/tests/choice.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use arbtest::arbtest;
-use beamwall_gateway::choice::{Candidate, choose, cost_ms};
+use beamwall_gateway::choice::{Candidate, Chooser, choose, cost_ms};
 use beamwall_gateway::health::{HealthBook, HealthView};
 use beamwall_gateway::load::{LoadBook, OpenLoad};
 use beamwall_gateway::prefix::{PrefixBelief, home, shared_tokens};
 use beamwall_gateway::{Prompt, PromptPart, Reporter};
-use beamwall_model::BackendId;
+use beamwall_model::{BackendId, ChoiceStrategy};
 use std::sync::Arc;
 use tokio::time::Instant;
 
@@ -199,3 +199,20 @@
     }
     assert_eq!(home(&prompt(&[1]), &engines), None, "nothing is shared");
 }
+
+#[test]
+fn the_baselines_take_turns_and_count_requests() {
+    let open = |name: &str, requests: u32| {
+        let load = OpenLoad { requests, prompt_tokens: 0 };
+        Candidate { load, ..candidate(name) }
+    };
+    let candidates = [open("b", 3), open("a", 2), open("c", 5)];
+    let names = |chooser: &Chooser, count: usize| -> Vec<String> {
+        let chosen = (0..count).filter_map(|_| chooser.choose(&candidates));
+        chosen.map(|(candidate, _)| candidate.backend.to_string()).collect()
+    };
+    assert_eq!(names(&Chooser::new(ChoiceStrategy::RoundRobin), 4), ["a", "b", "c", "a"]);
+    assert_eq!(names(&Chooser::new(ChoiceStrategy::LeastRequests), 2), ["a", "a"]);
+    assert!(!Chooser::default().is_baseline());
+    assert!(Chooser::new(ChoiceStrategy::RoundRobin).choose(&[]).is_none());
+}
--- a/crates/beamwall-model/src/lib.rs
+++ b/crates/beamwall-model/src/lib.rs
@@ -8,7 +8,9 @@
 pub mod identifiers;
 pub mod outcome;
 pub mod rendezvous;
+pub mod strategy;
 
 pub use class::ServiceClass;
 pub use identifiers::{AttemptId, BackendId, NodeId, RequestId, ServiceName, TenantName, ZoneName};
 pub use outcome::Outcome;
+pub use strategy::ChoiceStrategy;
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 use beamwall_events::emit;
 use beamwall_events::internal_events::NodeStarted;
 use beamwall_gateway::candidates::Knowledge;
+use beamwall_gateway::choice::Chooser;
 use beamwall_gateway::demand::DemandBook;
 use beamwall_gateway::forward::Forwarder;
 use beamwall_gateway::metrics::GatewayMetrics;
@@ -216,6 +217,7 @@
         pool: Pool::new(CONNECT_LIMIT),
         directory: Arc::default(),
         knowledge: Knowledge::default(),
+        chooser: Chooser::new(settings.choice),
         placement,
         demand: DemandBook::default(),
         retries: RetryBudgets::new(retries, nodes),
