Read as a newcomer: a port nobody uses is gone, units of unread prompts are told

Ruled out: renaming unread_tokens through messages and logs, which tells no more than the comment does. Behaviour is unchanged: the rounding gives the same hundredths for the deployments' settings (10 and 8).

--- a/crates/beamwall-gateway/src/attempt.rs
+++ b/crates/beamwall-gateway/src/attempt.rs
@@ -101,11 +101,11 @@
     };
     let request = build_request(forwarder, call, backend, last_event);
     let work = forwarder.knowledge.loads.open(backend, choice.unread_tokens);
-    let begun = Instant::now();
+    let sent_at = Instant::now();
     let sent = tokio::time::timeout(limit, forwarder.pool.send(target.address, request)).await;
     let result = match sent {
         Err(_) => Err(AttemptFailure::timed_out(limit)),
-        Ok(Err(error)) => Err(from_pool(&error, call, begun.elapsed())),
+        Ok(Err(error)) => Err(from_pool(&error, call, sent_at.elapsed())),
         Ok(Ok(response)) => check_head(forwarder, call, backend, response, work),
     };
     note_health(forwarder, backend, &result);
--- a/crates/beamwall-gateway/src/choice.rs
+++ b/crates/beamwall-gateway/src/choice.rs
@@ -42,7 +42,8 @@
     pub slots: u32,
     /// Open work of all nodes there.
     pub load: OpenLoad,
-    /// Prompt tokens of the request that it would have to read; `None` for plain calls.
+    /// How long it would read the request's prompt, in tokens of a short one ([`reading_tokens`]); `None` for plain
+    /// calls.
     pub unread_tokens: Option<u64>,
     /// How it has fared lately.
     pub health: HealthView,
--- a/crates/beamwall-gateway/src/load.rs
+++ b/crates/beamwall-gateway/src/load.rs
@@ -17,7 +17,7 @@
 pub struct OpenLoad {
     /// Requests sent and not ended.
     pub requests: u32,
-    /// Prompt tokens of requests that have not begun to answer.
+    /// Prompt tokens that requests which have not begun to answer make it read.
     pub prompt_tokens: u64,
 }
 
--- a/crates/beamwall-gateway/src/placement.rs
+++ b/crates/beamwall-gateway/src/placement.rs
@@ -46,7 +46,7 @@
     pub backend: BackendId,
     /// Expected time until it begins to answer, in milliseconds.
     pub cost_ms: f64,
-    /// Prompt tokens that it has to read.
+    /// How long it reads the prompt, in tokens of a short one ([`crate::choice::reading_tokens`]).
     pub unread_tokens: u64,
     /// Requests open there.
     pub open_requests: u32,
@@ -76,17 +76,6 @@
     async fn place(&self, question: &PlacementQuestion) -> PlacementAnswer;
 }
 
-/// The port of a node that has no others to ask.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct PlaceAlone;
-
-#[async_trait]
-impl PlacementPort for PlaceAlone {
-    async fn place(&self, _: &PlacementQuestion) -> PlacementAnswer {
-        PlacementAnswer::PlaceHere
-    }
-}
-
 /// When each engine will have read the prompts that this node placed there, one after another.
 #[derive(Debug, Default)]
 pub struct ReadingQueues {
--- a/crates/beamwall-gateway/src/prefix.rs
+++ b/crates/beamwall-gateway/src/prefix.rs
@@ -1,7 +1,7 @@
 //! Where prompt parts are believed kept, from this node's own dispatches.
 //!
-//! Other nodes' dispatches are not told; they choose by the same rendezvous hash, so the first engine
-//! of that hash is believed to keep a shared part, too.
+//! The node that places requests for all notes all of them. A node that chooses for itself knows only its own;
+//! all use the same rendezvous hash, so the first engine of that hash is believed to keep a shared part, too.
 
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -205,8 +205,8 @@
 ) -> Result<Arc<Gateway>, NodeError> {
     let nodes = settings.expected_nodes.max(1);
     let retries = RetryAllowance {
-        earned_percent: (settings.retry_ratio * RETRY_RATIO_EARNED * 100.0) as u32,
-        saved_percent: (settings.retry_ratio * RETRY_RATIO_SAVED * 100.0) as u32,
+        earned_percent: percent(settings.retry_ratio * RETRY_RATIO_EARNED),
+        saved_percent: percent(settings.retry_ratio * RETRY_RATIO_SAVED),
         extra: settings.retry_extra * RETRY_EXTRA_USED,
         window: settings.retry_window,
     };
@@ -228,6 +228,11 @@
     Ok(Arc::new(Gateway { policy: Arc::default(), quotas, forwarder, news: Arc::default() }))
 }
 
+/// A ratio in whole hundredths.
+fn percent(ratio: f64) -> u32 {
+    (ratio * 100.0).round() as u32
+}
+
 fn assemble_exchange(
     settings: &GatewaySettings,
     network: Arc<PeerNetwork>,
