Policies are told by what changed, compressed and paced; list of back ends compressed

Ruled out: parsing and indexing (same work on all nodes, no delay where the link was free). Change: PolicyChange (parts by fingerprint, digest of the result), PolicyArchive (32 versions that share their parts), deflate, TransferPacer (large answers one after another at half of the link, others are told to ask elsewhere), holders picked at random, nodes that do not watch ask at once, watchers chosen by rendezvous weighted by link capacity (new setting node.link_mbps, told in each envelope). Events 2102, 2103, 4104, gauges policy_version_told, policy_behind_ms, peer_sent_bytes.

--- a/crates/beamwall-config/src/gateway.rs
+++ b/crates/beamwall-config/src/gateway.rs
@@ -18,6 +18,12 @@
     required("node.name", ValueKind::Text, "name of the node, unique in the deployment"),
     required("node.zone", ValueKind::Text, "zone the node runs in"),
     optional("node.threads", integer(1, 256), "1", "worker threads"),
+    optional(
+        "node.link_mbps",
+        ValueKind::Number { minimum: 1.0, maximum: 1e6 },
+        "1000",
+        "capacity of the node's network link in Mbit/s",
+    ),
     required("listen.callers", ValueKind::Address, "address for callers"),
     required("listen.readiness", ValueKind::Address, "address that tells whether the node takes callers"),
     required("listen.peers", ValueKind::Address, "address for other nodes"),
@@ -84,6 +90,8 @@
     pub zone: ZoneName,
     /// Worker threads.
     pub threads: usize,
+    /// Capacity of the node's network link in Mbit/s.
+    pub link_mbps: u32,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where the balancer asks for readiness.
@@ -145,6 +153,7 @@
             node: NodeId::new(settings.text("node.name").unwrap_or_default()),
             zone: ZoneName::new(settings.text("node.zone").unwrap_or_default()),
             threads: number("node.threads") as usize,
+            link_mbps: number("node.link_mbps").round() as u32,
             callers: settings.address("listen.callers"),
             readiness: settings.address("listen.readiness"),
             peers: settings.address("listen.peers"),
--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -85,6 +85,10 @@
     2005 Error RevisionUnusable "settings revision cannot be used" { revision, reason }
     /// A traffic policy came into force at the gateway.
     2101 Info PolicyActivated "traffic policy in force" { version, source, routes, tenants }
+    /// Peers have held a newer policy for a while, and this node has not got it.
+    2102 Warn PolicyBehind "traffic policy behind" { held, told, behind_ms }
+    /// What a peer told of a change of the policy can't be used; the whole policy is asked for.
+    2103 Warn PolicyChangeUnusable "policy change unusable" { peer, reason }
     /// A peer became a member.
     3001 Info PeerAlive "peer alive" { peer, zone }
     /// A peer missed heartbeats.
@@ -115,6 +119,8 @@
     4102 Warn BackendsLapsed "entries of back ends lapsed" { lapsed, kept_ms }
     /// Back ends whose entries lapsed were not listed again.
     4103 Warn LapsedBackendsDropped "lapsed back ends dropped" { dropped }
+    /// A list of back ends told between nodes can't be written or read; the one held stays.
+    4104 Warn PeerDirectoryUnusable "peer's list of back ends unusable" { peer, reason }
     /// A stream continued on another engine.
     5001 Info StreamMigrated "stream migrated" { request, from, to, delivered_tokens, recomputed_tokens }
     /// An answer reached nobody because its attempt was over.
--- a/crates/beamwall-gateway/src/quota/mod.rs
+++ b/crates/beamwall-gateway/src/quota/mod.rs
@@ -226,11 +226,11 @@
 
     /// Sets the nodes among which quotas are divided, and opens the accounts of all tenants, so that
     /// what peers tell is held against them from now on.
-    pub fn share(&self, sharing: Sharing, tenants: &[Tenant], now: Instant) {
+    pub fn share<'a>(&self, sharing: Sharing, tenants: impl IntoIterator<Item = &'a Tenant>, now: Instant) {
         let mut state = self.lock();
         let before = state.sharing;
         state.sharing = sharing;
-        for tenant in tenants.iter().filter(|tenant| tenant.rate_per_second > 0.0) {
+        for tenant in tenants.into_iter().filter(|tenant| tenant.rate_per_second > 0.0) {
             let account = state.accounts.entry(tenant.name.clone()).or_insert_with(|| Account::new(now));
             account.refill(tenant, before, now);
         }
--- a/crates/beamwall-model/src/rendezvous.rs
+++ b/crates/beamwall-model/src/rendezvous.rs
@@ -14,6 +14,20 @@
     hasher.digest()
 }
 
+/// The `count` candidates of highest score, highest first, where a candidate's chance grows with its share of all
+/// weights (logarithmic method). A weight below 1 counts as 1.
+pub fn choose_weighted<'a>(key: &[u8], candidates: &[(&'a str, f64)], count: usize) -> Vec<&'a str> {
+    let score = |name: &str, share: f64| {
+        // A hash as a number above 0 and at most 1.
+        let hash = (weight(key, name) as f64 + 1.0) / (u64::MAX as f64 + 1.0);
+        hash.min(1.0).ln() / share.max(1.0)
+    };
+    let mut scored: Vec<(f64, &str)> =
+        candidates.iter().map(|(name, share)| (score(name, *share), *name)).collect();
+    scored.sort_by(|left, right| right.0.total_cmp(&left.0).then_with(|| left.1.cmp(right.1)));
+    scored.into_iter().take(count).map(|(_, name)| name).collect()
+}
+
 /// The `count` candidates of highest weight, highest first.
 pub fn choose<'a, T, F>(key: &[u8], candidates: &'a [T], count: usize, name: F) -> Vec<&'a T>
 where
--- a/crates/beamwall-node/src/actors/policy.rs
+++ b/crates/beamwall-node/src/actors/policy.rs
@@ -5,7 +5,7 @@
 use arc_swap::ArcSwap;
 use beamwall_events::emit;
 use beamwall_events::internal_events::PolicyActivated;
-use beamwall_policy::{PolicyIndex, TrafficPolicy};
+use beamwall_policy::{ChangeError, PolicyArchive, PolicyChange, PolicyIndex, TrafficPolicy};
 use kameo::Actor;
 use kameo::message::{Context, Message};
 use tokio::sync::Notify;
@@ -14,13 +14,27 @@
 #[derive(Actor)]
 pub struct PolicyActor {
     view: Arc<ArcSwap<PolicyIndex>>,
+    archive: Arc<PolicyArchive>,
     news: Arc<Notify>,
 }
 
 impl PolicyActor {
-    /// An owner that publishes to `view` and tells `news` of a newer version.
-    pub fn new(view: Arc<ArcSwap<PolicyIndex>>, news: Arc<Notify>) -> Self {
-        Self { view, news }
+    fn activate(&self, policy: TrafficPolicy, source: String) {
+        emit(&PolicyActivated {
+            version: policy.version.to_string(),
+            source,
+            routes: policy.routes.len().to_string(),
+            tenants: policy.tenants.len().to_string(),
+        });
+        let policy = Arc::new(policy);
+        self.archive.keep(policy.clone());
+        self.view.store(Arc::new(PolicyIndex::new(policy)));
+        self.news.notify_one();
+    }
+
+    /// An owner that publishes to `view`, keeps versions in `archive` and tells `news` of a newer one.
+    pub fn new(view: Arc<ArcSwap<PolicyIndex>>, archive: Arc<PolicyArchive>, news: Arc<Notify>) -> Self {
+        Self { view, archive, news }
     }
 }
 
@@ -37,17 +51,39 @@
 
     /// Takes the policy if it is newer; answers whether it was.
     async fn handle(&mut self, offer: OfferPolicy, _: &mut Context<Self, Self::Reply>) -> bool {
-        if offer.policy.version <= self.view.load().version() {
+        let held = self.view.load().policy().clone();
+        if offer.policy.version <= held.version {
             return false;
         }
-        emit(&PolicyActivated {
-            version: offer.policy.version.to_string(),
-            source: offer.source,
-            routes: offer.policy.routes.len().to_string(),
-            tenants: offer.policy.tenants.len().to_string(),
-        });
-        self.view.store(Arc::new(PolicyIndex::new(offer.policy)));
-        self.news.notify_one();
+        self.activate(offer.policy.sharing_with(&held), offer.source);
         true
     }
 }
+
+/// A peer told what changed since the version held.
+pub struct ApplyPolicyChange {
+    /// The change.
+    pub change: PolicyChange,
+    /// The peer, for logs.
+    pub source: String,
+}
+
+impl Message<ApplyPolicyChange> for PolicyActor {
+    type Reply = Result<(), ChangeError>;
+
+    /// Takes the change if it leads to a newer version; one that starts from nothing replaces what is held.
+    async fn handle(
+        &mut self,
+        offer: ApplyPolicyChange,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Result<(), ChangeError> {
+        let held = self.view.load().policy().clone();
+        if offer.change.version <= held.version {
+            return Ok(());
+        }
+        let base = if offer.change.base == 0 { Arc::default() } else { held.clone() };
+        let policy = offer.change.apply(&base)?;
+        self.activate(policy.sharing_with(&held), offer.source);
+        Ok(())
+    }
+}
--- a/crates/beamwall-node/src/gateway/chooser.rs
+++ b/crates/beamwall-node/src/gateway/chooser.rs
@@ -12,18 +12,20 @@
 /// Time between two looks at who is chosen.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
 
-/// Chooses nodes of this zone by rendezvous hash among those alive.
+/// Chooses nodes of this zone by weighted rendezvous hash among those alive: a node with a fast network link is
+/// chosen more often, because what it learns for the others passes over that link.
 #[derive(Clone)]
 pub struct ZoneChooser {
     node: NodeId,
     zone: ZoneName,
+    link_mbps: u32,
     members: Arc<ArcSwap<MembershipView>>,
 }
 
 impl ZoneChooser {
     /// A chooser for one node, from what it knows of members.
-    pub fn new(node: NodeId, zone: ZoneName, members: Arc<ArcSwap<MembershipView>>) -> Self {
-        Self { node, zone, members }
+    pub fn new(node: NodeId, zone: ZoneName, link_mbps: u32, members: Arc<ArcSwap<MembershipView>>) -> Self {
+        Self { node, zone, link_mbps, members }
     }
 
     /// Whether this node is among the `count` of its zone that do `what`. Nodes that drain are not
@@ -33,10 +35,10 @@
         let in_zone = view.members.iter().filter(|member| {
             member.zone == self.zone && member.state == MemberState::Alive && !member.draining
         });
-        let mut candidates: Vec<&NodeId> = in_zone.map(|member| &member.node).collect();
-        candidates.push(&self.node);
-        let chosen = rendezvous::choose(what.as_bytes(), &candidates, count, |node| node.as_str());
-        chosen.contains(&&&self.node)
+        let mut candidates: Vec<(&str, f64)> =
+            in_zone.map(|member| (member.node.as_str(), f64::from(member.link_mbps))).collect();
+        candidates.push((self.node.as_str(), f64::from(self.link_mbps)));
+        rendezvous::choose_weighted(what.as_bytes(), &candidates, count).contains(&self.node.as_str())
     }
 
     /// Returns as soon as this node is chosen.
--- a/crates/beamwall-node/src/gateway/duties/capacity.rs
+++ b/crates/beamwall-node/src/gateway/duties/capacity.rs
@@ -10,7 +10,7 @@
 use beamwall_gateway::scaling::{self, GivenOrder, OrderKey, ScalingInputs, ZoneSupply};
 use beamwall_gateway::{DutyError, DutyPort, Gateway};
 use beamwall_model::{ServiceName, ZoneName};
-use beamwall_policy::Service;
+use beamwall_policy::{Service, Shared};
 use tokio::time::Instant;
 
 use crate::gateway::duties::{Holding, describe};
@@ -118,8 +118,9 @@
         }
         book.next_look = Some(now + SCALING_PERIOD);
         let policy = self.gateway.policy.load_full();
-        let is_settled =
-            |service: &&Service| self.demands.get(&service.name).is_some_and(FollowedDemand::is_settled);
+        let is_settled = |service: &&Shared<Service>| {
+            self.demands.get(&service.name).is_some_and(FollowedDemand::is_settled)
+        };
         for service in policy.policy().services.iter().filter(is_settled) {
             for order in self.orders_for(service, book) {
                 self.give(order, self.offered_to(service), book, holding).await;
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -6,29 +6,27 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use beamwall_gateway::ports::DirectorySnapshot;
-use beamwall_gateway::{Backend, Directory, Gateway, Reporter};
+use beamwall_gateway::{Directory, Gateway, Reporter};
 use beamwall_model::{NodeId, ServiceName, ZoneName};
-use beamwall_peer::gateway_message::{
-    DirectoryRequest, DirectoryWhole, GatewayBeat, PlacementRequest, PolicyRequest, PolicyWhole,
-};
+use beamwall_peer::gateway_message::{GatewayBeat, PlacementRequest};
 use beamwall_peer::message::{MemberUpdate, ProbeRequest};
 use beamwall_peer::{Body, Envelope, Member, MemberState, MembershipTiming, PeerNetwork};
-use beamwall_policy::TrafficPolicy;
 use kameo::actor::ActorRef;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
 
-use crate::actors::directory::{DirectoryActor, TakeSnapshot};
+use crate::actors::directory::DirectoryActor;
 use crate::actors::membership::{Hear, Introduction, MembershipActor, Tick};
-use crate::actors::policy::{OfferPolicy, PolicyActor};
+use crate::actors::policy::PolicyActor;
 use crate::gateway::beat;
+use crate::gateway::chooser::ZoneChooser;
 use crate::gateway::placing;
+use crate::gateway::policies::PolicyDistribution;
 use crate::gateway::readiness::Readiness;
 use crate::gateway::zones::HeardZones;
 use crate::shared::MembershipView;
@@ -36,7 +34,7 @@
 /// Nodes that tell each other up to which every one speaks with every other; beyond, membership picks targets.
 const FULL_MESH_LIMIT: usize = 128;
 /// Time that a node's own watch gets to bring what a peer has, before the peer is asked.
-const OWN_WATCH_TIME: Duration = Duration::from_millis(60);
+pub(super) const OWN_WATCH_TIME: Duration = Duration::from_millis(60);
 /// Usage windows told in a heartbeat: the ones that may still be reported.
 pub(super) const TOLD_WINDOWS: usize = 3;
 /// Least time between two heartbeats.
@@ -46,7 +44,7 @@
 /// Nodes that tell each other up to which heartbeats keep the usual period.
 const USUAL_PERIOD_LIMIT: u32 = 12;
 /// Longest wait for a peer's answer.
-const ANSWER_LIMIT: Duration = Duration::from_millis(800);
+pub(super) const ANSWER_LIMIT: Duration = Duration::from_millis(800);
 
 /// The sessions of one gateway with its peers.
 pub struct Exchange {
@@ -54,6 +52,8 @@
     pub node: NodeId,
     /// Its zone.
     pub zone: ZoneName,
+    /// Capacity of its network link in Mbit/s.
+    pub link_mbps: u32,
     /// Its address for peers.
     pub address: SocketAddr,
     /// Peer addresses tried at start.
@@ -78,25 +78,22 @@
     pub directory_actor: ActorRef<DirectoryActor>,
     /// Whether this node takes callers.
     pub readiness: Arc<Readiness>,
+    /// Chooses the nodes that watch the store for their zone.
+    pub chooser: ZoneChooser,
     /// Told when something is newer.
     pub news: Arc<Notify>,
     /// When this life began.
     pub started: Instant,
     /// When demand was last measured.
     pub demand_closed: Mutex<Instant>,
-    /// What is being asked of a peer.
-    pub fetching: Fetching,
+    /// Whether a list of back ends is being asked for.
+    pub fetching_directory: AtomicBool,
+    /// The versions of the policy that are told and heard of.
+    pub policies: PolicyDistribution,
     /// What is known of the other zones of a large deployment.
     pub zones: HeardZones,
 }
 
-/// What is being asked of a peer right now.
-#[derive(Debug, Default)]
-pub struct Fetching {
-    policy: AtomicBool,
-    directory: AtomicBool,
-}
-
 impl Exchange {
     /// Requests open at this node.
     pub fn open_requests(&self) -> u32 {
@@ -215,6 +212,7 @@
             draining: self.readiness.is_draining(),
             question: 0,
             answers: 0,
+            link_mbps: self.link_mbps,
             body: Some(body),
         }
     }
@@ -246,17 +244,14 @@
             Some(Body::GatewayBeat(beat)) => self.take_beat(&envelope, beat),
             Some(Body::ZoneSummary(summary)) => self.take_zone_sum(&envelope, summary),
             Some(Body::ProbeRequest(probe)) => self.probe_for(&probe),
-            Some(Body::PolicyRequest(_)) => {
-                let policy = self.gateway.policy.load();
-                let known = (policy.version() > 0).then(|| serde_json::to_string(policy.policy()).ok());
-                let whole = PolicyWhole { policy: known.flatten().unwrap_or_default() };
-                self.reply(&envelope, Body::PolicyWhole(whole));
+            Some(Body::PolicyRequest(request)) => {
+                let answer = self.policies.answer(request, Instant::now());
+                self.reply(&envelope, Body::PolicyAnswer(answer));
             }
             Some(Body::DirectoryRequest(_)) => {
-                let snapshot = self.directory.load().snapshot();
-                let backends = serde_json::to_string(&snapshot.backends).unwrap_or_default();
-                let whole = DirectoryWhole { revision: snapshot.revision, backends };
-                self.reply(&envelope, Body::DirectoryWhole(whole));
+                if let Some(whole) = self.whole_directory() {
+                    self.reply(&envelope, Body::DirectoryWhole(whole));
+                }
             }
             _ => {}
         }
@@ -288,13 +283,8 @@
             self.reply(envelope, Body::GatewayBeat(self.to_reply(Vec::new())));
         }
         let Ok(address) = envelope.address.parse() else { return };
-        if beat.policy_version > self.gateway.policy.load().version() {
-            tokio::spawn(self.clone().fetch_policy(address, beat.policy_version));
-        }
-        let directory = self.directory.load();
-        if beat.directory_revision > directory.revision() && beat.directory_digest != directory.digest() {
-            tokio::spawn(self.clone().fetch_directory(address, beat.directory_revision));
-        }
+        self.hear_policy_version(address, beat.policy_version);
+        self.hear_directory(address, beat.directory_revision, beat.directory_digest);
         // In a large deployment the work of other zones comes as sums.
         if !self.is_large() || envelope.zone == self.zone.as_str() {
             self.take_work(&envelope.sender, beat);
@@ -314,39 +304,4 @@
         let uses = beat::decode_quota_uses(&beat.quota_uses);
         self.gateway.quotas.hear(&node, beat.life, uses, Instant::now());
     }
-
-    async fn fetch_policy(self: Arc<Self>, peer: SocketAddr, version: u64) {
-        if self.fetching.policy.swap(true, Ordering::Relaxed) {
-            return;
-        }
-        tokio::time::sleep(OWN_WATCH_TIME).await;
-        if self.gateway.policy.load().version() < version {
-            let question = self.envelope(Body::PolicyRequest(PolicyRequest {}));
-            let answer = self.network.ask(peer, question, ANSWER_LIMIT).await;
-            if let Ok(Some(Body::PolicyWhole(whole))) = answer.map(|envelope| envelope.body)
-                && let Ok(policy) = serde_json::from_str::<TrafficPolicy>(&whole.policy)
-            {
-                let _ = self.policy_actor.ask(OfferPolicy { policy, source: peer.to_string() }).await;
-            }
-        }
-        self.fetching.policy.store(false, Ordering::Relaxed);
-    }
-
-    async fn fetch_directory(self: Arc<Self>, peer: SocketAddr, revision: u64) {
-        if self.fetching.directory.swap(true, Ordering::Relaxed) {
-            return;
-        }
-        tokio::time::sleep(OWN_WATCH_TIME).await;
-        if self.directory.load().revision() < revision {
-            let question = self.envelope(Body::DirectoryRequest(DirectoryRequest {}));
-            let answer = self.network.ask(peer, question, ANSWER_LIMIT).await;
-            if let Ok(Some(Body::DirectoryWhole(whole))) = answer.map(|envelope| envelope.body)
-                && let Ok(backends) = serde_json::from_str::<Vec<Backend>>(&whole.backends)
-            {
-                let snapshot = DirectorySnapshot { revision: whole.revision, backends };
-                let _ = self.directory_actor.ask(TakeSnapshot { snapshot, source: peer.to_string() }).await;
-            }
-        }
-        self.fetching.directory.store(false, Ordering::Relaxed);
-    }
 }
--- a/crates/beamwall-node/src/gateway/gauges.rs
+++ b/crates/beamwall-node/src/gateway/gauges.rs
@@ -1,6 +1,7 @@
 //! What a gateway believes and holds, as gauges that are read when metrics are fetched.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use beamwall_gateway::Gateway;
 use beamwall_peer::MemberState;
@@ -13,6 +14,9 @@
 /// Gauges of one gateway.
 pub struct GatewayGauges {
     policy_version: IntGauge,
+    policy_version_told: IntGauge,
+    policy_behind_ms: IntGauge,
+    peer_sent_bytes: IntGauge,
     directory_revision: IntGauge,
     backends_usable: IntGauge,
     backends_draining: IntGauge,
@@ -39,6 +43,15 @@
         let add = |name, help| gauge(name, help, registry);
         Ok(Self {
             policy_version: add("beamwall_gateway_policy_version", "version of the policy in force")?,
+            policy_version_told: add(
+                "beamwall_gateway_policy_version_told",
+                "newest version of the policy that a peer told",
+            )?,
+            policy_behind_ms: add(
+                "beamwall_gateway_policy_behind_ms",
+                "time for which this node has lacked a version that a peer told",
+            )?,
+            peer_sent_bytes: add("beamwall_gateway_peer_sent_bytes", "bytes sent to peers since start")?,
             directory_revision: add(
                 "beamwall_gateway_directory_revision",
                 "revision of the back ends known",
@@ -77,6 +90,9 @@
         let view = exchange.members.load();
         let alive = view.members.iter().filter(|member| member.state == MemberState::Alive).count();
         self.policy_version.set(gateway.policy.load().version() as i64);
+        let (told, behind) = exchange.policies.told();
+        self.policy_version_told.set(told as i64);
+        self.policy_behind_ms.set(behind.as_millis() as i64);
         self.directory_revision.set(directory.revision() as i64);
         self.backends_usable.set((directory.backends().count() - draining) as i64);
         self.backends_draining.set(draining as i64);
@@ -85,8 +101,9 @@
         self.ready.set(i64::from(readiness.is_ready()));
         self.open_requests.set(i64::from(exchange.open_requests()));
         self.log_lines_dropped.set(beamwall_events::dropped_lines() as i64);
-        let dropped = exchange.network.traffic.dropped_messages.load(std::sync::atomic::Ordering::Relaxed);
-        self.peer_messages_dropped.set(dropped as i64);
+        let traffic = &exchange.network.traffic;
+        self.peer_messages_dropped.set(traffic.dropped_messages.load(Ordering::Relaxed) as i64);
+        self.peer_sent_bytes.set(traffic.sent_bytes.load(Ordering::Relaxed) as i64);
         self.refresh_limits(gateway);
     }
 
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -6,11 +6,13 @@
 
 pub mod beat;
 pub mod chooser;
+pub mod directories;
 pub mod drain;
 pub mod duties;
 pub mod exchange;
 pub mod gauges;
 pub mod placing;
+pub mod policies;
 pub mod readiness;
 mod sharing;
 pub mod store_status;
@@ -36,6 +38,7 @@
 use beamwall_gateway::{ControlStore, Dialect, DutyPort, Gateway, GatewayHandler, PlacementPort};
 use beamwall_http::{Pool, serve};
 use beamwall_peer::{Membership, MembershipTiming, PeerNetwork};
+use beamwall_policy::PolicyArchive;
 use beamwall_store::VersionedObjects;
 use kameo::actor::Spawn;
 use prometheus::Registry;
@@ -53,6 +56,7 @@
 use crate::gateway::exchange::Exchange;
 use crate::gateway::gauges::GatewayGauges;
 use crate::gateway::placing::PeerPlacement;
+use crate::gateway::policies::PolicyDistribution;
 use crate::gateway::readiness::{Readiness, StatusHandler};
 use crate::gateway::store_status::StoreStatus;
 use crate::gateway::watches::{FollowedBackends, FollowedPolicy};
@@ -135,8 +139,7 @@
             exchange: exchange.clone(),
             readiness_path: ports.readiness_path,
         });
-        let chooser =
-            ZoneChooser::new(settings.node.clone(), settings.zone.clone(), exchange.members.clone());
+        let chooser = exchange.chooser.clone();
         let followed_policy =
             FollowedPolicy { store: ports.store.clone(), policy: exchange.policy_actor.clone() };
         let followed_backends =
@@ -246,18 +249,30 @@
         Membership::new(settings.node.clone(), settings.zone.clone(), life, MembershipTiming::default());
     let directory = gateway.forwarder.directory.clone();
     let news = gateway.news.clone();
+    let archive: Arc<PolicyArchive> = Arc::default();
     Exchange {
         node: settings.node.clone(),
         zone: settings.zone.clone(),
+        link_mbps: settings.link_mbps,
         address: settings.peers,
         seeds: settings.seeds.clone(),
         expected_nodes: settings.expected_nodes,
         life,
         network,
         membership: MembershipActor::spawn(MembershipActor::new(membership, members.clone())),
+        chooser: ZoneChooser::new(
+            settings.node.clone(),
+            settings.zone.clone(),
+            settings.link_mbps,
+            members.clone(),
+        ),
         members,
         gateway: gateway.clone(),
-        policy_actor: PolicyActor::spawn(PolicyActor::new(gateway.policy.clone(), news.clone())),
+        policy_actor: PolicyActor::spawn(PolicyActor::new(
+            gateway.policy.clone(),
+            archive.clone(),
+            news.clone(),
+        )),
         directory_actor: DirectoryActor::spawn(DirectoryActor::new(
             directory.clone(),
             gateway.clone(),
@@ -269,7 +284,8 @@
         news,
         started: Instant::now(),
         demand_closed: Mutex::new(Instant::now()),
-        fetching: Default::default(),
+        fetching_directory: Default::default(),
+        policies: PolicyDistribution::new(archive, settings.link_mbps),
         zones: Default::default(),
     }
 }
--- /dev/null
+++ b/crates/beamwall-node/src/gateway/policies.rs
@@ -0,0 +1,237 @@
+//! How a newer version of the policy reaches the nodes that the store did not tell.
+//!
+//! A node that hears of a newer version asks one of those that hold it what changed since its own. Versions
+//! that were overtaken meanwhile are skipped. A large answer, such as the whole policy for a node that has just
+//! started, takes the link of the node that gives it for a while: until then it sends others away, which by
+//! then find a further node that holds the version.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use beamwall_events::emit;
+use beamwall_events::internal_events::{PolicyBehind, PolicyChangeUnusable};
+use beamwall_peer::gateway_message::{PolicyAnswer, PolicyRequest};
+use beamwall_peer::{Body, TransferPacer, compressed};
+use beamwall_policy::{PolicyArchive, PolicyChange};
+use rand::seq::IndexedRandom;
+use tokio::time::Instant;
+
+use crate::actors::policy::ApplyPolicyChange;
+use crate::gateway::exchange::{ANSWER_LIMIT, Exchange, OWN_WATCH_TIME};
+use crate::gateway::watches::{POLICY, WATCHERS_PER_ZONE};
+
+/// Time after which a node that lacks a version that others hold says so: an eighth of the 8 s within which an
+/// accepted edit must be in force everywhere.
+const BEHIND_AFTER: Duration = Duration::from_secs(1);
+/// Longest pause before the next node is asked, where the last one was busy.
+const LONGEST_PAUSE: Duration = Duration::from_millis(50);
+/// Encoded changes that are kept: nodes that ask within a moment mostly hold the same few versions.
+const KEPT_ENCODED: usize = 8;
+
+/// What is known of the versions that other nodes hold.
+#[derive(Debug, Default)]
+struct Heard {
+    /// The newest version that a peer told.
+    newest: u64,
+    /// Peers that told it.
+    holders: Vec<SocketAddr>,
+    /// When this node first heard of a version newer than its own; `None` while it holds the newest.
+    behind_since: Option<Instant>,
+    is_fetching: bool,
+}
+
+/// One encoded change, and what it was made for.
+#[derive(Debug)]
+struct EncodedChange {
+    request: PolicyRequest,
+    version: u64,
+    change: Vec<u8>,
+}
+
+/// The versions of the policy that are told to peers and heard from them.
+#[derive(Debug)]
+pub struct PolicyDistribution {
+    archive: Arc<PolicyArchive>,
+    pacer: TransferPacer,
+    heard: Mutex<Heard>,
+    encoded: Mutex<Vec<EncodedChange>>,
+}
+
+impl PolicyDistribution {
+    /// Tells from `archive` over a link of `link_mbps` Mbit/s.
+    pub fn new(archive: Arc<PolicyArchive>, link_mbps: u32) -> Self {
+        let pacer = TransferPacer::new(link_mbps);
+        Self { archive, pacer, heard: Mutex::default(), encoded: Mutex::default() }
+    }
+
+    fn heard(&self) -> MutexGuard<'_, Heard> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The newest version that a peer told, and for how long this node has lacked it.
+    pub fn told(&self) -> (u64, Duration) {
+        let heard = self.heard();
+        (heard.newest, heard.behind_since.map_or(Duration::ZERO, |since| since.elapsed()))
+    }
+
+    /// The answer to a peer that asks what changed.
+    pub(super) fn answer(&self, request: PolicyRequest, now: Instant) -> PolicyAnswer {
+        let Some(change) = self.encoded_change(request) else { return PolicyAnswer::default() };
+        match self.pacer.admit(change.len(), now) {
+            Ok(()) => PolicyAnswer { change, busy_for_ms: 0 },
+            Err(wait) => PolicyAnswer { change: Vec::new(), busy_for_ms: wait.as_millis() as u32 + 1 },
+        }
+    }
+
+    fn encoded_change(&self, request: PolicyRequest) -> Option<Vec<u8>> {
+        let newest = self.archive.newest_version()?;
+        let mut encoded = self.encoded.lock().unwrap_or_else(PoisonError::into_inner);
+        encoded.retain(|known| known.version == newest);
+        if let Some(known) = encoded.iter().find(|known| known.request == request) {
+            return Some(known.change.clone());
+        }
+        let change = self.archive.change_from(request.held_version, request.held_digest)?;
+        let bytes = match compressed::encode(&change) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                emit(&PolicyChangeUnusable { peer: String::new(), reason: error.to_string() });
+                return None;
+            }
+        };
+        if encoded.len() == KEPT_ENCODED {
+            encoded.remove(0);
+        }
+        encoded.push(EncodedChange { request, version: change.version, change: bytes.clone() });
+        Some(bytes)
+    }
+
+    /// Notes the version that a peer holds; returns whether somebody must start to ask for it.
+    fn note(&self, peer: SocketAddr, version: u64, held: u64) -> bool {
+        let mut heard = self.heard();
+        if version <= held || version < heard.newest {
+            return false;
+        }
+        if version > heard.newest {
+            heard.newest = version;
+            heard.holders.clear();
+        }
+        if !heard.holders.contains(&peer) {
+            heard.holders.push(peer);
+        }
+        heard.behind_since.get_or_insert_with(Instant::now);
+        !std::mem::replace(&mut heard.is_fetching, true)
+    }
+
+    /// A peer that holds the newest version; `None` when this node holds it too, or no such peer is known.
+    fn holder(&self, held: u64) -> Option<SocketAddr> {
+        let heard = self.heard();
+        if heard.newest <= held { None } else { heard.holders.choose(&mut rand::rng()).copied() }
+    }
+
+    fn drop_holder(&self, peer: SocketAddr) {
+        self.heard().holders.retain(|holder| *holder != peer);
+    }
+
+    /// Ends asking. A node that still lacks the version starts again when it next hears of it.
+    fn end_fetching(&self, held: u64) {
+        let mut heard = self.heard();
+        heard.is_fetching = false;
+        if held >= heard.newest {
+            heard.behind_since = None;
+        }
+    }
+}
+
+impl Exchange {
+    /// Takes the version that a peer tells, and asks for it where this node lacks it.
+    pub(super) fn hear_policy_version(self: &Arc<Self>, peer: SocketAddr, version: u64) {
+        if self.policies.note(peer, version, self.policy_version()) {
+            tokio::spawn(self.clone().fetch_policy());
+        }
+    }
+
+    fn policy_version(&self) -> u64 {
+        self.gateway.policy.load().version()
+    }
+
+    /// Asks peers until this node holds the newest version told, or none that holds it answers.
+    async fn fetch_policy(self: Arc<Self>) {
+        if self.chooser.is_chosen(POLICY, WATCHERS_PER_ZONE) {
+            tokio::time::sleep(OWN_WATCH_TIME).await;
+        }
+        let mut wants_whole = false;
+        let mut has_told = false;
+        while let Some(peer) = self.policies.holder(self.policy_version()) {
+            match self.ask_for_change(peer, wants_whole).await {
+                Fetched::Applied => wants_whole = false,
+                Fetched::Unusable => wants_whole = true,
+                Fetched::Busy(wait) => tokio::time::sleep(wait.min(LONGEST_PAUSE)).await,
+                Fetched::Unanswered => self.policies.drop_holder(peer),
+            }
+            has_told = has_told || self.tell_if_behind();
+        }
+        self.policies.end_fetching(self.policy_version());
+    }
+
+    /// Says that this node has lacked a version for long; returns whether it has.
+    fn tell_if_behind(&self) -> bool {
+        let (told, behind) = self.policies.told();
+        let held = self.policy_version();
+        if held >= told || behind < BEHIND_AFTER {
+            return false;
+        }
+        emit(&PolicyBehind {
+            held: held.to_string(),
+            told: told.to_string(),
+            behind_ms: behind.as_millis().to_string(),
+        });
+        true
+    }
+
+    async fn ask_for_change(&self, peer: SocketAddr, wants_whole: bool) -> Fetched {
+        let held = self.gateway.policy.load().policy().clone();
+        let request = if wants_whole || held.version == 0 {
+            PolicyRequest::default()
+        } else {
+            PolicyRequest { held_version: held.version, held_digest: held.digest() }
+        };
+        let question = self.envelope(Body::PolicyRequest(request));
+        let answer = match self.network.ask(peer, question, ANSWER_LIMIT).await.map(|envelope| envelope.body)
+        {
+            Ok(Some(Body::PolicyAnswer(answer))) => answer,
+            _ => return Fetched::Unanswered,
+        };
+        if answer.busy_for_ms > 0 {
+            return Fetched::Busy(Duration::from_millis(u64::from(answer.busy_for_ms)));
+        }
+        if answer.change.is_empty() {
+            return Fetched::Unanswered;
+        }
+        match self.apply(peer, &answer.change).await {
+            Ok(()) => Fetched::Applied,
+            Err(reason) => {
+                emit(&PolicyChangeUnusable { peer: peer.to_string(), reason });
+                if wants_whole { Fetched::Unanswered } else { Fetched::Unusable }
+            }
+        }
+    }
+
+    async fn apply(&self, peer: SocketAddr, change: &[u8]) -> Result<(), String> {
+        let change: PolicyChange = compressed::decode(change).map_err(|error| error.to_string())?;
+        let offer = ApplyPolicyChange { change, source: peer.to_string() };
+        self.policy_actor.ask(offer).await.map_err(|error| error.to_string())
+    }
+}
+
+/// What came of asking one peer.
+enum Fetched {
+    /// What changed is in force.
+    Applied,
+    /// What it told can't be applied to the version held.
+    Unusable,
+    /// It gives large answers to others.
+    Busy(Duration),
+    /// It gave no answer, or holds no policy.
+    Unanswered,
+}
--- a/crates/beamwall-node/src/gateway/sharing.rs
+++ b/crates/beamwall-node/src/gateway/sharing.rs
@@ -24,7 +24,11 @@
         let heard = if self.is_large() { close + self.zones.nodes_heard() } else { close };
         let policy = self.gateway.policy.load();
         let sharing = Sharing { heard, known, close };
-        self.gateway.quotas.share(sharing, &policy.policy().tenants, Instant::now());
+        self.gateway.quotas.share(
+            sharing,
+            policy.policy().tenants.iter().map(|tenant| &**tenant),
+            Instant::now(),
+        );
         self.gateway.forwarder.retries.divide_among(known);
     }
 
--- a/crates/beamwall-node/src/gateway/watches.rs
+++ b/crates/beamwall-node/src/gateway/watches.rs
@@ -22,7 +22,7 @@
 /// Longest wait of one watch call.
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
 /// Nodes of a zone that watch each subject.
-const WATCHERS_PER_ZONE: usize = 2;
+pub(super) const WATCHERS_PER_ZONE: usize = 2;
 /// First pause after a failure; it doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause.
--- a/crates/beamwall-node/src/shared.rs
+++ b/crates/beamwall-node/src/shared.rs
@@ -217,6 +217,8 @@
             draining: self.is_draining(),
             question: 0,
             answers: 0,
+            // Only gateways choose by it.
+            link_mbps: 0,
             body: Some(body),
         }
     }
--- a/crates/beamwall-node/src/tasks/inbox.rs
+++ b/crates/beamwall-node/src/tasks/inbox.rs
@@ -75,7 +75,7 @@
             | Body::ClaimAnswer(_)
             | Body::GatewayBeat(_)
             | Body::PolicyRequest(_)
-            | Body::PolicyWhole(_)
+            | Body::PolicyAnswer(_)
             | Body::DirectoryRequest(_)
             | Body::DirectoryWhole(_)
             | Body::ZoneSummary(_)
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -1,7 +1,7 @@
 //! Messages between gateways.
 //!
 //! A heartbeat tells versions, not contents: whoever lacks a newer policy or list of back ends asks for
-//! it. Both travel as JSON text of the product's own types.
+//! it. A list of back ends travels whole, of a policy what changed, both as compressed JSON of the product's own types.
 
 use prost::Message;
 
@@ -130,16 +130,26 @@
     pub requests: u64,
 }
 
-/// Asks for the receiver's policy.
+/// Asks what changed in the policy since the version that the sender holds.
 #[derive(Clone, Copy, PartialEq, Message)]
-pub struct PolicyRequest {}
+pub struct PolicyRequest {
+    /// Version that the sender holds; 0 for none.
+    #[prost(uint64, tag = "1")]
+    pub held_version: u64,
+    /// Digest of that version.
+    #[prost(fixed64, tag = "2")]
+    pub held_digest: u64,
+}
 
-/// A whole policy.
+/// What changed since the version that the asker holds, or when to ask again.
 #[derive(Clone, PartialEq, Message)]
-pub struct PolicyWhole {
-    /// The policy as JSON text; empty for none.
-    #[prost(string, tag = "1")]
-    pub policy: String,
+pub struct PolicyAnswer {
+    /// The change as compressed JSON; empty while none can be told.
+    #[prost(bytes = "vec", tag = "2")]
+    pub change: Vec<u8>,
+    /// While other large answers take the sender's link: milliseconds until it may be asked again.
+    #[prost(uint32, tag = "3")]
+    pub busy_for_ms: u32,
 }
 
 /// Asks for the receiver's list of back ends.
@@ -152,9 +162,9 @@
     /// Its revision; 0 for none.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
-    /// The back ends as JSON text.
-    #[prost(string, tag = "2")]
-    pub backends: String,
+    /// The back ends as compressed JSON.
+    #[prost(bytes = "vec", tag = "3")]
+    pub backends: Vec<u8>,
 }
 
 /// Asks the receiver, which places model requests for all gateways, for an engine.
--- a/crates/beamwall-peer/src/lib.rs
+++ b/crates/beamwall-peer/src/lib.rs
@@ -4,13 +4,16 @@
 //! [`Membership`] decides from them who is alive; it never uses the platform's machine list as
 //! proof of life or death.
 
+pub mod compressed;
 pub mod gateway_message;
 pub mod member;
 pub mod membership;
 pub mod message;
 pub mod network;
+pub mod transfer;
 
 pub use member::{Member, MemberState};
 pub use membership::{Membership, MembershipChange, MembershipTiming, Target};
 pub use message::{Body, Envelope};
 pub use network::{PeerError, PeerNetwork};
+pub use transfer::TransferPacer;
--- a/crates/beamwall-peer/src/member.rs
+++ b/crates/beamwall-peer/src/member.rs
@@ -70,6 +70,8 @@
     pub ready: bool,
     /// Whether it is draining.
     pub draining: bool,
+    /// Capacity of its network link in Mbit/s; 0 where it is not known.
+    pub link_mbps: u32,
 }
 
 impl Member {
--- a/crates/beamwall-peer/src/membership.rs
+++ b/crates/beamwall-peer/src/membership.rs
@@ -161,6 +161,7 @@
             digest: envelope.digest,
             ready: envelope.ready,
             draining: envelope.draining,
+            link_mbps: envelope.link_mbps,
         };
         self.members.insert(node.clone(), member);
         is_new_life.then(|| self.note_change(&node)).flatten()
@@ -417,6 +418,7 @@
         digest: 0,
         ready: false,
         draining: false,
+        link_mbps: 0,
     }
 }
 
--- a/crates/beamwall-peer/src/message.rs
+++ b/crates/beamwall-peer/src/message.rs
@@ -6,8 +6,8 @@
 use prost::{Message, Oneof};
 
 use crate::gateway_message::{
-    DirectoryRequest, DirectoryWhole, GatewayBeat, PlacementReply, PlacementRequest, PolicyRequest,
-    PolicyWhole, ZoneSummary,
+    DirectoryRequest, DirectoryWhole, GatewayBeat, PlacementReply, PlacementRequest, PolicyAnswer,
+    PolicyRequest, ZoneSummary,
 };
 
 /// Every message: who sends it, what the sender holds, and the body.
@@ -43,6 +43,9 @@
     /// Number of the question that this message answers; 0 for none.
     #[prost(uint64, tag = "10")]
     pub answers: u64,
+    /// Capacity of the sender's network link in Mbit/s; 0 where it is not known.
+    #[prost(uint32, tag = "11")]
+    pub link_mbps: u32,
     /// The body.
     #[prost(
         oneof = "Body",
@@ -93,12 +96,12 @@
     /// Periodic sign of life of a gateway.
     #[prost(message, tag = "40")]
     GatewayBeat(GatewayBeat),
-    /// Asks a gateway for its policy.
+    /// Asks a gateway what changed in its policy.
     #[prost(message, tag = "41")]
     PolicyRequest(PolicyRequest),
-    /// A whole policy.
+    /// What changed in a policy.
     #[prost(message, tag = "42")]
-    PolicyWhole(PolicyWhole),
+    PolicyAnswer(PolicyAnswer),
     /// Asks a gateway for its list of back ends.
     #[prost(message, tag = "43")]
     DirectoryRequest(DirectoryRequest),
--- a/crates/beamwall-policy/src/index.rs
+++ b/crates/beamwall-policy/src/index.rs
@@ -5,7 +5,7 @@
 
 use beamwall_model::ServiceName;
 
-use crate::{Route, Service, Tenant, TrafficPolicy};
+use crate::{Route, Service, Shared, Tenant, TrafficPolicy};
 
 /// A shared tenant of one version.
 pub type TenantRef = Arc<Tenant>;
@@ -13,36 +13,37 @@
 /// One version of the policy with look-ups by host, path, key and service.
 #[derive(Debug, Default)]
 pub struct PolicyIndex {
-    policy: TrafficPolicy,
+    policy: Arc<TrafficPolicy>,
     /// Routes of a host, longest prefix first.
     routes_by_host: HashMap<String, Vec<Arc<Route>>>,
     tenants_by_key: HashMap<String, TenantRef>,
-    services: HashMap<ServiceName, Service>,
+    services: HashMap<ServiceName, Arc<Service>>,
 }
 
 impl PolicyIndex {
     /// Compiles a policy.
-    pub fn new(policy: TrafficPolicy) -> Self {
+    pub fn new(policy: impl Into<Arc<TrafficPolicy>>) -> Self {
+        let policy = policy.into();
         let mut routes_by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in &policy.routes {
-            routes_by_host.entry(route.host.clone()).or_default().push(Arc::new(route.clone()));
+            routes_by_host.entry(route.host.clone()).or_default().push(route.content());
         }
         for routes in routes_by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
         let mut tenants_by_key = HashMap::new();
-        for tenant in policy.tenants.iter().cloned().map(Arc::new) {
+        for tenant in policy.tenants.iter().map(Shared::content) {
             for key in &tenant.keys {
                 tenants_by_key.insert(key.clone(), tenant.clone());
             }
         }
         let services =
-            policy.services.iter().map(|service| (service.name.clone(), service.clone())).collect();
+            policy.services.iter().map(|service| (service.name.clone(), service.content())).collect();
         Self { policy, routes_by_host, tenants_by_key, services }
     }
 
     /// The policy as told.
-    pub fn policy(&self) -> &TrafficPolicy {
+    pub fn policy(&self) -> &Arc<TrafficPolicy> {
         &self.policy
     }
 
@@ -71,6 +72,6 @@
 
     /// A service by name.
     pub fn service(&self, name: &ServiceName) -> Option<&Service> {
-        self.services.get(name)
+        self.services.get(name).map(Arc::as_ref)
     }
 }
--- a/crates/beamwall-policy/src/lib.rs
+++ b/crates/beamwall-policy/src/lib.rs
@@ -2,16 +2,23 @@
 //!
 //! A [`TrafficPolicy`] is one version of the operator's decisions in typed form; it is what nodes
 //! tell each other. A [`PolicyIndex`] is the same version compiled for look-ups by host, path and
-//! key. Neither is ever changed: a newer version replaces the whole.
+//! key. Neither is ever changed: a newer version replaces the whole. A [`PolicyChange`] is what differs
+//! between two versions, and a [`PolicyArchive`] the last versions that a node held.
 
+pub mod archive;
+pub mod change;
 pub mod index;
 pub mod route;
 pub mod service;
+pub mod shared;
 pub mod tenant;
 
+pub use archive::PolicyArchive;
+pub use change::{ChangeError, PolicyChange};
 pub use index::{PolicyIndex, TenantRef};
 pub use route::{Route, RouteKind, USUAL_HOLD_LIMIT_MS, USUAL_OBJECTIVE_MS, WeightedService};
 pub use service::{EngineTraits, ScalingLimits, Service};
+pub use shared::Shared;
 pub use tenant::Tenant;
 
 use serde::{Deserialize, Serialize};
@@ -22,11 +29,11 @@
     /// Rises with every change; 0 before the first.
     pub version: u64,
     /// The routes.
-    pub routes: Vec<Route>,
+    pub routes: Vec<Shared<Route>>,
     /// The services that routes lead to.
-    pub services: Vec<Service>,
+    pub services: Vec<Shared<Service>>,
     /// The tenants; without any, requests carry no key.
-    pub tenants: Vec<Tenant>,
+    pub tenants: Vec<Shared<Tenant>>,
     /// What a caller may send.
     pub caller_limits: CallerLimits,
 }
--- /dev/null
+++ b/crates/beamwall-policy/tests/change.rs
@@ -0,0 +1,136 @@
+//! Changes between versions, against the versions themselves.
+
+use std::sync::Arc;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use arbtest::arbtest;
+use beamwall_policy::{
+    ChangeError, PolicyArchive, PolicyChange, Route, RouteKind, Shared, Tenant, TrafficPolicy,
+    WeightedService,
+};
+
+/// Names of routes and tenants of random policies: few, so that versions have some in common.
+const NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+fn route(name: &str, hold_limit_ms: u64) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "a.example".to_owned(),
+        path_prefix: format!("/{name}/"),
+        kind: RouteKind::Repeatable,
+        hold_limit_ms,
+        objective_ms: 100,
+        gap_objective_ms: None,
+        rank: 0,
+        targets: vec![WeightedService { service: "one".into(), weight: 1 }],
+        attempt_limit: 1,
+        public: false,
+    }
+}
+
+fn tenant(name: &str, rate_per_second: f64) -> Tenant {
+    Tenant {
+        name: name.into(),
+        keys: vec![format!("key of {name}")],
+        rank: None,
+        rate_per_second,
+        burst: rate_per_second,
+        counts_tokens: true,
+        plain_tokens: 200,
+    }
+}
+
+/// A policy of random routes and tenants, the same ones more than once among them.
+fn random_policy(version: u64, random: &mut Unstructured<'_>) -> Result<TrafficPolicy> {
+    let mut policy = TrafficPolicy { version, ..TrafficPolicy::default() };
+    for _ in 0..random.int_in_range(0..=8)? {
+        let route = route(random.choose(&NAMES)?, random.int_in_range(1..=2)?);
+        policy.routes.push(Shared::new(route));
+    }
+    for _ in 0..random.int_in_range(0..=4)? {
+        // Long decimals, as rates worked out by programs have.
+        let rate = f64::from(random.int_in_range(1..=99_999_u32)?) / 7.0;
+        policy.tenants.push(Shared::new(tenant(random.choose(&NAMES)?, rate)));
+    }
+    Ok(policy)
+}
+
+/// What is in a policy, whatever the order.
+fn parts(policy: &TrafficPolicy) -> (u64, Vec<String>) {
+    let routes = policy.routes.iter().map(|route| format!("{:?}", **route));
+    let tenants = policy.tenants.iter().map(|tenant| format!("{:?}", **tenant));
+    let mut parts: Vec<String> = routes.chain(tenants).collect();
+    parts.sort();
+    (policy.version, parts)
+}
+
+#[test]
+fn a_change_that_was_told_leads_to_the_newer_version() {
+    arbtest(|random| {
+        let base = random_policy(3, random)?;
+        let newest = random_policy(9, random)?;
+        let text = serde_json::to_string(&PolicyChange::between(&base, &newest)).expect("text");
+        let change: PolicyChange = serde_json::from_str(&text).expect("a change");
+        let result = change.apply(&base).expect("it applies");
+        assert_eq!(parts(&result), parts(&newest));
+        assert_eq!(result.digest(), newest.digest());
+        Ok(())
+    });
+}
+
+#[test]
+fn a_change_to_another_base_is_refused() {
+    let base = TrafficPolicy { version: 3, routes: vec![route("a", 1).into()], ..TrafficPolicy::default() };
+    let newest = TrafficPolicy { version: 4, ..base.clone() };
+    let change = PolicyChange::between(&base, &newest);
+    let other = TrafficPolicy { version: 2, ..base.clone() };
+    assert_eq!(change.apply(&other), Err(ChangeError::OtherBase(3, 2)));
+    let differs = TrafficPolicy { routes: vec![route("b", 1).into()], ..base };
+    assert_eq!(change.apply(&differs), Err(ChangeError::DigestDiffers(4)));
+}
+
+#[test]
+fn a_change_of_one_route_does_not_grow_with_the_policy() {
+    let many = |count: usize| (0..count).map(|number| Shared::new(route(&number.to_string(), 1))).collect();
+    let size = |count| {
+        let base = TrafficPolicy { version: 1, routes: many(count), ..TrafficPolicy::default() };
+        let mut newest = TrafficPolicy { version: 2, ..base.clone() };
+        newest.routes.push(route("added", 1).into());
+        serde_json::to_string(&PolicyChange::between(&base, &newest)).expect("text").len()
+    };
+    // Digests and fingerprints have up to 20 digits.
+    assert!(size(5_000).abs_diff(size(10)) < 20, "{} and {}", size(10), size(5_000));
+}
+
+#[test]
+fn an_archive_tells_the_whole_where_it_lacks_the_base() {
+    let archive = PolicyArchive::default();
+    assert!(archive.change_from(0, 0).is_none());
+    let version = |version| {
+        Arc::new(TrafficPolicy {
+            version,
+            routes: vec![route("a", version).into()],
+            ..TrafficPolicy::default()
+        })
+    };
+    (1..=3).for_each(|number| archive.keep(version(number)));
+    assert_eq!(archive.newest_version(), Some(3));
+    let from = |held: u64, digest| archive.change_from(held, digest).expect("a change").base;
+    assert_eq!(from(2, version(2).digest()), 2);
+    assert_eq!(from(2, 77), 0, "another policy under the same number");
+    assert_eq!(from(9, 77), 0, "a version that was never held");
+}
+
+#[test]
+fn versions_share_equal_parts() {
+    let earlier =
+        TrafficPolicy { version: 1, routes: vec![route("a", 1).into()], ..TrafficPolicy::default() };
+    let newer = TrafficPolicy {
+        version: 2,
+        routes: vec![route("b", 1).into(), route("a", 1).into()],
+        ..TrafficPolicy::default()
+    };
+    let newer = newer.sharing_with(&earlier);
+    assert!(Arc::ptr_eq(&newer.routes[1].content(), &earlier.routes[0].content()));
+    assert_eq!(newer.routes[0].name, "b");
+}
--- a/crates/beamwall-policy/tests/policy.rs
+++ b/crates/beamwall-policy/tests/policy.rs
@@ -1,7 +1,7 @@
 //! Routes, keys and splits of a policy.
 
 use arbtest::arbtest;
-use beamwall_policy::{PolicyIndex, Route, RouteKind, Tenant, TrafficPolicy, WeightedService};
+use beamwall_policy::{PolicyIndex, Route, RouteKind, Shared, Tenant, TrafficPolicy, WeightedService};
 
 fn route(name: &str, prefix: &str) -> Route {
     Route {
@@ -19,8 +19,12 @@
     }
 }
 
+fn shared(routes: Vec<Route>) -> Vec<Shared<Route>> {
+    routes.into_iter().map(Shared::new).collect()
+}
+
 fn index(routes: Vec<Route>) -> PolicyIndex {
-    PolicyIndex::new(TrafficPolicy { version: 3, routes, ..TrafficPolicy::default() })
+    PolicyIndex::new(TrafficPolicy { version: 3, routes: shared(routes), ..TrafficPolicy::default() })
 }
 
 fn found<'a>(index: &'a PolicyIndex, host: &str, path: &str) -> Option<&'a str> {
@@ -82,8 +86,8 @@
     };
     let policy = TrafficPolicy {
         version: 7,
-        routes: vec![route("r", "/")],
-        tenants: vec![tenant],
+        routes: shared(vec![route("r", "/")]),
+        tenants: vec![tenant.into()],
         ..Default::default()
     };
     let text = serde_json::to_string(&policy).expect("text");
