--- /dev/null
+++ b/crates/beamwall-engine-model/src/slowness.rs
@@ -0,0 +1,89 @@
+//! Which single back ends are slower than their service usually is.
+//!
+//! A back end that has quietly turned slow still answers, so nothing fails. Each time that a request took is
+//! compared with the time expected of any back end of the service. What the nodes observed is added, and older
+//! samples count less and less, so that a back end that was avoided is tried again.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use beamwall_model::BackendId;
+use tokio::time::Instant;
+
+/// Time after which a sample counts half: an engine that turns slow must be known within a second or two.
+const HALF_LIFE: Duration = Duration::from_secs(3);
+/// Weight of the assumption that a back end is as fast as the others, in samples.
+const ASSUMED_WEIGHT: f64 = 2.0;
+/// Samples below which nothing is told or kept.
+const LEAST_WEIGHT: f64 = 0.1;
+/// Largest factor by which one sample may differ: a single broken request must not condemn a back end.
+const LARGEST_FACTOR: f64 = 10.0;
+
+/// What a node observed of one back end.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ToldSlowness {
+    /// Sum of the logarithms of the factors by which requests took longer than expected, each times its weight.
+    pub logarithms: f64,
+    /// Sum of the weights.
+    pub weight: f64,
+}
+
+impl ToldSlowness {
+    /// The factor by which the back end takes longer than its service usually does.
+    pub fn factor(self) -> f64 {
+        (self.logarithms / (self.weight + ASSUMED_WEIGHT)).exp()
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Record {
+    observed: ToldSlowness,
+    at: Instant,
+}
+
+impl Record {
+    fn now(&self, now: Instant) -> ToldSlowness {
+        let halves = now.saturating_duration_since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        let left = 0.5_f64.powf(halves);
+        ToldSlowness { logarithms: self.observed.logarithms * left, weight: self.observed.weight * left }
+    }
+}
+
+/// What was observed of each back end, by whoever reported it.
+#[derive(Debug, Default)]
+pub struct Slowness {
+    records: HashMap<BackendId, Record>,
+}
+
+impl Slowness {
+    /// Notes that a request took `took_ms` where `expected_ms` was expected.
+    pub fn note(&mut self, backend: &BackendId, took_ms: f64, expected_ms: f64, now: Instant) {
+        if took_ms <= 0.0 || expected_ms <= 0.0 {
+            return;
+        }
+        let factor = (took_ms / expected_ms).clamp(1.0 / LARGEST_FACTOR, LARGEST_FACTOR);
+        let fresh = Record { observed: ToldSlowness::default(), at: now };
+        let record = self.records.entry(backend.clone()).or_insert(fresh);
+        let before = record.now(now);
+        let observed =
+            ToldSlowness { logarithms: before.logarithms + factor.ln(), weight: before.weight + 1.0 };
+        *record = Record { observed, at: now };
+    }
+
+    /// Replaces what somebody else observed.
+    pub fn set(&mut self, told: impl IntoIterator<Item = (BackendId, ToldSlowness)>, now: Instant) {
+        let record = |(backend, observed)| (backend, Record { observed, at: now });
+        self.records = told.into_iter().map(record).collect();
+    }
+
+    /// What was observed, as it counts now.
+    pub fn tell(&self, now: Instant) -> Vec<(BackendId, ToldSlowness)> {
+        let records = self.records.iter().map(|(backend, record)| (backend.clone(), record.now(now)));
+        records.filter(|(_, observed)| observed.weight >= LEAST_WEIGHT).collect()
+    }
+
+    /// Forgets back ends that are gone.
+    pub fn retain(&mut self, is_known: impl Fn(&BackendId) -> bool) {
+        self.records.retain(|backend, _| is_known(backend));
+    }
+}
--- /dev/null
+++ b/crates/beamwall-engine-model/src/statistics.rs
@@ -0,0 +1,154 @@
+//! What was observed of the back ends of one service.
+
+use crate::estimates::ServiceEstimates;
+use crate::regression::Regression;
+
+/// Tokens in the unit in which regressions count them, so that all features are about 1.
+const TOKENS: f64 = 1_000.0;
+/// The same for pairs of a prompt's token with one before it.
+const PAIRS: f64 = 1e8;
+/// Times below this are not measured more exactly by the network and the timers, in milliseconds.
+const LEAST_SPREAD_MS: f64 = 5.0;
+/// A sample this many deviations from what was expected counts less, in proportion: it waited for something that the
+/// features don't tell.
+const USUAL_DEVIATIONS: f64 = 1.5;
+/// Deviation, as a part of the expected time, that is assumed until one was observed.
+const ASSUMED_DEVIATION: f64 = 0.5;
+/// Samples before which none counts less than others: nothing is known to compare it with.
+const TRUSTED_SAMPLES: f64 = 30.0;
+
+/// What of a prompt must be read.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Reading {
+    /// Tokens that are not kept.
+    pub tokens: u64,
+    /// Pairs of such a token with one before it: each token is compared with all before it, so the later ones of a
+    /// long prompt take longer.
+    pub pairs: u64,
+}
+
+impl Reading {
+    /// Reading the rest of a prompt of which `kept` tokens are kept.
+    pub fn of_rest(kept: u64, unread: u64) -> Self {
+        Self { tokens: unread, pairs: unread * (kept + unread / 2) }
+    }
+}
+
+/// What the time to a request's first event depends on.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct FirstEvent {
+    /// What of its prompt must be read.
+    pub reading: Reading,
+    /// Tokens of other prompts that are read before.
+    pub tokens_ahead: u64,
+    /// Requests that run beside it.
+    pub running: u32,
+}
+
+impl FirstEvent {
+    fn features(self) -> [f64; 5] {
+        [
+            1.0,
+            self.reading.tokens as f64 / TOKENS,
+            self.reading.pairs as f64 / PAIRS,
+            self.tokens_ahead as f64 / TOKENS,
+            f64::from(self.running),
+        ]
+    }
+}
+
+/// Sums over what a node observed of the back ends of one service. Sums of several nodes are added.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ServiceStatistics {
+    /// Time to the first event, in milliseconds.
+    pub(crate) first_event: Regression<5>,
+    /// Time between two events, in milliseconds, by the requests that run.
+    pub(crate) event_gap: Regression<2>,
+    /// Time of a plain call, in milliseconds, by the requests that run.
+    pub(crate) plain_call: Regression<2>,
+    /// Time of a whole stream from its first event, in milliseconds.
+    pub(crate) stream: Regression<1>,
+}
+
+impl ServiceStatistics {
+    /// Notes the time to a first event; `known` is what was expected of the service before.
+    pub fn note_first_event(&mut self, of: FirstEvent, took_ms: f64, known: Option<&ServiceEstimates>) {
+        let expected = known.and_then(|known| known.first_event_ms(of));
+        let deviation = known.and_then(ServiceEstimates::first_event_deviation);
+        self.first_event.add(of.features(), took_ms, weight(took_ms, expected, deviation));
+    }
+
+    /// Notes the mean time between two events of a stream while `running` requests ran.
+    pub fn note_event_gap(&mut self, running: u32, took_ms: f64, known: Option<&ServiceEstimates>) {
+        let expected = known.and_then(|known| known.event_gap_ms(running));
+        let deviation = known.and_then(ServiceEstimates::event_gap_deviation);
+        self.event_gap.add([1.0, f64::from(running)], took_ms, weight(took_ms, expected, deviation));
+    }
+
+    /// Notes the time of a plain call beside `running` others.
+    pub fn note_plain_call(&mut self, running: u32, took_ms: f64) {
+        let features = [1.0, f64::from(running)];
+        self.plain_call.add(features, took_ms, weight(took_ms, None, None));
+    }
+
+    /// Notes the time of a whole stream from its first event.
+    pub fn note_stream(&mut self, took_ms: f64) {
+        self.stream.add([1.0], took_ms, 1.0);
+    }
+
+    /// Adds what another node observed.
+    pub fn merge(&mut self, other: &Self) {
+        self.first_event.merge(&other.first_event);
+        self.event_gap.merge(&other.event_gap);
+        self.plain_call.merge(&other.plain_call);
+        self.stream.merge(&other.stream);
+    }
+
+    /// What the sums say.
+    pub fn estimates(&self) -> ServiceEstimates {
+        ServiceEstimates::new(self)
+    }
+
+    /// The sums as a list of numbers, to be told to other nodes.
+    pub fn to_numbers(&self) -> Vec<f64> {
+        let models = self.first_event.to_numbers().into_iter().chain(self.event_gap.to_numbers());
+        models.chain(self.plain_call.to_numbers()).chain(self.stream.to_numbers()).collect()
+    }
+
+    /// The sums from such a list; `None` when it is not one.
+    pub fn from_numbers(numbers: &[f64]) -> Option<Self> {
+        let (first_event, rest) = numbers.split_at_checked(Regression::<5>::numbers())?;
+        let (event_gap, rest) = rest.split_at_checked(Regression::<2>::numbers())?;
+        let (plain_call, stream) = rest.split_at_checked(Regression::<2>::numbers())?;
+        Some(Self {
+            first_event: Regression::from_numbers(first_event)?,
+            event_gap: Regression::from_numbers(event_gap)?,
+            plain_call: Regression::from_numbers(plain_call)?,
+            stream: Regression::from_numbers(stream)?,
+        })
+    }
+}
+
+/// Weight of a sample: errors are in proportion to the time expected, and an outlier counts less.
+fn weight(took_ms: f64, expected_ms: Option<f64>, deviation: Option<f64>) -> f64 {
+    let scale = expected_ms.unwrap_or(took_ms) + LEAST_SPREAD_MS;
+    let usual = expected_ms.map_or(1.0, |expected| {
+        let off = (took_ms - expected).abs() / scale;
+        let allowed = USUAL_DEVIATIONS * deviation.unwrap_or(ASSUMED_DEVIATION);
+        if off <= allowed { 1.0 } else { allowed / off }
+    });
+    usual / (scale * scale)
+}
+
+pub(crate) fn is_trusted(samples: f64) -> bool {
+    samples >= TRUSTED_SAMPLES
+}
+
+pub(crate) fn first_event_features(of: FirstEvent) -> [f64; 5] {
+    of.features()
+}
+
+/// Milliseconds a token and a pair of tokens, from the coefficients of the time to a first event.
+pub(crate) fn reading_ms(coefficients: &[f64; 5], reading: Reading) -> f64 {
+    coefficients[1] * reading.tokens as f64 / TOKENS + coefficients[2] * reading.pairs as f64 / PAIRS
+}
--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -121,6 +121,8 @@
     4103 Warn LapsedBackendsDropped "lapsed back ends dropped" { dropped }
     /// A list of back ends told between nodes can't be written or read; the one held stays.
     4104 Warn PeerDirectoryUnusable "peer's list of back ends unusable" { peer, reason }
+    /// Enough was observed of a service's model engines to say how many of them its work needs.
+    4105 Info EngineModelLearnt "engine model learnt" { service, tokens_per_ms, idle_event_gap_ms, deviation }
     /// A stream continued on another engine.
     5001 Info StreamMigrated "stream migrated" { request, from, to, delivered_tokens, recomputed_tokens }
     /// An answer reached nobody because its attempt was over.
@@ -166,9 +168,11 @@
     /// The store of decisions answers this node again.
     6102 Info ControlStoreRegained "control store regained" { what, away_ms }
     /// The number of back ends of a zone was ordered.
-    6103 Info CapacityOrdered "capacity ordered" { service, zone, reclaimable, wanted, offered_load, epoch, result }
+    6103 Info CapacityOrdered "capacity ordered" { service, zone, reclaimable, wanted, needed, epoch, result }
     /// The usage of one window was reported.
     6104 Info UsageReported "usage reported" { window, requests, epoch, result }
+    /// Too little is known of a service's work or its back ends: those found at the start are kept.
+    6105 Info CapacityNotKnown "capacity not known yet" { service, kept }
     /// An invariant was broken: a fault in the program, to be reported.
     9001 Error InvariantBroken "invariant broken" { invariant, detail }
 }
--- a/crates/beamwall-gateway/src/attempt.rs
+++ b/crates/beamwall-gateway/src/attempt.rs
@@ -100,7 +100,7 @@
         return Err(AttemptFailure::not_sent("the back end is gone".to_owned()));
     };
     let request = build_request(forwarder, call, backend, last_event);
-    let work = forwarder.knowledge.loads.open(backend, choice.unread_tokens);
+    let work = forwarder.knowledge.loads.open(backend, choice.reading.tokens);
     let sent_at = Instant::now();
     let sent = tokio::time::timeout(limit, forwarder.pool.send(target.address, request)).await;
     let result = match sent {
@@ -122,7 +122,7 @@
         backend,
         remaining: call.deadline.saturating_duration_since(Instant::now()),
         tenant: call.tenant.as_ref().map(|tenant| &tenant.name),
-        rank: call.rank(),
+        rank: call.rank(forwarder.reading_ms(call)),
         last_event,
     };
     let mut request = Request::new(full(call.body.clone()));
--- a/crates/beamwall-gateway/src/candidates.rs
+++ b/crates/beamwall-gateway/src/candidates.rs
@@ -2,11 +2,12 @@
 
 use std::sync::Arc;
 
+use beamwall_engine_model::{EngineModels, Reading, ServiceEstimates};
 use beamwall_model::{BackendId, ServiceName, ZoneName};
 use rand::seq::SliceRandom;
 use tokio::time::Instant;
 
-use crate::choice::{self, Candidate};
+use crate::choice::Candidate;
 use crate::directory::{Backend, Directory};
 use crate::health::HealthBook;
 use crate::health::HealthView;
@@ -14,6 +15,7 @@
 use crate::placement::{ReadingQueues, UnreachableReports};
 use crate::ports::Prompt;
 use crate::prefix::{self, PrefixBelief};
+use crate::reporter::Reporter;
 
 /// Back ends drawn at random for each request that a node chooses for itself, beside those that keep parts of
 /// its prompt. Nodes that all looked at all back ends would all choose the one that was idle at the last
@@ -61,6 +63,8 @@
     pub queues: ReadingQueues,
     /// Engines that those could not reach for whom this node places.
     pub reports: UnreachableReports,
+    /// What back ends can do.
+    pub models: EngineModels<Reporter>,
 }
 
 impl Knowledge {
@@ -70,12 +74,14 @@
         self.prefixes.retain(|backend| directory.get(backend).is_some());
         self.queues.retain(|backend| directory.get(backend).is_some());
         self.reports.retain(|backend| directory.get(backend).is_some());
+        self.models.retain(|backend| directory.get(backend).is_some());
     }
 
     /// The candidates for a request, in random order so that equal ones share the load; of many back ends
     /// a sample.
     pub fn candidates(&self, directory: &Directory, search: Search<'_>) -> Vec<Candidate> {
         let now = Instant::now();
+        let estimates = self.models.estimates(search.service);
         let usable: Vec<&Backend> = directory.usable(search.service).collect();
         let names: Vec<BackendId> = usable.iter().map(|backend| backend.id.clone()).collect();
         let home = search.prompt.and_then(|prompt| prefix::home(prompt, &names));
@@ -93,8 +99,9 @@
                 backend: backend.id.clone(),
                 same_zone: &backend.zone == search.zone,
                 slots: backend.slots,
-                load: self.load(&backend.id, search.by, now),
-                unread_tokens: search.prompt.map(|prompt| self.unread_tokens(&backend.id, home, prompt, now)),
+                load: self.load(&backend.id, search.by, &estimates, now),
+                reading: search.prompt.map(|prompt| self.reading(&backend.id, home, prompt, now)),
+                slowness: self.models.slowness(&backend.id),
                 health: self.health(&backend.id, search.by, now),
             })
             .collect()
@@ -111,24 +118,33 @@
         }
     }
 
-    fn load(&self, backend: &BackendId, by: ChosenBy, now: Instant) -> OpenLoad {
+    fn load(
+        &self,
+        backend: &BackendId,
+        by: ChosenBy,
+        estimates: &ServiceEstimates,
+        now: Instant,
+    ) -> OpenLoad {
         let told = self.loads.total(backend);
-        match by {
-            ChosenBy::Sender | ChosenBy::Baseline => told,
-            ChosenBy::Placer => OpenLoad { prompt_tokens: self.queues.queued_tokens(backend, now), ..told },
+        match (by, estimates.tokens_per_ms()) {
+            (ChosenBy::Placer, Some(speed)) => {
+                let prompt_tokens = (self.queues.left_ms(backend, now) * speed) as u64;
+                OpenLoad { prompt_tokens, ..told }
+            }
+            _ => told,
         }
     }
 
-    fn unread_tokens(
+    fn reading(
         &self,
         backend: &BackendId,
         home: Option<&BackendId>,
         prompt: &Prompt,
         now: Instant,
-    ) -> u64 {
+    ) -> Reading {
         let kept = self.prefixes.kept_tokens(backend, prompt, now);
         let assumed = if home == Some(backend) { prefix::shared_tokens(prompt) } else { 0 };
         let kept = kept.max(assumed).min(u64::from(prompt.prompt_tokens));
-        choice::reading_tokens(kept, u64::from(prompt.prompt_tokens) - kept)
+        Reading::of_rest(kept, u64::from(prompt.prompt_tokens) - kept)
     }
 }
--- a/crates/beamwall-gateway/src/choice.rs
+++ b/crates/beamwall-gateway/src/choice.rs
@@ -1,25 +1,21 @@
 //! The choice of a back end: one small function from candidates to the cheapest.
 //!
-//! A candidate's cost is the time until it would begin to answer, in milliseconds: what lies ahead
-//! of the request, what of its prompt must be read, the way there, and a surcharge for what its
-//! recent answers say.
+//! A candidate's cost is the time until it would begin to answer, in milliseconds: what is expected of its service
+//! by the learnt model, how much slower than the service it is, the wait for a free slot, the way there, and a
+//! surcharge for what its recent answers say.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use beamwall_engine_model::{FirstEvent, Reading, ServiceEstimates};
 use beamwall_model::{BackendId, ChoiceStrategy};
 
 use crate::health::HealthView;
 use crate::load::OpenLoad;
 
-/// Prompt tokens that an engine reads in a millisecond when nothing else runs.
-pub(crate) const PROMPT_TOKENS_PER_MS: f64 = 32.0;
-/// Tokens that take as long to read as a million pairs of a prompt's token with one before it take to compare.
-const TOKENS_PER_MILLION_PAIRS: u64 = 38;
-/// Time that the running requests add to the start of another at a model engine whose slots are all taken;
-/// in proportion where fewer are.
-const ALL_SLOTS_MS: f64 = 256.0;
-/// Time of one request at a plain back end.
-const PLAIN_REQUEST_MS: f64 = 15.0;
+/// Cost of one open request while nothing is known of the service: only the order that it gives counts.
+const UNLEARNT_REQUEST_MS: f64 = 10.0;
+/// Wait for a slot while it is not known how long streams take: only the order that it gives counts.
+const UNLEARNT_SLOT_MS: f64 = 500.0;
 /// Surcharge for another zone: the way there and back, and the price of the bytes.
 const OTHER_ZONE_MS: f64 = 4.0;
 /// Surcharge for a back end all of whose requests failed lately.
@@ -28,8 +24,9 @@
 const USUAL_FAILURE_SHARE: f64 = 0.25;
 /// Surcharge for a back end that could not be reached a moment ago.
 const UNREACHABLE_MS: f64 = 5_000.0;
-/// Surcharge for a back end whose slots are all taken.
-const FULL_MS: f64 = 500.0;
+/// Surcharge for a back end whose pauses between events are expected to be twice the objective; in proportion where
+/// they are less too long. A stream with such a pause is late from then on, however early it began.
+const PAUSES_MS: f64 = 1_000.0;
 
 /// A back end that may be chosen.
 #[derive(Debug, Clone, PartialEq)]
@@ -42,41 +39,77 @@
     pub slots: u32,
     /// Open work of all nodes there.
     pub load: OpenLoad,
-    /// How long it would read the request's prompt, in tokens of a short one ([`reading_tokens`]); `None` for plain
-    /// calls.
-    pub unread_tokens: Option<u64>,
+    /// What of the request's prompt it would read; `None` for plain calls.
+    pub reading: Option<Reading>,
+    /// Factor by which it takes longer than its service usually does.
+    pub slowness: f64,
     /// How it has fared lately.
     pub health: HealthView,
 }
 
-/// How long the rest of a prompt takes to read, in tokens of a short prompt: each token is compared with all
-/// before it, so the later ones of a long prompt take longer.
-pub fn reading_tokens(kept: u64, unread: u64) -> u64 {
-    let pairs = unread * (kept + unread / 2);
-    unread + pairs * TOKENS_PER_MILLION_PAIRS / 1_000_000
-}
+impl Candidate {
+    /// What the time to the first event of a model request depends on there.
+    pub fn first_event(&self, reading: Reading) -> FirstEvent {
+        let running = self.load.requests.min(self.slots);
+        FirstEvent { reading, tokens_ahead: self.load.prompt_tokens, running }
+    }
 
-/// The expected time in milliseconds until a candidate begins to answer.
-pub fn cost_ms(candidate: &Candidate) -> f64 {
-    let requests = f64::from(candidate.load.requests);
-    let slots = f64::from(candidate.slots.max(1));
-    let work = match candidate.unread_tokens {
-        Some(unread) => {
-            let tokens = candidate.load.prompt_tokens + unread;
-            tokens as f64 / PROMPT_TOKENS_PER_MS + requests / slots * ALL_SLOTS_MS
+    /// Time until it would begin to answer, in milliseconds; `None` while nothing is known of the service.
+    pub fn expected_ms(&self, expectation: &Expectation<'_>) -> Option<f64> {
+        let estimates = expectation.estimates;
+        let answer_ms = match self.reading {
+            Some(reading) => estimates.first_event_ms(self.first_event(reading))?,
+            None => estimates.plain_call_ms(self.load.requests)?,
+        };
+        let waiting = (self.load.requests + 1).saturating_sub(self.slots);
+        let slot_ms = estimates.stream_ms().unwrap_or(UNLEARNT_SLOT_MS) / f64::from(self.slots.max(1));
+        let wait_ms = if self.reading.is_some() { f64::from(waiting) * slot_ms } else { 0.0 };
+        Some((answer_ms + wait_ms) * self.slowness)
+    }
+
+    /// How much too long its pauses between events are expected to be, as a part of the objective, at most 1.
+    fn excess_of_pauses(&self, expectation: &Expectation<'_>) -> f64 {
+        let pause_ms = expectation.estimates.event_gap_ms(self.load.requests.min(self.slots));
+        match (self.reading, pause_ms, expectation.pause_objective_ms) {
+            (Some(_), Some(pause_ms), Some(objective_ms)) => {
+                (pause_ms * self.slowness / objective_ms as f64 - 1.0).clamp(0.0, 1.0)
+            }
+            _ => 0.0,
         }
-        None => requests / slots * PLAIN_REQUEST_MS,
-    };
-    let full = if candidate.load.requests >= candidate.slots { FULL_MS } else { 0.0 };
+    }
+
+    /// What stands for the expected time while nothing is known of the service.
+    fn unlearnt_ms(&self) -> f64 {
+        let waiting = (self.load.requests + 1).saturating_sub(self.slots);
+        f64::from(self.load.requests) * UNLEARNT_REQUEST_MS + f64::from(waiting) * UNLEARNT_SLOT_MS
+    }
+}
+
+/// What is expected of the back ends among which one is chosen.
+#[derive(Debug, Clone, Copy)]
+pub struct Expectation<'a> {
+    /// What the service's back ends do.
+    pub estimates: &'a ServiceEstimates,
+    /// Longest pause between two events that keeps the request's stream in time.
+    pub pause_objective_ms: Option<u64>,
+}
+
+/// The cost of a candidate in milliseconds.
+pub fn cost_ms(candidate: &Candidate, expectation: &Expectation<'_>) -> f64 {
+    let work = candidate.expected_ms(expectation).unwrap_or_else(|| candidate.unlearnt_ms());
+    let pauses = candidate.excess_of_pauses(expectation) * PAUSES_MS;
     let way = if candidate.same_zone { 0.0 } else { OTHER_ZONE_MS };
     let failing = (candidate.health.failure_share - USUAL_FAILURE_SHARE).max(0.0) * FAILING_MS;
     let unreachable = if candidate.health.unreachable { UNREACHABLE_MS } else { 0.0 };
-    work + full + way + failing + unreachable
+    work + pauses + way + failing + unreachable
 }
 
 /// The cheapest candidate with its cost; of equal ones the first.
-pub fn choose(candidates: &[Candidate]) -> Option<(&Candidate, f64)> {
-    let costs = candidates.iter().map(|candidate| (candidate, cost_ms(candidate)));
+pub fn choose<'a>(
+    candidates: &'a [Candidate],
+    expectation: &Expectation<'_>,
+) -> Option<(&'a Candidate, f64)> {
+    let costs = candidates.iter().map(|candidate| (candidate, cost_ms(candidate, expectation)));
     costs.min_by(|left, right| left.1.total_cmp(&right.1))
 }
 
@@ -99,16 +132,20 @@
         self.strategy != ChoiceStrategy::ExpectedTime
     }
 
-    /// The chosen candidate with its expected time.
-    pub fn choose<'a>(&self, candidates: &'a [Candidate]) -> Option<(&'a Candidate, f64)> {
+    /// The chosen candidate with its cost.
+    pub fn choose<'a>(
+        &self,
+        candidates: &'a [Candidate],
+        expectation: &Expectation<'_>,
+    ) -> Option<(&'a Candidate, f64)> {
         let chosen = match self.strategy {
-            ChoiceStrategy::ExpectedTime => return choose(candidates),
+            ChoiceStrategy::ExpectedTime => return choose(candidates, expectation),
             ChoiceStrategy::LeastRequests => {
                 candidates.iter().min_by_key(|candidate| candidate.load.requests)?
             }
             ChoiceStrategy::RoundRobin => self.next_in_turn(candidates)?,
         };
-        Some((chosen, cost_ms(chosen)))
+        Some((chosen, cost_ms(chosen, expectation)))
     }
 
     fn next_in_turn<'a>(&self, candidates: &'a [Candidate]) -> Option<&'a Candidate> {
--- a/crates/beamwall-gateway/src/demand.rs
+++ b/crates/beamwall-gateway/src/demand.rs
@@ -1,20 +1,18 @@
-//! How much work callers ask for, in busy back ends: what the number of back ends is planned from.
+//! How much work callers ask for: what the number of back ends is planned from.
 //!
-//! Work is estimated when a request arrives, whether or not it is served in time, so the demand stays
-//! true while engines are overloaded. Nodes tell each other their own.
+//! Work is noted when a request arrives, whether or not it is served in time, so the demand stays true while
+//! engines are overloaded. It is counted in tokens and events, so that what is known of the engines' speed may
+//! change. Nodes tell each other their own.
 
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use beamwall_engine_model::{Reading, Workload};
 use beamwall_model::ServiceName;
 
 use crate::reporter::Reporter;
 
-/// Prompt tokens that an engine reads in a millisecond.
-const PROMPT_TOKENS_PER_MS: f64 = 32.0;
-/// Engine time of one event of a stream among a usual number of others, in milliseconds.
-const EVENT_MS: f64 = 1.2;
 /// Events assumed of a route whose streams have not ended yet.
 const USUAL_EVENTS: f64 = 20.0;
 /// Weight of the newest stream in a route's usual number of events.
@@ -24,14 +22,16 @@
 
 #[derive(Debug, Default)]
 struct Meter {
-    pending_ms: f64,
-    busy: f64,
+    /// What arrived in the period that runs.
+    pending: Workload,
+    /// The mean of the last periods, a second.
+    mean: Workload,
 }
 
 #[derive(Debug, Default)]
 struct State {
     own: HashMap<ServiceName, Meter>,
-    peers: HashMap<Reporter, HashMap<ServiceName, f64>>,
+    peers: HashMap<Reporter, HashMap<ServiceName, Workload>>,
     events_by_route: HashMap<String, f64>,
 }
 
@@ -47,11 +47,11 @@
     }
 
     /// Notes a request that has arrived on a route.
-    pub fn note_request(&self, service: &ServiceName, route: &str, unread_tokens: u64) {
+    pub fn note_request(&self, service: &ServiceName, route: &str, reading: Reading) {
         let mut state = self.lock();
         let events = state.events_by_route.get(route).copied().unwrap_or(USUAL_EVENTS);
-        let work_ms = unread_tokens as f64 / PROMPT_TOKENS_PER_MS + events * EVENT_MS;
-        state.own.entry(service.clone()).or_default().pending_ms += work_ms;
+        state.own.entry(service.clone()).or_default().pending +=
+            Workload { requests: 1.0, tokens: reading.tokens as f64, pairs: reading.pairs as f64, events };
     }
 
     /// Notes how many events a stream of a route had.
@@ -61,21 +61,21 @@
         *usual = *usual * (1.0 - EVENTS_WEIGHT) + events as f64 * EVENTS_WEIGHT;
     }
 
-    /// Ends a period of `length` and gives this node's demand by service, in busy back ends.
-    pub fn close_period(&self, length: Duration) -> HashMap<ServiceName, f64> {
+    /// Ends a period of `length` and gives this node's demand by service.
+    pub fn close_period(&self, length: Duration) -> HashMap<ServiceName, Workload> {
         let mut state = self.lock();
-        let length_ms = length.as_secs_f64().max(1e-3) * 1_000.0;
+        let seconds = length.as_secs_f64().max(1e-3);
         let weight = 1.0 - (-length.as_secs_f64() / AVERAGED_OVER.as_secs_f64()).exp();
         let close = |(service, meter): (&ServiceName, &mut Meter)| {
-            let newest = std::mem::take(&mut meter.pending_ms) / length_ms;
-            meter.busy += (newest - meter.busy) * weight;
-            (service.clone(), meter.busy)
+            let newest = std::mem::take(&mut meter.pending) / seconds;
+            meter.mean = meter.mean.mixed_with(newest, weight);
+            (service.clone(), meter.mean)
         };
         state.own.iter_mut().map(close).collect()
     }
 
     /// Replaces what a peer told before.
-    pub fn set_peer(&self, peer: &Reporter, demand: HashMap<ServiceName, f64>) {
+    pub fn set_peer(&self, peer: &Reporter, demand: HashMap<ServiceName, Workload>) {
         self.lock().peers.insert(peer.clone(), demand);
     }
 
@@ -85,22 +85,22 @@
     }
 
     /// Demand at this node and all nodes that told their own, by service: told to other zones.
-    pub fn sum_of_nodes(&self) -> HashMap<ServiceName, f64> {
+    pub fn sum_of_nodes(&self) -> HashMap<ServiceName, Workload> {
         let state = self.lock();
-        let mut sum: HashMap<ServiceName, f64> =
-            state.own.iter().map(|(service, meter)| (service.clone(), meter.busy)).collect();
+        let mut sum: HashMap<ServiceName, Workload> =
+            state.own.iter().map(|(service, meter)| (service.clone(), meter.mean)).collect();
         let of_nodes = state.peers.iter().filter(|(peer, _)| matches!(peer, Reporter::Node(_)));
-        for (service, busy) in of_nodes.flat_map(|(_, demand)| demand) {
-            *sum.entry(service.clone()).or_default() += busy;
+        for (service, work) in of_nodes.flat_map(|(_, demand)| demand) {
+            *sum.entry(service.clone()).or_default() += *work;
         }
         sum
     }
 
-    /// Demand for a service at all nodes, in busy back ends; `None` before any request.
-    pub fn total(&self, service: &ServiceName) -> Option<f64> {
+    /// Demand for a service at all nodes; `None` before any request.
+    pub fn total(&self, service: &ServiceName) -> Option<Workload> {
         let state = self.lock();
-        let own = state.own.get(service).map(|meter| meter.busy);
+        let own = state.own.get(service).map(|meter| meter.mean);
         let told = state.peers.values().filter_map(|demand| demand.get(service).copied());
-        own.into_iter().chain(told).reduce(|sum, busy| sum + busy)
+        own.into_iter().chain(told).reduce(|sum, work| sum + work)
     }
 }
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -4,6 +4,7 @@
 use std::time::SystemTime;
 
 use arc_swap::ArcSwap;
+use beamwall_engine_model::{Reading, ServiceEstimates};
 use beamwall_events::emit;
 use beamwall_events::internal_events::{AttemptFailed, AttemptSent};
 use beamwall_http::Pool;
@@ -15,7 +16,7 @@
 
 use crate::attempt::{AttemptFailure, Ran};
 use crate::candidates::{ChosenBy, Knowledge, Search};
-use crate::choice::Chooser;
+use crate::choice::{Chooser, Expectation};
 use crate::demand::DemandBook;
 use crate::directory::Directory;
 use crate::metrics::GatewayMetrics;
@@ -30,8 +31,8 @@
 /// Ranks of routes within one rank of a tenant.
 const RANKS_PER_TENANT_RANK: u8 = 3;
 
-/// Prompts below this length are short: an engine reads them in some 30 ms.
-const SHORT_PROMPT_TOKENS: u32 = 1_024;
+/// Part of its route's objective within which an engine reads a short prompt.
+const SHORT_READING_SHARE: f64 = 0.04;
 
 /// A caller's request, read whole, with what was decided on arrival.
 #[derive(Debug, Clone)]
@@ -77,10 +78,11 @@
 
     /// The rank told to back ends: the tenant's goes before the route's. A short prompt is level with the next
     /// more urgent kind, never ahead of it: it holds others up for some milliseconds and would else wait
-    /// for seconds behind their long ones.
-    pub fn rank(&self) -> u8 {
+    /// for seconds behind their long ones. `reading_ms` is the time to read the whole prompt, where it is known.
+    pub fn rank(&self, reading_ms: Option<f64>) -> u8 {
         let tenant = self.tenant.as_ref().and_then(|tenant| tenant.rank).unwrap_or(0);
-        let is_short = self.prompt.as_ref().is_some_and(|prompt| prompt.prompt_tokens < SHORT_PROMPT_TOKENS);
+        let short_ms = self.route.objective_ms as f64 * SHORT_READING_SHARE;
+        let is_short = reading_ms.is_some_and(|reading_ms| reading_ms < short_ms);
         let route = self.route.rank.min(RANKS_PER_TENANT_RANK - 1).saturating_sub(u8::from(is_short));
         tenant.saturating_mul(RANKS_PER_TENANT_RANK).saturating_add(route).min(LOWEST_URGENCY)
     }
@@ -218,6 +220,7 @@
             prompt: prompt.clone(),
             tried: attempts.tried.clone(),
             unreachable: self.knowledge.health.unreachable(Instant::now()),
+            pause_objective_ms: call.route.gap_objective_ms,
         };
         match self.placement.place(&question).await {
             PlacementAnswer::Chosen(choice) if self.may_use(call, &choice.backend, attempts) => Some(choice),
@@ -239,35 +242,48 @@
         let now = Instant::now();
         self.knowledge.reports.note(&question.sender, &question.unreachable, now);
         let avoided = [question.tried.as_slice(), &question.unreachable].concat();
-        let choice = self.find(Search {
+        let search = Search {
             service: &question.service,
             zone: &question.zone,
             prompt: Some(&question.prompt),
             avoided: &avoided,
             by: ChosenBy::Placer,
-        })?;
-        self.knowledge.queues.add(&choice.backend, choice.unread_tokens, now);
+        };
+        let choice = self.find(search, question.pause_objective_ms)?;
+        if let Some(reading_ms) = self.estimates(&question.service).reading_ms(choice.reading) {
+            self.knowledge.queues.add(&choice.backend, reading_ms, now);
+        }
         self.knowledge.prefixes.note_read(&choice.backend, &question.prompt, now);
         Some(choice)
     }
 
     fn choose_as_sender(&self, call: &Call, attempts: &Attempts) -> Option<Choice> {
-        self.find(Search {
+        let search = Search {
             service: &call.service,
             zone: &self.zone,
             prompt: call.prompt.as_ref(),
             avoided: &attempts.tried,
             by: if self.chooser.is_baseline() { ChosenBy::Baseline } else { ChosenBy::Sender },
-        })
+        };
+        self.find(search, call.route.gap_objective_ms)
     }
 
-    fn find(&self, search: Search<'_>) -> Option<Choice> {
+    /// What is expected of a service's back ends.
+    pub fn estimates(&self, service: &ServiceName) -> Arc<ServiceEstimates> {
+        self.knowledge.models.estimates(service)
+    }
+
+    fn find(&self, search: Search<'_>, pause_objective_ms: Option<u64>) -> Option<Choice> {
         let candidates = self.knowledge.candidates(&self.directory.load(), search);
-        let (chosen, cost_ms) = self.chooser.choose(&candidates)?;
+        let estimates = self.estimates(search.service);
+        let expectation = Expectation { estimates: &estimates, pause_objective_ms };
+        let (chosen, cost_ms) = self.chooser.choose(&candidates, &expectation)?;
         Some(Choice {
             backend: chosen.backend.clone(),
             cost_ms,
-            unread_tokens: chosen.unread_tokens.unwrap_or(0),
+            expected_ms: chosen.expected_ms(&expectation),
+            reading: chosen.reading.unwrap_or_default(),
+            tokens_ahead: chosen.load.prompt_tokens,
             open_requests: chosen.load.requests,
             failure_share: chosen.health.failure_share,
             candidates: candidates.len(),
@@ -275,6 +291,13 @@
         })
     }
 
+    /// Time to read a call's whole prompt, where it has one and the service is known.
+    pub fn reading_ms(&self, call: &Call) -> Option<f64> {
+        let prompt = call.prompt.as_ref()?;
+        let whole = Reading::of_rest(0, u64::from(prompt.prompt_tokens));
+        self.estimates(&call.service).reading_ms(whole)
+    }
+
     /// Counts a request that a back end began to run.
     pub fn record_run(&self, call: &Call) {
         if let Some(tenant) = &call.tenant {
--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod reporter;
 pub mod retries;
 pub mod scaling;
+pub mod sizing;
 pub mod stream;
 pub mod unary;
 pub mod usage;
--- a/crates/beamwall-gateway/src/placement.rs
+++ b/crates/beamwall-gateway/src/placement.rs
@@ -11,10 +11,10 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use beamwall_engine_model::Reading;
 use beamwall_model::{BackendId, NodeId, ServiceName, ZoneName};
 use tokio::time::Instant;
 
-use crate::choice::PROMPT_TOKENS_PER_MS;
 use crate::ports::Prompt;
 
 /// Nodes that must have failed to reach an engine before it is avoided for all. One alone may be cut off itself.
@@ -37,6 +37,8 @@
     pub tried: Vec<BackendId>,
     /// Engines that the sender could not reach a moment ago.
     pub unreachable: Vec<BackendId>,
+    /// Longest pause between two events that keeps its stream in time.
+    pub pause_objective_ms: Option<u64>,
 }
 
 /// The back end of an attempt, and what decided.
@@ -44,10 +46,14 @@
 pub struct Choice {
     /// The back end.
     pub backend: BackendId,
-    /// Expected time until it begins to answer, in milliseconds.
+    /// Cost by which it was chosen, in milliseconds.
     pub cost_ms: f64,
-    /// How long it reads the prompt, in tokens of a short one ([`crate::choice::reading_tokens`]).
-    pub unread_tokens: u64,
+    /// Expected time until it begins to answer, in milliseconds; `None` while nothing is known of the service.
+    pub expected_ms: Option<f64>,
+    /// What of the prompt it reads.
+    pub reading: Reading,
+    /// Tokens of other prompts that it reads before.
+    pub tokens_ahead: u64,
     /// Requests open there.
     pub open_requests: u32,
     /// Share of its requests that failed lately, 0 to 1.
@@ -87,16 +93,15 @@
         self.ends.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Prompt tokens that an engine has still to read.
-    pub fn queued_tokens(&self, backend: &BackendId, now: Instant) -> u64 {
+    /// Time for which an engine still reads, in milliseconds.
+    pub fn left_ms(&self, backend: &BackendId, now: Instant) -> f64 {
         let end = self.lock().get(backend).copied().unwrap_or(now);
-        let left = end.saturating_duration_since(now);
-        (left.as_secs_f64() * 1_000.0 * PROMPT_TOKENS_PER_MS) as u64
+        end.saturating_duration_since(now).as_secs_f64() * 1_000.0
     }
 
-    /// Notes a prompt that was placed.
-    pub fn add(&self, backend: &BackendId, unread_tokens: u64, now: Instant) {
-        let reading = Duration::from_secs_f64(unread_tokens as f64 / PROMPT_TOKENS_PER_MS / 1_000.0);
+    /// Notes a prompt that was placed and takes `reading_ms` to read.
+    pub fn add(&self, backend: &BackendId, reading_ms: f64, now: Instant) {
+        let reading = Duration::from_secs_f64(reading_ms.max(0.0) / 1_000.0);
         let mut ends = self.lock();
         let end = ends.get(backend).copied().unwrap_or(now).max(now) + reading;
         ends.insert(backend.clone(), end);
--- a/crates/beamwall-gateway/src/scaling.rs
+++ b/crates/beamwall-gateway/src/scaling.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::ports::CapacityOrder;
+use crate::sizing::Needed;
 
 /// The state of one zone.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -37,18 +38,12 @@
     pub limits: &'a ScalingLimits,
     /// The zones that may hold back ends.
     pub zones: &'a [ZoneSupply],
-    /// Work that callers ask for at all nodes, in busy back ends: 1.0 keeps one fully busy.
-    pub offered_load: f64,
-    /// Back ends in all zones that are kept whatever the load: while it is not known yet.
+    /// Back ends that the work needs which callers ask for at all nodes.
+    pub needed: Needed,
+    /// Back ends in all zones that are kept whatever the work: while it is not known yet.
     pub floor: u32,
 }
 
-/// Part of its time that a back end should be busy at most, while cheap ones can be had.
-const TARGET_UTILISATION: f64 = 0.33;
-/// The same for lasting ones that stand in for missing reclaimable ones.
-const STAND_IN_UTILISATION: f64 = 0.6;
-/// The same after the next loss of a zone's reclaimable ones, while none can be had.
-const AFTER_LOSS_UTILISATION: f64 = 0.85;
 /// Reclaimable back ends that a zone holds whatever the load: headroom for bursts and losses.
 const RECLAIMABLE_HEADROOM: u32 = 1;
 
@@ -57,7 +52,7 @@
     let lowest = inputs.limits.minimum.max(1);
     let zones = cheapest_first(inputs);
     let base = lowest * zones.len() as u32;
-    let needed = back_ends_for(inputs.offered_load, TARGET_UTILISATION).max(inputs.floor);
+    let needed = inputs.needed.usual.max(inputs.floor);
     if inputs.limits.reclaimable_price.is_none() {
         let parts = divide(needed.saturating_sub(base), zones.len());
         let lasting = |(zone, part): (&&ZoneSupply, u32)| order(inputs, zone, false, lowest + part);
@@ -77,10 +72,6 @@
     .collect()
 }
 
-fn back_ends_for(load: f64, utilisation: f64) -> u32 {
-    (load / utilisation).ceil().max(0.0) as u32
-}
-
 /// The zones by price, so that what does not divide evenly goes to the cheapest.
 fn cheapest_first<'a>(inputs: &ScalingInputs<'a>) -> Vec<&'a ZoneSupply> {
     let price = |supply: &ZoneSupply| inputs.limits.zone_prices.get(&supply.zone).copied().unwrap_or(1.0);
@@ -95,18 +86,18 @@
     zones.iter().any(|zone| zone.is_exhausted || zone.lasting_ordered > lowest)
 }
 
-/// Lasting back ends beyond the base that the load needs while reclaimable ones are scarce. While a zone
-/// can't get any, they carry the load also when the zone that holds the most loses them next; later they
+/// Lasting back ends beyond the base that the work needs while reclaimable ones are scarce. While a zone
+/// can't get any, they do the work also when the zone that holds the most loses them next; later they
 /// stay until reclaimable ones take requests.
 fn missing_stand_ins(inputs: &ScalingInputs<'_>, base: u32) -> u32 {
     let held = || inputs.zones.iter().map(|supply| supply.reclaimable_usable);
     let present = base + held().sum::<u32>();
-    let now = back_ends_for(inputs.offered_load, STAND_IN_UTILISATION).saturating_sub(present);
+    let now = inputs.needed.standing_in.saturating_sub(present);
     if !inputs.zones.iter().any(|supply| supply.is_exhausted) {
         return now;
     }
     let left = present - held().max().unwrap_or(0);
-    now.max(back_ends_for(inputs.offered_load, AFTER_LOSS_UTILISATION).saturating_sub(left))
+    now.max(inputs.needed.after_loss.saturating_sub(left))
 }
 
 /// Divides reclaimable back ends evenly. While they are scarce, every zone keeps what it holds:
--- a/crates/beamwall-gateway/src/stream/mod.rs
+++ b/crates/beamwall-gateway/src/stream/mod.rs
@@ -1,12 +1,14 @@
 //! Event streams: whole events are passed on as they come, and a stream that breaks off is continued
 //! at another engine where the route allows it.
 
+mod pace;
 mod patience;
 mod relay;
 mod source;
 
 use std::sync::Arc;
 
+use beamwall_engine_model::FirstEvent;
 use beamwall_http::Body;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Response, StatusCode};
@@ -26,7 +28,7 @@
     let mut attempts = Attempts::default();
     while let Some(choice) = forwarder.choose(call, &mut attempts).await {
         if attempts.tried.len() == 1 {
-            forwarder.demand.note_request(&call.service, &call.route.name, choice.unread_tokens);
+            forwarder.demand.note_request(&call.service, &call.route.name, choice.reading);
         }
         let failure = match begin(forwarder, call, &choice, call.last_event, &attempts).await {
             Ok(Begun::Stream(begun)) => {
@@ -77,7 +79,8 @@
     attempts: &Attempts,
 ) -> Result<Begun, AttemptFailure> {
     let patience = Patience::new(forwarder, call, choice, attempts);
-    let limit = call.deadline.saturating_duration_since(Instant::now());
+    let sent_at = Instant::now();
+    let limit = call.deadline.saturating_duration_since(sent_at);
     let opened = tokio::select! {
         opened = attempt::open(forwarder, call, choice, last_event, limit) => opened?,
         () = patience.ends() => return Err(given_up(forwarder, choice)),
@@ -103,6 +106,7 @@
     }
     forwarder.knowledge.health.note_heard(&source.backend, Instant::now());
     source.work.begin_answer();
+    note_first_event(forwarder, call, choice, sent_at);
     forwarder.record_run(call);
     if let Some(prompt) = &call.prompt {
         forwarder.knowledge.prefixes.note_read(&source.backend, prompt, Instant::now());
@@ -111,6 +115,19 @@
     Ok(Begun::Stream(Box::new(BegunStream { head, source, first })))
 }
 
+/// Notes how long the engine took to its first event. Events that were ready when asked for, as those of a
+/// stream that continues, tell as much.
+fn note_first_event(forwarder: &Forwarder, call: &Call, choice: &Choice, sent_at: Instant) {
+    let now = Instant::now();
+    let of = FirstEvent {
+        reading: choice.reading,
+        tokens_ahead: choice.tokens_ahead,
+        running: choice.open_requests,
+    };
+    let took_ms = now.duration_since(sent_at).as_secs_f64() * 1_000.0;
+    forwarder.knowledge.models.note_first_event(&call.service, &choice.backend, of, took_ms, now);
+}
+
 /// Notes that an engine was given up on because it was silent.
 fn given_up(forwarder: &Forwarder, choice: &Choice) -> AttemptFailure {
     forwarder.knowledge.health.note_unreachable(&choice.backend, Instant::now());
--- a/crates/beamwall-gateway/src/stream/relay.rs
+++ b/crates/beamwall-gateway/src/stream/relay.rs
@@ -12,7 +12,8 @@
 
 use crate::attempt::AttemptFailure;
 use crate::forward::{Attempts, Call, Forwarder};
-use crate::stream::source::{Piece, Source, last_event_in};
+use crate::stream::pace::Pace;
+use crate::stream::source::{Piece, Source, read_run};
 use crate::stream::{Begun, BegunStream, begin};
 
 /// Pieces that a slow caller may lag behind before its own relay waits.
@@ -92,6 +93,7 @@
     /// Passes pieces on until the engine's stream ends.
     async fn pass_on(&mut self, source: &mut Source, first: Option<Piece>) -> Stop {
         let mut next = first;
+        let mut pace: Option<Pace> = None;
         loop {
             let piece = match next.take() {
                 Some(piece) => piece,
@@ -102,19 +104,38 @@
             };
             match piece {
                 Piece::Events(events) => {
-                    self.forwarder.knowledge.health.note_heard(&source.backend, Instant::now());
-                    let last = last_event_in(&events);
+                    let now = Instant::now();
+                    self.forwarder.knowledge.health.note_heard(&source.backend, now);
+                    let run = read_run(&events);
+                    match &mut pace {
+                        None => pace = Some(Pace::new(now)),
+                        Some(pace) => self.note_pace(pace, &source.backend, run.count, now),
+                    }
                     if self.sender.send(events).await.is_err() {
                         return Stop::CallerGone;
                     }
-                    self.last_event = last.or(self.last_event);
+                    self.last_event = run.last.or(self.last_event);
+                }
+                Piece::End => {
+                    if let Some(pace) = pace {
+                        let took_ms = pace.elapsed_ms(Instant::now());
+                        self.forwarder.knowledge.models.note_stream(&self.call.service, took_ms);
+                    }
+                    return Stop::Finished;
                 }
-                Piece::End => return Stop::Finished,
                 Piece::Broken(failure) => return Stop::Failed(failure),
             }
         }
     }
 
+    fn note_pace(&self, pace: &mut Pace, backend: &BackendId, events: u32, now: Instant) {
+        if let Some(between_ms) = pace.note(events, now) {
+            let knowledge = &self.forwarder.knowledge;
+            let running = knowledge.loads.total(backend).requests;
+            knowledge.models.note_event_gap(&self.call.service, backend, running, between_ms, now);
+        }
+    }
+
     /// The next piece, or `None` when the caller has gone.
     async fn wait(&self, source: &mut Source) -> Option<Piece> {
         let silence = Instant::now() + SILENCE_LIMIT;
--- a/crates/beamwall-gateway/src/stream/source.rs
+++ b/crates/beamwall-gateway/src/stream/source.rs
@@ -79,13 +79,23 @@
     }
 }
 
-/// The number of the last event in a run of whole events.
-pub(super) fn last_event_in(events: &[u8]) -> Option<u64> {
+/// What a run of whole events holds.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct EventRun {
+    /// How many events.
+    pub(super) count: u32,
+    /// The number of the last one that carries any.
+    pub(super) last: Option<u64>,
+}
+
+/// Reads a run of whole events.
+pub(super) fn read_run(events: &[u8]) -> EventRun {
     let mut splitter = EventSplitter::default();
     splitter.push(events);
-    let mut last = None;
+    let mut run = EventRun::default();
     while let Some(event) = splitter.next_event() {
-        last = event.id.or(last);
+        run.count += 1;
+        run.last = event.id.or(run.last);
     }
-    last
+    run
 }
--- a/crates/beamwall-gateway/src/unary.rs
+++ b/crates/beamwall-gateway/src/unary.rs
@@ -9,6 +9,7 @@
 
 use crate::attempt::{self, AttemptFailure, Opened};
 use crate::forward::{Attempts, Call, Forwarder};
+use crate::placement::Choice;
 use crate::refusal::Refusal;
 
 /// Largest answer that is held in memory.
@@ -30,9 +31,11 @@
     let mut failed_answer = None;
     while let Some(choice) = forwarder.choose(call, &mut attempts).await {
         let limit = patience(call, &attempts);
+        let sent_at = Instant::now();
         let failure = match attempt::open(forwarder, call, &choice, None, limit).await {
             Ok(opened) => match read_whole(forwarder, call, opened).await {
                 Ok(whole) if !deserves_retry(call, whole.parts.status) => {
+                    note_plain_call(forwarder, call, &choice, sent_at);
                     return Ok(pass(forwarder, whole));
                 }
                 Ok(whole) => {
@@ -79,6 +82,14 @@
     usual.min(left / PARTS_OF_TIME)
 }
 
+/// Notes how long a back end took for a call.
+fn note_plain_call(forwarder: &Forwarder, call: &Call, choice: &Choice, sent_at: Instant) {
+    let now = Instant::now();
+    let took_ms = now.duration_since(sent_at).as_secs_f64() * 1_000.0;
+    let models = &forwarder.knowledge.models;
+    models.note_plain_call(&call.service, &choice.backend, choice.open_requests, took_ms, now);
+}
+
 fn deserves_retry(call: &Call, status: StatusCode) -> bool {
     status.is_server_error() && call.route.kind.is_idempotent()
 }
--- a/crates/beamwall-node/src/gateway/beat.rs
+++ b/crates/beamwall-node/src/gateway/beat.rs
@@ -2,10 +2,13 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use beamwall_engine_model::{ServiceStatistics, ToldSlowness, Workload};
 use beamwall_gateway::load::OpenLoad;
 use beamwall_gateway::usage::WindowCounts;
 use beamwall_model::{BackendId, ServiceName, TenantName};
-use beamwall_peer::gateway_message::{BackendLoad, QuotaUse, ServiceDemand, UsageCount, UsageWindow};
+use beamwall_peer::gateway_message::{
+    BackendLoad, BackendSlowness, QuotaUse, ServiceDemand, ServiceModel, UsageCount, UsageWindow,
+};
 
 /// Open work as told.
 pub fn encode_loads(loads: Vec<(BackendId, OpenLoad)>) -> Vec<BackendLoad> {
@@ -38,17 +41,69 @@
 }
 
 /// Demands as told.
-pub fn encode_demands(demands: HashMap<ServiceName, f64>) -> Vec<ServiceDemand> {
-    let encode = |(service, busy): (ServiceName, f64)| ServiceDemand {
+pub fn encode_demands(demands: HashMap<ServiceName, Workload>) -> Vec<ServiceDemand> {
+    let encode = |(service, work): (ServiceName, Workload)| ServiceDemand {
         service: service.to_string(),
-        busy: busy as f32,
+        requests: work.requests as f32,
+        tokens: work.tokens as f32,
+        pairs: work.pairs as f32,
+        events: work.events as f32,
     };
     demands.into_iter().map(encode).collect()
 }
 
 /// Demands as heard.
-pub fn decode_demands(demands: &[ServiceDemand]) -> HashMap<ServiceName, f64> {
-    demands.iter().map(|demand| (ServiceName::new(&demand.service), f64::from(demand.busy))).collect()
+pub fn decode_demands(demands: &[ServiceDemand]) -> HashMap<ServiceName, Workload> {
+    let decode = |demand: &ServiceDemand| {
+        let work = Workload {
+            requests: f64::from(demand.requests),
+            tokens: f64::from(demand.tokens),
+            pairs: f64::from(demand.pairs),
+            events: f64::from(demand.events),
+        };
+        (ServiceName::new(&demand.service), work)
+    };
+    demands.iter().map(decode).collect()
+}
+
+/// What was observed of services as told. Single precision is far more exact than what was measured.
+pub fn encode_models(
+    models: impl IntoIterator<Item = (ServiceName, ServiceStatistics)>,
+) -> Vec<ServiceModel> {
+    let encode = |(service, statistics): (ServiceName, ServiceStatistics)| ServiceModel {
+        service: service.to_string(),
+        sums: statistics.to_numbers().into_iter().map(|number| number as f32).collect(),
+    };
+    models.into_iter().map(encode).collect()
+}
+
+/// What was observed of services as heard. What is no list of sums, as from a node of another release, is left out.
+pub fn decode_models(models: &[ServiceModel]) -> HashMap<ServiceName, ServiceStatistics> {
+    let decode = |model: &ServiceModel| {
+        let sums: Vec<f64> = model.sums.iter().copied().map(f64::from).collect();
+        let statistics = ServiceStatistics::from_numbers(&sums)?;
+        Some((ServiceName::new(&model.service), statistics))
+    };
+    models.iter().filter_map(decode).collect()
+}
+
+/// What was observed of single back ends as told.
+pub fn encode_slowness(observed: Vec<(BackendId, ToldSlowness)>) -> Vec<BackendSlowness> {
+    let encode = |(backend, told): (BackendId, ToldSlowness)| BackendSlowness {
+        backend: backend.to_string(),
+        logarithms: told.logarithms as f32,
+        weight: told.weight as f32,
+    };
+    observed.into_iter().map(encode).collect()
+}
+
+/// What was observed of single back ends as heard.
+pub fn decode_slowness(told: &[BackendSlowness]) -> Vec<(BackendId, ToldSlowness)> {
+    let decode = |one: &BackendSlowness| {
+        let observed = ToldSlowness { logarithms: f64::from(one.logarithms), weight: f64::from(one.weight) };
+        (BackendId::new(&one.backend), observed)
+    };
+    told.iter().map(decode).collect()
 }
 
 /// Usage as told.
--- a/crates/beamwall-node/src/gateway/duties/capacity.rs
+++ b/crates/beamwall-node/src/gateway/duties/capacity.rs
@@ -1,16 +1,18 @@
 //! The number of back ends: the demand is followed, and what the plan wants is ordered.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
+use beamwall_engine_model::Workload;
 use beamwall_events::emit;
-use beamwall_events::internal_events::CapacityOrdered;
+use beamwall_events::internal_events::{CapacityNotKnown, CapacityOrdered};
 use beamwall_gateway::ports::CapacityOrder;
 use beamwall_gateway::scaling::{self, GivenOrder, OrderKey, ScalingInputs, ZoneSupply};
+use beamwall_gateway::sizing::{self, Needed, Objectives};
 use beamwall_gateway::{DutyError, DutyPort, Gateway};
 use beamwall_model::{ServiceName, ZoneName};
-use beamwall_policy::{Service, Shared};
+use beamwall_policy::{Route, Service, Shared, TrafficPolicy, USUAL_OBJECTIVE_MS};
 use tokio::time::Instant;
 
 use crate::gateway::duties::{Holding, describe};
@@ -30,8 +32,10 @@
 /// The demand for one service as followed for planning.
 #[derive(Debug, Default)]
 struct FollowedDemand {
-    /// Busy back ends: up at once, down slowly.
-    busy: f64,
+    /// Work in a second: up at once, down slowly.
+    work: Workload,
+    /// Back ends that it needs; `None` while too little is known of them.
+    needed: Option<Needed>,
     /// Most back ends seen before the demand was known.
     found: usize,
     /// When there were last more than before: at the start they are listed one after another.
@@ -40,15 +44,18 @@
 }
 
 impl FollowedDemand {
-    fn follow(&mut self, gateway: &Gateway, service: &ServiceName) {
-        let asked = gateway.forwarder.demand.total(service);
-        if asked.is_some_and(|busy| busy > 0.0) {
+    fn follow(&mut self, gateway: &Gateway, policy: &TrafficPolicy, service: &Service) {
+        let asked = gateway.forwarder.demand.total(&service.name);
+        if asked.is_some_and(|work| work.requests > 0.0) {
             self.first_request.get_or_insert_with(Instant::now);
         }
-        let newest = asked.unwrap_or(0.0);
-        self.busy = newest.max(self.busy * (1.0 - LOAD_FALL_WEIGHT) + newest * LOAD_FALL_WEIGHT);
+        let newest = asked.unwrap_or_default();
+        self.work = newest.max(self.work.mixed_with(newest, LOAD_FALL_WEIGHT));
+        let estimates = gateway.forwarder.estimates(&service.name);
+        let slots = slots(gateway, service);
+        self.needed = sizing::needed(self.work, &estimates, slots, objectives(policy, service));
         if self.is_unknown() {
-            let usable = gateway.forwarder.directory.load().usable(service).count();
+            let usable = gateway.forwarder.directory.load().usable(&service.name).count();
             if usable > self.found {
                 self.found = usable;
                 self.found_at = Some(Instant::now());
@@ -56,22 +63,40 @@
         }
     }
 
-    /// Whether a plan can be made: the demand is known, or all back ends seem to be listed.
+    /// Whether a plan can be made: the needs are known, or all back ends seem to be listed.
     fn is_settled(&self) -> bool {
         let listed = self.found_at.is_some_and(|at| at.elapsed() >= LIST_SETTLES);
         listed || !self.is_unknown()
     }
 
     fn is_unknown(&self) -> bool {
-        self.first_request.is_none_or(|at| at.elapsed() < DEMAND_UNKNOWN_FOR)
+        self.needed.is_none() || self.first_request.is_none_or(|at| at.elapsed() < DEMAND_UNKNOWN_FOR)
     }
 
-    /// Back ends that are kept while the demand is not known.
+    /// Back ends that are kept while the needs are not known.
     fn floor(&self) -> u32 {
         if self.is_unknown() { self.found as u32 } else { 0 }
     }
 }
 
+/// Requests that one back end of a service works on at once.
+fn slots(gateway: &Gateway, service: &Service) -> u32 {
+    let directory = gateway.forwarder.directory.load();
+    let listed = || directory.usable(&service.name).map(|backend| backend.slots).min();
+    service.engine.map(|engine| engine.slots).or_else(listed).unwrap_or(1).max(1)
+}
+
+/// What callers want of a service: the tightest of the objectives of the streams that routes send there.
+fn objectives(policy: &TrafficPolicy, service: &Service) -> Objectives {
+    let leads_here = |route: &&Shared<Route>| {
+        route.kind.is_stream() && route.targets.iter().any(|target| target.service == service.name)
+    };
+    let routes = || policy.routes.iter().filter(leads_here);
+    let first_event_ms = routes().map(|route| route.objective_ms).min().unwrap_or(USUAL_OBJECTIVE_MS);
+    let pause_ms = routes().filter_map(|route| route.gap_objective_ms).min();
+    Objectives { first_event_ms: first_event_ms as f64, pause_ms: pause_ms.map(|pause| pause as f64) }
+}
+
 /// An order whose last try was not taken.
 #[derive(Debug, Clone, Copy)]
 struct RefusedOrder {
@@ -86,6 +111,8 @@
     given: BTreeMap<OrderKey, GivenOrder>,
     refused: BTreeMap<OrderKey, RefusedOrder>,
     next_look: Option<Instant>,
+    /// Services of which it was said that their needs are not known.
+    told_unknown: BTreeSet<ServiceName>,
 }
 
 /// The duty of ordering back ends.
@@ -106,7 +133,7 @@
         let policy = self.gateway.policy.load();
         for service in policy.policy().services.iter().filter(|service| service.scaling.is_some()) {
             let known = self.demands.entry(service.name.clone()).or_default();
-            known.follow(&self.gateway, &service.name);
+            known.follow(&self.gateway, policy.policy(), service);
         }
     }
 
@@ -117,19 +144,29 @@
             return;
         }
         book.next_look = Some(now + SCALING_PERIOD);
+        self.tell_unknown(book);
         let policy = self.gateway.policy.load_full();
         let is_settled = |service: &&Shared<Service>| {
             self.demands.get(&service.name).is_some_and(FollowedDemand::is_settled)
         };
         for service in policy.policy().services.iter().filter(is_settled) {
             for order in self.orders_for(service, book) {
-                self.give(order, self.offered_to(service), book, holding).await;
+                self.give(order, self.needed_of(service), book, holding).await;
+            }
+        }
+    }
+
+    /// Says once a tenure of each service that its back ends are kept because its needs are not known.
+    fn tell_unknown(&self, book: &mut OrderBook) {
+        for (service, demand) in self.demands.iter().filter(|(_, demand)| demand.is_unknown()) {
+            if book.told_unknown.insert(service.clone()) {
+                emit(&CapacityNotKnown { service: service.to_string(), kept: demand.floor().to_string() });
             }
         }
     }
 
     /// Gives one order, unless it was refused a moment ago, and notes what came of it.
-    async fn give(&self, order: CapacityOrder, offered_load: f64, book: &mut OrderBook, holding: &Holding) {
+    async fn give(&self, order: CapacityOrder, needed: Needed, book: &mut OrderBook, holding: &Holding) {
         let key = OrderKey::of(&order);
         if book.refused.get(&key).is_some_and(|refused| refused.at.elapsed() < ORDER_PAUSE) {
             return;
@@ -141,7 +178,7 @@
             zone: order.zone.to_string(),
             reclaimable: order.reclaimable.to_string(),
             wanted: order.wanted.to_string(),
-            offered_load: format!("{offered_load:.2}"),
+            needed: needed.usual.to_string(),
             epoch: holder.epoch.to_string(),
             result: describe(&result),
         });
@@ -180,8 +217,8 @@
         }
     }
 
-    fn offered_to(&self, service: &Service) -> f64 {
-        self.demands.get(&service.name).map_or(0.0, |demand| demand.busy)
+    fn needed_of(&self, service: &Service) -> Needed {
+        self.demands.get(&service.name).and_then(|demand| demand.needed).unwrap_or_default()
     }
 
     fn orders_for(&self, service: &Service, book: &OrderBook) -> Vec<CapacityOrder> {
@@ -192,7 +229,7 @@
             service: &service.name,
             limits,
             zones: &zones,
-            offered_load: self.offered_to(service),
+            needed: self.needed_of(service),
             floor: self.demands.get(&service.name).map_or(0, FollowedDemand::floor),
         };
         scaling::due(&scaling::plan(&inputs), &book.given, &inputs, Instant::now())
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use beamwall_engine_model::Workload;
 use beamwall_gateway::{Directory, Gateway, Reporter};
 use beamwall_model::{NodeId, ServiceName, ZoneName};
 use beamwall_peer::gateway_message::{GatewayBeat, PlacementRequest};
@@ -86,6 +87,8 @@
     pub started: Instant,
     /// When demand was last measured.
     pub demand_closed: Mutex<Instant>,
+    /// When what was observed of services was last told.
+    pub models_told: Mutex<Option<Instant>>,
     /// Whether a list of back ends is being asked for.
     pub fetching_directory: AtomicBool,
     /// The versions of the policy that are told and heard of.
@@ -138,7 +141,9 @@
         self.share_limits();
         let quota_uses = beat::encode_quota_uses(self.gateway.quotas.tell());
         let demands = beat::encode_demands(self.close_demand_period());
-        let beat = GatewayBeat { quota_uses, demands, ..self.to_reply(tick.updates) };
+        self.refresh_models();
+        let (models, slowness) = self.own_observations();
+        let beat = GatewayBeat { quota_uses, demands, models, slowness, ..self.to_reply(tick.updates) };
         let probe = self.envelope(Body::GatewayBeat(GatewayBeat { wants_answer: true, ..beat.clone() }));
         let plain = self.envelope(Body::GatewayBeat(beat));
         let probed: HashSet<SocketAddr> =
@@ -158,7 +163,7 @@
         }
     }
 
-    fn close_demand_period(&self) -> HashMap<ServiceName, f64> {
+    fn close_demand_period(&self) -> HashMap<ServiceName, Workload> {
         let mut closed = self.demand_closed.lock().unwrap_or_else(PoisonError::into_inner);
         let now = Instant::now();
         let length = now.duration_since(std::mem::replace(&mut *closed, now));
@@ -194,6 +199,8 @@
             directory_digest: directory.digest(),
             quota_uses: Vec::new(),
             demands: Vec::new(),
+            models: Vec::new(),
+            slowness: Vec::new(),
             loads: beat::encode_loads(forwarder.knowledge.loads.own()),
             life: self.life,
             usage: beat::encode_usage(forwarder.usage.recent(TOLD_WINDOWS)),
@@ -301,6 +308,7 @@
         if !beat.demands.is_empty() {
             forwarder.demand.set_peer(&reporter, beat::decode_demands(&beat.demands));
         }
+        self.take_observations(&reporter, &beat.models, &beat.slowness);
         let uses = beat::decode_quota_uses(&beat.quota_uses);
         self.gateway.quotas.hear(&node, beat.life, uses, Instant::now());
     }
--- a/crates/beamwall-node/src/gateway/gauges.rs
+++ b/crates/beamwall-node/src/gateway/gauges.rs
@@ -27,6 +27,7 @@
     log_lines_dropped: IntGauge,
     peer_messages_dropped: IntGauge,
     nodes_heard: IntGauge,
+    engine_model_known: GaugeVec,
     quota_level: GaugeVec,
     retries_left: GaugeVec,
 }
@@ -68,6 +69,12 @@
                 "messages to peers dropped since start",
             )?,
             nodes_heard: add("beamwall_gateway_nodes_heard", "nodes that share quotas and are heard")?,
+            engine_model_known: gauge_by(
+                "service",
+                "beamwall_gateway_engine_model_known",
+                "1 where enough was observed of a service's model engines to plan their number",
+                registry,
+            )?,
             quota_level: gauge_by(
                 "tenant",
                 "beamwall_gateway_quota_level",
@@ -105,6 +112,18 @@
         self.peer_messages_dropped.set(traffic.dropped_messages.load(Ordering::Relaxed) as i64);
         self.peer_sent_bytes.set(traffic.sent_bytes.load(Ordering::Relaxed) as i64);
         self.refresh_limits(gateway);
+        self.refresh_models(gateway);
+    }
+
+    fn refresh_models(&self, gateway: &Gateway) {
+        self.engine_model_known.reset();
+        let policy = gateway.policy.load();
+        for service in policy.policy().services.iter().filter(|service| service.engine.is_some()) {
+            let is_known = gateway.forwarder.estimates(&service.name).is_known();
+            self.engine_model_known
+                .with_label_values(&[service.name.as_str()])
+                .set(f64::from(u8::from(is_known)));
+        }
     }
 
     /// Tenants and services that are gone keep no value.
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod duties;
 pub mod exchange;
 pub mod gauges;
+pub mod observations;
 pub mod placing;
 pub mod policies;
 pub mod readiness;
@@ -284,6 +285,7 @@
         news,
         started: Instant::now(),
         demand_closed: Mutex::new(Instant::now()),
+        models_told: Mutex::default(),
         fetching_directory: Default::default(),
         policies: PolicyDistribution::new(archive, settings.link_mbps),
         zones: Default::default(),
--- a/crates/beamwall-node/src/gateway/placing.rs
+++ b/crates/beamwall-node/src/gateway/placing.rs
@@ -10,6 +10,7 @@
 use arc_swap::ArcSwap;
 use async_trait::async_trait;
 use beamwall_config::GatewaySettings;
+use beamwall_engine_model::Reading;
 use beamwall_events::emit;
 use beamwall_events::internal_events::PlacementUnanswered;
 use beamwall_gateway::{Choice, PlacementAnswer, PlacementPort, PlacementQuestion, Prompt, PromptPart};
@@ -127,6 +128,7 @@
         parts: prompt.parts.iter().map(|part| PlacementPart { id: part.id, tokens: part.tokens }).collect(),
         tried: question.tried.iter().map(ToString::to_string).collect(),
         unreachable: question.unreachable.iter().map(ToString::to_string).collect(),
+        pause_objective_ms: question.pause_objective_ms,
     }
 }
 
@@ -140,6 +142,7 @@
         prompt: Prompt { prompt_tokens: request.prompt_tokens, output_tokens: request.output_tokens, parts },
         tried: request.tried.iter().map(BackendId::new).collect(),
         unreachable: request.unreachable.iter().map(BackendId::new).collect(),
+        pause_objective_ms: request.pause_objective_ms,
     }
 }
 
@@ -149,7 +152,10 @@
     PlacementReply {
         backend: choice.backend.to_string(),
         cost_ms: choice.cost_ms,
-        unread_tokens: choice.unread_tokens,
+        unread_tokens: choice.reading.tokens,
+        unread_pairs: choice.reading.pairs,
+        tokens_ahead: choice.tokens_ahead,
+        expected_ms: choice.expected_ms,
         open_requests: choice.open_requests,
         failure_share: choice.failure_share,
         candidates: u32::try_from(choice.candidates).unwrap_or(u32::MAX),
@@ -160,7 +166,9 @@
     Choice {
         backend: BackendId::new(&reply.backend),
         cost_ms: reply.cost_ms,
-        unread_tokens: reply.unread_tokens,
+        reading: Reading { tokens: reply.unread_tokens, pairs: reply.unread_pairs },
+        tokens_ahead: reply.tokens_ahead,
+        expected_ms: reply.expected_ms,
         open_requests: reply.open_requests,
         failure_share: reply.failure_share,
         candidates: reply.candidates as usize,
--- a/crates/beamwall-node/src/gateway/zones.rs
+++ b/crates/beamwall-node/src/gateway/zones.rs
@@ -113,6 +113,7 @@
     fn sum_zone(&self) -> ZoneSummary {
         let forwarder = &self.gateway.forwarder;
         let loads = forwarder.knowledge.loads.sum_of_nodes();
+        let (models, slowness) = self.observations_of_zone();
         ZoneSummary {
             zone: self.zone.to_string(),
             relay: self.node.to_string(),
@@ -122,6 +123,8 @@
             loads: beat::encode_loads(loads.into_iter().collect()),
             usage: beat::encode_usage(forwarder.usage.sum_of_nodes(TOLD_WINDOWS)),
             demands: beat::encode_demands(forwarder.demand.sum_of_nodes()),
+            models,
+            slowness,
         }
     }
 
@@ -140,6 +143,7 @@
         let reporter = Reporter::Zone(zone.clone());
         forwarder.knowledge.loads.set_peer(&reporter, beat::decode_loads(summary.loads));
         forwarder.demand.set_peer(&reporter, beat::decode_demands(&summary.demands));
+        self.take_observations(&reporter, &summary.models, &summary.slowness);
         forwarder.usage.merge_zone(&zone, beat::decode_usage(summary.usage));
         let relay = NodeId::new(&summary.relay);
         let uses = beat::decode_quota_uses(&summary.quota_uses);
@@ -159,9 +163,10 @@
         }
     }
 
-    /// Forgets the open work and the demand that somebody told.
+    /// Forgets the open work, the demand and the observations that somebody told.
     pub(super) fn forget_work_of(&self, reporter: &Reporter) {
         self.gateway.forwarder.knowledge.loads.forget_peer(reporter);
         self.gateway.forwarder.demand.forget_peer(reporter);
+        self.gateway.forwarder.knowledge.models.forget_peer(reporter);
     }
 }
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -40,6 +40,37 @@
     /// Work that callers ask for at the sender.
     #[prost(message, repeated, tag = "10")]
     pub demands: Vec<ServiceDemand>,
+    /// What the sender observed of services' back ends; left out of most heartbeats.
+    #[prost(message, repeated, tag = "11")]
+    pub models: Vec<ServiceModel>,
+    /// What the sender observed lately of single back ends.
+    #[prost(message, repeated, tag = "12")]
+    pub slowness: Vec<BackendSlowness>,
+}
+
+/// Sums over what the sender observed of a service's back ends.
+#[derive(Clone, PartialEq, Message)]
+pub struct ServiceModel {
+    /// Service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The sums in the order of the engine model's list of numbers.
+    #[prost(float, repeated, tag = "2")]
+    pub sums: Vec<f32>,
+}
+
+/// How much longer than expected one back end took.
+#[derive(Clone, PartialEq, Message)]
+pub struct BackendSlowness {
+    /// Back end.
+    #[prost(string, tag = "1")]
+    pub backend: String,
+    /// Sum of the logarithms of the factors by which requests took longer, each times its weight.
+    #[prost(float, tag = "2")]
+    pub logarithms: f32,
+    /// Sum of the weights.
+    #[prost(float, tag = "3")]
+    pub weight: f32,
 }
 
 /// What the gateways of one zone do, summed by one of its relays for the other zones. The relay that
@@ -70,6 +101,12 @@
     /// Work that callers ask for at them.
     #[prost(message, repeated, tag = "8")]
     pub demands: Vec<ServiceDemand>,
+    /// What they observed of services' back ends; left out of most sums.
+    #[prost(message, repeated, tag = "9")]
+    pub models: Vec<ServiceModel>,
+    /// What they observed lately of single back ends.
+    #[prost(message, repeated, tag = "10")]
+    pub slowness: Vec<BackendSlowness>,
 }
 
 /// Work that callers ask for at the sender.
@@ -78,9 +115,18 @@
     /// Service.
     #[prost(string, tag = "1")]
     pub service: String,
-    /// Back ends that it keeps busy.
-    #[prost(float, tag = "2")]
-    pub busy: f32,
+    /// Requests a second.
+    #[prost(float, tag = "3")]
+    pub requests: f32,
+    /// Prompt tokens a second that must be read.
+    #[prost(float, tag = "4")]
+    pub tokens: f32,
+    /// Pairs of such a token with one before it, a second.
+    #[prost(float, tag = "5")]
+    pub pairs: f32,
+    /// Events a second that are streamed.
+    #[prost(float, tag = "6")]
+    pub events: f32,
 }
 
 /// Work of a tenant that the sender let pass.
@@ -188,6 +234,9 @@
     /// Engines that the sender could not reach a moment ago.
     #[prost(string, repeated, tag = "6")]
     pub unreachable: Vec<String>,
+    /// Longest pause between two events that keeps the stream in time, in milliseconds.
+    #[prost(uint64, optional, tag = "7")]
+    pub pause_objective_ms: Option<u64>,
 }
 
 /// One part of a prompt.
@@ -207,7 +256,7 @@
     /// The engine; empty when none was found.
     #[prost(string, tag = "1")]
     pub backend: String,
-    /// Expected time until it begins to answer, in milliseconds.
+    /// Cost by which it was chosen, in milliseconds.
     #[prost(double, tag = "2")]
     pub cost_ms: f64,
     /// Prompt tokens that it has to read.
@@ -222,4 +271,13 @@
     /// Engines that were compared.
     #[prost(uint32, tag = "6")]
     pub candidates: u32,
+    /// Pairs of an unread token with one before it.
+    #[prost(uint64, tag = "7")]
+    pub unread_pairs: u64,
+    /// Tokens of other prompts that are read before.
+    #[prost(uint64, tag = "8")]
+    pub tokens_ahead: u64,
+    /// Expected time until it begins to answer, in milliseconds, where it is known.
+    #[prost(double, optional, tag = "9")]
+    pub expected_ms: Option<f64>,
 }
