Quotas after a cut: what others passed while they were not heard is covered by what was withheld for them

In a cut each side refills at its part of the rate; at its end each took off all that the other side had passed, without having been credited with that side's part. Ruled out: quotas lowered by a configuration (none then), retries. Change: an account keeps what was withheld for silent nodes; what they tell after the silence comes off that first. Tests: after_a_cut_each_side_has_what_is_left_of_the_whole failed before (0 passed in the second after); no_window_holds_more_than_is_tolerated_whoever_starts for the bound.

--- a/crates/beamwall-config/src/gateway.rs
+++ b/crates/beamwall-config/src/gateway.rs
@@ -60,6 +60,18 @@
         "0",
         "work beyond a quota that is tolerated, over all nodes",
     ),
+    optional(
+        "quotas.overage",
+        seconds(0.0, 1.0),
+        "0",
+        "share of a quota that is tolerated beyond it in one window",
+    ),
+    optional(
+        "quotas.window_s",
+        seconds(0.1, 3_600.0),
+        "8",
+        "window in which work beyond a quota is counted, in seconds",
+    ),
     optional(
         "choice.strategy",
         ValueKind::Choice(ChoiceStrategy::NAMES),
@@ -124,6 +136,10 @@
     pub retry_window: Duration,
     /// Work beyond a quota that is tolerated, over all nodes.
     pub quota_slack: f64,
+    /// Share of a quota that is tolerated beyond it in one window.
+    pub quota_overage: f64,
+    /// Window in which work beyond a quota is counted.
+    pub quota_window: Duration,
     /// How a back end is chosen.
     pub choice: ChoiceStrategy,
     /// Time from SIGTERM to the end of the process.
@@ -170,6 +186,8 @@
             retry_extra: number("retries.extra"),
             retry_window: Duration::from_secs_f64(number("retries.window_s")),
             quota_slack: number("quotas.slack"),
+            quota_overage: number("quotas.overage"),
+            quota_window: Duration::from_secs_f64(number("quotas.window_s")),
             choice: ChoiceStrategy::from_name(settings.text("choice.strategy").unwrap_or_default()),
             drain_limit: Duration::from_secs_f64(number("limits.drain_s")),
             log_json: settings.text("log.format") != Some("text"),
--- a/crates/beamwall-gateway/src/quota/account.rs
+++ b/crates/beamwall-gateway/src/quota/account.rs
@@ -3,13 +3,15 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use beamwall_policy::Tenant;
 use tokio::time::Instant;
 
 use super::Sharing;
 
 /// Time within which other zones learn what was let pass in this one.
 const ZONE_TELLING_TIME: Duration = Duration::from_millis(1_200);
+/// Longest time for which the rate is withheld for nodes that are not heard: what they let pass before is long
+/// paid for.
+const WITHHELD_FOR: Duration = Duration::from_secs(20);
 /// Work let pass within this time is kept as one entry.
 const ENTRY_TIME: Duration = Duration::from_millis(100);
 
@@ -18,6 +20,9 @@
 pub(super) struct Account {
     /// Work that may pass now; negative after work that was larger than what was left.
     pub(super) level: f64,
+    /// Part of the rate that was left to nodes which were not heard. What these tell later that they let pass was
+    /// covered by it.
+    withheld: f64,
     refilled: Instant,
     /// Work let pass by this node since its start.
     pub(super) passed: f64,
@@ -30,10 +35,11 @@
 }
 
 impl Account {
-    /// An account begins empty: what passed elsewhere before is not known.
-    pub(super) fn new(now: Instant) -> Self {
+    /// An account begins nearly empty: what passed elsewhere before is not known.
+    pub(super) fn new(level: f64, now: Instant) -> Self {
         Self {
-            level: 0.0,
+            level,
+            withheld: 0.0,
             refilled: now,
             passed: 0.0,
             untold: 0.0,
@@ -42,11 +48,27 @@
         }
     }
 
-    pub(super) fn refill(&mut self, tenant: &Tenant, sharing: Sharing, now: Instant) {
-        let passed = now.saturating_duration_since(self.refilled).as_secs_f64();
+    /// Adds what has been gained since the last time: this side's part of `rate` a second, up to `burst`.
+    pub(super) fn refill(&mut self, rate: f64, part: f64, burst: f64, now: Instant) {
+        let gained = now.saturating_duration_since(self.refilled).as_secs_f64() * rate;
         self.refilled = now;
-        let gained = passed * tenant.rate_per_second * sharing.part();
-        self.level = (self.level + gained).min(tenant.burst);
+        self.level = (self.level + gained * part).min(burst);
+        self.withheld = (self.withheld + gained * (1.0 - part)).min(rate * WITHHELD_FOR.as_secs_f64());
+    }
+
+    /// Takes off what a node let pass while it was not heard: first what was withheld for it.
+    pub(super) fn take_off_after_silence(&mut self, amount: f64, now: Instant) {
+        let covered = amount.clamp(0.0, self.withheld);
+        self.withheld -= covered;
+        self.level += covered;
+        self.take_off_by_node(amount, now);
+    }
+
+    /// Takes off what a zone that is known by sums let pass.
+    pub(super) fn take_off_by_zone(&mut self, amount: f64, was_silent: bool) {
+        let covered = if was_silent { amount.clamp(0.0, self.withheld) } else { 0.0 };
+        self.withheld -= covered;
+        self.level -= amount - covered;
     }
 
     /// Lets work of this node pass.
--- a/crates/beamwall-gateway/src/quota/mod.rs
+++ b/crates/beamwall-gateway/src/quota/mod.rs
@@ -69,9 +69,39 @@
     sharing: Sharing,
 }
 
+/// What is tolerated beyond every quota, as a share of what a tenant may let pass in one window of time.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Tolerance {
+    /// Share that is used all the time.
+    pub usual: f64,
+    /// Share that nodes which start may use in all: their accounts don't know what passed before.
+    pub at_start: f64,
+    /// The window.
+    pub window: Duration,
+}
+
+impl Tolerance {
+    /// The rate at which accounts are refilled, in work a second.
+    fn rate(self, tenant: &Tenant) -> f64 {
+        tenant.rate_per_second * (1.0 + self.usual)
+    }
+
+    /// The most that an account holds.
+    fn burst(self, tenant: &Tenant) -> f64 {
+        tenant.burst * (1.0 + self.usual)
+    }
+
+    /// The level with which the account of one of `nodes` begins.
+    fn first_level(self, tenant: &Tenant, nodes: usize) -> f64 {
+        let in_window = tenant.rate_per_second * self.window.as_secs_f64() + tenant.burst;
+        (in_window * self.at_start / nodes.max(1) as f64).min(self.burst(tenant))
+    }
+}
+
 /// The tenants' accounts at this node.
 #[derive(Debug)]
 pub struct QuotaBook {
+    tolerance: Tolerance,
     /// Work beyond a quota that is tolerated in one window, over all nodes.
     slack: f64,
     /// Number of this node's own life; lives of all nodes are numbered by their start.
@@ -114,7 +144,28 @@
             zones: HashMap::new(),
             sharing: Sharing::small(1, expected_nodes.max(1)),
         };
-        Self { slack, life: u64::MAX, state: Mutex::new(state) }
+        Self { slack, tolerance: Tolerance::default(), life: u64::MAX, state: Mutex::new(state) }
+    }
+
+    /// The same accounts of a node that uses what is tolerated.
+    pub fn tolerating(mut self, tolerance: Tolerance) -> Self {
+        self.tolerance = tolerance;
+        self
+    }
+
+    /// The account of a tenant with what it has gained since the last look.
+    fn account<'a>(
+        &self,
+        accounts: &'a mut HashMap<TenantName, Account>,
+        tenant: &Tenant,
+        sharing: Sharing,
+        now: Instant,
+    ) -> &'a mut Account {
+        let open = || Account::new(self.tolerance.first_level(tenant, sharing.known), now);
+        let account = accounts.entry(tenant.name.clone()).or_insert_with(open);
+        let rate = self.tolerance.rate(tenant);
+        account.refill(rate, sharing.part(), self.tolerance.burst(tenant), now);
+        account
     }
 
     /// The same accounts of a node whose life has this number.
@@ -140,16 +191,15 @@
         let mut state = self.lock();
         let sharing = state.sharing;
         let slack_part = self.slack / sharing.known.max(1) as f64;
-        let account = state.accounts.entry(tenant.name.clone()).or_insert_with(|| Account::new(now));
-        account.refill(tenant, sharing, now);
+        let account = self.account(&mut state.accounts, tenant, sharing, now);
         let part_of_level = account.level.max(0.0) / sharing.heard.max(1) as f64;
-        let needed = amount.min(tenant.burst + slack_part);
+        let needed = amount.min(self.tolerance.burst(tenant) + slack_part);
         let fits_level = account.level + slack_part >= needed;
         let fits_part = account.untold <= 0.0 || account.untold + amount <= part_of_level + slack_part;
         let fits_zone = account.fits_zone_part(amount, sharing, self.slack, now);
         if !(fits_level && fits_part && fits_zone) {
             let missing = (needed - slack_part - account.level).max(0.0);
-            let rate = (tenant.rate_per_second * sharing.part()).max(1.0);
+            let rate = (self.tolerance.rate(tenant) * sharing.part()).max(1.0);
             let refilled = Duration::from_secs_f64((missing / rate).min(LONGEST_WAIT.as_secs_f64()));
             let wait = if fits_zone { refilled } else { refilled.max(ZONE_WAIT) };
             return Err(QuotaExceeded {
@@ -204,22 +254,34 @@
         let mut state = self.lock();
         let State { accounts, nodes, .. } = &mut *state;
         let is_younger = life > self.life;
-        let new = nodes.entry(node.clone()).or_default().take(life, passed, is_younger);
-        for (tenant, amount) in new {
-            if let Some(account) = accounts.get_mut(&tenant) {
+        let node = nodes.entry(node.clone()).or_default();
+        let was_silent = node.was_silent(now);
+        for (tenant, amount) in node.take(life, passed, is_younger, now) {
+            let Some(account) = accounts.get_mut(&tenant) else { continue };
+            if was_silent {
+                account.take_off_after_silence(amount, now);
+            } else {
                 account.take_off_by_node(amount, now);
             }
         }
     }
 
     /// Takes what a relay told of all nodes of its zone.
-    pub fn hear_zone(&self, zone: &ZoneName, relay: &NodeId, life: u64, passed: HashMap<TenantName, f64>) {
+    pub fn hear_zone(
+        &self,
+        zone: &ZoneName,
+        relay: &NodeId,
+        life: u64,
+        passed: HashMap<TenantName, f64>,
+        now: Instant,
+    ) {
         let mut state = self.lock();
         let State { accounts, zones, .. } = &mut *state;
-        let new = zones.entry(zone.clone()).or_default().take(relay, life, passed);
-        for (tenant, amount) in new {
+        let zone = zones.entry(zone.clone()).or_default();
+        let was_silent = zone.was_silent(now);
+        for (tenant, amount) in zone.take(relay, life, passed, now) {
             if let Some(account) = accounts.get_mut(&tenant) {
-                account.level -= amount;
+                account.take_off_by_zone(amount, was_silent);
             }
         }
     }
@@ -231,8 +293,7 @@
         let before = state.sharing;
         state.sharing = sharing;
         for tenant in tenants.into_iter().filter(|tenant| tenant.rate_per_second > 0.0) {
-            let account = state.accounts.entry(tenant.name.clone()).or_insert_with(|| Account::new(now));
-            account.refill(tenant, before, now);
+            self.account(&mut state.accounts, tenant, before, now);
         }
     }
 }
--- a/crates/beamwall-gateway/src/quota/told.rs
+++ b/crates/beamwall-gateway/src/quota/told.rs
@@ -1,17 +1,30 @@
 //! What others told of the work that they let pass: totals that grow, turned into what is new.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use beamwall_model::{NodeId, TenantName};
+use tokio::time::Instant;
+
+/// Time without a telling after which a node counts as silent: longer than between any two heartbeats.
+const NODE_SILENT_AFTER: Duration = Duration::from_millis(1_000);
+/// The same of a zone that is known by sums.
+const ZONE_SILENT_AFTER: Duration = Duration::from_millis(2_500);
 
 /// What one node told last.
 #[derive(Debug, Default)]
 pub(super) struct NodeUse {
+    told: Option<Instant>,
     life: u64,
     passed: HashMap<TenantName, f64>,
 }
 
 impl NodeUse {
+    /// Whether the node had told nothing for a while, or ever.
+    pub(super) fn was_silent(&self, now: Instant) -> bool {
+        is_silent(self.told, NODE_SILENT_AFTER, now)
+    }
+
     /// Takes the totals of one life of the node; gives what is new in them. What a life had let pass before
     /// its first telling is new only where `counts_from_start`.
     pub(super) fn take(
@@ -19,12 +32,16 @@
         life: u64,
         totals: HashMap<TenantName, f64>,
         counts_from_start: bool,
+        now: Instant,
     ) -> Vec<(TenantName, f64)> {
         if life < self.life {
             return Vec::new();
         }
         if life > self.life {
-            *self = Self { life, passed: HashMap::new() };
+            *self = Self { told: None, life, passed: HashMap::new() };
+        }
+        if !totals.is_empty() {
+            self.told = Some(now);
         }
         let mut new = Vec::new();
         for (tenant, total) in totals {
@@ -41,6 +58,7 @@
 /// is what the zone let pass.
 #[derive(Debug, Default)]
 pub(super) struct ZoneUse {
+    told: Option<Instant>,
     passed: HashMap<TenantName, f64>,
     relays: HashMap<NodeId, RelayShifts>,
 }
@@ -53,13 +71,22 @@
 }
 
 impl ZoneUse {
+    /// Whether the zone's relays had told nothing for a while, or ever.
+    pub(super) fn was_silent(&self, now: Instant) -> bool {
+        is_silent(self.told, ZONE_SILENT_AFTER, now)
+    }
+
     /// Takes the totals that one life of a relay told; gives what is new in them.
     pub(super) fn take(
         &mut self,
         relay: &NodeId,
         life: u64,
         totals: HashMap<TenantName, f64>,
+        now: Instant,
     ) -> Vec<(TenantName, f64)> {
+        if !totals.is_empty() {
+            self.told = Some(now);
+        }
         let shifts = self.relays.entry(relay.clone()).or_default();
         if life < shifts.life {
             return Vec::new();
@@ -78,3 +105,7 @@
         new
     }
 }
+
+fn is_silent(told: Option<Instant>, after: Duration, now: Instant) -> bool {
+    told.is_none_or(|told| now.saturating_duration_since(told) >= after)
+}
--- a/crates/beamwall-gateway/tests/quotas.rs
+++ b/crates/beamwall-gateway/tests/quotas.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use arbtest::arbtest;
-use beamwall_gateway::quota::{QuotaBook, Sharing};
+use beamwall_gateway::quota::{QuotaBook, Sharing, Tolerance};
 use beamwall_model::{NodeId, TenantName};
 use beamwall_policy::Tenant;
 use tokio::time::Instant;
@@ -197,7 +197,7 @@
     let book = full_book(large(2, 1), start);
     let now = start + Duration::from_secs(10);
     let hear = |relay: usize, life: u64, total: f64| {
-        book.hear_zone(&"east".into(), &node(relay), life, uses(total));
+        book.hear_zone(&"east".into(), &node(relay), life, uses(total), now);
     };
     // The relays started at different times, so they tell different sums of the same work.
     hear(1, 1, 5_000.0);
@@ -233,21 +233,21 @@
         let zones = random.int_in_range(2..=5_usize)?;
         let start = Instant::now();
         let books: Vec<QuotaBook> = (0..zones).map(|_| full_book(large(zones, 1), start)).collect();
-        let tell_all = |sums: &[f64]| {
+        let tell_all = |sums: &[f64], now: Instant| {
             for (number, book) in books.iter().enumerate() {
                 for (other, sum) in sums.iter().enumerate().filter(|(other, _)| *other != number) {
-                    book.hear_zone(&format!("z{other}").as_str().into(), &node(other), 1, uses(*sum));
+                    book.hear_zone(&format!("z{other}").as_str().into(), &node(other), 1, uses(*sum), now);
                 }
             }
         };
-        tell_all(&vec![0.0; zones]);
+        tell_all(&vec![0.0; zones], start);
         let mut now = start + Duration::from_secs(10);
         let begun = now;
         let mut passed = 0.0;
         let mut on_the_way = vec![vec![0.0; zones]; 10];
         for _ in 0..80 {
             now += Duration::from_millis(100);
-            tell_all(&on_the_way.remove(0));
+            tell_all(&on_the_way.remove(0), now);
             for _ in 0..random.int_in_range(0..=6)? {
                 let at = random.int_in_range(0..=zones - 1)?;
                 let amount = f64::from(random.int_in_range(1..=100_u32)?);
@@ -261,3 +261,131 @@
         Ok(())
     });
 }
+
+const TOLERANCE: Tolerance = Tolerance { usual: 0.05, at_start: 0.035, window: WINDOW };
+const WINDOW: Duration = Duration::from_secs(8);
+/// What is tolerated in one window, as a share of the quota.
+const OVERAGE: f64 = 0.1;
+
+/// Whatever arrives, at nodes that start at any time, no window holds more than the quota and what is tolerated.
+#[test]
+fn no_window_holds_more_than_is_tolerated_whoever_starts() {
+    arbtest(|random| {
+        let nodes = random.int_in_range(1..=7_usize)?;
+        let sharing = Sharing::small(nodes, nodes);
+        let begin = Instant::now();
+        let open = || QuotaBook::new(0.0, nodes).tolerating(TOLERANCE);
+        let mut books: Vec<QuotaBook> = (0..nodes).map(|_| open()).collect();
+        books.iter().for_each(|book| book.share(sharing, &[tenant()], begin));
+        let mut now = begin;
+        let mut passed: Vec<(Instant, f64)> = Vec::new();
+        let mut lives = vec![1_u64; nodes];
+        let restart_all = random.int_in_range(0..=200_usize)?;
+        for step in 0..200 {
+            now += Duration::from_millis(100);
+            if step == restart_all {
+                for (position, book) in books.iter_mut().enumerate() {
+                    *book = open();
+                    book.share(sharing, &[tenant()], now);
+                    lives[position] += 1;
+                }
+            }
+            for (position, book) in books.iter().enumerate() {
+                let amount = f64::from(random.int_in_range(1..=60_u32)?);
+                while book.charge(&tenant(), amount, now).is_ok() {
+                    passed.push((now, amount));
+                    // Each is told at once, so that what is tolerated alone is used beyond the quota.
+                    let told = book.tell();
+                    let peers = books.iter().enumerate().filter(|(other, _)| *other != position);
+                    for (_, peer) in peers {
+                        let uses = told.iter().cloned().collect();
+                        peer.hear(&node(position), lives[position], uses, now);
+                    }
+                }
+            }
+        }
+        let most = (RATE * WINDOW.as_secs_f64() + RATE) * (1.0 + OVERAGE) + 60.0 * nodes as f64;
+        for (start, _) in &passed {
+            let in_window = passed.iter().filter(|(at, _)| *at >= *start && *at < *start + WINDOW);
+            let sum: f64 = in_window.map(|(_, amount)| amount).sum();
+            assert!(sum <= most, "{sum} of {most} in a window");
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn a_node_that_starts_has_its_part_of_what_is_tolerated() {
+    let start = Instant::now();
+    let book = QuotaBook::new(0.0, 7).tolerating(TOLERANCE);
+    book.share(Sharing::small(7, 7), &[tenant()], start);
+    // 3.5 in 100 of 9,000, a seventh of it.
+    assert!(!passes(&book, 50.0, start));
+    assert!(passes(&book, 44.0, start));
+}
+
+/// On every day with a cut zone, both sides refused nearly everything for seconds after it: each took off all that
+/// the other had passed, although it had not been credited with the other's part of the rate.
+#[test]
+fn after_a_cut_each_side_has_what_is_left_of_the_whole() {
+    let start = Instant::now();
+    let sides = [full_book(Sharing::small(2, 2), start), full_book(Sharing::small(2, 2), start)];
+    let mut now = start + Duration::from_secs(10);
+    let tell = |now: Instant| {
+        for (number, peer) in [(0, 1), (1, 0)] {
+            sides[peer].hear(&node(number), 1, sides[number].tell().into_iter().collect(), now);
+        }
+    };
+    tell(now);
+    // Five seconds apart, each passing all that it may.
+    sides.iter().for_each(|side| side.share(Sharing::small(1, 2), &[tenant()], now));
+    for _ in 0..50 {
+        now += Duration::from_millis(100);
+        for side in &sides {
+            while passes(side, 10.0, now) {
+                side.tell();
+            }
+        }
+    }
+    sides.iter().for_each(|side| side.share(Sharing::small(2, 2), &[tenant()], now));
+    tell(now);
+    // Both had used the burst, so one of them is owed: a second later the rate passes again.
+    now += Duration::from_millis(1_200);
+    let mut passed = 0.0;
+    for _ in 0..10 {
+        now += Duration::from_millis(100);
+        for side in &sides {
+            passed += if passes(side, 50.0, now) { 50.0 } else { 0.0 };
+            tell(now);
+        }
+    }
+    assert!((900.0..=1_300.0).contains(&passed), "{passed} in the second after");
+}
+
+/// After a loss of power all nodes start at once, and hear each other a second later.
+#[test]
+fn nodes_that_start_together_keep_the_rate() {
+    let mut now = Instant::now();
+    let books: Vec<QuotaBook> =
+        (0..4).map(|number| QuotaBook::new(0.0, 4).started_at(10 + number as u64)).collect();
+    books.iter().for_each(|book| book.share(Sharing::small(1, 4), &[tenant()], now));
+    let mut passed = 0.0;
+    for step in 0..40 {
+        now += Duration::from_millis(100);
+        for book in &books {
+            let passes = passes(book, 25.0, now);
+            passed += if passes && step >= 10 { 25.0 } else { 0.0 };
+        }
+        if step >= 10 {
+            books.iter().for_each(|book| book.share(Sharing::small(4, 4), &[tenant()], now));
+            let told: Vec<HashMap<_, _>> =
+                books.iter().map(|book| book.tell().into_iter().collect()).collect();
+            for (number, book) in books.iter().enumerate() {
+                for (other, uses) in told.iter().enumerate().filter(|(other, _)| *other != number) {
+                    book.hear(&node(other), 10 + other as u64, uses.clone(), now);
+                }
+            }
+        }
+    }
+    assert!((2_500.0..=3_200.0).contains(&passed), "{passed} in the three seconds after");
+}
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -33,7 +33,7 @@
 use beamwall_gateway::demand::DemandBook;
 use beamwall_gateway::forward::Forwarder;
 use beamwall_gateway::metrics::GatewayMetrics;
-use beamwall_gateway::quota::QuotaBook;
+use beamwall_gateway::quota::{QuotaBook, Tolerance};
 use beamwall_gateway::retries::{RetryAllowance, RetryBudgets};
 use beamwall_gateway::usage::UsageLedger;
 use beamwall_gateway::{ControlStore, Dialect, DutyPort, Gateway, GatewayHandler, PlacementPort};
@@ -75,6 +75,10 @@
 const RETRY_EXTRA_USED: f64 = 0.7;
 /// Part of the tolerated work beyond quotas that nodes use in all.
 const QUOTA_SLACK_USED: f64 = 0.5;
+/// Part of the tolerated share beyond quotas that nodes use all the time.
+const QUOTA_OVERAGE_USED: f64 = 0.5;
+/// The same that nodes which start use beside: all of them may start at once.
+const QUOTA_OVERAGE_USED_AT_START: f64 = 0.35;
 
 /// What the gateway meets outside: the ports' implementations.
 pub struct Ports {
@@ -228,7 +232,13 @@
         usage: UsageLedger::new(settings.usage_window),
         metrics: GatewayMetrics::new(registry)?,
     });
-    let quotas = QuotaBook::new(settings.quota_slack * QUOTA_SLACK_USED, nodes).started_at(life);
+    let tolerance = Tolerance {
+        usual: settings.quota_overage * QUOTA_OVERAGE_USED,
+        at_start: settings.quota_overage * QUOTA_OVERAGE_USED_AT_START,
+        window: settings.quota_window,
+    };
+    let quotas =
+        QuotaBook::new(settings.quota_slack * QUOTA_SLACK_USED, nodes).tolerating(tolerance).started_at(life);
     Ok(Arc::new(Gateway { policy: Arc::default(), quotas, forwarder, news: Arc::default() }))
 }
 
--- a/crates/beamwall-node/src/gateway/zones.rs
+++ b/crates/beamwall-node/src/gateway/zones.rs
@@ -147,7 +147,7 @@
         forwarder.usage.merge_zone(&zone, beat::decode_usage(summary.usage));
         let relay = NodeId::new(&summary.relay);
         let uses = beat::decode_quota_uses(&summary.quota_uses);
-        self.gateway.quotas.hear_zone(&zone, &relay, summary.life, uses);
+        self.gateway.quotas.hear_zone(&zone, &relay, summary.life, uses, Instant::now());
         self.zones.note(zone, summary.relay, summary.nodes_heard as usize);
     }
 
