Zones that seem cut off are avoided whole

Change: no node of a zone heard and an engine there unreachable: all engines of the zone that have not just sent anything count as unreachable until a node there is heard (event 3008). Ruled out: silence of the nodes alone (they may be down while engines serve), a failed engine alone. Tests: cut_zones.rs.

--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -103,6 +103,8 @@
     3006 Info ZoneHeard "zone heard" { zone, relay, nodes }
     /// The node that places model requests did not answer in time; for a moment this node chooses engines itself.
     3007 Warn PlacementUnanswered "placement unanswered" { peer, pause_ms }
+    /// No node of a zone is heard and an engine there could not be reached: its engines are avoided for now.
+    3008 Warn ZoneCutOff "zone cut off" { zone }
     /// A back end is leaving and gets no new work.
     4001 Info BackendLeaving "back end leaving" { backend, source }
     /// A back end failed its health polls.
--- a/crates/beamwall-gateway/src/candidates.rs
+++ b/crates/beamwall-gateway/src/candidates.rs
@@ -1,5 +1,6 @@
 //! Gathers the candidates of one request from what this node knows.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use beamwall_engine_model::{EngineModels, Reading, ServiceEstimates};
@@ -8,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::choice::Candidate;
+use crate::cut_zones::CutZones;
 use crate::directory::{Backend, Directory};
 use crate::health::HealthBook;
 use crate::health::HealthView;
@@ -63,6 +65,8 @@
     pub queues: ReadingQueues,
     /// Engines that those could not reach for whom this node places.
     pub reports: UnreachableReports,
+    /// Zones from which this node seems to be cut off.
+    pub cut_zones: CutZones,
     /// What back ends can do.
     pub models: EngineModels<Reporter>,
 }
@@ -102,20 +106,21 @@
                 load: self.load(&backend.id, search.by, &estimates, now),
                 reading: search.prompt.map(|prompt| self.reading(&backend.id, home, prompt, now)),
                 slowness: self.models.slowness(&backend.id),
-                health: self.health(&backend.id, search.by, now),
+                health: self.health(backend, search.by, now),
             })
             .collect()
     }
 
-    fn health(&self, backend: &BackendId, by: ChosenBy, now: Instant) -> HealthView {
-        let own = self.health.view(backend, now);
-        match by {
-            ChosenBy::Sender | ChosenBy::Baseline => own,
-            ChosenBy::Placer => {
-                let unreachable = own.unreachable || self.reports.is_confirmed(backend, now);
-                HealthView { unreachable, ..own }
-            }
-        }
+    fn health(&self, backend: &Backend, by: ChosenBy, now: Instant) -> HealthView {
+        let own = self.health.view(&backend.id, now);
+        let is_reported = || by == ChosenBy::Placer && self.reports.is_confirmed(&backend.id, now);
+        let is_cut_off = || self.cut_zones.contains(&backend.zone) && !self.health.is_heard(&backend.id, now);
+        HealthView { unreachable: own.unreachable || is_reported() || is_cut_off(), ..own }
+    }
+
+    /// Takes the zones of which no node is heard; gives those that are found cut off only now.
+    pub fn note_silent_zones(&self, silent: &HashSet<ZoneName>, directory: &Directory) -> Vec<ZoneName> {
+        self.cut_zones.update(silent, directory, &self.health, &self.reports, Instant::now())
     }
 
     fn load(
--- a/crates/beamwall-gateway/src/health.rs
+++ b/crates/beamwall-gateway/src/health.rs
@@ -18,6 +18,9 @@
 /// Time for which a back end that can't be reached is avoided.
 const UNREACHABLE_FOR: Duration = Duration::from_millis(1_000);
 
+/// A back end that sent anything within this time is not silent.
+const HEARD_WITHIN: Duration = Duration::from_millis(400);
+
 /// How a back end has fared lately.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct HealthView {
@@ -63,6 +66,12 @@
         self.heard.lock().unwrap_or_else(PoisonError::into_inner).get(backend).copied()
     }
 
+    /// Whether a back end sent anything to this node a moment ago.
+    pub fn is_heard(&self, backend: &BackendId, now: Instant) -> bool {
+        let heard = self.last_heard(backend);
+        heard.is_some_and(|heard| now.saturating_duration_since(heard) < HEARD_WITHIN)
+    }
+
     /// Notes an answered request and whether it failed.
     pub fn note(&self, backend: &BackendId, failed: bool, now: Instant) {
         let mut records = self.lock();
--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod attempt;
 pub mod candidates;
 pub mod choice;
+pub mod cut_zones;
 pub mod demand;
 pub mod directory;
 pub mod event_stream;
--- a/crates/beamwall-gateway/src/stream/patience.rs
+++ b/crates/beamwall-gateway/src/stream/patience.rs
@@ -14,8 +14,8 @@
 const EXPECTED_TIMES: u32 = 3;
 /// The same where this node has no other stream at the engine: its silence to one request says little.
 const UNHEARD_PERCENT: u32 = 300;
-/// An engine that sent anything within this time is not silent.
-const HEARD_WITHIN: Duration = Duration::from_millis(400);
+/// Time between two looks at whether an engine is still silent.
+const LOOK_PERIOD: Duration = Duration::from_millis(400);
 
 /// How long a stream waits for its first events: without end where it may not move or the engine
 /// sends to others, else until it is well past the time expected.
@@ -56,7 +56,7 @@
         }
         tokio::time::sleep_until(self.until).await;
         while self.heard_lately() || !self.is_known_silent() {
-            tokio::time::sleep(HEARD_WITHIN).await;
+            tokio::time::sleep(LOOK_PERIOD).await;
         }
     }
 
@@ -69,7 +69,6 @@
     }
 
     fn heard_lately(&self) -> bool {
-        let heard = self.forwarder.knowledge.health.last_heard(self.backend);
-        heard.is_some_and(|heard| heard.elapsed() < HEARD_WITHIN)
+        self.forwarder.knowledge.health.is_heard(self.backend, Instant::now())
     }
 }
--- /dev/null
+++ b/crates/beamwall-gateway/tests/cut_zones.rs
@@ -0,0 +1,52 @@
+//! Which zones are taken for cut off.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use beamwall_gateway::cut_zones::CutZones;
+use beamwall_gateway::health::HealthBook;
+use beamwall_gateway::placement::UnreachableReports;
+use beamwall_gateway::ports::DirectorySnapshot;
+use beamwall_gateway::{Backend, Directory, Vanishing};
+use beamwall_model::ZoneName;
+use tokio::time::Instant;
+
+fn directory() -> Directory {
+    let backend = |(id, zone): (&str, &str)| Backend {
+        id: id.into(),
+        service: "pool".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: zone.into(),
+        slots: 8,
+        draining: false,
+        reclaimable: false,
+    };
+    let backends = [("e0", "east"), ("e1", "east"), ("w0", "west")].map(backend).to_vec();
+    let mut directory = Directory::default();
+    directory.replace(DirectorySnapshot { revision: 1, backends }, Vanishing::Gone);
+    directory
+}
+
+fn zones(names: &[&str]) -> HashSet<ZoneName> {
+    names.iter().copied().map(ZoneName::new).collect()
+}
+
+#[test]
+fn a_zone_is_cut_off_when_its_nodes_are_silent_and_an_engine_cannot_be_reached() {
+    let (cut, health, reports) = (CutZones::default(), HealthBook::default(), UnreachableReports::default());
+    let (directory, now) = (directory(), Instant::now());
+    let update = |silent: &[&str], now| cut.update(&zones(silent), &directory, &health, &reports, now);
+    assert!(update(&["east"], now).is_empty(), "its nodes alone may be down");
+    health.note_unreachable(&"w0".into(), now);
+    assert!(update(&["east"], now).is_empty(), "a crashed engine elsewhere says nothing of it");
+    health.note_unreachable(&"e0".into(), now);
+    assert!(update(&[], now).is_empty(), "a single engine may have crashed");
+    assert_eq!(update(&["east"], now), [ZoneName::new("east")]);
+    assert!(cut.contains(&"east".into()) && !cut.contains(&"west".into()));
+    // The engine is not asked any more, so nothing new is heard of it; the zone's silence decides.
+    let later = now + Duration::from_secs(3);
+    assert!(update(&["east"], later).is_empty(), "it is told once");
+    assert!(cut.contains(&"east".into()));
+    update(&[], later);
+    assert!(!cut.contains(&"east".into()));
+}
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -142,6 +142,7 @@
         let quota_uses = beat::encode_quota_uses(self.gateway.quotas.tell());
         let demands = beat::encode_demands(self.close_demand_period());
         self.refresh_models();
+        self.note_silent_zones();
         let (models, slowness) = self.own_observations();
         let beat = GatewayBeat { quota_uses, demands, models, slowness, ..self.to_reply(tick.updates) };
         let probe = self.envelope(Body::GatewayBeat(GatewayBeat { wants_answer: true, ..beat.clone() }));
--- a/crates/beamwall-node/src/gateway/zones.rs
+++ b/crates/beamwall-node/src/gateway/zones.rs
@@ -5,7 +5,7 @@
 //! each other zone, in turn, and that one passes it on to its own zone. With two relays a zone the loss
 //! of one costs every second sum, until membership has chosen another.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, PoisonError};
@@ -60,6 +60,13 @@
         heard.values().filter(|zone| zone.at.elapsed() < HEARD_WITHIN).map(|zone| zone.nodes).sum()
     }
 
+    /// Zones that were heard and have fallen silent.
+    pub(super) fn silent(&self) -> HashSet<ZoneName> {
+        let heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        let silent = heard.iter().filter(|(_, zone)| zone.at.elapsed() >= HEARD_WITHIN);
+        silent.map(|(zone, _)| zone.clone()).collect()
+    }
+
     fn take_silent(&self) -> Vec<ZoneName> {
         let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
         heard.extract_if(|_, zone| zone.at.elapsed() >= BELIEVED_FOR).map(|(zone, _)| zone).collect()
