--- a/crates/beamwall-gateway/src/scaling.rs
+++ b/crates/beamwall-gateway/src/scaling.rs
@@ -1,8 +1,8 @@
 //! How many back ends each zone shall hold: one function from inputs to a plan.
 //!
 //! Reclaimable back ends cost a part of lasting ones, but a whole zone of them may go at short notice
-//! and for a while none can be had. So a zone keeps its minimum in lasting ones and its headroom in
-//! reclaimable ones; what is wanted and can't be had as reclaimable is ordered as lasting.
+//! and for a while none can be had. So one lasting back end is kept in all, which serves on whatever is taken
+//! away, and the rest is reclaimable; what is wanted and can't be had as reclaimable is ordered as lasting.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -51,22 +51,24 @@
 pub fn plan(inputs: &ScalingInputs<'_>) -> Vec<CapacityOrder> {
     let lowest = inputs.limits.minimum.max(1);
     let zones = cheapest_first(inputs);
-    let base = lowest * zones.len() as u32;
     let needed = inputs.needed.usual.max(inputs.floor);
     if inputs.limits.reclaimable_price.is_none() {
-        let parts = divide(needed.saturating_sub(base), zones.len());
+        let parts = divide(needed.saturating_sub(lowest * zones.len() as u32), zones.len());
         let lasting = |(zone, part): (&&ZoneSupply, u32)| order(inputs, zone, false, lowest + part);
         return zones.iter().zip(parts).map(lasting).collect();
     }
-    let are_scarce = are_scarce(&zones, lowest);
+    let bases = lasting_bases(zones.len());
+    let base = bases.iter().sum();
+    let are_scarce = are_scarce(&zones, &bases);
     let missing = if are_scarce { missing_stand_ins(inputs, base) } else { 0 };
-    let stand_ins = divide(missing, zones.len());
+    let stand_ins = divide_stand_ins(&zones, &bases, missing, lowest);
     let reclaimable = divide_reclaimable(&zones, needed.saturating_sub(base), are_scarce);
-    let both = zones.iter().zip(stand_ins.into_iter().zip(reclaimable));
-    both.flat_map(|(zone, (stand_ins, reclaimable))| {
-        let lasting = (lowest + stand_ins).min(inputs.limits.maximum.max(lowest));
+    let both = zones.iter().zip(bases).zip(stand_ins.into_iter().zip(reclaimable));
+    both.flat_map(|((zone, base), (stand_ins, reclaimable))| {
+        let lasting = (base + stand_ins).min(inputs.limits.maximum.max(lowest));
         let room = inputs.limits.maximum.saturating_sub(lasting);
-        let reclaimable = reclaimable.max(RECLAIMABLE_HEADROOM).min(room);
+        let least = RECLAIMABLE_HEADROOM.max(lowest.saturating_sub(base));
+        let reclaimable = reclaimable.max(least).min(room);
         [order(inputs, zone, false, lasting), order(inputs, zone, true, reclaimable)]
     })
     .collect()
@@ -82,8 +84,24 @@
 }
 
 /// Whether reclaimable back ends are scarce: a zone can't get any, or lasting ones still stand in for them.
-fn are_scarce(zones: &[&ZoneSupply], lowest: u32) -> bool {
-    zones.iter().any(|zone| zone.is_exhausted || zone.lasting_ordered > lowest)
+fn are_scarce(zones: &[&ZoneSupply], bases: &[u32]) -> bool {
+    zones.iter().zip(bases).any(|(zone, base)| zone.is_exhausted || zone.lasting_ordered > *base)
+}
+
+/// Lasting back ends that each zone keeps beside reclaimable ones, cheapest zone first: one in all.
+fn lasting_bases(zones: usize) -> Vec<u32> {
+    (0..zones).map(|position| u32::from(position == 0)).collect()
+}
+
+/// Divides stand-ins evenly; a zone that has lost its reclaimable ones and can't get any keeps its minimum, since it
+/// may be cut off from the others next.
+fn divide_stand_ins(zones: &[&ZoneSupply], bases: &[u32], missing: u32, lowest: u32) -> Vec<u32> {
+    let least = |zone: &ZoneSupply, base: u32| {
+        let is_empty = zone.is_exhausted && zone.reclaimable_usable == 0;
+        if is_empty { lowest.saturating_sub(base) } else { 0 }
+    };
+    let parts = divide(missing, zones.len()).into_iter();
+    parts.zip(zones.iter().zip(bases)).map(|(part, (zone, base))| part.max(least(zone, *base))).collect()
 }
 
 /// Lasting back ends beyond the base that the work needs while reclaimable ones are scarce. While a zone
--- a/crates/beamwall-gateway/src/sizing.rs
+++ b/crates/beamwall-gateway/src/sizing.rs
@@ -24,7 +24,7 @@
 }
 
 /// While reclaimable back ends can be had. Arrivals come in bursts, and a zone's back ends may go at once.
-pub const USUAL: Fullness = Fullness { slots: 0.5, reading: 0.5 };
+pub const USUAL: Fullness = Fullness { slots: 0.33, reading: 0.33 };
 /// For lasting back ends that stand in for missing reclaimable ones.
 pub const STANDING_IN: Fullness = Fullness { slots: 0.7, reading: 0.7 };
 /// After the next loss of a zone's reclaimable ones, while none can be had.
