--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -14,6 +14,7 @@
 use hyper::{HeaderMap, Method, Uri};
 use tokio::time::Instant;
 
+use crate::admission;
 use crate::attempt::{AttemptFailure, Ran};
 use crate::candidates::{ChosenBy, Knowledge, Search};
 use crate::choice::{Chooser, Expectation};
@@ -224,6 +225,7 @@
             tried: attempts.tried.clone(),
             unreachable: self.knowledge.health.unreachable(Instant::now()),
             pause_objective_ms: call.route.gap_objective_ms,
+            remaining: call.deadline.saturating_duration_since(Instant::now()),
         };
         match self.placement.place(&question).await {
             PlacementAnswer::Chosen(choice) if self.may_use(call, &choice.backend, attempts) => Some(choice),
@@ -240,7 +242,7 @@
         is_usable && !attempts.tried.contains(backend)
     }
 
-    /// Places a request for any node, and counts its prompt as queued there.
+    /// Places a request for any node, and counts its prompt as queued there unless it will be refused.
     pub fn place(&self, question: &PlacementQuestion) -> Option<Choice> {
         let now = Instant::now();
         self.knowledge.reports.note(&question.sender, &question.unreachable, now);
@@ -253,7 +255,11 @@
             by: ChosenBy::Placer,
         };
         let choice = self.find(search, question.pause_objective_ms)?;
-        if let Some(reading_ms) = self.estimates(&question.service).reading_ms(choice.reading) {
+        let estimates = self.estimates(&question.service);
+        if admission::is_unservable(&choice, &estimates, question.remaining) {
+            return Some(choice);
+        }
+        if let Some(reading_ms) = estimates.reading_ms(choice.reading) {
             self.knowledge.queues.add(&choice.backend, reading_ms, now);
         }
         self.knowledge.prefixes.note_read(&choice.backend, &question.prompt, now);
--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -191,7 +191,9 @@
         } else {
             unary::forward(&self.forwarder, &call).await
         };
-        if let (Err(Refusal::NotRun(_) | Refusal::TooLate), Some(charge)) = (&result, &charge) {
+        if let (Err(Refusal::NotRun(_) | Refusal::TooLate | Refusal::Unservable(_)), Some(charge)) =
+            (&result, &charge)
+        {
             self.quotas.refund(charge);
         }
         result
--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! requests at the node that does the [`placement`] for all, and [`forward`] carries a request through its attempts. Limits that hold over all nodes stand in
 //! [`quota`]; what is billed in [`usage`]; how many back ends are wanted in [`scaling`].
 
+pub mod admission;
 pub mod attempt;
 pub mod candidates;
 pub mod choice;
--- a/crates/beamwall-gateway/src/placement.rs
+++ b/crates/beamwall-gateway/src/placement.rs
@@ -39,6 +39,8 @@
     pub unreachable: Vec<BackendId>,
     /// Longest pause between two events that keeps its stream in time.
     pub pause_objective_ms: Option<u64>,
+    /// Time that its caller still waits.
+    pub remaining: Duration,
 }
 
 /// The back end of an attempt, and what decided.
--- a/crates/beamwall-gateway/src/refusal.rs
+++ b/crates/beamwall-gateway/src/refusal.rs
@@ -6,6 +6,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
+use crate::admission::Unservable;
 use crate::ports::Dialect;
 use crate::quota::QuotaExceeded;
 
@@ -35,13 +36,17 @@
     TimedOut,
     /// It was not begun in time.
     TooLate,
+    /// No back end would begin to answer within the caller's patience; it was not sent.
+    Unservable(Unservable),
 }
 
 impl Refusal {
     /// The status that is answered.
     pub fn status(&self) -> StatusCode {
         match self {
-            Self::NotReady | Self::NotRun(_) | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::NotRun(_) | Self::TooLate | Self::Unservable(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BadBody(_) => StatusCode::BAD_REQUEST,
@@ -56,6 +61,7 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::QuotaExceeded(exceeded) => Some(exceeded.retry_after),
+            Self::Unservable(unservable) => Some(unservable.retry_after),
             Self::NotReady | Self::NotRun(_) => Some(SOON),
             _ => None,
         }
@@ -77,6 +83,10 @@
             Self::AnswerLost(reason) => format!("the answer is lost: {reason}"),
             Self::TimedOut => "no answer in time".to_owned(),
             Self::TooLate => "not begun in time".to_owned(),
+            Self::Unservable(unservable) => format!(
+                "not run: the best back end would begin to answer in {} ms, after the caller's patience",
+                unservable.expected.as_millis()
+            ),
         }
     }
 
--- a/crates/beamwall-gateway/src/stream/mod.rs
+++ b/crates/beamwall-gateway/src/stream/mod.rs
@@ -7,6 +7,7 @@
 mod source;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use beamwall_engine_model::FirstEvent;
 use beamwall_http::Body;
@@ -14,6 +15,7 @@
 use hyper::{HeaderMap, Response, StatusCode};
 use tokio::time::Instant;
 
+use crate::admission;
 use crate::attempt::{self, AttemptFailure, Opened};
 use crate::forward::{Attempts, Call, Forwarder};
 use crate::placement::Choice;
@@ -29,6 +31,7 @@
     while let Some(choice) = forwarder.choose(call, &mut attempts).await {
         if attempts.tried.len() == 1 {
             forwarder.demand.note_request(&call.service, &call.route.name, choice.reading);
+            check_servable(forwarder, call, &choice)?;
         }
         let failure = match begin(forwarder, call, &choice, call.last_event, &attempts).await {
             Ok(Begun::Stream(begun)) => {
@@ -49,6 +52,17 @@
     Err(attempts.refusal(call))
 }
 
+/// Refuses a call that is known not to be servable before its caller's patience ends.
+fn check_servable(forwarder: &Forwarder, call: &Call, choice: &Choice) -> Result<(), Refusal> {
+    let estimates = forwarder.estimates(&call.service);
+    let remaining = call.deadline.saturating_duration_since(Instant::now());
+    let objective = Duration::from_millis(call.route.objective_ms);
+    match admission::check(choice, &estimates, remaining, objective) {
+        Some(unservable) => Err(Refusal::Unservable(unservable)),
+        None => Ok(()),
+    }
+}
+
 /// How an attempt began.
 enum Begun {
     /// A stream.
--- a/crates/beamwall-node/src/gateway/placing.rs
+++ b/crates/beamwall-node/src/gateway/placing.rs
@@ -129,6 +129,7 @@
         tried: question.tried.iter().map(ToString::to_string).collect(),
         unreachable: question.unreachable.iter().map(ToString::to_string).collect(),
         pause_objective_ms: question.pause_objective_ms,
+        remaining_ms: question.remaining.as_millis() as u64,
     }
 }
 
@@ -143,6 +144,7 @@
         tried: request.tried.iter().map(BackendId::new).collect(),
         unreachable: request.unreachable.iter().map(BackendId::new).collect(),
         pause_objective_ms: request.pause_objective_ms,
+        remaining: Duration::from_millis(request.remaining_ms),
     }
 }
 
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -237,6 +237,9 @@
     /// Longest pause between two events that keeps the stream in time, in milliseconds.
     #[prost(uint64, optional, tag = "7")]
     pub pause_objective_ms: Option<u64>,
+    /// Time that the caller still waits, in milliseconds.
+    #[prost(uint64, tag = "8")]
+    pub remaining_ms: u64,
 }
 
 /// One part of a prompt.
