The placing node and the watchers are chosen by the square of their link; patience by what is expected

Patience with a silent engine was three times its cost, surcharges included: 15 s for one that had been unreachable; now three times the expected time, at least the objective.

--- a/crates/beamwall-gateway/src/stream/patience.rs
+++ b/crates/beamwall-gateway/src/stream/patience.rs
@@ -39,7 +39,8 @@
         let is_last = attempts.sent + 1 >= call.route.attempt_limit;
         let objective = Duration::from_millis(call.route.objective_ms);
         let now = Instant::now();
-        let expected = Duration::from_secs_f64(choice.cost_ms.max(0.0) / 1_000.0) * EXPECTED_TIMES;
+        let expected_ms = choice.expected_ms.unwrap_or(0.0);
+        let expected = Duration::from_secs_f64(expected_ms.max(0.0) / 1_000.0) * EXPECTED_TIMES;
         Self {
             forwarder,
             backend: &choice.backend,
--- a/crates/beamwall-node/src/gateway/chooser.rs
+++ b/crates/beamwall-node/src/gateway/chooser.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::ArcSwap;
 use beamwall_model::{NodeId, ZoneName, rendezvous};
-use beamwall_peer::MemberState;
+use beamwall_peer::{MemberState, link_weight};
 
 use crate::shared::MembershipView;
 
@@ -36,8 +36,8 @@
             member.zone == self.zone && member.state == MemberState::Alive && !member.draining
         });
         let mut candidates: Vec<(&str, f64)> =
-            in_zone.map(|member| (member.node.as_str(), f64::from(member.link_mbps))).collect();
-        candidates.push((self.node.as_str(), f64::from(self.link_mbps)));
+            in_zone.map(|member| (member.node.as_str(), link_weight(member.link_mbps))).collect();
+        candidates.push((self.node.as_str(), link_weight(self.link_mbps)));
         rendezvous::choose_weighted(what.as_bytes(), &candidates, count).contains(&self.node.as_str())
     }
 
--- a/crates/beamwall-node/src/gateway/placing.rs
+++ b/crates/beamwall-node/src/gateway/placing.rs
@@ -16,7 +16,7 @@
 use beamwall_gateway::{Choice, PlacementAnswer, PlacementPort, PlacementQuestion, Prompt, PromptPart};
 use beamwall_model::{BackendId, NodeId, ServiceName, ZoneName, rendezvous};
 use beamwall_peer::gateway_message::{PlacementPart, PlacementReply, PlacementRequest};
-use beamwall_peer::{Body, Envelope, Member, PeerNetwork};
+use beamwall_peer::{Body, Envelope, Member, PeerNetwork, link_weight};
 use tokio::time::Instant;
 
 use crate::shared::MembershipView;
@@ -57,6 +57,7 @@
             sender: settings.node.to_string(),
             zone: settings.zone.to_string(),
             address: settings.peers.to_string(),
+            link_mbps: settings.link_mbps,
             ..Envelope::default()
         };
         Self { envelope, network, members, state: Mutex::default() }
@@ -68,7 +69,7 @@
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         let is_current = state.view.as_ref().is_some_and(|known| Arc::ptr_eq(known, &view));
         if !is_current {
-            state.placer = find_placer(&self.envelope.sender, &view);
+            state.placer = find_placer(&self.envelope, &view);
             state.view = Some(view);
         }
         state.placer.clone()
@@ -89,12 +90,15 @@
     }
 }
 
-/// The ready member with the highest weight, or `None` when this node's is higher.
-fn find_placer(own: &str, view: &MembershipView) -> Option<Member> {
-    let weight = |name: &str| rendezvous::weight(PLACEMENT, name);
-    let usable = view.members.iter().filter(|member| member.is_usable());
-    let best = usable.max_by_key(|member| weight(member.node.as_str()))?;
-    (weight(best.node.as_str()) > weight(own)).then(|| best.clone())
+/// The ready member that is chosen, or `None` when this node is. A node with a fast network link is chosen more
+/// often: all questions and answers pass over it.
+fn find_placer(own: &Envelope, view: &MembershipView) -> Option<Member> {
+    let usable = || view.members.iter().filter(|member| member.is_usable());
+    let mut candidates: Vec<(&str, f64)> =
+        usable().map(|member| (member.node.as_str(), link_weight(member.link_mbps))).collect();
+    candidates.push((&own.sender, link_weight(own.link_mbps)));
+    let chosen = rendezvous::choose_weighted(PLACEMENT, &candidates, 1).into_iter().next()?;
+    usable().find(|member| member.node.as_str() == chosen).cloned()
 }
 
 #[async_trait]
--- a/crates/beamwall-peer/src/lib.rs
+++ b/crates/beamwall-peer/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod network;
 pub mod transfer;
 
-pub use member::{Member, MemberState};
+pub use member::{Member, MemberState, link_weight};
 pub use membership::{Membership, MembershipChange, MembershipTiming, Target};
 pub use message::{Body, Envelope};
 pub use network::{PeerError, PeerNetwork};
--- a/crates/beamwall-peer/src/member.rs
+++ b/crates/beamwall-peer/src/member.rs
@@ -74,6 +74,12 @@
     pub link_mbps: u32,
 }
 
+/// The weight by which a node is chosen for what passes over its link on behalf of others: the square of its
+/// capacity, so that one of a few fast nodes is chosen and none of many slow ones.
+pub fn link_weight(link_mbps: u32) -> f64 {
+    f64::from(link_mbps).powi(2)
+}
+
 impl Member {
     /// Whether work may be given to it.
     pub fn is_usable(&self) -> bool {
