--- a/crates/beamwall-node/src/gateway/duties/capacity.rs
+++ b/crates/beamwall-node/src/gateway/duties/capacity.rs
@@ -4,98 +4,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use beamwall_engine_model::Workload;
 use beamwall_events::emit;
 use beamwall_events::internal_events::{CapacityNotKnown, CapacityOrdered};
 use beamwall_gateway::ports::CapacityOrder;
 use beamwall_gateway::scaling::{self, GivenOrder, OrderKey, ScalingInputs, ZoneSupply};
-use beamwall_gateway::sizing::{self, Needed, Objectives};
+use beamwall_gateway::sizing::Needed;
 use beamwall_gateway::{DutyError, DutyPort, Gateway};
 use beamwall_model::{ServiceName, ZoneName};
-use beamwall_policy::{Route, Service, Shared, TrafficPolicy, USUAL_OBJECTIVE_MS};
+use beamwall_policy::{Service, Shared, TrafficPolicy};
 use tokio::time::Instant;
 
+use crate::gateway::duties::followed_demand::FollowedDemand;
 use crate::gateway::duties::{Holding, describe};
 
 /// Time between two looks at the number of back ends.
 const SCALING_PERIOD: Duration = Duration::from_millis(500);
 /// Pause after an order that could not be carried out.
 const ORDER_PAUSE: Duration = Duration::from_secs(3);
-/// Time after the first request for which the number of back ends found at the start is kept.
-const DEMAND_UNKNOWN_FOR: Duration = Duration::from_secs(5);
-/// Time without a new back end after which all seem to be listed: at the start they are listed one after
-/// another, each within the period at which back ends write their entries.
-const LIST_SETTLES: Duration = Duration::from_millis(1_500);
-/// Weight of the newest sample when the offered load falls; when it rises it is taken at once.
-const LOAD_FALL_WEIGHT: f64 = 0.02;
-
-/// The demand for one service as followed for planning.
-#[derive(Debug, Default)]
-struct FollowedDemand {
-    /// Work in a second: up at once, down slowly.
-    work: Workload,
-    /// Back ends that it needs; `None` while too little is known of them.
-    needed: Option<Needed>,
-    /// Most back ends seen before the demand was known.
-    found: usize,
-    /// When there were last more than before: at the start they are listed one after another.
-    found_at: Option<Instant>,
-    first_request: Option<Instant>,
-}
-
-impl FollowedDemand {
-    fn follow(&mut self, gateway: &Gateway, policy: &TrafficPolicy, service: &Service) {
-        let asked = gateway.forwarder.demand.total(&service.name);
-        if asked.is_some_and(|work| work.requests > 0.0) {
-            self.first_request.get_or_insert_with(Instant::now);
-        }
-        let newest = asked.unwrap_or_default();
-        self.work = newest.max(self.work.mixed_with(newest, LOAD_FALL_WEIGHT));
-        let estimates = gateway.forwarder.estimates(&service.name);
-        let slots = slots(gateway, service);
-        self.needed = sizing::needed(self.work, &estimates, slots, objectives(policy, service));
-        if self.is_unknown() {
-            let usable = gateway.forwarder.directory.load().usable(&service.name).count();
-            if usable > self.found {
-                self.found = usable;
-                self.found_at = Some(Instant::now());
-            }
-        }
-    }
-
-    /// Whether a plan can be made: the needs are known, or all back ends seem to be listed.
-    fn is_settled(&self) -> bool {
-        let listed = self.found_at.is_some_and(|at| at.elapsed() >= LIST_SETTLES);
-        listed || !self.is_unknown()
-    }
-
-    fn is_unknown(&self) -> bool {
-        self.needed.is_none() || self.first_request.is_none_or(|at| at.elapsed() < DEMAND_UNKNOWN_FOR)
-    }
-
-    /// Back ends that are kept while the needs are not known.
-    fn floor(&self) -> u32 {
-        if self.is_unknown() { self.found as u32 } else { 0 }
-    }
-}
-
-/// Requests that one back end of a service works on at once.
-fn slots(gateway: &Gateway, service: &Service) -> u32 {
-    let directory = gateway.forwarder.directory.load();
-    let listed = || directory.usable(&service.name).map(|backend| backend.slots).min();
-    service.engine.map(|engine| engine.slots).or_else(listed).unwrap_or(1).max(1)
-}
-
-/// What callers want of a service: the tightest of the objectives of the streams that routes send there.
-fn objectives(policy: &TrafficPolicy, service: &Service) -> Objectives {
-    let leads_here = |route: &&Shared<Route>| {
-        route.kind.is_stream() && route.targets.iter().any(|target| target.service == service.name)
-    };
-    let routes = || policy.routes.iter().filter(leads_here);
-    let first_event_ms = routes().map(|route| route.objective_ms).min().unwrap_or(USUAL_OBJECTIVE_MS);
-    let pause_ms = routes().filter_map(|route| route.gap_objective_ms).min();
-    Objectives { first_event_ms: first_event_ms as f64, pause_ms: pause_ms.map(|pause| pause as f64) }
-}
 
 /// An order whose last try was not taken.
 #[derive(Debug, Clone, Copy)]
@@ -132,8 +57,7 @@
     pub(super) fn follow_demand(&mut self) {
         let policy = self.gateway.policy.load();
         for service in policy.policy().services.iter().filter(|service| service.scaling.is_some()) {
-            let known = self.demands.entry(service.name.clone()).or_default();
-            known.follow(&self.gateway, policy.policy(), service);
+            self.demands.entry(service.name.clone()).or_default().follow(&self.gateway, &service.name);
         }
     }
 
@@ -150,8 +74,9 @@
             self.demands.get(&service.name).is_some_and(FollowedDemand::is_settled)
         };
         for service in policy.policy().services.iter().filter(is_settled) {
-            for order in self.orders_for(service, book) {
-                self.give(order, self.needed_of(service), book, holding).await;
+            let needed = self.needed(policy.policy(), service);
+            for order in self.orders_for(service, needed, book) {
+                self.give(order, needed, book, holding).await;
             }
         }
     }
@@ -217,11 +142,14 @@
         }
     }
 
-    fn needed_of(&self, service: &Service) -> Needed {
-        self.demands.get(&service.name).and_then(|demand| demand.needed).unwrap_or_default()
+    /// Back ends that a service's work needs; none while that is not known, when the floor decides.
+    fn needed(&self, policy: &TrafficPolicy, service: &Service) -> Needed {
+        let needed =
+            self.demands.get(&service.name).map(|demand| demand.needed(&self.gateway, policy, service));
+        needed.flatten().unwrap_or_default()
     }
 
-    fn orders_for(&self, service: &Service, book: &OrderBook) -> Vec<CapacityOrder> {
+    fn orders_for(&self, service: &Service, needed: Needed, book: &OrderBook) -> Vec<CapacityOrder> {
         let Some(limits) = &service.scaling else { return Vec::new() };
         let zones: Vec<ZoneSupply> =
             limits.zone_prices.keys().map(|zone| self.supply(service, zone, book)).collect();
@@ -229,7 +157,7 @@
             service: &service.name,
             limits,
             zones: &zones,
-            needed: self.needed_of(service),
+            needed,
             floor: self.demands.get(&service.name).map_or(0, FollowedDemand::floor),
         };
         scaling::due(&scaling::plan(&inputs), &book.given, &inputs, Instant::now())
--- a/crates/beamwall-node/src/gateway/duties/mod.rs
+++ b/crates/beamwall-node/src/gateway/duties/mod.rs
@@ -4,6 +4,7 @@
 //! repeats the same numbers. The store's conditional write decides whose counts are fixed.
 
 mod capacity;
+mod followed_demand;
 mod usage;
 
 use std::sync::Arc;
