Models are fitted twice a second at most and only what is notable is told of single engines

Each heartbeat, which news make as frequent as one in 40 ms, fitted all models from nothing and told each engine's factor. Change: a fit each 0.5 s, begun at the last one's coefficients; factors told from two samples and 25 in 100.

--- a/crates/beamwall-engine-model/src/book.rs
+++ b/crates/beamwall-engine-model/src/book.rs
@@ -125,9 +125,9 @@
         let sums = sum(state.own.iter().chain(state.peers.values().flatten()));
         let mut newly_known = Vec::new();
         for (service, statistics) in sums {
-            let estimates = statistics.estimates();
-            let was_known = state.estimates.get(&service).is_some_and(|before| before.is_known());
-            if estimates.is_known() && !was_known {
+            let before = state.estimates.get(&service).cloned().unwrap_or_default();
+            let estimates = statistics.estimates_after(&before);
+            if estimates.is_known() && !before.is_known() {
                 newly_known.push(service.clone());
             }
             state.estimates.insert(service, Arc::new(estimates));
--- a/crates/beamwall-engine-model/src/estimates.rs
+++ b/crates/beamwall-engine-model/src/estimates.rs
@@ -37,16 +37,19 @@
 }
 
 impl ServiceEstimates {
-    pub(crate) fn new(statistics: &ServiceStatistics) -> Self {
+    /// Fits the sums; `before` is what they said last.
+    pub(crate) fn new(statistics: &ServiceStatistics, before: &Self) -> Self {
         let first_event = statistics.first_event;
         let event_gap = statistics.event_gap;
         let plain_call = statistics.plain_call;
         let stream = statistics.stream;
         Self {
-            first_event: first_event.fit().filter(|_| is_trusted(first_event.samples())),
-            event_gap: event_gap.fit().filter(|_| is_trusted(event_gap.samples())),
-            plain_call: plain_call.fit().filter(|_| is_trusted(plain_call.samples())),
-            stream_ms: stream.fit().map(|fit| fit.coefficients[0]),
+            first_event: first_event
+                .fit(start(before.first_event))
+                .filter(|_| is_trusted(first_event.samples())),
+            event_gap: event_gap.fit(start(before.event_gap)).filter(|_| is_trusted(event_gap.samples())),
+            plain_call: plain_call.fit(start(before.plain_call)).filter(|_| is_trusted(plain_call.samples())),
+            stream_ms: stream.fit([before.stream_ms.unwrap_or(0.0)]).map(|fit| fit.coefficients[0]),
             is_known: is_enough_for_plan(first_event.samples().min(event_gap.samples())),
         }
     }
@@ -137,3 +140,7 @@
         })
     }
 }
+
+fn start<const N: usize>(before: Option<Fit<N>>) -> [f64; N] {
+    before.map_or([0.0; N], |fit| fit.coefficients)
+}
--- a/crates/beamwall-engine-model/src/regression.rs
+++ b/crates/beamwall-engine-model/src/regression.rs
@@ -11,7 +11,7 @@
 /// Most rounds of coordinate descent: lengths of prompts and their squares are so alike that some hundred are usual.
 const DESCENT_ROUNDS: usize = 2_000;
 /// Change in a round, as a part of the largest coefficient, below which the descent has ended.
-const DESCENT_ENDS: f64 = 1e-6;
+const DESCENT_ENDS: f64 = 1e-5;
 
 /// Sums over samples of `N` features and one outcome, from which coefficients are fitted.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -74,13 +74,14 @@
     }
 
     /// The coefficients, none of them negative, that fit the samples best; `None` without any sample.
-    pub fn fit(&self) -> Option<Fit<N>> {
+    /// The search begins at `start`, such as the coefficients of the last fit, and ends the sooner the closer they are.
+    pub fn fit(&self, start: [f64; N]) -> Option<Fit<N>> {
         if self.samples < 1.0 {
             return None;
         }
         let ridge = SMatrix::<f64, N, N>::identity() * (RIDGE * self.products[(0, 0)].max(f64::MIN_POSITIVE));
         let matrix = self.products + ridge;
-        let coefficients = descend(&matrix, &self.outcomes);
+        let coefficients = descend(&matrix, &self.outcomes, SVector::from(start));
         let explained = 2.0 * coefficients.dot(&self.outcomes);
         let error =
             self.squares - explained + (coefficients.transpose() * self.products * coefficients)[(0, 0)];
@@ -127,8 +128,12 @@
 }
 
 /// Coordinate descent under the bound that no coefficient is negative: more work never takes less time.
-fn descend<const N: usize>(matrix: &SMatrix<f64, N, N>, outcomes: &SVector<f64, N>) -> SVector<f64, N> {
-    let mut coefficients = SVector::<f64, N>::zeros();
+fn descend<const N: usize>(
+    matrix: &SMatrix<f64, N, N>,
+    outcomes: &SVector<f64, N>,
+    start: SVector<f64, N>,
+) -> SVector<f64, N> {
+    let mut coefficients = start;
     for _ in 0..DESCENT_ROUNDS {
         let before = coefficients;
         for position in 0..N {
--- a/crates/beamwall-engine-model/src/slowness.rs
+++ b/crates/beamwall-engine-model/src/slowness.rs
@@ -14,8 +14,10 @@
 const HALF_LIFE: Duration = Duration::from_secs(3);
 /// Weight of the assumption that a back end is as fast as the others, in samples.
 const ASSUMED_WEIGHT: f64 = 2.0;
-/// Samples below which nothing is told or kept.
-const LEAST_WEIGHT: f64 = 0.1;
+/// Samples below which nothing is told: a single slow answer says little.
+const LEAST_TOLD_WEIGHT: f64 = 2.0;
+/// Logarithm of the factor below which nothing is told: most back ends are as fast as their service.
+const LEAST_TOLD_LOGARITHM: f64 = 0.25;
 /// Largest factor by which one sample may differ: a single broken request must not condemn a back end.
 const LARGEST_FACTOR: f64 = 10.0;
 
@@ -29,6 +31,10 @@
 }
 
 impl ToldSlowness {
+    fn is_notable(self) -> bool {
+        self.weight >= LEAST_TOLD_WEIGHT && self.logarithms.abs() >= LEAST_TOLD_LOGARITHM * self.weight
+    }
+
     /// The factor by which the back end takes longer than its service usually does.
     pub fn factor(self) -> f64 {
         (self.logarithms / (self.weight + ASSUMED_WEIGHT)).exp()
@@ -76,10 +82,11 @@
         self.records = told.into_iter().map(record).collect();
     }
 
-    /// What was observed, as it counts now.
+    /// What was observed of back ends that are not as fast as their service, as it counts now.
     pub fn tell(&self, now: Instant) -> Vec<(BackendId, ToldSlowness)> {
-        let records = self.records.iter().map(|(backend, record)| (backend.clone(), record.now(now)));
-        records.filter(|(_, observed)| observed.weight >= LEAST_WEIGHT).collect()
+        let records = self.records.iter().map(|(backend, record)| (backend, record.now(now)));
+        let notable = records.filter(|(_, observed)| observed.is_notable());
+        notable.map(|(backend, observed)| (backend.clone(), observed)).collect()
     }
 
     /// Forgets back ends that are gone.
--- a/crates/beamwall-engine-model/src/statistics.rs
+++ b/crates/beamwall-engine-model/src/statistics.rs
@@ -121,7 +121,12 @@
 
     /// What the sums say.
     pub fn estimates(&self) -> ServiceEstimates {
-        ServiceEstimates::new(self)
+        self.estimates_after(&ServiceEstimates::default())
+    }
+
+    /// What the sums say, found the sooner the less it differs from what they said `before`.
+    pub fn estimates_after(&self, before: &ServiceEstimates) -> ServiceEstimates {
+        ServiceEstimates::new(self, before)
     }
 
     /// The sums as a list of numbers, to be told to other nodes.
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -87,6 +87,8 @@
     pub started: Instant,
     /// When demand was last measured.
     pub demand_closed: Mutex<Instant>,
+    /// When the models of services were last fitted.
+    pub models_refreshed: Mutex<Option<Instant>>,
     /// When what was observed of services was last told.
     pub models_told: Mutex<Option<Instant>>,
     /// Whether a list of back ends is being asked for.
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -297,6 +297,7 @@
         news,
         started: Instant::now(),
         demand_closed: Mutex::new(Instant::now()),
+        models_refreshed: Mutex::default(),
         models_told: Mutex::default(),
         fetching_directory: Default::default(),
         policies: PolicyDistribution::new(archive, settings.link_mbps),
--- a/crates/beamwall-node/src/gateway/observations.rs
+++ b/crates/beamwall-node/src/gateway/observations.rs
@@ -1,6 +1,6 @@
 //! What gateways tell each other of the back ends that they observe.
 
-use std::sync::PoisonError;
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use beamwall_events::emit;
@@ -18,9 +18,15 @@
 /// The same whatever the number of peers: a service is known within some seconds.
 const LEAST_TELLING_PERIOD: Duration = Duration::from_secs(1);
 
+/// Least time between two fits, however often heartbeats are sent: on 0.12 of a core a fit takes a millisecond.
+const REFRESH_PERIOD: Duration = Duration::from_millis(500);
+
 impl Exchange {
-    /// Fits the models of services anew.
+    /// Fits the models of services anew, when it is time.
     pub(super) fn refresh_models(&self) {
+        if !is_time(&self.models_refreshed, REFRESH_PERIOD) {
+            return;
+        }
         let models = &self.gateway.forwarder.knowledge.models;
         for service in models.refresh(Instant::now()) {
             let estimates = models.estimates(&service);
@@ -66,11 +72,16 @@
     fn is_time_to_tell_models(&self) -> bool {
         let peers = u32::try_from(self.members.load().zone_size).unwrap_or(u32::MAX);
         let period = LEAST_TELLING_PERIOD.max(TELLING_PERIOD_PER_PEER * peers);
-        let mut told = self.models_told.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_time = told.is_none_or(|at| at.elapsed() >= period);
-        if is_time {
-            *told = Some(Instant::now());
-        }
-        is_time
+        is_time(&self.models_told, period)
+    }
+}
+
+/// Whether `period` has passed since `last`, which then is now.
+fn is_time(last: &Mutex<Option<Instant>>, period: Duration) -> bool {
+    let mut last = last.lock().unwrap_or_else(PoisonError::into_inner);
+    let is_time = last.is_none_or(|at| at.elapsed() >= period);
+    if is_time {
+        *last = Some(Instant::now());
     }
+    is_time
 }
