--- a/crates/beamwall-gateway/src/candidates.rs
+++ b/crates/beamwall-gateway/src/candidates.rs
@@ -134,7 +134,7 @@
         match (by, estimates.tokens_per_ms()) {
             (ChosenBy::Placer, Some(speed)) => {
                 let prompt_tokens = (self.queues.left_ms(backend, now) * speed) as u64;
-                OpenLoad { prompt_tokens, ..told }
+                OpenLoad { prompt_tokens, requests: told.requests + self.queues.untold(backend, now) }
             }
             _ => told,
         }
--- a/crates/beamwall-gateway/src/placement.rs
+++ b/crates/beamwall-gateway/src/placement.rs
@@ -6,7 +6,7 @@
 //!
 //! A placement is advice: a node that gets none in time chooses by itself, from what it was told.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -84,29 +84,52 @@
     async fn place(&self, question: &PlacementQuestion) -> PlacementAnswer;
 }
 
-/// When each engine will have read the prompts that this node placed there, one after another.
+/// Time within which nodes tell the requests that were placed for them, in the mean. Until then only the node that
+/// placed them knows.
+const TOLD_WITHIN: Duration = Duration::from_millis(600);
+
+/// What this node placed at one engine.
+#[derive(Debug, Clone)]
+struct ReadingQueue {
+    /// When it will have read the prompts, one after another.
+    end: Instant,
+    /// When the last ones were placed.
+    placed: VecDeque<Instant>,
+}
+
+/// What this node placed at each engine.
 #[derive(Debug, Default)]
 pub struct ReadingQueues {
-    ends: Mutex<HashMap<BackendId, Instant>>,
+    queues: Mutex<HashMap<BackendId, ReadingQueue>>,
 }
 
 impl ReadingQueues {
-    fn lock(&self) -> MutexGuard<'_, HashMap<BackendId, Instant>> {
-        self.ends.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, HashMap<BackendId, ReadingQueue>> {
+        self.queues.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Requests placed at an engine of which the nodes that send them have not told yet.
+    pub fn untold(&self, backend: &BackendId, now: Instant) -> u32 {
+        let queues = self.lock();
+        let is_untold = |placed: &&Instant| now.saturating_duration_since(**placed) < TOLD_WITHIN;
+        queues.get(backend).map_or(0, |queue| queue.placed.iter().filter(is_untold).count() as u32)
     }
 
     /// Time for which an engine still reads, in milliseconds.
     pub fn left_ms(&self, backend: &BackendId, now: Instant) -> f64 {
-        let end = self.lock().get(backend).copied().unwrap_or(now);
+        let end = self.lock().get(backend).map_or(now, |queue| queue.end);
         end.saturating_duration_since(now).as_secs_f64() * 1_000.0
     }
 
     /// Notes a prompt that was placed and takes `reading_ms` to read.
     pub fn add(&self, backend: &BackendId, reading_ms: f64, now: Instant) {
         let reading = Duration::from_secs_f64(reading_ms.max(0.0) / 1_000.0);
-        let mut ends = self.lock();
-        let end = ends.get(backend).copied().unwrap_or(now).max(now) + reading;
-        ends.insert(backend.clone(), end);
+        let mut queues = self.lock();
+        let idle = || ReadingQueue { end: now, placed: VecDeque::new() };
+        let queue = queues.entry(backend.clone()).or_insert_with(idle);
+        queue.end = queue.end.max(now) + reading;
+        queue.placed.retain(|placed| now.saturating_duration_since(*placed) < TOLD_WITHIN);
+        queue.placed.push_back(now);
     }
 
     /// Forgets back ends that are gone.
--- a/crates/beamwall-gateway/tests/placement.rs
+++ b/crates/beamwall-gateway/tests/placement.rs
@@ -77,6 +77,24 @@
     assert_eq!(queues.left_ms(&engine, now), 0.0);
 }
 
+/// On a large deployment nodes tell their open requests up to a second later; until then the node that places for
+/// all sent one request after another to the engine that looked idle.
+#[test]
+fn what_was_placed_counts_as_open_until_it_is_told() {
+    let queues = ReadingQueues::default();
+    let (engine, now) = (BackendId::from("e0"), Instant::now());
+    queues.add(&engine, 1.0, now);
+    queues.add(&engine, 1.0, now + Duration::from_millis(300));
+    assert_eq!(queues.untold(&engine, now + Duration::from_millis(300)), 2);
+    assert_eq!(queues.untold(&engine, now + Duration::from_millis(700)), 1);
+    assert_eq!(queues.untold(&"e1".into(), now), 0);
+    // Prompts that take no time to read: only what runs tells the engines apart.
+    let (directory, knowledge) = (directory(2), knowledge());
+    let first = place(&knowledge, &directory, &own_prompt(1, 1), &[]);
+    (0..3).for_each(|_| knowledge.queues.add(&first, 0.0, Instant::now()));
+    assert_ne!(place(&knowledge, &directory, &own_prompt(1, 2), &[]), first);
+}
+
 /// Whatever arrives, the chosen engine is the one that is free first in truth.
 #[test]
 fn the_engine_that_is_free_first_is_chosen() {
