--- /dev/null
+++ b/crates/beamwall-gateway/tests/differential.rs
@@ -0,0 +1,134 @@
+//! The choice by what was learnt, against a choice that knows the engines' truth.
+//!
+//! Random prompts arrive at engines that read them one after another. For each, the engine chosen by what was learnt
+//! from noisy observations is compared with the one that would truly begin first.
+
+mod support;
+
+use std::time::Duration;
+
+use arbtest::arbtest;
+use beamwall_engine_model::{FirstEvent, Reading, ServiceEstimates, ServiceStatistics};
+use beamwall_gateway::choice::{Candidate, Expectation, choose};
+use beamwall_gateway::health::HealthView;
+use beamwall_gateway::load::OpenLoad;
+
+/// Speeds of engines, as factors of those that the tests know.
+const FACTORS: [f64; 4] = [0.2, 0.6, 1.5, 5.0];
+/// Most that requests may begin later than at the best engines, in the mean over one run of arrivals.
+const MOST_EXCESS: f64 = 0.05;
+const REQUESTS: usize = 60;
+
+/// What requests truly take at engines `factor` times as fast.
+fn reading_ms(reading: Reading, factor: f64) -> f64 {
+    support::reading_ms(reading) / factor
+}
+
+/// What 200 noisy requests tell of such engines.
+fn learnt(factor: f64) -> ServiceEstimates {
+    let mut statistics = ServiceStatistics::default();
+    let mut known = statistics.estimates();
+    for number in 0..200_u64 {
+        if number % 10 == 0 {
+            known = statistics.estimates();
+        }
+        let of = FirstEvent {
+            reading: Reading::of_rest((number % 3) * 500, 1 + number * 7_919 % 20_000),
+            tokens_ahead: number * 104_729 % 15_000,
+            running: (number % 24) as u32,
+        };
+        let ahead_ms = reading_ms(Reading { tokens: of.tokens_ahead, pairs: 0 }, factor);
+        let truth_ms = 5.0 + reading_ms(of.reading, factor) + ahead_ms;
+        // Up to a tenth off, and one in twenty four times as long.
+        let noise = 0.9 + (number * 31 % 21) as f64 / 100.0;
+        let outlier = if number % 20 == 7 { 4.0 } else { 1.0 };
+        statistics.note_first_event(of, truth_ms * noise * outlier, Some(&known));
+        statistics.note_event_gap(of.running, 20.0 / factor, Some(&known));
+    }
+    statistics.estimates()
+}
+
+/// Engines that read one prompt after another.
+struct Engines {
+    free_at_ms: Vec<f64>,
+    /// Beginning that each engine keeps, by the number of the session.
+    keeps: Vec<Vec<u64>>,
+    factor: f64,
+}
+
+impl Engines {
+    fn new(count: usize, factor: f64) -> Self {
+        Self { free_at_ms: vec![0.0; count], keeps: vec![Vec::new(); count], factor }
+    }
+
+    fn reading(&self, engine: usize, session: u64, tokens: u64) -> Reading {
+        let kept = if self.keeps[engine].contains(&session) { tokens / 2 } else { 0 };
+        Reading::of_rest(kept, tokens - kept)
+    }
+
+    /// Time from now until the engine would begin to answer.
+    fn begins_ms(&self, engine: usize, session: u64, tokens: u64, now_ms: f64) -> f64 {
+        let waits = (self.free_at_ms[engine] - now_ms).max(0.0);
+        waits + reading_ms(self.reading(engine, session, tokens), self.factor)
+    }
+
+    fn take(&mut self, engine: usize, session: u64, tokens: u64, now_ms: f64) -> f64 {
+        let begins = self.begins_ms(engine, session, tokens, now_ms);
+        self.free_at_ms[engine] = now_ms + begins;
+        self.keeps[engine].push(session);
+        begins
+    }
+
+    /// The engine that the learnt model chooses.
+    fn choose(&self, estimates: &ServiceEstimates, session: u64, tokens: u64, now_ms: f64) -> usize {
+        let speed = estimates.tokens_per_ms().expect("known");
+        let candidate = |engine: usize| Candidate {
+            backend: format!("{engine}").as_str().into(),
+            same_zone: true,
+            slots: 128,
+            load: OpenLoad {
+                requests: 0,
+                prompt_tokens: ((self.free_at_ms[engine] - now_ms).max(0.0) * speed) as u64,
+            },
+            reading: Some(self.reading(engine, session, tokens)),
+            slowness: 1.0,
+            health: HealthView::default(),
+        };
+        let candidates: Vec<Candidate> = (0..self.free_at_ms.len()).map(candidate).collect();
+        let expectation = Expectation { estimates, pause_objective_ms: None };
+        let (chosen, _) = choose(&candidates, &expectation).expect("an engine");
+        chosen.backend.as_str().parse().expect("a number")
+    }
+
+    /// Time until the best engine would begin.
+    fn soonest_ms(&self, session: u64, tokens: u64, now_ms: f64) -> f64 {
+        let begins = (0..self.free_at_ms.len()).map(|engine| self.begins_ms(engine, session, tokens, now_ms));
+        begins.fold(f64::INFINITY, f64::min)
+    }
+}
+
+#[test]
+fn the_learnt_choice_is_nearly_as_good_as_one_that_knows_the_truth() {
+    for factor in FACTORS {
+        let estimates = learnt(factor);
+        arbtest(|random| {
+            let count = random.int_in_range(2..=8_usize)?;
+            let mut engines = Engines::new(count, factor);
+            let (mut now_ms, mut chosen_ms, mut best_ms) = (0.0, 0.0, 0.0);
+            for _ in 0..REQUESTS {
+                let tokens = u64::from(random.int_in_range(100..=16_000_u32)?);
+                let session = u64::from(random.int_in_range(0..=9_u32)?);
+                now_ms += f64::from(random.int_in_range(0..=400_u32)?) / factor / count as f64;
+                best_ms += engines.soonest_ms(session, tokens, now_ms);
+                let chosen = engines.choose(&estimates, session, tokens, now_ms);
+                chosen_ms += engines.take(chosen, session, tokens, now_ms);
+            }
+            assert!(
+                chosen_ms <= best_ms * (1.0 + MOST_EXCESS),
+                "{chosen_ms:.0} instead of {best_ms:.0} ms at {count} engines of speed {factor}"
+            );
+            Ok(())
+        })
+        .budget(Duration::from_millis(200));
+    }
+}
