Read again: one way from an observed time to slowness and sums, one place for what a choice depends on

Found in the read of the whole change: EngineModels' three note_ functions repeated the same steps; FirstEvent was built from a Choice in two places; the wait for a slot and what withheld work covers stood twice; the reading time of a workload went through a made-up array of coefficients; two wrappers and an Option whose None a default says as well; each placement locked the models once for each engine compared, now once; comments of set_peer and forget_peer that were not true; route() in two policy tests.

--- a/crates/beamwall-engine-model/src/book.rs
+++ b/crates/beamwall-engine-model/src/book.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use crate::estimates::ServiceEstimates;
-use crate::slowness::{Slowness, ToldSlowness};
+use crate::slowness::{Slowness, SlownessFactors, ToldSlowness};
 use crate::statistics::{FirstEvent, ServiceStatistics};
 
 #[derive(Debug)]
@@ -18,8 +18,25 @@
     own_slowness: Slowness,
     slowness_of_peers: HashMap<R, Slowness>,
     estimates: HashMap<ServiceName, Arc<ServiceEstimates>>,
-    /// Factors by which single back ends take longer, from what all observed.
-    factors: HashMap<BackendId, f64>,
+    /// From what all observed.
+    factors: Arc<SlownessFactors>,
+}
+
+impl<R> State<R> {
+    fn known(&self, service: &ServiceName) -> Arc<ServiceEstimates> {
+        self.estimates.get(service).cloned().unwrap_or_default()
+    }
+
+    fn own_of(&mut self, service: &ServiceName) -> &mut ServiceStatistics {
+        self.own.entry(service.clone()).or_default()
+    }
+
+    /// Compares a time with the one expected of any back end of the service, where that is known.
+    fn note_slowness(&mut self, backend: &BackendId, took_ms: f64, expected_ms: Option<f64>, now: Instant) {
+        if let Some(expected_ms) = expected_ms {
+            self.own_slowness.note(backend, took_ms, expected_ms, now);
+        }
+    }
 }
 
 /// The models of all services. `R` names who tells what others observed.
@@ -37,7 +54,7 @@
                 own_slowness: Slowness::default(),
                 slowness_of_peers: HashMap::new(),
                 estimates: HashMap::new(),
-                factors: HashMap::new(),
+                factors: Arc::default(),
             }),
         }
     }
@@ -50,13 +67,18 @@
 
     /// What is expected of a service's back ends, as of the last [`Self::refresh`].
     pub fn estimates(&self, service: &ServiceName) -> Arc<ServiceEstimates> {
-        self.lock().estimates.get(service).cloned().unwrap_or_default()
+        self.lock().known(service)
+    }
+
+    /// How much slower than their services single back ends are, as of the last [`Self::refresh`]. Whoever compares
+    /// many back ends takes this once.
+    pub fn factors(&self) -> Arc<SlownessFactors> {
+        self.lock().factors.clone()
     }
 
-    /// The factor by which a back end takes longer than its service usually does, as of the last
-    /// [`Self::refresh`].
+    /// The factor by which one back end takes longer than its service usually does.
     pub fn slowness(&self, backend: &BackendId) -> f64 {
-        self.lock().factors.get(backend).copied().unwrap_or(1.0)
+        self.factors().of(backend)
     }
 
     /// Notes the time to a request's first event.
@@ -69,12 +91,9 @@
         now: Instant,
     ) {
         let mut state = self.lock();
-        let known = state.estimates.get(service).cloned();
-        if let Some(expected) = known.as_deref().and_then(|known| known.first_event_ms(of)) {
-            state.own_slowness.note(backend, took_ms, expected, now);
-        }
-        let statistics = state.own.entry(service.clone()).or_default();
-        statistics.note_first_event(of, took_ms, known.as_deref());
+        let known = state.known(service);
+        state.note_slowness(backend, took_ms, known.first_event_ms(of), now);
+        state.own_of(service).note_first_event(of, took_ms, &known);
     }
 
     /// Notes the mean time between two events of a stream.
@@ -87,11 +106,9 @@
         now: Instant,
     ) {
         let mut state = self.lock();
-        let known = state.estimates.get(service).cloned();
-        if let Some(expected) = known.as_deref().and_then(|known| known.event_gap_ms(running)) {
-            state.own_slowness.note(backend, took_ms, expected, now);
-        }
-        state.own.entry(service.clone()).or_default().note_event_gap(running, took_ms, known.as_deref());
+        let known = state.known(service);
+        state.note_slowness(backend, took_ms, known.event_gap_ms(running), now);
+        state.own_of(service).note_event_gap(running, took_ms, &known);
     }
 
     /// Notes the time of a plain call.
@@ -104,28 +121,25 @@
         now: Instant,
     ) {
         let mut state = self.lock();
-        let known = state.estimates.get(service).cloned();
-        if let Some(expected) = known.as_deref().and_then(|known| known.plain_call_ms(running)) {
-            state.own_slowness.note(backend, took_ms, expected, now);
-        }
-        state.own.entry(service.clone()).or_default().note_plain_call(running, took_ms);
+        let known = state.known(service);
+        state.note_slowness(backend, took_ms, known.plain_call_ms(running), now);
+        state.own_of(service).note_plain_call(running, took_ms);
     }
 
     /// Notes the time of a whole stream from its first event.
     pub fn note_stream(&self, service: &ServiceName, took_ms: f64) {
-        self.lock().own.entry(service.clone()).or_default().note_stream(took_ms);
+        self.lock().own_of(service).note_stream(took_ms);
     }
 
     /// Fits the models anew from what all observed; gives the services of which enough is known only now.
     pub fn refresh(&self, now: Instant) -> Vec<ServiceName> {
         let slowness = self.slowness_of(|_| true, now);
         let mut state = self.lock();
-        state.factors =
-            slowness.into_iter().map(|(backend, observed)| (backend, observed.factor())).collect();
+        state.factors = Arc::new(slowness.into_iter().collect());
         let sums = sum(state.own.iter().chain(state.peers.values().flatten()));
         let mut newly_known = Vec::new();
         for (service, statistics) in sums {
-            let before = state.estimates.get(&service).cloned().unwrap_or_default();
+            let before = state.known(&service);
             let estimates = statistics.estimates_after(&before);
             if estimates.is_known() && !before.is_known() {
                 newly_known.push(service.clone());
@@ -163,14 +177,12 @@
         let told = counted.flat_map(|(_, slowness)| slowness.tell(now));
         let mut sums: HashMap<BackendId, ToldSlowness> = HashMap::new();
         for (backend, one) in told.chain(state.own_slowness.tell(now)) {
-            let sum = sums.entry(backend).or_default();
-            sum.logarithms += one.logarithms;
-            sum.weight += one.weight;
+            *sums.entry(backend).or_default() += one;
         }
         sums.into_iter().collect()
     }
 
-    /// Replaces what a peer told of services. What a peer told stays when it dies: it is true of the engines.
+    /// Replaces what a peer told of services.
     pub fn set_peer(&self, peer: &R, told: HashMap<ServiceName, ServiceStatistics>) {
         self.lock().peers.insert(peer.clone(), told);
     }
@@ -180,7 +192,7 @@
         self.lock().slowness_of_peers.entry(peer.clone()).or_default().set(told, now);
     }
 
-    /// Forgets all that somebody told: it is part of what another tells from now on.
+    /// Forgets all that somebody told: it has died, or its work is part of what another tells from now on.
     pub fn forget_peer(&self, peer: &R) {
         let mut state = self.lock();
         state.peers.remove(peer);
--- a/crates/beamwall-engine-model/src/estimates.rs
+++ b/crates/beamwall-engine-model/src/estimates.rs
@@ -1,9 +1,7 @@
 //! What the back ends of a service are expected to do.
 
 use crate::regression::Fit;
-use crate::statistics::{
-    FirstEvent, Reading, ServiceStatistics, first_event_features, is_enough_for_plan, is_trusted, reading_ms,
-};
+use crate::statistics::{FirstEvent, Reading, ServiceStatistics, is_enough_for_plan, is_trusted, reading_ms};
 use crate::workload::Workload;
 
 /// Waits of 95 in 100 requests, in mean waits, where the time between requests is random.
@@ -61,12 +59,12 @@
 
     /// Expected time to a first event in milliseconds.
     pub fn first_event_ms(&self, of: FirstEvent) -> Option<f64> {
-        self.first_event.map(|fit| fit.predict(first_event_features(of)))
+        self.first_event.map(|fit| fit.predict(of.features()))
     }
 
     /// How far the expected time to a first event may be from the mean of such requests, in milliseconds.
     pub fn first_event_error_ms(&self, of: FirstEvent) -> Option<f64> {
-        self.first_event.map(|fit| fit.standard_error(first_event_features(of)))
+        self.first_event.map(|fit| fit.standard_error(of.features()))
     }
 
     /// Usual difference of times to the first event from what is expected, as a part of that.
@@ -111,14 +109,9 @@
             return None;
         }
         let (first_event, event_gap) = (self.first_event?, self.event_gap?);
-        let [base_ms, token_ms, pair_ms, ..] = first_event.coefficients;
-        let reading = |tokens: f64, pairs: f64| {
-            reading_ms(
-                &[base_ms, token_ms, pair_ms, 0.0, 0.0],
-                Reading { tokens: tokens as u64, pairs: pairs as u64 },
-            )
-        };
-        let reading_share = reading(work.tokens, work.pairs) / SECOND_MS;
+        let [base_ms, .., running_ms] = first_event.coefficients;
+        let reading = Reading { tokens: work.tokens as u64, pairs: work.pairs as u64 };
+        let reading_share = reading_ms(&first_event.coefficients, reading) / SECOND_MS;
         let mean_reading_ms =
             if work.requests > 0.0 { reading_share * SECOND_MS / work.requests } else { 0.0 };
         let wait_ms = if reading_share < 1.0 {
@@ -131,7 +124,7 @@
             let streaming_ms = work.events * event_gap.predict([1.0, running]);
             running = (streaming_ms + work.requests * (base_ms + mean_reading_ms)) / SECOND_MS;
         }
-        let beside_ms = first_event.coefficients[4] * running;
+        let beside_ms = running_ms * running;
         Some(Occupancy {
             reading_share,
             running,
--- a/crates/beamwall-engine-model/src/lib.rs
+++ b/crates/beamwall-engine-model/src/lib.rs
@@ -17,6 +17,6 @@
 pub use book::EngineModels;
 pub use estimates::{Occupancy, ServiceEstimates};
 pub use regression::{Fit, Regression};
-pub use slowness::{Slowness, ToldSlowness};
+pub use slowness::{Slowness, SlownessFactors, ToldSlowness};
 pub use statistics::{FirstEvent, Reading, ServiceStatistics};
 pub use workload::Workload;
--- a/crates/beamwall-engine-model/src/slowness.rs
+++ b/crates/beamwall-engine-model/src/slowness.rs
@@ -5,6 +5,7 @@
 //! samples count less and less, so that a back end that was avoided is tried again.
 
 use std::collections::HashMap;
+use std::ops::AddAssign;
 use std::time::Duration;
 
 use beamwall_model::BackendId;
@@ -41,6 +42,30 @@
     }
 }
 
+impl AddAssign for ToldSlowness {
+    fn add_assign(&mut self, other: Self) {
+        self.logarithms += other.logarithms;
+        self.weight += other.weight;
+    }
+}
+
+/// The factors by which single back ends take longer than their services usually do.
+#[derive(Debug, Default)]
+pub struct SlownessFactors(HashMap<BackendId, f64>);
+
+impl SlownessFactors {
+    /// The factor of one back end; 1 where nothing was observed of it.
+    pub fn of(&self, backend: &BackendId) -> f64 {
+        self.0.get(backend).copied().unwrap_or(1.0)
+    }
+}
+
+impl FromIterator<(BackendId, ToldSlowness)> for SlownessFactors {
+    fn from_iter<I: IntoIterator<Item = (BackendId, ToldSlowness)>>(observed: I) -> Self {
+        Self(observed.into_iter().map(|(backend, observed)| (backend, observed.factor())).collect())
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Record {
     observed: ToldSlowness,
--- a/crates/beamwall-engine-model/src/statistics.rs
+++ b/crates/beamwall-engine-model/src/statistics.rs
@@ -49,7 +49,8 @@
 }
 
 impl FirstEvent {
-    fn features(self) -> [f64; 5] {
+    /// What the regression of the time to the first event is fitted to.
+    pub(crate) fn features(self) -> [f64; 5] {
         [
             1.0,
             self.reading.tokens as f64 / TOKENS,
@@ -75,18 +76,16 @@
 
 impl ServiceStatistics {
     /// Notes the time to a first event; `known` is what was expected of the service before.
-    pub fn note_first_event(&mut self, of: FirstEvent, took_ms: f64, known: Option<&ServiceEstimates>) {
-        let expected = known.and_then(|known| known.first_event_ms(of));
-        let deviation = known.and_then(ServiceEstimates::first_event_deviation);
-        let (variance, relevance) = variance_and_relevance(took_ms, expected, deviation);
+    pub fn note_first_event(&mut self, of: FirstEvent, took_ms: f64, known: &ServiceEstimates) {
+        let expected = known.first_event_ms(of);
+        let (variance, relevance) = variance_and_relevance(took_ms, expected, known.first_event_deviation());
         self.first_event.add(of.features(), took_ms, variance, relevance);
     }
 
     /// Notes the mean time between two events of a stream while `running` requests ran.
-    pub fn note_event_gap(&mut self, running: u32, took_ms: f64, known: Option<&ServiceEstimates>) {
-        let expected = known.and_then(|known| known.event_gap_ms(running));
-        let deviation = known.and_then(ServiceEstimates::event_gap_deviation);
-        let (variance, relevance) = variance_and_relevance(took_ms, expected, deviation);
+    pub fn note_event_gap(&mut self, running: u32, took_ms: f64, known: &ServiceEstimates) {
+        let expected = known.event_gap_ms(running);
+        let (variance, relevance) = variance_and_relevance(took_ms, expected, known.event_gap_deviation());
         self.event_gap.add([1.0, f64::from(running)], took_ms, variance, relevance);
     }
 
@@ -161,6 +160,7 @@
     (scale * scale, relevance)
 }
 
+/// Whether there are enough samples for expected times.
 pub(crate) fn is_trusted(samples: f64) -> bool {
     samples >= TRUSTED_SAMPLES
 }
@@ -170,10 +170,6 @@
     samples >= PLANNED_SAMPLES
 }
 
-pub(crate) fn first_event_features(of: FirstEvent) -> [f64; 5] {
-    of.features()
-}
-
 /// Milliseconds a token and a pair of tokens, from the coefficients of the time to a first event.
 pub(crate) fn reading_ms(coefficients: &[f64; 5], reading: Reading) -> f64 {
     coefficients[1] * reading.tokens as f64 / TOKENS + coefficients[2] * reading.pairs as f64 / PAIRS
--- a/crates/beamwall-engine-model/tests/learning.rs
+++ b/crates/beamwall-engine-model/tests/learning.rs
@@ -25,10 +25,10 @@
         }
         let request = requests.first_event();
         let took_ms = requests.measured(truth.first_event_ms(request));
-        statistics.note_first_event(request, took_ms, Some(&known));
+        statistics.note_first_event(request, took_ms, &known);
         let running = requests.running();
         let gap_ms = requests.measured(truth.event_gap_ms(running));
-        statistics.note_event_gap(running, gap_ms, Some(&known));
+        statistics.note_event_gap(running, gap_ms, &known);
     }
 }
 
--- a/crates/beamwall-engine-model/tests/occupancy.rs
+++ b/crates/beamwall-engine-model/tests/occupancy.rs
@@ -9,11 +9,12 @@
 fn learnt(truth: &Truth) -> ServiceEstimates {
     let mut requests = Requests::new(3, truth.slots);
     let mut statistics = ServiceStatistics::default();
+    let unknown = ServiceEstimates::default();
     for _ in 0..300 {
         let request = requests.first_event();
-        statistics.note_first_event(request, requests.measured(truth.first_event_ms(request)), None);
+        statistics.note_first_event(request, requests.measured(truth.first_event_ms(request)), &unknown);
         let running = requests.running();
-        statistics.note_event_gap(running, requests.measured(truth.event_gap_ms(running)), None);
+        statistics.note_event_gap(running, requests.measured(truth.event_gap_ms(running)), &unknown);
     }
     statistics.estimates()
 }
--- a/crates/beamwall-gateway/src/admission.rs
+++ b/crates/beamwall-gateway/src/admission.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use beamwall_engine_model::{FirstEvent, ServiceEstimates};
+use beamwall_engine_model::ServiceEstimates;
 
 use crate::placement::Choice;
 
@@ -41,11 +41,7 @@
 
 /// The time that surely passes until the back end begins to answer; `None` where nothing is sure.
 fn sure_wait(choice: &Choice, estimates: &ServiceEstimates) -> Option<Duration> {
-    let of = FirstEvent {
-        reading: choice.reading,
-        tokens_ahead: choice.tokens_ahead,
-        running: choice.open_requests,
-    };
-    let surely_ms = choice.expected_ms? - SURE_ERRORS * estimates.first_event_error_ms(of)?;
+    let error_ms = estimates.first_event_error_ms(choice.first_event())?;
+    let surely_ms = choice.expected_ms? - SURE_ERRORS * error_ms;
     Some(Duration::from_secs_f64(surely_ms.max(0.0) / 1_000.0))
 }
--- a/crates/beamwall-gateway/src/candidates.rs
+++ b/crates/beamwall-gateway/src/candidates.rs
@@ -86,6 +86,7 @@
     pub fn candidates(&self, directory: &Directory, search: Search<'_>) -> Vec<Candidate> {
         let now = Instant::now();
         let estimates = self.models.estimates(search.service);
+        let factors = self.models.factors();
         let usable: Vec<&Backend> = directory.usable(search.service).collect();
         let names: Vec<BackendId> = usable.iter().map(|backend| backend.id.clone()).collect();
         let home = search.prompt.and_then(|prompt| prefix::home(prompt, &names));
@@ -105,7 +106,7 @@
                 slots: backend.slots,
                 load: self.load(&backend.id, search.by, &estimates, now),
                 reading: search.prompt.map(|prompt| self.reading(&backend.id, home, prompt, now)),
-                slowness: self.models.slowness(&backend.id),
+                slowness: factors.of(&backend.id),
                 health: self.health(backend, search.by, now),
             })
             .collect()
--- a/crates/beamwall-gateway/src/choice.rs
+++ b/crates/beamwall-gateway/src/choice.rs
@@ -49,11 +49,16 @@
 
 impl Candidate {
     /// What the time to the first event of a model request depends on there.
-    pub fn first_event(&self, reading: Reading) -> FirstEvent {
+    fn first_event(&self, reading: Reading) -> FirstEvent {
         let running = self.load.requests.min(self.slots);
         FirstEvent { reading, tokens_ahead: self.load.prompt_tokens, running }
     }
 
+    /// Requests that would wait for a slot there, this one included.
+    fn waiting(&self) -> u32 {
+        (self.load.requests + 1).saturating_sub(self.slots)
+    }
+
     /// Time until it would begin to answer, in milliseconds; `None` while nothing is known of the service.
     pub fn expected_ms(&self, expectation: &Expectation<'_>) -> Option<f64> {
         let estimates = expectation.estimates;
@@ -61,9 +66,8 @@
             Some(reading) => estimates.first_event_ms(self.first_event(reading))?,
             None => estimates.plain_call_ms(self.load.requests)?,
         };
-        let waiting = (self.load.requests + 1).saturating_sub(self.slots);
         let slot_ms = estimates.stream_ms().unwrap_or(UNLEARNT_SLOT_MS) / f64::from(self.slots.max(1));
-        let wait_ms = if self.reading.is_some() { f64::from(waiting) * slot_ms } else { 0.0 };
+        let wait_ms = if self.reading.is_some() { f64::from(self.waiting()) * slot_ms } else { 0.0 };
         Some((answer_ms + wait_ms) * self.slowness)
     }
 
@@ -80,8 +84,7 @@
 
     /// What stands for the expected time while nothing is known of the service.
     fn unlearnt_ms(&self) -> f64 {
-        let waiting = (self.load.requests + 1).saturating_sub(self.slots);
-        f64::from(self.load.requests) * UNLEARNT_REQUEST_MS + f64::from(waiting) * UNLEARNT_SLOT_MS
+        f64::from(self.load.requests) * UNLEARNT_REQUEST_MS + f64::from(self.waiting()) * UNLEARNT_SLOT_MS
     }
 }
 
--- a/crates/beamwall-gateway/src/cut_zones.rs
+++ b/crates/beamwall-gateway/src/cut_zones.rs
@@ -9,11 +9,11 @@
 
 use arc_swap::ArcSwap;
 use beamwall_model::ZoneName;
+use tokio::time::Instant;
 
 use crate::directory::Directory;
 use crate::health::HealthBook;
 use crate::placement::UnreachableReports;
-use tokio::time::Instant;
 
 /// Zones from which this node seems to be cut off.
 #[derive(Debug, Default)]
--- a/crates/beamwall-gateway/src/placement.rs
+++ b/crates/beamwall-gateway/src/placement.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use beamwall_engine_model::Reading;
+use beamwall_engine_model::{FirstEvent, Reading};
 use beamwall_model::{BackendId, NodeId, ServiceName, ZoneName};
 use tokio::time::Instant;
 
@@ -66,6 +66,13 @@
     pub chosen_by: NodeId,
 }
 
+impl Choice {
+    /// What the time to the first event of a model request depends on there.
+    pub fn first_event(&self) -> FirstEvent {
+        FirstEvent { reading: self.reading, tokens_ahead: self.tokens_ahead, running: self.open_requests }
+    }
+}
+
 /// What came of asking for a placement.
 #[derive(Debug, Clone, PartialEq)]
 pub enum PlacementAnswer {
--- a/crates/beamwall-gateway/src/quota/account.rs
+++ b/crates/beamwall-gateway/src/quota/account.rs
@@ -58,16 +58,20 @@
 
     /// Takes off what a node let pass while it was not heard: first what was withheld for it.
     pub(super) fn take_off_after_silence(&mut self, amount: f64, now: Instant) {
+        self.level += self.cover(amount);
+        self.take_off_by_node(amount, now);
+    }
+
+    /// Takes from what was withheld what it covers of an amount; gives that.
+    fn cover(&mut self, amount: f64) -> f64 {
         let covered = amount.clamp(0.0, self.withheld);
         self.withheld -= covered;
-        self.level += covered;
-        self.take_off_by_node(amount, now);
+        covered
     }
 
     /// Takes off what a zone that is known by sums let pass.
     pub(super) fn take_off_by_zone(&mut self, amount: f64, was_silent: bool) {
-        let covered = if was_silent { amount.clamp(0.0, self.withheld) } else { 0.0 };
-        self.withheld -= covered;
+        let covered = if was_silent { self.cover(amount) } else { 0.0 };
         self.level -= amount - covered;
     }
 
--- a/crates/beamwall-gateway/src/stream/mod.rs
+++ b/crates/beamwall-gateway/src/stream/mod.rs
@@ -9,7 +9,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use beamwall_engine_model::FirstEvent;
 use beamwall_http::Body;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Response, StatusCode};
@@ -133,11 +132,7 @@
 /// stream that continues, tell as much.
 fn note_first_event(forwarder: &Forwarder, call: &Call, choice: &Choice, sent_at: Instant) {
     let now = Instant::now();
-    let of = FirstEvent {
-        reading: choice.reading,
-        tokens_ahead: choice.tokens_ahead,
-        running: choice.open_requests,
-    };
+    let of = choice.first_event();
     let took_ms = now.duration_since(sent_at).as_secs_f64() * 1_000.0;
     forwarder.knowledge.models.note_first_event(&call.service, &choice.backend, of, took_ms, now);
 }
--- a/crates/beamwall-gateway/tests/differential.rs
+++ b/crates/beamwall-gateway/tests/differential.rs
@@ -42,8 +42,8 @@
         // Up to a tenth off, and one in twenty four times as long.
         let noise = 0.9 + (number * 31 % 21) as f64 / 100.0;
         let outlier = if number % 20 == 7 { 4.0 } else { 1.0 };
-        statistics.note_first_event(of, truth_ms * noise * outlier, Some(&known));
-        statistics.note_event_gap(of.running, 20.0 / factor, Some(&known));
+        statistics.note_first_event(of, truth_ms * noise * outlier, &known);
+        statistics.note_event_gap(of.running, 20.0 / factor, &known);
     }
     statistics.estimates()
 }
--- a/crates/beamwall-gateway/tests/support/mod.rs
+++ b/crates/beamwall-gateway/tests/support/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use beamwall_engine_model::{EngineModels, FirstEvent, Reading, ServiceStatistics};
+use beamwall_engine_model::{EngineModels, FirstEvent, Reading, ServiceEstimates, ServiceStatistics};
 use beamwall_gateway::Reporter;
 use tokio::time::Instant;
 
@@ -32,15 +32,16 @@
 /// The same of engines at which each running request adds `running_ms` to the start of another.
 pub fn observed_with(running_ms: f64) -> ServiceStatistics {
     let mut statistics = ServiceStatistics::default();
+    let unknown = ServiceEstimates::default();
     for number in 0..300_u64 {
         let reading = Reading::of_rest((number % 3) * 500, 1 + number * 7_919 % 20_000);
         let (tokens_ahead, running) = (number * 104_729 % 15_000, (number % 24) as u32);
         let of = FirstEvent { reading, tokens_ahead, running };
         let ahead_ms = tokens_ahead as f64 / TOKENS_PER_MS;
         let took_ms = 5.0 + reading_ms(reading) + ahead_ms + f64::from(running) * running_ms;
-        statistics.note_first_event(of, took_ms, None);
+        statistics.note_first_event(of, took_ms, &unknown);
         let gap_ms = EVENT_GAP_MS + f64::from(running) * EVENT_GAP_MS_EACH;
-        statistics.note_event_gap(running, gap_ms, None);
+        statistics.note_event_gap(running, gap_ms, &unknown);
         statistics.note_plain_call(running, PLAIN_CALL_MS * f64::from(running + 1));
         statistics.note_stream(1_000.0);
     }
--- a/crates/beamwall-policy/tests/change.rs
+++ b/crates/beamwall-policy/tests/change.rs
@@ -1,31 +1,18 @@
 //! Changes between versions, against the versions themselves.
 
+mod support;
+
 use std::sync::Arc;
 
 use arbtest::arbitrary::{Result, Unstructured};
 use arbtest::arbtest;
-use beamwall_policy::{
-    ChangeError, PolicyArchive, PolicyChange, Route, RouteKind, Shared, Tenant, TrafficPolicy,
-    WeightedService,
-};
+use beamwall_policy::{ChangeError, PolicyArchive, PolicyChange, Route, Shared, Tenant, TrafficPolicy};
 
 /// Names of routes and tenants of random policies: few, so that versions have some in common.
 const NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
 
 fn route(name: &str, hold_limit_ms: u64) -> Route {
-    Route {
-        name: name.to_owned(),
-        host: "a.example".to_owned(),
-        path_prefix: format!("/{name}/"),
-        kind: RouteKind::Repeatable,
-        hold_limit_ms,
-        objective_ms: 100,
-        gap_objective_ms: None,
-        rank: 0,
-        targets: vec![WeightedService { service: "one".into(), weight: 1 }],
-        attempt_limit: 1,
-        public: false,
-    }
+    Route { hold_limit_ms, ..support::route(name, &format!("/{name}/")) }
 }
 
 fn tenant(name: &str, rate_per_second: f64) -> Tenant {
--- a/crates/beamwall-policy/tests/policy.rs
+++ b/crates/beamwall-policy/tests/policy.rs
@@ -1,23 +1,10 @@
 //! Routes, keys and splits of a policy.
 
-use arbtest::arbtest;
-use beamwall_policy::{PolicyIndex, Route, RouteKind, Shared, Tenant, TrafficPolicy, WeightedService};
+mod support;
 
-fn route(name: &str, prefix: &str) -> Route {
-    Route {
-        name: name.to_owned(),
-        host: "a.example".to_owned(),
-        path_prefix: prefix.to_owned(),
-        kind: RouteKind::Repeatable,
-        hold_limit_ms: 1_000,
-        objective_ms: 100,
-        gap_objective_ms: None,
-        rank: 0,
-        targets: vec![WeightedService { service: "one".into(), weight: 1 }],
-        attempt_limit: 1,
-        public: false,
-    }
-}
+use arbtest::arbtest;
+use beamwall_policy::{PolicyIndex, Route, Shared, Tenant, TrafficPolicy, WeightedService};
+use support::route;
 
 fn shared(routes: Vec<Route>) -> Vec<Shared<Route>> {
     routes.into_iter().map(Shared::new).collect()
