Bytes sent to peers are told by kind of message

Cause: of a gateway whose link is full nothing told which messages fill it, so three hypotheses could not be told apart. Ruled out: sampling messages in logs (the busiest nodes would pay most). Conclusion: what a node sends for others can be compared with its link.

--- a/crates/beamwall-node/src/gateway/gauges.rs
+++ b/crates/beamwall-node/src/gateway/gauges.rs
@@ -17,6 +17,7 @@
     policy_version_told: IntGauge,
     policy_behind_ms: IntGauge,
     peer_sent_bytes: IntGauge,
+    peer_sent_bytes_by_kind: GaugeVec,
     directory_revision: IntGauge,
     backends_usable: IntGauge,
     backends_draining: IntGauge,
@@ -53,6 +54,12 @@
                 "time for which this node has lacked a version that a peer told",
             )?,
             peer_sent_bytes: add("beamwall_gateway_peer_sent_bytes", "bytes sent to peers since start")?,
+            peer_sent_bytes_by_kind: gauge_by(
+                "kind",
+                "beamwall_gateway_peer_sent_bytes_by_kind",
+                "bytes sent to peers since start by kind of message",
+                registry,
+            )?,
             directory_revision: add(
                 "beamwall_gateway_directory_revision",
                 "revision of the back ends known",
@@ -111,6 +118,9 @@
         let traffic = &exchange.network.traffic;
         self.peer_messages_dropped.set(traffic.dropped_messages.load(Ordering::Relaxed) as i64);
         self.peer_sent_bytes.set(traffic.sent_bytes.load(Ordering::Relaxed) as i64);
+        for (kind, bytes) in traffic.sent_bytes_by_kind() {
+            self.peer_sent_bytes_by_kind.with_label_values(&[kind]).set(bytes as f64);
+        }
         self.refresh_limits(gateway);
         self.refresh_models(gateway);
     }
--- a/crates/beamwall-peer/src/message.rs
+++ b/crates/beamwall-peer/src/message.rs
@@ -119,6 +119,26 @@
     PlacementReply(PlacementReply),
 }
 
+impl Body {
+    /// The kind of message in metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Heartbeat(_) | Self::GatewayBeat(_) => "heartbeat",
+            Self::ProbeRequest(_) => "probe",
+            Self::TreeRequest(_) | Self::TreeWhole(_) | Self::TreeChange(_) | Self::TreeChanges(_) => {
+                "settings"
+            }
+            Self::Handover(_) | Self::HandoverAnswer(_) => "handover",
+            Self::RequestQuery(_) | Self::RequestFound(_) => "request",
+            Self::ClaimRequest(_) | Self::ClaimAnswer(_) => "claim",
+            Self::PolicyRequest(_) | Self::PolicyAnswer(_) => "policy",
+            Self::DirectoryRequest(_) | Self::DirectoryWhole(_) => "back_ends",
+            Self::ZoneSummary(_) => "zone_sum",
+            Self::PlacementRequest(_) | Self::PlacementReply(_) => "placement",
+        }
+    }
+}
+
 /// Periodic sign of life with piggybacked news.
 #[derive(Clone, PartialEq, Message)]
 pub struct Heartbeat {
--- a/crates/beamwall-peer/src/network.rs
+++ b/crates/beamwall-peer/src/network.rs
@@ -1,6 +1,6 @@
 //! Sessions between nodes over `nng`: one pull socket, and one push socket and task for each peer.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -15,7 +15,7 @@
 use quick_error::quick_error;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::message::Envelope;
+use crate::message::{Body, Envelope};
 
 /// Messages that wait for one peer; older ones are of no use.
 const QUEUE_CAPACITY: usize = 256;
@@ -56,6 +56,8 @@
 pub struct PeerTraffic {
     /// Bytes handed to sockets.
     pub sent_bytes: AtomicU64,
+    /// The same by kind of message ([`Body::kind`]).
+    sent_bytes_by_kind: Mutex<BTreeMap<&'static str, u64>>,
     /// Messages handed to sockets.
     pub sent_messages: AtomicU64,
     /// Messages that a full queue or a missing connection dropped.
@@ -66,6 +68,20 @@
     pub received_messages: AtomicU64,
 }
 
+impl PeerTraffic {
+    /// Bytes handed to sockets since start, by kind of message.
+    pub fn sent_bytes_by_kind(&self) -> BTreeMap<&'static str, u64> {
+        lock(&self.sent_bytes_by_kind).clone()
+    }
+
+    fn note_sent(&self, envelope: &Envelope, bytes: u64) {
+        self.sent_messages.fetch_add(1, Ordering::Relaxed);
+        self.sent_bytes.fetch_add(bytes, Ordering::Relaxed);
+        let kind = envelope.body.as_ref().map_or("none", Body::kind);
+        *lock(&self.sent_bytes_by_kind).entry(kind).or_default() += bytes;
+    }
+}
+
 type Queues = HashMap<SocketAddr, mpsc::Sender<Vec<u8>>>;
 type Questions = HashMap<u64, oneshot::Sender<Envelope>>;
 
@@ -130,8 +146,7 @@
             self.traffic.dropped_messages.fetch_add(1, Ordering::Relaxed);
             return;
         }
-        self.traffic.sent_messages.fetch_add(1, Ordering::Relaxed);
-        self.traffic.sent_bytes.fetch_add(size, Ordering::Relaxed);
+        self.traffic.note_sent(envelope, size);
     }
 
     /// Sends one message and waits for its answer.
