What gateways do for each other is bound to their links

Cause: the two relays of a zone were chosen whatever their link; each change of a back end sent a whole heartbeat to all, and with it zone sums that the relays passed on to every node of their zone; lists of back ends up to 16 KB were given to all who asked. On links of 10 Mbit/s callers' requests waited behind that for up to a second: new connections timed out, requests reached engines seconds after these had said that they leave. Change: relays by the weight that chooses watchers and the placing node, now the fourth power of the link; members tell each other's links; short news of versions apart from heartbeats; lists and sums pass the same pacer as policies, whatever their size; one book of heard versions for policies and lists.

--- a/crates/beamwall-node/src/actors/membership.rs
+++ b/crates/beamwall-node/src/actors/membership.rs
@@ -32,10 +32,13 @@
 
     fn publish(&self) {
         let members = self.membership.members().cloned().collect();
+        let is_relay = self.membership.is_relay();
+        let relays_elsewhere = if is_relay { self.membership.relays_elsewhere() } else { Vec::new() };
         self.view.store(Arc::new(MembershipView {
             incarnation: self.membership.incarnation(),
             members,
-            is_relay: self.membership.is_relay(),
+            is_relay,
+            relays_elsewhere,
             zone_size: self.membership.zone_size(),
         }));
     }
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -1,12 +1,12 @@
-//! What gateways tell each other: heartbeats with versions, loads, demands and usage, and on request
-//! the whole policy or list of back ends.
+//! What gateways tell each other: heartbeats with versions, loads, demands and usage, newer versions at once,
+//! and on request the whole policy or list of back ends.
 //!
-//! A newer version is told at once; whoever still lacks it a moment later asks for it. So one node that
-//! the store answers suffices for all that it can reach.
+//! Whoever lacks a version that was told asks for it. So one node that the store answers suffices for all that
+//! it can reach. While back ends come and go there are many versions a second, so news of them is short, and
+//! heartbeats keep their period unless quotas must be told at once.
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -14,9 +14,9 @@
 use beamwall_engine_model::Workload;
 use beamwall_gateway::{Directory, Gateway, Reporter};
 use beamwall_model::{NodeId, ServiceName, ZoneName};
-use beamwall_peer::gateway_message::{GatewayBeat, PlacementRequest};
+use beamwall_peer::gateway_message::{GatewayBeat, PlacementRequest, VersionNews};
 use beamwall_peer::message::{MemberUpdate, ProbeRequest};
-use beamwall_peer::{Body, Envelope, Member, MemberState, MembershipTiming, PeerNetwork};
+use beamwall_peer::{Body, Envelope, Member, MemberState, MembershipTiming, PeerNetwork, TransferPacer};
 use kameo::actor::ActorRef;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
@@ -26,6 +26,7 @@
 use crate::actors::policy::PolicyActor;
 use crate::gateway::beat;
 use crate::gateway::chooser::ZoneChooser;
+use crate::gateway::heard_versions::HeardVersions;
 use crate::gateway::placing;
 use crate::gateway::policies::PolicyDistribution;
 use crate::gateway::readiness::Readiness;
@@ -81,8 +82,10 @@
     pub readiness: Arc<Readiness>,
     /// Chooses the nodes that watch the store for their zone.
     pub chooser: ZoneChooser,
-    /// Told when something is newer.
+    /// Told when peers should hear at once what quotas let pass.
     pub news: Arc<Notify>,
+    /// Told when a newer policy or list of back ends is held.
+    pub versions: Arc<Notify>,
     /// When this life began.
     pub started: Instant,
     /// When demand was last measured.
@@ -91,8 +94,10 @@
     pub models_refreshed: Mutex<Option<Instant>>,
     /// When what was observed of services was last told.
     pub models_told: Mutex<Option<Instant>>,
-    /// Whether a list of back ends is being asked for.
-    pub fetching_directory: AtomicBool,
+    /// The lists of back ends that peers hold.
+    pub directories: HeardVersions,
+    /// Paces what is sent for others' sake.
+    pub transfers: Arc<TransferPacer>,
     /// The versions of the policy that are told and heard of.
     pub policies: PolicyDistribution,
     /// What is known of the other zones of a large deployment.
@@ -115,16 +120,44 @@
         self.network.close();
     }
 
-    /// Sends heartbeats, every period and at once when something is newer, until the task is ended.
+    /// Sends heartbeats, every period and at once when quotas ask for it, and news of versions, until the task is
+    /// ended.
     pub async fn send_beats(self: Arc<Self>) {
+        let mut last_beat = Instant::now();
         loop {
             let (period, pause) = self.beat_timing();
-            let _ = tokio::time::timeout(period, self.news.notified()).await;
+            tokio::select! {
+                biased;
+                () = tokio::time::sleep_until(last_beat + period) => {}
+                () = self.news.notified() => {}
+                () = self.versions.notified() => {
+                    self.tell_versions();
+                    tokio::time::sleep(pause).await;
+                    continue;
+                }
+            }
+            last_beat = Instant::now();
             self.beat().await;
             tokio::time::sleep(pause).await;
         }
     }
 
+    /// Tells what is held here to everyone who gets heartbeats; of other zones of a large deployment to their relays.
+    fn tell_versions(&self) {
+        // A policy may bring tenants whose quotas are shared from now on.
+        self.share_limits();
+        let directory = self.directory.load();
+        let news = self.envelope(Body::VersionNews(VersionNews {
+            policy_version: self.gateway.policy.load().version(),
+            directory_revision: directory.revision(),
+            directory_digest: directory.digest(),
+        }));
+        let view = self.members.load();
+        for address in self.targets(view.relays_elsewhere.iter().copied()) {
+            self.network.send(address, &news);
+        }
+    }
+
     /// The longest time between two heartbeats and the shortest: both grow with the number of members,
     /// since each heartbeat goes to all of them. In a large deployment the members of the zone count.
     pub(super) fn beat_timing(&self) -> (Duration, Duration) {
@@ -252,6 +285,7 @@
         }
         match body {
             Some(Body::GatewayBeat(beat)) => self.take_beat(&envelope, beat),
+            Some(Body::VersionNews(news)) => self.take_versions(&envelope, news),
             Some(Body::ZoneSummary(summary)) => self.take_zone_sum(&envelope, summary),
             Some(Body::ProbeRequest(probe)) => self.probe_for(&probe),
             Some(Body::PolicyRequest(request)) => {
@@ -259,7 +293,7 @@
                 self.reply(&envelope, Body::PolicyAnswer(answer));
             }
             Some(Body::DirectoryRequest(_)) => {
-                if let Some(whole) = self.whole_directory() {
+                if let Some(whole) = self.answer_directory() {
                     self.reply(&envelope, Body::DirectoryWhole(whole));
                 }
             }
@@ -288,13 +322,22 @@
         }
     }
 
+    fn take_versions(self: &Arc<Self>, envelope: &Envelope, news: VersionNews) {
+        let Ok(address) = envelope.address.parse() else { return };
+        self.hear_policy_version(address, news.policy_version);
+        self.hear_directory(address, news.directory_revision, news.directory_digest);
+    }
+
     fn take_beat(self: &Arc<Self>, envelope: &Envelope, beat: GatewayBeat) {
         if beat.wants_answer {
             self.reply(envelope, Body::GatewayBeat(self.to_reply(Vec::new())));
         }
-        let Ok(address) = envelope.address.parse() else { return };
-        self.hear_policy_version(address, beat.policy_version);
-        self.hear_directory(address, beat.directory_revision, beat.directory_digest);
+        let held = VersionNews {
+            policy_version: beat.policy_version,
+            directory_revision: beat.directory_revision,
+            directory_digest: beat.directory_digest,
+        };
+        self.take_versions(envelope, held);
         // In a large deployment the work of other zones comes as sums.
         if !self.is_large() || envelope.zone == self.zone.as_str() {
             self.take_work(&envelope.sender, beat);
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod duties;
 pub mod exchange;
 pub mod gauges;
+pub mod heard_versions;
 mod kept_models;
 pub mod observations;
 pub mod placing;
@@ -39,13 +40,13 @@
 use beamwall_gateway::usage::UsageLedger;
 use beamwall_gateway::{ControlStore, Dialect, DutyPort, Gateway, GatewayHandler, PlacementPort};
 use beamwall_http::{Pool, serve};
-use beamwall_peer::{Membership, MembershipTiming, PeerNetwork};
+use beamwall_peer::{Membership, MembershipTiming, PeerNetwork, TransferPacer};
 use beamwall_policy::PolicyArchive;
 use beamwall_store::VersionedObjects;
 use kameo::actor::Spawn;
 use prometheus::Registry;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
@@ -57,6 +58,7 @@
 use crate::gateway::duties::Duties;
 use crate::gateway::exchange::Exchange;
 use crate::gateway::gauges::GatewayGauges;
+use crate::gateway::heard_versions::HeardVersions;
 use crate::gateway::placing::PeerPlacement;
 use crate::gateway::policies::PolicyDistribution;
 use crate::gateway::readiness::{Readiness, StatusHandler};
@@ -259,9 +261,11 @@
     life: u64,
 ) -> Exchange {
     let membership =
-        Membership::new(settings.node.clone(), settings.zone.clone(), life, MembershipTiming::default());
+        Membership::new(settings.node.clone(), settings.zone.clone(), life, MembershipTiming::default())
+            .on_link(settings.link_mbps);
     let directory = gateway.forwarder.directory.clone();
-    let news = gateway.news.clone();
+    let versions: Arc<Notify> = Arc::default();
+    let transfers = Arc::new(TransferPacer::new(settings.link_mbps));
     let archive: Arc<PolicyArchive> = Arc::default();
     Exchange {
         node: settings.node.clone(),
@@ -284,23 +288,25 @@
         policy_actor: PolicyActor::spawn(PolicyActor::new(
             gateway.policy.clone(),
             archive.clone(),
-            news.clone(),
+            versions.clone(),
         )),
         directory_actor: DirectoryActor::spawn(DirectoryActor::new(
             directory.clone(),
             gateway.clone(),
             status.clone(),
-            news.clone(),
+            versions.clone(),
         )),
         directory,
         readiness: readiness.clone(),
-        news,
+        news: gateway.news.clone(),
+        versions,
         started: Instant::now(),
         demand_closed: Mutex::new(Instant::now()),
         models_refreshed: Mutex::default(),
         models_told: Mutex::default(),
-        fetching_directory: Default::default(),
-        policies: PolicyDistribution::new(archive, settings.link_mbps),
+        directories: HeardVersions::default(),
+        policies: PolicyDistribution::new(archive, transfers.clone()),
+        transfers,
         zones: Default::default(),
     }
 }
--- a/crates/beamwall-node/src/gateway/policies.rs
+++ b/crates/beamwall-node/src/gateway/policies.rs
@@ -6,7 +6,7 @@
 //! then find a further node that holds the version.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use beamwall_events::emit;
@@ -14,33 +14,19 @@
 use beamwall_peer::gateway_message::{PolicyAnswer, PolicyRequest};
 use beamwall_peer::{Body, TransferPacer, compressed};
 use beamwall_policy::{PolicyArchive, PolicyChange};
-use rand::seq::IndexedRandom;
 use tokio::time::Instant;
 
 use crate::actors::policy::ApplyPolicyChange;
 use crate::gateway::exchange::{ANSWER_LIMIT, Exchange, OWN_WATCH_TIME};
+use crate::gateway::heard_versions::{HeardVersions, pause_for_busy, to_busy_ms};
 use crate::gateway::watches::{POLICY, WATCHERS_PER_ZONE};
 
 /// Time after which a node that lacks a version that others hold says so: an eighth of the 8 s within which an
 /// accepted edit must be in force everywhere.
 const BEHIND_AFTER: Duration = Duration::from_secs(1);
-/// Longest pause before the next node is asked, where the last one was busy.
-const LONGEST_PAUSE: Duration = Duration::from_millis(50);
 /// Encoded changes that are kept: nodes that ask within a moment mostly hold the same few versions.
 const KEPT_ENCODED: usize = 8;
 
-/// What is known of the versions that other nodes hold.
-#[derive(Debug, Default)]
-struct Heard {
-    /// The newest version that a peer told.
-    newest: u64,
-    /// Peers that told it.
-    holders: Vec<SocketAddr>,
-    /// When this node first heard of a version newer than its own; `None` while it holds the newest.
-    behind_since: Option<Instant>,
-    is_fetching: bool,
-}
-
 /// One encoded change, and what it was made for.
 #[derive(Debug)]
 struct EncodedChange {
@@ -53,34 +39,28 @@
 #[derive(Debug)]
 pub struct PolicyDistribution {
     archive: Arc<PolicyArchive>,
-    pacer: TransferPacer,
-    heard: Mutex<Heard>,
+    transfers: Arc<TransferPacer>,
+    heard: HeardVersions,
     encoded: Mutex<Vec<EncodedChange>>,
 }
 
 impl PolicyDistribution {
-    /// Tells from `archive` over a link of `link_mbps` Mbit/s.
-    pub fn new(archive: Arc<PolicyArchive>, link_mbps: u32) -> Self {
-        let pacer = TransferPacer::new(link_mbps);
-        Self { archive, pacer, heard: Mutex::default(), encoded: Mutex::default() }
-    }
-
-    fn heard(&self) -> MutexGuard<'_, Heard> {
-        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Tells from `archive`, at the pace of `transfers`.
+    pub fn new(archive: Arc<PolicyArchive>, transfers: Arc<TransferPacer>) -> Self {
+        Self { archive, transfers, heard: HeardVersions::default(), encoded: Mutex::default() }
     }
 
     /// The newest version that a peer told, and for how long this node has lacked it.
     pub fn told(&self) -> (u64, Duration) {
-        let heard = self.heard();
-        (heard.newest, heard.behind_since.map_or(Duration::ZERO, |since| since.elapsed()))
+        self.heard.told()
     }
 
     /// The answer to a peer that asks what changed.
     pub(super) fn answer(&self, request: PolicyRequest, now: Instant) -> PolicyAnswer {
         let Some(change) = self.encoded_change(request) else { return PolicyAnswer::default() };
-        match self.pacer.admit(change.len(), now) {
+        match self.transfers.admit(change.len(), now) {
             Ok(()) => PolicyAnswer { change, busy_for_ms: 0 },
-            Err(wait) => PolicyAnswer { change: Vec::new(), busy_for_ms: wait.as_millis() as u32 + 1 },
+            Err(wait) => PolicyAnswer { change: Vec::new(), busy_for_ms: to_busy_ms(wait) },
         }
     }
 
@@ -105,48 +85,12 @@
         encoded.push(EncodedChange { request, version: change.version, change: bytes.clone() });
         Some(bytes)
     }
-
-    /// Notes the version that a peer holds; returns whether somebody must start to ask for it.
-    fn note(&self, peer: SocketAddr, version: u64, held: u64) -> bool {
-        let mut heard = self.heard();
-        if version <= held || version < heard.newest {
-            return false;
-        }
-        if version > heard.newest {
-            heard.newest = version;
-            heard.holders.clear();
-        }
-        if !heard.holders.contains(&peer) {
-            heard.holders.push(peer);
-        }
-        heard.behind_since.get_or_insert_with(Instant::now);
-        !std::mem::replace(&mut heard.is_fetching, true)
-    }
-
-    /// A peer that holds the newest version; `None` when this node holds it too, or no such peer is known.
-    fn holder(&self, held: u64) -> Option<SocketAddr> {
-        let heard = self.heard();
-        if heard.newest <= held { None } else { heard.holders.choose(&mut rand::rng()).copied() }
-    }
-
-    fn drop_holder(&self, peer: SocketAddr) {
-        self.heard().holders.retain(|holder| *holder != peer);
-    }
-
-    /// Ends asking. A node that still lacks the version starts again when it next hears of it.
-    fn end_fetching(&self, held: u64) {
-        let mut heard = self.heard();
-        heard.is_fetching = false;
-        if held >= heard.newest {
-            heard.behind_since = None;
-        }
-    }
 }
 
 impl Exchange {
     /// Takes the version that a peer tells, and asks for it where this node lacks it.
     pub(super) fn hear_policy_version(self: &Arc<Self>, peer: SocketAddr, version: u64) {
-        if self.policies.note(peer, version, self.policy_version()) {
+        if self.policies.heard.note(peer, version, self.policy_version()) {
             tokio::spawn(self.clone().fetch_policy());
         }
     }
@@ -162,16 +106,16 @@
         }
         let mut wants_whole = false;
         let mut has_told = false;
-        while let Some(peer) = self.policies.holder(self.policy_version()) {
+        while let Some(peer) = self.policies.heard.holder(self.policy_version()) {
             match self.ask_for_change(peer, wants_whole).await {
                 Fetched::Applied => wants_whole = false,
                 Fetched::Unusable => wants_whole = true,
-                Fetched::Busy(wait) => tokio::time::sleep(wait.min(LONGEST_PAUSE)).await,
-                Fetched::Unanswered => self.policies.drop_holder(peer),
+                Fetched::Busy(busy_for_ms) => pause_for_busy(busy_for_ms).await,
+                Fetched::Unanswered => self.policies.heard.drop_holder(peer),
             }
             has_told = has_told || self.tell_if_behind();
         }
-        self.policies.end_fetching(self.policy_version());
+        self.policies.heard.end_fetching(self.policy_version());
     }
 
     /// Says that this node has lacked a version for long; returns whether it has.
@@ -203,7 +147,7 @@
             _ => return Fetched::Unanswered,
         };
         if answer.busy_for_ms > 0 {
-            return Fetched::Busy(Duration::from_millis(u64::from(answer.busy_for_ms)));
+            return Fetched::Busy(answer.busy_for_ms);
         }
         if answer.change.is_empty() {
             return Fetched::Unanswered;
@@ -230,8 +174,8 @@
     Applied,
     /// What it told can't be applied to the version held.
     Unusable,
-    /// It gives large answers to others.
-    Busy(Duration),
+    /// It answers others, for so many milliseconds.
+    Busy(u32),
     /// It gave no answer, or holds no policy.
     Unanswered,
 }
--- a/crates/beamwall-node/src/gateway/zones.rs
+++ b/crates/beamwall-node/src/gateway/zones.rs
@@ -3,7 +3,8 @@
 //! Where all nodes told each other, the cost of a node's heartbeats would grow with the whole deployment.
 //! So only the nodes of a zone do. The relays of a zone sum what they hear, send the sum to one relay of
 //! each other zone, in turn, and that one passes it on to its own zone. With two relays a zone the loss
-//! of one costs every second sum, until membership has chosen another.
+//! of one costs every second sum, until membership has chosen another. A sum holds totals, so one that is not passed on
+//! because the relay's link is taken loses nothing but freshness.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -26,6 +27,8 @@
 pub(super) const SMALL_DEPLOYMENT: usize = 24;
 /// Time without a sum after which a zone's nodes count as not heard.
 const HEARD_WITHIN: Duration = Duration::from_millis(2_500);
+/// Time after which a zone's sum is passed on although the link is taken, so that the zone is heard.
+const PASSED_ON_WITHIN: Duration = Duration::from_secs(1);
 /// Time without a sum after which a zone's open work and demand are not counted any more.
 const BELIEVED_FOR: Duration = Duration::from_secs(5);
 
@@ -35,6 +38,8 @@
     heard: Mutex<HashMap<ZoneName, HeardZone>>,
     /// Number of the next sum, by which the receiving relays take turns.
     turn: AtomicUsize,
+    /// When this relay last passed on a zone's sum.
+    passed_on: Mutex<HashMap<ZoneName, Instant>>,
     /// Whether zones have been known by sums since the start.
     by_sums: AtomicBool,
 }
@@ -54,6 +59,16 @@
         }
     }
 
+    /// Whether a zone's sum is passed on, where `has_room` tells whether the link has room for it.
+    fn take_turn_to_pass_on(&self, zone: &ZoneName, has_room: bool, now: Instant) -> bool {
+        let mut passed_on = self.passed_on.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_due = passed_on.get(zone).is_none_or(|at| now.duration_since(*at) >= PASSED_ON_WITHIN);
+        if has_room || is_due {
+            passed_on.insert(zone.clone(), now);
+        }
+        has_room || is_due
+    }
+
     /// Nodes of all other zones that are heard by relays that are heard.
     pub(super) fn nodes_heard(&self) -> usize {
         let heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
@@ -142,9 +157,7 @@
             return;
         }
         if envelope.zone != self.zone.as_str() {
-            let passed_on = self.envelope(Body::ZoneSummary(summary.clone()));
-            let view = self.members.load();
-            self.zone_members(&view.members).for_each(|member| self.network.send(member.address, &passed_on));
+            self.pass_on(&zone, &summary);
         }
         let forwarder = &self.gateway.forwarder;
         let reporter = Reporter::Zone(zone.clone());
@@ -158,6 +171,19 @@
         self.zones.note(zone, summary.relay, summary.nodes_heard as usize);
     }
 
+    /// Passes another zone's sum on to the nodes of this one, as often as the link has room for it.
+    fn pass_on(&self, zone: &ZoneName, summary: &ZoneSummary) {
+        let sum = self.envelope(Body::ZoneSummary(summary.clone()));
+        let view = self.members.load();
+        let addresses: Vec<SocketAddr> =
+            self.zone_members(&view.members).map(|member| member.address).collect();
+        let now = Instant::now();
+        let has_room = self.transfers.admit(sum.size_bytes() * addresses.len(), now).is_ok();
+        if self.zones.take_turn_to_pass_on(zone, has_room, now) {
+            addresses.into_iter().for_each(|address| self.network.send(address, &sum));
+        }
+    }
+
     /// Drops what single nodes of other zones told while the deployment seemed small: from now on it is
     /// part of their zones' sums.
     fn forget_nodes_of_other_zones(&self) {
--- a/crates/beamwall-node/src/shared.rs
+++ b/crates/beamwall-node/src/shared.rs
@@ -59,6 +59,8 @@
     pub members: Vec<Member>,
     /// Whether this node speaks with other zones.
     pub is_relay: bool,
+    /// Addresses of the relays of other zones, where this node is a relay.
+    pub relays_elsewhere: Vec<SocketAddr>,
     /// Nodes of this zone, this one included.
     pub zone_size: usize,
 }
--- a/crates/beamwall-node/src/tasks/inbox.rs
+++ b/crates/beamwall-node/src/tasks/inbox.rs
@@ -78,6 +78,7 @@
             | Body::PolicyAnswer(_)
             | Body::DirectoryRequest(_)
             | Body::DirectoryWhole(_)
+            | Body::VersionNews(_)
             | Body::ZoneSummary(_)
             | Body::PlacementRequest(_)
             | Body::PlacementReply(_),
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -1,6 +1,6 @@
 //! Messages between gateways.
 //!
-//! A heartbeat tells versions, not contents: whoever lacks a newer policy or list of back ends asks for
+//! Heartbeats and news tell versions, not contents: whoever lacks a newer policy or list of back ends asks for
 //! it. A list of back ends travels whole, of a policy what changed, both as compressed JSON of the product's own types.
 
 use prost::Message;
@@ -48,6 +48,21 @@
     pub slowness: Vec<BackendSlowness>,
 }
 
+/// What the sender holds, told at once when it is newer than before. A heartbeat tells the same among much else and
+/// is ten times as long, too much for each change of a back end.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct VersionNews {
+    /// Version of the policy in force; 0 for none.
+    #[prost(uint64, tag = "1")]
+    pub policy_version: u64,
+    /// Revision of the list of back ends; 0 for none.
+    #[prost(uint64, tag = "2")]
+    pub directory_revision: u64,
+    /// Digest of the list of back ends.
+    #[prost(fixed64, tag = "3")]
+    pub directory_digest: u64,
+}
+
 /// Sums over what the sender observed of a service's back ends.
 #[derive(Clone, PartialEq, Message)]
 pub struct ServiceModel {
@@ -202,15 +217,18 @@
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct DirectoryRequest {}
 
-/// A whole list of back ends.
+/// A whole list of back ends, or when to ask again.
 #[derive(Clone, PartialEq, Message)]
 pub struct DirectoryWhole {
     /// Its revision; 0 for none.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
-    /// The back ends as compressed JSON.
+    /// The back ends as compressed JSON; empty while none can be told.
     #[prost(bytes = "vec", tag = "3")]
     pub backends: Vec<u8>,
+    /// While other answers take the sender's link: milliseconds until it may be asked again.
+    #[prost(uint32, tag = "4")]
+    pub busy_for_ms: u32,
 }
 
 /// Asks the receiver, which places model requests for all gateways, for an engine.
--- a/crates/beamwall-peer/src/member.rs
+++ b/crates/beamwall-peer/src/member.rs
@@ -74,13 +74,21 @@
     pub link_mbps: u32,
 }
 
-/// The weight by which a node is chosen for what passes over its link on behalf of others: the square of its
-/// capacity, so that one of a few fast nodes is chosen and none of many slow ones.
+/// The weight by which a node is chosen for what passes over its link on behalf of others: the fourth power of its
+/// capacity. With a link of a twentieth, each of many slow nodes beside two fast ones is chosen once in 100,000 times (by the
+/// square once in 270), while links that differ by a tenth still share the work.
 pub fn link_weight(link_mbps: u32) -> f64 {
-    f64::from(link_mbps).powi(2)
+    f64::from(link_mbps).powi(4)
 }
 
 impl Member {
+    /// Takes the capacity of its link, where others told one.
+    pub(crate) fn learn_link(&mut self, link_mbps: u32) {
+        if link_mbps > 0 {
+            self.link_mbps = link_mbps;
+        }
+    }
+
     /// Whether work may be given to it.
     pub fn is_usable(&self) -> bool {
         self.state == MemberState::Alive && self.ready && !self.draining
--- a/crates/beamwall-peer/src/membership.rs
+++ b/crates/beamwall-peer/src/membership.rs
@@ -2,7 +2,7 @@
 //!
 //! Within a zone every node sends to every other up to [`FULL_MESH_LIMIT`] members; beyond that each
 //! probes a few in turn, which answer, and news travels piggybacked. Between zones only two relays a
-//! pair speak. A node is suspected when a probe of it has stayed unanswered for a while, probed
+//! pair speak, chosen among the nodes on the fastest links. A node is suspected when a probe of it has stayed unanswered for a while, probed
 //! through others, and declared dead only after a further wait; a node that learns of its own
 //! suspicion refutes it with a higher incarnation.
 
@@ -14,7 +14,7 @@
 use rand::seq::IndexedRandom;
 use tokio::time::Instant;
 
-use crate::member::{Member, MemberState};
+use crate::member::{Member, MemberState, link_weight};
 use crate::message::{Envelope, MemberUpdate};
 
 /// Zone size up to which every member hears every other directly.
@@ -78,6 +78,7 @@
 pub struct Membership {
     own: NodeId,
     zone: ZoneName,
+    link_mbps: u32,
     incarnation: u64,
     timing: MembershipTiming,
     members: BTreeMap<NodeId, Member>,
@@ -104,6 +105,7 @@
         Self {
             own,
             zone,
+            link_mbps: 0,
             incarnation,
             timing,
             members: BTreeMap::new(),
@@ -115,6 +117,11 @@
         }
     }
 
+    /// The same node, on a network link of `link_mbps` Mbit/s.
+    pub fn on_link(self, link_mbps: u32) -> Self {
+        Self { link_mbps, ..self }
+    }
+
     /// This node's incarnation.
     pub fn incarnation(&self) -> u64 {
         self.incarnation
@@ -201,6 +208,7 @@
         let address: SocketAddr = update.address.parse().ok()?;
         match self.members.get_mut(&node) {
             Some(member) => {
+                member.learn_link(update.link_mbps);
                 let newer = (update.incarnation, state) > (member.incarnation, member.state);
                 if !newer {
                     return None;
@@ -277,14 +285,16 @@
 
     /// Whether this node speaks with other zones.
     pub fn is_relay(&self) -> bool {
-        let mut names: Vec<&str> = self
-            .in_zone()
-            .filter(|member| member.state == MemberState::Alive)
-            .map(|member| member.node.as_str())
-            .collect();
-        names.push(self.own.as_str());
-        let relays = rendezvous::choose(self.zone.as_str().as_bytes(), &names, RELAYS_PER_ZONE, |name| name);
-        relays.iter().any(|name| **name == self.own.as_str())
+        let alive = self.in_zone().filter(|member| member.state == MemberState::Alive);
+        let mut candidates: Vec<(&str, u32)> =
+            alive.map(|member| (member.node.as_str(), member.link_mbps)).collect();
+        candidates.push((self.own.as_str(), self.link_mbps));
+        choose_relays(&self.zone, &candidates, RELAYS_PER_ZONE).contains(&self.own.as_str())
+    }
+
+    /// Addresses of the relays of the other zones.
+    pub fn relays_elsewhere(&self) -> Vec<SocketAddr> {
+        self.other_relays().into_iter().map(|member| member.address).collect()
     }
 
     /// The relays of the other zones. Where members have fallen silent, more are tried, so that the
@@ -300,10 +310,11 @@
         }
         let mut relays = Vec::new();
         for (zone, (candidates, silent)) in &by_zone {
-            let key = zone.as_str().as_bytes();
-            let count = RELAYS_PER_ZONE + silent;
-            let chosen = rendezvous::choose(key, candidates, count, |member| member.node.as_str());
-            relays.extend(chosen.into_iter().copied());
+            let names: Vec<(&str, u32)> =
+                candidates.iter().map(|member| (member.node.as_str(), member.link_mbps)).collect();
+            let chosen = choose_relays(zone, &names, RELAYS_PER_ZONE + silent);
+            let is_chosen = |member: &&&Member| chosen.contains(&member.node.as_str());
+            relays.extend(candidates.iter().filter(is_chosen).copied());
         }
         relays
     }
@@ -399,6 +410,14 @@
     }
 }
 
+/// The names of those that speak for a zone, among `candidates` with their links in Mbit/s. What one zone tells another
+/// passes over a relay's link once for each node of its zone, so it takes the place of callers' requests there.
+fn choose_relays<'a>(zone: &ZoneName, candidates: &[(&'a str, u32)], count: usize) -> Vec<&'a str> {
+    let weighted: Vec<(&str, f64)> =
+        candidates.iter().map(|(name, link_mbps)| (*name, link_weight(*link_mbps))).collect();
+    rendezvous::choose_weighted(zone.as_str().as_bytes(), &weighted, count)
+}
+
 fn new_member(
     node: NodeId,
     update: &MemberUpdate,
@@ -418,7 +437,7 @@
         digest: 0,
         ready: false,
         draining: false,
-        link_mbps: 0,
+        link_mbps: update.link_mbps,
     }
 }
 
@@ -429,5 +448,6 @@
         address: member.address.to_string(),
         incarnation: member.incarnation,
         state: member.state.number(),
+        link_mbps: member.link_mbps,
     }
 }
--- a/crates/beamwall-peer/src/message.rs
+++ b/crates/beamwall-peer/src/message.rs
@@ -7,7 +7,7 @@
 
 use crate::gateway_message::{
     DirectoryRequest, DirectoryWhole, GatewayBeat, PlacementReply, PlacementRequest, PolicyAnswer,
-    PolicyRequest, ZoneSummary,
+    PolicyRequest, VersionNews, ZoneSummary,
 };
 
 /// Every message: who sends it, what the sender holds, and the body.
@@ -49,7 +49,7 @@
     /// The body.
     #[prost(
         oneof = "Body",
-        tags = "20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 40, 41, 42, 43, 44, 45, 46, 47"
+        tags = "20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 40, 41, 42, 43, 44, 45, 46, 47, 48"
     )]
     pub body: Option<Body>,
 }
@@ -117,6 +117,16 @@
     /// The engine that it chose.
     #[prost(message, tag = "47")]
     PlacementReply(PlacementReply),
+    /// Versions that a gateway has just taken.
+    #[prost(message, tag = "48")]
+    VersionNews(VersionNews),
+}
+
+impl Envelope {
+    /// Length of the whole message as sent, in bytes.
+    pub fn size_bytes(&self) -> usize {
+        self.encoded_len()
+    }
 }
 
 impl Body {
@@ -134,6 +144,7 @@
             Self::PolicyRequest(_) | Self::PolicyAnswer(_) => "policy",
             Self::DirectoryRequest(_) | Self::DirectoryWhole(_) => "back_ends",
             Self::ZoneSummary(_) => "zone_sum",
+            Self::VersionNews(_) => "versions",
             Self::PlacementRequest(_) | Self::PlacementReply(_) => "placement",
         }
     }
@@ -180,6 +191,9 @@
     /// State: 0 alive, 1 suspect, 2 dead, 3 left.
     #[prost(uint32, tag = "5")]
     pub state: u32,
+    /// Capacity of its network link in Mbit/s; 0 where it is not known.
+    #[prost(uint32, tag = "6")]
+    pub link_mbps: u32,
 }
 
 /// A back end as polled.
--- a/crates/beamwall-peer/src/transfer.rs
+++ b/crates/beamwall-peer/src/transfer.rs
@@ -1,23 +1,24 @@
-//! Paces large answers, so that they leave room on a node's link for heartbeats and callers.
+//! Paces what a node sends for others' sake, so that it leaves room on its link for heartbeats and callers.
 
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-/// Answers up to this size pass at any time: on a link of 10 Mbit/s one takes 13 ms.
-const SMALL_BYTES: usize = 16 << 10;
-/// Part of the link that large answers take at most.
+/// What passed before may take the link for so much longer when the next message passes: many short ones pass at once on a
+/// fast link, and none is sent away for a wait that its asker would not notice.
+const BACKLOG: Duration = Duration::from_millis(20);
+/// Part of the link that paced messages take at most.
 const LINK_SHARE: f64 = 0.5;
 /// Bits in a byte, and in a megabit.
 const BITS_PER_BYTE: f64 = 8.0;
 const BITS_PER_MEGABIT: f64 = 1e6;
 
-/// Lets large answers pass one after another, at a part of the link's capacity.
+/// Lets messages pass one after another, at a part of the link's capacity.
 #[derive(Debug)]
 pub struct TransferPacer {
     bytes_per_second: f64,
-    /// When the answers that passed will have left.
+    /// When the messages that passed will have left.
     free_at: Mutex<Option<Instant>>,
 }
 
@@ -28,16 +29,14 @@
         Self { bytes_per_second, free_at: Mutex::default() }
     }
 
-    /// Lets an answer of `bytes` pass, or tells how long to wait.
+    /// Lets `bytes` pass, or tells how long to wait.
     pub fn admit(&self, bytes: usize, now: Instant) -> Result<(), Duration> {
-        if bytes <= SMALL_BYTES {
-            return Ok(());
-        }
         let mut free_at = self.free_at.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(until) = free_at.filter(|until| *until > now) {
-            return Err(until - now);
+        let begins = free_at.map_or(now, |until| until.max(now));
+        if begins > now + BACKLOG {
+            return Err(begins - now);
         }
-        *free_at = Some(now + Duration::from_secs_f64(bytes as f64 / self.bytes_per_second));
+        *free_at = Some(begins + Duration::from_secs_f64(bytes as f64 / self.bytes_per_second));
         Ok(())
     }
 }
--- a/crates/beamwall-peer/tests/membership.rs
+++ b/crates/beamwall-peer/tests/membership.rs
@@ -31,6 +31,7 @@
 struct Network {
     nodes: BTreeMap<SocketAddr, (String, String, Membership)>,
     stopped: Vec<SocketAddr>,
+    links_mbps: BTreeMap<SocketAddr, u32>,
     sent: usize,
     now: Instant,
     timing: MembershipTiming,
@@ -42,14 +43,23 @@
 
 impl Network {
     fn new(zones: usize, per_zone: usize) -> Self {
+        Self::on_links(zones, per_zone, |_| 0)
+    }
+
+    /// Nodes on links whose capacity depends on their place in their zone.
+    fn on_links(zones: usize, per_zone: usize, link_mbps: impl Fn(usize) -> u32) -> Self {
         let timing = MembershipTiming::default();
         let mut nodes = BTreeMap::new();
+        let mut links_mbps = BTreeMap::new();
         for number in 0..zones * per_zone {
             let (name, zone) = (format!("n{number}"), format!("z{}", number / per_zone));
-            let membership = Membership::new(NodeId::new(&name), ZoneName::new(&zone), 1, timing);
+            let link = link_mbps(number % per_zone);
+            let membership =
+                Membership::new(NodeId::new(&name), ZoneName::new(&zone), 1, timing).on_link(link);
+            links_mbps.insert(address(number), link);
             nodes.insert(address(number), (name, zone, membership));
         }
-        Self { nodes, stopped: Vec::new(), sent: 0, now: Instant::now(), timing }
+        Self { nodes, stopped: Vec::new(), links_mbps, sent: 0, now: Instant::now(), timing }
     }
 
     fn envelope(&self, from: SocketAddr) -> Envelope {
@@ -60,6 +70,7 @@
             zone: zone.clone(),
             address: from.to_string(),
             ready: true,
+            link_mbps: self.links_mbps[&from],
             ..Envelope::default()
         }
     }
@@ -204,6 +215,36 @@
     }
 }
 
+#[test]
+fn nodes_on_fast_links_speak_for_their_zones_and_all_others_know_it() {
+    let (zones, per_zone) = (4, 22);
+    // The last nodes of a zone, so that their names tell nothing.
+    let is_fast = |number: usize| number % per_zone >= per_zone - 2;
+    let link = |place: usize| if place >= per_zone - 2 { 200 } else { 10 };
+    let mut network = Network::on_links(zones, per_zone, link);
+    for _ in 0..80 {
+        network.step(|_, _| true);
+    }
+    let fast: Vec<SocketAddr> =
+        (0..zones * per_zone).filter(|number| is_fast(*number)).map(address).collect();
+    for (node, (_, zone, membership)) in &network.nodes {
+        assert_eq!(membership.is_relay(), fast.contains(node), "{node}");
+        let mut elsewhere = membership.relays_elsewhere();
+        elsewhere.sort();
+        let expected: Vec<SocketAddr> =
+            fast.iter().filter(|relay| network.nodes[*relay].1 != *zone).copied().collect();
+        assert_eq!(elsewhere, expected, "as {node} sees it");
+    }
+    // Where the fast ones stop, others speak for the zone.
+    network.stopped = fast[..2].to_vec();
+    for _ in 0..60 {
+        network.step(|_, _| true);
+    }
+    let in_first_zone = (0..per_zone - 2).map(address);
+    let relays = in_first_zone.filter(|node| network.nodes[node].2.is_relay()).count();
+    assert_eq!(relays, 2);
+}
+
 #[test]
 fn the_loss_of_a_large_zone_is_seen_in_few_rounds() {
     let (zones, per_zone) = (3, 100);
