Peer sessions are own connections: no library that ends the process, no old news

It also kept up to 64 messages a peer in order, the oldest first, and told nothing of a connection that had gone silent. Change: a listener and one outgoing connection for each peer that is sent to, length-framed, with limits on connecting, writing and what stays unacknowledged; an outbox that drops the oldest and what has waited for two seconds.

--- a/crates/beamwall-peer/src/lib.rs
+++ b/crates/beamwall-peer/src/lib.rs
@@ -1,15 +1,18 @@
 //! Messages, sessions and membership between the nodes.
 //!
-//! Nodes exchange tagged-field messages over `nng` push/pull sockets, one task for each peer.
+//! Nodes exchange tagged-field messages over TCP, one connection and task for each peer that is sent to.
 //! [`Membership`] decides from them who is alive; it never uses the platform's machine list as
 //! proof of life or death.
 
 pub mod compressed;
+mod frame;
 pub mod gateway_message;
 pub mod member;
 pub mod membership;
 pub mod message;
 pub mod network;
+pub mod outbox;
+mod session;
 pub mod transfer;
 
 pub use member::{Member, MemberState, link_weight};
--- a/crates/beamwall-peer/src/network.rs
+++ b/crates/beamwall-peer/src/network.rs
@@ -1,6 +1,7 @@
-//! Sessions between nodes over `nng`: one pull socket, and one push socket and task for each peer.
+//! The messages of one node: a listener for what peers send, and a session for each peer that it sends to.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -9,28 +10,25 @@
 use beamwall_events::emit;
 use beamwall_events::internal_events::PeerMessageUnreadable;
 use beamwall_model::NodeId;
-use nng::options::{Options, ReconnectMaxTime, ReconnectMinTime, RecvMaxSize, SendBufferSize};
-use nng::{Protocol, Socket};
 use prost::Message;
 use quick_error::quick_error;
+use tokio::io::BufReader;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::{Instant, timeout};
 
+use crate::frame::read_message;
 use crate::message::{Body, Envelope};
+use crate::outbox::Outbox;
+use crate::session;
 
-/// Messages that wait for one peer; older ones are of no use.
-const QUEUE_CAPACITY: usize = 256;
-/// Messages in the send buffer of one socket.
-const SEND_BUFFER: i32 = 64;
 /// Messages received and not yet handled.
 const INBOUND_CAPACITY: usize = 4_096;
-/// Pause after a failed receive.
-const RECEIVE_ERROR_PAUSE: Duration = Duration::from_millis(10);
-/// Largest message: a whole settings tree.
-const MESSAGE_LIMIT_BYTES: usize = 64 << 20;
-/// A session that sent nothing for this long is closed.
-const IDLE_LIMIT: Duration = Duration::from_secs(120);
-const RECONNECT_MIN: Duration = Duration::from_millis(50);
-const RECONNECT_MAX: Duration = Duration::from_millis(1_000);
+/// Silence after which a peer's connection is closed: longer than it keeps one that carries nothing.
+const SILENCE_LIMIT: Duration = Duration::from_secs(150);
+/// Pause after a failed accept, for example when file descriptors run out.
+const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
 quick_error! {
     /// Why peers cannot be reached.
@@ -54,13 +52,13 @@
 /// Traffic counted since start.
 #[derive(Debug, Default)]
 pub struct PeerTraffic {
-    /// Bytes handed to sockets.
+    /// Bytes handed to sessions.
     pub sent_bytes: AtomicU64,
     /// The same by kind of message ([`Body::kind`]).
     sent_bytes_by_kind: Mutex<BTreeMap<&'static str, u64>>,
-    /// Messages handed to sockets.
+    /// Messages handed to sessions.
     pub sent_messages: AtomicU64,
-    /// Messages that a full queue or a missing connection dropped.
+    /// Messages that had to go because too many waited for their peer.
     pub dropped_messages: AtomicU64,
     /// Bytes received.
     pub received_bytes: AtomicU64,
@@ -69,7 +67,7 @@
 }
 
 impl PeerTraffic {
-    /// Bytes handed to sockets since start, by kind of message.
+    /// Bytes handed to sessions since start, by kind of message.
     pub fn sent_bytes_by_kind(&self) -> BTreeMap<&'static str, u64> {
         lock(&self.sent_bytes_by_kind).clone()
     }
@@ -82,17 +80,30 @@
     }
 }
 
-type Queues = HashMap<SocketAddr, mpsc::Sender<Vec<u8>>>;
+/// What is sent to one peer, and by which task.
+#[derive(Debug)]
+struct Session {
+    outbox: Arc<Outbox>,
+    task: AbortHandle,
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+type Sessions = HashMap<SocketAddr, Session>;
 type Questions = HashMap<u64, oneshot::Sender<Envelope>>;
 
 /// The sessions of one node.
 #[derive(Debug)]
 pub struct PeerNetwork {
-    queues: Mutex<Queues>,
+    sessions: Mutex<Sessions>,
     questions: Mutex<Questions>,
     next_question: AtomicU64,
     blocked: Mutex<HashSet<NodeId>>,
-    listener: Socket,
+    accepting: Mutex<Option<AbortHandle>>,
     /// Traffic counted since start.
     pub traffic: PeerTraffic,
 }
@@ -102,30 +113,29 @@
 }
 
 impl PeerNetwork {
-    /// Opens the pull socket. Messages that are not answers arrive on the receiver.
+    /// Opens the listener. Messages that are not answers arrive on the receiver.
     pub fn listen(address: SocketAddr) -> Result<(Arc<Self>, mpsc::Receiver<Envelope>), PeerError> {
-        let failed = |error: nng::Error| PeerError::Listen(address, error.to_string());
-        let listener = Socket::new(Protocol::Pull0).map_err(failed)?;
-        listener.set_opt::<RecvMaxSize>(MESSAGE_LIMIT_BYTES).map_err(failed)?;
-        listener.listen(&format!("tcp://{address}")).map_err(failed)?;
+        let listener = bind(address).map_err(|error| PeerError::Listen(address, error.to_string()))?;
         let (inbound, receiver) = mpsc::channel(INBOUND_CAPACITY);
         let network = Arc::new(Self {
-            queues: Mutex::default(),
+            sessions: Mutex::default(),
             questions: Mutex::default(),
             next_question: AtomicU64::new(1),
             blocked: Mutex::default(),
-            listener: listener.clone(),
+            accepting: Mutex::default(),
             traffic: PeerTraffic::default(),
         });
-        let receiving = network.clone();
-        std::thread::spawn(move || receiving.receive_loop(&listener, &inbound));
+        let accepting = tokio::spawn(network.clone().accept(listener, inbound));
+        *lock(&network.accepting) = Some(accepting.abort_handle());
         Ok((network, receiver))
     }
 
-    /// Closes all sockets.
+    /// Closes all connections.
     pub fn close(&self) {
-        self.listener.close();
-        lock(&self.queues).clear();
+        if let Some(accepting) = lock(&self.accepting).take() {
+            accepting.abort();
+        }
+        lock(&self.sessions).clear();
     }
 
     /// Drops all messages from these nodes: a fault drill that operators can order.
@@ -142,9 +152,8 @@
     pub fn send(&self, to: SocketAddr, envelope: &Envelope) {
         let bytes = envelope.encode_to_vec();
         let size = bytes.len() as u64;
-        if self.queue(to).try_send(bytes).is_err() {
+        if self.outbox(to).push(bytes, Instant::now()) {
             self.traffic.dropped_messages.fetch_add(1, Ordering::Relaxed);
-            return;
         }
         self.traffic.note_sent(envelope, size);
     }
@@ -170,30 +179,34 @@
         }
     }
 
-    fn queue(&self, to: SocketAddr) -> mpsc::Sender<Vec<u8>> {
-        let mut queues = lock(&self.queues);
-        if let Some(queue) = queues.get(&to)
-            && !queue.is_closed()
-        {
-            return queue.clone();
-        }
-        let (sender, receiver) = mpsc::channel(QUEUE_CAPACITY);
-        tokio::spawn(run_session(to, receiver));
-        queues.insert(to, sender.clone());
-        sender
+    fn outbox(&self, to: SocketAddr) -> Arc<Outbox> {
+        let mut sessions = lock(&self.sessions);
+        let session = sessions.entry(to).or_insert_with(|| {
+            let outbox = Arc::new(Outbox::default());
+            let task = tokio::spawn(session::run(to, outbox.clone())).abort_handle();
+            Session { outbox, task }
+        });
+        session.outbox.clone()
     }
 
-    fn receive_loop(&self, listener: &Socket, inbound: &mpsc::Sender<Envelope>) {
+    /// Accepts peers' connections until the task is ended, and with it those that it accepted.
+    async fn accept(self: Arc<Self>, listener: TcpListener, inbound: mpsc::Sender<Envelope>) {
+        let mut connections = JoinSet::new();
         loop {
-            let message = match listener.recv() {
-                Ok(message) => message,
-                Err(nng::Error::Closed) => return,
-                // Anything else concerns one message or one connection; the node must not go deaf.
-                Err(_) => {
-                    std::thread::sleep(RECEIVE_ERROR_PAUSE);
-                    continue;
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    connections.spawn(self.clone().receive(stream, inbound.clone()));
                 }
-            };
+                Err(_) => tokio::time::sleep(ACCEPT_RETRY_PAUSE).await,
+            }
+            while connections.try_join_next().is_some() {}
+        }
+    }
+
+    /// Takes what one connection brings until it ends, which shows as the peer's silence.
+    async fn receive(self: Arc<Self>, stream: TcpStream, inbound: mpsc::Sender<Envelope>) {
+        let mut stream = BufReader::new(stream);
+        while let Ok(Ok(message)) = timeout(SILENCE_LIMIT, read_message(&mut stream)).await {
             self.traffic.received_messages.fetch_add(1, Ordering::Relaxed);
             self.traffic.received_bytes.fetch_add(message.len() as u64, Ordering::Relaxed);
             let envelope = match Envelope::decode(message.as_slice()) {
@@ -208,7 +221,7 @@
             }
             if envelope.answers != 0 {
                 self.answer(envelope);
-            } else if inbound.blocking_send(envelope).is_err() {
+            } else if inbound.send(envelope).await.is_err() {
                 return;
             }
         }
@@ -216,25 +229,14 @@
 
     fn answer(&self, envelope: Envelope) {
         if let Some(waiting) = lock(&self.questions).remove(&envelope.answers) {
+            // Whoever asked may have given up a moment ago.
             let _ = waiting.send(envelope);
         }
     }
 }
 
-/// The task of one peer: sends what is queued until the queue is dropped.
-async fn run_session(to: SocketAddr, mut queue: mpsc::Receiver<Vec<u8>>) {
-    let Ok(socket) = open_session(to) else { return };
-    while let Ok(Some(bytes)) = tokio::time::timeout(IDLE_LIMIT, queue.recv()).await {
-        let _ = socket.try_send(bytes.as_slice());
-    }
-    socket.close();
-}
-
-fn open_session(to: SocketAddr) -> Result<Socket, nng::Error> {
-    let socket = Socket::new(Protocol::Push0)?;
-    socket.set_opt::<SendBufferSize>(SEND_BUFFER)?;
-    socket.set_opt::<ReconnectMinTime>(Some(RECONNECT_MIN))?;
-    socket.set_opt::<ReconnectMaxTime>(Some(RECONNECT_MAX))?;
-    socket.dial_async(&format!("tcp://{to}"))?;
-    Ok(socket)
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
 }
--- /dev/null
+++ b/crates/beamwall-peer/src/session.rs
@@ -0,0 +1,84 @@
+//! The outgoing connection to one peer.
+//!
+//! It carries messages one way; answers come over the peer's own. It is opened when there is something to send, and
+//! again after it broke. A connection that has gone silent breaks by the limit on what stays unacknowledged.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::time::timeout;
+
+use crate::frame::write_message;
+use crate::outbox::{Outbox, Waiting};
+
+/// Longest time to open a connection.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// Time that sent bytes may stay unacknowledged before the connection counts as broken.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(2);
+/// Longest time to write one message; a peer that reads nothing for so long is tried anew.
+const WRITE_LIMIT: Duration = Duration::from_secs(5);
+/// First pause after a connection could not be opened; it doubles with each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// Time without a message to send after which the connection is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(120);
+
+/// Sends what waits in `outbox` to a peer until the task is ended. Failures show as the peer's silence, which
+/// membership logs.
+pub async fn run(to: SocketAddr, outbox: Arc<Outbox>) {
+    let mut pause = FIRST_PAUSE;
+    loop {
+        let first = outbox.next().await;
+        match connect(to).await {
+            Ok(stream) => {
+                pause = FIRST_PAUSE;
+                // Whatever ended the connection, the next message opens another.
+                let _ = send_all(stream, first, &outbox).await;
+            }
+            Err(_) => {
+                outbox.put_back(first);
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+}
+
+async fn connect(to: SocketAddr) -> io::Result<TcpStream> {
+    let stream = timeout(CONNECT_LIMIT, TcpStream::connect(to)).await??;
+    stream.set_nodelay(true)?;
+    SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))?;
+    Ok(stream)
+}
+
+/// Sends messages until the connection ends or has nothing to carry.
+async fn send_all(stream: TcpStream, first: Waiting, outbox: &Outbox) -> io::Result<()> {
+    let (mut from_peer, mut to_peer) = stream.into_split();
+    let mut next = first;
+    loop {
+        write(&mut to_peer, &next.message).await?;
+        // The peer sends nothing here: reading tells when it closes, before another message is lost.
+        next = tokio::select! {
+            biased;
+            ended = wait_closed(&mut from_peer) => return ended,
+            waiting = timeout(IDLE_LIMIT, outbox.next()) => waiting?,
+        };
+    }
+}
+
+async fn write(to_peer: &mut OwnedWriteHalf, message: &[u8]) -> io::Result<()> {
+    timeout(WRITE_LIMIT, write_message(to_peer, message)).await?
+}
+
+async fn wait_closed(from_peer: &mut OwnedReadHalf) -> io::Result<()> {
+    let mut unexpected = [0; 64];
+    while from_peer.read(&mut unexpected).await? > 0 {}
+    Ok(())
+}
--- a/crates/beamwall-peer/tests/network.rs
+++ b/crates/beamwall-peer/tests/network.rs
@@ -10,14 +10,20 @@
 use std::time::Duration;
 
 use beamwall_peer::gateway_message::VersionNews;
-use beamwall_peer::{Body, Envelope, PeerNetwork};
+use beamwall_peer::outbox::Outbox;
+use beamwall_peer::{Body, Envelope, PeerError, PeerNetwork};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout};
 
 const NODES: usize = 40;
 const ROUNDS: usize = 400;
 const ROUND: Duration = Duration::from_millis(10);
+/// Longest wait for what must come.
+const PATIENCE: Duration = Duration::from_secs(5);
 
 fn free_addresses(count: usize) -> Vec<SocketAddr> {
     let listeners: Vec<TcpListener> =
@@ -34,6 +40,17 @@
     }
 }
 
+fn version(envelope: &Envelope) -> u64 {
+    match &envelope.body {
+        Some(Body::VersionNews(news)) => news.policy_version,
+        other => panic!("unexpected: {other:?}"),
+    }
+}
+
+async fn receive(inbox: &mut mpsc::Receiver<Envelope>) -> Envelope {
+    timeout(PATIENCE, inbox.recv()).await.expect("in time").expect("open")
+}
+
 type Node = (Arc<PeerNetwork>, mpsc::Receiver<Envelope>);
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -63,3 +80,143 @@
         tokio::time::sleep(ROUND).await;
     }
 }
+
+#[tokio::test]
+async fn messages_arrive_in_order_and_answers_reach_who_asked() {
+    let addresses = free_addresses(2);
+    let (one, _inbox) = PeerNetwork::listen(addresses[0]).expect("listens");
+    let (other, mut inbox) = PeerNetwork::listen(addresses[1]).expect("listens");
+    for number in 1..=100 {
+        one.send(addresses[1], &news(addresses[0], number));
+    }
+    for number in 1..=100 {
+        assert_eq!(version(&receive(&mut inbox).await), number);
+    }
+    let (from, to) = (addresses[0], addresses[1]);
+    let asked = tokio::spawn(async move { one.ask(to, news(from, 7), PATIENCE).await });
+    let question = receive(&mut inbox).await;
+    other.send(addresses[0], &Envelope { answers: question.question, ..news(addresses[1], 8) });
+    assert_eq!(version(&asked.await.expect("the task").expect("an answer")), 8);
+}
+
+#[tokio::test]
+async fn a_large_message_arrives_whole_beside_small_ones() {
+    let addresses = free_addresses(2);
+    let (one, _inbox) = PeerNetwork::listen(addresses[0]).expect("listens");
+    let (_other, mut inbox) = PeerNetwork::listen(addresses[1]).expect("listens");
+    let large = Envelope { zone: "z".repeat(5 << 20), ..news(addresses[0], 1) };
+    one.send(addresses[1], &large);
+    one.send(addresses[1], &news(addresses[0], 2));
+    assert_eq!(receive(&mut inbox).await, large);
+    assert_eq!(version(&receive(&mut inbox).await), 2);
+}
+
+#[tokio::test]
+async fn a_peer_that_starts_again_hears_within_a_moment() {
+    let addresses = free_addresses(2);
+    let (one, _inbox) = PeerNetwork::listen(addresses[0]).expect("listens");
+    for life in 1..=3 {
+        let since = Instant::now();
+        let (other, mut inbox) = loop {
+            // The life before gives its port back a moment after it was closed.
+            match PeerNetwork::listen(addresses[1]) {
+                Ok(node) => break node,
+                Err(error) => assert!(since.elapsed() < PATIENCE, "{error}"),
+            }
+            tokio::time::sleep(ROUND).await;
+        };
+        while inbox.is_empty() {
+            one.send(addresses[1], &news(addresses[0], life));
+            tokio::time::sleep(ROUND).await;
+            assert!(since.elapsed() < PATIENCE, "life {life} hears nothing");
+        }
+        // What was sent to the life before may still come, but is not old.
+        assert!(version(&receive(&mut inbox).await) + 1 >= life);
+        other.close();
+        drop(inbox);
+        // Messages to a peer that is away are lost and block nobody.
+        (0..1_000).for_each(|_| one.send(addresses[1], &news(addresses[0], life)));
+    }
+}
+
+#[tokio::test]
+async fn a_question_to_nobody_ends_by_its_limit() {
+    let addresses = free_addresses(2);
+    let (one, _inbox) = PeerNetwork::listen(addresses[0]).expect("listens");
+    let limit = Duration::from_millis(200);
+    let answer = one.ask(addresses[1], news(addresses[0], 1), limit).await;
+    assert!(matches!(answer, Err(PeerError::NoAnswer(waited)) if waited == limit));
+}
+
+#[tokio::test]
+async fn bytes_that_are_no_message_end_their_connection_alone() {
+    let addresses = free_addresses(2);
+    let (one, _inbox) = PeerNetwork::listen(addresses[0]).expect("listens");
+    let (_other, mut inbox) = PeerNetwork::listen(addresses[1]).expect("listens");
+    let mut stranger = TcpStream::connect(addresses[1]).await.expect("connects");
+    stranger.write_all(b"GET / HTTP/1.1\r\n\r\n").await.expect("writes");
+    // The first four bytes announce more than a gigabyte.
+    let ended = timeout(PATIENCE, stranger.read(&mut [0; 1])).await.expect("in time");
+    assert!(!matches!(ended, Ok(1..)), "the connection is closed");
+    one.send(addresses[1], &news(addresses[0], 1));
+    assert_eq!(version(&receive(&mut inbox).await), 1);
+}
+
+async fn read_version(stream: &mut TcpStream) -> std::io::Result<u64> {
+    let length = timeout(PATIENCE, stream.read_u32()).await??;
+    let mut message = vec![0; length as usize];
+    stream.read_exact(&mut message).await?;
+    Ok(version(&prost::Message::decode(message.as_slice()).expect("a message")))
+}
+
+#[tokio::test]
+async fn a_peer_that_reads_nothing_is_told_what_is_new_once_it_reads() {
+    let addresses = free_addresses(1);
+    let (one, _inbox) = PeerNetwork::listen(addresses[0]).expect("listens");
+    let peer = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = peer.local_addr().expect("an address");
+    let filler = "z".repeat(1 << 20);
+    let send = |number| {
+        let message = Envelope { zone: filler.clone(), ..news(addresses[0], number) };
+        one.send(address, &message);
+    };
+    send(0);
+    let (mut stream, _) = peer.accept().await.expect("a connection");
+    // More than buffers take, for longer than messages are worth sending.
+    for number in 1..=60 {
+        send(number);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let mut told = Vec::new();
+    while told.last() != Some(&60) {
+        match read_version(&mut stream).await {
+            Ok(number) => told.push(number),
+            // The session gave the connection up meanwhile and opened another.
+            Err(_) => stream = timeout(PATIENCE, peer.accept()).await.expect("in time").expect("accepts").0,
+        }
+    }
+    assert!(told.is_sorted(), "{told:?}");
+    assert!(told.len() < 58, "old messages are dropped: {told:?}");
+}
+
+#[tokio::test]
+async fn of_messages_that_wait_the_oldest_go_first() {
+    let outbox = Outbox::default();
+    let now = Instant::now();
+    let dropped = (0..300_u32).filter(|number| outbox.push(number.to_be_bytes().to_vec(), now)).count();
+    assert_eq!(dropped, 44);
+    assert_eq!(outbox.next().await.message, 44_u32.to_be_bytes());
+    // A message that could not be sent is the next one again.
+    let unsent = outbox.next().await;
+    outbox.put_back(unsent);
+    assert_eq!(outbox.next().await.message, 45_u32.to_be_bytes());
+}
+
+#[tokio::test]
+async fn a_message_that_has_waited_for_long_is_not_sent() {
+    let outbox = Outbox::default();
+    let now = Instant::now();
+    outbox.push(vec![1], now - Duration::from_secs(3));
+    outbox.push(vec![2], now);
+    assert_eq!(outbox.next().await.message, [2]);
+}
