A gateway that starts learns what lives that ended had counted

Cause: a node tells its own life's counts only, so the counts of a killed life went with the nodes that had heard it; relays that start anew then told sums that lack them. Ruled out: telling ended lives with every heartbeat (kilobytes for each of a zone's nodes for 15 s after a kill of half of them).

--- a/crates/beamwall-gateway/src/usage.rs
+++ b/crates/beamwall-gateway/src/usage.rs
@@ -2,7 +2,8 @@
 //!
 //! Every node counts its own and tells its counts to all others with each heartbeat, so the counts of
 //! a node that is killed are known to the rest but for its last heartbeat period. A node's counts
-//! carry its incarnation: a restarted node counts anew and both lives are summed.
+//! carry its incarnation: a restarted node counts anew and both lives are summed. A node that starts asks for what
+//! others know, since nobody tells a life's counts after its end.
 //!
 //! In a large deployment other zones are known by sums that their relays tell. Each sum is a lower bound
 //! of what the zone counted, so of several the largest is right.
@@ -69,12 +70,7 @@
 
     /// This node's own counts in its newest windows, at most `windows`, to be told to the others.
     pub fn recent(&self, windows: usize) -> Vec<WindowCounts> {
-        let state = self.lock();
-        let window = |(window, counts): (&u64, &BTreeMap<TenantName, u64>)| WindowCounts {
-            window: *window,
-            counts: counts.clone(),
-        };
-        state.own.iter().rev().take(windows).map(window).collect()
+        newest(&self.lock().own, windows)
     }
 
     /// Takes what one life of another node counted; counts only grow.
@@ -94,6 +90,15 @@
         self.lock().others.retain(|(known, _), _| known != node);
     }
 
+    /// What others' lives counted in their newest windows, at most `windows`: the node, its life and the counts.
+    pub fn lives(&self, windows: usize) -> Vec<(NodeId, u64, Vec<WindowCounts>)> {
+        let state = self.lock();
+        let life = |((node, life), counted): (&(NodeId, u64), &Windows)| {
+            (node.clone(), *life, newest(counted, windows))
+        };
+        state.others.iter().map(life).collect()
+    }
+
     /// The sums of this node and all nodes that told their own, in the newest `windows` windows.
     pub fn sum_of_nodes(&self, windows: usize) -> Vec<WindowCounts> {
         let state = self.lock();
@@ -118,6 +123,15 @@
     }
 }
 
+/// The newest windows, at most `count`, the newest first.
+fn newest(windows: &Windows, count: usize) -> Vec<WindowCounts> {
+    let counted = |(window, counts): (&u64, &BTreeMap<TenantName, u64>)| WindowCounts {
+        window: *window,
+        counts: counts.clone(),
+    };
+    windows.iter().rev().take(count).map(counted).collect()
+}
+
 fn add(sum: &mut BTreeMap<TenantName, u64>, counts: &BTreeMap<TenantName, u64>) {
     for (tenant, count) in counts {
         *sum.entry(tenant.clone()).or_default() += count;
--- a/crates/beamwall-gateway/tests/usage.rs
+++ b/crates/beamwall-gateway/tests/usage.rs
@@ -37,6 +37,23 @@
     assert_eq!(here.total(2).counts, [("alder".into(), 3)].into());
 }
 
+#[test]
+fn a_node_that_starts_learns_what_ended_lives_counted() {
+    let (killed, survivor, started) =
+        (UsageLedger::new(WINDOW), UsageLedger::new(WINDOW), UsageLedger::new(WINDOW));
+    killed.record(&"alder".into(), second(11));
+    survivor.merge(&"n1".into(), 1, killed.recent(3));
+    for _ in 0..2 {
+        // Twice: what is known counts once.
+        for (node, life, counts) in survivor.lives(3) {
+            started.merge(&node, life, counts);
+        }
+    }
+    started.record(&"alder".into(), second(12));
+    assert_eq!(started.total(2).counts, [("alder".into(), 2)].into());
+    assert_eq!(started.sum_of_nodes(3), started.sum_of_nodes(1), "one window");
+}
+
 #[test]
 fn old_windows_are_forgotten() {
     let ledger = UsageLedger::new(WINDOW);
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -292,6 +292,7 @@
                 let answer = self.policies.answer(request, Instant::now());
                 self.reply(&envelope, Body::PolicyAnswer(answer));
             }
+            Some(Body::UsageRequest(_)) => self.answer_usage(&envelope),
             Some(Body::DirectoryRequest(_)) => {
                 if let Some(whole) = self.answer_directory() {
                     self.reply(&envelope, Body::DirectoryWhole(whole));
@@ -301,7 +302,7 @@
         }
     }
 
-    fn reply(&self, to: &Envelope, body: Body) {
+    pub(super) fn reply(&self, to: &Envelope, body: Body) {
         if let Ok(address) = to.address.parse() {
             self.network.send(address, &Envelope { answers: to.question, ..self.envelope(body) });
         }
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod gauges;
 pub mod heard_versions;
 mod kept_models;
+mod known_usage;
 pub mod observations;
 pub mod placing;
 pub mod policies;
@@ -160,6 +161,7 @@
             tokio::spawn(exchange.clone().send_beats()),
             tokio::spawn(exchange.clone().receive(inbox)),
         ];
+        tasks.push(tokio::spawn(exchange.clone().learn_usage()));
         tasks.push(tokio::spawn(kept_models::recall(gateway.clone(), ports.objects.clone())));
         if let Some(port) = ports.duties {
             let duties =
--- a/crates/beamwall-node/src/tasks/inbox.rs
+++ b/crates/beamwall-node/src/tasks/inbox.rs
@@ -79,6 +79,8 @@
             | Body::DirectoryRequest(_)
             | Body::DirectoryWhole(_)
             | Body::VersionNews(_)
+            | Body::UsageRequest(_)
+            | Body::UsageKnown(_)
             | Body::ZoneSummary(_)
             | Body::PlacementRequest(_)
             | Body::PlacementReply(_),
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -191,6 +191,32 @@
     pub requests: u64,
 }
 
+/// Asks for the usage that the receiver knows.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct UsageRequest {}
+
+/// Usage by life of a gateway, also of lives that have ended.
+#[derive(Clone, PartialEq, Message)]
+pub struct UsageKnown {
+    /// The lives.
+    #[prost(message, repeated, tag = "1")]
+    pub lives: Vec<LifeUsage>,
+}
+
+/// Usage that one life of a gateway counted.
+#[derive(Clone, PartialEq, Message)]
+pub struct LifeUsage {
+    /// Name of the gateway.
+    #[prost(string, tag = "1")]
+    pub node: String,
+    /// Number of the life.
+    #[prost(fixed64, tag = "2")]
+    pub life: u64,
+    /// What it counted.
+    #[prost(message, repeated, tag = "3")]
+    pub usage: Vec<UsageWindow>,
+}
+
 /// Asks what changed in the policy since the version that the sender holds.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct PolicyRequest {
--- a/crates/beamwall-peer/src/message.rs
+++ b/crates/beamwall-peer/src/message.rs
@@ -7,7 +7,7 @@
 
 use crate::gateway_message::{
     DirectoryRequest, DirectoryWhole, GatewayBeat, PlacementReply, PlacementRequest, PolicyAnswer,
-    PolicyRequest, VersionNews, ZoneSummary,
+    PolicyRequest, UsageKnown, UsageRequest, VersionNews, ZoneSummary,
 };
 
 /// Every message: who sends it, what the sender holds, and the body.
@@ -49,7 +49,7 @@
     /// The body.
     #[prost(
         oneof = "Body",
-        tags = "20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 40, 41, 42, 43, 44, 45, 46, 47, 48"
+        tags = "20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 40, 41, 42, 43, 44, 45, 46, 47, 48, 49, 50"
     )]
     pub body: Option<Body>,
 }
@@ -120,6 +120,12 @@
     /// Versions that a gateway has just taken.
     #[prost(message, tag = "48")]
     VersionNews(VersionNews),
+    /// Asks a gateway for the usage that it knows.
+    #[prost(message, tag = "49")]
+    UsageRequest(UsageRequest),
+    /// The usage that it knows.
+    #[prost(message, tag = "50")]
+    UsageKnown(UsageKnown),
 }
 
 impl Envelope {
@@ -145,6 +151,7 @@
             Self::DirectoryRequest(_) | Self::DirectoryWhole(_) => "back_ends",
             Self::ZoneSummary(_) => "zone_sum",
             Self::VersionNews(_) => "versions",
+            Self::UsageRequest(_) | Self::UsageKnown(_) => "usage",
             Self::PlacementRequest(_) | Self::PlacementReply(_) => "placement",
         }
     }
