Peers tell a life that ended abruptly from one that drained

Cause: a gateway that crashed left nothing: its next life starts like any other, and on machines without a disk nobody knew. Ruled out: a note in the store at each drain (a write a restart; a crash while the store is away would look planned).

--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -105,6 +105,10 @@
     3007 Warn PlacementUnanswered "placement unanswered" { peer, pause_ms }
     /// No node of a zone is heard and an engine there could not be reached: its engines are avoided for now.
     3008 Warn ZoneCutOff "zone cut off" { zone }
+    /// A peer that had drained is heard in a new life.
+    3009 Info PeerRestarted "peer restarted" { peer, zone }
+    /// A peer that had not drained is heard in a new life: it crashed or was killed.
+    3010 Warn PeerEndedAbruptly "peer had ended abruptly" { peer, zone }
     /// A back end is leaving and gets no new work.
     4001 Info BackendLeaving "back end leaving" { backend, source }
     /// A back end failed its health polls.
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -27,6 +27,7 @@
 use crate::gateway::beat;
 use crate::gateway::chooser::ZoneChooser;
 use crate::gateway::heard_versions::HeardVersions;
+use crate::gateway::peer_lives::PeerLives;
 use crate::gateway::placing;
 use crate::gateway::policies::PolicyDistribution;
 use crate::gateway::readiness::Readiness;
@@ -96,6 +97,8 @@
     pub models_told: Mutex<Option<Instant>>,
     /// The lists of back ends that peers hold.
     pub directories: HeardVersions,
+    /// How the lives of peers ended.
+    pub peer_lives: PeerLives,
     /// Paces what is sent for others' sake.
     pub transfers: Arc<TransferPacer>,
     /// The versions of the policy that are told and heard of.
@@ -341,6 +344,7 @@
         self.take_versions(envelope, held);
         // In a large deployment the work of other zones comes as sums.
         if !self.is_large() || envelope.zone == self.zone.as_str() {
+            self.peer_lives.note(envelope, beat.life);
             self.take_work(&envelope.sender, beat);
         }
     }
--- a/crates/beamwall-node/src/gateway/gauges.rs
+++ b/crates/beamwall-node/src/gateway/gauges.rs
@@ -28,6 +28,7 @@
     log_lines_dropped: IntGauge,
     peer_messages_dropped: IntGauge,
     nodes_heard: IntGauge,
+    peers_ended_abruptly: IntGauge,
     engine_model_known: GaugeVec,
     quota_level: GaugeVec,
     retries_left: GaugeVec,
@@ -75,6 +76,10 @@
                 "beamwall_gateway_peer_messages_dropped",
                 "messages to peers dropped since start",
             )?,
+            peers_ended_abruptly: add(
+                "beamwall_gateway_peers_ended_abruptly",
+                "lives of peers that ended without a drain since start",
+            )?,
             nodes_heard: add("beamwall_gateway_nodes_heard", "nodes that share quotas and are heard")?,
             engine_model_known: gauge_by(
                 "service",
@@ -121,6 +126,7 @@
         for (kind, bytes) in traffic.sent_bytes_by_kind() {
             self.peer_sent_bytes_by_kind.with_label_values(&[kind]).set(bytes as f64);
         }
+        self.peers_ended_abruptly.set(exchange.peer_lives.ended_abruptly() as i64);
         self.refresh_limits(gateway);
         self.refresh_models(gateway);
     }
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod kept_models;
 mod known_usage;
 pub mod observations;
+pub mod peer_lives;
 pub mod placing;
 pub mod policies;
 pub mod readiness;
@@ -60,6 +61,7 @@
 use crate::gateway::exchange::Exchange;
 use crate::gateway::gauges::GatewayGauges;
 use crate::gateway::heard_versions::HeardVersions;
+use crate::gateway::peer_lives::PeerLives;
 use crate::gateway::placing::PeerPlacement;
 use crate::gateway::policies::PolicyDistribution;
 use crate::gateway::readiness::{Readiness, StatusHandler};
@@ -307,6 +309,7 @@
         models_refreshed: Mutex::default(),
         models_told: Mutex::default(),
         directories: HeardVersions::default(),
+        peer_lives: PeerLives::default(),
         policies: PolicyDistribution::new(archive, transfers.clone()),
         transfers,
         zones: Default::default(),
--- /dev/null
+++ b/crates/beamwall-node/src/gateway/peer_lives.rs
@@ -0,0 +1,59 @@
+//! How the lives of peers ended: in order after a drain, or not.
+//!
+//! A gateway that ends without a word can't tell it itself, and on machines without a disk its next life does not know
+//! either. Peers see a new life follow one that had not said that it drains.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+
+use beamwall_events::emit;
+use beamwall_events::internal_events::{PeerEndedAbruptly, PeerRestarted};
+use beamwall_model::NodeId;
+use beamwall_peer::Envelope;
+
+/// The last life of each peer that tells its own.
+#[derive(Debug, Default)]
+pub struct PeerLives {
+    last: Mutex<HashMap<NodeId, Life>>,
+    ended_abruptly: AtomicU64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Life {
+    number: u64,
+    was_draining: bool,
+}
+
+impl PeerLives {
+    /// Peers' lives that ended without a drain since this node's start.
+    pub fn ended_abruptly(&self) -> u64 {
+        self.ended_abruptly.load(Ordering::Relaxed)
+    }
+
+    /// Notes the life in which a peer sent a message, and tells how the one before it ended.
+    pub(super) fn note(&self, envelope: &Envelope, number: u64) {
+        let peer = NodeId::new(&envelope.sender);
+        let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
+        let life = last.entry(peer).or_insert(Life { number, was_draining: false });
+        if number < life.number {
+            return;
+        }
+        let ended = (number > life.number).then_some(*life);
+        *life = Life { number, was_draining: envelope.draining };
+        drop(last);
+        if let Some(ended) = ended {
+            self.tell(envelope, ended);
+        }
+    }
+
+    fn tell(&self, envelope: &Envelope, ended: Life) {
+        let (peer, zone) = (envelope.sender.clone(), envelope.zone.clone());
+        if ended.was_draining {
+            emit(&PeerRestarted { peer, zone });
+        } else {
+            self.ended_abruptly.fetch_add(1, Ordering::Relaxed);
+            emit(&PeerEndedAbruptly { peer, zone });
+        }
+    }
+}
