Lives that counted nothing for long are forgotten

Cause: the counts of each life of each node stayed for ever, and are now told to nodes that start: both grew with every restart. Ruled out: forgetting a life at its end (its counts are still to be reported). Change: a life goes when its newest window is older than those that are kept. Measured: 100 lives of a node, less than 20 kept, the newest window right.

--- a/crates/beamwall-gateway/src/usage.rs
+++ b/crates/beamwall-gateway/src/usage.rs
@@ -36,6 +36,16 @@
     zones: HashMap<ZoneName, Windows>,
 }
 
+impl State {
+    /// Forgets lives that have counted nothing for as many windows as are kept: else each restart of a node would stay.
+    fn forget_old_lives(&mut self) {
+        let newest_of = |windows: &Windows| windows.keys().next_back().copied();
+        let newest = self.others.values().filter_map(newest_of).max().unwrap_or(0);
+        let oldest = newest.saturating_sub(KEPT_WINDOWS);
+        self.others.retain(|_, windows| newest_of(windows).is_some_and(|newest| newest >= oldest));
+    }
+}
+
 /// The counts of all nodes that are known here.
 #[derive(Debug)]
 pub struct UsageLedger {
@@ -77,6 +87,7 @@
     pub fn merge(&self, node: &NodeId, incarnation: u64, told: Vec<WindowCounts>) {
         let mut state = self.lock();
         raise(state.others.entry((node.clone(), incarnation)).or_default(), told);
+        state.forget_old_lives();
     }
 
     /// Takes the sums that a relay of another zone told.
@@ -90,7 +101,8 @@
         self.lock().others.retain(|(known, _), _| known != node);
     }
 
-    /// What others' lives counted in their newest windows, at most `windows`: the node, its life and the counts.
+    /// What others' lives counted that are not forgotten yet: the node, its life and the counts in its newest windows, at
+    /// most `windows`.
     pub fn lives(&self, windows: usize) -> Vec<(NodeId, u64, Vec<WindowCounts>)> {
         let state = self.lock();
         let life = |((node, life), counted): (&(NodeId, u64), &Windows)| {
--- a/crates/beamwall-gateway/tests/usage.rs
+++ b/crates/beamwall-gateway/tests/usage.rs
@@ -54,6 +54,18 @@
     assert_eq!(started.sum_of_nodes(3), started.sum_of_nodes(1), "one window");
 }
 
+#[test]
+fn lives_that_ended_long_ago_are_forgotten() {
+    let ledger = UsageLedger::new(WINDOW);
+    for life in 0..100 {
+        let counted = UsageLedger::new(WINDOW);
+        counted.record(&"alder".into(), second(life * 5));
+        ledger.merge(&"n1".into(), life, counted.recent(3));
+    }
+    assert!(ledger.lives(3).len() < 20);
+    assert_eq!(ledger.total(99).counts, [("alder".into(), 1)].into());
+}
+
 #[test]
 fn old_windows_are_forgotten() {
     let ledger = UsageLedger::new(WINDOW);
