--- a/crates/beamwall-peer/src/membership.rs
+++ b/crates/beamwall-peer/src/membership.rs
@@ -2,9 +2,9 @@
 //!
 //! Within a zone every node sends to every other up to [`FULL_MESH_LIMIT`] members; beyond that each
 //! probes a few in turn, which answer, and news travels piggybacked. Between zones only two relays a
-//! pair speak, chosen among the nodes on the fastest links. A node is suspected when a probe of it has stayed unanswered for a while, probed
-//! through others, and declared dead only after a further wait; a node that learns of its own
-//! suspicion refutes it with a higher incarnation.
+//! pair speak, chosen among the nodes on the fastest links. A node is suspected when a probe of it has
+//! stayed unanswered for a while, probed through others, and declared dead only after a further wait; a
+//! node that learns of its own suspicion refutes it with a higher incarnation.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
