Benchmark of the choice of an engine at 60 to 10,000 engines

Ruled out: nothing yet. Change: a benchmark of the sender's half (groups in order) and of the placing node's half, time and allocations.

--- /dev/null
+++ b/crates/beamwall-gateway/benches/choice.rs
@@ -0,0 +1,69 @@
+//! What the choice of an engine costs by the number of engines: time and allocations of its two halves.
+//!
+//! The sender divides the engines of a service into groups and orders them for a prompt; the node that places in the first
+//! group compares the engines there. Run with `cargo bench -p beamwall-gateway`.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use beamwall_gateway::candidates::{ChosenBy, Knowledge, Search};
+use beamwall_gateway::choice::{Expectation, choose};
+use beamwall_gateway::placement_groups::{EngineGroup, EngineGroups};
+use beamwall_gateway::{Directory, Prompt, PromptPart};
+use beamwall_model::{BackendId, ServiceName};
+use divan::{AllocProfiler, Bencher};
+
+#[global_allocator]
+static ALLOCATIONS: AllocProfiler = AllocProfiler::system();
+
+/// From a small deployment to the planned size.
+const ENGINES: [usize; 4] = [60, 600, 3_000, 10_000];
+/// Requests that an engine works on at once.
+const SLOTS: u32 = 96;
+
+fn main() {
+    divan::main();
+}
+
+fn service() -> ServiceName {
+    "pool".into()
+}
+
+fn prompt() -> Prompt {
+    let parts = vec![PromptPart { id: 7, tokens: 6_300 }, PromptPart { id: 8, tokens: 2_890 }];
+    Prompt { prompt_tokens: 9_190, output_tokens: 51, parts }
+}
+
+fn first_group(directory: &Directory, prompt: &Prompt) -> EngineGroup {
+    EngineGroups::of(directory, &service()).in_order(prompt, 1)[0]
+}
+
+fn place(knowledge: &Knowledge, directory: &Directory, prompt: &Prompt, group: EngineGroup) -> BackendId {
+    let service = service();
+    let zone = "a".into();
+    let by = ChosenBy::Placer;
+    let search = Search { service: &service, zone: &zone, prompt: Some(prompt), group, avoided: &[], by };
+    let candidates = knowledge.candidates(directory, search);
+    let estimates = knowledge.models.estimates(&service);
+    let expectation = Expectation { estimates: &estimates, pause_objective_ms: Some(400) };
+    choose(&candidates, &expectation).expect("an engine").0.backend.clone()
+}
+
+/// The sender's half.
+#[divan::bench(args = ENGINES)]
+fn order_groups(bencher: Bencher<'_, '_>, engines: usize) {
+    let directory = support::directory(engines, SLOTS);
+    let prompt = prompt();
+    bencher.bench(|| first_group(&directory, &prompt));
+}
+
+/// The placing node's half.
+#[divan::bench(args = ENGINES)]
+fn place_in_group(bencher: Bencher<'_, '_>, engines: usize) {
+    let directory = support::directory(engines, SLOTS);
+    let knowledge = Knowledge::default();
+    support::teach(&knowledge.models, support::observed());
+    let prompt = prompt();
+    let group = first_group(&directory, &prompt);
+    bencher.bench(|| place(&knowledge, &directory, &prompt, group));
+}
