A long list of back ends is read by the nodes that watch; a refused page is asked for again

Cause: at a mass start each node read all pages; the store refused most calls, and a refused page began the list anew. Ruled out: slower pauses between tries (all 60 pages still go to each node); listing at few nodes only (a node alone in its zone, or cut off from it, must read for itself). Change: the port reads pages; all nodes read the first four, then those that watch go on at once and the others leave pauses in which peers tell them the list; pages after the first are tried five times.

--- a/crates/beamwall-gateway/src/ports.rs
+++ b/crates/beamwall-gateway/src/ports.rs
@@ -96,6 +96,17 @@
     pub backends: Vec<Backend>,
 }
 
+/// A part of the list of back ends, in the order of the store.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct DirectoryPage {
+    /// The store's revision.
+    pub revision: u64,
+    /// The back ends.
+    pub backends: Vec<Backend>,
+    /// The entry after which the next page begins; `None` on the last page.
+    pub last: Option<String>,
+}
+
 /// One change of the back ends.
 #[derive(Debug, Clone, PartialEq)]
 pub enum DirectoryChange {
@@ -159,8 +170,8 @@
     async fn policy(&self) -> Result<PolicyAnswer, ControlStoreError>;
     /// Waits up to `wait` for a policy newer than `revision`.
     async fn watch_policy(&self, revision: u64, wait: Duration) -> Result<PolicyAnswer, ControlStoreError>;
-    /// Reads all back ends.
-    async fn backends(&self) -> Result<DirectorySnapshot, ControlStoreError>;
+    /// Reads a page of the list of back ends: the first, or that after an entry.
+    async fn backends(&self, after: Option<&str>) -> Result<DirectoryPage, ControlStoreError>;
     /// Waits up to `wait` for changes of the back ends after `revision`.
     async fn watch_backends(
         &self,
--- /dev/null
+++ b/crates/beamwall-node/src/gateway/listing.rs
@@ -0,0 +1,103 @@
+//! Reads the list of back ends from the store, page by page.
+//!
+//! The load that this answers: a whole fleet that starts at once beside a long list. If each node read all pages, the store
+//! would refuse most of the calls, and refused nodes would come back with the first page: 300 nodes beside 60 pages knew
+//! the list after 30 s. So all nodes read the first pages, which is the whole list of a small deployment. The rest is read
+//! by those that watch for their zone; the others leave pauses, in which peers tell them the list. A page that is refused
+//! is asked for again, not the list.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use beamwall_gateway::ports::{DirectoryPage, DirectorySnapshot};
+use beamwall_gateway::{ControlStore, ControlStoreError, Directory};
+use rand::RngExt;
+
+use crate::gateway::chooser::ZoneChooser;
+use crate::gateway::store_status::StoreStatus;
+use crate::gateway::watches::{BACKENDS, WATCHERS_PER_ZONE};
+
+/// Pages that every node reads: 200 back ends at a store that gives 50 a page.
+const READ_BY_ALL: usize = 4;
+/// Pause before the next page, until it is known who else has started.
+const INTRODUCTION_TIME: Duration = Duration::from_millis(400);
+/// Pause between two pages of a node that does not watch for its zone: those that do have read 60 pages by then.
+const LEFT_TO_PEERS: Duration = Duration::from_millis(500);
+/// Times that a page after the first is asked for.
+const TRIES: u32 = 5;
+/// Longest pause after a page was refused, a random part of which is waited; it doubles with each further try.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// What a reading came to.
+#[derive(Debug)]
+pub enum Listed {
+    /// The whole list was read.
+    Whole(DirectorySnapshot),
+    /// A peer told a list of this revision, at least as new as the one that was being read.
+    ToldByPeer(u64),
+}
+
+/// Reads the list.
+pub struct Listing {
+    /// The store.
+    pub store: Arc<dyn ControlStore>,
+    /// The list as known here.
+    pub known: Arc<ArcSwap<Directory>>,
+    /// Who watches.
+    pub chooser: ZoneChooser,
+    /// Told when the store refuses a page.
+    pub status: Arc<StoreStatus>,
+}
+
+impl Listing {
+    /// Reads all pages, or as many as it takes until a peer has told the list.
+    pub async fn read(&self) -> Result<Listed, ControlStoreError> {
+        let first = self.store.backends(None).await?;
+        // What changes between two pages is seen by the watch from the first page's revision.
+        let mut snapshot = DirectorySnapshot { revision: first.revision, backends: first.backends };
+        let mut last = first.last;
+        let mut pages = 1;
+        while let Some(after) = last {
+            self.leave_to_peers(pages).await;
+            let told = self.known.load().revision();
+            if pages >= READ_BY_ALL && told >= snapshot.revision {
+                return Ok(Listed::ToldByPeer(told));
+            }
+            let next = self.page_after(&after).await?;
+            snapshot.backends.extend(next.backends);
+            last = next.last;
+            pages += 1;
+        }
+        Ok(Listed::Whole(snapshot))
+    }
+
+    async fn leave_to_peers(&self, pages: usize) {
+        if pages == READ_BY_ALL {
+            tokio::time::sleep(INTRODUCTION_TIME).await;
+        }
+        if pages >= READ_BY_ALL && !self.chooser.is_chosen(BACKENDS, WATCHERS_PER_ZONE) {
+            tokio::time::sleep(LEFT_TO_PEERS).await;
+        }
+    }
+
+    /// Reads the page after an entry, in several tries where the store refuses it.
+    async fn page_after(&self, after: &str) -> Result<DirectoryPage, ControlStoreError> {
+        let mut pause = FIRST_PAUSE;
+        for _ in 1..TRIES {
+            match self.store.backends(Some(after)).await {
+                Err(error @ ControlStoreError::Unavailable(_)) => {
+                    self.status.note_failure(BACKENDS, &error.to_string());
+                }
+                answered => return answered,
+            }
+            tokio::time::sleep(random_part(pause)).await;
+            pause *= 2;
+        }
+        self.store.backends(Some(after)).await
+    }
+}
+
+fn random_part(longest: Duration) -> Duration {
+    longest.mul_f64(rand::rng().random())
+}
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod heard_versions;
 mod kept_models;
 mod known_usage;
+pub mod listing;
 pub mod observations;
 pub mod peer_lives;
 pub mod placers;
@@ -63,6 +64,7 @@
 use crate::gateway::exchange::Exchange;
 use crate::gateway::gauges::GatewayGauges;
 use crate::gateway::heard_versions::HeardVersions;
+use crate::gateway::listing::Listing;
 use crate::gateway::peer_lives::PeerLives;
 use crate::gateway::placing::PeerPlacement;
 use crate::gateway::policies::PolicyDistribution;
@@ -156,8 +158,14 @@
         let chooser = exchange.chooser.clone();
         let followed_policy =
             FollowedPolicy { store: ports.store.clone(), policy: exchange.policy_actor.clone() };
+        let listing = Listing {
+            store: ports.store.clone(),
+            known: exchange.directory.clone(),
+            chooser: exchange.chooser.clone(),
+            status: status.clone(),
+        };
         let followed_backends =
-            FollowedBackends { store: ports.store, directory: exchange.directory_actor.clone() };
+            FollowedBackends { store: ports.store, listing, directory: exchange.directory_actor.clone() };
         let mut tasks = vec![
             tokio::spawn(serve_forever(readiness_listener, status_handler.clone())),
             tokio::spawn(serve_forever(metrics_listener, status_handler)),
--- a/crates/beamwall-node/src/gateway/watches.rs
+++ b/crates/beamwall-node/src/gateway/watches.rs
@@ -17,6 +17,7 @@
 use crate::actors::directory::{ApplyChanges, DirectoryActor, TakeSnapshot};
 use crate::actors::policy::{OfferPolicy, PolicyActor};
 use crate::gateway::chooser::ZoneChooser;
+use crate::gateway::listing::{Listed, Listing};
 use crate::gateway::store_status::StoreStatus;
 
 /// Longest wait of one watch call.
@@ -120,6 +121,8 @@
 pub struct FollowedBackends {
     /// The store.
     pub store: Arc<dyn ControlStore>,
+    /// Reads the whole list.
+    pub listing: Listing,
     /// Takes lists and changes.
     pub directory: ActorRef<DirectoryActor>,
 }
@@ -130,12 +133,14 @@
 
     async fn step(&self, reached: Option<u64>) -> Result<u64, ControlStoreError> {
         match reached {
-            None => {
-                let snapshot = self.store.backends().await?;
-                let revision = snapshot.revision;
-                let _ = self.directory.ask(TakeSnapshot { snapshot, source: SOURCE.to_owned() }).await;
-                Ok(revision)
-            }
+            None => match self.listing.read().await? {
+                Listed::Whole(snapshot) => {
+                    let revision = snapshot.revision;
+                    let _ = self.directory.ask(TakeSnapshot { snapshot, source: SOURCE.to_owned() }).await;
+                    Ok(revision)
+                }
+                Listed::ToldByPeer(revision) => Ok(revision),
+            },
             Some(base) => {
                 let changes = self.store.watch_backends(base, WATCH_WAIT).await?;
                 let revision = changes.revision;
