Entries of other writers name no engine, and the others of their page hold

One item of another type or with bytes that are no text made its whole page unreadable, so all lists and watches failed; an entry that turned unreadable in a watch was skipped and its engine stayed in use; an unknown or missing state counted as ready, slots of any number were taken. Ruled out: leaving out fields one by one (each then needs its own default, and a default is a guess at what the writer meant).

--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -135,6 +135,8 @@
     4106 Info EngineModelsRecalled "engine models recalled" { services, version }
     /// What was observed of services could not be written to the store or read from it.
     4107 Warn EngineModelsNotKept "engine models not kept" { reason }
+    /// An entry of the list of back ends can't be read.
+    4108 Warn EntryUnreadable "entry of a back end unreadable" { entry, reason }
     /// A stream continued on another engine.
     5001 Info StreamMigrated "stream migrated" { request, from, to, delivered_tokens, recomputed_tokens }
     /// An answer reached nobody because its attempt was over.
--- a/crates/beamwall-gateway/src/ports.rs
+++ b/crates/beamwall-gateway/src/ports.rs
@@ -105,6 +105,26 @@
     pub backends: Vec<Backend>,
     /// The entry after which the next page begins; `None` on the last page.
     pub last: Option<String>,
+    /// Entries that name no back end.
+    pub unreadable: Vec<UnreadableEntry>,
+}
+
+/// An entry of the list that can't be read, as one that another writer wrote.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct UnreadableEntry {
+    /// Its name; empty where that can't be read either.
+    pub name: String,
+    /// Why.
+    pub reason: String,
+}
+
+/// What a watch over the back ends saw.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct WatchedBackends {
+    /// The changes; a back end whose entry can't be read any more is gone.
+    pub changes: DirectoryChanges,
+    /// Entries that were written and name no back end.
+    pub unreadable: Vec<UnreadableEntry>,
 }
 
 /// One change of the back ends.
@@ -126,7 +146,7 @@
     }
 }
 
-/// What a watch over the back ends saw.
+/// Changes of the back ends.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct DirectoryChanges {
     /// The store's revision after them.
@@ -177,7 +197,7 @@
         &self,
         revision: u64,
         wait: Duration,
-    ) -> Result<DirectoryChanges, ControlStoreError>;
+    ) -> Result<WatchedBackends, ControlStoreError>;
 }
 
 /// How many back ends of one kind a zone shall hold.
--- a/crates/beamwall-node/src/gateway/listing.rs
+++ b/crates/beamwall-node/src/gateway/listing.rs
@@ -16,6 +16,7 @@
 
 use crate::gateway::chooser::ZoneChooser;
 use crate::gateway::store_status::StoreStatus;
+use crate::gateway::unreadable_entries::UnreadableEntries;
 use crate::gateway::watches::{BACKENDS, WATCHERS_PER_ZONE};
 
 /// Pages that every node reads: 200 back ends at a store that gives 50 a page.
@@ -48,12 +49,15 @@
     pub chooser: ZoneChooser,
     /// Told when the store refuses a page.
     pub status: Arc<StoreStatus>,
+    /// Told of entries that can't be read.
+    pub unreadable: Arc<UnreadableEntries>,
 }
 
 impl Listing {
     /// Reads all pages, or as many as it takes until a peer has told the list.
     pub async fn read(&self) -> Result<Listed, ControlStoreError> {
         let first = self.store.backends(None).await?;
+        self.unreadable.note(&first.unreadable);
         // What changes between two pages is seen by the watch from the first page's revision.
         let mut snapshot = DirectorySnapshot { revision: first.revision, backends: first.backends };
         let mut last = first.last;
@@ -65,6 +69,10 @@
                 return Ok(Listed::ToldByPeer(told));
             }
             let next = self.page_after(&after).await?;
+            if next.last.as_ref() == Some(&after) {
+                return Err(ControlStoreError::Unreadable(format!("the list does not go on after {after}")));
+            }
+            self.unreadable.note(&next.unreadable);
             snapshot.backends.extend(next.backends);
             last = next.last;
             pages += 1;
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 pub mod readiness;
 mod sharing;
 pub mod store_status;
+pub mod unreadable_entries;
 pub mod watches;
 pub mod zones;
 
@@ -70,6 +71,7 @@
 use crate::gateway::policies::PolicyDistribution;
 use crate::gateway::readiness::{Readiness, StatusHandler};
 use crate::gateway::store_status::StoreStatus;
+use crate::gateway::unreadable_entries::UnreadableEntries;
 use crate::gateway::watches::{FollowedBackends, FollowedPolicy};
 use crate::metrics;
 use crate::shared::MembershipView;
@@ -131,6 +133,7 @@
         });
         let registry = Registry::new();
         let status = Arc::new(StoreStatus::new(&registry)?);
+        let unreadable = Arc::new(UnreadableEntries::new(&registry)?);
         let life = new_incarnation();
         let members = Arc::new(ArcSwap::default());
         let placement = Arc::new(PeerPlacement::new(&settings, network.clone(), members.clone()));
@@ -163,6 +166,7 @@
             known: exchange.directory.clone(),
             chooser: exchange.chooser.clone(),
             status: status.clone(),
+            unreadable,
         };
         let followed_backends =
             FollowedBackends { store: ports.store, listing, directory: exchange.directory_actor.clone() };
--- /dev/null
+++ b/crates/beamwall-node/src/gateway/unreadable_entries.rs
@@ -0,0 +1,43 @@
+//! Entries of the list of back ends that can't be read: counted, and each told once.
+
+use std::collections::HashSet;
+use std::sync::{Mutex, PoisonError};
+
+use beamwall_events::emit;
+use beamwall_events::internal_events::EntryUnreadable;
+use beamwall_gateway::ports::UnreadableEntry;
+use prometheus::{IntCounter, Registry};
+
+/// Entries that are remembered as told; with more, all are forgotten, and those that stay are told once more.
+const REMEMBERED: usize = 1_024;
+
+/// The entries that could not be read.
+#[derive(Debug)]
+pub struct UnreadableEntries {
+    read: IntCounter,
+    told: Mutex<HashSet<String>>,
+}
+
+impl UnreadableEntries {
+    /// Counts them among the metrics.
+    pub fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let name = "beamwall_gateway_unreadable_entries_total";
+        let read = IntCounter::new(name, "entries of the list of back ends read that name no back end")?;
+        registry.register(Box::new(read.clone()))?;
+        Ok(Self { read, told: Mutex::default() })
+    }
+
+    /// Notes entries that were passed over.
+    pub fn note(&self, entries: &[UnreadableEntry]) {
+        let mut told = self.told.lock().unwrap_or_else(PoisonError::into_inner);
+        for entry in entries {
+            self.read.inc();
+            if told.len() >= REMEMBERED {
+                told.clear();
+            }
+            if told.insert(entry.name.clone()) {
+                emit(&EntryUnreadable { entry: entry.name.clone(), reason: entry.reason.clone() });
+            }
+        }
+    }
+}
--- a/crates/beamwall-node/src/gateway/watches.rs
+++ b/crates/beamwall-node/src/gateway/watches.rs
@@ -142,7 +142,9 @@
                 Listed::ToldByPeer(revision) => Ok(revision),
             },
             Some(base) => {
-                let changes = self.store.watch_backends(base, WATCH_WAIT).await?;
+                let watched = self.store.watch_backends(base, WATCH_WAIT).await?;
+                self.listing.unreadable.note(&watched.unreadable);
+                let changes = watched.changes;
                 let revision = changes.revision;
                 let source = SOURCE.to_owned();
                 let _ = self.directory.ask(ApplyChanges { base, changes, source }).await;
