Usage that has not changed is left out of two of three heartbeats in large deployments

Cause: each heartbeat told three windows of all tenants, some 600 bytes, to the whole zone. Ruled out: telling it to a few keepers only (the node that reports may hold the lease without being one); all figures every tenth heartbeat (a node that was cut off would be known late, and its window reported without). Change: a count is told in three heartbeats after each change and all in every third.

--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -5,16 +5,17 @@
 //! it can reach. While back ends come and go there are many versions a second, so news of them is short, and
 //! heartbeats keep their period unless quotas must be told at once.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use beamwall_engine_model::Workload;
+use beamwall_gateway::usage::WindowCounts;
 use beamwall_gateway::{Directory, Gateway, Reporter};
-use beamwall_model::{NodeId, ServiceName, ZoneName};
-use beamwall_peer::gateway_message::{GatewayBeat, PlacementRequest, VersionNews};
+use beamwall_model::{NodeId, ServiceName, TenantName, ZoneName};
+use beamwall_peer::gateway_message::{GatewayBeat, PlacementRequest, UsageWindow, VersionNews};
 use beamwall_peer::message::{MemberUpdate, ProbeRequest};
 use beamwall_peer::{Body, Envelope, Member, MemberState, MembershipTiming, PeerNetwork, TransferPacer};
 use kameo::actor::ActorRef;
@@ -32,6 +33,7 @@
 use crate::gateway::placing;
 use crate::gateway::policies::PolicyDistribution;
 use crate::gateway::readiness::Readiness;
+use crate::gateway::told_figures::ToldFigures;
 use crate::gateway::zones::HeardZones;
 use crate::shared::MembershipView;
 
@@ -112,6 +114,8 @@
     pub policies: PolicyDistribution,
     /// What is known of the other zones of a large deployment.
     pub zones: HeardZones,
+    /// Usage as told to peers in a large deployment.
+    pub told_usage: Mutex<ToldFigures<(u64, TenantName)>>,
 }
 
 impl Exchange {
@@ -197,7 +201,9 @@
         self.refresh_models();
         self.note_silent_zones();
         let (models, slowness) = self.own_observations();
-        let beat = GatewayBeat { quota_uses, demands, models, slowness, ..self.to_reply(tick.updates) };
+        let whole = self.to_reply(tick.updates);
+        let usage = if self.is_large() { self.usage_to_tell() } else { whole.usage };
+        let beat = GatewayBeat { quota_uses, demands, models, slowness, usage, ..whole };
         let probe = self.envelope(Body::GatewayBeat(GatewayBeat { wants_answer: true, ..beat.clone() }));
         let plain = self.envelope(Body::GatewayBeat(beat));
         let probed: HashSet<SocketAddr> =
@@ -217,6 +223,20 @@
         }
     }
 
+    /// Usage that the peers may not know: in a zone of 100 the whole, 600 bytes, would be a third of all that is told.
+    fn usage_to_tell(&self) -> Vec<UsageWindow> {
+        let counted = self.gateway.forwarder.usage.recent(TOLD_WINDOWS).into_iter().flat_map(|window| {
+            window.counts.into_iter().map(move |(tenant, count)| ((window.window, tenant), count))
+        });
+        let mut told = self.told_usage.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut windows: BTreeMap<u64, WindowCounts> = BTreeMap::new();
+        for ((number, tenant), count) in told.next(counted.collect()) {
+            let empty = || WindowCounts { window: number, ..WindowCounts::default() };
+            windows.entry(number).or_insert_with(empty).counts.insert(tenant, count);
+        }
+        beat::encode_usage(windows.into_values().collect())
+    }
+
     fn close_demand_period(&self) -> HashMap<ServiceName, Workload> {
         let mut closed = self.demand_closed.lock().unwrap_or_else(PoisonError::into_inner);
         let now = Instant::now();
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 pub mod readiness;
 mod sharing;
 pub mod store_status;
+pub mod told_figures;
 pub mod unreadable_entries;
 pub mod watches;
 pub mod zones;
@@ -330,5 +331,6 @@
         policies: PolicyDistribution::new(archive, transfers.clone()),
         transfers,
         zones: Default::default(),
+        told_usage: Mutex::default(),
     }
 }
