Small deployments introduce new members as before; requests that run at divided engines are known from who chose

And senders count what runs at an engine for the model of pauses, of which they hear only their zone's part since relays keep it to the placing nodes.

--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -22,7 +22,7 @@
 use crate::directory::Directory;
 use crate::metrics::GatewayMetrics;
 use crate::placement::{Choice, PlacementAnswer, PlacementPort, PlacementQuestion};
-use crate::placement_groups::EngineGroup;
+use crate::placement_groups::{EngineGroup, EngineGroups};
 use crate::ports::{Dialect, Prompt};
 use crate::refusal::Refusal;
 use crate::retries::RetryBudgets;
@@ -328,6 +328,14 @@
         self.find(search, call.route.gap_objective_ms)
     }
 
+    /// Requests that run at a back end, of which the node that chose it knew `known_when_chosen`. Of engines in groups this
+    /// node hears only from its own zone, so there the larger number is nearer.
+    pub fn running(&self, service: &ServiceName, backend: &BackendId, known_when_chosen: u32) -> u32 {
+        let told = self.knowledge.loads.total(backend).requests;
+        let is_divided = self.directory.load().groups(service).is_some_and(EngineGroups::is_divided);
+        if is_divided { told.max(known_when_chosen) } else { told }
+    }
+
     /// What is expected of a service's back ends.
     pub fn estimates(&self, service: &ServiceName) -> Arc<ServiceEstimates> {
         self.knowledge.models.estimates(service)
--- a/crates/beamwall-gateway/src/stream/mod.rs
+++ b/crates/beamwall-gateway/src/stream/mod.rs
@@ -101,11 +101,11 @@
     if !opened.response.status().is_success() {
         return unary::pass_opened(forwarder, call, opened).await.map(Begun::Answer);
     }
-    let Opened { backend, response, work } = opened;
+    let Opened { response, work, .. } = opened;
     let (parts, body) = response.into_parts();
     let is_framed =
         parts.headers.contains_key(CONTENT_LENGTH) || parts.headers.contains_key(TRANSFER_ENCODING);
-    let mut source = Source::new(backend, body, work, is_framed);
+    let mut source = Source::new(choice, body, work, is_framed);
     let first = tokio::select! {
         piece = source.next_piece() => piece,
         () = patience.ends() => return Err(given_up(forwarder, choice)),
--- a/crates/beamwall-gateway/src/stream/relay.rs
+++ b/crates/beamwall-gateway/src/stream/relay.rs
@@ -109,7 +109,7 @@
                     let run = read_run(&events);
                     match &mut pace {
                         None => pace = Some(Pace::new(now)),
-                        Some(pace) => self.note_pace(pace, &source.backend, run.count, now),
+                        Some(pace) => self.note_pace(pace, source, run.count, now),
                     }
                     if self.sender.send(events).await.is_err() {
                         return Stop::CallerGone;
@@ -118,7 +118,7 @@
                 }
                 Piece::End => {
                     if let Some(pace) = pace {
-                        self.note_whole_stream(&pace, &source.backend);
+                        self.note_whole_stream(&pace, source);
                     }
                     return Stop::Finished;
                 }
@@ -127,24 +127,25 @@
         }
     }
 
-    fn note_pace(&self, pace: &mut Pace, backend: &BackendId, events: u32, now: Instant) {
+    fn note_pace(&self, pace: &mut Pace, source: &Source, events: u32, now: Instant) {
         if let Some(between_ms) = pace.note(events, now) {
-            self.note_event_gap(backend, between_ms, now);
+            self.note_event_gap(source, between_ms, now);
         }
     }
 
-    fn note_whole_stream(&self, pace: &Pace, backend: &BackendId) {
+    fn note_whole_stream(&self, pace: &Pace, source: &Source) {
         let now = Instant::now();
         if let Some(between_ms) = pace.at_end(now) {
-            self.note_event_gap(backend, between_ms, now);
+            self.note_event_gap(source, between_ms, now);
         }
         self.forwarder.knowledge.models.note_stream(&self.call.service, pace.elapsed_ms(now));
     }
 
-    fn note_event_gap(&self, backend: &BackendId, between_ms: f64, now: Instant) {
-        let knowledge = &self.forwarder.knowledge;
-        let running = knowledge.loads.total(backend).requests;
-        knowledge.models.note_event_gap(&self.call.service, backend, running, between_ms, now);
+    fn note_event_gap(&self, source: &Source, between_ms: f64, now: Instant) {
+        let service = &self.call.service;
+        let running = self.forwarder.running(service, &source.backend, source.open_when_chosen);
+        let models = &self.forwarder.knowledge.models;
+        models.note_event_gap(service, &source.backend, running, between_ms, now);
     }
 
     /// The next piece, or `None` when the caller has gone.
--- a/crates/beamwall-gateway/src/stream/source.rs
+++ b/crates/beamwall-gateway/src/stream/source.rs
@@ -8,6 +8,7 @@
 use crate::attempt::AttemptFailure;
 use crate::event_stream::EventSplitter;
 use crate::load::OpenWork;
+use crate::placement::Choice;
 
 /// What came from an engine.
 pub(super) enum Piece {
@@ -24,6 +25,8 @@
     pub(super) backend: BackendId,
     body: PooledBody,
     pub(super) work: OpenWork,
+    /// Requests that were open there when it was chosen, as the node knew that chose.
+    pub(super) open_when_chosen: u32,
     splitter: EventSplitter,
     /// Whether the answer's own framing tells its end.
     is_framed: bool,
@@ -31,8 +34,15 @@
 
 impl Source {
     /// The stream of an answer whose head came; `is_framed`: the answer's own framing tells its end.
-    pub(super) fn new(backend: BackendId, body: PooledBody, work: OpenWork, is_framed: bool) -> Self {
-        Self { backend, body, work, splitter: EventSplitter::default(), is_framed }
+    pub(super) fn new(choice: &Choice, body: PooledBody, work: OpenWork, is_framed: bool) -> Self {
+        Self {
+            backend: choice.backend.clone(),
+            body,
+            work,
+            open_when_chosen: choice.open_requests,
+            splitter: EventSplitter::default(),
+            is_framed,
+        }
     }
 
     /// Waits for whole events; all that are there are given out at once.
--- a/crates/beamwall-peer/src/membership.rs
+++ b/crates/beamwall-peer/src/membership.rs
@@ -198,10 +198,11 @@
         }
     }
 
-    /// What to answer to a sender at once: everything for one that was not known before, unless it says that it `knows` as
-    /// many members itself, and what is said of it for one that is suspected or dead.
+    /// What to answer to a sender at once: everything for one that was not known before, unless it says in a large zone that
+    /// it `knows` as many members itself, and what is said of it for one that is suspected or dead.
     pub fn introduction(&self, sender: &NodeId, was_known: bool, knows: Option<usize>) -> Vec<MemberUpdate> {
-        let is_introduced = || knows.is_some_and(|knows| knows >= self.members.len());
+        let is_introduced =
+            || self.broadcasts_widely() && knows.is_some_and(|knows| knows >= self.members.len());
         match self.members.get(sender) {
             Some(_) if !was_known && !is_introduced() => self.all_updates(),
             Some(member) if member.state != MemberState::Alive => vec![to_update(member)],
