What is known of a back end belongs to one of its lives

Cause: an engine may start again under its id and knows nothing of before; kept prompts, queues, open work, slowness, failures and reports were kept by that id, and a late entry of the earlier life would have set its address again. Ruled out: forgetting all of an id when its start changes (news of the earlier life that comes later would count for the next). Change: the identifier of a back end is that of a life, made of its name and its start; the list keeps one life an instance and never an earlier one than it knew; requests name the instance; the list between nodes carries the start.

--- a/crates/beamwall-gateway/src/attempt.rs
+++ b/crates/beamwall-gateway/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use beamwall_http::{PoolError, PooledBody, full};
-use beamwall_model::BackendId;
+use beamwall_model::{BackendId, InstanceName};
 use hyper::{Request, Response, StatusCode};
 use tokio::time::Instant;
 
@@ -99,7 +99,7 @@
     let Some(target) = directory.get(backend) else {
         return Err(AttemptFailure::not_sent("the back end is gone".to_owned()));
     };
-    let request = build_request(forwarder, call, backend, last_event);
+    let request = build_request(forwarder, call, &target.instance, last_event);
     let work = forwarder.knowledge.loads.open(backend, choice.reading.tokens);
     let sent_at = Instant::now();
     let sent = tokio::time::timeout(limit, forwarder.pool.send(target.address, request)).await;
@@ -115,11 +115,11 @@
 fn build_request(
     forwarder: &Forwarder,
     call: &Call,
-    backend: &BackendId,
+    instance: &InstanceName,
     last_event: Option<u64>,
 ) -> Request<beamwall_http::Body> {
     let head = ForwardHead {
-        backend,
+        instance,
         remaining: call.deadline.saturating_duration_since(Instant::now()),
         tenant: call.tenant.as_ref().map(|tenant| &tenant.name),
         rank: call.rank(forwarder.reading_ms(call)),
--- a/crates/beamwall-gateway/src/directory.rs
+++ b/crates/beamwall-gateway/src/directory.rs
@@ -6,6 +6,9 @@
 //! Peers are told what changed since the revision that they hold, as far as it is still known, else the whole list: at 3,000
 //! back ends the whole takes some 100 KB, a change 40 bytes.
 //!
+//! A back end that starts again may keep its name and knows nothing of before. So what is known of back ends is kept by life,
+//! and the list says which life of an instance is the newest.
+//!
 //! Entries of back ends that live lapse while the store is away, since they can't renew them, and are
 //! listed again soon after its return. So what vanishes then without having announced it is still used
 //! for a moment, as lapsed; it is no part of the revision, and peers are not told of it.
@@ -14,7 +17,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use beamwall_model::{BackendId, ServiceName, ZoneName};
+use beamwall_model::{BackendId, InstanceName, ServiceName, ZoneName};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -25,8 +28,12 @@
 /// A back end as listed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Backend {
-    /// The identifier of this life; never used again.
+    /// The identifier of this life, made of the next two; never used again.
     pub id: BackendId,
+    /// The name by which it is listed.
+    pub instance: InstanceName,
+    /// When this life began, in milliseconds since 1970, where it tells that.
+    pub born_ms: Option<u64>,
     /// The service that it belongs to.
     pub service: ServiceName,
     /// Where it listens.
@@ -41,19 +48,31 @@
     pub reclaimable: bool,
 }
 
+impl Backend {
+    /// Whether `other` is an earlier life of the same instance.
+    fn follows(&self, other: &Backend) -> bool {
+        matches!((self.born_ms, other.born_ms), (Some(born), Some(before)) if born > before)
+    }
+}
+
 /// All back ends at one revision.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Directory {
     revision: u64,
     digest: u64,
-    backends: BTreeMap<BackendId, Arc<Backend>>,
-    lapsed: BTreeMap<BackendId, Arc<Backend>>,
+    backends: Listed,
+    lapsed: Listed,
+    /// The same by their lives; made anew with each change.
+    lives: Arc<HashMap<BackendId, Arc<Backend>>>,
     /// The back ends that take requests, by service; made anew with each change.
     usable: Arc<HashMap<ServiceName, EngineGroups>>,
     /// What changed lately, to be told to peers.
     recent: ChangeLog,
 }
 
+/// Back ends by the name under which they are listed: of each instance one life.
+type Listed = BTreeMap<InstanceName, Arc<Backend>>;
+
 /// What it means when a back end is not listed any more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Vanishing {
@@ -79,9 +98,9 @@
         self.backends.values().map(Arc::as_ref)
     }
 
-    /// One back end, listed or lapsed.
+    /// One back end, listed or lapsed; `None` for a life that another has followed.
     pub fn get(&self, id: &BackendId) -> Option<&Backend> {
-        self.backends.get(id).or_else(|| self.lapsed.get(id)).map(Arc::as_ref)
+        self.lives.get(id).map(Arc::as_ref)
     }
 
     /// Back ends of a service that take new requests, lapsed ones included.
@@ -105,10 +124,11 @@
         self.usable.get(service)
     }
 
-    /// Sorts the back ends that take requests anew.
-    fn sort_usable(&mut self) {
+    /// Sorts the back ends anew.
+    fn sort(&mut self) {
         let mut by_service: HashMap<ServiceName, Vec<Arc<Backend>>> = HashMap::new();
         let known = self.backends.values().chain(self.lapsed.values());
+        self.lives = Arc::new(known.clone().map(|known| (known.id.clone(), known.clone())).collect());
         for backend in known.filter(|backend| !backend.draining) {
             by_service.entry(backend.service.clone()).or_default().push(backend.clone());
         }
@@ -124,18 +144,18 @@
     /// Takes lapsed back ends for gone; returns whether there were any.
     pub fn drop_lapsed(&mut self) -> bool {
         let dropped = !std::mem::take(&mut self.lapsed).is_empty();
-        self.sort_usable();
+        self.sort();
         dropped
     }
 
     /// Keeps what has vanished since `before` as lapsed, and forgets what is listed again.
-    fn note_lapsed(&mut self, before: BTreeMap<BackendId, Arc<Backend>>, vanishing: Vanishing) {
+    fn note_lapsed(&mut self, before: Listed, vanishing: Vanishing) {
         if vanishing == Vanishing::MayHaveLapsed {
             self.lapsed.extend(before.into_iter().filter(|(_, backend)| !backend.draining));
         }
         let listed = &self.backends;
         self.lapsed.retain(|id, _| !listed.contains_key(id));
-        self.sort_usable();
+        self.sort();
     }
 
     /// The whole as a snapshot, for peers.
@@ -143,6 +163,12 @@
         DirectorySnapshot { revision: self.revision, backends: self.backends().cloned().collect() }
     }
 
+    /// Whether a later life is listed than the one that an entry is of: an engine's last entry may be written after the first
+    /// one of its next life.
+    fn knows_later_life(&self, backend: &Backend) -> bool {
+        self.backends.get(&backend.instance).is_some_and(|known| known.follows(backend))
+    }
+
     /// What changed after `held`, a revision that a peer holds; `None` where that is not known any more.
     pub fn changes_since(&self, held: u64) -> Option<DirectoryChanges> {
         self.recent.since(held)
@@ -153,8 +179,12 @@
         if snapshot.revision <= self.revision {
             return false;
         }
-        let listed =
-            snapshot.backends.into_iter().map(|backend| (backend.id.clone(), Arc::new(backend))).collect();
+        let known = &self.backends;
+        let listed = snapshot.backends.into_iter().map(Arc::new).map(|backend| {
+            let known = known.get(&backend.instance).filter(|known| known.follows(&backend));
+            (backend.instance.clone(), known.cloned().unwrap_or(backend))
+        });
+        let listed = listed.collect();
         let before = std::mem::replace(&mut self.backends, listed);
         let changes = differences(&before, &self.backends);
         // What came and went between both revisions is not known, so only who holds just the earlier one can be told.
@@ -174,36 +204,39 @@
         if self.revision < base || changes.revision <= self.revision {
             return false;
         }
-        let mut vanished = BTreeMap::new();
-        for change in &changes.changes {
-            let before = match change {
+        let mut vanished = Listed::new();
+        let mut taken = Vec::new();
+        for change in changes.changes {
+            let before = match &change {
+                DirectoryChange::Changed(backend) if self.knows_later_life(backend) => continue,
                 DirectoryChange::Changed(backend) => {
                     self.digest ^= digest(backend);
-                    self.backends.insert(backend.id.clone(), Arc::new(backend.clone()))
+                    self.backends.insert(backend.instance.clone(), Arc::new(backend.clone()))
                 }
-                DirectoryChange::Gone(id) => {
-                    let before = self.backends.remove(id);
-                    vanished.extend(before.clone().map(|before| (id.clone(), before)));
+                DirectoryChange::Gone(instance) => {
+                    let before = self.backends.remove(instance);
+                    vanished.extend(before.clone().map(|before| (instance.clone(), before)));
                     before
                 }
             };
             self.digest ^= before.map_or(0, |before| digest(&before));
+            taken.push(change);
         }
         self.revision = changes.revision;
-        self.recent.add(base..=changes.revision - 1, changes);
+        self.recent.add(
+            base..=changes.revision - 1,
+            DirectoryChanges { revision: changes.revision, changes: taken },
+        );
         self.note_lapsed(vanished, vanishing);
         true
     }
 }
 
 /// What turns one list into another.
-fn differences(
-    before: &BTreeMap<BackendId, Arc<Backend>>,
-    after: &BTreeMap<BackendId, Arc<Backend>>,
-) -> Vec<DirectoryChange> {
-    let is_gone = |id: &&BackendId| !after.contains_key(*id);
-    let gone = before.keys().filter(is_gone).map(|id| DirectoryChange::Gone(id.clone()));
-    let is_new = |backend: &&Arc<Backend>| before.get(&backend.id) != Some(*backend);
+fn differences(before: &Listed, after: &Listed) -> Vec<DirectoryChange> {
+    let is_gone = |instance: &&InstanceName| !after.contains_key(*instance);
+    let gone = before.keys().filter(is_gone).map(|instance| DirectoryChange::Gone(instance.clone()));
+    let is_new = |backend: &&Arc<Backend>| before.get(&backend.instance) != Some(*backend);
     let changed = after.values().filter(is_new);
     gone.chain(changed.map(|backend| DirectoryChange::Changed(Backend::clone(backend)))).collect()
 }
--- a/crates/beamwall-gateway/src/directory_log.rs
+++ b/crates/beamwall-gateway/src/directory_log.rs
@@ -4,7 +4,7 @@
 use std::ops::RangeInclusive;
 use std::sync::Arc;
 
-use beamwall_model::BackendId;
+use beamwall_model::InstanceName;
 
 use crate::ports::{DirectoryChange, DirectoryChanges};
 
@@ -43,9 +43,9 @@
     pub(crate) fn since(&self, held: u64) -> Option<DirectoryChanges> {
         let first = self.steps.iter().rposition(|step| step.from.contains(&held))?;
         let steps = self.steps.range(first..);
-        let mut last: BTreeMap<&BackendId, &DirectoryChange> = BTreeMap::new();
+        let mut last: BTreeMap<&InstanceName, &DirectoryChange> = BTreeMap::new();
         for change in steps.flat_map(|step| &step.changes.changes) {
-            last.insert(change.backend(), change);
+            last.insert(change.instance(), change);
         }
         let revision = self.steps.back().map_or(held, |step| step.changes.revision);
         Some(DirectoryChanges { revision, changes: last.into_values().cloned().collect() })
--- a/crates/beamwall-gateway/src/ports.rs
+++ b/crates/beamwall-gateway/src/ports.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use beamwall_model::{BackendId, ServiceName, TenantName, ZoneName};
+use beamwall_model::{InstanceName, ServiceName, TenantName, ZoneName};
 use beamwall_policy::TrafficPolicy;
 use hyper::{HeaderMap, StatusCode};
 use quick_error::quick_error;
@@ -50,7 +50,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct ForwardHead<'a> {
     /// The back end that alone may run it.
-    pub backend: &'a BackendId,
+    pub instance: &'a InstanceName,
     /// Time that is left.
     pub remaining: Duration,
     /// The tenant that sends it.
@@ -133,15 +133,15 @@
     /// A back end came or changed.
     Changed(Backend),
     /// A back end is gone.
-    Gone(BackendId),
+    Gone(InstanceName),
 }
 
 impl DirectoryChange {
-    /// The back end.
-    pub fn backend(&self) -> &BackendId {
+    /// The instance.
+    pub fn instance(&self) -> &InstanceName {
         match self {
-            Self::Changed(backend) => &backend.id,
-            Self::Gone(id) => id,
+            Self::Changed(backend) => &backend.instance,
+            Self::Gone(instance) => instance,
         }
     }
 }
--- a/crates/beamwall-gateway/tests/cut_zones.rs
+++ b/crates/beamwall-gateway/tests/cut_zones.rs
@@ -14,6 +14,8 @@
 fn directory() -> Directory {
     let backend = |(id, zone): (&str, &str)| Backend {
         id: id.into(),
+        instance: id.into(),
+        born_ms: None,
         service: "pool".into(),
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: zone.into(),
--- a/crates/beamwall-gateway/tests/directory.rs
+++ b/crates/beamwall-gateway/tests/directory.rs
@@ -6,10 +6,13 @@
 use arbtest::arbtest;
 use beamwall_gateway::ports::{DirectoryChange, DirectoryChanges, DirectorySnapshot};
 use beamwall_gateway::{Backend, Directory, Vanishing};
+use beamwall_model::BackendId;
 
 fn backend(number: u8, draining: bool) -> Backend {
     Backend {
         id: format!("b{number}").as_str().into(),
+        instance: format!("b{number}").as_str().into(),
+        born_ms: None,
         service: "model".into(),
         address: ([127, 0, 0, 1], 9_000 + u16::from(number)).into(),
         zone: "a".into(),
@@ -99,7 +102,7 @@
             let number = random.int_in_range(1..=3)?;
             Ok(match random.int_in_range(0..=3)? {
                 0 => None,
-                1 => Some(DirectoryChange::Gone(backend(number, false).id)),
+                1 => Some(DirectoryChange::Gone(backend(number, false).instance)),
                 kind => Some(DirectoryChange::Changed(backend(number, kind == 2))),
             })
         })
@@ -110,7 +113,7 @@
     let mut backends = BTreeMap::new();
     for change in history[..revision as usize].iter().flatten() {
         match change {
-            DirectoryChange::Changed(backend) => backends.insert(backend.id.clone(), backend.clone()),
+            DirectoryChange::Changed(backend) => backends.insert(backend.instance.clone(), backend.clone()),
             DirectoryChange::Gone(id) => backends.remove(id),
         };
     }
@@ -130,7 +133,7 @@
 fn entries_that_lapsed_are_used_until_they_are_listed_again_or_dropped() {
     let service = "model".into();
     let mut directory = listed(10, vec![backend(1, false), backend(2, true), backend(3, false)]);
-    let gone = |number: u8| DirectoryChange::Gone(backend(number, false).id);
+    let gone = |number: u8| DirectoryChange::Gone(backend(number, false).instance);
     let all_gone = changes(20, vec![gone(1), gone(2), gone(3)]);
     assert!(directory.apply(10, all_gone, Vanishing::MayHaveLapsed));
     assert_eq!(directory.backends().count(), 0, "peers are told what is listed");
@@ -198,3 +201,55 @@
     assert_eq!(directory.changes_since(9_990).map(|changes| changes.changes.len()), Some(1));
     assert_eq!(directory.changes_since(10_000), None);
 }
+
+/// One life of the back end `b1`, at an address of its own.
+fn life(born_ms: u64) -> Backend {
+    let instance = "b1".into();
+    let address = ([127, 0, 0, 2], 9_000 + born_ms as u16).into();
+    Backend {
+        id: BackendId::of_life(&instance, Some(born_ms)),
+        born_ms: Some(born_ms),
+        address,
+        ..backend(1, false)
+    }
+}
+
+fn lives(directory: &Directory) -> Vec<BackendId> {
+    directory.usable(&"model".into()).map(|backend| backend.id.clone()).collect()
+}
+
+#[test]
+fn a_back_end_that_starts_again_under_its_name_is_another_one() {
+    let mut directory = listed(10, vec![life(1)]);
+    let changed = |born_ms| vec![DirectoryChange::Changed(life(born_ms))];
+    assert!(directory.apply(10, changes(11, changed(2)), Vanishing::Gone));
+    assert_eq!(lives(&directory), [life(2).id]);
+    assert!(directory.get(&life(1).id).is_none(), "nothing is sent to the life that has ended");
+    assert_eq!(directory.get(&life(2).id).map(|backend| backend.address), Some(life(2).address));
+}
+
+#[test]
+fn entries_of_two_lives_in_the_wrong_order_lead_to_the_later_one() {
+    let changed = |born_ms| DirectoryChange::Changed(life(born_ms));
+    let mut watched = listed(10, vec![life(1)]);
+    assert!(watched.apply(10, changes(12, vec![changed(2), changed(1)]), Vanishing::Gone));
+    assert_eq!(lives(&watched), [life(2).id]);
+    // Whoever lists the earlier life's last entry goes by what it knows.
+    assert!(watched.replace(DirectorySnapshot { revision: 13, backends: vec![life(1)] }, Vanishing::Gone));
+    assert_eq!(lives(&watched), [life(2).id]);
+    let mut peer = listed(10, vec![life(1)]);
+    let told = watched.changes_since(12).expect("known");
+    assert!(peer.apply(10, watched.changes_since(10).expect("known"), Vanishing::Gone));
+    assert!(peer.apply(12, told, Vanishing::Gone) || peer.revision() == 13);
+    assert_eq!(lives(&peer), [life(2).id]);
+}
+
+#[test]
+fn old_news_of_an_earlier_life_changes_nothing_at_a_node_that_was_cut_off() {
+    let mut directory = listed(10, vec![life(1)]);
+    directory.apply(10, changes(15, vec![DirectoryChange::Changed(life(2))]), Vanishing::Gone);
+    let old = changes(12, vec![DirectoryChange::Changed(Backend { draining: true, ..life(1) })]);
+    assert!(!directory.apply(10, old, Vanishing::Gone));
+    assert!(!directory.replace(DirectorySnapshot { revision: 12, backends: vec![life(1)] }, Vanishing::Gone));
+    assert_eq!(lives(&directory), [life(2).id]);
+}
--- /dev/null
+++ b/crates/beamwall-gateway/tests/lives.rs
@@ -0,0 +1,96 @@
+//! What is known of a back end belongs to one of its lives: it ends with it, and what is still told of it afterwards does not
+//! count for the next.
+
+mod support;
+
+use std::time::Duration;
+
+use beamwall_engine_model::ToldSlowness;
+use beamwall_gateway::candidates::{ChosenBy, Knowledge, Search};
+use beamwall_gateway::choice::Candidate;
+use beamwall_gateway::load::OpenLoad;
+use beamwall_gateway::placement_groups::EngineGroup;
+use beamwall_gateway::ports::{DirectoryChange, DirectoryChanges, DirectorySnapshot};
+use beamwall_gateway::{Backend, Directory, Prompt, PromptPart, Reporter, Vanishing};
+use beamwall_model::BackendId;
+use tokio::time::Instant;
+
+fn life(born_ms: u64) -> Backend {
+    let instance = "e1".into();
+    Backend {
+        id: BackendId::of_life(&instance, Some(born_ms)),
+        instance,
+        born_ms: Some(born_ms),
+        service: "pool".into(),
+        address: ([127, 0, 0, 1], 9_000).into(),
+        zone: "a".into(),
+        slots: 8,
+        draining: false,
+        reclaimable: false,
+    }
+}
+
+fn prompt() -> Prompt {
+    let part = |id| PromptPart { id, tokens: 1_000 };
+    Prompt { prompt_tokens: 3_000, output_tokens: 10, parts: vec![part(1), part(2), part(3)] }
+}
+
+/// The only candidate, as the node that places sees it.
+fn candidate(knowledge: &Knowledge, directory: &Directory) -> Candidate {
+    let search = Search {
+        service: &"pool".into(),
+        zone: &"a".into(),
+        prompt: Some(&prompt()),
+        group: EngineGroup::WHOLE,
+        avoided: &[],
+        by: ChosenBy::Placer,
+    };
+    let mut candidates = knowledge.candidates(directory, search);
+    assert_eq!(candidates.len(), 1);
+    candidates.remove(0)
+}
+
+/// Lets a node know all that can be known of a life.
+fn learn(knowledge: &Knowledge, id: &BackendId, now: Instant) {
+    knowledge.health.note_unreachable(id, now);
+    knowledge.prefixes.note_read(id, &prompt(), now);
+    knowledge.queues.add(id, 4_000.0, now);
+    knowledge.reports.note(&"n1".into(), std::slice::from_ref(id), now);
+    knowledge.reports.note(&"n2".into(), std::slice::from_ref(id), now);
+    let slow = ToldSlowness { logarithms: 8.0, weight: 4.0 };
+    knowledge.models.hear_report(vec![(id.clone(), slow)], now);
+    tell_loads(knowledge, id);
+    knowledge.models.refresh(now);
+}
+
+/// What a peer tells that still knows the life.
+fn tell_loads(knowledge: &Knowledge, id: &BackendId) {
+    let load = OpenLoad { requests: 7, prompt_tokens: 9_000 };
+    knowledge.loads.set_peer(&Reporter::Node("n1".into()), [(id.clone(), load)].into());
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_next_life_of_a_back_end_begins_as_if_nothing_were_known() {
+    let knowledge = Knowledge::default();
+    support::teach(&knowledge.models, support::observed());
+    let mut directory = Directory::default();
+    directory.replace(DirectorySnapshot { revision: 1, backends: vec![life(1)] }, Vanishing::Gone);
+    learn(&knowledge, &life(1).id, Instant::now());
+    let before = candidate(&knowledge, &directory);
+    assert!(before.health.unreachable && before.health.failure_share > 0.0 && before.slowness > 1.5);
+    assert_eq!(before.load.requests, 8, "seven were told, one is placed and not told yet");
+    // Its shared parts are assumed kept either way; the request's own part only by the life that read it.
+    assert_eq!(before.reading.expect("a prompt").tokens, 0);
+
+    let changes = vec![DirectoryChange::Changed(life(2))];
+    directory.apply(1, DirectoryChanges { revision: 2, changes }, Vanishing::Gone);
+    knowledge.follow(&directory);
+    tell_loads(&knowledge, &life(1).id);
+    tokio::time::advance(Duration::from_millis(10)).await;
+    knowledge.models.refresh(Instant::now());
+    let after = candidate(&knowledge, &directory);
+    assert_eq!(after.backend, life(2).id);
+    assert_eq!((after.load, after.slowness), (OpenLoad::default(), 1.0));
+    assert!(!after.health.unreachable && after.health.failure_share == 0.0);
+    assert_eq!(after.reading.expect("a prompt").tokens, 1_000);
+}
--- a/crates/beamwall-gateway/tests/support/mod.rs
+++ b/crates/beamwall-gateway/tests/support/mod.rs
@@ -59,6 +59,8 @@
 pub fn directory(engines: usize, slots: u32) -> Directory {
     let backend = |number: usize| Backend {
         id: format!("e{number}").as_str().into(),
+        instance: format!("e{number}").as_str().into(),
+        born_ms: None,
         service: "pool".into(),
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: "a".into(),
--- a/crates/beamwall-model/src/identifiers.rs
+++ b/crates/beamwall-model/src/identifiers.rs
@@ -55,9 +55,23 @@
     NodeId
 );
 name_type!(
-    /// A model engine or an application back end.
+    /// One life of a model engine or an application back end.
     BackendId
 );
+name_type!(
+    /// The name by which a back end is listed and answers. One that starts again may keep it.
+    InstanceName
+);
+impl BackendId {
+    /// Identifies the life of `instance` that began at `born_ms`, in milliseconds since 1970, where the back end tells that.
+    pub fn of_life(instance: &InstanceName, born_ms: Option<u64>) -> Self {
+        match born_ms {
+            None => Self::new(instance.as_str()),
+            Some(born_ms) => Self::new(format!("{instance}#{born_ms}")),
+        }
+    }
+}
+
 name_type!(
     /// A tenant: the last segment of its path in the settings tree.
     TenantName
--- a/crates/beamwall-model/src/lib.rs
+++ b/crates/beamwall-model/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod strategy;
 
 pub use class::ServiceClass;
-pub use identifiers::{AttemptId, BackendId, NodeId, RequestId, ServiceName, TenantName, ZoneName};
+pub use identifiers::{
+    AttemptId, BackendId, InstanceName, NodeId, RequestId, ServiceName, TenantName, ZoneName,
+};
 pub use outcome::Outcome;
 pub use strategy::ChoiceStrategy;
--- a/crates/beamwall-node/src/gateway/directory_wire.rs
+++ b/crates/beamwall-node/src/gateway/directory_wire.rs
@@ -4,7 +4,7 @@
 
 use beamwall_gateway::Backend;
 use beamwall_gateway::ports::{DirectoryChange, DirectoryChanges, DirectorySnapshot};
-use beamwall_model::{BackendId, ServiceName, ZoneName};
+use beamwall_model::{BackendId, InstanceName, ServiceName, ZoneName};
 use beamwall_peer::gateway_message::{DirectoryAnswer, ListedBackend};
 use quick_error::quick_error;
 
@@ -53,13 +53,14 @@
 
 fn encode_backend(backend: &Backend, names: &mut Names) -> ListedBackend {
     ListedBackend {
-        id: backend.id.to_string(),
+        instance: backend.instance.to_string(),
         service: names.position(backend.service.as_str()),
         zone: names.position(backend.zone.as_str()),
         address: backend.address.to_string(),
         slots: backend.slots,
         draining: backend.draining,
         reclaimable: backend.reclaimable,
+        born_ms: backend.born_ms,
     }
 }
 
@@ -81,7 +82,7 @@
                     DirectoryChange::Changed(backend) => {
                         answer.listed.push(encode_backend(backend, &mut names));
                     }
-                    DirectoryChange::Gone(id) => answer.gone.push(id.to_string()),
+                    DirectoryChange::Gone(instance) => answer.gone.push(instance.to_string()),
                 }
             }
         }
@@ -100,7 +101,7 @@
         let backends = listed.collect::<Result<_, _>>()?;
         return Ok(ToldDirectory::Whole(DirectorySnapshot { revision: answer.revision, backends }));
     }
-    let gone = answer.gone.iter().map(|id| Ok(DirectoryChange::Gone(BackendId::new(id))));
+    let gone = answer.gone.iter().map(|name| Ok(DirectoryChange::Gone(InstanceName::new(name))));
     let changed = listed.map(|backend| backend.map(DirectoryChange::Changed));
     let changes = gone.chain(changed).collect::<Result<_, _>>()?;
     Ok(ToldDirectory::Changes(DirectoryChanges { revision: answer.revision, changes }))
@@ -111,10 +112,13 @@
     services: &[ServiceName],
     zones: &[ZoneName],
 ) -> Result<Backend, DirectoryWireError> {
-    let no_name = || DirectoryWireError::Name(listed.id.clone());
-    let address = listed.address.parse().map_err(|_| DirectoryWireError::Address(listed.id.clone()))?;
+    let no_name = || DirectoryWireError::Name(listed.instance.clone());
+    let address = listed.address.parse().map_err(|_| DirectoryWireError::Address(listed.instance.clone()))?;
+    let instance = InstanceName::new(&listed.instance);
     Ok(Backend {
-        id: BackendId::new(&listed.id),
+        id: BackendId::of_life(&instance, listed.born_ms),
+        instance,
+        born_ms: listed.born_ms,
         service: services.get(listed.service as usize).cloned().ok_or_else(no_name)?,
         address,
         zone: zones.get(listed.zone as usize).cloned().ok_or_else(no_name)?,
--- a/crates/beamwall-node/tests/directory_wire.rs
+++ b/crates/beamwall-node/tests/directory_wire.rs
@@ -15,6 +15,8 @@
     let number = random.int_in_range(0..=2_000_u16)?;
     Ok(Backend {
         id: format!("i-{number}").as_str().into(),
+        instance: format!("i-{number}").as_str().into(),
+        born_ms: None,
         service: format!("service-{}", number % 3).as_str().into(),
         address: ([10, 128, 3, 7], 2_000 + number).into(),
         zone: ["a", "b", "c"][usize::from(number % 3)].into(),
@@ -71,6 +73,8 @@
 fn list(length: u16) -> ToldDirectory {
     let backend = |number: u16| Backend {
         id: format!("i-{number}").as_str().into(),
+        instance: format!("i-{number}").as_str().into(),
+        born_ms: None,
         service: "pool".into(),
         address: ([10, 128, 3, 7], 2_000 + number).into(),
         zone: "ulemiste".into(),
--- a/crates/beamwall-node/tests/loads_to_pass_on.rs
+++ b/crates/beamwall-node/tests/loads_to_pass_on.rs
@@ -12,6 +12,8 @@
 fn backend(service: &str, number: usize) -> Backend {
     Backend {
         id: format!("{service}-{number}").as_str().into(),
+        instance: format!("{service}-{number}").as_str().into(),
+        born_ms: None,
         service: service.into(),
         address: ([127, 0, 0, 1], 9_000).into(),
         zone: "a".into(),
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -274,12 +274,12 @@
     pub gone: Vec<String>,
 }
 
-/// A back end in a list: some 35 bytes.
+/// A back end in a list: some 40 bytes.
 #[derive(Clone, PartialEq, Message)]
 pub struct ListedBackend {
-    /// Its identifier.
+    /// The name by which it is listed.
     #[prost(string, tag = "1")]
-    pub id: String,
+    pub instance: String,
     /// Position of its service's name.
     #[prost(uint32, tag = "2")]
     pub service: u32,
@@ -298,6 +298,9 @@
     /// Whether it may be taken away at short notice.
     #[prost(bool, tag = "7")]
     pub reclaimable: bool,
+    /// When this life of it began, in milliseconds since 1970, where it tells that.
+    #[prost(uint64, optional, tag = "8")]
+    pub born_ms: Option<u64>,
 }
 
 /// Asks the receiver, which places model requests for all gateways, for an engine.
