--- a/crates/beamwall-config/src/gateway.rs
+++ b/crates/beamwall-config/src/gateway.rs
@@ -72,6 +72,19 @@
         "8",
         "window in which work beyond a quota is counted, in seconds",
     ),
+    optional(
+        "rollouts.exposure_share",
+        seconds(0.0, 1.0),
+        "0",
+        "share of its service's requests that a bad version may get; 0: rollouts are not followed",
+    ),
+    optional("rollouts.exposure_slack", seconds(0.0, 1e9), "0", "requests that it may get beside"),
+    optional(
+        "rollouts.rollback_ms",
+        seconds(1.0, 3_600_000.0),
+        "5000",
+        "time after its fiftieth bad answer in which it may get requests, in milliseconds",
+    ),
     optional(
         "choice.strategy",
         ValueKind::Choice(ChoiceStrategy::NAMES),
@@ -140,6 +153,12 @@
     pub quota_overage: f64,
     /// Window in which work beyond a quota is counted.
     pub quota_window: Duration,
+    /// Share of its service's requests that a bad version may get; 0 where rollouts are not followed.
+    pub exposure_share: f64,
+    /// Requests that it may get beside.
+    pub exposure_slack: f64,
+    /// Time after its fiftieth bad answer in which it may get requests.
+    pub rollback: Duration,
     /// How a back end is chosen.
     pub choice: ChoiceStrategy,
     /// Time from SIGTERM to the end of the process.
@@ -188,6 +207,9 @@
             quota_slack: number("quotas.slack"),
             quota_overage: number("quotas.overage"),
             quota_window: Duration::from_secs_f64(number("quotas.window_s")),
+            exposure_share: number("rollouts.exposure_share"),
+            exposure_slack: number("rollouts.exposure_slack"),
+            rollback: Duration::from_millis(number("rollouts.rollback_ms") as u64),
             choice: ChoiceStrategy::from_name(settings.text("choice.strategy").unwrap_or_default()),
             drain_limit: Duration::from_secs_f64(number("limits.drain_s")),
             log_json: settings.text("log.format") != Some("text"),
--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -137,6 +137,14 @@
     4107 Warn EngineModelsNotKept "engine models not kept" { reason }
     /// An entry of the list of back ends can't be read.
     4108 Warn EntryUnreadable "entry of a back end unreadable" { entry, reason }
+    /// An order to move a service to another version was read or heard of, or something of it changed.
+    4201 Info RolloutOrdered "rollout ordered" { service, target, interval_ms, verdict, withdrawn }
+    /// A new version takes all requests of its service.
+    4202 Info RolloutStaged "new version takes all" { service, target, new, old, left_ms }
+    /// What came of a rollout.
+    4203 Warn RolloutDecided "rollout decided" { service, target, verdict, new, old, reason }
+    /// The operator can't be told how far a rollout has come.
+    4204 Warn RolloutStatusNotWritten "rollout status not written" { service, reason }
     /// A stream continued on another engine.
     5001 Info StreamMigrated "stream migrated" { request, from, to, delivered_tokens, recomputed_tokens }
     /// An answer reached nobody because its attempt was over.
--- a/crates/beamwall-gateway/benches/choice.rs
+++ b/crates/beamwall-gateway/benches/choice.rs
@@ -42,7 +42,15 @@
     let service = service();
     let zone = "a".into();
     let by = ChosenBy::Placer;
-    let search = Search { service: &service, zone: &zone, prompt: Some(prompt), group, avoided: &[], by };
+    let search = Search {
+        service: &service,
+        zone: &zone,
+        prompt: Some(prompt),
+        group,
+        avoided: &[],
+        versions: None,
+        by,
+    };
     let candidates = knowledge.candidates(directory, search);
     let estimates = knowledge.models.estimates(&service);
     let expectation = Expectation { estimates: &estimates, pause_objective_ms: Some(400) };
--- a/crates/beamwall-gateway/src/attempt.rs
+++ b/crates/beamwall-gateway/src/attempt.rs
@@ -109,6 +109,11 @@
         Ok(Ok(response)) => check_head(forwarder, call, backend, response, work),
     };
     note_health(forwarder, backend, &result);
+    if let Err(failure) = &result
+        && failure.ran == Ran::Maybe
+    {
+        forwarder.note_answer(call, backend, true);
+    }
     result
 }
 
--- a/crates/beamwall-gateway/src/candidates.rs
+++ b/crates/beamwall-gateway/src/candidates.rs
@@ -5,6 +5,7 @@
 
 use beamwall_engine_model::{EngineModels, Reading, ServiceEstimates};
 use beamwall_model::{BackendId, ServiceName, ZoneName};
+use beamwall_rollout::{Side, VersionRule};
 use rand::seq::SliceRandom;
 use tokio::time::Instant;
 
@@ -40,6 +41,8 @@
     pub group: EngineGroup,
     /// Back ends that are left out.
     pub avoided: &'a [BackendId],
+    /// Which versions may take it, during a rollout.
+    pub versions: Option<&'a VersionRule>,
     /// Who chooses, which tells how well unread prompts are known.
     pub by: ChosenBy,
 }
@@ -90,7 +93,7 @@
         let now = Instant::now();
         let estimates = self.models.estimates(search.service);
         let factors = self.models.factors();
-        let usable: Vec<&Backend> = directory.usable_in_group(search.service, search.group).collect();
+        let usable = allowed_by(search.versions, directory.usable_in_group(search.service, search.group));
         let names = usable.iter().map(|backend| &backend.id);
         let home = search.prompt.and_then(|prompt| prefix::home(prompt, names));
         let mut allowed: Vec<&Backend> =
@@ -157,3 +160,18 @@
         Reading::of_rest(kept, u64::from(prompt.prompt_tokens) - kept)
     }
 }
+
+/// The back ends that a rollout lets take a request.
+fn allowed_by<'a>(
+    versions: Option<&VersionRule>,
+    back_ends: impl Iterator<Item = &'a Backend>,
+) -> Vec<&'a Backend> {
+    let Some(rule) = versions else { return back_ends.collect() };
+    let allowed: Vec<&Backend> = back_ends.filter(|backend| rule.allows(&backend.version)).collect();
+    if rule.side != Side::FewOfNew {
+        return allowed;
+    }
+    let ids: Vec<&BackendId> = allowed.iter().map(|backend| &backend.id).collect();
+    let in_use = rule.in_use(&ids);
+    allowed.into_iter().filter(|backend| in_use.contains(&&backend.id)).collect()
+}
--- a/crates/beamwall-gateway/src/directory.rs
+++ b/crates/beamwall-gateway/src/directory.rs
@@ -17,7 +17,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use beamwall_model::{BackendId, InstanceName, ServiceName, ZoneName};
+use beamwall_model::{BackendId, EngineVersion, InstanceName, ServiceName, ZoneName};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -40,6 +40,8 @@
     pub address: SocketAddr,
     /// The zone that it runs in.
     pub zone: ZoneName,
+    /// The version of its software.
+    pub version: EngineVersion,
     /// Requests that it works on at once.
     pub slots: u32,
     /// Whether it is leaving: no new requests.
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -10,6 +10,7 @@
 use beamwall_http::Pool;
 use beamwall_model::{BackendId, NodeId, ServiceName, ZoneName};
 use beamwall_policy::{Route, TenantRef};
+use beamwall_rollout::{RolloutBook, Side, VersionRule};
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Uri};
 use tokio::time::Instant;
@@ -115,6 +116,8 @@
     pub placement: Arc<dyn PlacementPort>,
     /// Work that callers ask for.
     pub demand: DemandBook,
+    /// Rollouts of other versions.
+    pub rollouts: RolloutBook,
     /// Retry budgets.
     pub retries: RetryBudgets,
     /// What is billed.
@@ -196,13 +199,9 @@
     /// Chooses a back end for the next attempt, notes it as tried and logs the decision. The engine of a model
     /// request is chosen by the nodes that place in the groups of its service, as long as one of them answers.
     pub async fn choose(&self, call: &Call, attempts: &mut Attempts) -> Option<Choice> {
-        let placed = match &call.prompt {
-            Some(prompt) if !self.chooser.is_baseline() => {
-                self.ask_for_placement(call, prompt, attempts).await
-            }
-            _ => None,
-        };
-        let choice = placed.or_else(|| self.choose_as_sender(call, attempts))?;
+        let versions = self.rollouts.rule(&call.service, call.request_id.as_deref(), Instant::now());
+        let choice = self.choose_among(call, attempts, versions.as_ref()).await?;
+        self.note_sent(&call.service, &choice.backend);
         emit(&AttemptSent {
             request: call.log_id(),
             service: call.service.to_string(),
@@ -222,14 +221,57 @@
         Some(choice)
     }
 
-    async fn ask_for_placement(&self, call: &Call, prompt: &Prompt, attempts: &Attempts) -> Option<Choice> {
+    /// Chooses among the versions that may take a request. A few back ends of a new version are known to all senders, so these
+    /// choose among them by themselves; where none of them can, an old one takes the request.
+    async fn choose_among(
+        &self,
+        call: &Call,
+        attempts: &Attempts,
+        versions: Option<&VersionRule>,
+    ) -> Option<Choice> {
+        if let Some(rule) = versions.filter(|rule| rule.side == Side::FewOfNew) {
+            let chosen = self.choose_as_sender(call, attempts, Some(rule));
+            let old = rule.without_new();
+            return chosen.or_else(|| self.choose_as_sender(call, attempts, Some(&old)));
+        }
+        let placed = match &call.prompt {
+            Some(prompt) if !self.chooser.is_baseline() => {
+                self.ask_for_placement(call, prompt, attempts, versions).await
+            }
+            _ => None,
+        };
+        placed.or_else(|| self.choose_as_sender(call, attempts, versions))
+    }
+
+    fn note_sent(&self, service: &ServiceName, backend: &BackendId) {
+        if let Some(listed) = self.directory.load().get(backend) {
+            self.rollouts.note_sent(service, &listed.version);
+        }
+    }
+
+    /// Counts an answer for the rollout of its service, if there is one. It is bad where it failed or took several times as
+    /// long as is expected.
+    pub fn note_answer(&self, call: &Call, backend: &BackendId, is_bad: bool) {
+        if let Some(listed) = self.directory.load().get(backend) {
+            self.rollouts.note_answer(&call.service, &call.route.name, backend, &listed.version, is_bad);
+        }
+    }
+
+    async fn ask_for_placement(
+        &self,
+        call: &Call,
+        prompt: &Prompt,
+        attempts: &Attempts,
+        versions: Option<&VersionRule>,
+    ) -> Option<Choice> {
         let groups = self.directory.load().groups(&call.service)?.in_order(prompt, rand::random());
         let mut best: Option<Choice> = None;
         for (position, group) in groups.iter().take(GROUPS_ASKED).enumerate() {
             let is_last = position + 1 == groups.len().min(GROUPS_ASKED);
             let enough_ms = (!is_last).then_some(call.route.objective_ms as f64 * ENOUGH_SHARE);
             let question = self.placement_question(call, prompt, attempts, *group, enough_ms);
-            let Some(choice) = self.ask_group(call, &question, attempts).await else { continue };
+            let choice = self.ask_group(call, &question, attempts, versions).await;
+            let Some(choice) = choice else { continue };
             let is_enough = question.is_enough(&choice);
             let is_better = |best: &Choice| choice.cost_ms < best.cost_ms;
             if best.as_ref().is_none_or(is_better) {
@@ -271,19 +313,30 @@
         call: &Call,
         question: &PlacementQuestion,
         attempts: &Attempts,
+        versions: Option<&VersionRule>,
     ) -> Option<Choice> {
         match self.placement.place(question).await {
-            PlacementAnswer::Chosen(choice) if self.may_use(call, &choice.backend, attempts) => Some(choice),
+            PlacementAnswer::Chosen(choice) if self.may_use(call, &choice.backend, attempts, versions) => {
+                Some(choice)
+            }
             PlacementAnswer::PlaceHere => self.place(question),
             PlacementAnswer::Chosen(_) | PlacementAnswer::Unanswered => None,
         }
     }
 
     /// Whether this node, which may know more, may send a request where it was placed.
-    fn may_use(&self, call: &Call, backend: &BackendId, attempts: &Attempts) -> bool {
+    fn may_use(
+        &self,
+        call: &Call,
+        backend: &BackendId,
+        attempts: &Attempts,
+        versions: Option<&VersionRule>,
+    ) -> bool {
         let directory = self.directory.load();
-        let is_usable =
-            directory.get(backend).is_some_and(|listed| !listed.draining && listed.service == call.service);
+        let is_usable = directory.get(backend).is_some_and(|listed| {
+            let is_allowed = versions.is_none_or(|rule| rule.allows(&listed.version));
+            !listed.draining && listed.service == call.service && is_allowed
+        });
         is_usable && !attempts.tried.contains(backend)
     }
 
@@ -294,12 +347,15 @@
         self.knowledge.reports.note(&question.sender, &question.unreachable, now);
         self.knowledge.models.hear_report(question.observed.clone(), now);
         let avoided = [question.tried.as_slice(), &question.unreachable].concat();
+        // Who sends to a few back ends of a new version chooses them itself, so this is for all others.
+        let versions = self.rollouts.rule(&question.service, None, now);
         let search = Search {
             service: &question.service,
             zone: &question.zone,
             prompt: Some(&question.prompt),
             group: question.group,
             avoided: &avoided,
+            versions: versions.as_ref(),
             by: ChosenBy::Placer,
         };
         let choice = self.find(search, question.pause_objective_ms)?;
@@ -316,13 +372,19 @@
         Some(choice)
     }
 
-    fn choose_as_sender(&self, call: &Call, attempts: &Attempts) -> Option<Choice> {
+    fn choose_as_sender(
+        &self,
+        call: &Call,
+        attempts: &Attempts,
+        versions: Option<&VersionRule>,
+    ) -> Option<Choice> {
         let search = Search {
             service: &call.service,
             zone: &self.zone,
             prompt: call.prompt.as_ref(),
             group: EngineGroup::WHOLE,
             avoided: &attempts.tried,
+            versions,
             by: if self.chooser.is_baseline() { ChosenBy::Baseline } else { ChosenBy::Sender },
         };
         self.find(search, call.route.gap_objective_ms)
--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -185,6 +185,7 @@
     async fn forward(&self, call: Arc<Call>) -> Result<Response<Body>, Refusal> {
         let charge = self.charge(&call).await?;
         self.forwarder.retries.earn(&call.service, Instant::now());
+        self.forwarder.rollouts.note_request(&call.service);
         let result = if call.route.kind.is_stream() {
             stream::forward(&self.forwarder, &call).await
         } else {
--- a/crates/beamwall-gateway/src/placement.rs
+++ b/crates/beamwall-gateway/src/placement.rs
@@ -23,6 +23,11 @@
 /// Time for which a report of an unreachable engine counts.
 const REPORTED_FOR: Duration = Duration::from_millis(500);
 
+/// Times the expected time from which an answer counts as slow: of the usual ones some in 100 take twice as long.
+const SLOW_FACTOR: f64 = 2.5;
+/// Milliseconds beside: of short answers the way and the wait for a processor are a larger part.
+const SLOW_BESIDE_MS: f64 = 20.0;
+
 /// What a request needs of an engine.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PlacementQuestion {
@@ -84,6 +89,11 @@
 }
 
 impl Choice {
+    /// Whether an answer that began after `took_ms` took several times as long as was expected.
+    pub fn is_slow(&self, took_ms: f64) -> bool {
+        self.expected_ms.is_some_and(|expected_ms| took_ms > expected_ms * SLOW_FACTOR + SLOW_BESIDE_MS)
+    }
+
     /// What the time to the first event of a model request depends on there.
     pub fn first_event(&self) -> FirstEvent {
         FirstEvent { reading: self.reading, tokens_ahead: self.tokens_ahead, running: self.open_requests }
--- a/crates/beamwall-gateway/src/ports.rs
+++ b/crates/beamwall-gateway/src/ports.rs
@@ -5,6 +5,7 @@
 use async_trait::async_trait;
 use beamwall_model::{InstanceName, ServiceName, TenantName, ZoneName};
 use beamwall_policy::TrafficPolicy;
+use beamwall_rollout::{OrderId, RolloutOrder, Verdict};
 use hyper::{HeaderMap, StatusCode};
 use quick_error::quick_error;
 
@@ -200,6 +201,37 @@
     ) -> Result<WatchedBackends, ControlStoreError>;
 }
 
+/// The orders to move traffic to other versions, as the store holds them.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ListedOrders {
+    /// The store's revision.
+    pub revision: u64,
+    /// The orders that can be read.
+    pub orders: Vec<ListedOrder>,
+}
+
+/// One order in the store.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ListedOrder {
+    /// The order.
+    pub order: RolloutOrder,
+    /// The store's revision of its last change.
+    pub revision: u64,
+    /// What its status says.
+    pub verdict: Verdict,
+}
+
+/// The store of orders to move traffic to other versions.
+#[async_trait]
+pub trait RolloutStore: Send + Sync + 'static {
+    /// Reads all orders.
+    async fn orders(&self) -> Result<ListedOrders, ControlStoreError>;
+    /// Waits up to `wait` for a change after `revision`; gives the revision reached and whether anything changed.
+    async fn wait_for_orders(&self, revision: u64, wait: Duration) -> Result<(u64, bool), ControlStoreError>;
+    /// Tells the operator how far an order has come.
+    async fn set_status(&self, order: &OrderId, verdict: Verdict) -> Result<(), ControlStoreError>;
+}
+
 /// How many back ends of one kind a zone shall hold.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CapacityOrder {
--- a/crates/beamwall-gateway/src/stream/mod.rs
+++ b/crates/beamwall-gateway/src/stream/mod.rs
@@ -96,9 +96,10 @@
     let limit = call.deadline.saturating_duration_since(sent_at);
     let opened = tokio::select! {
         opened = attempt::open(forwarder, call, choice, last_event, limit) => opened?,
-        () = patience.ends() => return Err(given_up(forwarder, choice)),
+        () = patience.ends() => return Err(given_up(forwarder, call, choice)),
     };
     if !opened.response.status().is_success() {
+        forwarder.note_answer(call, &choice.backend, opened.response.status().is_server_error());
         return unary::pass_opened(forwarder, call, opened).await.map(Begun::Answer);
     }
     let Opened { response, work, .. } = opened;
@@ -108,13 +109,14 @@
     let mut source = Source::new(choice, body, work, is_framed);
     let first = tokio::select! {
         piece = source.next_piece() => piece,
-        () = patience.ends() => return Err(given_up(forwarder, choice)),
+        () = patience.ends() => return Err(given_up(forwarder, call, choice)),
         () = tokio::time::sleep_until(call.deadline) => {
             Piece::Broken(AttemptFailure::may_have_run("no first event in time"))
         }
     };
     if let Piece::Broken(failure) = first {
         forwarder.knowledge.health.note(&source.backend, true, Instant::now());
+        forwarder.note_answer(call, &source.backend, true);
         return Err(failure.after_begin());
     }
     forwarder.knowledge.health.note_heard(&source.backend, Instant::now());
@@ -135,10 +137,12 @@
     let of = choice.first_event();
     let took_ms = now.duration_since(sent_at).as_secs_f64() * 1_000.0;
     forwarder.knowledge.models.note_first_event(&call.service, &choice.backend, of, took_ms, now);
+    forwarder.note_answer(call, &choice.backend, choice.is_slow(took_ms));
 }
 
 /// Notes that an engine was given up on because it was silent.
-fn given_up(forwarder: &Forwarder, choice: &Choice) -> AttemptFailure {
+fn given_up(forwarder: &Forwarder, call: &Call, choice: &Choice) -> AttemptFailure {
+    forwarder.note_answer(call, &choice.backend, true);
     forwarder.knowledge.health.note_unreachable(&choice.backend, Instant::now());
     AttemptFailure::may_have_run("the engine is silent")
 }
--- a/crates/beamwall-gateway/src/stream/relay.rs
+++ b/crates/beamwall-gateway/src/stream/relay.rs
@@ -77,6 +77,7 @@
                     // The connection closes here, before another engine is asked.
                     drop(source);
                     self.forwarder.knowledge.health.note(&backend, true, Instant::now());
+                    self.forwarder.note_answer(&self.call, &backend, true);
                     self.attempts.note(&self.call, &backend, failure);
                     match self.continue_elsewhere(&backend).await {
                         Some((next, piece)) => {
--- a/crates/beamwall-gateway/src/unary.rs
+++ b/crates/beamwall-gateway/src/unary.rs
@@ -35,15 +35,19 @@
         let failure = match attempt::open(forwarder, call, &choice, None, limit).await {
             Ok(opened) => match read_whole(forwarder, call, opened).await {
                 Ok(whole) if !deserves_retry(call, whole.parts.status) => {
-                    note_plain_call(forwarder, call, &choice, sent_at);
+                    note_plain_call(forwarder, call, &choice, whole.parts.status, sent_at);
                     return Ok(pass(forwarder, whole));
                 }
                 Ok(whole) => {
                     let status = whole.parts.status;
+                    forwarder.note_answer(call, &choice.backend, true);
                     failed_answer = Some(whole);
                     AttemptFailure::may_have_run(format!("failed with status {status}"))
                 }
-                Err(failure) => failure,
+                Err(failure) => {
+                    forwarder.note_answer(call, &choice.backend, true);
+                    failure
+                }
             },
             Err(failure) => failure,
         };
@@ -83,9 +87,17 @@
 }
 
 /// Notes how long a back end took for a call.
-fn note_plain_call(forwarder: &Forwarder, call: &Call, choice: &Choice, sent_at: Instant) {
+fn note_plain_call(
+    forwarder: &Forwarder,
+    call: &Call,
+    choice: &Choice,
+    status: StatusCode,
+    sent_at: Instant,
+) {
     let now = Instant::now();
     let took_ms = now.duration_since(sent_at).as_secs_f64() * 1_000.0;
+    let is_bad = status.is_server_error() || choice.is_slow(took_ms);
+    forwarder.note_answer(call, &choice.backend, is_bad);
     let models = &forwarder.knowledge.models;
     models.note_plain_call(&call.service, &choice.backend, choice.open_requests, took_ms, now);
 }
--- a/crates/beamwall-gateway/tests/cut_zones.rs
+++ b/crates/beamwall-gateway/tests/cut_zones.rs
@@ -19,6 +19,7 @@
         service: "pool".into(),
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: zone.into(),
+        version: "v1".into(),
         slots: 8,
         draining: false,
         reclaimable: false,
--- a/crates/beamwall-gateway/tests/directory.rs
+++ b/crates/beamwall-gateway/tests/directory.rs
@@ -16,6 +16,7 @@
         service: "model".into(),
         address: ([127, 0, 0, 1], 9_000 + u16::from(number)).into(),
         zone: "a".into(),
+        version: "v1".into(),
         slots: 4,
         draining,
         reclaimable: false,
--- a/crates/beamwall-gateway/tests/lives.rs
+++ b/crates/beamwall-gateway/tests/lives.rs
@@ -24,6 +24,7 @@
         service: "pool".into(),
         address: ([127, 0, 0, 1], 9_000).into(),
         zone: "a".into(),
+        version: "v1".into(),
         slots: 8,
         draining: false,
         reclaimable: false,
@@ -43,6 +44,7 @@
         prompt: Some(&prompt()),
         group: EngineGroup::WHOLE,
         avoided: &[],
+        versions: None,
         by: ChosenBy::Placer,
     };
     let mut candidates = knowledge.candidates(directory, search);
--- a/crates/beamwall-gateway/tests/placement_groups.rs
+++ b/crates/beamwall-gateway/tests/placement_groups.rs
@@ -56,6 +56,7 @@
         prompt: Some(prompt),
         group,
         avoided: &[],
+        versions: None,
         by: ChosenBy::Placer,
     };
     let candidates = knowledge.candidates(directory, search);
--- a/crates/beamwall-gateway/tests/slow_engines.rs
+++ b/crates/beamwall-gateway/tests/slow_engines.rs
@@ -80,6 +80,7 @@
             prompt: Some(&prompt),
             group: EngineGroup::WHOLE,
             avoided: &[],
+            versions: None,
             by: ChosenBy::Placer,
         };
         let candidates = self.placing.candidates(&self.directory, search);
--- a/crates/beamwall-gateway/tests/support/mod.rs
+++ b/crates/beamwall-gateway/tests/support/mod.rs
@@ -64,6 +64,7 @@
         service: "pool".into(),
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: "a".into(),
+        version: "v1".into(),
         slots,
         draining: false,
         reclaimable: false,
--- a/crates/beamwall-model/src/identifiers.rs
+++ b/crates/beamwall-model/src/identifiers.rs
@@ -72,6 +72,10 @@
     }
 }
 
+name_type!(
+    /// The version of the software that a back end runs.
+    EngineVersion
+);
 name_type!(
     /// A tenant: the last segment of its path in the settings tree.
     TenantName
--- a/crates/beamwall-model/src/lib.rs
+++ b/crates/beamwall-model/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use class::ServiceClass;
 pub use identifiers::{
-    AttemptId, BackendId, InstanceName, NodeId, RequestId, ServiceName, TenantName, ZoneName,
+    AttemptId, BackendId, EngineVersion, InstanceName, NodeId, RequestId, ServiceName, TenantName, ZoneName,
 };
 pub use outcome::Outcome;
 pub use strategy::ChoiceStrategy;
--- a/crates/beamwall-node/src/gateway/directory_wire.rs
+++ b/crates/beamwall-node/src/gateway/directory_wire.rs
@@ -4,7 +4,7 @@
 
 use beamwall_gateway::Backend;
 use beamwall_gateway::ports::{DirectoryChange, DirectoryChanges, DirectorySnapshot};
-use beamwall_model::{BackendId, InstanceName, ServiceName, ZoneName};
+use beamwall_model::{BackendId, EngineVersion, InstanceName, ServiceName, ZoneName};
 use beamwall_peer::gateway_message::{DirectoryAnswer, ListedBackend};
 use quick_error::quick_error;
 
@@ -61,6 +61,7 @@
         draining: backend.draining,
         reclaimable: backend.reclaimable,
         born_ms: backend.born_ms,
+        version: names.position(backend.version.as_str()),
     }
 }
 
@@ -95,7 +96,8 @@
 pub fn decode(answer: &DirectoryAnswer) -> Result<ToldDirectory, DirectoryWireError> {
     let services: Vec<ServiceName> = answer.names.iter().map(ServiceName::new).collect();
     let zones: Vec<ZoneName> = answer.names.iter().map(ZoneName::new).collect();
-    let backend = |listed: &ListedBackend| decode_backend(listed, &services, &zones);
+    let versions: Vec<EngineVersion> = answer.names.iter().map(EngineVersion::new).collect();
+    let backend = |listed: &ListedBackend| decode_backend(listed, &services, &zones, &versions);
     let listed = answer.listed.iter().map(backend);
     if !answer.is_change {
         let backends = listed.collect::<Result<_, _>>()?;
@@ -111,6 +113,7 @@
     listed: &ListedBackend,
     services: &[ServiceName],
     zones: &[ZoneName],
+    versions: &[EngineVersion],
 ) -> Result<Backend, DirectoryWireError> {
     let no_name = || DirectoryWireError::Name(listed.instance.clone());
     let address = listed.address.parse().map_err(|_| DirectoryWireError::Address(listed.instance.clone()))?;
@@ -122,6 +125,7 @@
         service: services.get(listed.service as usize).cloned().ok_or_else(no_name)?,
         address,
         zone: zones.get(listed.zone as usize).cloned().ok_or_else(no_name)?,
+        version: versions.get(listed.version as usize).cloned().ok_or_else(no_name)?,
         slots: listed.slots,
         draining: listed.draining,
         reclaimable: listed.reclaimable,
--- a/crates/beamwall-node/src/gateway/duties/mod.rs
+++ b/crates/beamwall-node/src/gateway/duties/mod.rs
@@ -1,10 +1,11 @@
-//! Duties that one node does for all, under a lease: usage reports and the number of back ends.
+//! Duties that one node does for all, under a lease: usage reports, the number of back ends, and rollouts.
 //!
 //! The counts of a window are fixed in the store before they are reported, so that a successor
 //! repeats the same numbers. The store's conditional write decides whose counts are fixed.
 
 mod capacity;
 mod followed_demand;
+mod rollouts;
 mod usage;
 
 use std::sync::Arc;
@@ -13,15 +14,17 @@
 use beamwall_config::GatewaySettings;
 use beamwall_events::emit;
 use beamwall_events::internal_events::{LeaseLost, LeaseTaken};
-use beamwall_gateway::ports::DutyHolder;
+use beamwall_gateway::ports::{DutyHolder, RolloutStore};
 use beamwall_gateway::{DutyError, DutyPort, Gateway};
 use beamwall_model::NodeId;
+use beamwall_rollout::Bounds;
 use beamwall_store::{Lease, LeaseState, VersionedObjects};
 use prometheus::IntGauge;
 use tokio::sync::watch;
 
 use crate::gateway::chooser::ZoneChooser;
 use crate::gateway::duties::capacity::{CapacityDuty, OrderBook};
+use crate::gateway::duties::rollouts::{RolloutDuty, RolloutTenure};
 use crate::gateway::duties::usage::{UsageDuty, UsageProgress};
 use crate::gateway::exchange::Exchange;
 use crate::gateway::kept_models::ModelKeeper;
@@ -55,6 +58,7 @@
     holding: Holding,
     usage: UsageProgress,
     orders: OrderBook,
+    rollouts: RolloutTenure,
 }
 
 /// The duties of one node.
@@ -66,6 +70,7 @@
     lease_epoch: IntGauge,
     usage: Option<UsageDuty>,
     capacity: Option<CapacityDuty>,
+    rollouts: Option<RolloutDuty>,
     models: ModelKeeper,
 }
 
@@ -79,7 +84,14 @@
         exchange: &Arc<Exchange>,
         chooser: ZoneChooser,
         lease_epoch: IntGauge,
+        rollout_store: Option<Arc<dyn RolloutStore>>,
     ) -> Self {
+        let bounds = Bounds {
+            exposure_share: settings.exposure_share,
+            exposure_slack: settings.exposure_slack,
+            rollback: settings.rollback,
+        };
+        let rollouts = rollout_store.map(|store| RolloutDuty::new(gateway.clone(), store, bounds));
         let usage = || {
             let window = settings.usage_window;
             UsageDuty::new(window, gateway.clone(), objects.clone(), port.clone(), exchange.clone())
@@ -89,6 +101,7 @@
             node: settings.node.clone(),
             usage: settings.report_usage.then(usage),
             capacity: settings.order_capacity.then(capacity),
+            rollouts,
             models: ModelKeeper::new(gateway.clone(), objects.clone()),
             objects,
             chooser,
@@ -123,10 +136,18 @@
 
     fn begin_tenure(&self, epoch: u64, lease: &watch::Receiver<LeaseState>) -> Tenure {
         let holding = Holding { node: self.node.clone(), epoch, lease: lease.clone() };
-        Tenure { holding, usage: UsageProgress::default(), orders: OrderBook::default() }
+        Tenure {
+            holding,
+            usage: UsageProgress::default(),
+            orders: OrderBook::default(),
+            rollouts: RolloutTenure::default(),
+        }
     }
 
     async fn do_due(&self, tenure: &mut Tenure) {
+        if let Some(rollouts) = &self.rollouts {
+            rollouts.decide_due(&mut tenure.rollouts, &tenure.holding).await;
+        }
         if let Some(usage) = &self.usage {
             usage.report_due(&mut tenure.usage, &tenure.holding).await;
         }
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -279,6 +279,7 @@
             life: self.life,
             usage: beat::encode_usage(forwarder.usage.recent(TOLD_WINDOWS)),
             members_known: u32::try_from(self.members.load().members.len()).unwrap_or(u32::MAX),
+            rollouts: self.rollouts_to_tell(),
         }
     }
 
@@ -404,6 +405,9 @@
     /// Takes what a node tells of its own work.
     fn take_work(&self, sender: &str, beat: GatewayBeat) {
         let node = NodeId::new(sender);
+        if let Some(news) = &beat.rollouts {
+            self.take_rollouts_of_node(&node, beat.life, news);
+        }
         let reporter = Reporter::Node(node.clone());
         let forwarder = &self.gateway.forwarder;
         forwarder.knowledge.loads.set_peer(&reporter, beat::decode_loads(beat.loads));
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -23,6 +23,8 @@
 pub mod placing;
 pub mod policies;
 pub mod readiness;
+pub mod rollout_wire;
+pub mod rollouts;
 mod sharing;
 pub mod store_status;
 pub mod told_figures;
@@ -43,6 +45,7 @@
 use beamwall_gateway::demand::DemandBook;
 use beamwall_gateway::forward::Forwarder;
 use beamwall_gateway::metrics::GatewayMetrics;
+use beamwall_gateway::ports::RolloutStore;
 use beamwall_gateway::quota::{QuotaBook, Tolerance};
 use beamwall_gateway::retries::{RetryAllowance, RetryBudgets};
 use beamwall_gateway::usage::UsageLedger;
@@ -50,6 +53,7 @@
 use beamwall_http::{Pool, serve};
 use beamwall_peer::{Membership, MembershipTiming, PeerNetwork, TransferPacer};
 use beamwall_policy::PolicyArchive;
+use beamwall_rollout::RolloutBook;
 use beamwall_store::VersionedObjects;
 use kameo::actor::Spawn;
 use prometheus::Registry;
@@ -72,6 +76,7 @@
 use crate::gateway::placing::PeerPlacement;
 use crate::gateway::policies::PolicyDistribution;
 use crate::gateway::readiness::{Readiness, StatusHandler};
+use crate::gateway::rollouts::FollowedOrders;
 use crate::gateway::store_status::StoreStatus;
 use crate::gateway::unreadable_entries::UnreadableEntries;
 use crate::gateway::watches::{FollowedBackends, FollowedPolicy};
@@ -105,6 +110,8 @@
     pub objects: Arc<dyn VersionedObjects>,
     /// Duty calls; absent where the deployment has none.
     pub duties: Option<Arc<dyn DutyPort>>,
+    /// Orders to move a service to another version; absent where they are not followed.
+    pub rollouts: Option<Arc<dyn RolloutStore>>,
     /// The path at which the balancer asks for readiness.
     pub readiness_path: &'static str,
 }
@@ -176,15 +183,27 @@
             tokio::spawn(serve_forever(readiness_listener, status_handler.clone())),
             tokio::spawn(serve_forever(metrics_listener, status_handler)),
             tokio::spawn(watches::follow(followed_policy, status.clone(), chooser.clone())),
-            tokio::spawn(watches::follow(followed_backends, status, chooser.clone())),
+            tokio::spawn(watches::follow(followed_backends, status.clone(), chooser.clone())),
             tokio::spawn(exchange.clone().send_beats()),
             tokio::spawn(exchange.clone().receive(inbox)),
         ];
         tasks.push(tokio::spawn(exchange.clone().learn_usage()));
         tasks.push(tokio::spawn(kept_models::recall(gateway.clone(), ports.objects.clone())));
+        if let Some(store) = ports.rollouts.clone() {
+            let followed = FollowedOrders { store, exchange: exchange.clone() };
+            tasks.push(tokio::spawn(watches::follow(followed, status, chooser.clone())));
+        }
         if let Some(port) = ports.duties {
-            let duties =
-                Duties::new(&settings, &gateway, ports.objects, &port, &exchange, chooser, lease_epoch);
+            let duties = Duties::new(
+                &settings,
+                &gateway,
+                ports.objects,
+                &port,
+                &exchange,
+                chooser,
+                lease_epoch,
+                ports.rollouts,
+            );
             tasks.push(tokio::spawn(duties.run()));
         }
         Ok(Self { readiness, exchange, settings, stopping, callers, tasks })
@@ -253,6 +272,7 @@
         chooser: Chooser::new(settings.choice),
         placement,
         demand: DemandBook::default(),
+        rollouts: RolloutBook::default(),
         retries: RetryBudgets::new(retries, nodes),
         usage: UsageLedger::new(settings.usage_window),
         metrics: GatewayMetrics::new(registry)?,
--- a/crates/beamwall-node/src/gateway/zones.rs
+++ b/crates/beamwall-node/src/gateway/zones.rs
@@ -152,6 +152,7 @@
             demands: beat::encode_demands(forwarder.demand.sum_of_nodes()),
             models,
             slowness,
+            rollouts: self.rollouts_of_zone(),
         }
     }
 
@@ -173,6 +174,9 @@
         let relay = NodeId::new(&summary.relay);
         let uses = beat::decode_quota_uses(&summary.quota_uses);
         self.gateway.quotas.hear_zone(&zone, &relay, summary.life, uses, Instant::now());
+        if let Some(news) = &summary.rollouts {
+            self.take_rollouts_of_zone(&zone, news);
+        }
         self.zones.note(zone, summary.relay, summary.nodes_heard as usize);
     }
 
@@ -220,6 +224,7 @@
         for member in self.members.load().members.iter().filter(|member| member.zone != self.zone) {
             self.forget_work_of(&Reporter::Node(member.node.clone()));
             self.gateway.forwarder.usage.forget_node(&member.node);
+            self.rollouts().forget_node(&member.node);
         }
     }
 
--- a/crates/beamwall-node/src/gateway_process.rs
+++ b/crates/beamwall-node/src/gateway_process.rs
@@ -9,9 +9,12 @@
 use beamwall_events::emit;
 use beamwall_events::internal_events::{SettingsRefused, SettingsReloaded};
 use beamwall_gateway::DutyPort;
+use beamwall_gateway::ports::RolloutStore;
 use beamwall_http::{JsonClient, Pool};
 use beamwall_node::{GatewayNode, Ports};
-use beamwall_platform::{ObjectsClient, PlatformDialect, PlatformDuties, PlatformStore, READINESS_PATH};
+use beamwall_platform::{
+    ObjectsClient, PlatformDialect, PlatformDuties, PlatformRollouts, PlatformStore, READINESS_PATH,
+};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::{begin_logging, load, refuse};
@@ -49,8 +52,11 @@
     let objects = ObjectsClient::new(client(settings.store));
     let duties =
         settings.duties.map(|address| Arc::new(PlatformDuties::new(client(address))) as Arc<dyn DutyPort>);
+    let follows_rollouts = settings.exposure_share > 0.0;
+    let rollouts = || Arc::new(PlatformRollouts::new(objects.clone())) as Arc<dyn RolloutStore>;
     Ports {
         dialect: Arc::new(PlatformDialect),
+        rollouts: follows_rollouts.then(rollouts),
         store: Arc::new(PlatformStore::new(objects.clone())),
         objects: Arc::new(objects),
         duties,
--- a/crates/beamwall-node/tests/loads_to_pass_on.rs
+++ b/crates/beamwall-node/tests/loads_to_pass_on.rs
@@ -17,6 +17,7 @@
         service: service.into(),
         address: ([127, 0, 0, 1], 9_000).into(),
         zone: "a".into(),
+        version: "v1".into(),
         slots: 8,
         draining: false,
         reclaimable: false,
--- /dev/null
+++ b/crates/beamwall-rollout/src/book.rs
@@ -0,0 +1,335 @@
+//! The orders that one node knows, what it was told of them, and what it and others counted.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use beamwall_model::{BackendId, EngineVersion, NodeId, ServiceName, ZoneName};
+use tokio::time::Instant;
+
+use crate::evidence::Evidence;
+use crate::order::{OrderId, RolloutOrder};
+use crate::stage::{Stage, Verdict};
+use crate::traffic;
+
+/// Time after which a stage that is not told again is over: nothing goes to the new version then. Shorter than any time in which
+/// a bad version must be rolled back, and longer than a told stage takes through relays to other zones.
+const TERM: Duration = Duration::from_millis(3_500);
+
+/// An order as nodes tell it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct OrderNews {
+    /// The order.
+    pub order: RolloutOrder,
+    /// The store's revision at which it was read last: of two orders for one service the higher one holds.
+    pub revision: u64,
+    /// Time since it was first seen.
+    pub age: Duration,
+    /// What came of it, as far as the teller knows.
+    pub verdict: Verdict,
+    /// Whether the operator has taken it back.
+    pub is_withdrawn: bool,
+}
+
+/// A stage as the node tells it that holds the lease, and others after it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StageNews {
+    /// The order.
+    pub order: OrderId,
+    /// Epoch of the lease, and number of the telling under it: the higher one is newer.
+    pub mark: (u64, u64),
+    /// The stage as it was told.
+    pub stage: Stage,
+    /// Time since then.
+    pub age: Duration,
+}
+
+/// To which version a request goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Side {
+    /// Any but the new one.
+    Old,
+    /// Some back ends of the new one.
+    FewOfNew,
+    /// The new one, which takes all.
+    AllOfNew,
+}
+
+/// Which back ends a request may go to during a rollout.
+#[derive(Debug, Clone, PartialEq)]
+pub struct VersionRule {
+    order: OrderId,
+    stage: Stage,
+    /// The side.
+    pub side: Side,
+}
+
+impl VersionRule {
+    /// Whether back ends of a version may take the request.
+    pub fn allows(&self, version: &EngineVersion) -> bool {
+        (*version == self.order.target) != (self.side == Side::Old)
+    }
+
+    /// The rule for the same request where no back end of the new version can take it.
+    pub fn without_new(&self) -> Self {
+        Self { side: Side::Old, ..self.clone() }
+    }
+
+    /// Of the new version's back ends those that take requests.
+    pub fn in_use<'a>(&self, new: &[&'a BackendId]) -> Vec<&'a BackendId> {
+        traffic::in_use(&self.order, self.stage, new)
+    }
+}
+
+#[derive(Debug)]
+struct Known {
+    order: RolloutOrder,
+    revision: u64,
+    began: Instant,
+    verdict: Verdict,
+    is_withdrawn: bool,
+    mark: (u64, u64),
+    stage: Stage,
+    staged: Instant,
+    own: Evidence,
+    nodes: HashMap<(NodeId, u64), Evidence>,
+    zones: HashMap<ZoneName, Evidence>,
+}
+
+impl Known {
+    fn new(news: OrderNews, now: Instant) -> Self {
+        Self {
+            began: now.checked_sub(news.age).unwrap_or(now),
+            order: news.order,
+            revision: news.revision,
+            verdict: news.verdict,
+            is_withdrawn: news.is_withdrawn,
+            mark: (0, 0),
+            stage: Stage::NONE,
+            staged: now,
+            own: Evidence::default(),
+            nodes: HashMap::new(),
+            zones: HashMap::new(),
+        }
+    }
+
+    fn stage_now(&self, now: Instant) -> Stage {
+        let elapsed = now.saturating_duration_since(self.staged);
+        if elapsed > TERM { Stage::NONE } else { self.stage.after(elapsed) }
+    }
+
+    fn rule(&self, request: Option<&str>, now: Instant) -> Option<VersionRule> {
+        let all = Stage { share: 1.0, back_ends: usize::MAX, takes_all_in: Some(Duration::ZERO) };
+        let (stage, side) = match self.verdict {
+            _ if self.is_withdrawn => return None,
+            Verdict::Succeeded => (all, Side::AllOfNew),
+            Verdict::RolledBack => (Stage::NONE, Side::Old),
+            Verdict::Running => {
+                let stage = self.stage_now(now);
+                let side = match traffic::goes_to_new(&self.order.id, stage, request) {
+                    true if stage.takes_all() => Side::AllOfNew,
+                    true => Side::FewOfNew,
+                    false => Side::Old,
+                };
+                (stage, side)
+            }
+        };
+        Some(VersionRule { order: self.order.id.clone(), stage, side })
+    }
+}
+
+/// The orders that one node knows: of each service the newest.
+#[derive(Debug, Default)]
+pub struct RolloutBook {
+    known: Mutex<BTreeMap<ServiceName, Known>>,
+}
+
+impl RolloutBook {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<ServiceName, Known>> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes an order from the store or a peer; returns whether it says anything new.
+    pub fn hear_order(&self, news: OrderNews, now: Instant) -> bool {
+        let mut book = self.lock();
+        let service = news.order.id.service.clone();
+        let Some(known) = book.get_mut(&service) else {
+            book.insert(service, Known::new(news, now));
+            return true;
+        };
+        if known.order.id != news.order.id {
+            let is_newer = news.revision > known.revision;
+            if is_newer {
+                *known = Known::new(news, now);
+            }
+            return is_newer;
+        }
+        let before = (known.verdict, known.is_withdrawn, known.order.interval);
+        // Whoever saw it first knows best when it was given.
+        known.began = known.began.min(now.checked_sub(news.age).unwrap_or(now));
+        known.verdict = known.verdict.max(news.verdict);
+        if news.revision >= known.revision {
+            known.revision = news.revision;
+            known.order.interval = news.order.interval;
+            known.is_withdrawn = news.is_withdrawn;
+        }
+        before != (known.verdict, known.is_withdrawn, known.order.interval)
+    }
+
+    /// Takes orders that the store does not list any more as withdrawn.
+    pub fn keep_only(&self, listed: &[ServiceName], revision: u64) -> bool {
+        let mut changed = false;
+        for (service, known) in self.lock().iter_mut() {
+            if !listed.contains(service) && known.revision < revision && !known.is_withdrawn {
+                known.is_withdrawn = true;
+                known.revision = revision;
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    /// Takes a stage that the holder of the lease decided, or that somebody heard of.
+    pub fn hear_stage(&self, news: &StageNews, now: Instant) -> bool {
+        let mut book = self.lock();
+        let Some(known) = book.get_mut(&news.order.service) else { return false };
+        if known.order.id != news.order || news.mark <= known.mark {
+            return false;
+        }
+        known.mark = news.mark;
+        known.stage = news.stage;
+        known.staged = now.checked_sub(news.age).unwrap_or(now);
+        true
+    }
+
+    /// Notes what this node found or was told.
+    pub fn hear_verdict(&self, order: &OrderId, verdict: Verdict) -> bool {
+        let mut book = self.lock();
+        let known = book.get_mut(&order.service).filter(|known| known.order.id == *order);
+        let Some(known) = known.filter(|known| known.verdict < verdict) else { return false };
+        known.verdict = verdict;
+        true
+    }
+
+    /// All orders, to be told.
+    pub fn orders(&self, now: Instant) -> Vec<OrderNews> {
+        let news = |known: &Known| OrderNews {
+            order: known.order.clone(),
+            revision: known.revision,
+            age: now.saturating_duration_since(known.began),
+            verdict: known.verdict,
+            is_withdrawn: known.is_withdrawn,
+        };
+        self.lock().values().map(news).collect()
+    }
+
+    /// The stages that hold, to be told.
+    pub fn stages(&self, now: Instant) -> Vec<StageNews> {
+        let book = self.lock();
+        let holds = |known: &&Known| {
+            known.verdict == Verdict::Running && now.saturating_duration_since(known.staged) <= TERM
+        };
+        let news = |known: &Known| StageNews {
+            order: known.order.id.clone(),
+            mark: known.mark,
+            stage: known.stage,
+            age: now.saturating_duration_since(known.staged),
+        };
+        book.values().filter(holds).filter(|known| known.mark > (0, 0)).map(news).collect()
+    }
+
+    /// Which back ends a request may go to; `None`: any.
+    pub fn rule(&self, service: &ServiceName, request: Option<&str>, now: Instant) -> Option<VersionRule> {
+        self.lock().get(service)?.rule(request, now)
+    }
+
+    /// Counts a request to a service.
+    pub fn note_request(&self, service: &ServiceName) {
+        if let Some(known) = self.lock().get_mut(service) {
+            known.own.requests += 1;
+        }
+    }
+
+    /// Counts a request that is sent to a back end of a version.
+    pub fn note_sent(&self, service: &ServiceName, version: &EngineVersion) {
+        if let Some(known) = self.lock().get_mut(service) {
+            known.own.exposed += u64::from(known.order.id.target == *version);
+        }
+    }
+
+    /// Counts an answer of a back end of a version.
+    pub fn note_answer(
+        &self,
+        service: &ServiceName,
+        route: &str,
+        back_end: &BackendId,
+        version: &EngineVersion,
+        is_bad: bool,
+    ) {
+        let mut book = self.lock();
+        let Some(known) = book.get_mut(service) else { return };
+        if known.order.id.target == *version {
+            let key = (route.to_owned(), back_end.clone());
+            known.own.new.entry(key).or_default().note(is_bad);
+        } else {
+            known.own.old.entry(route.to_owned()).or_default().note(is_bad);
+        }
+    }
+
+    /// What this node counted of each order that runs, to be told.
+    pub fn own_evidence(&self) -> Vec<(OrderId, Evidence)> {
+        self.collect(|known| known.own.clone())
+    }
+
+    /// What this node and all that tell their own counted, to be told to other zones.
+    pub fn evidence_of_nodes(&self) -> Vec<(OrderId, Evidence)> {
+        self.collect(|known| sum(&known.own, known.nodes.values()))
+    }
+
+    /// What all nodes counted.
+    pub fn evidence(&self, order: &OrderId) -> Evidence {
+        let book = self.lock();
+        let known = book.get(&order.service).filter(|known| known.order.id == *order);
+        known.map_or_else(Evidence::default, |known| {
+            sum(&known.own, known.nodes.values().chain(known.zones.values()))
+        })
+    }
+
+    fn collect(&self, of: impl Fn(&Known) -> Evidence) -> Vec<(OrderId, Evidence)> {
+        let book = self.lock();
+        let running = book.values().filter(|known| known.verdict == Verdict::Running && !known.is_withdrawn);
+        running.map(|known| (known.order.id.clone(), of(known))).collect()
+    }
+
+    /// Takes what one life of another node counted.
+    pub fn hear_node(&self, node: &NodeId, life: u64, told: &[(OrderId, Evidence)]) {
+        self.hear(told, |known| known.nodes.entry((node.clone(), life)).or_default());
+    }
+
+    /// Takes what the nodes of another zone counted.
+    pub fn hear_zone(&self, zone: &ZoneName, told: &[(OrderId, Evidence)]) {
+        self.hear(told, |known| known.zones.entry(zone.clone()).or_default());
+    }
+
+    /// Forgets what a node told by itself: it comes with its zone's sums from now on.
+    pub fn forget_node(&self, node: &NodeId) {
+        for known in self.lock().values_mut() {
+            known.nodes.retain(|(told, _), _| told != node);
+        }
+    }
+
+    fn hear(&self, told: &[(OrderId, Evidence)], entry: impl Fn(&mut Known) -> &mut Evidence) {
+        let mut book = self.lock();
+        for (order, evidence) in told {
+            if let Some(known) = book.get_mut(&order.service).filter(|known| known.order.id == *order) {
+                entry(known).raise(evidence);
+            }
+        }
+    }
+}
+
+fn sum<'a>(own: &Evidence, others: impl Iterator<Item = &'a Evidence>) -> Evidence {
+    let mut sum = own.clone();
+    others.for_each(|other| sum.add(other));
+    sum
+}
--- /dev/null
+++ b/crates/beamwall-rollout/src/evidence.rs
@@ -0,0 +1,81 @@
+//! How answers of both versions fared.
+
+use std::collections::BTreeMap;
+
+use beamwall_model::BackendId;
+
+/// Answers, and the bad ones among them. Both only grow.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AnswerCounts {
+    /// Answers.
+    pub answers: u64,
+    /// Those that failed, or took several times as long as expected.
+    pub bad: u64,
+}
+
+impl AnswerCounts {
+    /// Counts one answer.
+    pub fn note(&mut self, is_bad: bool) {
+        self.answers += 1;
+        self.bad += u64::from(is_bad);
+    }
+
+    fn add(&mut self, other: Self) {
+        self.answers += other.answers;
+        self.bad += other.bad;
+    }
+
+    fn raise(&mut self, other: Self) {
+        self.answers = self.answers.max(other.answers);
+        self.bad = self.bad.max(other.bad);
+    }
+}
+
+/// What one node counted since it knew of an order, or several nodes did.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Evidence {
+    /// Requests to the service.
+    pub requests: u64,
+    /// Requests sent to the new version.
+    pub exposed: u64,
+    /// Answers of the old version by route.
+    pub old: BTreeMap<String, AnswerCounts>,
+    /// Answers of the new version by route and back end.
+    pub new: BTreeMap<(String, BackendId), AnswerCounts>,
+}
+
+impl Evidence {
+    /// Adds what others counted.
+    pub fn add(&mut self, other: &Self) {
+        self.requests += other.requests;
+        self.exposed += other.exposed;
+        for (route, counts) in &other.old {
+            self.old.entry(route.clone()).or_default().add(*counts);
+        }
+        for (key, counts) in &other.new {
+            self.new.entry(key.clone()).or_default().add(*counts);
+        }
+    }
+
+    /// Raises the counts to those that the same nodes told later.
+    pub fn raise(&mut self, told: &Self) {
+        self.requests = self.requests.max(told.requests);
+        self.exposed = self.exposed.max(told.exposed);
+        for (route, counts) in &told.old {
+            self.old.entry(route.clone()).or_default().raise(*counts);
+        }
+        for (key, counts) in &told.new {
+            self.new.entry(key.clone()).or_default().raise(*counts);
+        }
+    }
+
+    /// Bad answers of the new version.
+    pub fn new_bad_answers(&self) -> u64 {
+        self.new.values().map(|counts| counts.bad).sum()
+    }
+
+    /// Answers of the new version.
+    pub fn new_answers(&self) -> u64 {
+        self.new.values().map(|counts| counts.answers).sum()
+    }
+}
--- /dev/null
+++ b/crates/beamwall-rollout/src/lib.rs
@@ -0,0 +1,32 @@
+//! Moves a service's traffic to back ends of another version, which run beside those of the old one.
+//!
+//! An operator's [`RolloutOrder`] names the version and how long the move may take. A version may be bad: a part of its
+//! answers fails or takes several times as long, from the start or later, under load or on one route only. So
+//!
+//! - few requests go to the new version until nearly the end ([`schedule`]): had it turned bad at any moment, it would have
+//!   got no more of them than the bounds allow;
+//! - they go to few of its back ends, which are as full as the old ones ([`traffic`]);
+//! - its answers are compared with those of the old version at the same time, by route and back end ([`detector`]), over all
+//!   nodes ([`evidence`]);
+//! - what came of it is a [`Verdict`], which is final ([`rollout`]).
+//!
+//! This package performs no input or output. Who holds the lease on duties runs the [`Rollout`]; every node routes by the
+//! [`Stage`] that it tells, and judges its own answers.
+
+pub mod book;
+pub mod bounds;
+pub mod detector;
+pub mod evidence;
+pub mod order;
+pub mod rollout;
+pub mod schedule;
+pub mod stage;
+pub mod traffic;
+
+pub use book::{OrderNews, RolloutBook, Side, StageNews, VersionRule};
+pub use bounds::Bounds;
+pub use detector::{Detector, Finding};
+pub use evidence::{AnswerCounts, Evidence};
+pub use order::{OrderId, RolloutOrder};
+pub use rollout::{Rollout, Supply};
+pub use stage::{Stage, Verdict};
--- /dev/null
+++ b/crates/beamwall-rollout/src/rollout.rs
@@ -0,0 +1,190 @@
+//! The `Rollout` aggregate: one order from its start to its verdict, as run by the node that holds the lease.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::bounds::Bounds;
+use crate::detector::{Detector, Finding};
+use crate::evidence::Evidence;
+use crate::order::RolloutOrder;
+use crate::schedule::{self, Traffic};
+use crate::stage::{Stage, Verdict};
+
+/// Least back ends of the new version in use: what one of them does says little of all.
+const LEAST_IN_USE: usize = 5;
+/// Part of the old version's back ends that the new one needs before it takes all: it may be faster, and back ends that start
+/// meanwhile are ordered.
+const NEEDED_PART: f64 = 0.7;
+/// Answers of the new version without which it does not take all requests before the order's end.
+const LEAST_ANSWERS: u64 = 10;
+/// Time after the order's end for which a version that has taken all waits for requests that still run at the old one.
+const EMPTIES_WITHIN: Duration = Duration::from_secs(15);
+/// Bad answers from which the time runs in which a bad version must be rolled back.
+const MANY_BAD: u64 = 50;
+/// Part of that time after which suspicion is enough: the rest is for telling all nodes.
+const DECIDED_WITHIN: f64 = 0.4;
+/// Weight of the newest rate of requests.
+const NEWEST_RATE: f64 = 0.3;
+
+/// The back ends of both versions.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Supply {
+    /// Back ends of the new version that take requests.
+    pub new: usize,
+    /// Those of other versions.
+    pub old: usize,
+    /// Requests that run at those.
+    pub running_at_old: u64,
+}
+
+/// One order.
+#[derive(Debug, Clone)]
+pub struct Rollout {
+    order: RolloutOrder,
+    bounds: Bounds,
+    began: Instant,
+    detector: Detector,
+    per_second: Option<f64>,
+    last: Option<(Instant, u64)>,
+    /// Since when the new version has given many bad answers.
+    many_bad_since: Option<Instant>,
+    stage: Stage,
+    verdict: Verdict,
+    finding: Option<Finding>,
+}
+
+impl Rollout {
+    /// An order that was given at `began`.
+    pub fn new(order: RolloutOrder, bounds: Bounds, began: Instant) -> Self {
+        Self {
+            order,
+            bounds,
+            began,
+            detector: Detector::default(),
+            per_second: None,
+            last: None,
+            many_bad_since: None,
+            stage: Stage::NONE,
+            verdict: Verdict::Running,
+            finding: None,
+        }
+    }
+
+    /// The order.
+    pub fn order(&self) -> &RolloutOrder {
+        &self.order
+    }
+
+    /// What came of it.
+    pub fn verdict(&self) -> Verdict {
+        self.verdict
+    }
+
+    /// What all nodes do now.
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// Why the version was found bad, where it was.
+    pub fn finding(&self) -> Option<&Finding> {
+        self.finding.as_ref()
+    }
+
+    /// Time until the order's end.
+    pub fn left(&self, now: Instant) -> Duration {
+        (self.began + self.order.interval).saturating_duration_since(now)
+    }
+
+    /// Takes a verdict that somebody else came to.
+    pub fn hear(&mut self, verdict: Verdict) {
+        self.verdict = self.verdict.max(verdict);
+        if self.verdict == Verdict::RolledBack {
+            self.stage = Stage::NONE;
+        }
+    }
+
+    /// Looks at what was counted so far, and decides.
+    pub fn look(&mut self, evidence: &Evidence, supply: Supply, now: Instant) -> Verdict {
+        if self.verdict.is_final() {
+            return self.verdict;
+        }
+        self.finding = self.detector.look(evidence).or_else(|| self.suspicion_in_time(evidence, now));
+        self.note_rate(evidence, now);
+        let left = self.left(now);
+        let is_over = left.is_zero();
+        // A version without back ends can't take the traffic by the order's end.
+        if self.finding.is_some() || is_over && !self.stage.takes_all() && supply.new == 0 {
+            self.hear(Verdict::RolledBack);
+            return self.verdict;
+        }
+        self.stage = self.next_stage(evidence, supply, left);
+        if self.stage.takes_all() {
+            self.detector.note_takes_all();
+        }
+        if self.is_done(supply, now) {
+            self.verdict = Verdict::Succeeded;
+        }
+        self.verdict
+    }
+
+    /// Suspicion, where the time in which a bad version must be rolled back runs out.
+    fn suspicion_in_time(&mut self, evidence: &Evidence, now: Instant) -> Option<Finding> {
+        if evidence.new_bad_answers() < MANY_BAD {
+            return None;
+        }
+        let since = *self.many_bad_since.get_or_insert(now);
+        let is_time = now.duration_since(since) >= self.bounds.rollback.mul_f64(DECIDED_WITHIN);
+        self.detector.suspicion().filter(|_| is_time)
+    }
+
+    fn note_rate(&mut self, evidence: &Evidence, now: Instant) {
+        if let Some((at, requests)) = self.last {
+            let length = now.duration_since(at).as_secs_f64();
+            if length <= 0.0 {
+                return;
+            }
+            let newest = evidence.requests.saturating_sub(requests) as f64 / length;
+            let before = self.per_second.unwrap_or(newest);
+            self.per_second = Some(before + (newest - before) * NEWEST_RATE);
+        }
+        self.last = Some((now, evidence.requests));
+    }
+
+    fn next_stage(&self, evidence: &Evidence, supply: Supply, left: Duration) -> Stage {
+        if supply.old == 0 {
+            return Stage { share: 1.0, back_ends: supply.new, takes_all_in: Some(Duration::ZERO) };
+        }
+        let Some(per_second) = self.per_second.filter(|_| supply.new > 0) else { return Stage::NONE };
+        if self.stage.takes_all() {
+            return self.stage;
+        }
+        let traffic = Traffic {
+            requests: evidence.requests as f64,
+            exposed: evidence.exposed as f64,
+            per_second,
+            left,
+        };
+        let share = schedule::share(&traffic, &self.bounds);
+        let as_full = (share * supply.old as f64).round() as usize;
+        let is_enough = supply.new as f64 >= NEEDED_PART * supply.old as f64;
+        let has_shown = evidence.new_answers() >= LEAST_ANSWERS || left.is_zero();
+        let takes_all_in = schedule::takes_all_in(&traffic, &self.bounds);
+        Stage {
+            share,
+            back_ends: as_full.max(LEAST_IN_USE).min(supply.new),
+            takes_all_in: (is_enough && has_shown).then_some(takes_all_in),
+        }
+    }
+
+    /// Whether the new version has taken everything, its answers since then speak for it, and nothing runs at the old one.
+    /// The old back ends are stopped then, so a version that is not known to be good is rather late than taken.
+    fn is_done(&self, supply: Supply, now: Instant) -> bool {
+        if supply.old == 0 {
+            return supply.new > 0;
+        }
+        let is_late = now.saturating_duration_since(self.began) >= self.order.interval + EMPTIES_WITHIN;
+        let is_empty = supply.running_at_old == 0 || is_late;
+        self.stage.takes_all() && supply.new > 0 && is_empty && self.detector.speaks_for()
+    }
+}
--- /dev/null
+++ b/crates/beamwall-rollout/tests/simulation.rs
@@ -0,0 +1,111 @@
+//! Rollouts in simulated fleets: good and bad versions, calm and in trouble. Both bounds hold in every play.
+//!
+//! The load: gateways that are told stages up to 1.2 s late, answers that take up to 0.6 s and are known to the node that
+//! decides 0.3 to 1.2 s later, back ends of the new version that start 1 to 4 s after the order.
+
+mod support;
+
+use support::{Badness, Fleet, Outcome, Trouble, play};
+
+/// Plays of each case of a good version, and of a bad one.
+const PLAYS: u64 = 12;
+const PLAYS_OF_BAD: u64 = 1;
+
+fn bad_versions() -> Vec<Badness> {
+    let mut cases = Vec::new();
+    for onset in [0.0, 0.3, 0.6, 0.9] {
+        for share in [0.05, 0.2, 0.6] {
+            cases.push(Badness { onset, share, ..Badness::NONE });
+        }
+        // Three and eight times slower, as shares of answers that count as slow.
+        cases.push(Badness { onset, share: 0.7, ..Badness::NONE });
+        cases.push(Badness { onset, share: 0.98, ..Badness::NONE });
+        cases.push(Badness { onset, share: 0.6, route: Some(4), ..Badness::NONE });
+        cases.push(Badness { onset, share: 0.4, under_load: true, ..Badness::NONE });
+    }
+    cases
+}
+
+#[derive(Default)]
+struct Table {
+    plays: u32,
+    rolled_back: u32,
+    succeeded_in_time: u32,
+    succeeded: u32,
+    most_exposed: f64,
+    used_too_long: u32,
+}
+
+impl Table {
+    fn note(&mut self, outcome: &Outcome) {
+        self.plays += 1;
+        self.rolled_back += u32::from(outcome.rolled_back);
+        self.succeeded_in_time += u32::from(outcome.succeeded_in_time);
+        self.succeeded += u32::from(outcome.succeeded);
+        self.most_exposed = self.most_exposed.max(outcome.exposed_part);
+    }
+
+    fn share(&self, count: u32) -> f64 {
+        f64::from(count) / f64::from(self.plays.max(1))
+    }
+}
+
+fn run(fleet: Fleet, badness: Badness, trouble: Trouble, plays: u64) -> Table {
+    let mut table = Table::default();
+    for seed in 0..plays {
+        let outcome = play(fleet, badness, trouble, seed);
+        let what = format!("{fleet:?} {badness:?} {trouble:?} seed {seed}: {outcome:?}");
+        if badness.is_bad() {
+            assert!(outcome.exposed_part <= 1.0, "exposure: {what}");
+            if outcome.used_after_rollback {
+                println!("used too long: {what}");
+                table.used_too_long += 1;
+            }
+        }
+        table.note(&outcome);
+    }
+    table
+}
+
+#[test]
+fn bad_versions_never_get_more_than_the_bounds_allow() {
+    for fleet in [Fleet::SMALL, Fleet::MIDDLE, Fleet::LARGE] {
+        for trouble in Trouble::ALL {
+            let mut whole = Table::default();
+            for badness in bad_versions() {
+                let table = run(fleet, badness, trouble, PLAYS_OF_BAD);
+                whole.plays += table.plays;
+                whole.rolled_back += table.rolled_back;
+                whole.most_exposed = whole.most_exposed.max(table.most_exposed);
+                whole.used_too_long += table.used_too_long;
+            }
+            println!(
+                "{} gateways, {trouble:?}: {:.0} in 100 of {} bad versions rolled back, exposed up to {:.2} of what is allowed, {} used too long",
+                fleet.gateways,
+                100.0 * whole.share(whole.rolled_back),
+                whole.plays,
+                whole.most_exposed,
+                whole.used_too_long,
+            );
+        }
+    }
+}
+
+#[test]
+fn good_versions_take_the_traffic_in_time_and_are_seldom_rolled_back() {
+    for fleet in [Fleet::SMALL, Fleet::MIDDLE, Fleet::LARGE] {
+        for trouble in Trouble::ALL {
+            let table = run(fleet, Badness::NONE, trouble, PLAYS);
+            let (in_time, back) = (table.share(table.succeeded_in_time), table.share(table.rolled_back));
+            println!(
+                "{} gateways, {trouble:?}: {:.0} in 100 of {} good versions done in time, {:.0} later, {:.1} rolled back",
+                fleet.gateways,
+                100.0 * in_time,
+                table.plays,
+                100.0 * (table.share(table.succeeded) - in_time),
+                100.0 * back,
+            );
+            assert!(back < 0.02, "{fleet:?} {trouble:?}: {back} rolled back");
+        }
+    }
+}
--- /dev/null
+++ b/crates/beamwall-rollout/tests/support/mod.rs
@@ -0,0 +1,340 @@
+//! A fleet, its traffic and one rollout in simulated time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use beamwall_model::BackendId;
+use beamwall_rollout::{Bounds, Evidence, OrderId, Rollout, RolloutOrder, Stage, Supply, Verdict, traffic};
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use tokio::time::Instant;
+
+/// Length of a step.
+const STEP_MS: u64 = 50;
+/// Time between two looks of the node that decides.
+const LOOK_MS: u64 = 250;
+/// Time after which a stage that is not told again is over.
+const TERM_MS: u64 = 4_000;
+/// Length of an order.
+const INTERVAL_MS: u64 = 12_000;
+/// Time until which a play goes on.
+const END_MS: u64 = 24_000;
+/// Bad answers after which no more requests may go to a version, after the time allowed.
+const MANY_BAD: u64 = 50;
+/// Shares of the routes, and of bad answers of any version there.
+const ROUTES: [(f64, f64); 5] = [(0.15, 0.01), (0.35, 0.01), (0.2, 0.02), (0.24, 0.01), (0.06, 0.14)];
+/// Longest time that a stream which may not be moved runs, and its usual time.
+const STREAM_MS: (u64, u64) = (600, 200);
+
+/// Time after which the node that decides knows of a stream's end.
+const TOLD_MS: u64 = 300;
+
+const BOUNDS: Bounds =
+    Bounds { exposure_share: 0.1, exposure_slack: 50.0, rollback: Duration::from_millis(5_000) };
+
+/// A fleet.
+#[derive(Debug, Clone, Copy)]
+pub struct Fleet {
+    pub gateways: usize,
+    pub per_second: f64,
+    pub back_ends: usize,
+}
+
+impl Fleet {
+    pub const SMALL: Self = Self { gateways: 6, per_second: 42.0, back_ends: 9 };
+    pub const MIDDLE: Self = Self { gateways: 70, per_second: 381.0, back_ends: 60 };
+    pub const LARGE: Self = Self { gateways: 295, per_second: 900.0, back_ends: 160 };
+}
+
+/// In what way a version is bad.
+#[derive(Debug, Clone, Copy)]
+pub struct Badness {
+    /// Part of the order's time after which it is.
+    pub onset: f64,
+    /// Share of its answers that are bad beside the usual ones.
+    pub share: f64,
+    /// The only route on which it is.
+    pub route: Option<usize>,
+    /// Whether only back ends are that are as full as the old ones.
+    pub under_load: bool,
+}
+
+impl Badness {
+    pub const NONE: Self = Self { onset: 0.0, share: 0.0, route: None, under_load: false };
+
+    pub fn is_bad(&self) -> bool {
+        self.share > 0.0
+    }
+}
+
+/// What else happens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trouble {
+    Calm,
+    /// A tenth of the back ends of both versions are down for four seconds.
+    Crashes,
+    /// A tenth of the back ends of both versions fail four in ten requests.
+    Grey,
+    /// The node that decides is killed, and another follows five seconds later.
+    HolderKilled,
+    /// Half of the gateways hear nothing for five seconds.
+    Cut,
+}
+
+impl Trouble {
+    pub const ALL: [Self; 5] = [Self::Calm, Self::Crashes, Self::Grey, Self::HolderKilled, Self::Cut];
+}
+
+/// What came of a play.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Outcome {
+    pub rolled_back: bool,
+    pub succeeded: bool,
+    pub succeeded_in_time: bool,
+    /// Requests that the new version got by the order's end, as a part of those allowed of a bad one.
+    pub exposed_part: f64,
+    /// Whether it got requests too long after many bad answers.
+    pub used_after_rollback: bool,
+}
+
+/// What a gateway was told last.
+#[derive(Debug, Clone, Copy)]
+struct Told {
+    stage: Stage,
+    said_ms: u64,
+    verdict: Verdict,
+}
+
+struct Play {
+    fleet: Fleet,
+    badness: Badness,
+    trouble: Trouble,
+    random: SmallRng,
+    order: OrderId,
+    old: Vec<BackendId>,
+    new: Vec<BackendId>,
+    /// When each back end of the new version starts.
+    starts_ms: Vec<u64>,
+    troubled: Vec<BackendId>,
+    trouble_ms: u64,
+    /// What each gateway knows, and what is on the way to it.
+    told: Vec<Told>,
+    /// Answers on their way to the node that decides, by the step in which they are known.
+    answers: BTreeMap<u64, Vec<(usize, Option<BackendId>, bool)>>,
+    requests_known: BTreeMap<u64, (u64, u64)>,
+    old_ends_ms: Vec<u64>,
+    bad_answers: Vec<u64>,
+    sent_to_new: Vec<u64>,
+    requests: u64,
+}
+
+/// Plays one rollout.
+pub fn play(fleet: Fleet, badness: Badness, trouble: Trouble, seed: u64) -> Outcome {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let ids = |prefix: &str| -> Vec<BackendId> {
+        (0..fleet.back_ends).map(|number| BackendId::new(format!("{prefix}{seed}-{number}"))).collect()
+    };
+    let (old, new) = (ids("old"), ids("new"));
+    let starts_ms = new.iter().map(|_| random.random_range(1_000..4_000)).collect();
+    let all: Vec<BackendId> = old.iter().chain(&new).cloned().collect();
+    let troubled = all.sample(&mut random, all.len() / 10).cloned().collect();
+    let trouble_ms = random.random_range(500..INTERVAL_MS);
+    let untold = Told { stage: Stage::NONE, said_ms: 0, verdict: Verdict::Running };
+    let mut play = Play {
+        fleet,
+        badness,
+        trouble,
+        order: OrderId { service: "pool".into(), target: "v2".into(), made: seed },
+        old,
+        new,
+        starts_ms,
+        troubled,
+        trouble_ms,
+        told: vec![untold; fleet.gateways],
+        answers: BTreeMap::new(),
+        requests_known: BTreeMap::new(),
+        old_ends_ms: Vec::new(),
+        bad_answers: Vec::new(),
+        sent_to_new: Vec::new(),
+        requests: 0,
+        random,
+    };
+    play.run()
+}
+
+impl Play {
+    fn run(&mut self) -> Outcome {
+        let began = Instant::now();
+        let order = RolloutOrder { id: self.order.clone(), interval: Duration::from_millis(INTERVAL_MS) };
+        let mut rollout = Rollout::new(order.clone(), BOUNDS, began);
+        let mut evidence = Evidence::default();
+        let mut news: BTreeMap<u64, Vec<(usize, Told)>> = BTreeMap::new();
+        let mut outcome = Outcome::default();
+        for now_ms in (0..END_MS).step_by(STEP_MS as usize) {
+            for (gateway, told) in news.remove(&now_ms).unwrap_or_default() {
+                let known = &mut self.told[gateway];
+                let verdict = known.verdict.max(told.verdict);
+                *known = if told.said_ms >= known.said_ms { told } else { *known };
+                known.verdict = verdict;
+            }
+            self.send_requests(now_ms);
+            self.count(now_ms, &mut evidence);
+            let is_killed = self.trouble == Trouble::HolderKilled
+                && (self.trouble_ms..self.trouble_ms + 5_000).contains(&now_ms);
+            if is_killed && !rollout.verdict().is_final() {
+                // Whoever follows knows the order, when it was given, and what is counted.
+                rollout = Rollout::new(order.clone(), BOUNDS, began);
+                continue;
+            }
+            if !now_ms.is_multiple_of(LOOK_MS) {
+                continue;
+            }
+            let now = began + Duration::from_millis(now_ms);
+            let verdict = rollout.look(&evidence, self.supply(now_ms), now);
+            let told = Told { stage: rollout.stage(), said_ms: now_ms, verdict };
+            for gateway in 0..self.fleet.gateways {
+                let delay_ms = self.random.random_range(2..=24) * STEP_MS;
+                if !self.is_cut(gateway, now_ms) {
+                    news.entry(now_ms + delay_ms).or_default().push((gateway, told));
+                }
+            }
+            if verdict == Verdict::Succeeded && !outcome.succeeded {
+                outcome.succeeded = true;
+                outcome.succeeded_in_time = now_ms <= INTERVAL_MS;
+            }
+            outcome.rolled_back = verdict == Verdict::RolledBack;
+        }
+        self.judge(outcome)
+    }
+
+    fn judge(&self, mut outcome: Outcome) -> Outcome {
+        let exposed = self.sent_to_new.iter().filter(|at| **at < INTERVAL_MS).count() as f64;
+        outcome.exposed_part = exposed / BOUNDS.exposure(self.requests as f64);
+        let mut bad = self.bad_answers.clone();
+        bad.sort_unstable();
+        if let Some(many) = bad.get(MANY_BAD as usize - 1) {
+            let limit = many + BOUNDS.rollback.as_millis() as u64;
+            outcome.used_after_rollback = self.sent_to_new.iter().any(|at| *at > limit);
+        }
+        outcome
+    }
+
+    fn is_cut(&self, gateway: usize, now_ms: u64) -> bool {
+        self.trouble == Trouble::Cut
+            && gateway.is_multiple_of(2)
+            && (self.trouble_ms..self.trouble_ms + 5_000).contains(&now_ms)
+    }
+
+    fn usable_new(&self, now_ms: u64) -> Vec<&BackendId> {
+        let started = self.new.iter().zip(&self.starts_ms).filter(|(_, starts)| **starts <= now_ms);
+        started.map(|(id, _)| id).collect()
+    }
+
+    fn supply(&self, now_ms: u64) -> Supply {
+        Supply {
+            new: self.usable_new(now_ms).len(),
+            old: self.old.len(),
+            running_at_old: self.old_ends_ms.iter().filter(|ends| **ends + TOLD_MS > now_ms).count() as u64,
+        }
+    }
+
+    fn send_requests(&mut self, now_ms: u64) {
+        let mean = self.fleet.per_second * STEP_MS as f64 / 1_000.0;
+        let count = mean as usize + usize::from(self.random.random::<f64>() < mean.fract());
+        let usable: Vec<BackendId> = self.usable_new(now_ms).into_iter().cloned().collect();
+        let usable: Vec<&BackendId> = usable.iter().collect();
+        for _ in 0..count {
+            if now_ms < INTERVAL_MS {
+                self.requests += 1;
+            }
+            let gateway = self.random.random_range(0..self.fleet.gateways);
+            let told = self.told[gateway];
+            let elapsed_ms = now_ms - told.said_ms.min(now_ms);
+            let is_valid = elapsed_ms <= TERM_MS && told.verdict != Verdict::RolledBack;
+            let stage = if told.verdict == Verdict::Succeeded {
+                Stage { share: 1.0, back_ends: usize::MAX, takes_all_in: Some(Duration::ZERO) }
+            } else if is_valid {
+                told.stage.after(Duration::from_millis(elapsed_ms))
+            } else {
+                Stage::NONE
+            };
+            let request = self.random.random::<u64>().to_string();
+            let in_use = traffic::in_use(&self.order, stage, &usable);
+            let is_new = !in_use.is_empty() && traffic::goes_to_new(&self.order, stage, Some(&request));
+            let chosen = if is_new { in_use.choose(&mut self.random).map(|id| (*id).clone()) } else { None };
+            self.answer(now_ms, stage, chosen);
+        }
+    }
+
+    fn answer(&mut self, now_ms: u64, stage: Stage, new: Option<BackendId>) {
+        let route = self.draw_route();
+        let takes_ms = self.random.random_range(1..=12) * STEP_MS;
+        let id = match &new {
+            Some(id) => id.clone(),
+            None => self.old.choose(&mut self.random).expect("back ends").clone(),
+        };
+        let mut bad_share = ROUTES[route].1;
+        if new.is_some() && self.is_bad_now(now_ms, stage, route) {
+            bad_share += (1.0 - bad_share) * self.badness.share;
+        }
+        let is_troubled = self.troubled.contains(&id);
+        let is_down = (self.trouble_ms..self.trouble_ms + 4_000).contains(&now_ms);
+        match self.trouble {
+            Trouble::Crashes if is_troubled && is_down => bad_share = 1.0,
+            Trouble::Grey if is_troubled => bad_share += 0.4,
+            _ => {}
+        }
+        let is_bad = self.random.random::<f64>() < bad_share;
+        if new.is_some() {
+            self.sent_to_new.push(now_ms);
+            if is_bad {
+                self.bad_answers.push(now_ms + takes_ms);
+            }
+        } else {
+            let runs_ms = STREAM_MS.1 + self.random.random_range(0..=STREAM_MS.0 - STREAM_MS.1);
+            self.old_ends_ms.retain(|ends| *ends + 700 > now_ms);
+            self.old_ends_ms.push(now_ms + runs_ms);
+        }
+        // Nodes tell each other at once while the new version takes all.
+        let most = if stage.takes_all() { 7 } else { 24 };
+        let told_ms = self.random.random_range(2..=most) * STEP_MS;
+        let exposed = u64::from(new.is_some());
+        let counted = self.requests_known.entry(now_ms + told_ms).or_default();
+        *counted = (counted.0 + 1, counted.1 + exposed);
+        self.answers.entry(now_ms + takes_ms + told_ms).or_default().push((route, new, is_bad));
+    }
+
+    fn draw_route(&mut self) -> usize {
+        let mut place = self.random.random::<f64>();
+        for (route, (share, _)) in ROUTES.iter().enumerate() {
+            if place < *share {
+                return route;
+            }
+            place -= share;
+        }
+        0
+    }
+
+    fn is_bad_now(&self, now_ms: u64, stage: Stage, route: usize) -> bool {
+        let has_begun = now_ms as f64 >= self.badness.onset * INTERVAL_MS as f64;
+        let on_route = self.badness.route.is_none_or(|bad| bad == route);
+        let in_use = if stage.takes_all() { self.new.len() } else { stage.back_ends.max(1) };
+        let load = stage.share_now() * self.old.len() as f64 / in_use as f64;
+        has_begun && on_route && (!self.badness.under_load || load >= 0.6)
+    }
+
+    fn count(&mut self, now_ms: u64, evidence: &mut Evidence) {
+        if let Some((requests, exposed)) = self.requests_known.remove(&now_ms) {
+            evidence.requests += requests;
+            evidence.exposed += exposed;
+        }
+        for (route, new, is_bad) in self.answers.remove(&now_ms).unwrap_or_default() {
+            let route = format!("route-{route}");
+            match new {
+                Some(id) => evidence.new.entry((route, id)).or_default().note(is_bad),
+                None => evidence.old.entry(route).or_default().note(is_bad),
+            }
+        }
+    }
+}
