The number of back ends stays while a service moves to another version

Cause: the plan counts usable back ends of both versions as one, so during a move half of them would have been given back. Ruled out: planning for each version by itself (neither's share of the work is known until the end). Change: no orders for a service whose rollout runs; tests of what a node knows of orders. Measured: tests/book.rs, six tests; a process test of capacity beside a rollout is not written.

--- a/crates/beamwall-node/src/gateway/duties/capacity.rs
+++ b/crates/beamwall-node/src/gateway/duties/capacity.rs
@@ -73,7 +73,11 @@
         let is_settled = |service: &&Shared<Service>| {
             self.demands.get(&service.name).is_some_and(FollowedDemand::is_settled)
         };
-        for service in policy.policy().services.iter().filter(is_settled) {
+        // While a service moves to another version its numbers stay: those of both versions would count as one.
+        let rollouts = &self.gateway.forwarder.rollouts;
+        let is_moving = |service: &Shared<Service>| rollouts.is_running(&service.name);
+        let services = policy.policy().services.iter().filter(is_settled);
+        for service in services.filter(|service| !is_moving(service)) {
             let needed = self.needed(policy.policy(), service);
             for order in self.orders_for(service, needed, book) {
                 self.give(order, needed, book, holding).await;
--- a/crates/beamwall-rollout/src/book.rs
+++ b/crates/beamwall-rollout/src/book.rs
@@ -243,6 +243,12 @@
         self.lock().get(service)?.rule(request, now)
     }
 
+    /// Whether a service's traffic is being moved: back ends of both versions run, and neither are spare ones.
+    pub fn is_running(&self, service: &ServiceName) -> bool {
+        let book = self.lock();
+        book.get(service).is_some_and(|known| known.verdict == Verdict::Running && !known.is_withdrawn)
+    }
+
     /// Counts a request to a service.
     pub fn note_request(&self, service: &ServiceName) {
         if let Some(known) = self.lock().get_mut(service) {
--- /dev/null
+++ b/crates/beamwall-rollout/tests/book.rs
@@ -0,0 +1,104 @@
+//! What a node knows of orders: verdicts are final, newer orders replace older ones, stages end with their term.
+
+use std::time::Duration;
+
+use beamwall_rollout::{OrderId, OrderNews, RolloutBook, RolloutOrder, Side, Stage, StageNews, Verdict};
+use tokio::time::Instant;
+
+fn id(target: &str) -> OrderId {
+    OrderId { service: "pool".into(), target: target.into(), made: 7 }
+}
+
+fn order(target: &str, revision: u64, verdict: Verdict) -> OrderNews {
+    OrderNews {
+        order: RolloutOrder { id: id(target), interval: Duration::from_secs(12) },
+        revision,
+        age: Duration::ZERO,
+        verdict,
+        is_withdrawn: false,
+    }
+}
+
+fn stage(number: u64, share: f64, takes_all_in_ms: Option<u64>) -> StageNews {
+    let takes_all_in = takes_all_in_ms.map(Duration::from_millis);
+    let stage = Stage { share, back_ends: 5, takes_all_in };
+    StageNews { order: id("v2"), mark: (1, number), stage, age: Duration::ZERO }
+}
+
+fn side(book: &RolloutBook, now: Instant) -> Option<Side> {
+    book.rule(&"pool".into(), Some("request"), now).map(|rule| rule.side)
+}
+
+#[test]
+fn nothing_goes_to_a_new_version_before_a_stage_says_so_and_after_its_term() {
+    let (book, now) = (RolloutBook::default(), Instant::now());
+    assert_eq!(side(&book, now), None);
+    book.hear_order(order("v2", 10, Verdict::Running), now);
+    assert_eq!(side(&book, now), Some(Side::Old));
+    assert!(book.hear_stage(&stage(1, 1.0, None), now));
+    assert_eq!(side(&book, now), Some(Side::FewOfNew));
+    assert_eq!(side(&book, now + Duration::from_secs(4)), Some(Side::Old));
+}
+
+#[test]
+fn the_new_version_takes_all_from_the_moment_told() {
+    let (book, now) = (RolloutBook::default(), Instant::now());
+    book.hear_order(order("v2", 10, Verdict::Running), now);
+    book.hear_stage(&stage(2, 0.0, Some(800)), now);
+    assert!(!book.hear_stage(&stage(1, 1.0, Some(0)), now), "older than what is known");
+    assert_eq!(side(&book, now + Duration::from_millis(700)), Some(Side::Old));
+    assert_eq!(side(&book, now + Duration::from_millis(900)), Some(Side::AllOfNew));
+}
+
+#[test]
+fn a_verdict_is_final_for_its_order() {
+    let (book, now) = (RolloutBook::default(), Instant::now());
+    book.hear_order(order("v2", 10, Verdict::Running), now);
+    assert!(book.hear_verdict(&id("v2"), Verdict::RolledBack));
+    assert!(!book.hear_order(order("v2", 12, Verdict::Running), now));
+    book.hear_stage(&stage(9, 1.0, Some(0)), now);
+    assert_eq!(side(&book, now), Some(Side::Old));
+    // What the operator was told stands against what somebody found in the same moment.
+    assert!(book.hear_order(order("v2", 13, Verdict::Succeeded), now));
+    assert_eq!(side(&book, now), Some(Side::AllOfNew));
+    assert!(!book.hear_verdict(&id("v2"), Verdict::RolledBack));
+}
+
+#[test]
+fn another_order_begins_anew_and_an_older_one_does_not_come_back() {
+    let (book, now) = (RolloutBook::default(), Instant::now());
+    book.hear_order(order("v2", 10, Verdict::RolledBack), now);
+    assert!(book.hear_order(order("v3", 20, Verdict::Running), now));
+    assert!(!book.hear_order(order("v2", 15, Verdict::Succeeded), now));
+    assert_eq!(book.orders(now)[0].order.id, id("v3"));
+    assert!(book.hear_order(order("v2", 30, Verdict::Running), now), "ordered once more");
+    assert_eq!(side(&book, now), Some(Side::Old));
+}
+
+#[test]
+fn an_order_that_is_taken_back_binds_nobody() {
+    let (book, now) = (RolloutBook::default(), Instant::now());
+    book.hear_order(order("v2", 10, Verdict::Running), now);
+    assert!(!book.keep_only(&["pool".into()], 30));
+    assert!(book.keep_only(&[], 30));
+    assert_eq!(side(&book, now), None);
+    assert!(!book.is_running(&"pool".into()));
+}
+
+#[test]
+fn counts_of_nodes_and_zones_are_summed_and_only_grow() {
+    let (book, now) = (RolloutBook::default(), Instant::now());
+    book.hear_order(order("v2", 10, Verdict::Running), now);
+    book.note_request(&"pool".into());
+    book.note_sent(&"pool".into(), &"v2".into());
+    book.note_answer(&"pool".into(), "draft", &"e1".into(), &"v2".into(), true);
+    let told = book.own_evidence();
+    for _ in 0..2 {
+        book.hear_node(&"n1".into(), 1, &told);
+        book.hear_node(&"n1".into(), 2, &told);
+        book.hear_zone(&"b".into(), &told);
+    }
+    let all = book.evidence(&id("v2"));
+    assert_eq!((all.requests, all.exposed, all.new_answers(), all.new_bad_answers()), (4, 4, 4, 4));
+    assert_eq!(book.evidence_of_nodes()[0].1.requests, 3, "other zones' sums are not told on");
+}
