Usage is counted by the time of day that most nodes agree on

Ruled out: finding a step by the own steady clock alone (a node that starts with a clock that is off sees no step). Change: heartbeats tell the sender's time of day; each node takes the median, kept by its steady clock, for counting and reporting. Duties take their ports as one value; tests name the versions that a search allows.

--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -1,7 +1,6 @@
 //! Carries one request through its attempts.
 
 use std::sync::Arc;
-use std::time::SystemTime;
 
 use arc_swap::ArcSwap;
 use beamwall_engine_model::{Reading, ServiceEstimates};
@@ -21,6 +20,7 @@
 use crate::choice::{Chooser, Expectation};
 use crate::demand::DemandBook;
 use crate::directory::Directory;
+use crate::fleet_clock::FleetClock;
 use crate::metrics::GatewayMetrics;
 use crate::placement::{Choice, PlacementAnswer, PlacementPort, PlacementQuestion};
 use crate::placement_groups::{EngineGroup, EngineGroups};
@@ -122,6 +122,8 @@
     pub retries: RetryBudgets,
     /// What is billed.
     pub usage: UsageLedger,
+    /// The time of day by which it is.
+    pub clock: FleetClock,
     /// Metrics.
     pub metrics: GatewayMetrics,
 }
@@ -431,7 +433,7 @@
     /// Counts a request that a back end began to run.
     pub fn record_run(&self, call: &Call) {
         if let Some(tenant) = &call.tenant {
-            self.usage.record(&tenant.name, SystemTime::now());
+            self.usage.record(&tenant.name, self.clock.now());
         }
     }
 }
--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod directory;
 mod directory_log;
 pub mod event_stream;
+pub mod fleet_clock;
 pub mod forward;
 pub mod handler;
 pub mod health;
--- /dev/null
+++ b/crates/beamwall-gateway/tests/fleet_clock.rs
@@ -0,0 +1,104 @@
+//! The time of day that most nodes agree on: single clocks that are off or step don't move it.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use beamwall_gateway::fleet_clock::FleetClock;
+use beamwall_gateway::usage::UsageLedger;
+use tokio::time::Instant;
+
+/// True time at the start: three seconds into a window of five.
+const START: Duration = Duration::from_secs(1_733_187_603);
+const WINDOW: Duration = Duration::from_secs(5);
+/// By how much the clocks that step are off.
+const STEP: Duration = Duration::from_secs(2);
+
+fn truth(after: Duration) -> SystemTime {
+    UNIX_EPOCH + START + after
+}
+
+fn is_near(left: SystemTime, right: SystemTime) -> bool {
+    let apart = left.duration_since(right).or_else(|_| right.duration_since(left)).unwrap_or_default();
+    apart < Duration::from_millis(30)
+}
+
+/// Lets a clock hear `peers`, of which the first `off` are off.
+fn hear(clock: &FleetClock, peers: usize, off: usize, after: Duration) {
+    for number in 0..peers {
+        let told = if number < off { truth(after) + STEP } else { truth(after) };
+        clock.hear(&format!("n{number}").as_str().into(), told, Instant::now());
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_step_of_the_own_clock_moves_nothing() {
+    let clock = FleetClock::default();
+    hear(&clock, 9, 0, Duration::ZERO);
+    tokio::time::advance(Duration::from_secs(1)).await;
+    let after = Duration::from_secs(1);
+    for own in [truth(after), truth(after) + STEP, truth(after) - STEP] {
+        assert!(is_near(clock.time(own, Instant::now()), truth(after)));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_third_of_the_clocks_may_be_off() {
+    let clock = FleetClock::default();
+    hear(&clock, 9, 3, Duration::ZERO);
+    assert!(is_near(clock.time(truth(Duration::ZERO) + STEP, Instant::now()), truth(Duration::ZERO)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_node_that_hears_nobody_goes_by_its_own_clock() {
+    let clock = FleetClock::default();
+    let own = truth(Duration::ZERO) + STEP;
+    assert_eq!(clock.time(own, Instant::now()), own);
+    hear(&clock, 9, 0, Duration::ZERO);
+    tokio::time::advance(Duration::from_secs(6)).await;
+    let own = truth(Duration::from_secs(6)) + STEP;
+    assert_eq!(clock.time(own, Instant::now()), own, "what was heard long ago does not count");
+}
+
+/// The load: 70 nodes, of which 21 have clocks that are 2 s off for six seconds, and 400 requests a second.
+#[tokio::test(start_paused = true)]
+async fn windows_hold_what_began_in_them_while_clocks_step() {
+    let (nodes, off, seconds) = (70_usize, 21_usize, 12_u64);
+    let clocks: Vec<FleetClock> = (0..nodes).map(|_| FleetClock::default()).collect();
+    let with = UsageLedger::new(WINDOW);
+    let without = UsageLedger::new(WINDOW);
+    let true_counts = UsageLedger::new(WINDOW);
+    for step in 0..seconds * 20 {
+        let after = Duration::from_millis(step * 50);
+        let is_off = |node: usize| node < off && (2..8).contains(&after.as_secs());
+        let own = |node: usize| if is_off(node) { truth(after) + STEP } else { truth(after) };
+        if step % 20 == 0 {
+            for clock in &clocks {
+                (0..nodes).for_each(|node| {
+                    clock.hear(&format!("n{node}").as_str().into(), own(node), Instant::now())
+                });
+            }
+        }
+        for request in 0..20 {
+            let node = (step as usize * 20 + request) % nodes;
+            with.record(&"alder".into(), clocks[node].time(own(node), Instant::now()));
+            without.record(&"alder".into(), own(node));
+            true_counts.record(&"alder".into(), truth(after));
+        }
+        tokio::time::advance(Duration::from_millis(50)).await;
+    }
+    let worst = |counted: &UsageLedger| {
+        let (first, _) = counted.window_at(truth(Duration::ZERO));
+        let off = |window: u64| {
+            let count = |ledger: &UsageLedger| ledger.total(window).counts.values().sum::<u64>() as f64;
+            (count(counted) - count(&true_counts)).abs() / count(&true_counts).max(1.0)
+        };
+        (first..first + 3).map(off).fold(0.0, f64::max)
+    };
+    let (by_fleet, by_own) = (worst(&with), worst(&without));
+    println!(
+        "windows are off by {:.1} in 100 at most, {:.1} by each node's own clock",
+        by_fleet * 100.0,
+        by_own * 100.0
+    );
+    assert!(by_fleet < 0.02, "{by_fleet}");
+    assert!(by_own > 0.05, "{by_own}: the median would be needless");
+}
--- a/crates/beamwall-gateway/tests/placement.rs
+++ b/crates/beamwall-gateway/tests/placement.rs
@@ -47,6 +47,8 @@
         prompt: Some(prompt),
         group: EngineGroup::WHOLE,
         avoided,
+
+        versions: None,
         by: ChosenBy::Placer,
     };
     let candidates = knowledge.candidates(directory, search);
--- a/crates/beamwall-node/src/gateway/duties/mod.rs
+++ b/crates/beamwall-node/src/gateway/duties/mod.rs
@@ -61,6 +61,16 @@
     rollouts: RolloutTenure,
 }
 
+/// What the duties meet outside.
+pub struct DutyPorts {
+    /// The objects that the lease and reports are kept in.
+    pub objects: Arc<dyn VersionedObjects>,
+    /// Usage reports and orders of back ends.
+    pub calls: Arc<dyn DutyPort>,
+    /// Orders to move a service to another version; absent where they are not followed.
+    pub rollouts: Option<Arc<dyn RolloutStore>>,
+}
+
 /// The duties of one node.
 pub struct Duties {
     node: NodeId,
@@ -79,19 +89,18 @@
     pub fn new(
         settings: &GatewaySettings,
         gateway: &Arc<Gateway>,
-        objects: Arc<dyn VersionedObjects>,
-        port: &Arc<dyn DutyPort>,
+        ports: DutyPorts,
         exchange: &Arc<Exchange>,
         chooser: ZoneChooser,
         lease_epoch: IntGauge,
-        rollout_store: Option<Arc<dyn RolloutStore>>,
     ) -> Self {
+        let DutyPorts { objects, calls: port, rollouts } = ports;
         let bounds = Bounds {
             exposure_share: settings.exposure_share,
             exposure_slack: settings.exposure_slack,
             rollback: settings.rollback,
         };
-        let rollouts = rollout_store.map(|store| RolloutDuty::new(gateway.clone(), store, bounds));
+        let rollouts = rollouts.map(|store| RolloutDuty::new(gateway.clone(), store, bounds));
         let usage = || {
             let window = settings.usage_window;
             UsageDuty::new(window, gateway.clone(), objects.clone(), port.clone(), exchange.clone())
--- a/crates/beamwall-node/src/gateway/duties/usage.rs
+++ b/crates/beamwall-node/src/gateway/duties/usage.rs
@@ -1,7 +1,7 @@
 //! Usage reports: the counts of each window are fixed in the store, then reported.
 
 use std::sync::Arc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 use beamwall_events::emit;
 use beamwall_events::internal_events::UsageReported;
@@ -73,7 +73,7 @@
         port: Arc<dyn DutyPort>,
         exchange: Arc<Exchange>,
     ) -> Self {
-        let (first_window, _) = gateway.forwarder.usage.window_at(SystemTime::now());
+        let (first_window, _) = gateway.forwarder.usage.window_at(gateway.forwarder.clock.now());
         Self { window_length, first_window, gateway, objects, port, exchange }
     }
 
@@ -101,7 +101,7 @@
     /// The oldest window that is due and not reported in this tenure. A new holder repeats the last
     /// window that was fixed: its predecessor may not have reported it.
     fn due_window(&self, reported_through: Option<u64>, fixed: &FixedUsage) -> Option<u64> {
-        let now = SystemTime::now();
+        let now = self.gateway.forwarder.clock.now();
         let (current, passed) = self.gateway.forwarder.usage.window_at(now);
         let first = reported_through.map(|window| window + 1).or(fixed.newest()).unwrap_or(self.first_window);
         let forgotten = USAGE_FORGOTTEN.as_millis() / self.window_length.as_millis().max(1);
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use arc_swap::ArcSwap;
 use beamwall_engine_model::Workload;
@@ -280,6 +280,7 @@
             usage: beat::encode_usage(forwarder.usage.recent(TOLD_WINDOWS)),
             members_known: u32::try_from(self.members.load().members.len()).unwrap_or(u32::MAX),
             rollouts: self.rollouts_to_tell(),
+            time_ms: milliseconds_since_1970(SystemTime::now()),
         }
     }
 
@@ -386,6 +387,10 @@
     }
 
     fn take_beat(self: &Arc<Self>, envelope: &Envelope, beat: GatewayBeat) {
+        if beat.time_ms > 0 {
+            let told = UNIX_EPOCH + Duration::from_millis(beat.time_ms);
+            self.gateway.forwarder.clock.hear(&NodeId::new(&envelope.sender), told, Instant::now());
+        }
         if beat.wants_answer {
             self.reply(envelope, Body::GatewayBeat(self.to_reply(Vec::new())));
         }
@@ -420,3 +425,9 @@
         self.gateway.quotas.hear(&node, beat.life, uses, Instant::now());
     }
 }
+
+/// A time of day as it is told.
+pub(super) fn milliseconds_since_1970(time: SystemTime) -> u64 {
+    let since = time.duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -34,7 +34,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime};
 
 use arc_swap::ArcSwap;
 use beamwall_config::GatewaySettings;
@@ -43,6 +43,7 @@
 use beamwall_gateway::candidates::Knowledge;
 use beamwall_gateway::choice::Chooser;
 use beamwall_gateway::demand::DemandBook;
+use beamwall_gateway::fleet_clock::FleetClock;
 use beamwall_gateway::forward::Forwarder;
 use beamwall_gateway::metrics::GatewayMetrics;
 use beamwall_gateway::ports::RolloutStore;
@@ -67,7 +68,7 @@
 use crate::actors::policy::PolicyActor;
 use crate::error::NodeError;
 use crate::gateway::chooser::ZoneChooser;
-use crate::gateway::duties::Duties;
+use crate::gateway::duties::{Duties, DutyPorts};
 use crate::gateway::exchange::Exchange;
 use crate::gateway::gauges::GatewayGauges;
 use crate::gateway::heard_versions::HeardVersions;
@@ -193,17 +194,9 @@
             let followed = FollowedOrders { store, exchange: exchange.clone() };
             tasks.push(tokio::spawn(watches::follow(followed, status, chooser.clone())));
         }
-        if let Some(port) = ports.duties {
-            let duties = Duties::new(
-                &settings,
-                &gateway,
-                ports.objects,
-                &port,
-                &exchange,
-                chooser,
-                lease_epoch,
-                ports.rollouts,
-            );
+        if let Some(calls) = ports.duties {
+            let duty_ports = DutyPorts { objects: ports.objects, calls, rollouts: ports.rollouts };
+            let duties = Duties::new(&settings, &gateway, duty_ports, &exchange, chooser, lease_epoch);
             tasks.push(tokio::spawn(duties.run()));
         }
         Ok(Self { readiness, exchange, settings, stopping, callers, tasks })
@@ -244,8 +237,7 @@
 
 /// A number that rises with each start: the time in milliseconds.
 fn new_incarnation() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    exchange::milliseconds_since_1970(SystemTime::now())
 }
 
 fn assemble_gateway(
@@ -275,6 +267,7 @@
         rollouts: RolloutBook::default(),
         retries: RetryBudgets::new(retries, nodes),
         usage: UsageLedger::new(settings.usage_window),
+        clock: FleetClock::default(),
         metrics: GatewayMetrics::new(registry)?,
     });
     let tolerance = Tolerance {
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -53,6 +53,9 @@
     /// Rollouts as the sender knows them.
     #[prost(message, optional, tag = "14")]
     pub rollouts: Option<RolloutNews>,
+    /// Time of day by the sender's own clock, in milliseconds since 1970.
+    #[prost(uint64, tag = "15")]
+    pub time_ms: u64,
 }
 
 /// What the sender knows of rollouts.
