A lease object of another writer is no lease of ours, and epochs never fall

Cause: a lease object that can't be read made every look fail, so no duty would be done again; one with a lower epoch would have led to an epoch that another holder had had. Ruled out: removing the object (another contender may have written it well meanwhile). Change: what can't be read counts as held by somebody of the highest epoch possible, the object's version; the highest epoch seen is kept. The object of fixed usage windows is not covered: one that another writes is taken for empty.

--- a/crates/beamwall-store/src/lease.rs
+++ b/crates/beamwall-store/src/lease.rs
@@ -60,6 +60,8 @@
     store: Arc<dyn VersionedObjects>,
     state: watch::Sender<LeaseState>,
     seen: Option<(Version, Instant)>,
+    /// The highest epoch seen: one that was given is never given again, whatever another writer makes of the object.
+    highest_epoch: u64,
     /// The version of this node's own last write, which the next renewal names without reading.
     held_version: Option<Version>,
     renewal: u64,
@@ -84,7 +86,10 @@
         let (state, receiver) = watch::channel(LeaseState::default());
         let renewal = rand::random::<u32>().into();
         let key = format!("leases/{name}");
-        (Self { key, node, store, state, seen: None, held_version: None, renewal }, receiver)
+        (
+            Self { key, node, store, state, seen: None, highest_epoch: 0, held_version: None, renewal },
+            receiver,
+        )
     }
 
     /// Renews or contends until the task is ended.
@@ -106,14 +111,14 @@
         let Some(object) = self.store.get(&self.key).await? else {
             return self.write(ABSENT, 1, sent).await;
         };
-        let record: LeaseRecord = serde_json::from_slice(&object.value)
-            .map_err(|error| ObjectError::Unexpected(error.to_string()))?;
+        let record = read_record(&object);
         if self.is_holder(&record) {
             return self.write(object.version, record.epoch, sent).await;
         }
         self.note_other(&object, &record);
         if self.unchanged_for() >= TAKEOVER_WAIT {
-            return self.write(object.version, record.epoch + 1, Instant::now()).await;
+            let epoch = self.highest_epoch + 1;
+            return self.write(object.version, epoch, Instant::now()).await;
         }
         Ok(())
     }
@@ -134,6 +139,7 @@
     }
 
     fn note_other(&mut self, object: &Object, record: &LeaseRecord) {
+        self.highest_epoch = self.highest_epoch.max(record.epoch);
         if self.seen.is_none_or(|(version, _)| version != object.version) {
             self.seen = Some((object.version, Instant::now()));
         }
@@ -160,6 +166,7 @@
             put_settled(self.store.as_ref(), &self.key, expected, Bytes::from(value.clone()), deadline, mine)
                 .await;
         if let Ok(Settled::Written(version)) = settled {
+            self.highest_epoch = self.highest_epoch.max(epoch);
             self.seen = None;
             self.held_version = Some(version);
             let valid_until = Some(sent + LEASE_TTL);
@@ -168,3 +175,10 @@
         Ok(())
     }
 }
+
+/// A lease as written. One that can't be read was written by somebody else: it is waited for as any other, and counts as of the
+/// highest epoch that there can have been, since each took a write and each write raises the version.
+fn read_record(object: &Object) -> LeaseRecord {
+    let unreadable = |_| LeaseRecord { holder: String::new(), epoch: object.version, renewal: 0 };
+    serde_json::from_slice(&object.value).unwrap_or_else(unreadable)
+}
