Usage windows whose fixed counts another writer has overwritten are not reported again

Cause: a successor that could not read the object of fixed counts took it for empty and reported all windows of the last 30 s once more, with its own counts: two different reports of a window break a rule. Ruled out: asking peers what was reported (who reported may be the one that was killed). Change: windows that have ended by then are left out, and event 6106 says so. Measured: duties::a_successor_that_cannot_read_what_was_fixed_repeats_nothing failed before (a window reported twice), passes now.

--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -195,6 +195,8 @@
     6104 Info UsageReported "usage reported" { window, requests, epoch, result }
     /// Too little is known of a service's work or its back ends: those found at the start are kept.
     6105 Info CapacityNotKnown "capacity not known yet" { service, kept }
+    /// The object of fixed usage counts can't be read.
+    6106 Warn FixedUsageUnreadable "fixed usage unreadable" { reason }
     /// An invariant was broken: a fault in the program, to be reported.
     9001 Error InvariantBroken "invariant broken" { invariant, detail }
 }
--- a/crates/beamwall-node/src/gateway/duties/usage.rs
+++ b/crates/beamwall-node/src/gateway/duties/usage.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use beamwall_events::emit;
-use beamwall_events::internal_events::UsageReported;
+use beamwall_events::internal_events::{FixedUsageUnreadable, UsageReported};
 use beamwall_gateway::usage::WindowCounts;
 use beamwall_gateway::{DutyError, DutyPort, Gateway};
 use beamwall_store::object::ABSENT;
@@ -80,7 +80,7 @@
     /// Reports the oldest window that is due, if any.
     pub(super) async fn report_due(&self, progress: &mut UsageProgress, holding: &Holding) {
         if progress.fixed.is_none() {
-            progress.fixed = self.read_fixed().await;
+            self.read_fixed(progress).await;
         }
         let Some((_, fixed)) = &progress.fixed else { return };
         let Some(due) = self.due_window(progress.reported_through, fixed) else { return };
@@ -114,11 +114,25 @@
         (settled || fixed.get(window).is_some()).then_some(window)
     }
 
-    async fn read_fixed(&self) -> Option<(Version, FixedUsage)> {
+    /// Reads what was fixed. Where another writer has taken its place, it is not known which windows were reported, so none that
+    /// has ended is: other counts might differ from those that somebody reported.
+    async fn read_fixed(&self, progress: &mut UsageProgress) {
         match self.objects.get(USAGE_KEY).await {
-            Ok(None) => Some((ABSENT, FixedUsage::default())),
-            Ok(Some(object)) => Some((object.version, parse_fixed(&object))),
-            Err(_) => None,
+            Ok(None) => progress.fixed = Some((ABSENT, FixedUsage::default())),
+            Ok(Some(object)) => {
+                let fixed = serde_json::from_slice(&object.value).unwrap_or_else(|error| {
+                    emit(&FixedUsageUnreadable { reason: format!("{error}") });
+                    let (current, _) =
+                        self.gateway.forwarder.usage.window_at(self.gateway.forwarder.clock.now());
+                    let ended = current.saturating_sub(1);
+                    progress.reported_through =
+                        Some(progress.reported_through.map_or(ended, |done| done.max(ended)));
+                    FixedUsage::default()
+                });
+                progress.fixed = Some((object.version, fixed));
+            }
+            // The store is away: `StoreStatus` tells of it, and the next look reads again.
+            Err(_) => {}
         }
     }
 
