Test ports: a process guards the block from which it hands them out

Cause: a gateway could not listen on the port that the stand-ins gave it. Processes handed out ports by their id modulo 50 in ranges of 240, and large tests take more than that: two processes gave out the same port, one of which took it between check and use. Ruled out: ports of outgoing connections (32768 and up; these are below). Change: blocks of 60 ports, the first of which the process keeps bound.

--- a/crates/beamwall-lab/src/running.rs
+++ b/crates/beamwall-lab/src/running.rs
@@ -2,8 +2,8 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::ops::Range;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use beamwall_http::{Handler, serve};
 use tokio::net::TcpListener;
@@ -48,25 +48,52 @@
 /// First port handed out by [`free_addresses`]: below the range from which the system takes the
 /// ports of outgoing connections, so that none of them can take a port between check and use.
 const FIRST_PORT: u16 = 20_000;
-/// Ports between the first ones of two processes, so that two rarely try the same.
-const PORTS_PER_PROCESS: u16 = 240;
-/// Processes told apart.
-const PROCESS_SLOTS: u32 = 50;
+/// Ports of a block. Its first one is bound by the process that hands out the others, for as long as it lives: so no other
+/// process hands them out, and takes one between check and use.
+const BLOCK_PORTS: u16 = 60;
+/// Blocks.
+const BLOCKS: u16 = 200;
 
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+/// The blocks of this process, and the ports of the newest one that were not handed out.
+struct Ports {
+    guards: Vec<StdListener>,
+    left: Range<u16>,
+}
+
+static PORTS: Mutex<Ports> = Mutex::new(Ports { guards: Vec::new(), left: 0..0 });
 
-/// Loopback addresses with ports that are free now and that this process hands out once.
+/// Loopback addresses with ports that are free now and that no other process hands out.
+///
+/// # Panics
+/// Where all blocks are taken.
 pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let slot = u16::try_from(std::process::id() % PROCESS_SLOTS).unwrap_or(0);
-    let range = PORTS_PER_PROCESS * PROCESS_SLOTS as u16;
+    let mut ports = PORTS.lock().unwrap_or_else(PoisonError::into_inner);
     let mut found = Vec::new();
     while found.len() < count {
-        let offset =
-            (slot * PORTS_PER_PROCESS).wrapping_add(NEXT_PORT.fetch_add(1, Ordering::Relaxed)) % range;
-        let address = SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + offset));
-        if StdListener::bind(address).is_ok() {
-            found.push(address);
+        let Some(port) = ports.left.next() else {
+            let (guard, block) = take_block().expect("a block of ports is free");
+            ports.guards.push(guard);
+            ports.left = block;
+            continue;
+        };
+        // Something that takes its ports in another way may have this one.
+        if StdListener::bind(on_loopback(port)).is_ok() {
+            found.push(on_loopback(port));
         }
     }
     found
 }
+
+/// Takes the first block that nobody has, from a place of this process on.
+fn take_block() -> Option<(StdListener, Range<u16>)> {
+    let start = (std::process::id() % u32::from(BLOCKS)) as u16;
+    (0..BLOCKS).find_map(|offset| {
+        let first = FIRST_PORT + (start + offset) % BLOCKS * BLOCK_PORTS;
+        let guard = StdListener::bind(on_loopback(first)).ok()?;
+        Some((guard, first + 1..first + BLOCK_PORTS))
+    })
+}
+
+fn on_loopback(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
