--- a/crates/beamwall-node/src/gateway/duties/rollouts.rs
+++ b/crates/beamwall-node/src/gateway/duties/rollouts.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use beamwall_events::emit;
 use beamwall_events::internal_events::{RolloutDecided, RolloutStaged, RolloutStatusNotWritten};
@@ -81,10 +82,7 @@
         if !was_final {
             tenure.tellings += 1;
             let mark = (epoch, tenure.tellings);
-            book.hear_stage(
-                &StageNews { order: id.clone(), mark, stage, age: std::time::Duration::ZERO },
-                now,
-            );
+            book.hear_stage(&StageNews { order: id.clone(), mark, stage, age: Duration::ZERO }, now);
             self.news.notify_one();
         }
     }
