A rollout that has succeeded binds requests only while the old back ends are stopped

Cause: found by reading: after a success nothing went to any other version for ever, so engines of a later version that come without an order (one by one, as a release) would have got no request. Ruled out: withdrawing the order (it stays in the store with its status). Change: the rule ends 15 s after the success was seen, and does not bind who reads it later. Measured: tests/book.rs, the test failed before; tests/rollouts.rs passes.

--- a/crates/beamwall-node/src/gateway/duties/rollouts.rs
+++ b/crates/beamwall-node/src/gateway/duties/rollouts.rs
@@ -67,7 +67,7 @@
         let verdict = rollout.look(&book.evidence(id), supply, now);
         if verdict.is_final() && !was_final {
             log_decision(rollout, verdict, supply);
-            book.hear_verdict(id, verdict);
+            book.hear_verdict(id, verdict, now);
         }
         let stage = rollout.stage();
         if stage.takes_all() && tenure.staged.insert(id.clone()) {
--- a/crates/beamwall-rollout/src/book.rs
+++ b/crates/beamwall-rollout/src/book.rs
@@ -16,6 +16,10 @@
 /// a bad version must be rolled back, and longer than a told stage takes through relays to other zones.
 const TERM: Duration = Duration::from_millis(3_500);
 
+/// Time after a success in which nothing goes to other versions: their back ends are stopped then. Later versions may come without
+/// an order, and are used as any.
+const STOPPED_WITHIN: Duration = Duration::from_secs(15);
+
 /// An order as nodes tell it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct OrderNews {
@@ -87,6 +91,8 @@
     revision: u64,
     began: Instant,
     verdict: Verdict,
+    /// When this node saw it succeed; `None` where it had before this node knew of it.
+    succeeded: Option<Instant>,
     is_withdrawn: bool,
     mark: (u64, u64),
     stage: Stage,
@@ -103,6 +109,7 @@
             order: news.order,
             revision: news.revision,
             verdict: news.verdict,
+            succeeded: None,
             is_withdrawn: news.is_withdrawn,
             mark: (0, 0),
             stage: Stage::NONE,
@@ -113,6 +120,18 @@
         }
     }
 
+    /// Takes a verdict; a later one in their order replaces an earlier one.
+    fn raise_verdict(&mut self, verdict: Verdict, now: Instant) {
+        if verdict > self.verdict {
+            self.verdict = verdict;
+            self.succeeded = (verdict == Verdict::Succeeded).then_some(now);
+        }
+    }
+
+    fn is_settled(&self, now: Instant) -> bool {
+        self.succeeded.is_none_or(|at| now.saturating_duration_since(at) > STOPPED_WITHIN)
+    }
+
     fn stage_now(&self, now: Instant) -> Stage {
         let elapsed = now.saturating_duration_since(self.staged);
         if elapsed > TERM { Stage::NONE } else { self.stage.after(elapsed) }
@@ -122,6 +141,7 @@
         let all = Stage { share: 1.0, back_ends: usize::MAX, takes_all_in: Some(Duration::ZERO) };
         let (stage, side) = match self.verdict {
             _ if self.is_withdrawn => return None,
+            Verdict::Succeeded if self.is_settled(now) => return None,
             Verdict::Succeeded => (all, Side::AllOfNew),
             Verdict::RolledBack => (Stage::NONE, Side::Old),
             Verdict::Running => {
@@ -167,7 +187,7 @@
         let before = (known.verdict, known.is_withdrawn, known.order.interval);
         // Whoever saw it first knows best when it was given.
         known.began = known.began.min(now.checked_sub(news.age).unwrap_or(now));
-        known.verdict = known.verdict.max(news.verdict);
+        known.raise_verdict(news.verdict, now);
         if news.revision >= known.revision {
             known.revision = news.revision;
             known.order.interval = news.order.interval;
@@ -203,11 +223,11 @@
     }
 
     /// Notes what this node found or was told.
-    pub fn hear_verdict(&self, order: &OrderId, verdict: Verdict) -> bool {
+    pub fn hear_verdict(&self, order: &OrderId, verdict: Verdict, now: Instant) -> bool {
         let mut book = self.lock();
         let known = book.get_mut(&order.service).filter(|known| known.order.id == *order);
         let Some(known) = known.filter(|known| known.verdict < verdict) else { return false };
-        known.verdict = verdict;
+        known.raise_verdict(verdict, now);
         true
     }
 
--- a/crates/beamwall-rollout/tests/book.rs
+++ b/crates/beamwall-rollout/tests/book.rs
@@ -54,14 +54,14 @@
 fn a_verdict_is_final_for_its_order() {
     let (book, now) = (RolloutBook::default(), Instant::now());
     book.hear_order(order("v2", 10, Verdict::Running), now);
-    assert!(book.hear_verdict(&id("v2"), Verdict::RolledBack));
+    assert!(book.hear_verdict(&id("v2"), Verdict::RolledBack, now));
     assert!(!book.hear_order(order("v2", 12, Verdict::Running), now));
     book.hear_stage(&stage(9, 1.0, Some(0)), now);
     assert_eq!(side(&book, now), Some(Side::Old));
     // What the operator was told stands against what somebody found in the same moment.
     assert!(book.hear_order(order("v2", 13, Verdict::Succeeded), now));
     assert_eq!(side(&book, now), Some(Side::AllOfNew));
-    assert!(!book.hear_verdict(&id("v2"), Verdict::RolledBack));
+    assert!(!book.hear_verdict(&id("v2"), Verdict::RolledBack, now));
 }
 
 #[test]
@@ -102,3 +102,17 @@
     assert_eq!((all.requests, all.exposed, all.new_answers(), all.new_bad_answers()), (4, 4, 4, 4));
     assert_eq!(book.evidence_of_nodes()[0].1.requests, 3, "other zones' sums are not told on");
 }
+
+/// Later versions may come without an order, as engines that replace others one by one.
+#[test]
+fn an_order_that_has_succeeded_binds_only_while_the_old_back_ends_are_stopped() {
+    let (book, now) = (RolloutBook::default(), Instant::now());
+    book.hear_order(order("v2", 10, Verdict::Running), now);
+    book.hear_order(order("v2", 11, Verdict::Succeeded), now);
+    assert_eq!(side(&book, now + Duration::from_secs(5)), Some(Side::AllOfNew));
+    assert_eq!(side(&book, now + Duration::from_secs(30)), None);
+    // Who reads it long after, as at a start, is not bound at all.
+    let started = RolloutBook::default();
+    started.hear_order(order("v2", 11, Verdict::Succeeded), now);
+    assert_eq!(side(&started, now), None);
+}
