Attempts are logged with a fingerprint of the request

Ruled out: logging bodies (secrets, size); a hash without cryptographic strength (a tenant could make requests that are taken for another tenant's). Change: package beamwall-quarantine with the fingerprint of a request (caller, host, path with query, body), worked out while the body is read; field `fingerprint` of 5101 and 5102. No decision rests on it yet.

--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -9,6 +9,7 @@
 use beamwall_http::Pool;
 use beamwall_model::{BackendId, NodeId, ServiceName, ZoneName};
 use beamwall_policy::{Route, TenantRef};
+use beamwall_quarantine::Fingerprint;
 use beamwall_rollout::{RolloutBook, Side, VersionRule};
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Uri};
@@ -47,6 +48,8 @@
 pub struct Call {
     /// The caller's identifier of this try.
     pub request_id: Option<String>,
+    /// What all tries of this request have in common.
+    pub fingerprint: Fingerprint,
     /// Method.
     pub method: Method,
     /// Path and query.
@@ -160,6 +163,7 @@
     pub fn note(&mut self, call: &Call, backend: &BackendId, failure: AttemptFailure) {
         emit(&AttemptFailed {
             request: call.log_id(),
+            fingerprint: call.fingerprint.to_string(),
             backend: backend.to_string(),
             ran: failure.ran.as_str().to_owned(),
             reason: failure.reason.clone(),
@@ -206,6 +210,7 @@
         self.note_sent(&call.service, &choice.backend);
         emit(&AttemptSent {
             request: call.log_id(),
+            fingerprint: call.fingerprint.to_string(),
             service: call.service.to_string(),
             backend: choice.backend.to_string(),
             chosen_by: choice.chosen_by.to_string(),
--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -7,8 +7,9 @@
 use beamwall_events::emit;
 use beamwall_events::internal_events::{GatewayAnswered, GatewayRefused};
 use beamwall_http::body::ReadError;
-use beamwall_http::{Body, Handler, read_limited};
+use beamwall_http::{Body, Handler, read_limited_with};
 use beamwall_policy::{PolicyIndex, Route, RouteKind, TenantRef};
+use beamwall_quarantine::FingerprintHasher;
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{HeaderMap, Request, Response};
@@ -163,11 +164,17 @@
         context.tenant = tenant.clone();
         let (parts, body) = request.into_parts();
         let body_limit = policy.policy().caller_limits.body_bytes;
-        let body = read_limited(body, body_limit, BODY_READ_LIMIT).await.map_err(from_read_error)?;
+        let tenant_name = tenant.as_ref().map(|tenant| tenant.name.as_str());
+        let path_and_query = parts.uri.path_and_query().map_or("", |target| target.as_str());
+        let mut fingerprint = FingerprintHasher::new(tenant_name, &host, path_and_query);
+        let see = |part: &[u8]| fingerprint.update(part);
+        let read = read_limited_with(body, body_limit, BODY_READ_LIMIT, see).await;
+        let body = read.map_err(from_read_error)?;
         let call = Call {
             service: route.service_for(rand::random()).cloned().ok_or(Refusal::NoRoute)?,
             deadline: deadline(&route, &head, received),
             request_id: head.request_id,
+            fingerprint: fingerprint.finish(),
             method: parts.method,
             target: parts.uri,
             headers: parts.headers,
--- a/crates/beamwall-gateway/tests/ranks.rs
+++ b/crates/beamwall-gateway/tests/ranks.rs
@@ -42,6 +42,7 @@
         public: false,
     };
     Call {
+        fingerprint: Default::default(),
         request_id: None,
         method: hyper::Method::POST,
         target: hyper::Uri::from_static("/"),
--- a/crates/beamwall-http/src/body.rs
+++ b/crates/beamwall-http/src/body.rs
@@ -64,6 +64,20 @@
 
 /// Reads a whole body, refusing one that is too large or too slow.
 pub async fn read_limited<B>(body: B, limit_bytes: usize, limit: Duration) -> Result<Bytes, ReadError>
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin,
+    B::Error: std::fmt::Display,
+{
+    read_limited_with(body, limit_bytes, limit, |_| {}).await
+}
+
+/// The same, and shows each part of the body as it comes.
+pub async fn read_limited_with<B>(
+    body: B,
+    limit_bytes: usize,
+    limit: Duration,
+    see: impl FnMut(&[u8]),
+) -> Result<Bytes, ReadError>
 where
     B: hyper::body::Body<Data = Bytes> + Unpin,
     B::Error: std::fmt::Display,
@@ -76,7 +90,7 @@
         let _ = tokio::time::timeout(limit, discard(&mut body, limit_bytes)).await;
         return Err(ReadError::TooLarge(limit_bytes));
     }
-    match tokio::time::timeout(limit, collect(body, limit_bytes)).await {
+    match tokio::time::timeout(limit, collect(body, limit_bytes, see)).await {
         Ok(result) => result,
         Err(_) => Err(ReadError::TooSlow(limit)),
     }
@@ -98,7 +112,7 @@
     }
 }
 
-async fn collect<B>(mut body: B, limit_bytes: usize) -> Result<Bytes, ReadError>
+async fn collect<B>(mut body: B, limit_bytes: usize, mut see: impl FnMut(&[u8])) -> Result<Bytes, ReadError>
 where
     B: hyper::body::Body<Data = Bytes> + Unpin,
     B::Error: std::fmt::Display,
@@ -108,6 +122,7 @@
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| ReadError::Broken(error.to_string()))?;
         let Ok(data) = frame.into_data() else { continue };
+        see(&data);
         match first.take() {
             None if rest.is_empty() => first = Some(data),
             None => rest.extend_from_slice(&data),
--- a/crates/beamwall-http/src/lib.rs
+++ b/crates/beamwall-http/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod query;
 pub mod server;
 
-pub use body::{Body, empty, full, json_response, read_limited};
+pub use body::{Body, empty, full, json_response, read_limited, read_limited_with};
 pub use channel::{BodySender, Disconnected, channel};
 pub use client::{ClientError, JsonClient};
 pub use pool::{Pool, PoolError, PooledBody};
