The book of requests under which back ends end

Cause: nothing connects the tries of one request (the incident): limits of attempts hold for one try, budgets for a service. Change: QuarantineBook, an aggregate without input or output: evidence that only grows (ends, completions, trials) and is the same in any order, the verdict as a function of it, terms, bounds of memory; simulation and random tests. Not used yet.

--- /dev/null
+++ b/crates/beamwall-quarantine/src/book.rs
@@ -0,0 +1,305 @@
+//! The `QuarantineBook` aggregate: all that one node knows of requests under which back ends end.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use beamwall_model::BackendId;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::evidence::{Completion, Ending, Evidence, Trial};
+use crate::fingerprint::Fingerprint;
+use crate::suspect::Suspect;
+use crate::terms::MOST_SUSPECTS;
+use crate::verdict::{self, Held};
+
+/// How a request stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// It may be sent.
+    Free,
+    /// It is held, and a trial is due.
+    TrialDue {
+        /// The number of that trial.
+        number: u32,
+    },
+    /// It is held.
+    Held {
+        /// Ends of back ends that tell against it.
+        endings: usize,
+        /// The time until a trial is due, where its case is in doubt and there is one.
+        retry_after: Option<Duration>,
+    },
+}
+
+/// What changed among the held requests.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct HeldChanges {
+    /// Requests that are held from now on.
+    pub held: Vec<(Fingerprint, Held)>,
+    /// Requests that are not held any more.
+    pub freed: Vec<Fingerprint>,
+}
+
+/// All that one node knows of requests under which back ends end. A request that is not in it costs one look into a map
+/// that is empty nearly always.
+#[derive(Debug, Default)]
+pub struct QuarantineBook {
+    state: Mutex<State>,
+    view: ArcSwap<View>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    suspects: BTreeMap<Fingerprint, Suspect>,
+    /// What this node saw itself and has not told yet.
+    untold: Evidence,
+    /// Changes that were not reported yet.
+    changes: HeldChanges,
+}
+
+/// The same for readers on the path of requests.
+#[derive(Debug, Default)]
+struct View {
+    /// Requests against which something is told, and whether they are held.
+    suspects: HashMap<Fingerprint, Option<Held>>,
+    digest: u64,
+    kept_digest: u64,
+}
+
+impl QuarantineBook {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// How a request stands.
+    pub fn standing(&self, request: &Fingerprint, now_ms: u64) -> Standing {
+        let view = self.view.load();
+        let Some(Some(held)) = view.suspects.get(request) else { return Standing::Free };
+        match held.next_trial_ms {
+            Some(due_ms) if now_ms >= due_ms => Standing::TrialDue { number: held.trials + 1 },
+            next => Standing::Held {
+                endings: held.endings,
+                retry_after: next
+                    .filter(|_| held.is_in_doubt)
+                    .map(|due_ms| Duration::from_millis(due_ms - now_ms)),
+            },
+        }
+    }
+
+    /// Whether a request is held, a trial being due or not.
+    pub fn is_held(&self, request: &Fingerprint) -> bool {
+        matches!(self.view.load().suspects.get(request), Some(Some(_)))
+    }
+
+    /// Requests that are held.
+    pub fn held(&self) -> Vec<(Fingerprint, Held)> {
+        let view = self.view.load();
+        view.suspects.iter().filter_map(|(request, held)| Some((*request, (*held)?))).collect()
+    }
+
+    /// Requests in the book.
+    pub fn suspects(&self) -> usize {
+        self.view.load().suspects.len()
+    }
+
+    /// Notes the end of a back end that this node saw, and the requests that it had open there.
+    pub fn note_ending(&self, backend: &BackendId, open: Vec<Fingerprint>, now_ms: u64) {
+        let ending = Ending { backend: backend.clone(), at_ms: now_ms, open };
+        self.note(Evidence { endings: vec![ending], ..Evidence::default() }, now_ms);
+    }
+
+    /// Notes that a back end ran a request to an end; returns whether that frees it of a suspicion.
+    pub fn note_completion(&self, request: &Fingerprint, now_ms: u64) -> bool {
+        if !self.view.load().suspects.contains_key(request) {
+            return false;
+        }
+        // Of one that nothing tells against now, the others need not hear each time that it ran.
+        let is_accused = |suspect: &Suspect| suspect.counted().next().is_some();
+        if !self.lock().suspects.get(request).is_some_and(is_accused) {
+            return false;
+        }
+        let completion = Completion { request: *request, at_ms: now_ms };
+        self.note(Evidence { completions: vec![completion], ..Evidence::default() }, now_ms)
+    }
+
+    /// Notes a trial that this node was granted.
+    pub fn note_trial(&self, request: &Fingerprint, number: u32, now_ms: u64) {
+        let trial = Trial { request: *request, number, at_ms: now_ms };
+        self.note(Evidence { trials: vec![trial], ..Evidence::default() }, now_ms);
+    }
+
+    fn note(&self, evidence: Evidence, now_ms: u64) -> bool {
+        let mut state = self.lock();
+        let new = state.take(evidence, now_ms);
+        let is_new = !new.is_empty();
+        state.untold.extend(new);
+        self.publish(&mut state);
+        is_new
+    }
+
+    /// Takes what others tell; returns what of it was new here.
+    pub fn hear(&self, evidence: Evidence, now_ms: u64) -> Evidence {
+        let mut state = self.lock();
+        let new = state.take(evidence, now_ms);
+        if !new.is_empty() {
+            self.publish(&mut state);
+        }
+        new
+    }
+
+    /// Forgets requests whose time in the book is over.
+    pub fn forget_old(&self, now_ms: u64) {
+        let mut state = self.lock();
+        let before = state.suspects.len();
+        state.suspects.retain(|_, suspect| !suspect.is_over(now_ms));
+        if state.suspects.len() < before {
+            self.publish(&mut state);
+        }
+    }
+
+    /// What this node saw since this was last asked, to be told to all.
+    pub fn take_untold(&self) -> Evidence {
+        std::mem::take(&mut self.lock().untold)
+    }
+
+    /// What changed among the held requests since this was last asked.
+    pub fn take_changes(&self) -> HeldChanges {
+        std::mem::take(&mut self.lock().changes)
+    }
+
+    /// All that is known here.
+    pub fn whole(&self) -> Evidence {
+        to_evidence(self.lock().suspects.iter())
+    }
+
+    /// What is known of the held requests, to be kept where it outlives all nodes.
+    pub fn kept(&self) -> Evidence {
+        let view = self.view.load();
+        let is_held =
+            |(request, _): &(&Fingerprint, &Suspect)| matches!(view.suspects.get(*request), Some(Some(_)));
+        to_evidence(self.lock().suspects.iter().filter(is_held))
+    }
+
+    /// A number that is equal for equal contents; 0 for none.
+    pub fn digest(&self) -> u64 {
+        self.view.load().digest
+    }
+
+    /// The same for [`Self::kept`].
+    pub fn kept_digest(&self) -> u64 {
+        self.view.load().kept_digest
+    }
+
+    /// Works out anew who is held.
+    fn publish(&self, state: &mut State) {
+        let held = verdict::held(&state.suspects);
+        let before = self.view.load();
+        let was_held = |request: &Fingerprint| matches!(before.suspects.get(request), Some(Some(_)));
+        let newly = held.iter().filter(|(request, _)| !was_held(request));
+        state.changes.held.extend(newly.map(|(request, held)| (*request, *held)));
+        let earlier = before.suspects.iter().filter(|(_, held)| held.is_some());
+        let freed = earlier.map(|(request, _)| *request).filter(|request| !held.contains_key(request));
+        state.changes.freed.extend(freed);
+        let kept = state.suspects.iter().filter(|(request, _)| held.contains_key(request));
+        let view = View {
+            digest: digest(state.suspects.iter()),
+            kept_digest: digest(kept),
+            suspects: state.suspects.keys().map(|request| (*request, held.get(request).copied())).collect(),
+        };
+        self.view.store(Arc::new(view));
+    }
+}
+
+impl State {
+    /// Takes news; returns what of it was new.
+    fn take(&mut self, evidence: Evidence, now_ms: u64) -> Evidence {
+        let mut new = Evidence::default();
+        for Ending { backend, at_ms, open } in evidence.endings {
+            let open: Vec<Fingerprint> = open
+                .into_iter()
+                .filter(|request| self.take_ending(request, &backend, at_ms, now_ms))
+                .collect();
+            if !open.is_empty() {
+                new.endings.push(Ending { backend, at_ms, open });
+            }
+        }
+        // Nothing is noted of a request that was at no end: it would stay for no reason.
+        for completion in evidence.completions {
+            let suspect = self.suspects.get_mut(&completion.request);
+            if suspect.is_some_and(|suspect| suspect.note_completion(completion.at_ms)) {
+                new.completions.push(completion);
+            }
+        }
+        for trial in evidence.trials {
+            let suspect = self.suspects.get_mut(&trial.request);
+            if suspect.is_some_and(|suspect| suspect.note_trial(trial.number, trial.at_ms)) {
+                new.trials.push(trial);
+            }
+        }
+        self.make_room();
+        new
+    }
+
+    fn take_ending(&mut self, request: &Fingerprint, backend: &BackendId, at_ms: u64, now_ms: u64) -> bool {
+        let mut suspect = self.suspects.get(request).cloned().unwrap_or_default();
+        let is_new = suspect.note_ending(backend, at_ms) && !suspect.is_over(now_ms);
+        if is_new {
+            self.suspects.insert(*request, suspect);
+        }
+        is_new
+    }
+
+    /// Drops the lightest suspects where there are too many.
+    fn make_room(&mut self) {
+        let too_many = self.suspects.len().saturating_sub(MOST_SUSPECTS);
+        if too_many == 0 {
+            return;
+        }
+        let mut weights: Vec<((usize, u64), Fingerprint)> =
+            self.suspects.iter().map(|(request, suspect)| (suspect.weight(), *request)).collect();
+        weights.select_nth_unstable(too_many - 1);
+        for (_, request) in &weights[..too_many] {
+            self.suspects.remove(request);
+        }
+    }
+}
+
+fn to_evidence<'a>(suspects: impl Iterator<Item = (&'a Fingerprint, &'a Suspect)>) -> Evidence {
+    let mut endings: BTreeMap<(&BackendId, u64), Vec<Fingerprint>> = BTreeMap::new();
+    let mut evidence = Evidence::default();
+    for (request, suspect) in suspects {
+        for (backend, at_ms) in &suspect.endings {
+            endings.entry((backend, *at_ms)).or_default().push(*request);
+        }
+        if suspect.completed_ms > 0 {
+            evidence.completions.push(Completion { request: *request, at_ms: suspect.completed_ms });
+        }
+        if suspect.trials > 0 {
+            let trial = Trial { request: *request, number: suspect.trials, at_ms: suspect.trial_ms };
+            evidence.trials.push(trial);
+        }
+    }
+    let ending =
+        |((backend, at_ms), open): ((&BackendId, u64), _)| Ending { backend: backend.clone(), at_ms, open };
+    evidence.endings = endings.into_iter().map(ending).collect();
+    evidence
+}
+
+fn digest<'a>(suspects: impl Iterator<Item = (&'a Fingerprint, &'a Suspect)>) -> u64 {
+    suspects.fold(0, |sum, (request, suspect)| sum ^ digest_of_one(request, suspect))
+}
+
+fn digest_of_one(request: &Fingerprint, suspect: &Suspect) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(request.as_bytes());
+    for (backend, at_ms) in &suspect.endings {
+        hasher.update(backend.as_str().as_bytes());
+        hasher.update(&at_ms.to_le_bytes());
+    }
+    hasher.update(&suspect.completed_ms.to_le_bytes());
+    hasher.update(&suspect.trials.to_le_bytes());
+    hasher.update(&suspect.trial_ms.to_le_bytes());
+    hasher.digest()
+}
--- /dev/null
+++ b/crates/beamwall-quarantine/src/suspect.rs
@@ -0,0 +1,90 @@
+//! What is known of one request.
+
+use std::collections::BTreeMap;
+
+use beamwall_model::BackendId;
+
+use crate::terms::{ENDINGS_UNTIL_HELD, HELD_FOR, MOST_ENDINGS, SUSPECTED_FOR, to_ms};
+
+/// A request that was open at the end of a back end.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Suspect {
+    /// The back ends, and when they ended.
+    pub endings: BTreeMap<BackendId, u64>,
+    /// When it last ran to an end; 0: never. Ends of back ends up to then tell nothing against it.
+    pub completed_ms: u64,
+    /// Trials granted.
+    pub trials: u32,
+    /// When the last one was granted.
+    pub trial_ms: u64,
+}
+
+impl Suspect {
+    /// Notes an end of a back end; returns whether that is new.
+    pub fn note_ending(&mut self, backend: &BackendId, at_ms: u64) -> bool {
+        let is_new = match self.endings.get_mut(backend) {
+            // Nodes see the same end some milliseconds apart; the earliest counts for all.
+            Some(known) if at_ms < *known => {
+                *known = at_ms;
+                true
+            }
+            Some(_) => false,
+            None => {
+                self.endings.insert(backend.clone(), at_ms);
+                true
+            }
+        };
+        while self.endings.len() > MOST_ENDINGS {
+            let earliest = self.endings.iter().min_by_key(|(backend, at)| (**at, (*backend).clone()));
+            let Some(earliest) = earliest.map(|(backend, _)| backend.clone()) else { break };
+            self.endings.remove(&earliest);
+        }
+        is_new
+    }
+
+    /// Notes that it ran to an end; returns whether that is new.
+    pub fn note_completion(&mut self, at_ms: u64) -> bool {
+        let is_new = at_ms > self.completed_ms;
+        self.completed_ms = self.completed_ms.max(at_ms);
+        is_new
+    }
+
+    /// Notes a trial; returns whether that is new.
+    pub fn note_trial(&mut self, number: u32, at_ms: u64) -> bool {
+        let is_new = (number, at_ms) > (self.trials, self.trial_ms);
+        if is_new {
+            (self.trials, self.trial_ms) = (number, at_ms);
+        }
+        is_new
+    }
+
+    /// Ends of back ends that tell against it.
+    pub fn counted(&self) -> impl Iterator<Item = (&BackendId, u64)> {
+        let ended = self.endings.iter().map(|(backend, at_ms)| (backend, *at_ms));
+        ended.filter(|(_, at_ms)| *at_ms > self.completed_ms)
+    }
+
+    /// When it became one that may be held; `None` where it is not.
+    pub fn incriminated_ms(&self) -> Option<u64> {
+        let mut at: Vec<u64> = self.counted().map(|(_, at_ms)| at_ms).collect();
+        at.sort_unstable();
+        at.get(ENDINGS_UNTIL_HELD - 1).copied()
+    }
+
+    /// The last moment from which its time in the book counts.
+    pub fn latest_ms(&self) -> u64 {
+        let ended = self.endings.values().copied().max().unwrap_or(0);
+        ended.max(self.trial_ms)
+    }
+
+    /// Whether its time in the book is over.
+    pub fn is_over(&self, now_ms: u64) -> bool {
+        let kept = if self.incriminated_ms().is_some() { HELD_FOR } else { SUSPECTED_FOR };
+        now_ms > self.latest_ms().saturating_add(to_ms(kept))
+    }
+
+    /// What is kept first where there is not room for all: the greater, the rather.
+    pub fn weight(&self) -> (usize, u64) {
+        (self.counted().count(), self.latest_ms())
+    }
+}
--- /dev/null
+++ b/crates/beamwall-quarantine/src/verdict.rs
@@ -0,0 +1,107 @@
+//! Which requests are held, as a function of the evidence alone: nodes that have heard the same hold the same.
+//!
+//! At the end of a back end many requests are open, and those that ran beside the culprit are sent again as it is, so
+//! they may be there when the next one ends. So
+//!
+//! - an end is explained by the request that was there at more ends, or was there at three of them earlier, and does not count
+//!   against the others;
+//! - who shares all its ends with another held request is held in doubt, and soon tried again; so is everyone while most ends
+//!   are explained by nobody, as when machines are taken back one after another.
+//!
+//! The first of several culprits to be known may be an innocent request that met them all. It is freed when the culprits are
+//! known: each further end tells against one of them and not against it.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use beamwall_model::BackendId;
+
+use crate::fingerprint::Fingerprint;
+use crate::suspect::Suspect;
+use crate::terms::{ENDINGS_UNTIL_HELD, TRIAL_PAUSES, TRIAL_PAUSES_IN_DOUBT, to_ms};
+
+/// Why and how long a request is held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Held {
+    /// Ends of back ends that tell against it.
+    pub endings: usize,
+    /// Whether another request, or another reason, may have ended all of them.
+    pub is_in_doubt: bool,
+    /// Trials granted.
+    pub trials: u32,
+    /// When the next trial is due; `None`: there is none.
+    pub next_trial_ms: Option<u64>,
+}
+
+/// A request at enough ends to be held.
+struct Candidate<'a> {
+    request: Fingerprint,
+    suspect: &'a Suspect,
+    endings: HashSet<&'a BackendId>,
+    incriminated_ms: u64,
+}
+
+impl Candidate<'_> {
+    /// Whether it explains ends rather than `other` does.
+    fn is_stronger(&self, other: &Candidate<'_>) -> bool {
+        let earlier = self.incriminated_ms < other.incriminated_ms;
+        let (own, others) = (self.endings.len(), other.endings.len());
+        own > others || (own == others && earlier)
+    }
+
+    fn next_trial_ms(&self, is_in_doubt: bool) -> Option<u64> {
+        let pauses = if is_in_doubt { TRIAL_PAUSES_IN_DOUBT } else { TRIAL_PAUSES };
+        let pause = pauses.get(self.suspect.trials as usize)?;
+        Some(self.suspect.latest_ms().saturating_add(to_ms(*pause)))
+    }
+}
+
+/// The requests that are held.
+pub fn held(suspects: &BTreeMap<Fingerprint, Suspect>) -> HashMap<Fingerprint, Held> {
+    let mut candidates: Vec<Candidate<'_>> = suspects.iter().filter_map(candidate).collect();
+    // The strongest first, so that who is explained away explains nothing.
+    candidates.sort_by_key(|one| (std::cmp::Reverse(one.endings.len()), one.incriminated_ms, one.request));
+    let mut convicted: Vec<&Candidate<'_>> = Vec::new();
+    for candidate in &candidates {
+        let explains = |backend: &BackendId, other: &&Candidate<'_>| {
+            other.is_stronger(candidate) && other.endings.contains(backend)
+        };
+        let is_own = |backend: &&&BackendId| !convicted.iter().any(|other| explains(backend, other));
+        if candidate.endings.iter().filter(is_own).count() >= ENDINGS_UNTIL_HELD {
+            convicted.push(candidate);
+        }
+    }
+    let others_end_too = has_more_ends_unexplained(suspects, &convicted);
+    convicted.iter().map(|one| (one.request, describe(one, &convicted, others_end_too))).collect()
+}
+
+/// Whether most of the ends in the book happened without any of the convicted requests, so that engines end for another reason.
+fn has_more_ends_unexplained(
+    suspects: &BTreeMap<Fingerprint, Suspect>,
+    convicted: &[&Candidate<'_>],
+) -> bool {
+    if convicted.is_empty() {
+        return false;
+    }
+    let ended: HashSet<&BackendId> = suspects.values().flat_map(|suspect| suspect.endings.keys()).collect();
+    let is_explained = |backend: &&&BackendId| convicted.iter().any(|one| one.endings.contains(**backend));
+    let explained = ended.iter().filter(is_explained).count();
+    ended.len() - explained > explained
+}
+
+fn candidate<'a>((request, suspect): (&Fingerprint, &'a Suspect)) -> Option<Candidate<'a>> {
+    let incriminated_ms = suspect.incriminated_ms()?;
+    let endings = suspect.counted().map(|(backend, _)| backend).collect();
+    Some(Candidate { request: *request, suspect, endings, incriminated_ms })
+}
+
+fn describe(one: &Candidate<'_>, convicted: &[&Candidate<'_>], others_end_too: bool) -> Held {
+    let others = || convicted.iter().filter(|other| other.request != one.request);
+    let is_shared = |backend: &&BackendId| others().any(|other| other.endings.contains(*backend));
+    let is_in_doubt = others_end_too || one.endings.iter().all(is_shared);
+    Held {
+        endings: one.endings.len(),
+        is_in_doubt,
+        trials: one.suspect.trials,
+        next_trial_ms: one.next_trial_ms(is_in_doubt),
+    }
+}
--- /dev/null
+++ b/crates/beamwall-quarantine/tests/simulation.rs
@@ -0,0 +1,412 @@
+//! A pool of engines under load, simulated: requests that end engines, engines that end for other reasons, and who is held.
+//!
+//! The load: 60 requests a second of 0.2 to 2.5 s each over 12 engines; nine in ten whose engine ends come again after 0.1 s
+//! under their fingerprint, up to eleven times; who is refused comes again when it is told to, or after 2 s. A culprit comes four times a second, whatever it is answered, and ends its engine
+//! after 60 ms; an engine is away for 4 s. What one node sees is known to all after 100 ms. Figures of the load are those of the
+//! incident's engines, clients and pace.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet};
+
+use beamwall_model::BackendId;
+use beamwall_quarantine::{Fingerprint, FingerprintHasher, QuarantineBook, Standing};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const SEEDS: u64 = 200;
+const ENGINES: usize = 12;
+const REQUESTS_PER_S: f64 = 60.0;
+const DAY_MS: u64 = 60_000;
+const START_MS: u64 = 1_700_000_000_000;
+const AWAY_MS: u64 = 4_000;
+const CULPRIT_RUNS_MS: u64 = 60;
+const CULPRIT_PERIOD_MS: u64 = 250;
+const KNOWN_AFTER_MS: u64 = 100;
+const COMES_AGAIN: f64 = 0.9;
+const COMES_AGAIN_AFTER_MS: u64 = 100;
+const MOST_TRIES: u32 = 12;
+/// Time after which an innocent request comes again that was refused without a time.
+const COMES_BACK_AFTER_MS: u64 = 2_000;
+/// After this time the platform counts what still reaches engines.
+const CONTACT_MS: u64 = 3_000;
+/// Time within which each held request has had a trial that no other end of an engine spoils.
+const TRIED_WITHIN_MS: u64 = 3_600_000;
+/// Tries that may reach engines then, by the platform's rule.
+const ALLOWED: usize = 3;
+
+/// Who decides what is held.
+enum Way {
+    /// The book.
+    Book,
+    /// Whoever was open at that many ends, and has not run to an end since.
+    Count(usize),
+}
+
+/// What happens to engines.
+#[derive(Clone)]
+struct Scene {
+    /// When each culprit begins and stops to be sent.
+    culprits: Vec<(u64, u64)>,
+    /// When all engines of a third end at once.
+    power_losses: Vec<u64>,
+    /// Time between two single ends for other reasons; 0: none.
+    crash_period_ms: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrives { request: usize, tries: u32 },
+    Ends { engine: usize, life: u32, request: Option<usize> },
+    Completes { engine: usize, life: u32, request: usize },
+    IsBack { engine: usize },
+    IsKnown { ending: usize },
+    PowerLoss { third: usize },
+    Crash,
+}
+
+#[derive(Default)]
+struct Engine {
+    life: u32,
+    is_away: bool,
+    open: Vec<(usize, u32)>,
+}
+
+#[derive(Default)]
+struct Outcome {
+    /// Engines that ended under culprits.
+    ended_by_culprits: usize,
+    /// For each culprit, tries that reached engines after it was due to be known.
+    late: Vec<usize>,
+    /// Innocent requests that were refused at least once.
+    refused_innocents: usize,
+    /// Innocent requests that are held when all is over.
+    held_at_the_end: usize,
+    /// Of these, such as are not free after their next trial.
+    held_for_good: usize,
+    /// The longest time from the first refusal of an innocent request until it was let through.
+    longest_refused_ms: u64,
+}
+
+struct Simulation {
+    way: Way,
+    random: StdRng,
+    now_ms: u64,
+    events: BinaryHeap<Reverse<(u64, Event)>>,
+    engines: Vec<Engine>,
+    names: Vec<Fingerprint>,
+    culprits: Vec<(u64, u64)>,
+    culprit_ends: HashMap<usize, Vec<u64>>,
+    endings: Vec<(BackendId, Vec<Fingerprint>, u64)>,
+    book: QuarantineBook,
+    counts: HashMap<Fingerprint, usize>,
+    /// Innocent requests that were refused, and when first; `None` once they were let through.
+    refused: HashMap<usize, Option<u64>>,
+    outcome: Outcome,
+}
+
+impl Simulation {
+    fn run(way: Way, scene: &Scene, seed: u64) -> Outcome {
+        let culprits = scene.culprits.clone();
+        let mut simulation = Self {
+            way,
+            random: StdRng::seed_from_u64(seed),
+            now_ms: 0,
+            events: BinaryHeap::new(),
+            engines: (0..ENGINES).map(|_| Engine::default()).collect(),
+            names: Vec::new(),
+            culprit_ends: HashMap::new(),
+            endings: Vec::new(),
+            book: QuarantineBook::default(),
+            counts: HashMap::new(),
+            refused: HashMap::new(),
+            outcome: Outcome { late: vec![0; culprits.len()], ..Outcome::default() },
+            culprits,
+        };
+        simulation.plan(scene);
+        while let Some(Reverse((at_ms, event))) = simulation.events.pop() {
+            simulation.now_ms = at_ms;
+            simulation.handle(event, scene);
+        }
+        simulation.conclude()
+    }
+
+    fn plan(&mut self, scene: &Scene) {
+        for (culprit, (begins_ms, stops_ms)) in self.culprits.clone().into_iter().enumerate() {
+            self.name();
+            let mut at_ms = begins_ms;
+            while at_ms < stops_ms {
+                self.add(at_ms, Event::Arrives { request: culprit, tries: MOST_TRIES });
+                at_ms += CULPRIT_PERIOD_MS;
+            }
+        }
+        let mut at_ms = 0.0;
+        while at_ms < DAY_MS as f64 {
+            let request = self.name();
+            self.add(at_ms as u64, Event::Arrives { request, tries: 1 });
+            at_ms += -self.random.random_range(f64::EPSILON..1.0_f64).ln() * 1_000.0 / REQUESTS_PER_S;
+        }
+        for (number, at_ms) in scene.power_losses.iter().enumerate() {
+            self.add(*at_ms, Event::PowerLoss { third: number % 3 });
+        }
+        if scene.crash_period_ms > 0 {
+            self.add(scene.crash_period_ms, Event::Crash);
+        }
+    }
+
+    fn name(&mut self) -> usize {
+        let number = self.names.len();
+        self.names.push(FingerprintHasher::new(Some("alder"), "a.example", &number.to_string()).finish());
+        number
+    }
+
+    fn add(&mut self, at_ms: u64, event: Event) {
+        self.events.push(Reverse((at_ms, event)));
+    }
+
+    fn is_culprit(&self, request: usize) -> bool {
+        request < self.culprits.len()
+    }
+
+    fn handle(&mut self, event: Event, scene: &Scene) {
+        match event {
+            Event::Arrives { request, tries } => self.arrive(request, tries),
+            Event::Ends { engine, life, request } if self.engines[engine].life == life => {
+                if let Some(request) = request {
+                    self.culprit_ends.entry(request).or_default().push(self.now_ms);
+                    self.outcome.ended_by_culprits += 1;
+                }
+                self.end(engine);
+            }
+            Event::Completes { engine, life, request } if self.engines[engine].life == life => {
+                self.engines[engine].open.retain(|(other, _)| *other != request);
+                self.book.note_completion(&self.names[request], START_MS + self.now_ms);
+                self.counts.remove(&self.names[request]);
+            }
+            Event::Ends { .. } | Event::Completes { .. } => {}
+            Event::IsBack { engine } => self.engines[engine].is_away = false,
+            Event::IsKnown { ending } => {
+                let (backend, open, at_ms) = self.endings[ending].clone();
+                open.iter().for_each(|request| *self.counts.entry(*request).or_default() += 1);
+                self.book.note_ending(&backend, open, at_ms);
+            }
+            Event::PowerLoss { third } => {
+                (0..ENGINES).filter(|engine| engine % 3 == third).for_each(|engine| self.end(engine));
+            }
+            Event::Crash => {
+                let engine = self.random.random_range(0..ENGINES);
+                self.end(engine);
+                if self.now_ms + scene.crash_period_ms < DAY_MS {
+                    self.add(self.now_ms + scene.crash_period_ms, Event::Crash);
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, request: usize, tries: u32) {
+        let now_ms = START_MS + self.now_ms;
+        let name = self.names[request];
+        let comes_back_after = Some(COMES_BACK_AFTER_MS);
+        let refused_for = match self.way {
+            Way::Count(ends) => self.counts.get(&name).filter(|count| **count >= ends).and(comes_back_after),
+            Way::Book => match self.book.standing(&name, now_ms) {
+                Standing::Free => None,
+                Standing::Held { retry_after: Some(after), .. } => Some(after.as_millis() as u64),
+                Standing::Held { .. } => comes_back_after,
+                Standing::TrialDue { number } => {
+                    self.book.note_trial(&name, number, now_ms);
+                    None
+                }
+            },
+        };
+        if let Some(after_ms) = refused_for {
+            return self.note_refusal(request, tries, after_ms);
+        }
+        if let Some(since_ms) = self.refused.get_mut(&request).and_then(Option::take) {
+            let refused_ms = self.now_ms - since_ms;
+            self.outcome.longest_refused_ms = self.outcome.longest_refused_ms.max(refused_ms);
+        }
+        let up: Vec<usize> = (0..ENGINES).filter(|engine| !self.engines[*engine].is_away).collect();
+        if up.is_empty() {
+            return;
+        }
+        let engine = up[self.random.random_range(0..up.len())];
+        let life = self.engines[engine].life;
+        self.engines[engine].open.push((request, tries));
+        if self.is_culprit(request) {
+            let third = self.culprit_ends.get(&request).and_then(|ends| ends.get(2)).copied();
+            if third.is_some_and(|third| self.now_ms > third + CONTACT_MS) {
+                self.outcome.late[request] += 1;
+            }
+            let ends = Event::Ends { engine, life, request: Some(request) };
+            self.add(self.now_ms + CULPRIT_RUNS_MS, ends);
+        } else {
+            let takes_ms = self.random.random_range(200..2_500);
+            self.add(self.now_ms + takes_ms, Event::Completes { engine, life, request });
+        }
+    }
+
+    fn note_refusal(&mut self, request: usize, tries: u32, after_ms: u64) {
+        if self.is_culprit(request) {
+            return;
+        }
+        if self.refused.insert(request, Some(self.now_ms)).is_none() {
+            self.outcome.refused_innocents += 1;
+        }
+        if tries < MOST_TRIES {
+            self.add(self.now_ms + after_ms, Event::Arrives { request, tries: tries + 1 });
+        }
+    }
+
+    /// An engine ends with all that it runs.
+    fn end(&mut self, engine: usize) {
+        if self.engines[engine].is_away {
+            return;
+        }
+        let backend = BackendId::new(&format!("i-{engine}@{}", self.engines[engine].life));
+        self.engines[engine].life += 1;
+        self.engines[engine].is_away = true;
+        self.add(self.now_ms + AWAY_MS, Event::IsBack { engine });
+        let open = std::mem::take(&mut self.engines[engine].open);
+        let names = open.iter().map(|(request, _)| self.names[*request]).collect();
+        self.endings.push((backend, names, START_MS + self.now_ms));
+        self.add(self.now_ms + KNOWN_AFTER_MS, Event::IsKnown { ending: self.endings.len() - 1 });
+        for (request, tries) in open {
+            if tries < MOST_TRIES && self.random.random_bool(COMES_AGAIN) {
+                let again = Event::Arrives { request, tries: tries + 1 };
+                self.add(self.now_ms + COMES_AGAIN_AFTER_MS, again);
+            }
+        }
+    }
+
+    fn conclude(mut self) -> Outcome {
+        let culprits: HashSet<Fingerprint> = self.names[..self.culprits.len()].iter().copied().collect();
+        let held: Vec<Fingerprint> = match self.way {
+            Way::Book => self.book.held().iter().map(|(request, _)| *request).collect(),
+            Way::Count(ends) => {
+                let held = self.counts.iter().filter(|(_, count)| **count >= ends);
+                held.map(|(request, _)| *request).collect()
+            }
+        };
+        let innocents: Vec<&Fingerprint> =
+            held.iter().filter(|request| !culprits.contains(*request)).collect();
+        self.outcome.held_at_the_end = innocents.len();
+        self.outcome.held_for_good = match self.way {
+            Way::Book => innocents.iter().filter(|request| !self.is_freed_by_its_trial(request)).count(),
+            Way::Count(_) => innocents.len(),
+        };
+        self.outcome
+    }
+
+    /// Whether an innocent request that comes again later is tried, and free from then on.
+    fn is_freed_by_its_trial(&self, request: &Fingerprint) -> bool {
+        let later_ms = START_MS + DAY_MS + TRIED_WITHIN_MS;
+        let number = match self.book.standing(request, later_ms) {
+            // What another held request did may have cleared this one.
+            Standing::Free => return true,
+            Standing::TrialDue { number } => number,
+            Standing::Held { .. } => return false,
+        };
+        self.book.note_trial(request, number, later_ms);
+        self.book.note_completion(request, later_ms + 1);
+        self.book.standing(request, later_ms + 2) == Standing::Free
+    }
+}
+
+/// The sums over all seeds, and the worst of them.
+struct Sums {
+    ended_by_culprits: usize,
+    most_late: usize,
+    refused_innocents: usize,
+    most_refused_innocents: usize,
+    held_at_the_end: usize,
+    held_for_good: usize,
+    longest_refused_ms: u64,
+}
+
+fn play(name: &str, way: fn() -> Way, scene: &Scene) -> Sums {
+    let outcomes: Vec<Outcome> = (0..SEEDS).map(|seed| Simulation::run(way(), scene, seed)).collect();
+    let refused = outcomes.iter().map(|outcome| outcome.refused_innocents);
+    let sums = Sums {
+        ended_by_culprits: outcomes.iter().map(|outcome| outcome.ended_by_culprits).sum(),
+        most_late: outcomes.iter().flat_map(|outcome| outcome.late.iter().copied()).max().unwrap_or(0),
+        refused_innocents: refused.clone().sum(),
+        most_refused_innocents: refused.max().unwrap_or(0),
+        held_at_the_end: outcomes.iter().map(|outcome| outcome.held_at_the_end).sum(),
+        held_for_good: outcomes.iter().map(|outcome| outcome.held_for_good).sum(),
+        longest_refused_ms: outcomes.iter().map(|outcome| outcome.longest_refused_ms).max().unwrap_or(0),
+    };
+    println!(
+        "{name}: {:.2} engines ended a culprit; late {}; innocents refused {:.3} a day, at most {}, for {} ms at most; \
+         held at the end {:.3} a day, for good {}",
+        sums.ended_by_culprits as f64 / (SEEDS as usize * scene.culprits.len().max(1)) as f64,
+        sums.most_late,
+        sums.refused_innocents as f64 / SEEDS as f64,
+        sums.most_refused_innocents,
+        sums.longest_refused_ms,
+        sums.held_at_the_end as f64 / SEEDS as f64,
+        sums.held_for_good,
+    );
+    sums
+}
+
+fn calm() -> Scene {
+    Scene { culprits: Vec::new(), power_losses: Vec::new(), crash_period_ms: 0 }
+}
+
+fn one_culprit() -> Scene {
+    Scene { culprits: vec![(5_000, 55_000)], ..calm() }
+}
+
+fn three_culprits() -> Scene {
+    Scene { culprits: vec![(5_000, 40_000), (5_100, 40_000), (20_000, 55_000)], ..calm() }
+}
+
+fn power_losses() -> Scene {
+    Scene { power_losses: vec![5_000, 10_000, 15_000, 20_000, 25_000, 30_000], ..calm() }
+}
+
+/// Engines are lost one after another, each `period_ms`.
+fn lost_each(period_ms: u64) -> Scene {
+    Scene { crash_period_ms: period_ms, ..calm() }
+}
+
+fn culprits_among_crashes() -> Scene {
+    Scene { crash_period_ms: 2_000, ..three_culprits() }
+}
+
+#[test]
+fn culprits_are_stopped_in_time_whatever_else_ends_engines() {
+    for (name, scene) in [
+        ("one culprit", one_culprit()),
+        ("three culprits", three_culprits()),
+        ("three culprits among crashes", culprits_among_crashes()),
+    ] {
+        let sums = play(name, || Way::Book, &scene);
+        assert!(sums.most_late <= ALLOWED, "{name}: {} reached engines late", sums.most_late);
+        assert_eq!(sums.held_for_good, 0, "{name}: innocents are held for good");
+    }
+}
+
+#[test]
+fn engines_that_end_for_other_reasons_hold_nobody_for_good() {
+    for (name, scene) in [
+        ("power losses", power_losses()),
+        ("an engine lost each two seconds", lost_each(2_000)),
+        ("an engine lost each half second, so that a third is left", lost_each(500)),
+    ] {
+        let sums = play(name, || Way::Book, &scene);
+        assert_eq!(sums.held_for_good, 0, "{name}: innocents are held for good");
+    }
+}
+
+/// The way that was weighed against the book: prints the table of the design note.
+#[test]
+fn counting_alone_holds_innocents_for_good() {
+    let scene = three_culprits();
+    let three = play("three culprits, count of 3", || Way::Count(3), &scene);
+    let two = play("three culprits, count of 2", || Way::Count(2), &scene);
+    assert!(three.refused_innocents < two.refused_innocents);
+    assert!(three.held_for_good > 0 && two.held_for_good > 0);
+    play("an engine lost each two seconds, count of 3", || Way::Count(3), &lost_each(2_000));
+    play("an engine lost each two seconds, count of 2", || Way::Count(2), &lost_each(2_000));
+}
