Requests under which back ends end are held

Limits of attempts hold for one try, retry budgets for a service, health for an engine; nothing connected the tries of one request over nodes and lives of nodes. Class: a limit that is kept within one try does not bind its repeats. Ruled out: counting a lost answer alone as an end of the engine: engines that close one connection and live would hold requests; so the engine must refuse connections, or live again under its name. Holding by each node's own sight: the tries come at other nodes. Granting trials by the nodes among themselves: a cut would grant them twice; the store's conditional write does not. Change: who loses an answer looks whether the engine lives; ends with the requests open there are told to all at once, digests in heartbeats and sums of zones let who starts late or was cut off ask for the whole; what is held is kept in the store, where trials are granted, too; a held request gets 400 (do not send it again), in doubt 503 with the time of its trial; it is not sent a second time nor a stream continued. Events 4109, 5109 to 5112, two gauges.

--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -137,6 +137,8 @@
     4107 Warn EngineModelsNotKept "engine models not kept" { reason }
     /// An entry of the list of back ends can't be read.
     4108 Warn EntryUnreadable "entry of a back end unreadable" { entry, reason }
+    /// A back end ended without having announced it.
+    4109 Warn BackendEnded "back end ended" { backend, open }
     /// An order to move a service to another version was read or heard of, or something of it changed.
     4201 Info RolloutOrdered "rollout ordered" { service, target, interval_ms, verdict, withdrawn }
     /// A new version takes all requests of its service.
@@ -171,6 +173,14 @@
     5107 Info StreamFinished "stream finished" { request, backend, elapsed_ms }
     /// The caller of a stream has gone; the engine's connection was closed.
     5108 Info CallerGone "caller gone" { request, backend }
+    /// A request is not sent any more, since back ends ended under it.
+    5109 Warn RequestHeld "request held" { fingerprint, endings, in_doubt, trials }
+    /// A request that was held may be sent again.
+    5110 Info RequestFreed "request freed" { fingerprint }
+    /// A held request is sent to one back end, to see whether it ends under it.
+    5111 Warn TrialGranted "trial of a held request" { fingerprint, number }
+    /// What is known of held requests can't be written to the store or read from it.
+    5112 Warn HeldRequestsNotKept "held requests not kept" { reason }
     /// The platform stopped answering.
     6001 Warn PlatformAway "platform away" { reason }
     /// The platform answers again.
--- a/crates/beamwall-gateway/src/attempt.rs
+++ b/crates/beamwall-gateway/src/attempt.rs
@@ -46,6 +46,8 @@
     pub begun: bool,
     /// Whether its time was up.
     pub timed_out: bool,
+    /// Whether the connection ended or fell silent before the whole answer, so that the back end may have ended.
+    pub answer_lost: bool,
     /// What happened.
     pub reason: String,
 }
@@ -53,7 +55,13 @@
 impl AttemptFailure {
     /// A failure after which the request may have run.
     pub fn may_have_run(reason: impl Into<String>) -> Self {
-        Self { ran: Ran::Maybe, sent: true, begun: false, timed_out: false, reason: reason.into() }
+        let reason = reason.into();
+        Self { ran: Ran::Maybe, sent: true, begun: false, timed_out: false, answer_lost: false, reason }
+    }
+
+    /// A failure after which the request may have run, where the answer was lost with its connection or by silence.
+    pub fn lost(reason: impl Into<String>) -> Self {
+        Self { answer_lost: true, ..Self::may_have_run(reason) }
     }
 
     /// The same failure of a request that had begun.
@@ -62,16 +70,15 @@
     }
 
     fn not_sent(reason: String) -> Self {
-        Self { ran: Ran::No, sent: false, begun: false, timed_out: false, reason }
+        Self { sent: false, ..Self::not_run(reason) }
     }
 
     fn not_run(reason: String) -> Self {
-        Self { ran: Ran::No, sent: true, begun: false, timed_out: false, reason }
+        Self { ran: Ran::No, ..Self::may_have_run(reason) }
     }
 
     fn timed_out(limit: Duration) -> Self {
-        let reason = format!("no answer within {} ms", limit.as_millis());
-        Self { ran: Ran::Maybe, sent: true, begun: false, timed_out: true, reason }
+        Self { timed_out: true, ..Self::lost(format!("no answer within {} ms", limit.as_millis())) }
     }
 }
 
@@ -105,7 +112,12 @@
     let sent = tokio::time::timeout(limit, forwarder.pool.send(target.address, request)).await;
     let result = match sent {
         Err(_) => Err(AttemptFailure::timed_out(limit)),
-        Ok(Err(error)) => Err(from_pool(&error, call, sent_at.elapsed())),
+        Ok(Err(error)) => {
+            if matches!(error, PoolError::Refused(_)) {
+                forwarder.quarantine.note_ended(backend);
+            }
+            Err(from_pool(&error, call, sent_at.elapsed()))
+        }
         Ok(Ok(response)) => check_head(forwarder, call, backend, response, work),
     };
     note_health(forwarder, backend, &result);
@@ -138,9 +150,11 @@
 }
 
 fn from_pool(error: &PoolError, call: &Call, elapsed: Duration) -> AttemptFailure {
-    let lost = AttemptFailure::may_have_run(error.to_string());
+    let lost = AttemptFailure::lost(error.to_string());
     match error {
-        PoolError::Connect(..) | PoolError::NotWritten(_) => AttemptFailure::not_sent(error.to_string()),
+        PoolError::Connect(..) | PoolError::Refused(_) | PoolError::NotWritten(_) => {
+            AttemptFailure::not_sent(error.to_string())
+        }
         _ if elapsed < BEGUN_AFTER => lost,
         PoolError::Reset(_) => lost.after_begin(),
         // Model engines that go close many streams that still wait for their prompts to be read.
--- a/crates/beamwall-gateway/src/directory.rs
+++ b/crates/beamwall-gateway/src/directory.rs
@@ -167,7 +167,7 @@
 
     /// Whether a later life is listed than the one that an entry is of: an engine's last entry may be written after the first
     /// one of its next life.
-    fn knows_later_life(&self, backend: &Backend) -> bool {
+    pub fn knows_later_life(&self, backend: &Backend) -> bool {
         self.backends.get(&backend.instance).is_some_and(|known| known.follows(backend))
     }
 
--- a/crates/beamwall-gateway/src/fleet_clock.rs
+++ b/crates/beamwall-gateway/src/fleet_clock.rs
@@ -77,4 +77,10 @@
     pub fn now(&self) -> SystemTime {
         self.time(SystemTime::now(), Instant::now())
     }
+
+    /// The same in milliseconds since 1970.
+    pub fn now_ms(&self) -> u64 {
+        let since = self.now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    }
 }
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -26,6 +26,7 @@
 use crate::placement::{Choice, PlacementAnswer, PlacementPort, PlacementQuestion};
 use crate::placement_groups::{EngineGroup, EngineGroups};
 use crate::ports::{Dialect, Prompt};
+use crate::quarantine::{Admission, Quarantine};
 use crate::refusal::Refusal;
 use crate::retries::RetryBudgets;
 use crate::usage::UsageLedger;
@@ -50,6 +51,8 @@
     pub request_id: Option<String>,
     /// What all tries of this request have in common.
     pub fingerprint: Fingerprint,
+    /// How it may be sent.
+    pub admission: Admission,
     /// Method.
     pub method: Method,
     /// Path and query.
@@ -82,6 +85,14 @@
         self.request_id.clone().unwrap_or_default()
     }
 
+    /// Back ends to which it may be sent.
+    pub fn attempt_limit(&self) -> u32 {
+        match self.admission {
+            Admission::Usual => self.route.attempt_limit.max(1),
+            Admission::Trial => 1,
+        }
+    }
+
     /// The tenant for logs and metrics.
     pub fn tenant_name(&self) -> String {
         self.tenant.as_ref().map(|tenant| tenant.name.to_string()).unwrap_or_default()
@@ -121,12 +132,14 @@
     pub demand: DemandBook,
     /// Rollouts of other versions.
     pub rollouts: RolloutBook,
+    /// Requests under which back ends end.
+    pub quarantine: Arc<Quarantine>,
     /// Retry budgets.
     pub retries: RetryBudgets,
     /// What is billed.
     pub usage: UsageLedger,
     /// The time of day by which it is.
-    pub clock: FleetClock,
+    pub clock: Arc<FleetClock>,
     /// Metrics.
     pub metrics: GatewayMetrics,
 }
@@ -154,13 +167,16 @@
     }
 
     /// Notes an attempt that failed before it began to answer.
-    pub fn fail(&mut self, call: &Call, backend: &BackendId, failure: AttemptFailure) {
+    pub fn fail(&mut self, forwarder: &Forwarder, call: &Call, backend: &BackendId, failure: AttemptFailure) {
         self.sent += u32::from(failure.sent);
-        self.note(call, backend, failure);
+        self.note(forwarder, call, backend, failure);
     }
 
     /// Notes and logs the failure of an attempt, also of one that had begun to answer.
-    pub fn note(&mut self, call: &Call, backend: &BackendId, failure: AttemptFailure) {
+    pub fn note(&mut self, forwarder: &Forwarder, call: &Call, backend: &BackendId, failure: AttemptFailure) {
+        if failure.answer_lost {
+            forwarder.quarantine.note_lost(call.fingerprint, backend);
+        }
         emit(&AttemptFailed {
             request: call.log_id(),
             fingerprint: call.fingerprint.to_string(),
@@ -173,11 +189,12 @@
     }
 
     /// Takes the right to another attempt, out of the retry budget from the second on: the route allows
-    /// it, there is time, and the request may run again.
+    /// it, there is time, the request may run again, and back ends have not ended under it.
     pub fn take_next_attempt(&self, forwarder: &Forwarder, call: &Call) -> bool {
-        let may_repeat = call.route.kind.is_idempotent() || !self.may_have_run;
-        let is_allowed = self.sent < call.route.attempt_limit.max(1)
-            && self.tried.len() < UNSENT_LIMIT + call.route.attempt_limit as usize;
+        let is_held = call.admission == Admission::Usual && forwarder.quarantine.is_held(&call.fingerprint);
+        let may_repeat = !is_held && (call.route.kind.is_idempotent() || !self.may_have_run);
+        let limit = call.attempt_limit();
+        let is_allowed = self.sent < limit && self.tried.len() < UNSENT_LIMIT + limit as usize;
         let in_time = Instant::now() < call.deadline;
         may_repeat
             && is_allowed
--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -170,11 +170,13 @@
         let see = |part: &[u8]| fingerprint.update(part);
         let read = read_limited_with(body, body_limit, BODY_READ_LIMIT, see).await;
         let body = read.map_err(from_read_error)?;
+        let fingerprint = fingerprint.finish();
         let call = Call {
             service: route.service_for(rand::random()).cloned().ok_or(Refusal::NoRoute)?,
             deadline: deadline(&route, &head, received),
             request_id: head.request_id,
-            fingerprint: fingerprint.finish(),
+            fingerprint,
+            admission: self.forwarder.quarantine.admit(&fingerprint).await?,
             method: parts.method,
             target: parts.uri,
             headers: parts.headers,
--- /dev/null
+++ b/crates/beamwall-gateway/src/quarantine.rs
@@ -0,0 +1,199 @@
+//! Acts on requests under which back ends end: finds out whether a back end ended whose answer was lost, and lets requests
+//! pass or holds them by the [`QuarantineBook`].
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use async_trait::async_trait;
+use beamwall_events::emit;
+use beamwall_events::internal_events::{BackendEnded, RequestFreed, RequestHeld, TrialGranted};
+use beamwall_http::{Pool, Reachability};
+use beamwall_model::BackendId;
+use beamwall_quarantine::{Fingerprint, QuarantineBook, Standing};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::directory::{Backend, Directory};
+use crate::fleet_clock::FleetClock;
+use crate::losses::{LostAnswers, NextStep};
+use crate::refusal::Refusal;
+
+/// Pauses before each look at whether a back end that lost an answer still takes connections. A process that ends may close
+/// its listener some milliseconds after its connections.
+const PROBE_PAUSES: [Duration; 3] =
+    [Duration::from_millis(5), Duration::from_millis(50), Duration::from_millis(200)];
+/// Least time between two questions of this node for trials: each costs two calls to the store.
+const TRIAL_QUESTION_PAUSE: Duration = Duration::from_millis(250);
+/// When a request may come back whose trial could not be granted now.
+const TRIAL_RETRY: Duration = Duration::from_secs(1);
+
+/// Grants trials of held requests.
+#[async_trait]
+pub trait TrialPort: Send + Sync + 'static {
+    /// Takes the right to the trial of this number of a request. Of all nodes and lives of nodes one gets it.
+    async fn take(&self, request: &Fingerprint, number: u32, now_ms: u64) -> bool;
+}
+
+/// How a request that is let pass may be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// As its route allows.
+    Usual,
+    /// To one back end.
+    Trial,
+}
+
+/// What one node does about requests under which back ends end.
+pub struct Quarantine {
+    /// What is known of them.
+    pub book: Arc<QuarantineBook>,
+    /// Told when peers should hear what this node saw.
+    pub news: Notify,
+    losses: LostAnswers,
+    pool: Pool,
+    directory: Arc<ArcSwap<Directory>>,
+    clock: Arc<FleetClock>,
+    trials: Arc<dyn TrialPort>,
+    /// When this node last asked for a trial.
+    asked: Mutex<Option<Instant>>,
+}
+
+impl Quarantine {
+    /// What is done at one node.
+    pub fn new(
+        book: Arc<QuarantineBook>,
+        pool: Pool,
+        directory: Arc<ArcSwap<Directory>>,
+        clock: Arc<FleetClock>,
+        trials: Arc<dyn TrialPort>,
+    ) -> Self {
+        let (news, losses, asked) = (Notify::new(), LostAnswers::default(), Mutex::default());
+        Self { book, news, losses, pool, directory, clock, trials, asked }
+    }
+
+    /// The time by which evidence is told.
+    pub fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    /// Whether a request may be sent.
+    pub async fn admit(&self, request: &Fingerprint) -> Result<Admission, Refusal> {
+        match self.book.standing(request, self.now_ms()) {
+            Standing::Free => Ok(Admission::Usual),
+            Standing::Held { endings, retry_after } => Err(Refusal::Held { endings, retry_after }),
+            Standing::TrialDue { number, endings, is_in_doubt } => {
+                if self.take_trial(request, number).await {
+                    return Ok(Admission::Trial);
+                }
+                Err(Refusal::Held { endings, retry_after: is_in_doubt.then_some(TRIAL_RETRY) })
+            }
+        }
+    }
+
+    async fn take_trial(&self, request: &Fingerprint, number: u32) -> bool {
+        if !self.may_ask_for_trial() || !self.trials.take(request, number, self.now_ms()).await {
+            return false;
+        }
+        emit(&TrialGranted { fingerprint: request.to_string(), number: number.to_string() });
+        self.book.note_trial(request, number, self.now_ms());
+        self.news.notify_one();
+        true
+    }
+
+    fn may_ask_for_trial(&self) -> bool {
+        let now = Instant::now();
+        let mut asked = self.asked.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_due = asked.is_none_or(|at| now.saturating_duration_since(at) >= TRIAL_QUESTION_PAUSE);
+        if is_due {
+            *asked = Some(now);
+        }
+        is_due
+    }
+
+    /// Whether a request is held now, so that it is not sent once more.
+    pub fn is_held(&self, request: &Fingerprint) -> bool {
+        self.book.is_held(request)
+    }
+
+    /// Notes that a back end answered a request whole, and so lives.
+    pub fn note_completed(&self, request: &Fingerprint) {
+        if self.book.note_completion(request, self.now_ms()) {
+            self.tell();
+        }
+    }
+
+    /// Notes that the answer of a back end to a request was lost: its connection ended, or it fell silent.
+    pub fn note_lost(self: &Arc<Self>, request: Fingerprint, backend: &BackendId) {
+        let directory = self.directory.load();
+        // One that has announced that it leaves, or is not listed any more, ends on its own account.
+        let Some(listed) = directory.get(backend).filter(|listed| !listed.draining) else { return };
+        match self.losses.note(listed, request, Instant::now()) {
+            NextStep::Count => self.count(backend, vec![request]),
+            NextStep::Probe => {
+                tokio::spawn(self.clone().probe(listed.clone()));
+            }
+            NextStep::Wait => {}
+        }
+    }
+
+    /// Finds out whether a back end that lost an answer has ended: then it refuses connections.
+    async fn probe(self: Arc<Self>, backend: Backend) {
+        for pause in PROBE_PAUSES {
+            tokio::time::sleep(pause).await;
+            if self.pool.probe(backend.address).await == Reachability::Refuses {
+                self.note_ended(&backend.id);
+                break;
+            }
+        }
+        self.losses.end_probe(&backend.id);
+    }
+
+    /// Notes that a back end has ended; tells nothing where it lost no answer of this node's.
+    pub fn note_ended(&self, backend: &BackendId) {
+        let open = self.losses.end(backend);
+        if !open.is_empty() {
+            self.count(backend, open);
+        }
+    }
+
+    /// Looks whether back ends that lost answers live again under their name, and forgets what is old.
+    pub fn look_again(&self) {
+        self.book.forget_old(self.now_ms());
+        let directory = self.directory.load();
+        for backend in self.losses.undecided() {
+            if directory.knows_later_life(&backend) {
+                self.note_ended(&backend.id);
+            }
+        }
+        self.log_changes();
+    }
+
+    fn count(&self, backend: &BackendId, open: Vec<Fingerprint>) {
+        let requests: Vec<String> = open.iter().map(Fingerprint::to_string).collect();
+        emit(&BackendEnded { backend: backend.to_string(), open: requests.join(",") });
+        self.book.note_ending(backend, open, self.now_ms());
+        self.tell();
+    }
+
+    fn tell(&self) {
+        self.log_changes();
+        self.news.notify_one();
+    }
+
+    /// Logs which requests are held from now on, and which no longer.
+    pub fn log_changes(&self) {
+        let changes = self.book.take_changes();
+        for (request, held) in changes.held {
+            emit(&RequestHeld {
+                fingerprint: request.to_string(),
+                endings: held.endings.to_string(),
+                in_doubt: held.is_in_doubt.to_string(),
+                trials: held.trials.to_string(),
+            });
+        }
+        for request in changes.freed {
+            emit(&RequestFreed { fingerprint: request.to_string() });
+        }
+    }
+}
--- a/crates/beamwall-gateway/src/stream/mod.rs
+++ b/crates/beamwall-gateway/src/stream/mod.rs
@@ -43,7 +43,7 @@
         if failure.begun {
             forwarder.record_run(call);
         }
-        attempts.fail(call, &choice.backend, failure);
+        attempts.fail(forwarder, call, &choice.backend, failure);
         if !attempts.take_next_attempt(forwarder, call) {
             break;
         }
@@ -111,7 +111,7 @@
         piece = source.next_piece() => piece,
         () = patience.ends() => return Err(given_up(forwarder, call, choice)),
         () = tokio::time::sleep_until(call.deadline) => {
-            Piece::Broken(AttemptFailure::may_have_run("no first event in time"))
+            Piece::Broken(AttemptFailure::lost("no first event in time"))
         }
     };
     if let Piece::Broken(failure) = first {
@@ -144,5 +144,5 @@
 fn given_up(forwarder: &Forwarder, call: &Call, choice: &Choice) -> AttemptFailure {
     forwarder.note_answer(call, &choice.backend, true);
     forwarder.knowledge.health.note_unreachable(&choice.backend, Instant::now());
-    AttemptFailure::may_have_run("the engine is silent")
+    AttemptFailure::lost("the engine is silent")
 }
--- a/crates/beamwall-gateway/src/stream/patience.rs
+++ b/crates/beamwall-gateway/src/stream/patience.rs
@@ -36,7 +36,7 @@
         choice: &'a Choice,
         attempts: &Attempts,
     ) -> Self {
-        let is_last = attempts.sent + 1 >= call.route.attempt_limit;
+        let is_last = attempts.sent + 1 >= call.attempt_limit();
         let objective = Duration::from_millis(call.route.objective_ms);
         let now = Instant::now();
         let expected_ms = choice.expected_ms.unwrap_or(0.0);
--- a/crates/beamwall-gateway/src/stream/relay.rs
+++ b/crates/beamwall-gateway/src/stream/relay.rs
@@ -78,7 +78,7 @@
                     drop(source);
                     self.forwarder.knowledge.health.note(&backend, true, Instant::now());
                     self.forwarder.note_answer(&self.call, &backend, true);
-                    self.attempts.note(&self.call, &backend, failure);
+                    self.attempts.note(&self.forwarder, &self.call, &backend, failure);
                     match self.continue_elsewhere(&backend).await {
                         Some((next, piece)) => {
                             source = next;
@@ -153,14 +153,13 @@
     async fn wait(&self, source: &mut Source) -> Option<Piece> {
         let silence = Instant::now() + SILENCE_LIMIT;
         // A silent engine is left only where another may be asked: late events are better than none.
-        let may_move =
-            self.call.route.kind.is_idempotent() && self.attempts.sent < self.call.route.attempt_limit;
+        let may_move = self.call.route.kind.is_idempotent() && self.attempts.sent < self.call.attempt_limit();
         let until = if may_move { silence.min(self.call.deadline) } else { self.call.deadline };
         tokio::select! {
             piece = source.next_piece() => Some(piece),
             () = self.sender.disconnected() => None,
             () = tokio::time::sleep_until(until) => {
-                Some(Piece::Broken(AttemptFailure::may_have_run("silent for too long")))
+                Some(Piece::Broken(AttemptFailure::lost("silent for too long")))
             }
         }
     }
@@ -189,15 +188,16 @@
                 Ok(Begun::Answer(response)) => {
                     let reason = format!("answered {} to a stream that continues", response.status());
                     let failure = AttemptFailure::may_have_run(reason);
-                    self.attempts.fail(&self.call, &choice.backend, failure);
+                    self.attempts.fail(&self.forwarder, &self.call, &choice.backend, failure);
                 }
-                Err(failure) => self.attempts.fail(&self.call, &choice.backend, failure),
+                Err(failure) => self.attempts.fail(&self.forwarder, &self.call, &choice.backend, failure),
             }
         }
         None
     }
 
     fn finish(&self, backend: &BackendId) {
+        self.forwarder.quarantine.note_completed(&self.call.fingerprint);
         if let Some(last) = self.last_event {
             self.forwarder.demand.note_events(&self.call.route.name, last);
         }
--- a/crates/beamwall-gateway/src/stream/source.rs
+++ b/crates/beamwall-gateway/src/stream/source.rs
@@ -60,7 +60,7 @@
                         self.splitter.push(data);
                     }
                 }
-                Some(Err(error)) => return Piece::Broken(AttemptFailure::may_have_run(error.to_string())),
+                Some(Err(error)) => return Piece::Broken(AttemptFailure::lost(error.to_string())),
                 None => return self.end(),
             }
         }
@@ -84,7 +84,7 @@
                 self.splitter = EventSplitter::default();
                 Piece::Events(Bytes::from(rest))
             }
-            (false, false) => Piece::Broken(AttemptFailure::may_have_run("ended within an event")),
+            (false, false) => Piece::Broken(AttemptFailure::lost("ended within an event")),
         }
     }
 }
--- a/crates/beamwall-gateway/src/unary.rs
+++ b/crates/beamwall-gateway/src/unary.rs
@@ -54,7 +54,7 @@
         if failure.begun {
             forwarder.record_run(call);
         }
-        attempts.fail(call, &choice.backend, failure);
+        attempts.fail(forwarder, call, &choice.backend, failure);
         if !attempts.take_next_attempt(forwarder, call) {
             break;
         }
@@ -78,7 +78,7 @@
 /// as long as it may.
 fn patience(call: &Call, attempts: &Attempts) -> Duration {
     let left = call.deadline.saturating_duration_since(Instant::now());
-    let is_last = attempts.sent + 1 >= call.route.attempt_limit;
+    let is_last = attempts.sent + 1 >= call.attempt_limit();
     if !call.route.kind.is_idempotent() || is_last {
         return left;
     }
@@ -115,11 +115,12 @@
     match read {
         Ok(body) => {
             forwarder.record_run(call);
+            forwarder.quarantine.note_completed(&call.fingerprint);
             Ok(Whole { parts, body })
         }
         Err(error) => {
             forwarder.knowledge.health.note(&backend, true, Instant::now());
-            Err(AttemptFailure::may_have_run(error.to_string()).after_begin())
+            Err(AttemptFailure::lost(error.to_string()).after_begin())
         }
     }
 }
--- /dev/null
+++ b/crates/beamwall-gateway/tests/losses.rs
@@ -0,0 +1,76 @@
+//! Lost answers count against requests only where the back end is known to have ended.
+
+use std::time::Duration;
+
+use beamwall_gateway::Backend;
+use beamwall_gateway::losses::{LostAnswers, NextStep};
+use beamwall_model::{BackendId, EngineVersion, InstanceName, ServiceName, ZoneName};
+use beamwall_quarantine::{Fingerprint, FingerprintHasher};
+use tokio::time::Instant;
+
+fn backend(name: &str) -> Backend {
+    Backend {
+        id: BackendId::new(name),
+        instance: InstanceName::new(name),
+        born_ms: None,
+        service: ServiceName::new("pool"),
+        address: ([127, 0, 0, 1], 9).into(),
+        zone: ZoneName::new("a"),
+        version: EngineVersion::new("v1"),
+        slots: 8,
+        draining: false,
+        reclaimable: false,
+    }
+}
+
+fn request(name: &str) -> Fingerprint {
+    FingerprintHasher::new(None, "a.example", name).finish()
+}
+
+#[test]
+fn the_first_loss_asks_for_a_probe_and_the_others_wait_for_it() {
+    let losses = LostAnswers::default();
+    let (engine, now) = (backend("i-1"), Instant::now());
+    assert_eq!(losses.note(&engine, request("a"), now), NextStep::Probe);
+    assert_eq!(losses.note(&engine, request("b"), now), NextStep::Wait);
+    assert_eq!(losses.note(&engine, request("b"), now), NextStep::Wait);
+    assert_eq!(losses.end(&engine.id), [request("a"), request("b")]);
+    assert_eq!(losses.note(&engine, request("c"), now), NextStep::Count, "its end is known");
+    assert_eq!(losses.end(&engine.id), [], "nothing counts twice");
+}
+
+#[test]
+fn a_back_end_that_lives_is_probed_again_at_its_next_loss() {
+    let losses = LostAnswers::default();
+    let (engine, now) = (backend("i-1"), Instant::now());
+    assert_eq!(losses.note(&engine, request("a"), now), NextStep::Probe);
+    losses.end_probe(&engine.id);
+    assert_eq!(losses.note(&engine, request("b"), now), NextStep::Probe);
+    assert_eq!(losses.undecided(), [engine]);
+}
+
+#[test]
+fn what_was_lost_long_ago_does_not_count() {
+    let losses = LostAnswers::default();
+    let (engine, now) = (backend("i-1"), Instant::now());
+    losses.note(&engine, request("a"), now);
+    losses.note(&backend("i-2"), request("b"), now + Duration::from_secs(11));
+    assert_eq!(losses.end(&engine.id), []);
+}
+
+#[test]
+fn memory_is_bounded() {
+    let losses = LostAnswers::default();
+    let now = Instant::now();
+    for number in 0..2_000 {
+        losses.note(&backend(&format!("i-{number}")), request("a"), now);
+        losses.note(&backend("i-0"), request(&number.to_string()), now);
+    }
+    assert!(losses.undecided().len() <= 512);
+    assert!(losses.end(&BackendId::new("i-0")).len() <= 256);
+}
+
+#[test]
+fn one_that_lost_nothing_here_ends_without_a_word() {
+    assert_eq!(LostAnswers::default().end(&BackendId::new("i-1")), []);
+}
--- a/crates/beamwall-gateway/tests/ranks.rs
+++ b/crates/beamwall-gateway/tests/ranks.rs
@@ -4,6 +4,7 @@
 
 use beamwall_gateway::Prompt;
 use beamwall_gateway::forward::Call;
+use beamwall_gateway::quarantine::Admission;
 use beamwall_policy::{Route, RouteKind, Tenant, TenantRef};
 use tokio::time::Instant;
 
@@ -43,6 +44,7 @@
     };
     Call {
         fingerprint: Default::default(),
+        admission: Admission::Usual,
         request_id: None,
         method: hyper::Method::POST,
         target: hyper::Uri::from_static("/"),
--- a/crates/beamwall-http/src/lib.rs
+++ b/crates/beamwall-http/src/lib.rs
@@ -13,5 +13,5 @@
 pub use body::{Body, empty, full, json_response, read_limited, read_limited_with};
 pub use channel::{BodySender, Disconnected, channel};
 pub use client::{ClientError, JsonClient};
-pub use pool::{Pool, PoolError, PooledBody};
+pub use pool::{Pool, PoolError, PooledBody, Reachability};
 pub use server::{Handler, serve};
--- a/crates/beamwall-http/src/pool.rs
+++ b/crates/beamwall-http/src/pool.rs
@@ -42,6 +42,10 @@
         Connect(address: SocketAddr, reason: String) {
             display("no connection to {}: {}", address, reason)
         }
+        /// The other side refused the connection, as where no process listens: nothing was sent.
+        Refused(address: SocketAddr) {
+            display("no connection to {}: refused", address)
+        }
         /// The connection closed before the first byte was written.
         NotWritten(address: SocketAddr) {
             display("connection to {} closed before the request was written", address)
@@ -64,6 +68,17 @@
     }
 }
 
+/// Whether a process takes connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reachability {
+    /// It does.
+    Accepts,
+    /// The machine answers, and no process listens.
+    Refuses,
+    /// Nothing answers.
+    Silent,
+}
+
 type Sender = SendRequest<Body>;
 
 /// A connection at rest.
@@ -123,12 +138,30 @@
         None
     }
 
+    /// Looks whether a process takes connections at an address.
+    pub async fn probe(&self, address: SocketAddr) -> Reachability {
+        match self.open(address).await {
+            Ok(_) => Reachability::Accepts,
+            Err(PoolError::Refused(_)) => Reachability::Refuses,
+            Err(_) => Reachability::Silent,
+        }
+    }
+
+    async fn open(&self, address: SocketAddr) -> Result<TcpStream, PoolError> {
+        let failed = |reason: String| PoolError::Connect(address, reason);
+        let opened = tokio::time::timeout(self.connect_limit, TcpStream::connect(address)).await;
+        match opened.map_err(|_| failed("timed out".to_owned()))? {
+            Ok(stream) => Ok(stream),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                Err(PoolError::Refused(address))
+            }
+            Err(error) => Err(failed(error.to_string())),
+        }
+    }
+
     async fn connect(&self, address: SocketAddr) -> Result<Sender, PoolError> {
         let failed = |reason: String| PoolError::Connect(address, reason);
-        let stream = tokio::time::timeout(self.connect_limit, TcpStream::connect(address))
-            .await
-            .map_err(|_| failed("timed out".to_owned()))?
-            .map_err(|error| failed(error.to_string()))?;
+        let stream = self.open(address).await?;
         let _ = stream.set_nodelay(true);
         let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT));
         let (sender, connection) =
--- a/crates/beamwall-node/src/gateway/duties/mod.rs
+++ b/crates/beamwall-node/src/gateway/duties/mod.rs
@@ -28,6 +28,7 @@
 use crate::gateway::duties::usage::{UsageDuty, UsageProgress};
 use crate::gateway::exchange::Exchange;
 use crate::gateway::kept_models::ModelKeeper;
+use crate::gateway::kept_quarantine::KeptQuarantine;
 
 /// Time between two looks at what is due.
 const PERIOD: Duration = Duration::from_millis(250);
@@ -82,6 +83,7 @@
     capacity: Option<CapacityDuty>,
     rollouts: Option<RolloutDuty>,
     models: ModelKeeper,
+    held_requests: Arc<KeptQuarantine>,
 }
 
 impl Duties {
@@ -93,6 +95,7 @@
         exchange: &Arc<Exchange>,
         chooser: ZoneChooser,
         lease_epoch: IntGauge,
+        held_requests: Arc<KeptQuarantine>,
     ) -> Self {
         let DutyPorts { objects, calls: port, rollouts } = ports;
         let bounds = Bounds {
@@ -112,6 +115,7 @@
             capacity: settings.order_capacity.then(capacity),
             rollouts,
             models: ModelKeeper::new(gateway.clone(), objects.clone()),
+            held_requests,
             objects,
             chooser,
             lease_epoch,
@@ -139,6 +143,7 @@
             if let Some(tenure) = &mut tenure {
                 self.do_due(tenure).await;
                 self.models.keep_due().await;
+                self.held_requests.keep_due().await;
             }
         }
     }
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -32,6 +32,7 @@
 use crate::gateway::peer_lives::PeerLives;
 use crate::gateway::placing;
 use crate::gateway::policies::PolicyDistribution;
+use crate::gateway::quarantine_news::QuarantineQuestions;
 use crate::gateway::readiness::Readiness;
 use crate::gateway::told_figures::ToldFigures;
 use crate::gateway::zones::HeardZones;
@@ -114,6 +115,8 @@
     pub policies: PolicyDistribution,
     /// What is known of the other zones of a large deployment.
     pub zones: HeardZones,
+    /// When this node may ask for what peers know of requests under which back ends end.
+    pub quarantine_questions: QuarantineQuestions,
     /// Usage as told to peers in a large deployment.
     pub told_usage: Mutex<ToldFigures<(u64, TenantName)>>,
 }
@@ -200,6 +203,7 @@
         let demands = beat::encode_demands(self.close_demand_period());
         self.refresh_models();
         self.note_silent_zones();
+        self.gateway.forwarder.quarantine.look_again();
         let (models, slowness) = self.own_observations();
         let whole = self.to_reply(tick.updates);
         let usage = if self.is_large() { self.usage_to_tell() } else { whole.usage };
@@ -246,7 +250,7 @@
 
     /// Everyone alive while there are few, in a large deployment those of the zone; those that membership
     /// picks, and seeds not known yet.
-    fn targets(&self, picked: impl Iterator<Item = SocketAddr>) -> HashSet<SocketAddr> {
+    pub(super) fn targets(&self, picked: impl Iterator<Item = SocketAddr>) -> HashSet<SocketAddr> {
         let view = self.members.load();
         let mut targets: HashSet<SocketAddr> = picked.collect();
         let is_large = self.is_large();
@@ -281,6 +285,7 @@
             members_known: u32::try_from(self.members.load().members.len()).unwrap_or(u32::MAX),
             rollouts: self.rollouts_to_tell(),
             time_ms: milliseconds_since_1970(SystemTime::now()),
+            quarantine_digest: self.quarantine_digest(),
         }
     }
 
@@ -351,6 +356,8 @@
                 let answer = self.policies.answer(request, Instant::now());
                 self.reply(&envelope, Body::PolicyAnswer(answer));
             }
+            Some(Body::QuarantineNews(news)) => self.take_quarantine_news(&envelope, &news),
+            Some(Body::QuarantineRequest(_)) => self.answer_quarantine(&envelope),
             Some(Body::UsageRequest(_)) => self.answer_usage(&envelope),
             Some(Body::DirectoryRequest(request)) => {
                 self.reply(&envelope, Body::DirectoryAnswer(self.answer_directory(request)));
@@ -400,6 +407,7 @@
             directory_digest: beat.directory_digest,
         };
         self.take_versions(envelope, held);
+        self.hear_quarantine_digest(envelope, beat.quarantine_digest);
         // In a large deployment the work of other zones comes as sums.
         if !self.is_large() || envelope.zone == self.zone.as_str() {
             self.peer_lives.note(envelope, beat.life);
--- a/crates/beamwall-node/src/gateway/gauges.rs
+++ b/crates/beamwall-node/src/gateway/gauges.rs
@@ -32,6 +32,8 @@
     engine_model_known: GaugeVec,
     quota_level: GaugeVec,
     retries_left: GaugeVec,
+    requests_held: IntGauge,
+    requests_suspected: IntGauge,
 }
 
 fn gauge_by(label: &str, name: &str, help: &str, registry: &Registry) -> Result<GaugeVec, prometheus::Error> {
@@ -80,6 +82,14 @@
                 "beamwall_gateway_peers_ended_abruptly",
                 "lives of peers that ended without a drain since start",
             )?,
+            requests_held: add(
+                "beamwall_gateway_requests_held",
+                "requests that are not sent since back ends ended under them",
+            )?,
+            requests_suspected: add(
+                "beamwall_gateway_requests_suspected",
+                "requests that were open at back ends that ended lately, held ones included",
+            )?,
             nodes_heard: add("beamwall_gateway_nodes_heard", "nodes that share quotas and are heard")?,
             engine_model_known: gauge_by(
                 "service",
@@ -126,6 +136,9 @@
         for (kind, bytes) in traffic.sent_bytes_by_kind() {
             self.peer_sent_bytes_by_kind.with_label_values(&[kind]).set(bytes as f64);
         }
+        let book = &gateway.forwarder.quarantine.book;
+        self.requests_held.set(book.held().len() as i64);
+        self.requests_suspected.set(book.suspects() as i64);
         self.peers_ended_abruptly.set(exchange.peer_lives.ended_abruptly() as i64);
         // Accounts are opened with the next heartbeat after a policy; what is read here is complete before it, too.
         exchange.share_limits();
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod gauges;
 pub mod heard_versions;
 mod kept_models;
+mod kept_quarantine;
 mod known_usage;
 pub mod listing;
 pub mod loads_to_pass_on;
@@ -22,6 +23,8 @@
 pub mod placers;
 pub mod placing;
 pub mod policies;
+pub mod quarantine_news;
+pub mod quarantine_wire;
 pub mod readiness;
 pub mod rollout_wire;
 pub mod rollouts;
@@ -47,13 +50,15 @@
 use beamwall_gateway::forward::Forwarder;
 use beamwall_gateway::metrics::GatewayMetrics;
 use beamwall_gateway::ports::RolloutStore;
+use beamwall_gateway::quarantine::{Quarantine, TrialPort};
 use beamwall_gateway::quota::{QuotaBook, Tolerance};
 use beamwall_gateway::retries::{RetryAllowance, RetryBudgets};
 use beamwall_gateway::usage::UsageLedger;
-use beamwall_gateway::{ControlStore, Dialect, DutyPort, Gateway, GatewayHandler, PlacementPort};
+use beamwall_gateway::{ControlStore, Dialect, Directory, DutyPort, Gateway, GatewayHandler, PlacementPort};
 use beamwall_http::{Pool, serve};
 use beamwall_peer::{Membership, MembershipTiming, PeerNetwork, TransferPacer};
 use beamwall_policy::PolicyArchive;
+use beamwall_quarantine::QuarantineBook;
 use beamwall_rollout::RolloutBook;
 use beamwall_store::VersionedObjects;
 use kameo::actor::Spawn;
@@ -72,6 +77,7 @@
 use crate::gateway::exchange::Exchange;
 use crate::gateway::gauges::GatewayGauges;
 use crate::gateway::heard_versions::HeardVersions;
+use crate::gateway::kept_quarantine::KeptQuarantine;
 use crate::gateway::listing::Listing;
 use crate::gateway::peer_lives::PeerLives;
 use crate::gateway::placing::PeerPlacement;
@@ -147,7 +153,11 @@
         let life = new_incarnation();
         let members = Arc::new(ArcSwap::default());
         let placement = Arc::new(PeerPlacement::new(&settings, network.clone(), members.clone()));
-        let gateway = assemble_gateway(&settings, &ports, &registry, life, placement)?;
+        let (book, clock): (Arc<QuarantineBook>, Arc<FleetClock>) = Default::default();
+        let kept_quarantine = KeptQuarantine::new(ports.objects.clone(), book.clone(), clock.clone());
+        let kept_quarantine = Arc::new(kept_quarantine);
+        let quarantine = QuarantineParts { book, clock, trials: kept_quarantine.clone() };
+        let gateway = assemble_gateway(&settings, &ports, &registry, life, placement, quarantine)?;
         let directory = gateway.forwarder.directory.clone();
         let readiness = Arc::new(Readiness::new(gateway.policy.clone(), directory, status.clone()));
         let exchange =
@@ -190,13 +200,23 @@
         ];
         tasks.push(tokio::spawn(exchange.clone().learn_usage()));
         tasks.push(tokio::spawn(kept_models::recall(gateway.clone(), ports.objects.clone())));
+        tasks.push(tokio::spawn(exchange.clone().tell_quarantine()));
+        tasks.push(tokio::spawn(recall_held_requests(kept_quarantine.clone(), gateway.clone())));
         if let Some(store) = ports.rollouts.clone() {
             let followed = FollowedOrders { store, exchange: exchange.clone() };
             tasks.push(tokio::spawn(watches::follow(followed, status, chooser.clone())));
         }
         if let Some(calls) = ports.duties {
             let duty_ports = DutyPorts { objects: ports.objects, calls, rollouts: ports.rollouts };
-            let duties = Duties::new(&settings, &gateway, duty_ports, &exchange, chooser, lease_epoch);
+            let duties = Duties::new(
+                &settings,
+                &gateway,
+                duty_ports,
+                &exchange,
+                chooser,
+                lease_epoch,
+                kept_quarantine,
+            );
             tasks.push(tokio::spawn(duties.run()));
         }
         Ok(Self { readiness, exchange, settings, stopping, callers, tasks })
@@ -235,6 +255,18 @@
     serve(listener, handler, stop).await;
 }
 
+/// What the gateway's quarantine is made of beside what it forwards with.
+struct QuarantineParts {
+    book: Arc<QuarantineBook>,
+    clock: Arc<FleetClock>,
+    trials: Arc<dyn TrialPort>,
+}
+
+async fn recall_held_requests(kept: Arc<KeptQuarantine>, gateway: Arc<Gateway>) {
+    kept.recall().await;
+    gateway.forwarder.quarantine.log_changes();
+}
+
 /// A number that rises with each start: the time in milliseconds.
 fn new_incarnation() -> u64 {
     exchange::milliseconds_since_1970(SystemTime::now())
@@ -246,8 +278,13 @@
     registry: &Registry,
     life: u64,
     placement: Arc<dyn PlacementPort>,
+    quarantine: QuarantineParts,
 ) -> Result<Arc<Gateway>, NodeError> {
     let nodes = settings.expected_nodes.max(1);
+    let pool = Pool::new(CONNECT_LIMIT);
+    let directory: Arc<ArcSwap<Directory>> = Arc::default();
+    let QuarantineParts { book, clock, trials } = quarantine;
+    let quarantine = Quarantine::new(book, pool.clone(), directory.clone(), clock.clone(), trials);
     let retries = RetryAllowance {
         earned_percent: percent(settings.retry_ratio * RETRY_RATIO_EARNED),
         saved_percent: percent(settings.retry_ratio * RETRY_RATIO_SAVED),
@@ -258,8 +295,8 @@
         node: settings.node.clone(),
         zone: settings.zone.clone(),
         dialect: ports.dialect.clone(),
-        pool: Pool::new(CONNECT_LIMIT),
-        directory: Arc::default(),
+        pool,
+        directory,
         knowledge: Knowledge::default(),
         chooser: Chooser::new(settings.choice),
         placement,
@@ -267,7 +304,8 @@
         rollouts: RolloutBook::default(),
         retries: RetryBudgets::new(retries, nodes),
         usage: UsageLedger::new(settings.usage_window),
-        clock: FleetClock::default(),
+        clock,
+        quarantine: Arc::new(quarantine),
         metrics: GatewayMetrics::new(registry)?,
     });
     let tolerance = Tolerance {
@@ -345,6 +383,7 @@
         policies: PolicyDistribution::new(archive, transfers.clone()),
         transfers,
         zones: Default::default(),
+        quarantine_questions: Default::default(),
         told_usage: Mutex::default(),
     }
 }
--- /dev/null
+++ b/crates/beamwall-node/src/gateway/quarantine_wire.rs
@@ -0,0 +1,52 @@
+//! Evidence against requests in the form of messages.
+
+use beamwall_model::BackendId;
+use beamwall_peer::quarantine_message::{QuarantineNews, ToldCompletion, ToldEnding, ToldTrial};
+use beamwall_quarantine::fingerprint::FINGERPRINT_BYTES;
+use beamwall_quarantine::{Completion, Ending, Evidence, Fingerprint, Trial};
+
+/// Evidence as told.
+pub fn encode(evidence: &Evidence) -> QuarantineNews {
+    let ending = |ending: &Ending| ToldEnding {
+        backend: ending.backend.to_string(),
+        at_ms: ending.at_ms,
+        open: ending.open.iter().flat_map(|request| *request.as_bytes()).collect(),
+    };
+    let completion = |completion: &Completion| ToldCompletion {
+        request: completion.request.as_bytes().to_vec(),
+        at_ms: completion.at_ms,
+    };
+    let trial = |trial: &Trial| ToldTrial {
+        request: trial.request.as_bytes().to_vec(),
+        number: trial.number,
+        at_ms: trial.at_ms,
+    };
+    QuarantineNews {
+        endings: evidence.endings.iter().map(ending).collect(),
+        completions: evidence.completions.iter().map(completion).collect(),
+        trials: evidence.trials.iter().map(trial).collect(),
+    }
+}
+
+/// Evidence as heard; what names no request is passed over.
+pub fn decode(news: &QuarantineNews) -> Evidence {
+    let ending = |told: &ToldEnding| Ending {
+        backend: BackendId::new(&told.backend),
+        at_ms: told.at_ms,
+        open: told.open.chunks(FINGERPRINT_BYTES).filter_map(fingerprint).collect(),
+    };
+    let completion =
+        |told: &ToldCompletion| Some(Completion { request: fingerprint(&told.request)?, at_ms: told.at_ms });
+    let trial = |told: &ToldTrial| {
+        Some(Trial { request: fingerprint(&told.request)?, number: told.number, at_ms: told.at_ms })
+    };
+    Evidence {
+        endings: news.endings.iter().map(ending).collect(),
+        completions: news.completions.iter().filter_map(completion).collect(),
+        trials: news.trials.iter().filter_map(trial).collect(),
+    }
+}
+
+fn fingerprint(bytes: &[u8]) -> Option<Fingerprint> {
+    bytes.try_into().ok().map(Fingerprint::new)
+}
--- a/crates/beamwall-node/src/gateway/zones.rs
+++ b/crates/beamwall-node/src/gateway/zones.rs
@@ -153,6 +153,7 @@
             models,
             slowness,
             rollouts: self.rollouts_of_zone(),
+            quarantine_digest: self.quarantine_digest(),
         }
     }
 
@@ -164,6 +165,7 @@
         }
         if envelope.zone != self.zone.as_str() {
             self.pass_on(&zone, &summary);
+            self.hear_quarantine_digest(envelope, summary.quarantine_digest);
         }
         let forwarder = &self.gateway.forwarder;
         let reporter = Reporter::Zone(zone.clone());
--- a/crates/beamwall-node/src/tasks/inbox.rs
+++ b/crates/beamwall-node/src/tasks/inbox.rs
@@ -74,6 +74,8 @@
             | Body::RequestFound(_)
             | Body::ClaimAnswer(_)
             | Body::GatewayBeat(_)
+            | Body::QuarantineNews(_)
+            | Body::QuarantineRequest(_)
             | Body::PolicyRequest(_)
             | Body::PolicyAnswer(_)
             | Body::DirectoryRequest(_)
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -57,6 +57,9 @@
     /// Time of day by the sender's own clock, in milliseconds since 1970.
     #[prost(uint64, tag = "15")]
     pub time_ms: u64,
+    /// Digest of what the sender knows of requests under which back ends end; 0 for nothing.
+    #[prost(fixed64, tag = "16")]
+    pub quarantine_digest: u64,
 }
 
 /// What the sender holds, told at once when it is newer than before. With names of usual length it
@@ -136,6 +139,9 @@
     /// Rollouts as they know them.
     #[prost(message, optional, tag = "11")]
     pub rollouts: Option<RolloutNews>,
+    /// Digest of what the relay knows of requests under which back ends end; 0 for nothing.
+    #[prost(fixed64, tag = "12")]
+    pub quarantine_digest: u64,
 }
 
 /// Work that callers ask for at the sender.
--- a/crates/beamwall-peer/src/lib.rs
+++ b/crates/beamwall-peer/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod message;
 pub mod network;
 pub mod outbox;
+pub mod quarantine_message;
 pub mod rollout_message;
 mod session;
 pub mod transfer;
--- a/crates/beamwall-peer/src/message.rs
+++ b/crates/beamwall-peer/src/message.rs
@@ -9,6 +9,7 @@
     DirectoryAnswer, DirectoryRequest, GatewayBeat, PlacementReply, PlacementRequest, PolicyAnswer,
     PolicyRequest, UsageKnown, UsageRequest, VersionNews, ZoneSummary,
 };
+use crate::quarantine_message::{QuarantineNews, QuarantineRequest};
 
 /// Every message: who sends it, what the sender holds, and the body.
 #[derive(Clone, PartialEq, Message)]
@@ -49,7 +50,7 @@
     /// The body.
     #[prost(
         oneof = "Body",
-        tags = "20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 40, 41, 42, 43, 44, 45, 46, 47, 48, 49, 50"
+        tags = "20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 40, 41, 42, 43, 44, 45, 46, 47, 48, 49, 50, 51, 52"
     )]
     pub body: Option<Body>,
 }
@@ -126,6 +127,12 @@
     /// The usage that it knows.
     #[prost(message, tag = "50")]
     UsageKnown(UsageKnown),
+    /// What a gateway knows of requests under which back ends end.
+    #[prost(message, tag = "51")]
+    QuarantineNews(QuarantineNews),
+    /// Asks a gateway for all that it knows of them.
+    #[prost(message, tag = "52")]
+    QuarantineRequest(QuarantineRequest),
 }
 
 impl Envelope {
@@ -152,6 +159,7 @@
             Self::ZoneSummary(_) => "zone_sum",
             Self::VersionNews(_) => "versions",
             Self::UsageRequest(_) | Self::UsageKnown(_) => "usage",
+            Self::QuarantineNews(_) | Self::QuarantineRequest(_) => "quarantine",
             Self::PlacementRequest(_) | Self::PlacementReply(_) => "placement",
         }
     }
--- a/crates/beamwall-quarantine/src/book.rs
+++ b/crates/beamwall-quarantine/src/book.rs
@@ -23,6 +23,10 @@
     TrialDue {
         /// The number of that trial.
         number: u32,
+        /// Ends of back ends that tell against it.
+        endings: usize,
+        /// Whether its case is in doubt.
+        is_in_doubt: bool,
     },
     /// It is held.
     Held {
@@ -78,7 +82,11 @@
         let view = self.view.load();
         let Some(Some(held)) = view.suspects.get(request) else { return Standing::Free };
         match held.next_trial_ms {
-            Some(due_ms) if now_ms >= due_ms => Standing::TrialDue { number: held.trials + 1 },
+            Some(due_ms) if now_ms >= due_ms => Standing::TrialDue {
+                number: held.trials + 1,
+                endings: held.endings,
+                is_in_doubt: held.is_in_doubt,
+            },
             next => Standing::Held {
                 endings: held.endings,
                 retry_after: next
--- a/crates/beamwall-quarantine/tests/book.rs
+++ b/crates/beamwall-quarantine/tests/book.rs
@@ -21,7 +21,7 @@
 }
 
 fn engine(number: usize) -> BackendId {
-    BackendId::new(&format!("i-{number}"))
+    BackendId::new(format!("i-{number}"))
 }
 
 fn ms(duration: Duration) -> u64 {
@@ -119,7 +119,10 @@
         assert_eq!(book.standing(&request(name), now_ms), held);
     }
     let due_ms = now_ms + ms(pause);
-    assert_eq!(book.standing(&request("bad"), due_ms), Standing::TrialDue { number: 1 });
+    assert!(matches!(
+        book.standing(&request("bad"), due_ms),
+        Standing::TrialDue { number: 1, is_in_doubt: true, .. }
+    ));
     // The trial of one of them ends another engine, so the case is clear.
     book.note_trial(&request("bad"), 1, due_ms);
     assert!(matches!(book.standing(&request("bad"), due_ms), Standing::Held { .. }), "one trial at a time");
@@ -136,7 +139,9 @@
     for (number, pause) in (1..).zip(TRIAL_PAUSES) {
         assert!(!matches!(book.standing(&request("bad"), now_ms + ms(pause) - 1), Standing::TrialDue { .. }));
         now_ms += ms(pause);
-        assert_eq!(book.standing(&request("bad"), now_ms), Standing::TrialDue { number });
+        assert!(
+            matches!(book.standing(&request("bad"), now_ms), Standing::TrialDue { number: due, .. } if due == number)
+        );
         book.note_trial(&request("bad"), number, now_ms);
         book.note_ending(&engine(100 + number as usize), vec![request("bad")], now_ms);
     }
--- a/crates/beamwall-quarantine/tests/simulation.rs
+++ b/crates/beamwall-quarantine/tests/simulation.rs
@@ -212,7 +212,7 @@
                 Standing::Free => None,
                 Standing::Held { retry_after: Some(after), .. } => Some(after.as_millis() as u64),
                 Standing::Held { .. } => comes_back_after,
-                Standing::TrialDue { number } => {
+                Standing::TrialDue { number, .. } => {
                     self.book.note_trial(&name, number, now_ms);
                     None
                 }
@@ -262,7 +262,7 @@
         if self.engines[engine].is_away {
             return;
         }
-        let backend = BackendId::new(&format!("i-{engine}@{}", self.engines[engine].life));
+        let backend = BackendId::new(format!("i-{engine}@{}", self.engines[engine].life));
         self.engines[engine].life += 1;
         self.engines[engine].is_away = true;
         self.add(self.now_ms + AWAY_MS, Event::IsBack { engine });
@@ -303,7 +303,7 @@
         let number = match self.book.standing(request, later_ms) {
             // What another held request did may have cleared this one.
             Standing::Free => return true,
-            Standing::TrialDue { number } => number,
+            Standing::TrialDue { number, .. } => number,
             Standing::Held { .. } => return false,
         };
         self.book.note_trial(request, number, later_ms);
