Held requests: who is told of earlier explains nothing; engines that end idle are seen

A request that ran beside the culprit was held as the clear case and the culprit explained away, since its node saw the third end 6 ms earlier. Of engines that lost power while idle nobody knew, so a request that was at three losses of power seemed the only reason and was to wait ten minutes for its trial. Ruled out: waiting some time before judging: each 0.25 s costs another engine. Change: an end has one time, the earliest told; engines that refuse connections or live again under their name count as ends without a request, which put the held ones in doubt where they are more.

--- a/crates/beamwall-gateway/src/losses.rs
+++ b/crates/beamwall-gateway/src/losses.rs
@@ -27,7 +27,7 @@
     Count,
     /// Find out whether the back end lives.
     Probe,
-    /// Somebody is finding out, or nobody can.
+    /// That is being found out.
     Wait,
 }
 
@@ -39,7 +39,6 @@
 
 #[derive(Debug)]
 struct LostAtOne {
-    backend: Backend,
     requests: Vec<Fingerprint>,
     last: Instant,
     is_probed: bool,
@@ -59,7 +58,6 @@
             return NextStep::Wait;
         }
         let lost = back_ends.entry(backend.id.clone()).or_insert_with(|| LostAtOne {
-            backend: backend.clone(),
             requests: Vec::new(),
             last: now,
             is_probed: false,
@@ -90,10 +88,4 @@
         lost.has_ended = true;
         std::mem::take(&mut lost.requests)
     }
-
-    /// Back ends of which it is not known whether they ended.
-    pub fn undecided(&self) -> Vec<Backend> {
-        let back_ends = self.lock();
-        back_ends.values().filter(|lost| !lost.has_ended).map(|lost| lost.backend.clone()).collect()
-    }
 }
--- a/crates/beamwall-gateway/src/quarantine.rs
+++ b/crates/beamwall-gateway/src/quarantine.rs
@@ -149,23 +149,28 @@
         self.losses.end_probe(&backend.id);
     }
 
-    /// Notes that a back end has ended; tells nothing where it lost no answer of this node's.
+    /// Notes that a back end has ended: it refuses connections, or lives again under its name.
     pub fn note_ended(&self, backend: &BackendId) {
         let open = self.losses.end(backend);
-        if !open.is_empty() {
+        if open.is_empty() {
+            self.book.note_other_end(backend, self.now_ms());
+        } else {
             self.count(backend, open);
         }
     }
 
-    /// Looks whether back ends that lost answers live again under their name, and forgets what is old.
-    pub fn look_again(&self) {
-        self.book.forget_old(self.now_ms());
-        let directory = self.directory.load();
-        for backend in self.losses.undecided() {
-            if directory.knows_later_life(&backend) {
-                self.note_ended(&backend.id);
-            }
+    /// Notes the back ends of an earlier list that live again under their names in a later one.
+    pub fn compare_lives(&self, before: &Directory, after: &Directory) {
+        // One that has announced that it leaves ends on its own account.
+        let ended = before.backends().filter(|known| !known.draining && after.knows_later_life(known));
+        for backend in ended {
+            self.note_ended(&backend.id);
         }
+    }
+
+    /// Forgets what is old.
+    pub fn forget_old(&self) {
+        self.book.forget_old(self.now_ms());
         self.log_changes();
     }
 
--- a/crates/beamwall-gateway/tests/losses.rs
+++ b/crates/beamwall-gateway/tests/losses.rs
@@ -46,7 +46,7 @@
     assert_eq!(losses.note(&engine, request("a"), now), NextStep::Probe);
     losses.end_probe(&engine.id);
     assert_eq!(losses.note(&engine, request("b"), now), NextStep::Probe);
-    assert_eq!(losses.undecided(), [engine]);
+    assert_eq!(losses.end(&engine.id), [request("a"), request("b")]);
 }
 
 #[test]
@@ -62,12 +62,14 @@
 fn memory_is_bounded() {
     let losses = LostAnswers::default();
     let now = Instant::now();
-    for number in 0..2_000 {
-        losses.note(&backend(&format!("i-{number}")), request("a"), now);
-        losses.note(&backend("i-0"), request(&number.to_string()), now);
+    let names: Vec<String> = (0..2_000).map(|number| format!("i-{number}")).collect();
+    for name in &names {
+        losses.note(&backend(name), request("a"), now);
+        losses.note(&backend("i-0"), request(name), now);
     }
-    assert!(losses.undecided().len() <= 512);
     assert!(losses.end(&BackendId::new("i-0")).len() <= 256);
+    let kept = names.iter().filter(|name| !losses.end(&BackendId::new(name.as_str())).is_empty());
+    assert!(kept.count() <= 512);
 }
 
 #[test]
--- a/crates/beamwall-node/src/actors/directory.rs
+++ b/crates/beamwall-node/src/actors/directory.rs
@@ -64,10 +64,11 @@
     }
 
     fn publish(&mut self, source: String, digest_before: u64) {
-        self.view.store(Arc::new(self.directory.clone()));
+        let before = self.view.swap(Arc::new(self.directory.clone()));
         if self.directory.digest() == digest_before {
             return;
         }
+        self.gateway.forwarder.quarantine.compare_lives(&before, &self.directory);
         let draining = self.directory.backends().filter(|backend| backend.draining).count();
         emit(&DirectoryChanged {
             revision: self.directory.revision().to_string(),
--- a/crates/beamwall-quarantine/src/book.rs
+++ b/crates/beamwall-quarantine/src/book.rs
@@ -11,7 +11,7 @@
 use crate::evidence::{Completion, Ending, Evidence, Trial};
 use crate::fingerprint::Fingerprint;
 use crate::suspect::Suspect;
-use crate::terms::MOST_SUSPECTS;
+use crate::terms::{MOST_OTHER_ENDS, MOST_SUSPECTS, SUSPECTED_FOR, to_ms};
 use crate::verdict::{self, Held};
 
 /// How a request stands.
@@ -57,6 +57,9 @@
 #[derive(Debug, Default)]
 struct State {
     suspects: BTreeMap<Fingerprint, Suspect>,
+    /// Back ends that ended without an open request of this node, and when. Every node sees these by itself, so they are not
+    /// told, and no part of the digest.
+    ended: BTreeMap<BackendId, u64>,
     /// What this node saw itself and has not told yet.
     untold: Evidence,
     /// Changes that were not reported yet.
@@ -118,6 +121,18 @@
         self.note(Evidence { endings: vec![ending], ..Evidence::default() }, now_ms);
     }
 
+    /// Notes the end of a back end of which no open request is known here: it tells how often they end for other reasons.
+    pub fn note_other_end(&self, backend: &BackendId, now_ms: u64) {
+        let mut state = self.lock();
+        if state.ended.len() >= MOST_OTHER_ENDS || state.ended.contains_key(backend) {
+            return;
+        }
+        state.ended.insert(backend.clone(), now_ms);
+        if !self.held().is_empty() {
+            self.publish(&mut state);
+        }
+    }
+
     /// Notes that a back end ran a request to an end; returns whether that frees it of a suspicion.
     pub fn note_completion(&self, request: &Fingerprint, now_ms: u64) -> bool {
         if !self.view.load().suspects.contains_key(request) {
@@ -160,9 +175,10 @@
     /// Forgets requests whose time in the book is over.
     pub fn forget_old(&self, now_ms: u64) {
         let mut state = self.lock();
-        let before = state.suspects.len();
+        let before = state.suspects.len() + state.ended.len();
         state.suspects.retain(|_, suspect| !suspect.is_over(now_ms));
-        if state.suspects.len() < before {
+        state.ended.retain(|_, at_ms| now_ms <= at_ms.saturating_add(to_ms(SUSPECTED_FOR)));
+        if state.suspects.len() + state.ended.len() < before {
             self.publish(&mut state);
         }
     }
@@ -202,7 +218,7 @@
 
     /// Works out anew who is held.
     fn publish(&self, state: &mut State) {
-        let held = verdict::held(&state.suspects);
+        let held = verdict::held(&state.suspects, &state.ended);
         let before = self.view.load();
         let was_held = |request: &Fingerprint| matches!(before.suspects.get(request), Some(Some(_)));
         let newly = held.iter().filter(|(request, _)| !was_held(request));
--- a/crates/beamwall-quarantine/src/suspect.rs
+++ b/crates/beamwall-quarantine/src/suspect.rs
@@ -64,11 +64,9 @@
         ended.filter(|(_, at_ms)| *at_ms > self.completed_ms)
     }
 
-    /// When it became one that may be held; `None` where it is not.
-    pub fn incriminated_ms(&self) -> Option<u64> {
-        let mut at: Vec<u64> = self.counted().map(|(_, at_ms)| at_ms).collect();
-        at.sort_unstable();
-        at.get(ENDINGS_UNTIL_HELD - 1).copied()
+    /// Whether it was at enough ends of back ends to be held.
+    pub fn may_be_held(&self) -> bool {
+        self.counted().count() >= ENDINGS_UNTIL_HELD
     }
 
     /// The last moment from which its time in the book counts.
@@ -79,7 +77,7 @@
 
     /// Whether its time in the book is over.
     pub fn is_over(&self, now_ms: u64) -> bool {
-        let kept = if self.incriminated_ms().is_some() { HELD_FOR } else { SUSPECTED_FOR };
+        let kept = if self.may_be_held() { HELD_FOR } else { SUSPECTED_FOR };
         now_ms > self.latest_ms().saturating_add(to_ms(kept))
     }
 
--- a/crates/beamwall-quarantine/src/terms.rs
+++ b/crates/beamwall-quarantine/src/terms.rs
@@ -27,6 +27,9 @@
 /// fewest ends of back ends go first, then those whose last one is longest ago.
 pub const MOST_SUSPECTS: usize = 4_096;
 
+/// Ends of back ends that are kept of which no request is known: far more than any held request explains.
+pub const MOST_OTHER_ENDS: usize = 1_024;
+
 /// Ends of back ends that are kept of one request: the latest. More say no more.
 pub const MOST_ENDINGS: usize = 16;
 
--- a/crates/beamwall-quarantine/src/verdict.rs
+++ b/crates/beamwall-quarantine/src/verdict.rs
@@ -55,9 +55,14 @@
     }
 }
 
-/// The requests that are held.
-pub fn held(suspects: &BTreeMap<Fingerprint, Suspect>) -> HashMap<Fingerprint, Held> {
-    let mut candidates: Vec<Candidate<'_>> = suspects.iter().filter_map(candidate).collect();
+/// The requests that are held; `ended` are further back ends that ended, of which no request is known.
+pub fn held(
+    suspects: &BTreeMap<Fingerprint, Suspect>,
+    ended: &BTreeMap<BackendId, u64>,
+) -> HashMap<Fingerprint, Held> {
+    let times = times_of_ends(suspects);
+    let to_candidate = |(request, suspect)| candidate(request, suspect, &times);
+    let mut candidates: Vec<Candidate<'_>> = suspects.iter().filter_map(to_candidate).collect();
     // The strongest first, so that who is explained away explains nothing.
     candidates.sort_by_key(|one| (std::cmp::Reverse(one.endings.len()), one.incriminated_ms, one.request));
     let mut convicted: Vec<&Candidate<'_>> = Vec::new();
@@ -70,27 +75,45 @@
             convicted.push(candidate);
         }
     }
-    let others_end_too = has_more_ends_unexplained(suspects, &convicted);
+    let others_end_too = has_more_ends_unexplained(suspects, ended, &convicted);
     convicted.iter().map(|one| (one.request, describe(one, &convicted, others_end_too))).collect()
 }
 
 /// Whether most of the ends in the book happened without any of the convicted requests, so that engines end for another reason.
 fn has_more_ends_unexplained(
     suspects: &BTreeMap<Fingerprint, Suspect>,
+    ended: &BTreeMap<BackendId, u64>,
     convicted: &[&Candidate<'_>],
 ) -> bool {
     if convicted.is_empty() {
         return false;
     }
-    let ended: HashSet<&BackendId> = suspects.values().flat_map(|suspect| suspect.endings.keys()).collect();
+    let under_suspects = suspects.values().flat_map(|suspect| suspect.endings.keys());
+    let ended: HashSet<&BackendId> = under_suspects.chain(ended.keys()).collect();
     let is_explained = |backend: &&&BackendId| convicted.iter().any(|one| one.endings.contains(**backend));
     let explained = ended.iter().filter(is_explained).count();
     ended.len() - explained > explained
 }
 
-fn candidate<'a>((request, suspect): (&Fingerprint, &'a Suspect)) -> Option<Candidate<'a>> {
-    let incriminated_ms = suspect.incriminated_ms()?;
-    let endings = suspect.counted().map(|(backend, _)| backend).collect();
+/// When each back end ended: nodes see an end some milliseconds apart, which must not tell who was there earlier.
+fn times_of_ends(suspects: &BTreeMap<Fingerprint, Suspect>) -> HashMap<&BackendId, u64> {
+    let mut times = HashMap::new();
+    for (backend, at_ms) in suspects.values().flat_map(|suspect| &suspect.endings) {
+        let earliest = times.entry(backend).or_insert(*at_ms);
+        *earliest = (*earliest).min(*at_ms);
+    }
+    times
+}
+
+fn candidate<'a>(
+    request: &Fingerprint,
+    suspect: &'a Suspect,
+    times: &HashMap<&BackendId, u64>,
+) -> Option<Candidate<'a>> {
+    let endings: HashSet<&BackendId> = suspect.counted().map(|(backend, _)| backend).collect();
+    let mut at: Vec<u64> = endings.iter().filter_map(|backend| times.get(backend)).copied().collect();
+    at.sort_unstable();
+    let incriminated_ms = *at.get(ENDINGS_UNTIL_HELD - 1)?;
     Some(Candidate { request: *request, suspect, endings, incriminated_ms })
 }
 
--- a/crates/beamwall-quarantine/tests/book.rs
+++ b/crates/beamwall-quarantine/tests/book.rs
@@ -132,6 +132,25 @@
     assert_eq!(book.standing(&request("bad"), due_ms + 50), held);
 }
 
+#[test]
+fn who_is_told_of_some_milliseconds_earlier_explains_nothing() {
+    let book = QuarantineBook::default();
+    let mut now_ms = START_MS;
+    for number in 0..3 {
+        now_ms += SECOND_MS;
+        // One node sees the end of the engine 6 ms before the other.
+        book.note_ending(&engine(number), vec![request("beside")], now_ms);
+        book.note_ending(&engine(number), vec![request("bad")], now_ms + 6);
+    }
+    for name in ["bad", "beside"] {
+        let standing = book.standing(&request(name), now_ms + 6);
+        assert!(
+            matches!(standing, Standing::Held { endings: 3, retry_after: Some(_) }),
+            "{name}: {standing:?}"
+        );
+    }
+}
+
 #[test]
 fn a_clear_case_gets_two_trials_in_all() {
     let book = QuarantineBook::default();
