Failing tests: messages of earlier builds

Cause: the list of back ends moved from one field of a message to others; no rule says what may change. A reader of this build finds nothing in the earlier one's list and takes that for an empty list, the earlier one can't read this one's.

--- a/crates/beamwall-ctl/src/lab/soak.rs
+++ b/crates/beamwall-ctl/src/lab/soak.rs
@@ -15,6 +15,7 @@
     let program = beside_this_program()?;
     let first = if options.first == 0 { seed_of_now() } else { options.first };
     let mut waiting = (first..first + options.seeds).map(|seed| SoakPlan {
+        other_build: None,
         program: program.clone(),
         seed,
         gateways: options.gateways,
--- a/crates/beamwall-node/src/gateway/directories.rs
+++ b/crates/beamwall-node/src/gateway/directories.rs
@@ -71,7 +71,10 @@
     }
 
     async fn ask_for_directory(&self, peer: SocketAddr, held: u64) -> Option<DirectoryAnswer> {
-        let question = self.envelope(Body::DirectoryRequest(DirectoryRequest { held_revision: held }));
+        let question = self.envelope(Body::DirectoryRequest(DirectoryRequest {
+            held_revision: held,
+            ..DirectoryRequest::default()
+        }));
         let answer = self.network.ask(peer, question, ANSWER_LIMIT).await;
         match answer.map(|envelope| envelope.body) {
             Ok(Some(Body::DirectoryAnswer(answer))) => Some(answer),
--- a/crates/beamwall-node/src/gateway/directory_wire.rs
+++ b/crates/beamwall-node/src/gateway/directory_wire.rs
@@ -5,7 +5,7 @@
 use beamwall_gateway::Backend;
 use beamwall_gateway::ports::{DirectoryChange, DirectoryChanges, DirectorySnapshot};
 use beamwall_model::{BackendId, EngineVersion, InstanceName, ServiceName, ZoneName};
-use beamwall_peer::gateway_message::{DirectoryAnswer, ListedBackend};
+use beamwall_peer::gateway_message::{DirectoryAnswer, DirectoryRequest, ListedBackend};
 use quick_error::quick_error;
 
 quick_error! {
@@ -92,6 +92,11 @@
     answer
 }
 
+/// What is told of a list to who asked for it.
+pub fn encode_for(_request: &DirectoryRequest, told: &ToldDirectory) -> DirectoryAnswer {
+    encode(told)
+}
+
 /// What was told of a list.
 pub fn decode(answer: &DirectoryAnswer) -> Result<ToldDirectory, DirectoryWireError> {
     let services: Vec<ServiceName> = answer.names.iter().map(ServiceName::new).collect();
--- /dev/null
+++ b/crates/beamwall-node/tests/earlier_builds.rs
@@ -0,0 +1,299 @@
+//! Messages of earlier builds, as bytes on file, read by this one, and messages of this one read by the recorded schema.
+//!
+//! While machines are replaced one after the other, builds run side by side. What an earlier build sends must keep its meaning: a field
+//! number is never used again, and a new form stands beside the old one (docs/design/messages.md).
+//!
+//! Seen: a gateway that started while the store was busy, beside others of another build, served none of 15 requests. How: the list of
+//! back ends had moved from one field to others of the same message. A reader of the new build found none in it and took that for an
+//! empty list. Cause: no rule for the messages of other builds. Proof: the recorded list of the earlier build, read here.
+
+mod recorded_schema;
+
+use arbtest::arbtest;
+use beamwall_gateway::Backend;
+use beamwall_gateway::ports::DirectorySnapshot;
+use beamwall_model::{BackendId, EngineVersion, InstanceName, ServiceName, ZoneName};
+use beamwall_node::gateway::directory_wire::{self, ToldDirectory};
+use beamwall_peer::gateway_message::{
+    BackendLoad, BackendSlowness, DirectoryAnswer, DirectoryRequest, GatewayBeat, LifeUsage, PlacementPart,
+    PlacementReply, PlacementRequest, PolicyAnswer, PolicyRequest, QuotaUse, ServiceDemand, ServiceModel,
+    UsageCount, UsageKnown, UsageRequest, UsageWindow, VersionNews, ZoneSummary,
+};
+use beamwall_peer::message::{MemberUpdate, ProbeRequest};
+use beamwall_peer::{Body, Envelope};
+use prost::Message;
+use recorded_schema::earlier;
+
+/// Messages of the build that told lists of back ends as compressed JSON: a name and the bytes in hexadecimal digits a line.
+const RECORDED_BEFORE_NAMES: &str = include_str!("recorded/7105913.txt");
+/// Messages of the first build that told them with names sent once.
+const RECORDED_WITH_NAMES: &str = include_str!("recorded/32779df.txt");
+
+fn read(recorded: &str, name: &str) -> Vec<u8> {
+    let lines = recorded.lines().filter_map(|line| line.split_once(' '));
+    let found = lines.filter(|(line, _)| *line == name).map(|(_, digits)| digits).next();
+    hex::decode(found.unwrap_or_else(|| panic!("{name} is recorded"))).expect("hexadecimal digits")
+}
+
+fn envelope(body: Body) -> Envelope {
+    Envelope {
+        sender: "node-1".to_owned(),
+        incarnation: 7,
+        zone: "a".to_owned(),
+        address: "127.0.0.1:7001".to_owned(),
+        revision: 12,
+        digest: 0,
+        ready: true,
+        draining: false,
+        question: 5,
+        answers: 0,
+        link_mbps: 100,
+        body: Some(body),
+    }
+}
+
+fn loads() -> Vec<BackendLoad> {
+    vec![BackendLoad { backend: "i-3".to_owned(), requests: 4, prompt_tokens: 900 }]
+}
+
+fn usage() -> Vec<UsageWindow> {
+    let counts = vec![UsageCount { tenant: "alder".to_owned(), requests: 412 }];
+    vec![UsageWindow { window: 353_445_120, counts }]
+}
+
+fn uses() -> Vec<QuotaUse> {
+    vec![QuotaUse { tenant: "alder".to_owned(), passed: 1234.5 }]
+}
+
+fn demands() -> Vec<ServiceDemand> {
+    let service = "pool".to_owned();
+    vec![ServiceDemand { service, requests: 1.5, tokens: 2.5, pairs: 3.5, events: 4.5 }]
+}
+
+fn models() -> Vec<ServiceModel> {
+    vec![ServiceModel { service: "pool".to_owned(), sums: vec![1.0, 2.0, 3.0] }]
+}
+
+fn slowness() -> Vec<BackendSlowness> {
+    vec![BackendSlowness { backend: "i-3".to_owned(), logarithms: 0.5, weight: 2.0 }]
+}
+
+fn members() -> Vec<MemberUpdate> {
+    vec![MemberUpdate {
+        node: "node-2".to_owned(),
+        zone: "b".to_owned(),
+        address: "127.0.0.1:7002".to_owned(),
+        incarnation: 9,
+        state: 1,
+        ..MemberUpdate::default()
+    }]
+}
+
+fn beat() -> GatewayBeat {
+    GatewayBeat {
+        members: members(),
+        wants_answer: true,
+        policy_version: 12,
+        directory_revision: 40,
+        directory_digest: 0x0123_4567_89ab_cdef,
+        quota_uses: uses(),
+        loads: loads(),
+        life: 1_700_000_000_000,
+        usage: usage(),
+        demands: demands(),
+        models: models(),
+        slowness: slowness(),
+        ..GatewayBeat::default()
+    }
+}
+
+fn zone_sum() -> ZoneSummary {
+    ZoneSummary {
+        zone: "b".to_owned(),
+        relay: "node-2".to_owned(),
+        life: 1_700_000_000_001,
+        nodes_heard: 9,
+        quota_uses: uses(),
+        loads: loads(),
+        usage: usage(),
+        demands: demands(),
+        models: models(),
+        slowness: slowness(),
+        ..ZoneSummary::default()
+    }
+}
+
+fn placement_request() -> PlacementRequest {
+    PlacementRequest {
+        service: "pool".to_owned(),
+        prompt_tokens: 1460,
+        output_tokens: 80,
+        parts: vec![PlacementPart { id: 0x5c1e_07a2, tokens: 800 }],
+        tried: vec!["i-1".to_owned()],
+        unreachable: vec!["i-2".to_owned()],
+        pause_objective_ms: Some(500),
+        remaining_ms: 7900,
+        group: 1,
+        groups: 3,
+        enough_ms: Some(300.0),
+        observed: slowness(),
+    }
+}
+
+fn placement_reply() -> PlacementReply {
+    PlacementReply {
+        backend: "i-3".to_owned(),
+        cost_ms: 12.5,
+        unread_tokens: 660,
+        open_requests: 4,
+        failure_share: 0.25,
+        candidates: 9,
+        unread_pairs: 70,
+        tokens_ahead: 800,
+        expected_ms: Some(150.5),
+    }
+}
+
+/// What every recorded build sends in the same form, with its name on file.
+fn unchanged() -> Vec<(&'static str, Body)> {
+    let versions =
+        VersionNews { policy_version: 12, directory_revision: 40, directory_digest: 0x0123_4567_89ab_cdef };
+    let policy_request = PolicyRequest { held_version: 12, held_digest: 0x0123_4567_89ab_cdef };
+    let life = LifeUsage { node: "node-2".to_owned(), life: 1_700_000_000_002, usage: usage() };
+    let probe = ProbeRequest { node: "node-2".to_owned(), address: "127.0.0.1:7002".to_owned() };
+    vec![
+        ("beat", Body::GatewayBeat(beat())),
+        ("versions", Body::VersionNews(versions)),
+        ("zone_sum", Body::ZoneSummary(zone_sum())),
+        ("policy_request", Body::PolicyRequest(policy_request)),
+        ("policy_answer", Body::PolicyAnswer(PolicyAnswer { change: vec![1, 2, 3], busy_for_ms: 20 })),
+        ("usage_request", Body::UsageRequest(UsageRequest {})),
+        ("usage_known", Body::UsageKnown(UsageKnown { lives: vec![life] })),
+        ("placement_request", Body::PlacementRequest(placement_request())),
+        ("placement_reply", Body::PlacementReply(placement_reply())),
+        ("probe", Body::ProbeRequest(probe)),
+    ]
+}
+
+fn backend(instance: &str, born_ms: Option<u64>, version: &str) -> Backend {
+    let name = InstanceName::new(instance);
+    let is_first = instance == "i-3";
+    Backend {
+        id: BackendId::of_life(&name, born_ms),
+        instance: name,
+        born_ms,
+        service: ServiceName::new(if is_first { "pool" } else { "app" }),
+        address: ([127, 0, 0, 1], if is_first { 8585 } else { 8586 }).into(),
+        zone: ZoneName::new(if is_first { "a" } else { "b" }),
+        version: EngineVersion::new(version),
+        slots: if is_first { 128 } else { 6 },
+        draining: !is_first,
+        reclaimable: is_first,
+    }
+}
+
+fn directory_answer(recorded: &str, name: &str) -> DirectoryAnswer {
+    let envelope = Envelope::decode(read(recorded, name).as_slice()).expect("it can be read");
+    match envelope.body {
+        Some(Body::DirectoryAnswer(answer)) => answer,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn what_earlier_builds_send_keeps_its_meaning() {
+    for recorded in [RECORDED_BEFORE_NAMES, RECORDED_WITH_NAMES] {
+        for (name, body) in unchanged() {
+            let read = Envelope::decode(read(recorded, name).as_slice()).expect("it can be read");
+            assert_eq!(read, envelope(body), "{name}");
+        }
+    }
+}
+
+#[test]
+fn a_list_with_names_keeps_its_meaning() {
+    let whole = directory_wire::decode(&directory_answer(RECORDED_WITH_NAMES, "directory_whole"));
+    let backends = vec![backend("i-3", Some(1_700_000_000_003), "v1"), backend("i-4", None, "v1")];
+    assert_eq!(whole, Ok(ToldDirectory::Whole(DirectorySnapshot { revision: 40, backends })));
+    let change = directory_answer(RECORDED_WITH_NAMES, "directory_change");
+    assert_eq!((change.revision, change.is_change, change.gone.len(), change.listed.len()), (41, true, 1, 1));
+    assert_eq!(directory_answer(RECORDED_WITH_NAMES, "directory_busy").busy_for_ms, 30);
+}
+
+#[test]
+fn a_list_of_the_build_before_is_read_and_not_taken_for_an_empty_one() {
+    let whole = directory_wire::decode(&directory_answer(RECORDED_BEFORE_NAMES, "directory_whole"));
+    // That build told neither lives nor versions.
+    let backends = vec![backend("i-3", None, ""), backend("i-4", None, "")];
+    assert_eq!(whole, Ok(ToldDirectory::Whole(DirectorySnapshot { revision: 40, backends })));
+    assert_eq!(directory_answer(RECORDED_BEFORE_NAMES, "directory_busy").busy_for_ms, 30);
+}
+
+#[test]
+fn who_does_not_say_that_it_reads_names_gets_both_forms() {
+    let envelope = Envelope::decode(read(RECORDED_BEFORE_NAMES, "directory_request").as_slice());
+    let Some(Body::DirectoryRequest(request)) = envelope.expect("it can be read").body else { panic!() };
+    let backends = vec![backend("i-3", Some(1_700_000_000_003), "v1"), backend("i-4", None, "v1")];
+    let told = ToldDirectory::Whole(DirectorySnapshot { revision: 40, backends: backends.clone() });
+    let answer = directory_wire::encode_for(&request, &told);
+    let bytes = answer.encode_to_vec();
+    let by_earlier = earlier::DirectoryWhole::decode(bytes.as_slice()).expect("it can be read");
+    let read: Vec<earlier::Backend> =
+        beamwall_peer::compressed::decode(&by_earlier.backends).expect("the earlier form");
+    assert_eq!((by_earlier.revision, read.len()), (40, 2));
+    // The name that the earlier build expects of an engine is that of the instance, without its life.
+    assert_eq!((read[0].id.as_str(), read[0].service.as_str(), read[0].slots), ("i-3", "pool", 128));
+    assert_eq!((read[1].draining, read[0].reclaimable, read[1].zone.as_str()), (true, true, "b"));
+    assert_eq!(directory_wire::decode(&answer), Ok(told.clone()), "the new form stands beside it");
+    let own = DirectoryRequest { reads_names: true, ..DirectoryRequest::default() };
+    assert!(
+        directory_wire::encode_for(&own, &told).compressed_json.is_empty(),
+        "who says so gets the new form only"
+    );
+}
+
+#[test]
+fn what_this_build_sends_is_read_by_the_recorded_schema() {
+    for (name, body) in unchanged() {
+        let bytes = envelope(body).encode_to_vec();
+        let read = earlier::Envelope::decode(bytes.as_slice()).expect("it can be read");
+        assert_eq!((read.sender.as_str(), read.question, read.link_mbps), ("node-1", 5, 100), "{name}");
+        assert_eq!(read.encode_to_vec(), bytes, "{name}: nothing is lost");
+    }
+    let newer = GatewayBeat { members_known: 3, time_ms: 9, quarantine_digest: 77, ..beat() };
+    let bytes = envelope(Body::GatewayBeat(newer)).encode_to_vec();
+    let read = earlier::Envelope::decode(bytes.as_slice()).expect("new fields are passed over");
+    let Some(earlier::Body::GatewayBeat(read)) = read.body else { panic!() };
+    assert_eq!((read.policy_version, read.directory_revision, read.loads.len()), (12, 40, 1));
+}
+
+#[test]
+fn prefixes_and_unknown_fields_end_nothing() {
+    let names: Vec<&str> = unchanged().iter().map(|(name, _)| *name).collect();
+    arbtest(|input| {
+        let name = *input.choose(&names)?;
+        let whole = read(RECORDED_WITH_NAMES, name);
+        let length = input.int_in_range(0..=whole.len())?;
+        // Either it is read, or it is told as unreadable; both are passed over.
+        let _ = Envelope::decode(&whole[..length]);
+        // A field that no build knows, of a number above all that are in use, at the end.
+        let mut newer = whole.clone();
+        let key = (u64::from(input.int_in_range(200..=2_000_u32)?) << 3) | 2;
+        let value: Vec<u8> = input.arbitrary()?;
+        prost::encoding::encode_varint(key, &mut newer);
+        prost::encoding::encode_varint(value.len() as u64, &mut newer);
+        newer.extend(value);
+        let read = Envelope::decode(newer.as_slice()).expect("unknown fields are passed over");
+        assert_eq!(read, Envelope::decode(whole.as_slice()).expect("it can be read"));
+        Ok(())
+    });
+}
+
+#[test]
+fn a_message_of_an_unknown_kind_has_no_body() {
+    let mut bytes = Envelope { body: None, ..envelope(Body::UsageRequest(UsageRequest {})) }.encode_to_vec();
+    prost::encoding::encode_varint((199 << 3) | 2, &mut bytes);
+    prost::encoding::encode_varint(0, &mut bytes);
+    let read = Envelope::decode(bytes.as_slice()).expect("it can be read");
+    assert_eq!((read.sender.as_str(), read.body), ("node-1", None));
+}
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -265,6 +265,9 @@
     /// Revision that the sender holds; 0 for none.
     #[prost(uint64, tag = "1")]
     pub held_revision: u64,
+    /// Whether the sender reads lists with names sent once. Builds that tell lists as JSON only don't say so.
+    #[prost(bool, tag = "2")]
+    pub reads_names: bool,
 }
 
 /// What changed in the list of back ends, the whole list, or when to ask again.
@@ -273,6 +276,9 @@
     /// The list's revision; 0 for none.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
+    /// The whole list as compressed JSON, for builds that read no other form; empty for all others.
+    #[prost(bytes = "vec", tag = "3")]
+    pub compressed_json: Vec<u8>,
     /// While other answers take the sender's link: milliseconds until it may be asked again.
     #[prost(uint32, tag = "4")]
     pub busy_for_ms: u32,
