The list of back ends is told to earlier builds in the form that they read

Cause: the new form took the old one's place; the old one's absence read as an empty list. Ruled out: sending both forms always: 98 KB more for 3,000 engines in each whole list, for ever. Change: who asks says that it reads names; others get the whole list in both forms, never changes; a list as JSON is read where there is no other.

--- a/crates/beamwall-node/src/gateway/directories.rs
+++ b/crates/beamwall-node/src/gateway/directories.rs
@@ -24,10 +24,13 @@
     /// What a peer lacks of the list held here, or when to ask again.
     pub(super) fn answer_directory(&self, request: DirectoryRequest) -> DirectoryAnswer {
         let directory = self.directory.load();
-        if let Some(changes) = directory.changes_since(request.held_revision) {
+        // A build that reads JSON only reads no changes, and tells no revision that it holds.
+        let may_read_whole_only = request.held_revision == 0 && !request.reads_names;
+        let changes = directory.changes_since(request.held_revision).filter(|_| !may_read_whole_only);
+        if let Some(changes) = changes {
             return directory_wire::encode(&ToldDirectory::Changes(changes));
         }
-        let whole = directory_wire::encode(&ToldDirectory::Whole(directory.snapshot()));
+        let whole = directory_wire::encode_for(&request, &ToldDirectory::Whole(directory.snapshot()));
         match self.transfers.admit(whole.encoded_len(), Instant::now()) {
             Ok(()) => whole,
             Err(wait) => DirectoryAnswer { busy_for_ms: to_busy_ms(wait), ..DirectoryAnswer::default() },
@@ -71,10 +74,8 @@
     }
 
     async fn ask_for_directory(&self, peer: SocketAddr, held: u64) -> Option<DirectoryAnswer> {
-        let question = self.envelope(Body::DirectoryRequest(DirectoryRequest {
-            held_revision: held,
-            ..DirectoryRequest::default()
-        }));
+        let question = self
+            .envelope(Body::DirectoryRequest(DirectoryRequest { held_revision: held, reads_names: true }));
         let answer = self.network.ask(peer, question, ANSWER_LIMIT).await;
         match answer.map(|envelope| envelope.body) {
             Ok(Some(Body::DirectoryAnswer(answer))) => Some(answer),
--- a/crates/beamwall-node/src/gateway/directory_wire.rs
+++ b/crates/beamwall-node/src/gateway/directory_wire.rs
@@ -1,12 +1,17 @@
 //! Lists of back ends and their changes in the form of messages.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 
+use beamwall_events::emit;
+use beamwall_events::internal_events::PeerDirectoryUnusable;
 use beamwall_gateway::Backend;
 use beamwall_gateway::ports::{DirectoryChange, DirectoryChanges, DirectorySnapshot};
 use beamwall_model::{BackendId, EngineVersion, InstanceName, ServiceName, ZoneName};
+use beamwall_peer::compressed;
 use beamwall_peer::gateway_message::{DirectoryAnswer, DirectoryRequest, ListedBackend};
 use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
 
 quick_error! {
     /// Why a peer's list can't be read.
@@ -16,6 +21,10 @@
         Name(backend: String) {
             display("back end {} has a service, zone or version without a name", backend)
         }
+        /// The list of an earlier build can't be read.
+        Json(reason: String) {
+            display("a list as JSON: {}", reason)
+        }
         /// An address is none.
         Address(backend: String) {
             display("back end {} has no readable address", backend)
@@ -92,9 +101,67 @@
     answer
 }
 
-/// What is told of a list to who asked for it.
-pub fn encode_for(_request: &DirectoryRequest, told: &ToldDirectory) -> DirectoryAnswer {
-    encode(told)
+/// What is told of a list to who asked for it. Builds that read JSON only hold no revision that they would tell, and don't say that
+/// they read names: what they get has both forms, since the first builds that read names don't say so either.
+pub fn encode_for(request: &DirectoryRequest, told: &ToldDirectory) -> DirectoryAnswer {
+    let mut answer = encode(told);
+    if let ToldDirectory::Whole(snapshot) = told
+        && !request.reads_names
+    {
+        answer.compressed_json = encode_as_json(snapshot);
+    }
+    answer
+}
+
+/// A back end as earlier builds tell it, as JSON: without life and version, by the name of its instance.
+#[derive(Debug, Serialize, Deserialize)]
+struct JsonBackend {
+    id: String,
+    service: String,
+    address: SocketAddr,
+    zone: String,
+    slots: u32,
+    draining: bool,
+    reclaimable: bool,
+}
+
+fn encode_as_json(snapshot: &DirectorySnapshot) -> Vec<u8> {
+    let backend = |backend: &Backend| JsonBackend {
+        id: backend.instance.to_string(),
+        service: backend.service.to_string(),
+        address: backend.address,
+        zone: backend.zone.to_string(),
+        slots: backend.slots,
+        draining: backend.draining,
+        reclaimable: backend.reclaimable,
+    };
+    let backends: Vec<JsonBackend> = snapshot.backends.iter().map(backend).collect();
+    compressed::encode(&backends).unwrap_or_else(|error| {
+        // Builds that read names have the list in their form.
+        emit(&PeerDirectoryUnusable { peer: String::new(), reason: error.to_string() });
+        Vec::new()
+    })
+}
+
+fn decode_json(bytes: &[u8]) -> Result<Vec<Backend>, DirectoryWireError> {
+    let backends: Vec<JsonBackend> =
+        compressed::decode(bytes).map_err(|error| DirectoryWireError::Json(error.to_string()))?;
+    let backend = |told: JsonBackend| {
+        let instance = InstanceName::new(&told.id);
+        Backend {
+            id: BackendId::of_life(&instance, None),
+            instance,
+            born_ms: None,
+            service: ServiceName::new(&told.service),
+            address: told.address,
+            zone: ZoneName::new(&told.zone),
+            version: EngineVersion::new(""),
+            slots: told.slots,
+            draining: told.draining,
+            reclaimable: told.reclaimable,
+        }
+    };
+    Ok(backends.into_iter().map(backend).collect())
 }
 
 /// What was told of a list.
@@ -105,7 +172,11 @@
     let backend = |listed: &ListedBackend| decode_backend(listed, &services, &zones, &versions);
     let listed = answer.listed.iter().map(backend);
     if !answer.is_change {
-        let backends = listed.collect::<Result<_, _>>()?;
+        let is_json_only = answer.listed.is_empty() && !answer.compressed_json.is_empty();
+        let backends = match is_json_only {
+            true => decode_json(&answer.compressed_json)?,
+            false => listed.collect::<Result<_, _>>()?,
+        };
         return Ok(ToldDirectory::Whole(DirectorySnapshot { revision: answer.revision, backends }));
     }
     let gone = answer.gone.iter().map(|name| Ok(DirectoryChange::Gone(InstanceName::new(name))));
--- a/crates/beamwall-node/src/gateway/gauges.rs
+++ b/crates/beamwall-node/src/gateway/gauges.rs
@@ -27,6 +27,8 @@
     open_requests: IntGauge,
     log_lines_dropped: IntGauge,
     peer_messages_dropped: IntGauge,
+    peer_messages_unreadable: IntGauge,
+    peer_messages_unknown: IntGauge,
     nodes_heard: IntGauge,
     peers_ended_abruptly: IntGauge,
     engine_model_known: GaugeVec,
@@ -78,6 +80,14 @@
                 "beamwall_gateway_peer_messages_dropped",
                 "messages to peers dropped since start",
             )?,
+            peer_messages_unreadable: add(
+                "beamwall_gateway_peer_messages_unreadable",
+                "messages of peers that could not be read since start",
+            )?,
+            peer_messages_unknown: add(
+                "beamwall_gateway_peer_messages_unknown",
+                "messages of peers of a kind that this build does not know since start",
+            )?,
             peers_ended_abruptly: add(
                 "beamwall_gateway_peers_ended_abruptly",
                 "lives of peers that ended without a drain since start",
@@ -132,6 +142,8 @@
         self.log_lines_dropped.set(beamwall_events::dropped_lines() as i64);
         let traffic = &exchange.network.traffic;
         self.peer_messages_dropped.set(traffic.dropped_messages.load(Ordering::Relaxed) as i64);
+        self.peer_messages_unreadable.set(traffic.unreadable_messages.load(Ordering::Relaxed) as i64);
+        self.peer_messages_unknown.set(traffic.unknown_messages.load(Ordering::Relaxed) as i64);
         self.peer_sent_bytes.set(traffic.sent_bytes.load(Ordering::Relaxed) as i64);
         for (kind, bytes) in traffic.sent_bytes_by_kind() {
             self.peer_sent_bytes_by_kind.with_label_values(&[kind]).set(bytes as f64);
--- a/crates/beamwall-peer/src/network.rs
+++ b/crates/beamwall-peer/src/network.rs
@@ -64,6 +64,10 @@
     pub received_bytes: AtomicU64,
     /// Messages received.
     pub received_messages: AtomicU64,
+    /// Messages received that can't be read.
+    pub unreadable_messages: AtomicU64,
+    /// Messages received of a kind that this build does not know.
+    pub unknown_messages: AtomicU64,
 }
 
 impl PeerTraffic {
@@ -212,10 +216,14 @@
             let envelope = match Envelope::decode(message.as_slice()) {
                 Ok(envelope) => envelope,
                 Err(error) => {
+                    self.traffic.unreadable_messages.fetch_add(1, Ordering::Relaxed);
                     emit(&PeerMessageUnreadable { reason: error.to_string() });
                     continue;
                 }
             };
+            if envelope.body.is_none() {
+                self.traffic.unknown_messages.fetch_add(1, Ordering::Relaxed);
+            }
             if self.is_blocked(&NodeId::new(&envelope.sender)) {
                 continue;
             }
