Failing tests: terms on a machine that was suspended

Cause: the steady clock stands still while a machine is suspended; what holds by a term holds on after it. Ruled out: reading the time of day instead: it steps.

--- /dev/null
+++ b/crates/beamwall-clock/src/lib.rs
@@ -0,0 +1,65 @@
+//! Time that goes on while the machine is suspended.
+//!
+//! The steady clock of the system stands still while a machine is suspended: a lease of three seconds, measured by it, is still held
+//! after a minute. So what holds by a term is measured in [`Moment`]s, which count the time asleep, too. Timers stay on the
+//! steady clock: who wakes looks at the moment again before it acts.
+
+#[cfg(feature = "simulation")]
+pub mod simulation;
+
+use std::ops::Add;
+use std::time::Duration;
+
+use rustix::time::{ClockId, Timespec, clock_gettime};
+use tokio::time::Instant;
+
+/// A moment by a clock that counts the time asleep. Moments are compared with each other only, never with times of timers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Moment(Instant);
+
+impl Moment {
+    /// Now.
+    pub fn now() -> Self {
+        Self(now())
+    }
+
+    /// Time from an earlier moment to this one; none where that is later.
+    pub fn duration_since(self, earlier: Self) -> Duration {
+        self.0.saturating_duration_since(earlier.0)
+    }
+
+    /// Time since then.
+    pub fn elapsed(self) -> Duration {
+        Self::now().duration_since(self)
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Self;
+
+    fn add(self, duration: Duration) -> Self {
+        Self(self.0 + duration)
+    }
+}
+
+/// Now as an instant that counts the time asleep, for aggregates that are told what time it is. It is never used for a timer, which
+/// would fire late by all the time asleep since the machine started.
+pub fn now() -> Instant {
+    Instant::now() + asleep()
+}
+
+/// Time for which the machine has been suspended since it started.
+pub fn asleep() -> Duration {
+    // In this order a pause between the two readings makes terms seem older, not younger.
+    let steady = read(ClockId::Monotonic);
+    let of_machine = read(ClockId::Boottime).saturating_sub(steady);
+    #[cfg(feature = "simulation")]
+    return of_machine + simulation::suspended();
+    #[cfg(not(feature = "simulation"))]
+    of_machine
+}
+
+fn read(clock: ClockId) -> Duration {
+    let Timespec { tv_sec, tv_nsec } = clock_gettime(clock);
+    Duration::new(u64::try_from(tv_sec).unwrap_or(0), u32::try_from(tv_nsec).unwrap_or(0))
+}
--- a/crates/beamwall-gateway/src/attempt.rs
+++ b/crates/beamwall-gateway/src/attempt.rs
@@ -137,7 +137,7 @@
 ) -> Request<beamwall_http::Body> {
     let head = ForwardHead {
         instance,
-        remaining: call.deadline.saturating_duration_since(Instant::now()),
+        remaining: call.remaining(),
         tenant: call.tenant.as_ref().map(|tenant| &tenant.name),
         rank: call.rank(forwarder.reading_ms(call)),
         last_event,
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -1,6 +1,7 @@
 //! Carries one request through its attempts.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use beamwall_engine_model::{Reading, ServiceEstimates};
@@ -85,6 +86,11 @@
         self.request_id.clone().unwrap_or_default()
     }
 
+    /// Time that is left to the caller.
+    pub fn remaining(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
     /// Back ends to which it may be sent.
     pub fn attempt_limit(&self) -> u32 {
         match self.admission {
@@ -239,7 +245,7 @@
             failure_share: format!("{:.2}", choice.failure_share),
             candidates: choice.candidates.to_string(),
             directory_revision: self.directory.load().revision().to_string(),
-            remaining_ms: call.deadline.saturating_duration_since(Instant::now()).as_millis().to_string(),
+            remaining_ms: call.remaining().as_millis().to_string(),
         });
         attempts.tried.push(choice.backend.clone());
         Some(choice)
@@ -326,7 +332,7 @@
             unreachable: self.knowledge.health.unreachable(Instant::now()),
             observed: self.knowledge.models.take_unreported(|backend| group.holds(backend), Instant::now()),
             pause_objective_ms: call.route.gap_objective_ms,
-            remaining: call.deadline.saturating_duration_since(Instant::now()),
+            remaining: call.remaining(),
             enough_ms,
         }
     }
--- a/crates/beamwall-gateway/src/stream/mod.rs
+++ b/crates/beamwall-gateway/src/stream/mod.rs
@@ -54,7 +54,7 @@
 /// Refuses a call that is known not to be servable before its caller's patience ends.
 fn check_servable(forwarder: &Forwarder, call: &Call, choice: &Choice) -> Result<(), Refusal> {
     let estimates = forwarder.estimates(&call.service);
-    let remaining = call.deadline.saturating_duration_since(Instant::now());
+    let remaining = call.remaining();
     let objective = Duration::from_millis(call.route.objective_ms);
     match admission::check(choice, &estimates, remaining, objective) {
         Some(unservable) => Err(Refusal::Unservable(unservable)),
--- a/crates/beamwall-gateway/src/unary.rs
+++ b/crates/beamwall-gateway/src/unary.rs
@@ -77,7 +77,7 @@
 /// A repeatable call leaves a silent back end while there is time for another; any other call waits
 /// as long as it may.
 fn patience(call: &Call, attempts: &Attempts) -> Duration {
-    let left = call.deadline.saturating_duration_since(Instant::now());
+    let left = call.remaining();
     let is_last = attempts.sent + 1 >= call.attempt_limit();
     if !call.route.kind.is_idempotent() || is_last {
         return left;
@@ -109,7 +109,7 @@
 async fn read_whole(forwarder: &Forwarder, call: &Call, opened: Opened) -> Result<Whole, AttemptFailure> {
     let Opened { backend, response, work } = opened;
     let (parts, body) = response.into_parts();
-    let left = call.deadline.saturating_duration_since(Instant::now());
+    let left = call.remaining();
     let read = read_limited(body, ANSWER_LIMIT_BYTES, left).await;
     drop(work);
     match read {
--- a/crates/beamwall-gateway/tests/ranks.rs
+++ b/crates/beamwall-gateway/tests/ranks.rs
@@ -1,6 +1,7 @@
 //! The rank that back ends are told.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use beamwall_gateway::Prompt;
 use beamwall_gateway::forward::Call;
@@ -82,3 +83,14 @@
     assert_eq!(call(2, None, 700).rank(Some(70.0)), 2);
     assert_eq!(call(2, None, 700).rank(None), 2, "nothing is known of the engines yet");
 }
+
+#[test]
+fn the_time_left_to_a_caller_runs_on_while_the_machine_sleeps() {
+    let asleep = Duration::from_secs(3);
+    let mut call = call(0, None, 100);
+    call.deadline = call.received + Duration::from_secs(10);
+    let before = call.remaining();
+    beamwall_clock::simulation::suspend_for(asleep);
+    let after = call.remaining();
+    assert!(after <= before.saturating_sub(asleep), "{before:?} before, {after:?} after");
+}
--- a/crates/beamwall-store/tests/lease.rs
+++ b/crates/beamwall-store/tests/lease.rs
@@ -76,3 +76,17 @@
         assert_eq!(state.borrow().held_epoch(), Some(1));
     }
 }
+
+#[tokio::test]
+async fn a_holder_that_was_suspended_holds_nothing_when_it_wakes() {
+    let (_stand_in, running) = platform().await;
+    let (mut first, first_state) = Lease::new("duty", "one".into(), store(&running));
+    first.step().await.expect("platform answers");
+    assert_eq!(first_state.borrow().held_epoch(), Some(1));
+    // The machine sleeps for a while, and its steady clock stands still.
+    beamwall_clock::simulation::suspend_for(LEASE_TTL);
+    assert_eq!(first_state.borrow().held_epoch(), None, "the term has run on");
+    // What it writes first is no renewal: another may have held the lease meanwhile.
+    first.step().await.expect("platform answers");
+    assert_eq!(first_state.borrow().held_epoch(), None);
+}
