Terms run on while the machine is suspended

Cause: leases, the agreed time of day, the time left to callers, stages of rollouts and the rest of pooled connections were measured by the steady clock, which stands still while a machine sleeps. Ruled out: a task that notices the jump: some 200 ms of old beliefs; it stays for the log line and a heartbeat at once. Reading the clocks past the C library: then both would come from other sources than the standard library's.

--- a/crates/beamwall-clock/src/lib.rs
+++ b/crates/beamwall-clock/src/lib.rs
@@ -59,6 +59,7 @@
     of_machine
 }
 
+/// Reads a clock through the C library, as the standard library reads the steady one, so that all come from one source.
 fn read(clock: ClockId) -> Duration {
     let Timespec { tv_sec, tv_nsec } = clock_gettime(clock);
     Duration::new(u64::try_from(tv_sec).unwrap_or(0), u32::try_from(tv_nsec).unwrap_or(0))
--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -73,6 +73,8 @@
     1006 Info SettingsReloaded "process settings reloaded" { file, changed }
     /// Log lines were dropped because there were too many.
     1007 Warn LogLinesDropped "log lines dropped" { lines }
+    /// The machine was suspended and runs again.
+    1008 Warn MachineSuspended "machine was suspended" { asleep_ms }
     /// A settings revision came into force on this node.
     2001 Info RevisionActivated "settings revision in force" { revision, digest, source }
     /// An operator's edit was committed.
--- a/crates/beamwall-gateway/src/fleet_clock.rs
+++ b/crates/beamwall-gateway/src/fleet_clock.rs
@@ -2,7 +2,8 @@
 //!
 //! Usage is billed by windows of true time. The clock of one machine may be seconds off, or step while it runs: of 70 nodes
 //! with 21 clocks 2 s off, a window of 5 s had 213 of 2,287 requests too few. So each node takes the median of the clocks that
-//! it hears, its own among them, and keeps it by its steady clock, which no step moves.
+//! it hears, its own among them, and keeps it by a steady clock, which no step moves. That clock counts the time that the machine
+//! was suspended; without, the time of day of a machine that wakes would be late until its peers are heard again.
 
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -35,7 +36,7 @@
 
 impl Default for FleetClock {
     fn default() -> Self {
-        Self { began: Instant::now(), readings: Mutex::default() }
+        Self { began: beamwall_clock::now(), readings: Mutex::default() }
     }
 }
 
@@ -75,7 +76,7 @@
 
     /// The time of day now.
     pub fn now(&self) -> SystemTime {
-        self.time(SystemTime::now(), Instant::now())
+        self.time(SystemTime::now(), beamwall_clock::now())
     }
 
     /// The same in milliseconds since 1970.
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -74,7 +74,9 @@
     pub last_event: Option<u64>,
     /// When it arrived.
     pub received: Instant,
-    /// When its time is up: the caller's patience or the route's limit, whichever is first.
+    /// Time for which the machine had been suspended when it arrived.
+    pub asleep_before: Duration,
+    /// When its time is up, for timers: the caller's patience or the route's limit, whichever is first.
     pub deadline: Instant,
     /// The version of the policy that decided.
     pub policy_version: u64,
@@ -86,9 +88,10 @@
         self.request_id.clone().unwrap_or_default()
     }
 
-    /// Time that is left to the caller.
+    /// Time that is left to the caller. Engines are told it, so it runs on while the machine is suspended.
     pub fn remaining(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        let asleep = beamwall_clock::asleep().saturating_sub(self.asleep_before);
+        self.deadline.saturating_duration_since(Instant::now()).saturating_sub(asleep)
     }
 
     /// Back ends to which it may be sent.
@@ -201,7 +204,7 @@
         let may_repeat = !is_held && (call.route.kind.is_idempotent() || !self.may_have_run);
         let limit = call.attempt_limit();
         let is_allowed = self.sent < limit && self.tried.len() < UNSENT_LIMIT + limit as usize;
-        let in_time = Instant::now() < call.deadline;
+        let in_time = !call.remaining().is_zero();
         may_repeat
             && is_allowed
             && in_time
@@ -214,7 +217,7 @@
             Some(failure) => failure.reason.clone(),
             None => "no back end takes requests".to_owned(),
         };
-        let timed_out = Instant::now() >= call.deadline;
+        let timed_out = call.remaining().is_zero();
         match (self.may_have_run, timed_out) {
             (true, true) => Refusal::TimedOut,
             (true, false) => Refusal::AnswerLost(reason),
@@ -228,7 +231,7 @@
     /// Chooses a back end for the next attempt, notes it as tried and logs the decision. The engine of a model
     /// request is chosen by the nodes that place in the groups of its service, as long as one of them answers.
     pub async fn choose(&self, call: &Call, attempts: &mut Attempts) -> Option<Choice> {
-        let versions = self.rollouts.rule(&call.service, call.request_id.as_deref(), Instant::now());
+        let versions = self.rollouts.rule(&call.service, call.request_id.as_deref(), beamwall_clock::now());
         let choice = self.choose_among(call, attempts, versions.as_ref()).await?;
         self.note_sent(&call.service, &choice.backend);
         emit(&AttemptSent {
@@ -378,7 +381,7 @@
         self.knowledge.models.hear_report(question.observed.clone(), now);
         let avoided = [question.tried.as_slice(), &question.unreachable].concat();
         // Who sends to a few back ends of a new version chooses them itself, so this is for all others.
-        let versions = self.rollouts.rule(&question.service, None, now);
+        let versions = self.rollouts.rule(&question.service, None, beamwall_clock::now());
         let search = Search {
             service: &question.service,
             zone: &question.zone,
--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -154,6 +154,7 @@
         received: Instant,
         context: &mut AnswerContext,
     ) -> Result<Response<Body>, Refusal> {
+        let asleep_before = beamwall_clock::asleep();
         if policy.version() == 0 {
             return Err(Refusal::NotReady);
         }
@@ -186,6 +187,7 @@
             prompt: head.prompt,
             last_event: head.last_event,
             received,
+            asleep_before,
             policy_version: policy.version(),
         };
         self.forward(Arc::new(call)).await
--- a/crates/beamwall-http/src/pool.rs
+++ b/crates/beamwall-http/src/pool.rs
@@ -13,6 +13,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use beamwall_clock::Moment;
 use bytes::Bytes;
 use hyper::body::{Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -21,7 +22,6 @@
 use quick_error::quick_error;
 use socket2::SockRef;
 use tokio::net::TcpStream;
-use tokio::time::Instant;
 
 use crate::Body;
 
@@ -84,8 +84,8 @@
 /// A connection at rest.
 struct IdleConnection {
     sender: Sender,
-    /// Until when the other side promises to keep it open.
-    usable_until: Instant,
+    /// Until when the other side promises to keep it open, also while this machine is suspended.
+    usable_until: Moment,
 }
 
 type IdleConnections = Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>;
@@ -130,7 +130,7 @@
         let mut idle = lock(&self.idle);
         let senders = idle.get_mut(&address)?;
         while let Some(IdleConnection { sender, usable_until }) = senders.pop() {
-            if Instant::now() < usable_until && !sender.is_closed() && sender.is_ready() {
+            if Moment::now() < usable_until && !sender.is_closed() && sender.is_ready() {
                 return Some(sender);
             }
         }
@@ -238,7 +238,7 @@
         let mut idle = lock(&self.idle);
         let senders = idle.entry(self.address).or_default();
         if senders.len() < MAX_IDLE_PER_ADDRESS {
-            senders.push(IdleConnection { sender, usable_until: Instant::now() + self.rest_limit });
+            senders.push(IdleConnection { sender, usable_until: Moment::now() + self.rest_limit });
         }
     }
 }
--- a/crates/beamwall-node/src/gateway/duties/rollouts.rs
+++ b/crates/beamwall-node/src/gateway/duties/rollouts.rs
@@ -44,7 +44,7 @@
 
     /// Looks at all orders, decides, tells all nodes, and writes what is new for the operator.
     pub(super) async fn decide_due(&self, tenure: &mut RolloutTenure, holding: &Holding) {
-        let now = Instant::now();
+        let now = beamwall_clock::now();
         let orders = self.gateway.forwarder.rollouts.orders(now);
         for news in orders.into_iter().filter(|news| !news.is_withdrawn) {
             let Some(holder) = holding.holder() else { return };
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -396,7 +396,7 @@
     fn take_beat(self: &Arc<Self>, envelope: &Envelope, beat: GatewayBeat) {
         if beat.time_ms > 0 {
             let told = UNIX_EPOCH + Duration::from_millis(beat.time_ms);
-            self.gateway.forwarder.clock.hear(&NodeId::new(&envelope.sender), told, Instant::now());
+            self.gateway.forwarder.clock.hear(&NodeId::new(&envelope.sender), told, beamwall_clock::now());
         }
         if beat.wants_answer {
             self.reply(envelope, Body::GatewayBeat(self.to_reply(Vec::new())));
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 pub mod rollouts;
 mod sharing;
 pub mod store_status;
+pub mod suspension;
 pub mod told_figures;
 pub mod unreadable_entries;
 pub mod watches;
@@ -201,6 +202,7 @@
         tasks.push(tokio::spawn(exchange.clone().learn_usage()));
         tasks.push(tokio::spawn(kept_models::recall(gateway.clone(), ports.objects.clone())));
         tasks.push(tokio::spawn(exchange.clone().tell_quarantine()));
+        tasks.push(tokio::spawn(suspension::watch(exchange.news.clone())));
         tasks.push(tokio::spawn(recall_held_requests(kept_quarantine.clone(), gateway.clone())));
         if let Some(store) = ports.rollouts.clone() {
             let followed = FollowedOrders { store, exchange: exchange.clone() };
--- a/crates/beamwall-node/src/gateway/rollouts.rs
+++ b/crates/beamwall-node/src/gateway/rollouts.rs
@@ -11,7 +11,6 @@
 use beamwall_model::{NodeId, ServiceName, ZoneName};
 use beamwall_peer::rollout_message::RolloutNews;
 use beamwall_rollout::{OrderNews, RolloutBook};
-use tokio::time::Instant;
 
 use crate::gateway::exchange::Exchange;
 use crate::gateway::rollout_wire;
@@ -77,7 +76,7 @@
         verdict: format!("{:?}", news.verdict),
         withdrawn: news.is_withdrawn.to_string(),
     };
-    let is_new = book.hear_order(news, Instant::now());
+    let is_new = book.hear_order(news, beamwall_clock::now());
     if is_new {
         emit(&event);
     }
@@ -92,13 +91,13 @@
 
     /// What this node knows of rollouts, with what it counted itself.
     pub(super) fn rollouts_to_tell(&self) -> Option<RolloutNews> {
-        let (book, now) = (self.rollouts(), Instant::now());
+        let (book, now) = (self.rollouts(), beamwall_clock::now());
         rollout_wire::encode(book.orders(now), book.stages(now), book.own_evidence())
     }
 
     /// The same for other zones, with what all nodes of this one counted.
     pub(super) fn rollouts_of_zone(&self) -> Option<RolloutNews> {
-        let (book, now) = (self.rollouts(), Instant::now());
+        let (book, now) = (self.rollouts(), beamwall_clock::now());
         rollout_wire::encode(book.orders(now), book.stages(now), book.evidence_of_nodes())
     }
 
@@ -122,7 +121,7 @@
             has_changed |= hear_order(book, order);
         }
         for stage in rollout_wire::decode_stages(news) {
-            let is_new = book.hear_stage(&stage, Instant::now());
+            let is_new = book.hear_stage(&stage, beamwall_clock::now());
             // While the new version takes all, what it does must be known at once.
             has_changed |= is_new && stage.stage.takes_all_in.is_some_and(|left| left <= TOLD_AT_ONCE);
         }
--- a/crates/beamwall-store/src/lease.rs
+++ b/crates/beamwall-store/src/lease.rs
@@ -2,12 +2,13 @@
 //!
 //! No wall clock is compared between machines. The holder counts its time from the moment it sent
 //! the last renewal that succeeded; a contender counts from the moment it first saw the current
-//! version and waits longer than the holder may count on. A holder that was paused finds its own
-//! time over before it acts.
+//! version and waits longer than the holder may count on. A holder that was paused, or whose machine was
+//! suspended, finds its own time over before it acts.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use beamwall_clock::Moment;
 use beamwall_model::NodeId;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -42,14 +43,14 @@
     /// The epoch last seen.
     pub epoch: u64,
     /// Until when this node may act; `None` when it is not the holder.
-    pub valid_until: Option<Instant>,
+    pub valid_until: Option<Moment>,
 }
 
 impl LeaseState {
     /// The epoch under which this node may act right now.
     pub fn held_epoch(&self) -> Option<u64> {
         let until = self.valid_until?;
-        (Instant::now() + SAFETY_MARGIN < until).then_some(self.epoch)
+        (Moment::now() + SAFETY_MARGIN < until).then_some(self.epoch)
     }
 }
 
@@ -59,7 +60,7 @@
     node: NodeId,
     store: Arc<dyn VersionedObjects>,
     state: watch::Sender<LeaseState>,
-    seen: Option<(Version, Instant)>,
+    seen: Option<(Version, Moment)>,
     /// The highest epoch seen: one that was given is never given again, whatever another writer makes of the object.
     highest_epoch: u64,
     /// The version of this node's own last write, which the next renewal names without reading.
@@ -102,7 +103,7 @@
 
     /// One look and, when due, one write.
     pub async fn step(&mut self) -> Result<(), ObjectError> {
-        let sent = Instant::now();
+        let sent = Moment::now();
         if let Some(version) = self.held_version.take()
             && let Some(epoch) = self.current_epoch(sent)
         {
@@ -118,7 +119,7 @@
         self.note_other(&object, &record);
         if self.unchanged_for() >= TAKEOVER_WAIT {
             let epoch = self.highest_epoch + 1;
-            return self.write(object.version, epoch, Instant::now()).await;
+            return self.write(object.version, epoch, Moment::now()).await;
         }
         Ok(())
     }
@@ -127,12 +128,12 @@
     /// it: after a restart the name is the same and the earlier process may have orders in flight.
     fn is_holder(&self, record: &LeaseRecord) -> bool {
         let state = self.state.borrow();
-        let current = state.valid_until.is_some_and(|until| Instant::now() < until);
+        let current = state.valid_until.is_some_and(|until| Moment::now() < until);
         record.holder == self.node.as_str() && record.epoch == state.epoch && current
     }
 
     /// The epoch that this process holds, if its time is not over.
-    fn current_epoch(&self, now: Instant) -> Option<u64> {
+    fn current_epoch(&self, now: Moment) -> Option<u64> {
         let state = self.state.borrow();
         let until = state.valid_until?;
         (now < until).then_some(state.epoch)
@@ -141,7 +142,7 @@
     fn note_other(&mut self, object: &Object, record: &LeaseRecord) {
         self.highest_epoch = self.highest_epoch.max(record.epoch);
         if self.seen.is_none_or(|(version, _)| version != object.version) {
-            self.seen = Some((object.version, Instant::now()));
+            self.seen = Some((object.version, Moment::now()));
         }
         let state = LeaseState { holder: record.holder.clone(), epoch: record.epoch, valid_until: None };
         self.state.send_if_modified(|current| {
@@ -155,13 +156,13 @@
         self.seen.map_or(Duration::ZERO, |(_, since)| since.elapsed())
     }
 
-    async fn write(&mut self, expected: Version, epoch: u64, sent: Instant) -> Result<(), ObjectError> {
+    async fn write(&mut self, expected: Version, epoch: u64, sent: Moment) -> Result<(), ObjectError> {
         self.renewal += 1;
         let record = LeaseRecord { holder: self.node.to_string(), epoch, renewal: self.renewal };
         let value =
             serde_json::to_vec(&record).map_err(|error| ObjectError::Unexpected(error.to_string()))?;
         let mine = |object: &Object| object.value.as_ref() == value.as_slice();
-        let deadline = sent + LEASE_TTL;
+        let deadline = Instant::now() + LEASE_TTL.saturating_sub(sent.elapsed());
         let settled =
             put_settled(self.store.as_ref(), &self.key, expected, Bytes::from(value.clone()), deadline, mine)
                 .await;
