The end of an engine that has announced its leaving tells against nobody

Cause: whether an engine leaves was looked at when the answer was lost, not when the engine was known to have ended. Change: looked at both times; tests of what one node does.

--- a/crates/beamwall-gateway/src/quarantine.rs
+++ b/crates/beamwall-gateway/src/quarantine.rs
@@ -152,6 +152,10 @@
     /// Notes that a back end has ended: it refuses connections, or lives again under its name.
     pub fn note_ended(&self, backend: &BackendId) {
         let open = self.losses.end(backend);
+        // One that has announced meanwhile that it leaves ends on its own account.
+        if self.directory.load().get(backend).is_some_and(|listed| listed.draining) {
+            return;
+        }
         if open.is_empty() {
             self.book.note_other_end(backend, self.now_ms());
         } else {
--- /dev/null
+++ b/crates/beamwall-gateway/tests/quarantine.rs
@@ -0,0 +1,88 @@
+//! What one node does about requests under which back ends end.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use async_trait::async_trait;
+use beamwall_gateway::ports::DirectorySnapshot;
+use beamwall_gateway::quarantine::{Admission, Quarantine, TrialPort};
+use beamwall_gateway::{Backend, Directory, Vanishing};
+use beamwall_http::Pool;
+use beamwall_model::{BackendId, EngineVersion, InstanceName, ServiceName, ZoneName};
+use beamwall_quarantine::{Fingerprint, FingerprintHasher, QuarantineBook};
+
+/// Grants no trial.
+struct NoTrials;
+
+#[async_trait]
+impl TrialPort for NoTrials {
+    async fn take(&self, _: &Fingerprint, _: u32, _: u64) -> bool {
+        false
+    }
+}
+
+fn backend(name: &str, draining: bool) -> Backend {
+    Backend {
+        id: BackendId::new(name),
+        instance: InstanceName::new(name),
+        born_ms: None,
+        service: ServiceName::new("pool"),
+        // Nothing listens at the port for discarded messages here.
+        address: ([127, 0, 0, 1], 9).into(),
+        zone: ZoneName::new("a"),
+        version: EngineVersion::new("v1"),
+        slots: 8,
+        draining,
+        reclaimable: false,
+    }
+}
+
+fn list(directory: &ArcSwap<Directory>, revision: u64, backends: Vec<Backend>) {
+    let mut listed = Directory::clone(&directory.load());
+    assert!(listed.replace(DirectorySnapshot { revision, backends }, Vanishing::Gone));
+    directory.store(Arc::new(listed));
+}
+
+fn quarantine() -> (Arc<Quarantine>, Arc<ArcSwap<Directory>>) {
+    let directory: Arc<ArcSwap<Directory>> = Arc::default();
+    let book: Arc<QuarantineBook> = Arc::default();
+    let pool = Pool::new(Duration::from_millis(400));
+    let quarantine = Quarantine::new(book, pool, directory.clone(), Arc::default(), Arc::new(NoTrials));
+    (Arc::new(quarantine), directory)
+}
+
+fn request() -> Fingerprint {
+    FingerprintHasher::new(Some("alder"), "a.example", "/chat").finish()
+}
+
+#[tokio::test]
+async fn engines_that_refuse_connections_after_they_lost_an_answer_have_ended() {
+    let (quarantine, directory) = quarantine();
+    let names = ["i-1", "i-2", "i-3"];
+    list(&directory, 1, names.iter().map(|name| backend(name, false)).collect());
+    for name in names {
+        assert_eq!(quarantine.admit(&request()).await, Ok(Admission::Usual));
+        quarantine.note_lost(request(), &BackendId::new(name));
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(quarantine.admit(&request()).await.is_err());
+}
+
+#[tokio::test]
+async fn an_engine_that_leaves_ends_on_its_own_account() {
+    let (quarantine, directory) = quarantine();
+    let names = ["i-1", "i-2", "i-3", "i-4"];
+    list(&directory, 1, names.iter().map(|name| backend(name, false)).collect());
+    // It announces its leaving before the answer is lost, or before it is known to have ended.
+    list(&directory, 2, names.iter().map(|name| backend(name, *name < "i-3")).collect());
+    for name in names {
+        quarantine.note_lost(request(), &BackendId::new(name));
+    }
+    list(&directory, 3, names.iter().map(|name| backend(name, true)).collect());
+    for name in names {
+        quarantine.note_ended(&BackendId::new(name));
+    }
+    assert_eq!(quarantine.book.suspects(), 0);
+    assert_eq!(quarantine.admit(&request()).await, Ok(Admission::Usual));
+}
