One throttle, one way to whole milliseconds

Change: beamwall_clock::Throttle for models refreshed and told, questions for what peers know, questions for trials; beamwall_model::to_ms and since_1970_ms for the quarantine, rollouts, the agreed time, heartbeats and both incarnations. Conclusion: no behaviour changes.

--- a/crates/beamwall-clock/src/lib.rs
+++ b/crates/beamwall-clock/src/lib.rs
@@ -6,6 +6,7 @@
 
 #[cfg(feature = "simulation")]
 pub mod simulation;
+mod throttle;
 
 use std::ops::Add;
 use std::time::Duration;
@@ -13,6 +14,8 @@
 use rustix::time::{ClockId, Timespec, clock_gettime};
 use tokio::time::Instant;
 
+pub use throttle::Throttle;
+
 /// A moment by a clock that counts the time asleep. Moments are compared with each other only, never with times of timers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Moment(Instant);
--- /dev/null
+++ b/crates/beamwall-clock/tests/throttle.rs
@@ -0,0 +1,19 @@
+//! Something happens at most once in a while.
+
+use std::time::Duration;
+
+use beamwall_clock::Throttle;
+
+const PERIOD: Duration = Duration::from_secs(1);
+
+#[tokio::test(start_paused = true)]
+async fn it_happens_at_first_and_again_after_the_period() {
+    let throttle = Throttle::default();
+    assert!(throttle.admit(PERIOD));
+    assert!(!throttle.admit(PERIOD));
+    tokio::time::advance(PERIOD / 2).await;
+    assert!(!throttle.admit(PERIOD), "being asked does not count");
+    tokio::time::advance(PERIOD / 2).await;
+    assert!(throttle.admit(PERIOD));
+    assert!(!throttle.admit(PERIOD));
+}
--- a/crates/beamwall-gateway/src/fleet_clock.rs
+++ b/crates/beamwall-gateway/src/fleet_clock.rs
@@ -9,7 +9,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use beamwall_model::NodeId;
+use beamwall_model::{NodeId, since_1970_ms};
 use tokio::time::Instant;
 
 /// Time for which the reading of a peer's clock counts: some heartbeats.
@@ -81,7 +81,6 @@
 
     /// The same in milliseconds since 1970.
     pub fn now_ms(&self) -> u64 {
-        let since = self.now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+        since_1970_ms(self.now())
     }
 }
--- a/crates/beamwall-gateway/src/quarantine.rs
+++ b/crates/beamwall-gateway/src/quarantine.rs
@@ -1,11 +1,12 @@
 //! Acts on requests under which back ends end: finds out whether a back end ended whose answer was lost, and lets requests
 //! pass or holds them by the [`QuarantineBook`].
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use async_trait::async_trait;
+use beamwall_clock::Throttle;
 use beamwall_events::emit;
 use beamwall_events::internal_events::{BackendEnded, RequestFreed, RequestHeld, TrialGranted};
 use beamwall_http::{Pool, Reachability};
@@ -55,8 +56,8 @@
     directory: Arc<ArcSwap<Directory>>,
     clock: Arc<FleetClock>,
     trials: Arc<dyn TrialPort>,
-    /// When this node last asked for a trial.
-    asked: Mutex<Option<Instant>>,
+    /// When this node may ask for a trial.
+    trial_questions: Throttle,
 }
 
 impl Quarantine {
@@ -68,8 +69,9 @@
         clock: Arc<FleetClock>,
         trials: Arc<dyn TrialPort>,
     ) -> Self {
-        let (news, losses, asked) = (Notify::new(), LostAnswers::default(), Mutex::default());
-        Self { book, news, losses, pool, directory, clock, trials, asked }
+        let (news, losses) = (Notify::new(), LostAnswers::default());
+        let trial_questions = Throttle::default();
+        Self { book, news, losses, pool, directory, clock, trials, trial_questions }
     }
 
     /// The time by which evidence is told.
@@ -97,7 +99,9 @@
 
     async fn take_trial(&self, request: &Fingerprint, number: u32) -> bool {
         let now_ms = self.now_ms();
-        if !self.may_ask_for_trial() || !self.trials.take(request, number, now_ms).await {
+        if !self.trial_questions.admit(TRIAL_QUESTION_PAUSE)
+            || !self.trials.take(request, number, now_ms).await
+        {
             return false;
         }
         emit(&TrialGranted { fingerprint: request.to_string(), number: number.to_string() });
@@ -106,16 +110,6 @@
         true
     }
 
-    fn may_ask_for_trial(&self) -> bool {
-        let now = Instant::now();
-        let mut asked = self.asked.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_due = asked.is_none_or(|at| now.saturating_duration_since(at) >= TRIAL_QUESTION_PAUSE);
-        if is_due {
-            *asked = Some(now);
-        }
-        is_due
-    }
-
     /// Whether a request is held now, so that it is not sent once more.
     pub fn is_held(&self, request: &Fingerprint) -> bool {
         self.book.is_held(request)
--- a/crates/beamwall-model/src/lib.rs
+++ b/crates/beamwall-model/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod class;
 pub mod identifiers;
+pub mod milliseconds;
 pub mod outcome;
 pub mod rendezvous;
 pub mod strategy;
@@ -14,5 +15,6 @@
 pub use identifiers::{
     AttemptId, BackendId, EngineVersion, InstanceName, NodeId, RequestId, ServiceName, TenantName, ZoneName,
 };
+pub use milliseconds::{since_1970_ms, to_ms};
 pub use outcome::Outcome;
 pub use strategy::ChoiceStrategy;
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -11,10 +11,11 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use arc_swap::ArcSwap;
+use beamwall_clock::Throttle;
 use beamwall_engine_model::Workload;
 use beamwall_gateway::usage::WindowCounts;
 use beamwall_gateway::{Directory, Gateway, Reporter};
-use beamwall_model::{NodeId, ServiceName, TenantName, ZoneName};
+use beamwall_model::{NodeId, ServiceName, TenantName, ZoneName, since_1970_ms};
 use beamwall_peer::gateway_message::{GatewayBeat, PlacementRequest, UsageWindow, VersionNews};
 use beamwall_peer::message::{MemberUpdate, ProbeRequest};
 use beamwall_peer::{Body, Envelope, Member, MemberState, MembershipTiming, PeerNetwork, TransferPacer};
@@ -32,7 +33,6 @@
 use crate::gateway::peer_lives::PeerLives;
 use crate::gateway::placing;
 use crate::gateway::policies::PolicyDistribution;
-use crate::gateway::quarantine_news::QuarantineQuestions;
 use crate::gateway::readiness::Readiness;
 use crate::gateway::told_figures::ToldFigures;
 use crate::gateway::zones::HeardZones;
@@ -102,9 +102,9 @@
     /// When demand was last measured.
     pub demand_closed: Mutex<Instant>,
     /// When the models of services were last fitted.
-    pub models_refreshed: Mutex<Option<Instant>>,
+    pub models_refreshed: Throttle,
     /// When what was observed of services was last told.
-    pub models_told: Mutex<Option<Instant>>,
+    pub models_told: Throttle,
     /// The lists of back ends that peers hold.
     pub directories: HeardVersions,
     /// How the lives of peers ended.
@@ -116,7 +116,7 @@
     /// What is known of the other zones of a large deployment.
     pub zones: HeardZones,
     /// When this node may ask for what peers know of requests under which back ends end.
-    pub quarantine_questions: QuarantineQuestions,
+    pub quarantine_questions: Throttle,
     /// Usage as told to peers in a large deployment.
     pub told_usage: Mutex<ToldFigures<(u64, TenantName)>>,
 }
@@ -284,7 +284,7 @@
             usage: beat::encode_usage(forwarder.usage.recent(TOLD_WINDOWS)),
             members_known: u32::try_from(self.members.load().members.len()).unwrap_or(u32::MAX),
             rollouts: self.rollouts_to_tell(),
-            time_ms: milliseconds_since_1970(SystemTime::now()),
+            time_ms: since_1970_ms(SystemTime::now()),
             quarantine_digest: self.quarantine_digest(),
         }
     }
@@ -433,9 +433,3 @@
         self.gateway.quotas.hear(&node, beat.life, uses, Instant::now());
     }
 }
-
-/// A time of day as it is told.
-pub(super) fn milliseconds_since_1970(time: SystemTime) -> u64 {
-    let since = time.duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -57,6 +57,7 @@
 use beamwall_gateway::usage::UsageLedger;
 use beamwall_gateway::{ControlStore, Dialect, Directory, DutyPort, Gateway, GatewayHandler, PlacementPort};
 use beamwall_http::{Pool, serve};
+use beamwall_model::since_1970_ms;
 use beamwall_peer::{Membership, MembershipTiming, PeerNetwork, TransferPacer};
 use beamwall_policy::PolicyArchive;
 use beamwall_quarantine::QuarantineBook;
@@ -271,7 +272,7 @@
 
 /// A number that rises with each start: the time in milliseconds.
 fn new_incarnation() -> u64 {
-    exchange::milliseconds_since_1970(SystemTime::now())
+    since_1970_ms(SystemTime::now())
 }
 
 fn assemble_gateway(
@@ -378,8 +379,8 @@
         versions,
         started: Instant::now(),
         demand_closed: Mutex::new(Instant::now()),
-        models_refreshed: Mutex::default(),
-        models_told: Mutex::default(),
+        models_refreshed: Default::default(),
+        models_told: Default::default(),
         directories: HeardVersions::default(),
         peer_lives: PeerLives::default(),
         policies: PolicyDistribution::new(archive, transfers.clone()),
--- a/crates/beamwall-node/src/gateway/observations.rs
+++ b/crates/beamwall-node/src/gateway/observations.rs
@@ -1,6 +1,5 @@
 //! What gateways tell each other of the back ends that they observe.
 
-use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use beamwall_events::emit;
@@ -24,7 +23,7 @@
 impl Exchange {
     /// Fits the models of services anew, when it is time.
     pub(super) fn refresh_models(&self) {
-        if !is_time(&self.models_refreshed, REFRESH_PERIOD) {
+        if !self.models_refreshed.admit(REFRESH_PERIOD) {
             return;
         }
         let models = &self.gateway.forwarder.knowledge.models;
@@ -72,16 +71,6 @@
     fn is_time_to_tell_models(&self) -> bool {
         let peers = u32::try_from(self.members.load().zone_size).unwrap_or(u32::MAX);
         let period = LEAST_TELLING_PERIOD.max(TELLING_PERIOD_PER_PEER * peers);
-        is_time(&self.models_told, period)
+        self.models_told.admit(period)
     }
 }
-
-/// Whether `period` has passed since `last`, which then is now.
-fn is_time(last: &Mutex<Option<Instant>>, period: Duration) -> bool {
-    let mut last = last.lock().unwrap_or_else(PoisonError::into_inner);
-    let is_time = last.is_none_or(|at| at.elapsed() >= period);
-    if is_time {
-        *last = Some(Instant::now());
-    }
-    is_time
-}
--- a/crates/beamwall-node/src/gateway/quarantine_news.rs
+++ b/crates/beamwall-node/src/gateway/quarantine_news.rs
@@ -5,7 +5,7 @@
 //! zones carry a digest of all that is known. Who hears another one asks for the whole, and so do nodes that have just started and
 //! those that were cut off.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use beamwall_peer::quarantine_message::{QuarantineNews, QuarantineRequest};
@@ -19,23 +19,6 @@
 /// Least time between two questions for all that a peer knows: while news is on its way, digests differ for some milliseconds.
 const QUESTION_PAUSE: Duration = Duration::from_millis(300);
 
-/// When this node may ask again.
-#[derive(Debug, Default)]
-pub struct QuarantineQuestions {
-    asked: Mutex<Option<Instant>>,
-}
-
-impl QuarantineQuestions {
-    fn take_turn(&self, now: Instant) -> bool {
-        let mut asked = self.asked.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_due = asked.is_none_or(|at| now.duration_since(at) >= QUESTION_PAUSE);
-        if is_due {
-            *asked = Some(now);
-        }
-        is_due
-    }
-}
-
 impl Exchange {
     /// Tells what this node saw, each time that it saw something, until the task is ended.
     pub async fn tell_quarantine(self: Arc<Self>) {
@@ -65,7 +48,7 @@
     pub(super) fn hear_quarantine_digest(&self, envelope: &Envelope, digest: u64) {
         if digest == 0
             || digest == self.quarantine_digest()
-            || !self.quarantine_questions.take_turn(Instant::now())
+            || !self.quarantine_questions.admit(QUESTION_PAUSE)
         {
             return;
         }
--- a/crates/beamwall-node/src/gateway/rollout_wire.rs
+++ b/crates/beamwall-node/src/gateway/rollout_wire.rs
@@ -2,16 +2,12 @@
 
 use std::time::Duration;
 
-use beamwall_model::{BackendId, EngineVersion, ServiceName};
+use beamwall_model::{BackendId, EngineVersion, ServiceName, to_ms};
 use beamwall_peer::rollout_message::{
     RolloutNews, ToldAnswers, ToldEvidence, ToldOrder, ToldOrderId, ToldStage,
 };
 use beamwall_rollout::{AnswerCounts, Evidence, OrderId, OrderNews, RolloutOrder, Stage, StageNews, Verdict};
 
-fn to_ms(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn encode_id(id: &OrderId) -> Option<ToldOrderId> {
     Some(ToldOrderId { service: id.service.to_string(), target: id.target.to_string(), made: id.made })
 }
--- a/crates/beamwall-node/src/node.rs
+++ b/crates/beamwall-node/src/node.rs
@@ -3,13 +3,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime};
 
 use arc_swap::ArcSwap;
 use beamwall_config::ProcessSettings;
 use beamwall_events::emit;
 use beamwall_events::internal_events::{NodeReady, NodeStarted};
 use beamwall_http::{JsonClient, Pool, serve};
+use beamwall_model::since_1970_ms;
 use beamwall_peer::{Membership, MembershipTiming, PeerNetwork};
 use beamwall_request::async_record::AsyncRecords;
 use beamwall_request::{ClaimLedger, Dispatcher, RequestMetrics, RequestRegistry};
@@ -105,8 +106,7 @@
 
 /// Incarnations rise with each start: the time in milliseconds.
 fn new_incarnation() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    since_1970_ms(SystemTime::now())
 }
 
 fn assemble(settings: ProcessSettings, network: Arc<PeerNetwork>) -> Result<Arc<Shared>, NodeError> {
--- a/crates/beamwall-quarantine/src/book.rs
+++ b/crates/beamwall-quarantine/src/book.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use beamwall_model::BackendId;
+use beamwall_model::{BackendId, to_ms};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::evidence::{Completion, Ending, Evidence, Trial};
 use crate::fingerprint::Fingerprint;
 use crate::suspect::Suspect;
-use crate::terms::{MOST_OTHER_ENDS, MOST_SUSPECTS, SUSPECTED_FOR, to_ms};
+use crate::terms::{MOST_OTHER_ENDS, MOST_SUSPECTS, SUSPECTED_FOR};
 use crate::verdict::{self, Held};
 
 /// How a request stands.
--- a/crates/beamwall-quarantine/src/suspect.rs
+++ b/crates/beamwall-quarantine/src/suspect.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use beamwall_model::BackendId;
+use beamwall_model::{BackendId, to_ms};
 
-use crate::terms::{ENDINGS_UNTIL_HELD, HELD_FOR, MOST_ENDINGS, SUSPECTED_FOR, to_ms};
+use crate::terms::{ENDINGS_UNTIL_HELD, HELD_FOR, MOST_ENDINGS, SUSPECTED_FOR};
 
 /// A request that was open at the end of a back end.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
--- a/crates/beamwall-quarantine/src/terms.rs
+++ b/crates/beamwall-quarantine/src/terms.rs
@@ -32,8 +32,3 @@
 
 /// Ends of back ends that are kept of one request: the latest. More say no more.
 pub const MOST_ENDINGS: usize = 16;
-
-/// A duration in milliseconds.
-pub(crate) fn to_ms(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/beamwall-quarantine/src/verdict.rs
+++ b/crates/beamwall-quarantine/src/verdict.rs
@@ -13,11 +13,11 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-use beamwall_model::BackendId;
+use beamwall_model::{BackendId, to_ms};
 
 use crate::fingerprint::Fingerprint;
 use crate::suspect::Suspect;
-use crate::terms::{ENDINGS_UNTIL_HELD, TRIAL_PAUSES, TRIAL_PAUSES_IN_DOUBT, to_ms};
+use crate::terms::{ENDINGS_UNTIL_HELD, TRIAL_PAUSES, TRIAL_PAUSES_IN_DOUBT};
 
 /// Why and how long a request is held.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
