What is known of a request has one form, in the book and in the store

Cause: the record in the store was a copy of the book's, with two conversions by way of the evidence; both records that are kept in the store had the same loop to read them at a start; the book published on two paths and looked for held requests in four ways. Ruled out: fingerprints as keys when the record is read: one that is none would make all others unreadable. Change: the book's record is written as it is; one way to read a kept object at a start, for engine models, too; one path by which news is taken. Tests of the store's side: what the next nodes know, one trial of a number for all nodes, an object of another writer.

--- a/crates/beamwall-node/src/gateway/kept_models.rs
+++ b/crates/beamwall-node/src/gateway/kept_models.rs
@@ -14,6 +14,8 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 
+use crate::gateway::kept_objects::read_at_start;
+
 /// The object.
 const KEY: &str = "reports/engine-models";
 /// Time between two writes: engines seldom change, and each call to the store has its price.
@@ -21,9 +23,6 @@
 /// Samples as which what is recalled counts: as many as tell an engine's speed, so that what is observed from then on
 /// soon outweighs it.
 const RECALLED_SAMPLES: f64 = 200.0;
-/// Tries to read it at a start, and the pause between them.
-const RECALL_TRIES: u32 = 5;
-const RECALL_PAUSE: Duration = Duration::from_secs(1);
 
 /// The sums of each service, as [`ServiceStatistics::to_numbers`] lists them.
 type KeptModels = BTreeMap<String, Vec<f64>>;
@@ -81,13 +80,9 @@
 
 /// Reads what was kept, at a start. Without it the node learns anew.
 pub(super) async fn recall(gateway: Arc<Gateway>, objects: Arc<dyn VersionedObjects>) {
-    for _ in 0..RECALL_TRIES {
-        match objects.get(KEY).await {
-            Ok(Some(object)) => return take(&gateway, &object),
-            Ok(None) => return,
-            Err(error) => emit(&EngineModelsNotKept { reason: error.to_string() }),
-        }
-        tokio::time::sleep(RECALL_PAUSE).await;
+    let tell = |reason| emit(&EngineModelsNotKept { reason });
+    if let Some(object) = read_at_start(objects.as_ref(), KEY, tell).await {
+        take(&gateway, &object);
     }
 }
 
--- /dev/null
+++ b/crates/beamwall-node/tests/kept_quarantine.rs
@@ -0,0 +1,104 @@
+//! Held requests in the store: known to the next nodes, and one trial of each number for all nodes.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+
+use async_trait::async_trait;
+use beamwall_gateway::quarantine::TrialPort;
+use beamwall_model::BackendId;
+use beamwall_node::gateway::kept_quarantine::KeptQuarantine;
+use beamwall_quarantine::{Fingerprint, FingerprintHasher, QuarantineBook};
+use beamwall_store::object::{Object, ObjectError, Version, VersionedObjects};
+use bytes::Bytes;
+
+/// Objects in memory.
+#[derive(Default)]
+struct Objects(Mutex<HashMap<String, Object>>);
+
+#[async_trait]
+impl VersionedObjects for Objects {
+    async fn get(&self, key: &str) -> Result<Option<Object>, ObjectError> {
+        Ok(self.0.lock().expect("no panic").get(key).cloned())
+    }
+
+    async fn put(&self, key: &str, expected: Version, value: Bytes) -> Result<Version, ObjectError> {
+        let mut objects = self.0.lock().expect("no panic");
+        let current = objects.get(key).map_or(0, |object| object.version);
+        if current != expected {
+            return Err(ObjectError::Conflict(current));
+        }
+        let version = current + 1;
+        objects.insert(key.to_owned(), Object { key: key.to_owned(), version, value });
+        Ok(version)
+    }
+}
+
+struct Node {
+    book: Arc<QuarantineBook>,
+    kept: KeptQuarantine,
+}
+
+fn node(objects: &Arc<Objects>) -> Node {
+    let book: Arc<QuarantineBook> = Arc::default();
+    let kept = KeptQuarantine::new(objects.clone(), book.clone(), Arc::default());
+    Node { book, kept }
+}
+
+fn now_ms() -> u64 {
+    beamwall_model::since_1970_ms(std::time::SystemTime::now())
+}
+
+fn request() -> Fingerprint {
+    FingerprintHasher::new(Some("alder"), "a.example", "/chat").finish()
+}
+
+fn hold(node: &Node) {
+    for engine in ["i-1", "i-2", "i-3"] {
+        node.book.note_ending(&BackendId::new(engine), vec![request()], now_ms());
+    }
+    assert!(node.book.is_held(&request()));
+}
+
+#[tokio::test]
+async fn the_next_nodes_know_what_was_held() {
+    let objects: Arc<Objects> = Arc::default();
+    let first = node(&objects);
+    hold(&first);
+    first.kept.keep_due().await;
+    let next = node(&objects);
+    next.kept.recall().await;
+    assert_eq!(next.book.held(), first.book.held());
+}
+
+#[tokio::test]
+async fn of_all_nodes_one_gets_the_trial_of_a_number() {
+    let objects: Arc<Objects> = Arc::default();
+    let nodes = [node(&objects), node(&objects), node(&objects)];
+    nodes.iter().for_each(hold);
+    for number in 1..=2 {
+        let mut granted = 0;
+        // Each asks twice, later each time, and none hears of the others.
+        for (turn, asking) in nodes.iter().chain(&nodes).enumerate() {
+            let at_ms = now_ms() + turn as u64 * 10;
+            granted += usize::from(asking.kept.take(&request(), number, at_ms).await);
+        }
+        assert_eq!(granted, 1, "trial {number}");
+    }
+    let later = node(&objects);
+    later.kept.recall().await;
+    assert!(!later.kept.take(&request(), 2, now_ms() + 100).await, "also in a next life");
+}
+
+#[tokio::test]
+async fn what_another_writer_put_there_is_overwritten() {
+    let objects: Arc<Objects> = Arc::default();
+    let object = Object { key: String::new(), version: 7, value: Bytes::from_static(b"[1, 2]") };
+    objects.0.lock().expect("no panic").insert("reports/held-requests".to_owned(), object);
+    let first = node(&objects);
+    first.kept.recall().await;
+    hold(&first);
+    first.kept.keep_due().await;
+    let next = node(&objects);
+    next.kept.recall().await;
+    assert!(next.book.is_held(&request()));
+}
--- a/crates/beamwall-quarantine/src/book.rs
+++ b/crates/beamwall-quarantine/src/book.rs
@@ -75,6 +75,18 @@
     kept_digest: u64,
 }
 
+impl View {
+    /// Why and how long a request is held; `None` where it is not.
+    fn held(&self, request: &Fingerprint) -> Option<&Held> {
+        self.suspects.get(request)?.as_ref()
+    }
+
+    /// All requests that are held.
+    fn all_held(&self) -> impl Iterator<Item = (&Fingerprint, &Held)> {
+        self.suspects.iter().filter_map(|(request, held)| Some((request, held.as_ref()?)))
+    }
+}
+
 impl QuarantineBook {
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -83,7 +95,7 @@
     /// How a request stands.
     pub fn standing(&self, request: &Fingerprint, now_ms: u64) -> Standing {
         let view = self.view.load();
-        let Some(Some(held)) = view.suspects.get(request) else { return Standing::Free };
+        let Some(held) = view.held(request) else { return Standing::Free };
         match held.next_trial_ms {
             Some(due_ms) if now_ms >= due_ms => Standing::TrialDue {
                 number: held.trials + 1,
@@ -101,7 +113,7 @@
 
     /// Whether a request is held, a trial being due or not.
     pub fn is_held(&self, request: &Fingerprint) -> bool {
-        matches!(self.view.load().suspects.get(request), Some(Some(_)))
+        self.view.load().held(request).is_some()
     }
 
     /// Whether an end of a back end tells against a request.
@@ -113,8 +125,7 @@
 
     /// Requests that are held.
     pub fn held(&self) -> Vec<(Fingerprint, Held)> {
-        let view = self.view.load();
-        view.suspects.iter().filter_map(|(request, held)| Some((*request, (*held)?))).collect()
+        self.view.load().all_held().map(|(request, held)| (*request, *held)).collect()
     }
 
     /// Requests in the book.
@@ -135,7 +146,7 @@
             return;
         }
         state.ended.insert(backend.clone(), now_ms);
-        if !self.held().is_empty() {
+        if self.view.load().all_held().next().is_some() {
             self.publish(&mut state);
         }
     }
@@ -156,21 +167,24 @@
         self.note(Evidence { trials: vec![trial], ..Evidence::default() }, now_ms);
     }
 
+    /// Notes what this node saw; returns whether it was new.
     fn note(&self, evidence: Evidence, now_ms: u64) -> bool {
         let mut state = self.lock();
-        let new = state.take(evidence, now_ms);
+        let new = self.take(&mut state, evidence, now_ms);
         let is_new = !new.is_empty();
         state.untold.extend(new);
-        self.publish(&mut state);
         is_new
     }
 
     /// Takes what others tell; returns what of it was new here.
     pub fn hear(&self, evidence: Evidence, now_ms: u64) -> Evidence {
-        let mut state = self.lock();
+        self.take(&mut self.lock(), evidence, now_ms)
+    }
+
+    fn take(&self, state: &mut State, evidence: Evidence, now_ms: u64) -> Evidence {
         let new = state.take(evidence, now_ms);
         if !new.is_empty() {
-            self.publish(&mut state);
+            self.publish(state);
         }
         new
     }
@@ -198,15 +212,15 @@
 
     /// All that is known here.
     pub fn whole(&self) -> Evidence {
-        to_evidence(self.lock().suspects.iter())
+        Evidence::of(self.lock().suspects.iter())
     }
 
     /// What is known of the held requests, to be kept where it outlives all nodes.
-    pub fn kept(&self) -> Evidence {
+    pub fn kept(&self) -> BTreeMap<Fingerprint, Suspect> {
         let view = self.view.load();
-        let is_held =
-            |(request, _): &(&Fingerprint, &Suspect)| matches!(view.suspects.get(*request), Some(Some(_)));
-        to_evidence(self.lock().suspects.iter().filter(is_held))
+        let state = self.lock();
+        let held = state.suspects.iter().filter(|(request, _)| view.held(request).is_some());
+        held.map(|(request, suspect)| (*request, suspect.clone())).collect()
     }
 
     /// A number that is equal for equal contents; 0 for none.
@@ -223,11 +237,10 @@
     fn publish(&self, state: &mut State) {
         let held = verdict::held(&state.suspects, &state.ended);
         let before = self.view.load();
-        let was_held = |request: &Fingerprint| matches!(before.suspects.get(request), Some(Some(_)));
-        let newly = held.iter().filter(|(request, _)| !was_held(request));
+        let newly = held.iter().filter(|(request, _)| before.held(request).is_none());
         state.changes.held.extend(newly.map(|(request, held)| (*request, *held)));
-        let earlier = before.suspects.iter().filter(|(_, held)| held.is_some());
-        let freed = earlier.map(|(request, _)| *request).filter(|request| !held.contains_key(request));
+        let freed =
+            before.all_held().map(|(request, _)| *request).filter(|request| !held.contains_key(request));
         state.changes.freed.extend(freed);
         let kept = state.suspects.iter().filter(|(request, _)| held.contains_key(request));
         let view = View {
@@ -293,27 +306,6 @@
     }
 }
 
-fn to_evidence<'a>(suspects: impl Iterator<Item = (&'a Fingerprint, &'a Suspect)>) -> Evidence {
-    let mut endings: BTreeMap<(&BackendId, u64), Vec<Fingerprint>> = BTreeMap::new();
-    let mut evidence = Evidence::default();
-    for (request, suspect) in suspects {
-        for (backend, at_ms) in &suspect.endings {
-            endings.entry((backend, *at_ms)).or_default().push(*request);
-        }
-        if suspect.completed_ms > 0 {
-            evidence.completions.push(Completion { request: *request, at_ms: suspect.completed_ms });
-        }
-        if suspect.trials > 0 {
-            let trial = Trial { request: *request, number: suspect.trials, at_ms: suspect.trial_ms };
-            evidence.trials.push(trial);
-        }
-    }
-    let ending =
-        |((backend, at_ms), open): ((&BackendId, u64), _)| Ending { backend: backend.clone(), at_ms, open };
-    evidence.endings = endings.into_iter().map(ending).collect();
-    evidence
-}
-
 fn digest<'a>(suspects: impl Iterator<Item = (&'a Fingerprint, &'a Suspect)>) -> u64 {
     suspects.fold(0, |sum, (request, suspect)| sum ^ digest_of_one(request, suspect))
 }
--- a/crates/beamwall-quarantine/src/evidence.rs
+++ b/crates/beamwall-quarantine/src/evidence.rs
@@ -3,9 +3,12 @@
 //! All of it only grows, and the same news heard twice or in another order gives the same book, so nodes may pass it on freely.
 //! Times are milliseconds since 1970 by the clock that most nodes agree on, so that they mean the same at all of them.
 
+use std::collections::BTreeMap;
+
 use beamwall_model::BackendId;
 
 use crate::fingerprint::Fingerprint;
+use crate::suspect::Suspect;
 
 /// A back end that ended without having announced it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -50,6 +53,31 @@
 }
 
 impl Evidence {
+    /// All that is known of some requests.
+    pub fn of<'a>(suspects: impl Iterator<Item = (&'a Fingerprint, &'a Suspect)>) -> Self {
+        let mut endings: BTreeMap<(&BackendId, u64), Vec<Fingerprint>> = BTreeMap::new();
+        let mut evidence = Self::default();
+        for (request, suspect) in suspects {
+            for (backend, at_ms) in &suspect.endings {
+                endings.entry((backend, *at_ms)).or_default().push(*request);
+            }
+            if suspect.completed_ms > 0 {
+                evidence.completions.push(Completion { request: *request, at_ms: suspect.completed_ms });
+            }
+            if suspect.trials > 0 {
+                let trial = Trial { request: *request, number: suspect.trials, at_ms: suspect.trial_ms };
+                evidence.trials.push(trial);
+            }
+        }
+        let ending = |((backend, at_ms), open): ((&BackendId, u64), _)| Ending {
+            backend: backend.clone(),
+            at_ms,
+            open,
+        };
+        evidence.endings = endings.into_iter().map(ending).collect();
+        evidence
+    }
+
     /// Whether there is none.
     pub fn is_empty(&self) -> bool {
         self.endings.is_empty() && self.completions.is_empty() && self.trials.is_empty()
--- a/crates/beamwall-quarantine/src/fingerprint.rs
+++ b/crates/beamwall-quarantine/src/fingerprint.rs
@@ -21,6 +21,18 @@
         Self(bytes)
     }
 
+    /// A fingerprint from all its hexadecimal digits.
+    pub fn from_hex(digits: &str) -> Option<Self> {
+        let mut bytes = [0; FINGERPRINT_BYTES];
+        hex::decode_to_slice(digits, &mut bytes).ok()?;
+        Some(Self(bytes))
+    }
+
+    /// All its hexadecimal digits.
+    pub fn to_hex(&self) -> String {
+        hex::encode(self.0)
+    }
+
     /// Its bytes.
     pub const fn as_bytes(&self) -> &[u8; FINGERPRINT_BYTES] {
         &self.0
@@ -29,7 +41,7 @@
 
 impl fmt::Display for Fingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(&hex::encode(&self.0[..SHOWN_BYTES]))
+        formatter.write_str(&self.to_hex()[..2 * SHOWN_BYTES])
     }
 }
 
--- a/crates/beamwall-quarantine/src/lib.rs
+++ b/crates/beamwall-quarantine/src/lib.rs
@@ -23,4 +23,5 @@
 pub use book::{QuarantineBook, Standing};
 pub use evidence::{Completion, Ending, Evidence, Trial};
 pub use fingerprint::{Fingerprint, FingerprintHasher};
+pub use suspect::Suspect;
 pub use terms::ENDINGS_UNTIL_HELD;
--- a/crates/beamwall-quarantine/src/suspect.rs
+++ b/crates/beamwall-quarantine/src/suspect.rs
@@ -1,13 +1,15 @@
-//! What is known of one request.
+//! What is known of one request, also as it is kept in the store.
 
 use std::collections::BTreeMap;
 
 use beamwall_model::{BackendId, to_ms};
+use serde::{Deserialize, Serialize};
 
 use crate::terms::{ENDINGS_UNTIL_HELD, HELD_FOR, MOST_ENDINGS, SUSPECTED_FOR};
 
 /// A request that was open at the end of a back end.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Suspect {
     /// The back ends, and when they ended.
     pub endings: BTreeMap<BackendId, u64>,
--- a/crates/beamwall-quarantine/tests/book.rs
+++ b/crates/beamwall-quarantine/tests/book.rs
@@ -202,7 +202,7 @@
     let now_ms = note_endings(&book, &[&["bad", "a"], &["bad", "b"], &["bad"]]);
     book.note_trial(&request("bad"), 1, now_ms + 5);
     let next = QuarantineBook::default();
-    next.hear(book.kept(), now_ms + 10);
+    next.hear(Evidence::of(book.kept().iter()), now_ms + 10);
     assert_eq!(next.held(), book.held());
     assert_eq!((next.suspects(), next.kept_digest()), (1, book.kept_digest()));
 }
