--- a/crates/beamwall-gateway/src/directory.rs
+++ b/crates/beamwall-gateway/src/directory.rs
@@ -18,7 +18,6 @@
 use std::sync::Arc;
 
 use beamwall_model::{BackendId, EngineVersion, InstanceName, ServiceName, ZoneName};
-use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::directory_log::ChangeLog;
@@ -26,7 +25,7 @@
 use crate::ports::{DirectoryChange, DirectoryChanges, DirectorySnapshot};
 
 /// A back end as listed.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Backend {
     /// The identifier of this life, made of the next two; never used again.
     pub id: BackendId,
--- a/crates/beamwall-gateway/tests/lives.rs
+++ b/crates/beamwall-gateway/tests/lives.rs
@@ -16,19 +16,7 @@
 use tokio::time::Instant;
 
 fn life(born_ms: u64) -> Backend {
-    let instance = "e1".into();
-    Backend {
-        id: BackendId::of_life(&instance, Some(born_ms)),
-        instance,
-        born_ms: Some(born_ms),
-        service: "pool".into(),
-        address: ([127, 0, 0, 1], 9_000).into(),
-        zone: "a".into(),
-        version: "v1".into(),
-        slots: 8,
-        draining: false,
-        reclaimable: false,
-    }
+    support::life("e1", born_ms)
 }
 
 fn prompt() -> Prompt {
--- a/crates/beamwall-gateway/tests/losses.rs
+++ b/crates/beamwall-gateway/tests/losses.rs
@@ -1,28 +1,15 @@
 //! Lost answers count against requests only where the back end is known to have ended.
 
+mod support;
+
 use std::time::Duration;
 
-use beamwall_gateway::Backend;
 use beamwall_gateway::losses::{LostAnswers, NextStep};
-use beamwall_model::{BackendId, EngineVersion, InstanceName, ServiceName, ZoneName};
+use beamwall_model::BackendId;
 use beamwall_quarantine::{Fingerprint, FingerprintHasher};
+use support::backend;
 use tokio::time::Instant;
 
-fn backend(name: &str) -> Backend {
-    Backend {
-        id: BackendId::new(name),
-        instance: InstanceName::new(name),
-        born_ms: None,
-        service: ServiceName::new("pool"),
-        address: ([127, 0, 0, 1], 9).into(),
-        zone: ZoneName::new("a"),
-        version: EngineVersion::new("v1"),
-        slots: 8,
-        draining: false,
-        reclaimable: false,
-    }
-}
-
 fn request(name: &str) -> Fingerprint {
     FingerprintHasher::new(None, "a.example", name).finish()
 }
--- a/crates/beamwall-gateway/tests/quarantine.rs
+++ b/crates/beamwall-gateway/tests/quarantine.rs
@@ -1,5 +1,7 @@
 //! What one node does about requests under which back ends end.
 
+mod support;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +11,7 @@
 use beamwall_gateway::quarantine::{Admission, Quarantine, TrialPort};
 use beamwall_gateway::{Backend, Directory, Vanishing};
 use beamwall_http::Pool;
-use beamwall_model::{BackendId, EngineVersion, InstanceName, ServiceName, ZoneName};
+use beamwall_model::BackendId;
 use beamwall_quarantine::{Fingerprint, FingerprintHasher, QuarantineBook};
 
 /// Grants no trial.
@@ -23,19 +25,7 @@
 }
 
 fn backend(name: &str, draining: bool) -> Backend {
-    Backend {
-        id: BackendId::new(name),
-        instance: InstanceName::new(name),
-        born_ms: None,
-        service: ServiceName::new("pool"),
-        // Nothing listens at the port for discarded messages here.
-        address: ([127, 0, 0, 1], 9).into(),
-        zone: ZoneName::new("a"),
-        version: EngineVersion::new("v1"),
-        slots: 8,
-        draining,
-        reclaimable: false,
-    }
+    Backend { draining, ..support::backend(name) }
 }
 
 fn list(directory: &ArcSwap<Directory>, revision: u64, backends: Vec<Backend>) {
--- a/crates/beamwall-gateway/tests/support/mod.rs
+++ b/crates/beamwall-gateway/tests/support/mod.rs
@@ -5,6 +5,7 @@
 use beamwall_engine_model::{EngineModels, FirstEvent, Reading, ServiceEstimates, ServiceStatistics};
 use beamwall_gateway::ports::DirectorySnapshot;
 use beamwall_gateway::{Backend, Directory, Reporter, Vanishing};
+use beamwall_model::BackendId;
 use tokio::time::Instant;
 
 /// Prompt tokens that the engines read in a millisecond.
@@ -55,20 +56,32 @@
     models.refresh(Instant::now());
 }
 
-/// A list of engines `e0`, `e1` and so on of the service `pool`, each of which works on `slots` requests at once.
-pub fn directory(engines: usize, slots: u32) -> Directory {
-    let backend = |number: usize| Backend {
-        id: format!("e{number}").as_str().into(),
-        instance: format!("e{number}").as_str().into(),
+/// An engine of the service `pool` that tells no life and takes requests.
+pub fn backend(instance: &str) -> Backend {
+    Backend {
+        id: instance.into(),
+        instance: instance.into(),
         born_ms: None,
         service: "pool".into(),
-        address: "127.0.0.1:1".parse().expect("an address"),
+        // Nothing listens there.
+        address: ([127, 0, 0, 1], 1).into(),
         zone: "a".into(),
         version: "v1".into(),
-        slots,
+        slots: 8,
         draining: false,
         reclaimable: false,
-    };
+    }
+}
+
+/// A life of an engine that began at `born_ms`.
+pub fn life(instance: &str, born_ms: u64) -> Backend {
+    let id = BackendId::of_life(&instance.into(), Some(born_ms));
+    Backend { id, born_ms: Some(born_ms), ..backend(instance) }
+}
+
+/// A list of engines `e0`, `e1` and so on of the service `pool`, each of which works on `slots` requests at once.
+pub fn directory(engines: usize, slots: u32) -> Directory {
+    let backend = |number: usize| Backend { slots, ..backend(&format!("e{number}")) };
     let mut directory = Directory::default();
     let backends = (0..engines).map(backend).collect();
     directory.replace(DirectorySnapshot { revision: 1, backends }, Vanishing::Gone);
