Failing test: a lab deployment on the addresses of another one is taken for started

Cause: the fault of the gateway stand-in sought elsewhere: the lab asks an address whether a process has started, and whoever listens there answers. Ruled out: the stand-ins of the node tests, which run in the test's own process and fail where they can't listen. Change: a test that starts one directory twice.

--- a/crates/beamwall-ctl/tests/processes.rs
+++ b/crates/beamwall-ctl/tests/processes.rs
@@ -280,3 +280,14 @@
         }
     }
 }
+
+/// A deployment whose addresses another one has: its processes end at once, and the other one's answer at their addresses. It was
+/// taken for started, and whoever asked it got the answers of the other.
+#[tokio::test]
+async fn a_deployment_on_the_addresses_of_another_one_is_not_taken_for_started() {
+    let started = start("addresses", 1).await;
+    let second = Deployment::start_with(programs(), &started.directory, SPEED).await;
+    let reason = second.err().expect("it does not start").to_string();
+    assert!(reason.contains("ended"), "{reason}");
+    started.stop().await;
+}
