A lab deployment counts as started only while all its processes run

Cause: the lab asks an address whether a process has started; where another deployment has the address, that one answers, and callers get its answers. Ruled out: refusing by the port alone (ports are settings of the directory, and may be in use for good reasons between two starts). Change: after the stand-ins answer, and once all serve, a process that has ended fails the start by its name and status. Measured: a_deployment_on_the_addresses_of_another_one_is_not_taken_for_started red before, green after with the five others of its file.

--- a/crates/beamwall-ctl/src/lab/deployment.rs
+++ b/crates/beamwall-ctl/src/lab/deployment.rs
@@ -151,6 +151,7 @@
         };
         deployment.start_stand_ins(directory, speed)?;
         deployment.wait_for_stand_ins().await?;
+        deployment.check_running()?;
         for number in 0..files.len() {
             deployment.start_node(number)?;
         }
@@ -161,9 +162,20 @@
         }
         deployment.load_tree(&directory.join("tree")).await?;
         deployment.wait_until_serving().await?;
+        deployment.check_running()?;
         Ok(deployment)
     }
 
+    /// Fails where a process has ended. One that could not listen has, and whoever has its address answers in its place.
+    fn check_running(&mut self) -> Result<(), CommandError> {
+        for process in &mut self.processes {
+            if let Ok(Some(status)) = process.child.try_wait() {
+                return Err(CommandError::Experiment(format!("{} has ended: {status}", process.name)));
+            }
+        }
+        Ok(())
+    }
+
     /// Starts the process of a node.
     pub fn start_node(&mut self, number: usize) -> Result<(), CommandError> {
         let file = node_files(&self.directory)?.swap_remove(number);
