--- a/crates/beamwall-lab/src/running.rs
+++ b/crates/beamwall-lab/src/running.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use beamwall_http::{Handler, serve};
+use socket2::{Domain, Socket, Type};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -76,8 +77,7 @@
             ports.left = block;
             continue;
         };
-        // Something that takes its ports in another way may have this one.
-        if StdListener::bind(on_loopback(port)).is_ok() {
+        if is_free(on_loopback(port)) {
             found.push(on_loopback(port));
         }
     }
@@ -94,6 +94,19 @@
     })
 }
 
+/// Whether nothing listens at an address: something that takes its ports in another way may have it.
+///
+/// The socket that looks never listens. A program that is started meanwhile has it until it has become that program, and a
+/// socket that listens would keep whoever is given the port from listening there.
+fn is_free(address: SocketAddr) -> bool {
+    let look = || {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&address.into())
+    };
+    look().is_ok()
+}
+
 fn on_loopback(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
 }
--- a/crates/beamwall-peer/tests/network.rs
+++ b/crates/beamwall-peer/tests/network.rs
@@ -6,10 +6,11 @@
 //! aborted the first test below; that the fault of the gateways was the same is suspected. A process must not end whatever its
 //! peers do, so sessions do without it. Proof: restarts as below.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use beamwall_lab::running::free_addresses;
 use beamwall_peer::gateway_message::VersionNews;
 use beamwall_peer::outbox::Outbox;
 use beamwall_peer::{Body, Envelope, PeerError, PeerNetwork};
@@ -26,12 +27,6 @@
 /// Longest wait for what must come.
 const PATIENCE: Duration = Duration::from_secs(5);
 
-fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let listeners: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
-    listeners.iter().map(|listener| listener.local_addr().expect("an address")).collect()
-}
-
 fn news(from: SocketAddr, version: u64) -> Envelope {
     Envelope {
         sender: from.to_string(),
