Failing test: slightly bad versions while back ends are in trouble, without the exception

Change: the exception goes; 8 in 100 worse and a worsening of 30 in 100 on one route of five join the cases; a bad version may not succeed, since its old back ends are stopped then; two plays a case, and any number by hand.

--- a/crates/beamwall-rollout/tests/simulation.rs
+++ b/crates/beamwall-rollout/tests/simulation.rs
@@ -9,22 +9,28 @@
 
 /// Plays of each case of a good version, and of a bad one.
 const PLAYS: u64 = 12;
-const PLAYS_OF_BAD: u64 = 1;
+const PLAYS_OF_BAD: u64 = 2;
+/// Set to play each case that many times, by hand.
+const PLAYS_BY_HAND: &str = "BEAMWALL_ROLLOUT_PLAYS";
 
-/// Share of bad answers beside the usual ones of a slightly bad version. While a tenth of the back ends is in trouble, see
-/// [`a_slightly_bad_version_is_rolled_back_in_time_while_back_ends_are_in_trouble`].
+/// Share of bad answers beside the usual ones of a slightly bad version.
 const SLIGHT: f64 = 0.05;
 
+fn plays(usual: u64) -> u64 {
+    std::env::var(PLAYS_BY_HAND).ok().and_then(|text| text.parse().ok()).unwrap_or(usual)
+}
+
 fn bad_versions() -> Vec<Badness> {
     let mut cases = Vec::new();
     for onset in [0.0, 0.3, 0.6, 0.9] {
-        for share in [0.05, 0.2, 0.6] {
+        for share in [SLIGHT, 0.08, 0.2, 0.6] {
             cases.push(Badness { onset, share, ..Badness::NONE });
         }
         // Three and eight times slower, as shares of answers that count as slow.
         cases.push(Badness { onset, share: 0.7, ..Badness::NONE });
         cases.push(Badness { onset, share: 0.98, ..Badness::NONE });
         cases.push(Badness { onset, share: 0.6, route: Some(4), ..Badness::NONE });
+        cases.push(Badness { onset, share: 0.3, route: Some(2), ..Badness::NONE });
         cases.push(Badness { onset, share: 0.4, under_load: true, ..Badness::NONE });
     }
     cases
@@ -61,6 +67,8 @@
         let what = format!("{fleet:?} {badness:?} {trouble:?} seed {seed}: {outcome:?}");
         if badness.is_bad() {
             assert!(outcome.exposed_part <= 1.0, "exposure: {what}");
+            // The old back ends are stopped then, so nothing can be taken back.
+            assert!(!outcome.succeeded, "succeeded: {what}");
             if outcome.used_after_rollback {
                 println!("used too long: {what}");
                 table.used_too_long += 1;
@@ -77,13 +85,12 @@
         for trouble in Trouble::ALL {
             let mut whole = Table::default();
             for badness in bad_versions() {
-                let table = run(fleet, badness, trouble, PLAYS_OF_BAD);
+                let table = run(fleet, badness, trouble, plays(PLAYS_OF_BAD));
                 whole.plays += table.plays;
                 whole.rolled_back += table.rolled_back;
                 whole.most_exposed = whole.most_exposed.max(table.most_exposed);
                 whole.used_too_long += table.used_too_long;
-                let is_hidden = badness.share <= SLIGHT && trouble.strikes_back_ends();
-                assert!(is_hidden || table.used_too_long == 0, "{fleet:?} {badness:?} {trouble:?}");
+                assert_eq!(table.used_too_long, 0, "{fleet:?} {badness:?} {trouble:?}");
             }
             println!(
                 "{} gateways, {trouble:?}: {:.0} in 100 of {} bad versions rolled back, exposed up to {:.2} of what is allowed, {} used too long",
@@ -101,7 +108,7 @@
 fn good_versions_take_the_traffic_in_time_and_are_seldom_rolled_back() {
     for fleet in [Fleet::SMALL, Fleet::MIDDLE, Fleet::LARGE] {
         for trouble in Trouble::ALL {
-            let table = run(fleet, Badness::NONE, trouble, PLAYS);
+            let table = run(fleet, Badness::NONE, trouble, plays(PLAYS));
             let (in_time, back) = (table.share(table.succeeded_in_time), table.share(table.rolled_back));
             println!(
                 "{} gateways, {trouble:?}: {:.0} in 100 of {} good versions done in time, {:.0} later, {:.1} rolled back",
--- a/crates/beamwall-rollout/tests/support/mod.rs
+++ b/crates/beamwall-rollout/tests/support/mod.rs
@@ -83,11 +83,6 @@
 }
 
 impl Trouble {
-    /// Whether answers of back ends turn bad by it.
-    pub fn strikes_back_ends(self) -> bool {
-        matches!(self, Self::Crashes | Self::Grey)
-    }
-
     pub const ALL: [Self; 5] = [Self::Calm, Self::Crashes, Self::Grey, Self::HolderKilled, Self::Cut];
 }
 
