Slightly bad versions are told from good ones while back ends are in trouble

Callers saw: a version that fails 5 in 100 more got requests for longer than 5 s after its fiftieth bad answer while a tenth of all back ends crashed or failed, and in small fleets took everything. Cause: the two versions were compared by unlike counts. The worst of the new version's back ends were left out, by rank; the old version was known by its sum only, so its back ends in trouble raised what counted as usual from 2 to 6 in 100. Ruled out: more evidence alone (the sums point the wrong way however many answers come). Change: answers of the old version are counted and told by back end too. Of either version a back end counts as in trouble by its own answers against the others of its version (modules likelihood, trouble, history). What is usual rests on sound ones; a sum against a version weighs each by how likely it is sound; for a version speak all that are not certainly in trouble. The new form stands in a field of its own beside the sums, which earlier builds read on.

--- a/crates/beamwall-node/src/gateway/rollout_wire.rs
+++ b/crates/beamwall-node/src/gateway/rollout_wire.rs
@@ -1,5 +1,6 @@
 //! Rollouts in the form of messages.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use beamwall_model::{BackendId, EngineVersion, ServiceName, to_ms};
@@ -73,21 +74,43 @@
     }
 }
 
+type CountsByBackEnd = BTreeMap<(String, BackendId), AnswerCounts>;
+
 fn encode_evidence((id, evidence): &(OrderId, Evidence)) -> ToldEvidence {
-    let row = |route: &String, back_end: String, counts: &AnswerCounts| ToldAnswers {
-        route: route.clone(),
-        back_end,
-        answers: counts.answers,
-        bad: counts.bad,
-    };
-    let old = evidence.old.iter().map(|(route, counts)| row(route, String::new(), counts));
-    let new = evidence.new.iter().map(|((route, id), counts)| row(route, id.to_string(), counts));
+    let mut answers = encode_sums_by_route(&evidence.old);
+    answers.extend(encode_counts(&evidence.new));
     ToldEvidence {
         id: encode_id(id),
         requests: evidence.requests,
         exposed: evidence.exposed,
-        answers: old.chain(new).collect(),
+        answers,
+        old_answers: encode_counts(&evidence.old),
+    }
+}
+
+fn encode_counts(counts: &CountsByBackEnd) -> Vec<ToldAnswers> {
+    let row = |((route, back_end), counts): (&(String, BackendId), &AnswerCounts)| ToldAnswers {
+        route: route.clone(),
+        back_end: back_end.to_string(),
+        answers: counts.answers,
+        bad: counts.bad,
+    };
+    counts.iter().map(row).collect()
+}
+
+/// The sums that builds read which do not tell the old version's back ends apart.
+fn encode_sums_by_route(counts: &CountsByBackEnd) -> Vec<ToldAnswers> {
+    let mut sums: BTreeMap<&str, AnswerCounts> = BTreeMap::new();
+    for ((route, _), counts) in counts {
+        sums.entry(route).or_default().add(*counts);
     }
+    let row = |(route, sum): (&str, AnswerCounts)| ToldAnswers {
+        route: route.to_owned(),
+        back_end: String::new(),
+        answers: sum.answers,
+        bad: sum.bad,
+    };
+    sums.into_iter().map(row).collect()
 }
 
 /// Orders as heard.
@@ -124,19 +147,28 @@
     news.stages.iter().filter_map(decode).collect()
 }
 
-/// What others counted.
+/// What others counted. Builds that do not tell the old version's back ends apart tell their sums: these stand as those of one
+/// back end without a name.
 pub fn decode_evidence(news: &RolloutNews) -> Vec<(OrderId, Evidence)> {
     let decode = |told: &ToldEvidence| {
-        let mut evidence = Evidence { requests: told.requests, exposed: told.exposed, ..Evidence::default() };
-        for row in &told.answers {
-            let counts = AnswerCounts { answers: row.answers, bad: row.bad };
-            if row.back_end.is_empty() {
-                evidence.old.insert(row.route.clone(), counts);
-            } else {
-                evidence.new.insert((row.route.clone(), BackendId::new(&row.back_end)), counts);
-            }
-        }
+        let (sums, of_new): (Vec<&ToldAnswers>, Vec<&ToldAnswers>) =
+            told.answers.iter().partition(|row| row.back_end.is_empty());
+        let of_old = if told.old_answers.is_empty() { sums } else { told.old_answers.iter().collect() };
+        let evidence = Evidence {
+            requests: told.requests,
+            exposed: told.exposed,
+            old: decode_counts(of_old),
+            new: decode_counts(of_new),
+        };
         Some((decode_id(told.id.as_ref())?, evidence))
     };
     news.evidence.iter().filter_map(decode).collect()
 }
+
+fn decode_counts(rows: Vec<&ToldAnswers>) -> CountsByBackEnd {
+    let decode = |row: &ToldAnswers| {
+        let counts = AnswerCounts { answers: row.answers, bad: row.bad };
+        ((row.route.clone(), BackendId::new(&row.back_end)), counts)
+    };
+    rows.into_iter().map(decode).collect()
+}
--- a/crates/beamwall-peer/src/rollout_message.rs
+++ b/crates/beamwall-peer/src/rollout_message.rs
@@ -91,18 +91,21 @@
     /// Requests sent to the new version.
     #[prost(uint64, tag = "3")]
     pub exposed: u64,
-    /// Answers.
+    /// Answers of the old version by route, and of the new one by route and back end.
     #[prost(message, repeated, tag = "4")]
     pub answers: Vec<ToldAnswers>,
+    /// Answers of the old version by route and back end. Builds that do not know this field read the sums above.
+    #[prost(message, repeated, tag = "5")]
+    pub old_answers: Vec<ToldAnswers>,
 }
 
-/// Answers on one route: of the old version, or of one back end of the new one.
+/// Answers on one route: of one back end, or of the old version together.
 #[derive(Clone, PartialEq, Message)]
 pub struct ToldAnswers {
     /// Route.
     #[prost(string, tag = "1")]
     pub route: String,
-    /// Back end of the new version; empty for the old one.
+    /// Back end; empty for all of the old version together.
     #[prost(string, tag = "2")]
     pub back_end: String,
     /// Answers.
--- a/crates/beamwall-rollout/src/book.rs
+++ b/crates/beamwall-rollout/src/book.rs
@@ -294,12 +294,9 @@
     ) {
         let mut book = self.lock();
         let Some(known) = book.get_mut(service) else { return };
-        if known.order.id.target == *version {
-            let key = (route.to_owned(), back_end.clone());
-            known.own.new.entry(key).or_default().note(is_bad);
-        } else {
-            known.own.old.entry(route.to_owned()).or_default().note(is_bad);
-        }
+        let is_new = known.order.id.target == *version;
+        let answers = if is_new { &mut known.own.new } else { &mut known.own.old };
+        answers.entry((route.to_owned(), back_end.clone())).or_default().note(is_bad);
     }
 
     /// What this node counted of each order that runs, to be told.
--- a/crates/beamwall-rollout/src/evidence.rs
+++ b/crates/beamwall-rollout/src/evidence.rs
@@ -20,7 +20,16 @@
         self.bad += u64::from(is_bad);
     }
 
-    fn add(&mut self, other: Self) {
+    /// Those that came after `before` was counted.
+    pub fn since(self, before: Self) -> Self {
+        Self {
+            answers: self.answers.saturating_sub(before.answers),
+            bad: self.bad.saturating_sub(before.bad),
+        }
+    }
+
+    /// Adds others.
+    pub fn add(&mut self, other: Self) {
         self.answers += other.answers;
         self.bad += other.bad;
     }
@@ -38,8 +47,8 @@
     pub requests: u64,
     /// Requests sent to the new version.
     pub exposed: u64,
-    /// Answers of the old version by route.
-    pub old: BTreeMap<String, AnswerCounts>,
+    /// Answers of the old version by route and back end.
+    pub old: BTreeMap<(String, BackendId), AnswerCounts>,
     /// Answers of the new version by route and back end.
     pub new: BTreeMap<(String, BackendId), AnswerCounts>,
 }
@@ -49,8 +58,8 @@
     pub fn add(&mut self, other: &Self) {
         self.requests += other.requests;
         self.exposed += other.exposed;
-        for (route, counts) in &other.old {
-            self.old.entry(route.clone()).or_default().add(*counts);
+        for (key, counts) in &other.old {
+            self.old.entry(key.clone()).or_default().add(*counts);
         }
         for (key, counts) in &other.new {
             self.new.entry(key.clone()).or_default().add(*counts);
@@ -61,8 +70,8 @@
     pub fn raise(&mut self, told: &Self) {
         self.requests = self.requests.max(told.requests);
         self.exposed = self.exposed.max(told.exposed);
-        for (route, counts) in &told.old {
-            self.old.entry(route.clone()).or_default().raise(*counts);
+        for (key, counts) in &told.old {
+            self.old.entry(key.clone()).or_default().raise(*counts);
         }
         for (key, counts) in &told.new {
             self.new.entry(key.clone()).or_default().raise(*counts);
--- a/crates/beamwall-rollout/src/lib.rs
+++ b/crates/beamwall-rollout/src/lib.rs
@@ -17,11 +17,14 @@
 pub mod bounds;
 pub mod detector;
 pub mod evidence;
+pub mod history;
+pub mod likelihood;
 pub mod order;
 pub mod rollout;
 pub mod schedule;
 pub mod stage;
 pub mod traffic;
+pub mod trouble;
 
 pub use book::{OrderNews, RolloutBook, Side, StageNews, VersionRule};
 pub use bounds::Bounds;
--- a/crates/beamwall-rollout/tests/simulation.rs
+++ b/crates/beamwall-rollout/tests/simulation.rs
@@ -79,50 +79,63 @@
     table
 }
 
+/// All fleets with all troubles, each on a thread of its own.
+fn in_all_fleets(play_one: impl Fn(Fleet, Trouble) + Sync) {
+    std::thread::scope(|scope| {
+        for fleet in [Fleet::SMALL, Fleet::MIDDLE, Fleet::LARGE] {
+            for trouble in Trouble::ALL {
+                let play_one = &play_one;
+                scope.spawn(move || play_one(fleet, trouble));
+            }
+        }
+    });
+}
+
 #[test]
 fn bad_versions_never_get_more_than_the_bounds_allow() {
-    for fleet in [Fleet::SMALL, Fleet::MIDDLE, Fleet::LARGE] {
-        for trouble in Trouble::ALL {
-            let mut whole = Table::default();
-            for badness in bad_versions() {
-                let table = run(fleet, badness, trouble, plays(PLAYS_OF_BAD));
-                whole.plays += table.plays;
-                whole.rolled_back += table.rolled_back;
-                whole.most_exposed = whole.most_exposed.max(table.most_exposed);
-                whole.used_too_long += table.used_too_long;
-                assert_eq!(table.used_too_long, 0, "{fleet:?} {badness:?} {trouble:?}");
-            }
-            println!(
-                "{} gateways, {trouble:?}: {:.0} in 100 of {} bad versions rolled back, exposed up to {:.2} of what is allowed, {} used too long",
-                fleet.gateways,
-                100.0 * whole.share(whole.rolled_back),
-                whole.plays,
-                whole.most_exposed,
-                whole.used_too_long,
-            );
+    in_all_fleets(|fleet, trouble| {
+        let mut whole = Table::default();
+        for badness in bad_versions() {
+            let table = run(fleet, badness, trouble, plays(PLAYS_OF_BAD));
+            whole.plays += table.plays;
+            whole.rolled_back += table.rolled_back;
+            whole.most_exposed = whole.most_exposed.max(table.most_exposed);
+            whole.used_too_long += table.used_too_long;
+            assert_eq!(table.used_too_long, 0, "{fleet:?} {badness:?} {trouble:?}");
         }
-    }
+        println!(
+            "{} gateways, {trouble:?}: {:.0} in 100 of {} bad versions rolled back, exposed up to {:.2} of what is allowed, {} used too long",
+            fleet.gateways,
+            100.0 * whole.share(whole.rolled_back),
+            whole.plays,
+            whole.most_exposed,
+            whole.used_too_long,
+        );
+    });
 }
 
 #[test]
 fn good_versions_take_the_traffic_in_time_and_are_seldom_rolled_back() {
-    for fleet in [Fleet::SMALL, Fleet::MIDDLE, Fleet::LARGE] {
-        for trouble in Trouble::ALL {
-            let table = run(fleet, Badness::NONE, trouble, plays(PLAYS));
-            let (in_time, back) = (table.share(table.succeeded_in_time), table.share(table.rolled_back));
-            println!(
-                "{} gateways, {trouble:?}: {:.0} in 100 of {} good versions done in time, {:.0} later, {:.1} rolled back",
-                fleet.gateways,
-                100.0 * in_time,
-                table.plays,
-                100.0 * (table.share(table.succeeded) - in_time),
-                100.0 * back,
-            );
-            assert!(back < 0.02, "{fleet:?} {trouble:?}: {back} rolled back");
-        }
-    }
+    in_all_fleets(|fleet, trouble| {
+        let table = run(fleet, Badness::NONE, trouble, plays(PLAYS));
+        let (in_time, back) = (table.share(table.succeeded_in_time), table.share(table.rolled_back));
+        println!(
+            "{} gateways, {trouble:?}: {:.0} in 100 of {} good versions done in time, {:.0} later, {:.1} rolled back",
+            fleet.gateways,
+            100.0 * in_time,
+            table.plays,
+            100.0 * (table.share(table.succeeded) - in_time),
+            100.0 * back,
+        );
+        assert!(back < 0.02, "{fleet:?} {trouble:?}: {back} rolled back");
+    });
 }
 
+/// A version that fails 5 in 100 more got requests later than 5 s after its fiftieth bad answer, in 219 of 600 plays with a tenth
+/// of all back ends in trouble; in small fleets it even succeeded. Two sides of one comparison were counted differently: of the
+/// new version's back ends the worst were left out, of the old one's none. So the back ends in trouble made the old version's
+/// share of bad answers 6 in 100 where its sound ones had 2, and the new version's 7 in 100 looked usual. The shares of the old
+/// version by back end showed it: 53 of 60 had 2 in 100, 7 had 40.
 #[test]
 fn a_slightly_bad_version_is_rolled_back_in_time_while_back_ends_are_in_trouble() {
     for trouble in [Trouble::Crashes, Trouble::Grey] {
--- a/crates/beamwall-rollout/tests/support/mod.rs
+++ b/crates/beamwall-rollout/tests/support/mod.rs
@@ -106,6 +106,14 @@
     verdict: Verdict,
 }
 
+/// An answer that was counted.
+struct Answer {
+    route: usize,
+    back_end: BackendId,
+    is_new: bool,
+    is_bad: bool,
+}
+
 struct Play {
     fleet: Fleet,
     badness: Badness,
@@ -121,7 +129,7 @@
     /// What each gateway knows, and what is on the way to it.
     told: Vec<Told>,
     /// Answers on their way to the node that decides, by the step in which they are known.
-    answers: BTreeMap<u64, Vec<(usize, Option<BackendId>, bool)>>,
+    answers: BTreeMap<u64, Vec<Answer>>,
     requests_known: BTreeMap<u64, (u64, u64)>,
     old_ends_ms: Vec<u64>,
     bad_answers: Vec<u64>,
@@ -302,7 +310,8 @@
         let exposed = u64::from(new.is_some());
         let counted = self.requests_known.entry(now_ms + told_ms).or_default();
         *counted = (counted.0 + 1, counted.1 + exposed);
-        self.answers.entry(now_ms + takes_ms + told_ms).or_default().push((route, new, is_bad));
+        let answer = Answer { route, back_end: id, is_new: new.is_some(), is_bad };
+        self.answers.entry(now_ms + takes_ms + told_ms).or_default().push(answer);
     }
 
     fn draw_route(&mut self) -> usize {
@@ -329,12 +338,10 @@
             evidence.requests += requests;
             evidence.exposed += exposed;
         }
-        for (route, new, is_bad) in self.answers.remove(&now_ms).unwrap_or_default() {
-            let route = format!("route-{route}");
-            match new {
-                Some(id) => evidence.new.entry((route, id)).or_default().note(is_bad),
-                None => evidence.old.entry(route).or_default().note(is_bad),
-            }
+        for answer in self.answers.remove(&now_ms).unwrap_or_default() {
+            let counted = if answer.is_new { &mut evidence.new } else { &mut evidence.old };
+            let key = (format!("route-{}", answer.route), answer.back_end);
+            counted.entry(key).or_default().note(answer.is_bad);
         }
     }
 }
