--- a/crates/beamwall-lab/src/application.rs
+++ b/crates/beamwall-lab/src/application.rs
@@ -8,9 +8,12 @@
 use hyper::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
+use tokio::sync::Notify;
 
 const BODY_LIMIT_BYTES: usize = 8 << 20;
 const BODY_LIMIT: Duration = Duration::from_secs(10);
+/// Time that a call runs under which a back end ends.
+const RUN_BEFORE_END: Duration = Duration::from_millis(60);
 /// Calls recorded at most; a throughput run stops recording there.
 const RECORD_LIMIT: usize = 200_000;
 
@@ -47,6 +50,8 @@
     ran_count: u64,
     open: u64,
     faults: ApplicationFaults,
+    /// Bytes in a body under which the back end ends; none where there are none.
+    ends_under: Vec<u8>,
 }
 
 /// The stand-in.
@@ -54,12 +59,28 @@
 pub struct ApplicationStandIn {
     name: String,
     state: Mutex<State>,
+    ended: Notify,
 }
 
 impl ApplicationStandIn {
     /// A back end of the given name.
     pub fn new(name: &str) -> Arc<Self> {
-        Arc::new(Self { name: name.to_owned(), state: Mutex::default() })
+        Arc::new(Self { name: name.to_owned(), state: Mutex::default(), ended: Notify::new() })
+    }
+
+    /// Ends under each call whose body holds `marker`, soon after it has begun to run it.
+    pub fn end_under(&self, marker: &[u8]) {
+        self.lock().ends_under = marker.to_vec();
+    }
+
+    /// Waits until it has ended under a call. Whoever owns its listener closes it then.
+    pub async fn ended(&self) {
+        self.ended.notified().await;
+    }
+
+    fn ends_under(&self, body: &[u8]) -> bool {
+        let marker = &self.lock().ends_under;
+        !marker.is_empty() && body.windows(marker.len()).any(|bytes| bytes == marker)
     }
 
     /// Sets the behaviour in force.
@@ -117,6 +138,11 @@
             }
         };
         let (number, faults, lose) = self.record(call);
+        if self.ends_under(&body) {
+            tokio::time::sleep(RUN_BEFORE_END).await;
+            self.ended.notify_one();
+            return crate::object_store::lost_answer().await;
+        }
         if faults.service_ms > 0 {
             tokio::time::sleep(Duration::from_millis(faults.service_ms)).await;
         }
--- a/crates/beamwall-lab/src/engine/handler.rs
+++ b/crates/beamwall-lab/src/engine/handler.rs
@@ -25,6 +25,8 @@
 const WITHHELD_EVENTS: usize = 16;
 /// Of this many cache events one is lost.
 const LOST_EVENT_PERIOD: u64 = 23;
+/// Time that a request runs under which an engine ends.
+const RUN_BEFORE_END: Duration = Duration::from_millis(60);
 /// Pieces a slow reader may lag behind.
 const OUTPUT_CAPACITY: usize = 64;
 
@@ -69,6 +71,8 @@
     version: String,
     orders: Vec<OrderCall>,
     reports: VecDeque<(Instant, Value)>,
+    /// Text in a prompt under which the engine ends; none where it is empty.
+    ends_under: String,
 }
 
 /// The stand-in.
@@ -80,6 +84,7 @@
     dead: AtomicBool,
     stalled: AtomicBool,
     died: Notify,
+    ended: Notify,
 }
 
 /// Starts an engine on an address.
@@ -104,6 +109,7 @@
             version: options.version.clone(),
             orders: Vec::new(),
             reports: VecDeque::new(),
+            ends_under: String::new(),
         };
         Arc::new(Self {
             options,
@@ -112,6 +118,7 @@
             dead: AtomicBool::new(false),
             stalled: AtomicBool::new(false),
             died: Notify::new(),
+            ended: Notify::new(),
         })
     }
 
@@ -135,6 +142,26 @@
         self.died.notify_waiters();
     }
 
+    /// Ends under each request whose prompt holds `marker`, soon after it has begun to run it.
+    pub fn end_under(&self, marker: &str) {
+        self.lock().ends_under = marker.to_owned();
+    }
+
+    /// Waits until it has ended under a request. Whoever owns its listener closes it then.
+    pub async fn ended(&self) {
+        self.ended.notified().await;
+    }
+
+    /// Runs a request under which the engine ends.
+    fn begin_end(self: &Arc<Self>) {
+        let engine = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(RUN_BEFORE_END).await;
+            engine.kill();
+            engine.ended.notify_one();
+        });
+    }
+
     /// Stops computing while still answering polls, as a wedged accelerator would.
     pub fn stall(&self) {
         self.stalled.store(true, Ordering::Relaxed);
@@ -164,12 +191,18 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn generate(&self, body: Bytes) -> Response<Body> {
+    async fn generate(self: &Arc<Self>, body: Bytes) -> Response<Body> {
         let call: GenerateCall = match serde_json::from_slice(&body) {
             Ok(call) => call,
             Err(error) => return refusal(StatusCode::BAD_REQUEST, &error.to_string()),
         };
-        let mut output = self.lock().batch.submit(call);
+        let mut output = {
+            let mut state = self.lock();
+            if !state.ends_under.is_empty() && call.prompt.contains(&state.ends_under) {
+                self.begin_end();
+            }
+            state.batch.submit(call)
+        };
         self.work.notify_one();
         let (sender, body) = beamwall_http::channel(OUTPUT_CAPACITY);
         let name = self.options.name.clone();
@@ -269,7 +302,7 @@
         json_response(StatusCode::OK, &kept)
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(self: &Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let path = request.uri().path().to_owned();
         match path.as_str() {
             "/load" => return self.load(),
--- a/crates/beamwall-node/tests/support/mod.rs
+++ b/crates/beamwall-node/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use beamwall_config::{Change, KeyDigest, ProcessSettings};
@@ -140,7 +141,7 @@
     pub name: String,
     pub zone: &'static str,
     pub engine: Arc<EngineStandIn>,
-    running: Running,
+    running: Arc<Running>,
 }
 
 /// A deployment.
@@ -151,6 +152,8 @@
     pub cloud: Arc<CloudStandIn>,
     pub engines: Vec<TestEngine>,
     pub applications: Vec<Arc<ApplicationStandIn>>,
+    /// Where the applications listen, in the same order.
+    application_servers: Vec<Arc<Running>>,
     pub nodes: Vec<TestNode>,
     servers: Vec<Running>,
 }
@@ -177,6 +180,7 @@
         let engines = start_engines(&plan, &mut machines).await;
         let mut servers = Vec::new();
         let mut applications = Vec::new();
+        let mut application_servers = Vec::new();
         for zone in ZONES {
             for number in 0..plan.applications_per_zone {
                 let name = format!("game-{zone}{number}");
@@ -185,7 +189,7 @@
                     Running::start(loopback(), application.clone()).await.expect("an application starts");
                 machines.push(machine(&name, zone, "application", server.address, "game"));
                 applications.push(application);
-                servers.push(server);
+                application_servers.push(Arc::new(server));
             }
         }
         let options = CloudOptions { list_lag: Duration::from_millis(plan.list_lag_ms), speed: plan.speed };
@@ -198,7 +202,16 @@
         }
         let nodes = start_nodes(&plan, &platform_links, cloud_server.address);
         servers.extend([platform_server, cloud_server]);
-        let cluster = Self { platform, platform_links, cloud, engines, applications, nodes, servers };
+        let cluster = Self {
+            platform,
+            platform_links,
+            cloud,
+            engines,
+            applications,
+            application_servers,
+            nodes,
+            servers,
+        };
         cluster.load_tree(&plan).await;
         cluster.wait_until_serving().await;
         cluster
@@ -235,6 +248,31 @@
         }
     }
 
+    /// Lets all back ends end under each request that holds `marker`: their connections break, and nothing listens there any
+    /// more. Counts those that have.
+    pub fn end_back_ends_under(&self, marker: &str) -> Arc<AtomicUsize> {
+        let ended = Arc::new(AtomicUsize::new(0));
+        for engine in &self.engines {
+            engine.engine.end_under(marker);
+            let (engine, running, ended) = (engine.engine.clone(), engine.running.clone(), ended.clone());
+            tokio::spawn(async move {
+                engine.ended().await;
+                running.stop();
+                ended.fetch_add(1, Ordering::Relaxed);
+            });
+        }
+        for (application, running) in self.applications.iter().zip(&self.application_servers) {
+            application.end_under(marker.as_bytes());
+            let (application, running, ended) = (application.clone(), running.clone(), ended.clone());
+            tokio::spawn(async move {
+                application.ended().await;
+                running.stop();
+                ended.fetch_add(1, Ordering::Relaxed);
+            });
+        }
+        ended
+    }
+
     /// Takes back the back ends of a zone after a notice.
     pub fn reclaim_zone(&self, zone: &str, notice: Duration) {
         let in_zone = self.cloud.machines().into_iter().filter(|machine| machine.zone == zone);
@@ -275,7 +313,7 @@
             };
             let (engine, running) = start_engine(loopback(), options).await.expect("an engine starts");
             machines.push(machine(&name, zone, "large", running.address, "helper"));
-            engines.push(TestEngine { name, zone, engine, running });
+            engines.push(TestEngine { name, zone, engine, running: Arc::new(running) });
         }
     }
     engines
