The end of a caller's time is waited for in one place

Cause: four timers each worked out the end of a caller's time from its deadline, so a clock that counts the time asleep had to be put in four places. Ruled out: nothing; behaviour is the same, but that a stream's log says whether silence or the caller's time ended it. Change: Call::time_is_up; streams open with the time that remains. Measured: tests of the gateway green.

--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -76,7 +76,7 @@
     pub received: Instant,
     /// Time for which the machine had been suspended when it arrived.
     pub asleep_before: Duration,
-    /// When its time is up, for timers: the caller's patience or the route's limit, whichever is first.
+    /// When its time is up: the caller's patience or the route's limit, whichever is first.
     pub deadline: Instant,
     /// The version of the policy that decided.
     pub policy_version: u64,
@@ -94,6 +94,11 @@
         self.deadline.saturating_duration_since(Instant::now()).saturating_sub(asleep)
     }
 
+    /// Waits until the caller's time is up.
+    pub async fn time_is_up(&self) {
+        tokio::time::sleep_until(self.deadline).await;
+    }
+
     /// Back ends to which it may be sent.
     pub fn attempt_limit(&self) -> u32 {
         match self.admission {
--- a/crates/beamwall-gateway/src/stream/mod.rs
+++ b/crates/beamwall-gateway/src/stream/mod.rs
@@ -93,7 +93,7 @@
 ) -> Result<Begun, AttemptFailure> {
     let patience = Patience::new(forwarder, call, choice, attempts);
     let sent_at = Instant::now();
-    let limit = call.deadline.saturating_duration_since(sent_at);
+    let limit = call.remaining();
     let opened = tokio::select! {
         opened = attempt::open(forwarder, call, choice, last_event, limit) => opened?,
         () = patience.ends() => return Err(given_up(forwarder, call, choice)),
@@ -110,7 +110,7 @@
     let first = tokio::select! {
         piece = source.next_piece() => piece,
         () = patience.ends() => return Err(given_up(forwarder, call, choice)),
-        () = tokio::time::sleep_until(call.deadline) => {
+        () = call.time_is_up() => {
             Piece::Broken(AttemptFailure::lost("no first event in time"))
         }
     };
--- a/crates/beamwall-gateway/src/stream/relay.rs
+++ b/crates/beamwall-gateway/src/stream/relay.rs
@@ -151,16 +151,16 @@
 
     /// The next piece, or `None` when the caller has gone.
     async fn wait(&self, source: &mut Source) -> Option<Piece> {
-        let silence = Instant::now() + SILENCE_LIMIT;
         // A silent engine is left only where another may be asked: late events are better than none.
         let may_move = self.call.route.kind.is_idempotent() && self.attempts.sent < self.call.attempt_limit();
-        let until = if may_move { silence.min(self.call.deadline) } else { self.call.deadline };
+        let silence = async {
+            if may_move { tokio::time::sleep(SILENCE_LIMIT).await } else { std::future::pending().await }
+        };
         tokio::select! {
             piece = source.next_piece() => Some(piece),
             () = self.sender.disconnected() => None,
-            () = tokio::time::sleep_until(until) => {
-                Some(Piece::Broken(AttemptFailure::lost("silent for too long")))
-            }
+            () = silence => Some(Piece::Broken(AttemptFailure::lost("silent for too long"))),
+            () = self.call.time_is_up() => Some(Piece::Broken(AttemptFailure::lost("the time is up"))),
         }
     }
 
