Failing test: the time of an open request while the machine sleeps

Cause: listed as "none" in the table of who holds what by a term: deadline timers of open requests are steady. Ruled out: the time that is left (it counts the time asleep; the test asserts it). Change: a test; the request of the tests of ranks moves to what the tests share.

--- a/crates/beamwall-gateway/tests/ranks.rs
+++ b/crates/beamwall-gateway/tests/ranks.rs
@@ -1,13 +1,10 @@
 //! The rank that back ends are told.
 
-use std::sync::Arc;
+mod support;
+
 use std::time::Duration;
 
-use beamwall_gateway::Prompt;
-use beamwall_gateway::forward::Call;
-use beamwall_policy::{Route, RouteKind, Tenant, TenantRef};
-use beamwall_quarantine::Admission;
-use tokio::time::Instant;
+use support::call;
 
 /// Prompt tokens that engines read in a millisecond.
 const TOKENS_PER_MS: f64 = 32.0;
@@ -18,51 +15,6 @@
     call(route_rank, tenant_rank, prompt_tokens).rank(Some(reading_ms))
 }
 
-/// A request of a route and a tenant with these ranks.
-fn call(route_rank: u8, tenant_rank: Option<u8>, prompt_tokens: u32) -> Call {
-    let now = Instant::now();
-    let tenant = Tenant {
-        name: "alder".into(),
-        keys: Vec::new(),
-        rank: tenant_rank,
-        rate_per_second: 0.0,
-        burst: 0.0,
-        counts_tokens: true,
-        plain_tokens: 200,
-    };
-    let route = Route {
-        name: "chat".to_owned(),
-        host: "h".to_owned(),
-        path_prefix: "/".to_owned(),
-        kind: RouteKind::ResumableStream,
-        hold_limit_ms: 15_000,
-        objective_ms: 600,
-        gap_objective_ms: None,
-        rank: route_rank,
-        targets: Vec::new(),
-        attempt_limit: 2,
-        public: false,
-    };
-    Call {
-        fingerprint: Default::default(),
-        admission: Admission::Usual,
-        request_id: None,
-        method: hyper::Method::POST,
-        target: hyper::Uri::from_static("/"),
-        headers: hyper::HeaderMap::new(),
-        body: bytes::Bytes::new(),
-        route: Arc::new(route),
-        service: "model".into(),
-        tenant: Some(TenantRef::new(tenant)),
-        prompt: Some(Prompt { prompt_tokens, output_tokens: 10, parts: Vec::new() }),
-        last_event: None,
-        received: now,
-        asleep_before: beamwall_clock::asleep(),
-        deadline: now,
-        policy_version: 1,
-    }
-}
-
 /// On busy days of both sites chats, the least urgent kind, waited for seconds behind prompts ten times as long.
 #[test]
 fn a_short_prompt_is_level_with_the_next_more_urgent_kind_and_not_ahead_of_it() {
--- a/crates/beamwall-gateway/tests/support/mod.rs
+++ b/crates/beamwall-gateway/tests/support/mod.rs
@@ -1,11 +1,16 @@
-//! What the tests share: a service whose engines are known.
+//! What the tests share: a service whose engines are known, and a request.
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+use std::sync::Arc;
+
 use beamwall_engine_model::{EngineModels, FirstEvent, Reading, ServiceEstimates, ServiceStatistics};
+use beamwall_gateway::forward::Call;
 use beamwall_gateway::ports::DirectorySnapshot;
-use beamwall_gateway::{Backend, Directory, Reporter, Vanishing};
+use beamwall_gateway::{Backend, Directory, Prompt, Reporter, Vanishing};
 use beamwall_model::BackendId;
+use beamwall_policy::{Route, RouteKind, Tenant, TenantRef};
+use beamwall_quarantine::Admission;
 use tokio::time::Instant;
 
 /// Prompt tokens that the engines read in a millisecond.
@@ -87,3 +92,48 @@
     directory.replace(DirectorySnapshot { revision: 1, backends }, Vanishing::Gone);
     directory
 }
+
+/// A request of a route and a tenant with these ranks.
+pub fn call(route_rank: u8, tenant_rank: Option<u8>, prompt_tokens: u32) -> Call {
+    let now = Instant::now();
+    let tenant = Tenant {
+        name: "alder".into(),
+        keys: Vec::new(),
+        rank: tenant_rank,
+        rate_per_second: 0.0,
+        burst: 0.0,
+        counts_tokens: true,
+        plain_tokens: 200,
+    };
+    let route = Route {
+        name: "chat".to_owned(),
+        host: "h".to_owned(),
+        path_prefix: "/".to_owned(),
+        kind: RouteKind::ResumableStream,
+        hold_limit_ms: 15_000,
+        objective_ms: 600,
+        gap_objective_ms: None,
+        rank: route_rank,
+        targets: Vec::new(),
+        attempt_limit: 2,
+        public: false,
+    };
+    Call {
+        fingerprint: Default::default(),
+        admission: Admission::Usual,
+        request_id: None,
+        method: hyper::Method::POST,
+        target: hyper::Uri::from_static("/"),
+        headers: hyper::HeaderMap::new(),
+        body: bytes::Bytes::new(),
+        route: Arc::new(route),
+        service: "model".into(),
+        tenant: Some(TenantRef::new(tenant)),
+        prompt: Some(Prompt { prompt_tokens, output_tokens: 10, parts: Vec::new() }),
+        last_event: None,
+        received: now,
+        asleep_before: beamwall_clock::asleep(),
+        deadline: now,
+        policy_version: 1,
+    }
+}
--- a/crates/beamwall-gateway/tests/suspension.rs
+++ b/crates/beamwall-gateway/tests/suspension.rs
@@ -1,5 +1,7 @@
 //! A machine that was suspended: its steady clock stood still, the time of day and the world did not.
 
+mod support;
+
 use std::time::{Duration, SystemTime};
 
 use beamwall_clock::{now, simulation};
@@ -29,3 +31,17 @@
     let ahead = clock.now().duration_since(SystemTime::now()).unwrap_or_default();
     assert!(ahead < Duration::from_millis(100), "{ahead:?}");
 }
+
+/// A caller with 4 s of patience, whose engine is silent, got its answer 4 s after the machine woke, however long it had slept: the
+/// timer that ends a request stood still with the steady clock. What was left by the counting clock was 0 all that time.
+#[tokio::test]
+async fn the_time_of_an_open_request_is_up_soon_after_the_machine_wakes() {
+    let mut call = support::call(0, None, 100);
+    call.deadline = call.received + ASLEEP;
+    let mut time_is_up = std::pin::pin!(call.time_is_up());
+    let at_once = tokio::time::timeout(Duration::from_millis(100), &mut time_is_up).await;
+    assert!(at_once.is_err(), "{:?} are left", call.remaining());
+    simulation::suspend_for(ASLEEP);
+    assert_eq!(call.remaining(), Duration::ZERO);
+    tokio::time::timeout(Duration::from_secs(1), time_is_up).await.expect("it is up");
+}
