A version that is late anyway must have shown more before it takes everything

Cause: a version counts as good from a certainty that errs in 7 of 1,000; of 600 slightly bad ones at 6 gateways six succeeded, after their orders' ends, and what succeeded can't be taken back. Ruled out: that certainty for all (-7 for all: good versions in time 365 -> 233 of 1,500). Change: after its order's end, when it loses nothing by being later, a version is asked for a certainty of 1 in 1,000.

--- a/crates/beamwall-rollout/src/detector.rs
+++ b/crates/beamwall-rollout/src/detector.rs
@@ -18,8 +18,10 @@
 const WORSENINGS: [f64; 2] = [0.05, 0.5];
 /// Logarithm of the likelihood ratio from which a version counts as bad.
 const CERTAIN: f64 = 9.0;
-/// Logarithm of the likelihood ratio below which a version counts as good.
-const CERTAINLY_GOOD: f64 = -5.0;
+/// Logarithms of the likelihood ratio below which a version counts as good: until its order's end, and after it. A late version
+/// loses nothing by being later, and one that is taken can't be taken back.
+const GOOD_IN_TIME: f64 = -5.0;
+const GOOD_WHEN_LATE: f64 = -7.0;
 /// Part of a service's answers below which a route need not have shown that it is good.
 const SMALL_ROUTE: f64 = 0.03;
 
@@ -118,11 +120,12 @@
 
     /// Whether the answers since then say that the version is good: against the slight worsening over all routes, and against
     /// the plain one on each that matters. Only back ends in trouble are left out: a slight worsening shows at few of the others.
-    pub fn speaks_for(&self) -> bool {
+    pub fn speaks_for(&self, is_late: bool) -> bool {
         let Some(sums) = &self.under_all else { return false };
         let (slight, plain) = (0, WORSENINGS.len() - 1);
+        let good = if is_late { GOOD_WHEN_LATE } else { GOOD_IN_TIME };
         let is_good = |key: (Option<String>, usize)| {
-            sums.get(&key).is_some_and(|sum| sum.against_good(&self.new) <= CERTAINLY_GOOD)
+            sums.get(&key).is_some_and(|sum| sum.against_good(&self.new) <= good)
         };
         let least = SMALL_ROUTE * self.old.answers(None);
         let mut routes = self.old.routes().filter(|route| self.old.answers(Some(route)) >= least);
--- a/crates/beamwall-rollout/src/rollout.rs
+++ b/crates/beamwall-rollout/src/rollout.rs
@@ -185,6 +185,9 @@
         }
         let is_late = now.saturating_duration_since(self.began) >= self.order.interval + EMPTIES_WITHIN;
         let is_empty = supply.running_at_old == 0 || is_late;
-        self.stage.takes_all() && supply.new > 0 && is_empty && self.detector.speaks_for()
+        self.stage.takes_all()
+            && supply.new > 0
+            && is_empty
+            && self.detector.speaks_for(now > self.began + self.order.interval)
     }
 }
