Shares of a version are worked out once a look, not for each back end

Cause: the share of a route was summed over all back ends for each back end that was compared with it: 160 of them with 5 routes took 256,000 additions a look, 3,000 would take 90 million. Ruled out: a change of any verdict. Change: the shares of all routes are kept after each look.

--- a/crates/beamwall-rollout/src/history.rs
+++ b/crates/beamwall-rollout/src/history.rs
@@ -13,7 +13,6 @@
 /// Answers as which the assumption about a version counts, and the bad ones among them: of a route of which little is known,
 /// only much that is bad says anything.
 const ASSUMED: Answers = Answers { all: 8.0, bad: 1.0 };
-
 /// Soundness below which a back end counts as in trouble.
 const UNSOUND: f64 = 0.15;
 
@@ -31,6 +30,23 @@
     seen: BTreeMap<(String, BackendId), AnswerCounts>,
     counted: BTreeMap<String, BTreeMap<BackendId, Counted>>,
     troubles: Troubles,
+    shares: BTreeMap<String, Shares>,
+}
+
+/// Shares of bad answers on one route, of all back ends that are not in trouble.
+#[derive(Debug, Clone, Copy)]
+struct Shares {
+    /// In all, as far as it is known.
+    usual: f64,
+    /// In all or lately, whichever is more.
+    now: f64,
+}
+
+impl Shares {
+    fn of(sound: Counted) -> Self {
+        let recent = if sound.recent.all >= ASSUMED.all { with_assumption(sound.recent) } else { 0.0 };
+        Self { usual: possible(sound.whole.share()), now: possible(with_assumption(sound.whole).max(recent)) }
+    }
 }
 
 impl History {
@@ -53,6 +69,7 @@
         }
         self.seen = counts.clone();
         self.find_trouble();
+        self.find_shares();
         news
     }
 
@@ -71,6 +88,16 @@
         }
     }
 
+    /// Works out the shares of all routes, once for all back ends that are compared with them.
+    fn find_shares(&mut self) {
+        let shares = self.counted.keys().map(|route| (route.clone(), Shares::of(self.sound(route))));
+        self.shares = shares.collect();
+    }
+
+    fn shares(&self, route: &str) -> Shares {
+        self.shares.get(route).copied().unwrap_or_else(|| Shares::of(Counted::default()))
+    }
+
     /// How likely it is that a back end is as good as the others, 0 to 1.
     pub fn soundness(&self, id: &BackendId) -> f64 {
         1.0 - self.troubles.get(id).copied().unwrap_or_default()
@@ -94,15 +121,13 @@
 
     /// Share of bad answers on a route in all, as far as it is known: what speaks for another version must be as good as that.
     pub fn usual_share(&self, route: &str) -> f64 {
-        self.sound(route).whole.share().clamp(LEAST_SHARE, LARGEST_SHARE / 2.0)
+        self.shares(route).usual
     }
 
     /// Share of bad answers on a route that is usual now: the larger of both, so that neither few recent answers nor trouble
     /// that came a moment ago is held against another version.
     pub fn share_now(&self, route: &str) -> f64 {
-        let sound = self.sound(route);
-        let recent = if sound.recent.all >= ASSUMED.all { with_assumption(sound.recent) } else { 0.0 };
-        with_assumption(sound.whole).max(recent).clamp(LEAST_SHARE, LARGEST_SHARE / 2.0)
+        self.shares(route).now
     }
 
     /// What was counted on a route, without the back ends in trouble.
@@ -117,6 +142,11 @@
     }
 }
 
+/// The nearest share that is thought possible of a version that serves.
+fn possible(share: f64) -> f64 {
+    share.clamp(LEAST_SHARE, LARGEST_SHARE / 2.0)
+}
+
 fn with_assumption(answers: Answers) -> f64 {
     let mut sum = ASSUMED;
     sum.add(answers);
--- a/crates/beamwall-rollout/src/lib.rs
+++ b/crates/beamwall-rollout/src/lib.rs
@@ -8,6 +8,7 @@
 //! - they go to few of its back ends, which are as full as the old ones ([`traffic`]);
 //! - its answers are compared with those of the old version at the same time, by route and back end ([`detector`]), over all
 //!   nodes ([`evidence`]);
+//! - of either version, back ends in trouble of their own say nothing ([`history`], [`trouble`]);
 //! - what came of it is a [`Verdict`], which is final ([`rollout`]).
 //!
 //! This package performs no input or output. Who holds the lease on duties runs the [`Rollout`]; every node routes by the
