--- a/crates/beamwall-rollout/src/detector.rs
+++ b/crates/beamwall-rollout/src/detector.rs
@@ -3,8 +3,8 @@
 //! A sequential test by sums of log-likelihood ratios that begin anew at zero (CUSUM, Page 1954): so it finds a version that
 //! turns bad late as fast as one that is bad from the start. Each look compares the answers since the last one with the old
 //! version's share of bad answers at that time, so trouble that strikes both condemns neither. It is done for each route and
-//! for all routes together, against a small and a large worsening. Of the new version's back ends those that speak most
-//! against it are left out, some: single back ends break in any version.
+//! for all routes together, against a small and a large worsening. Back ends in trouble of their own say nothing of either
+//! version: single ones break in any.
 
 use std::collections::BTreeMap;
 
