One timer ends a stream's time, not one for each event

Ruled out: a change of behaviour; the moment is the same, since it was worked out from the deadline each time. Change: it is begun once for each engine that a stream is read from. What it saves was not measured.

--- a/crates/beamwall-gateway/src/stream/relay.rs
+++ b/crates/beamwall-gateway/src/stream/relay.rs
@@ -95,10 +95,13 @@
     async fn pass_on(&mut self, source: &mut Source, first: Option<Piece>) -> Stop {
         let mut next = first;
         let mut pace: Option<Pace> = None;
+        let call = self.call.clone();
+        // One timer for all events of the source.
+        let mut time_is_up = std::pin::pin!(call.time_is_up());
         loop {
             let piece = match next.take() {
                 Some(piece) => piece,
-                None => match self.wait(source).await {
+                None => match self.wait(source, time_is_up.as_mut()).await {
                     Some(piece) => piece,
                     None => return Stop::CallerGone,
                 },
@@ -150,7 +153,7 @@
     }
 
     /// The next piece, or `None` when the caller has gone.
-    async fn wait(&self, source: &mut Source) -> Option<Piece> {
+    async fn wait(&self, source: &mut Source, time_is_up: impl Future<Output = ()>) -> Option<Piece> {
         // A silent engine is left only where another may be asked: late events are better than none.
         let may_move = self.call.route.kind.is_idempotent() && self.attempts.sent < self.call.attempt_limit();
         let silence = async {
@@ -160,7 +163,7 @@
             piece = source.next_piece() => Some(piece),
             () = self.sender.disconnected() => None,
             () = silence => Some(Piece::Broken(AttemptFailure::lost("silent for too long"))),
-            () = self.call.time_is_up() => Some(Piece::Broken(AttemptFailure::lost("the time is up"))),
+            () = time_is_up => Some(Piece::Broken(AttemptFailure::lost("the time is up"))),
         }
     }
 
