--- a/crates/beamwall-gateway/tests/quota_fleet.rs
+++ b/crates/beamwall-gateway/tests/quota_fleet.rs
@@ -67,6 +67,12 @@
 }
 
 impl Fleet {
+    /// Gateways with these books, none of which has told anything.
+    fn of(books: Vec<QuotaBook>, zones: usize, now: Instant) -> Self {
+        let untold = vec![true; books.len()];
+        Self { zones, books, passed: Vec::new(), untold, urgent: Vec::new(), cut: None, now, step: 0 }
+    }
+
     /// `nodes` gateways in `zones` zones that have known their tenant for long.
     fn full(nodes: usize, zones: usize) -> Self {
         let now = Instant::now();
@@ -79,11 +85,7 @@
             book
         };
         let books = (0..nodes).map(open).collect();
-        let now = now + Duration::from_secs(10);
-        let untold = vec![false; nodes];
-        let mut fleet =
-            Self { zones, books, passed: Vec::new(), untold, urgent: Vec::new(), cut: None, now, step: 0 };
-        fleet.untold.fill(true);
+        let mut fleet = Self::of(books, zones, now + Duration::from_secs(10));
         (0..nodes).for_each(|node| fleet.tell(node));
         fleet.tell_zone_sums();
         fleet
@@ -182,6 +184,25 @@
     (RATE * WINDOW.as_secs_f64() + BURST) * (1.0 + OVERAGE) + SLACK
 }
 
+/// Sends a tenant's work of one step, long prompts and short ones at any node; `owed` is what it has not sent yet. Gives how many
+/// were refused.
+fn send_a_step(
+    fleet: &mut Fleet,
+    rate: f64,
+    owed: &mut f64,
+    random: &mut Unstructured<'_>,
+) -> arbtest::arbitrary::Result<u32> {
+    let mut refused = 0;
+    *owed += rate * STEP.as_secs_f64();
+    while *owed > 0.0 {
+        let amount = if random.ratio(1, 3)? { LONG } else { SHORT };
+        *owed -= amount;
+        let node = some_node(random, fleet.books.len())?;
+        refused += u32::from(!fleet.send(node, amount));
+    }
+    Ok(refused)
+}
+
 fn some_node(random: &mut Unstructured<'_>, nodes: usize) -> arbtest::arbitrary::Result<usize> {
     random.int_in_range(0..=nodes - 1)
 }
@@ -206,13 +227,7 @@
     let mut refused = 0;
     let mut owed = 0.0;
     for _ in 0..50 {
-        owed += RATE * 0.55 * STEP.as_secs_f64();
-        while owed > 0.0 {
-            let amount = if random.ratio(1, 3)? { LONG } else { SHORT };
-            owed -= amount;
-            let node = some_node(random, nodes)?;
-            refused += u32::from(!fleet.send(node, amount));
-        }
+        refused += send_a_step(&mut fleet, RATE * 0.55, &mut owed, random)?;
         fleet.advance();
     }
     Ok(refused)
@@ -252,13 +267,7 @@
     let mut owed = 0.0;
     for step in 0..120 {
         let factor = if step < jump_at { 0.5 } else { jump };
-        owed += RATE * factor * STEP.as_secs_f64();
-        while owed > 0.0 {
-            let amount = if random.ratio(1, 3)? { LONG } else { SHORT };
-            owed -= amount;
-            let node = some_node(random, nodes)?;
-            fleet.send(node, amount);
-        }
+        send_a_step(&mut fleet, RATE * factor, &mut owed, random)?;
         fleet.advance();
     }
     Ok((fleet.most_in_window(), bound()))
@@ -378,21 +387,13 @@
         book
     };
     let books = (0..nodes).map(open).collect();
-    let untold = vec![true; nodes];
-    let mut fleet =
-        Fleet { zones, books, passed: Vec::new(), untold, urgent: Vec::new(), cut: None, now, step: 0 };
+    let mut fleet = Fleet::of(books, zones, now);
     let (mut refused, mut owed) = (0, 0.0);
     for step in 0..20 {
         if step == STEPS_ALONE {
             fleet.share();
         }
-        owed += RATE * 0.55 * STEP.as_secs_f64();
-        while owed > 0.0 {
-            let amount = if random.ratio(1, 3)? { LONG } else { SHORT };
-            owed -= amount;
-            let node = some_node(random, nodes)?;
-            refused += u32::from(!fleet.send(node, amount));
-        }
+        refused += send_a_step(&mut fleet, RATE * 0.55, &mut owed, random)?;
         fleet.advance();
     }
     Ok(refused)
--- a/crates/beamwall-lab/src/application.rs
+++ b/crates/beamwall-lab/src/application.rs
@@ -8,12 +8,11 @@
 use hyper::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use tokio::sync::Notify;
+
+use crate::ending::Ending;
 
 const BODY_LIMIT_BYTES: usize = 8 << 20;
 const BODY_LIMIT: Duration = Duration::from_secs(10);
-/// Time that a call runs under which a back end ends.
-const RUN_BEFORE_END: Duration = Duration::from_millis(60);
 /// Calls recorded at most; a throughput run stops recording there.
 const RECORD_LIMIT: usize = 200_000;
 
@@ -50,8 +49,6 @@
     ran_count: u64,
     open: u64,
     faults: ApplicationFaults,
-    /// Bytes in a body under which the back end ends; none where there are none.
-    ends_under: Vec<u8>,
 }
 
 /// The stand-in.
@@ -59,28 +56,18 @@
 pub struct ApplicationStandIn {
     name: String,
     state: Mutex<State>,
-    ended: Notify,
+    ending: Arc<Ending>,
 }
 
 impl ApplicationStandIn {
     /// A back end of the given name.
     pub fn new(name: &str) -> Arc<Self> {
-        Arc::new(Self { name: name.to_owned(), state: Mutex::default(), ended: Notify::new() })
-    }
-
-    /// Ends under each call whose body holds `marker`, soon after it has begun to run it.
-    pub fn end_under(&self, marker: &[u8]) {
-        self.lock().ends_under = marker.to_vec();
-    }
-
-    /// Waits until it has ended under a call. Whoever owns its listener closes it then.
-    pub async fn ended(&self) {
-        self.ended.notified().await;
+        Arc::new(Self { name: name.to_owned(), state: Mutex::default(), ending: Arc::default() })
     }
 
-    fn ends_under(&self, body: &[u8]) -> bool {
-        let marker = &self.lock().ends_under;
-        !marker.is_empty() && body.windows(marker.len()).any(|bytes| bytes == marker)
+    /// Under which calls it ends.
+    pub fn ending(&self) -> Arc<Ending> {
+        self.ending.clone()
     }
 
     /// Sets the behaviour in force.
@@ -138,9 +125,9 @@
             }
         };
         let (number, faults, lose) = self.record(call);
-        if self.ends_under(&body) {
-            tokio::time::sleep(RUN_BEFORE_END).await;
-            self.ended.notify_one();
+        if self.ending.ends_under(&body) {
+            self.ending.run_up_to_end().await;
+            self.ending.end_now();
             return crate::object_store::lost_answer().await;
         }
         if faults.service_ms > 0 {
--- /dev/null
+++ b/crates/beamwall-lab/src/ending.rs
@@ -0,0 +1,45 @@
+//! Requests under which a stand-in ends.
+
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::Notify;
+
+/// Time that a request runs under which a stand-in ends.
+const RUN_BEFORE_END: Duration = Duration::from_millis(60);
+
+/// Under which requests one stand-in ends, and whether it is due to.
+#[derive(Debug, Default)]
+pub struct Ending {
+    /// Bytes in a request under which it ends; none where there are none.
+    marker: Mutex<Vec<u8>>,
+    due: Notify,
+}
+
+impl Ending {
+    /// Ends under each request that holds `marker`, soon after it has begun to run it.
+    pub fn end_under(&self, marker: &[u8]) {
+        *self.marker.lock().unwrap_or_else(PoisonError::into_inner) = marker.to_vec();
+    }
+
+    /// Whether it ends under a request with this content.
+    pub fn ends_under(&self, content: &[u8]) -> bool {
+        let marker = self.marker.lock().unwrap_or_else(PoisonError::into_inner);
+        !marker.is_empty() && content.windows(marker.len()).any(|bytes| bytes == marker.as_slice())
+    }
+
+    /// Runs a request under which it ends, up to its end.
+    pub async fn run_up_to_end(&self) {
+        tokio::time::sleep(RUN_BEFORE_END).await;
+    }
+
+    /// Ends now, whatever it runs.
+    pub fn end_now(&self) {
+        self.due.notify_one();
+    }
+
+    /// Waits until it is due to end. Whoever owns the stand-in closes its listener then.
+    pub async fn is_due(&self) {
+        self.due.notified().await;
+    }
+}
--- a/crates/beamwall-lab/src/engine/handler.rs
+++ b/crates/beamwall-lab/src/engine/handler.rs
@@ -17,6 +17,7 @@
 
 use super::batch::{Batch, GenerateCall};
 use super::timing::EngineTiming;
+use crate::ending::Ending;
 use crate::running::Running;
 
 const BODY_LIMIT_BYTES: usize = 16 << 20;
@@ -25,8 +26,6 @@
 const WITHHELD_EVENTS: usize = 16;
 /// Of this many cache events one is lost.
 const LOST_EVENT_PERIOD: u64 = 23;
-/// Time that a request runs under which an engine ends.
-const RUN_BEFORE_END: Duration = Duration::from_millis(60);
 /// Pieces a slow reader may lag behind.
 const OUTPUT_CAPACITY: usize = 64;
 
@@ -71,8 +70,6 @@
     version: String,
     orders: Vec<OrderCall>,
     reports: VecDeque<(Instant, Value)>,
-    /// Text in a prompt under which the engine ends; none where it is empty.
-    ends_under: String,
 }
 
 /// The stand-in.
@@ -84,7 +81,7 @@
     dead: AtomicBool,
     stalled: AtomicBool,
     died: Notify,
-    ended: Notify,
+    ending: Arc<Ending>,
 }
 
 /// Starts an engine on an address.
@@ -109,7 +106,6 @@
             version: options.version.clone(),
             orders: Vec::new(),
             reports: VecDeque::new(),
-            ends_under: String::new(),
         };
         Arc::new(Self {
             options,
@@ -118,7 +114,7 @@
             dead: AtomicBool::new(false),
             stalled: AtomicBool::new(false),
             died: Notify::new(),
-            ended: Notify::new(),
+            ending: Arc::default(),
         })
     }
 
@@ -142,23 +138,18 @@
         self.died.notify_waiters();
     }
 
-    /// Ends under each request whose prompt holds `marker`, soon after it has begun to run it.
-    pub fn end_under(&self, marker: &str) {
-        self.lock().ends_under = marker.to_owned();
-    }
-
-    /// Waits until it has ended under a request. Whoever owns its listener closes it then.
-    pub async fn ended(&self) {
-        self.ended.notified().await;
+    /// Under which prompts it ends.
+    pub fn ending(&self) -> Arc<Ending> {
+        self.ending.clone()
     }
 
     /// Runs a request under which the engine ends.
     fn begin_end(self: &Arc<Self>) {
         let engine = self.clone();
         tokio::spawn(async move {
-            tokio::time::sleep(RUN_BEFORE_END).await;
+            engine.ending.run_up_to_end().await;
             engine.kill();
-            engine.ended.notify_one();
+            engine.ending.end_now();
         });
     }
 
@@ -196,13 +187,10 @@
             Ok(call) => call,
             Err(error) => return refusal(StatusCode::BAD_REQUEST, &error.to_string()),
         };
-        let mut output = {
-            let mut state = self.lock();
-            if !state.ends_under.is_empty() && call.prompt.contains(&state.ends_under) {
-                self.begin_end();
-            }
-            state.batch.submit(call)
-        };
+        if self.ending.ends_under(call.prompt.as_bytes()) {
+            self.begin_end();
+        }
+        let mut output = self.lock().batch.submit(call);
         self.work.notify_one();
         let (sender, body) = beamwall_http::channel(OUTPUT_CAPACITY);
         let name = self.options.name.clone();
--- a/crates/beamwall-lab/src/lib.rs
+++ b/crates/beamwall-lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod balancer;
 pub mod caller;
 pub mod cloud;
+pub mod ending;
 pub mod engine;
 pub mod link;
 pub mod load;
--- a/crates/beamwall-node/tests/support/mod.rs
+++ b/crates/beamwall-node/tests/support/mod.rs
@@ -252,20 +252,13 @@
     /// more. Counts those that have.
     pub fn end_back_ends_under(&self, marker: &str) -> Arc<AtomicUsize> {
         let ended = Arc::new(AtomicUsize::new(0));
-        for engine in &self.engines {
-            engine.engine.end_under(marker);
-            let (engine, running, ended) = (engine.engine.clone(), engine.running.clone(), ended.clone());
+        let engines = self.engines.iter().map(|engine| (engine.engine.ending(), &engine.running));
+        let endings = self.applications.iter().map(|application| application.ending());
+        for (ending, running) in engines.chain(endings.zip(&self.application_servers)) {
+            ending.end_under(marker.as_bytes());
+            let (running, ended) = (running.clone(), ended.clone());
             tokio::spawn(async move {
-                engine.ended().await;
-                running.stop();
-                ended.fetch_add(1, Ordering::Relaxed);
-            });
-        }
-        for (application, running) in self.applications.iter().zip(&self.application_servers) {
-            application.end_under(marker.as_bytes());
-            let (application, running, ended) = (application.clone(), running.clone(), ended.clone());
-            tokio::spawn(async move {
-                application.ended().await;
+                ending.is_due().await;
                 running.stop();
                 ended.fetch_add(1, Ordering::Relaxed);
             });
