Callers are served by what was read of a long list until the whole is known

Cause: after all gateways of a deployment with a long list were killed, every request was refused with 503 for seconds: a node used nothing of a list before its last page had come, and leaves the pages after the fourth to few nodes, for which it waits up to 2.4 s. Ruled out: more reading by all (the store refuses it: 27 nodes beside 41 pages did not know the list within 15 s). Change: pages of the first list are used at once, apart from the list itself: they have no revision and no digest, so peers are told of whole lists only, readiness waits for the whole as before, and what a peer that holds nothing is told is complete. A back end that leaves meanwhile is seen with the whole list, within the time in which a node that has just started is not yet bound. Three tests of the list without a network.

--- a/crates/beamwall-gateway/src/directory.rs
+++ b/crates/beamwall-gateway/src/directory.rs
@@ -12,6 +12,9 @@
 //! Entries of back ends that live lapse while the store is away, since they can't renew them, and are
 //! listed again soon after its return. So what vanishes then without having announced it is still used
 //! for a moment, as lapsed; it is no part of the revision, and peers are not told of it.
+//!
+//! A long list comes in pages. Until a node that starts knows the whole, it uses what it has read of it: else a fleet that
+//! starts at once would serve nobody for seconds. That is no part of a revision either.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -63,6 +66,8 @@
     digest: u64,
     backends: Listed,
     lapsed: Listed,
+    /// What was read of the first list before all of it is known.
+    read_so_far: Listed,
     /// The same by their lives; made anew with each change.
     lives: Arc<HashMap<BackendId, Arc<Backend>>>,
     /// The back ends that take requests, by service; made anew with each change.
@@ -128,7 +133,7 @@
     /// Sorts the back ends anew.
     fn sort(&mut self) {
         let mut by_service: HashMap<ServiceName, Vec<Arc<Backend>>> = HashMap::new();
-        let known = self.backends.values().chain(self.lapsed.values());
+        let known = self.backends.values().chain(self.lapsed.values()).chain(self.read_so_far.values());
         self.lives = Arc::new(known.clone().map(|known| (known.id.clone(), known.clone())).collect());
         for backend in known.filter(|backend| !backend.draining) {
             by_service.entry(backend.service.clone()).or_default().push(backend.clone());
@@ -149,6 +154,17 @@
         dropped
     }
 
+    /// Uses what was read of the first list until the whole is known; returns whether it is used.
+    pub fn use_meanwhile(&mut self, read: Vec<Backend>) -> bool {
+        if self.revision > 0 {
+            return false;
+        }
+        self.read_so_far =
+            read.into_iter().map(|backend| (backend.instance.clone(), Arc::new(backend))).collect();
+        self.sort();
+        true
+    }
+
     /// Keeps what has vanished since `before` as lapsed, and forgets what is listed again.
     fn note_lapsed(&mut self, before: Listed, vanishing: Vanishing) {
         if vanishing == Vanishing::MayHaveLapsed {
@@ -192,6 +208,7 @@
         self.recent
             .add(self.revision..=self.revision, DirectoryChanges { revision: snapshot.revision, changes });
         self.revision = snapshot.revision;
+        self.read_so_far.clear();
         self.note_lapsed(before, vanishing);
         self.digest = self.backends.values().fold(0, |sum, backend| sum ^ digest(backend));
         true
@@ -229,8 +246,9 @@
             base..=changes.revision - 1,
             DirectoryChanges { revision: changes.revision, changes: taken },
         );
+        let was_incomplete = !std::mem::take(&mut self.read_so_far).is_empty();
         // An answer of a quiet watch, each few seconds, changes nothing but the revision.
-        if has_changed {
+        if has_changed || was_incomplete {
             self.note_lapsed(vanished, vanishing);
         }
         true
--- a/crates/beamwall-gateway/tests/directory.rs
+++ b/crates/beamwall-gateway/tests/directory.rs
@@ -254,3 +254,49 @@
     assert!(!directory.replace(DirectorySnapshot { revision: 12, backends: vec![life(1)] }, Vanishing::Gone));
     assert_eq!(lives(&directory), [life(2).id]);
 }
+
+#[test]
+fn what_was_read_of_the_first_list_is_used_until_the_whole_is_known() {
+    let mut directory = Directory::default();
+    assert!(directory.use_meanwhile(vec![backend(1, false)]));
+    assert!(directory.use_meanwhile(vec![backend(1, false), backend(2, true)]));
+    let usable = |directory: &Directory| -> Vec<BackendId> {
+        let mut usable: Vec<BackendId> =
+            directory.usable(&"model".into()).map(|backend| backend.id.clone()).collect();
+        usable.sort();
+        usable
+    };
+    assert_eq!(usable(&directory), ["b1".into()]);
+    assert_eq!((directory.revision(), directory.digest()), (0, 0), "peers are told of whole lists only");
+    assert!(directory.snapshot().backends.is_empty());
+    // The first was gone by the time that the whole was read.
+    let whole = DirectorySnapshot { revision: 7, backends: vec![backend(3, false)] };
+    assert!(directory.replace(whole, Vanishing::Gone));
+    assert_eq!(usable(&directory), ["b3".into()]);
+    assert!(!directory.use_meanwhile(vec![backend(1, false)]), "the whole is known");
+    assert_eq!(usable(&directory), ["b3".into()]);
+}
+
+/// A peer that holds nothing is told all, whatever was used here before the whole was known.
+#[test]
+fn peers_are_told_all_of_a_list_whose_pages_were_used_before() {
+    let mut directory = Directory::default();
+    directory.use_meanwhile(vec![backend(1, false)]);
+    let whole = DirectorySnapshot { revision: 7, backends: vec![backend(1, false), backend(2, false)] };
+    directory.replace(whole, Vanishing::Gone);
+    let mut peer = Directory::default();
+    match directory.changes_since(0) {
+        Some(changes) => assert!(peer.apply(0, changes, Vanishing::Gone)),
+        None => assert!(peer.replace(directory.snapshot(), Vanishing::Gone)),
+    }
+    assert_eq!(peer.digest(), directory.digest());
+}
+
+/// What a peer tells as changes to one that held nothing is the whole list, too.
+#[test]
+fn changes_from_nothing_replace_what_was_read_so_far() {
+    let mut directory = Directory::default();
+    directory.use_meanwhile(vec![backend(1, false)]);
+    assert!(directory.apply(0, changes(7, Vec::new()), Vanishing::Gone));
+    assert_eq!(directory.usable(&"model".into()).count(), 0);
+}
--- a/crates/beamwall-node/src/actors/directory.rs
+++ b/crates/beamwall-node/src/actors/directory.rs
@@ -7,7 +7,7 @@
 use beamwall_events::emit;
 use beamwall_events::internal_events::{BackendsLapsed, DirectoryChanged, LapsedBackendsDropped};
 use beamwall_gateway::ports::{DirectoryChanges, DirectorySnapshot};
-use beamwall_gateway::{Directory, Gateway, Vanishing};
+use beamwall_gateway::{Backend, Directory, Gateway, Vanishing};
 use kameo::Actor;
 use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
@@ -109,6 +109,24 @@
     }
 }
 
+/// Some pages of the list were read, and the whole is not known yet.
+pub struct UseMeanwhile {
+    /// The back ends read so far.
+    pub read: Vec<Backend>,
+}
+
+impl Message<UseMeanwhile> for DirectoryActor {
+    type Reply = ();
+
+    /// Uses them until the whole list is known. Peers are not told of them.
+    async fn handle(&mut self, message: UseMeanwhile, _: &mut Context<Self, Self::Reply>) {
+        if self.directory.use_meanwhile(message.read) {
+            self.view.store(Arc::new(self.directory.clone()));
+            self.gateway.forwarder.knowledge.follow(&self.directory);
+        }
+    }
+}
+
 /// A watch or a peer told what changed after the revision `base`.
 pub struct ApplyChanges {
     /// The revision from which the changes lead on.
--- a/crates/beamwall-node/src/gateway/listing.rs
+++ b/crates/beamwall-node/src/gateway/listing.rs
@@ -4,7 +4,8 @@
 //! would refuse most of the calls, and refused nodes would come back with the first page: 27 nodes beside 41 pages at 300
 //! calls a second did not know the list within 15 s, and do after 1.2 s now. So all nodes read the first pages, which is the
 //! whole list of a small deployment. The rest is read by those that watch for their zone; the others leave pauses, in which
-//! peers tell them the list. A page that is refused is asked for again, not the list.
+//! peers tell them the list. A page that is refused is asked for again, not the list. What was read serves callers until the
+//! whole is known.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,9 +13,11 @@
 use arc_swap::ArcSwap;
 use beamwall_gateway::ports::{DirectoryPage, DirectorySnapshot};
 use beamwall_gateway::{ControlStore, ControlStoreError, Directory};
+use kameo::actor::ActorRef;
 use rand::RngExt;
 use tokio::time::Instant;
 
+use crate::actors::directory::{DirectoryActor, UseMeanwhile};
 use crate::gateway::chooser::ZoneChooser;
 use crate::gateway::store_status::StoreStatus;
 use crate::gateway::unreadable_entries::UnreadableEntries;
@@ -50,6 +53,8 @@
     pub store: Arc<dyn ControlStore>,
     /// The list as known here.
     pub known: Arc<ArcSwap<Directory>>,
+    /// Takes what was read of the first list.
+    pub directory: ActorRef<DirectoryActor>,
     /// Who watches.
     pub chooser: ZoneChooser,
     /// Told when the store refuses a page.
@@ -68,6 +73,7 @@
         let mut last = first.last;
         let mut pages = 1;
         while let Some(after) = last {
+            self.use_meanwhile(&snapshot).await;
             self.leave_to_peers(pages).await;
             let told = self.known.load().revision();
             if pages >= READ_BY_ALL && told >= snapshot.revision {
@@ -85,6 +91,14 @@
         Ok(Listed::Whole(snapshot))
     }
 
+    /// Lets callers be served by what was read so far, where no whole list is known.
+    async fn use_meanwhile(&self, read: &DirectorySnapshot) {
+        if self.known.load().revision() == 0 {
+            // The actor ends only with the node.
+            let _ = self.directory.tell(UseMeanwhile { read: read.backends.clone() }).await;
+        }
+    }
+
     async fn leave_to_peers(&self, pages: usize) {
         if pages == READ_BY_ALL {
             self.wait_introduced().await;
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -187,6 +187,7 @@
         let listing = Listing {
             store: ports.store.clone(),
             known: exchange.directory.clone(),
+            directory: exchange.directory_actor.clone(),
             chooser: exchange.chooser.clone(),
             status: status.clone(),
             unreadable,
