--- a/crates/beamwall-gateway/src/directory.rs
+++ b/crates/beamwall-gateway/src/directory.rs
@@ -94,6 +94,11 @@
         self.revision
     }
 
+    /// Whether back ends are known, or that there are none.
+    pub fn is_known(&self) -> bool {
+        self.revision > 0 || !self.read_so_far.is_empty()
+    }
+
     /// A number that is equal for equal contents.
     pub fn digest(&self) -> u64 {
         self.digest
--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -20,7 +20,7 @@
 use crate::ports::{CallHead, Prompt};
 use crate::quota::{Charge, QuotaBook};
 use crate::refusal::Refusal;
-use crate::{stream, unary};
+use crate::{startup, stream, unary};
 
 /// Longest time that a caller may take to send a body.
 const BODY_READ_LIMIT: Duration = Duration::from_secs(10);
@@ -67,6 +67,7 @@
         let gateway = &self.gateway;
         let head = gateway.forwarder.dialect.read_call(request.headers());
         let request_id = head.request_id.clone();
+        startup::wait_known(|| gateway.knows_enough(), head.patience).await;
         let policy = gateway.policy.load_full();
         let mut context = AnswerContext { route: None, tenant: None, version: policy.version() };
         let result = gateway.answer(request, head, &policy, received, &mut context).await;
@@ -146,6 +147,11 @@
 }
 
 impl Gateway {
+    /// Whether a policy and back ends are known, without which no request can be served.
+    fn knows_enough(&self) -> bool {
+        self.policy.load().version() > 0 && self.forwarder.directory.load().is_known()
+    }
+
     async fn answer(
         &self,
         request: Request<Incoming>,
--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod retries;
 pub mod scaling;
 pub mod sizing;
+pub mod startup;
 pub mod stream;
 pub mod unary;
 pub mod usage;
