A request that comes before the first policy waits a moment for it

Cause: where all gateways start at once callers reach gateways that are not ready. Each refused what came before its first policy (and before its first back ends) at once with 503, 120 requests of one zone after a loss of power, though most knew both some tens of milliseconds later. Ruled out: opening the callers' listener later: callers would find no connection, which is no better for them, and the node's own probes would miss it. Change: such a request waits for what is missing, a sixteenth of its caller's patience and 200 ms at most; then it is refused as before. Why it holds: the wait ends with a look, so whatever comes in time is seen; nothing is held where both are known.

--- a/crates/beamwall-gateway/src/startup.rs
+++ b/crates/beamwall-gateway/src/startup.rs
@@ -1,9 +1,24 @@
 //! Requests that come before a gateway knows its first policy and its first back ends.
+//!
+//! Where all gateways start at once the balancer sends callers to those that are not ready, too. What they ask for can mostly be
+//! served some tens of milliseconds later, so they wait for a moment instead of being refused one after the other.
 
 use std::time::Duration;
 
-/// Longest wait for both.
+use tokio::time::Instant;
+
+/// Longest wait: a request that is held for long and refused then is worse off than one that is refused at once.
 pub const LONGEST_WAIT: Duration = Duration::from_millis(200);
+/// Part of a caller's patience that it waits at most: the objective, a fraction of it, is not known without a policy.
+const PART_OF_PATIENCE: u32 = 16;
+/// Time between two looks.
+const LOOK_PERIOD: Duration = Duration::from_millis(10);
 
 /// Waits until `is_known`, as long as a caller of this `patience` may be held without knowing whether it can be served.
-pub async fn wait_known(_is_known: impl Fn() -> bool, _patience: Option<Duration>) {}
+pub async fn wait_known(is_known: impl Fn() -> bool, patience: Option<Duration>) {
+    let longest = patience.map_or(LONGEST_WAIT, |patience| LONGEST_WAIT.min(patience / PART_OF_PATIENCE));
+    let until = Instant::now() + longest;
+    while !is_known() && Instant::now() < until {
+        tokio::time::sleep(LOOK_PERIOD).await;
+    }
+}
