Answers of a zone count once while builds change, whichever its relays tell

Cause: one relay of a zone tells the old version's answers by back end, a relay of an earlier build as one sum under no name. Both stood beside each other, so the old version seemed to have answered twice as often, and a bad version's share was held against wrong counts. Ruled out: nodes of an earlier build in such a zone: their sum is a part of what the newer relay tells, and stays. Change: what tells back ends apart replaces a sum, and a sum that is told later changes nothing. Why it holds: it does not matter who tells first, and counts still only grow.

--- a/crates/beamwall-rollout/src/evidence.rs
+++ b/crates/beamwall-rollout/src/evidence.rs
@@ -69,10 +69,20 @@
     pub fn raise(&mut self, told: &Self) {
         self.requests = self.requests.max(told.requests);
         self.exposed = self.exposed.max(told.exposed);
-        merge(&mut self.old, &told.old, AnswerCounts::raise);
+        self.raise_old(&told.old);
         merge(&mut self.new, &told.new, AnswerCounts::raise);
     }
 
+    /// While builds change, the relays of one zone tell the same answers in two ways: by back end, or as one sum without a name.
+    /// The former replace the latter, which would else count beside them.
+    fn raise_old(&mut self, told: &CountsByBackEnd) {
+        match (tells_back_ends_apart(&self.old), tells_back_ends_apart(told)) {
+            (true, false) => {}
+            (false, true) => self.old.clone_from(told),
+            (true, true) | (false, false) => merge(&mut self.old, told, AnswerCounts::raise),
+        }
+    }
+
     /// Bad answers of the new version.
     pub fn new_bad_answers(&self) -> u64 {
         self.new.values().map(|counts| counts.bad).sum()
@@ -84,6 +94,11 @@
     }
 }
 
+/// Whether counts are of back ends, not of one sum of all.
+fn tells_back_ends_apart(counts: &CountsByBackEnd) -> bool {
+    counts.keys().any(|(_, back_end)| !back_end.as_str().is_empty())
+}
+
 /// Takes the counts of others into `own`, each in one way.
 fn merge(own: &mut CountsByBackEnd, others: &CountsByBackEnd, take: fn(&mut AnswerCounts, AnswerCounts)) {
     for (key, counts) in others {
