Duties that count back ends wait for the whole list

Ruled out: leaving the part out of what duties read only there (two places today, more tomorrow): the holder asks once, before both. Change: Directory::is_whole; orders, rollouts and the count of back ends found at the start wait for it, as readiness does.

--- a/crates/beamwall-gateway/src/directory.rs
+++ b/crates/beamwall-gateway/src/directory.rs
@@ -96,7 +96,12 @@
 
     /// Whether back ends are known, or that there are none.
     pub fn is_known(&self) -> bool {
-        self.revision > 0 || !self.read_so_far.is_empty()
+        self.is_whole() || !self.read_so_far.is_empty()
+    }
+
+    /// Whether all back ends are known: a part of them serves callers, but says nothing of how many there are.
+    pub fn is_whole(&self) -> bool {
+        self.revision > 0
     }
 
     /// A number that is equal for equal contents.
@@ -161,7 +166,7 @@
 
     /// Uses what was read of the first list until the whole is known; returns whether it is used.
     pub fn use_meanwhile(&mut self, read: Vec<Backend>) -> bool {
-        if self.revision > 0 {
+        if self.is_whole() {
             return false;
         }
         self.read_so_far =
--- a/crates/beamwall-node/src/gateway/duties/followed_demand.rs
+++ b/crates/beamwall-node/src/gateway/duties/followed_demand.rs
@@ -41,8 +41,9 @@
         let newest = asked.unwrap_or_default();
         self.work = newest.max(self.work.mixed_with(newest, LOAD_FALL_WEIGHT));
         self.is_known = gateway.forwarder.estimates(service).is_known();
-        if self.is_unknown() {
-            let usable = gateway.forwarder.directory.load().usable(service).count();
+        let directory = gateway.forwarder.directory.load();
+        if self.is_unknown() && directory.is_whole() {
+            let usable = directory.usable(service).count();
             if usable > self.found {
                 self.found = usable;
                 self.found_at = Some(Instant::now());
--- a/crates/beamwall-node/src/gateway/duties/mod.rs
+++ b/crates/beamwall-node/src/gateway/duties/mod.rs
@@ -11,11 +11,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use beamwall_config::GatewaySettings;
 use beamwall_events::emit;
 use beamwall_events::internal_events::{LeaseLost, LeaseTaken};
 use beamwall_gateway::ports::{DutyHolder, RolloutStore};
-use beamwall_gateway::{DutyError, DutyPort, Gateway};
+use beamwall_gateway::{Directory, DutyError, DutyPort, Gateway};
 use beamwall_model::NodeId;
 use beamwall_rollout::Bounds;
 use beamwall_store::{Lease, LeaseState, VersionedObjects};
@@ -75,6 +76,7 @@
 /// The duties of one node.
 pub struct Duties {
     node: NodeId,
+    directory: Arc<ArcSwap<Directory>>,
     objects: Arc<dyn VersionedObjects>,
     chooser: ZoneChooser,
     /// The epoch held, for metrics; 0 while none is.
@@ -111,6 +113,7 @@
         let capacity = || CapacityDuty::new(gateway.clone(), port.clone());
         Self {
             node: settings.node.clone(),
+            directory: gateway.forwarder.directory.clone(),
             usage: settings.report_usage.then(usage),
             capacity: settings.order_capacity.then(capacity),
             rollouts,
@@ -159,13 +162,15 @@
     }
 
     async fn do_due(&self, tenure: &mut Tenure) {
-        if let Some(rollouts) = &self.rollouts {
+        // On a part of the list a rollout would seem to be done, and back ends that are not known yet would be given up.
+        let knows_all = self.directory.load().is_whole();
+        if let Some(rollouts) = self.rollouts.as_ref().filter(|_| knows_all) {
             rollouts.decide_due(&mut tenure.rollouts, &tenure.holding).await;
         }
         if let Some(usage) = &self.usage {
             usage.report_due(&mut tenure.usage, &tenure.holding).await;
         }
-        if let Some(capacity) = &self.capacity {
+        if let Some(capacity) = self.capacity.as_ref().filter(|_| knows_all) {
             capacity.order_due(&mut tenure.orders, &tenure.holding).await;
         }
     }
