A peer's life is known from its first word, and from what others told of an earlier one

Only heartbeats told the life. The first word of a node that starts is mostly news of versions, and the first heartbeat comes up to half a second later, or never; and a peer that is known by what others tell had said nothing at all. Change: news of versions tells the life in a field of its own (4; earlier builds pass it over, and 0 means that it is not told); a peer that is heard for the first time in a later life than others told of has lost that one.

--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -173,6 +173,7 @@
             policy_version: self.gateway.policy.load().version(),
             directory_revision: directory.revision(),
             directory_digest: directory.digest(),
+            life: self.life,
         }));
         let view = self.members.load();
         let mut told = self.targets(std::iter::empty());
@@ -339,6 +340,7 @@
 
     async fn handle(self: &Arc<Self>, mut envelope: Envelope) {
         let body = envelope.body.take();
+        self.note_life(&envelope, body.as_ref());
         let (members, knows) = match &body {
             Some(Body::GatewayBeat(beat)) => (beat.members.clone(), beat.members_known as usize),
             _ => (Vec::new(), 0),
@@ -408,16 +410,38 @@
             policy_version: beat.policy_version,
             directory_revision: beat.directory_revision,
             directory_digest: beat.directory_digest,
+            life: beat.life,
         };
         self.take_versions(envelope, held);
         self.hear_quarantine_digest(envelope, beat.quarantine_digest);
         // In a large deployment the work of other zones comes as sums.
-        if !self.is_large() || envelope.zone == self.zone.as_str() {
-            self.peer_lives.note(envelope, beat.life);
+        if self.is_close(envelope) {
             self.take_work(&envelope.sender, beat);
         }
     }
 
+    /// Whether a message is from a node that tells this one its own work.
+    fn is_close(&self, envelope: &Envelope) -> bool {
+        !self.is_large() || envelope.zone == self.zone.as_str()
+    }
+
+    /// Notes the life in which a close peer sent a message, where the message tells it, before anything else of it is taken: the
+    /// members as known until now may have an earlier life of a peer of which others told.
+    fn note_life(&self, envelope: &Envelope, body: Option<&Body>) {
+        let life = match body {
+            Some(Body::GatewayBeat(beat)) => beat.life,
+            Some(Body::VersionNews(news)) => news.life,
+            _ => 0,
+        };
+        if life > 0 && self.is_close(envelope) {
+            self.peer_lives.note(envelope, life, || self.member(&envelope.sender));
+        }
+    }
+
+    fn member(&self, node: &str) -> Option<Member> {
+        self.members.load().members.iter().find(|member| member.node.as_str() == node).cloned()
+    }
+
     /// Takes what a node tells of its own work.
     fn take_work(&self, sender: &str, beat: GatewayBeat) {
         let node = NodeId::new(sender);
--- a/crates/beamwall-node/src/gateway/peer_lives.rs
+++ b/crates/beamwall-node/src/gateway/peer_lives.rs
@@ -10,7 +10,7 @@
 use beamwall_events::emit;
 use beamwall_events::internal_events::{PeerEndedAbruptly, PeerRestarted};
 use beamwall_model::NodeId;
-use beamwall_peer::Envelope;
+use beamwall_peer::{Envelope, Member, MemberState};
 
 /// The last life of each peer that tells its own.
 #[derive(Debug, Default)]
@@ -25,17 +25,27 @@
     was_draining: bool,
 }
 
+/// The life of a peer that is heard for the first time, in the life `number`. Incarnations begin with the number of the life.
+fn first_life(number: u64, member: Option<Member>) -> Life {
+    let earlier = member.filter(|member| member.incarnation < number);
+    earlier.map_or(Life { number, was_draining: false }, |member| Life {
+        number: member.incarnation,
+        was_draining: member.draining || member.state == MemberState::Left,
+    })
+}
+
 impl PeerLives {
     /// Peers' lives that ended without a drain since this node's start.
     pub fn ended_abruptly(&self) -> u64 {
         self.ended_abruptly.load(Ordering::Relaxed)
     }
 
-    /// Notes the life in which a peer sent a message, and tells how the one before it ended.
-    pub(super) fn note(&self, envelope: &Envelope, number: u64) {
+    /// Notes the life in which a peer sent a message, and tells how the one before it ended. Of a peer that is heard for the first
+    /// time, `member` gives what others have told: it may have ended before it said a word to this node.
+    pub(super) fn note(&self, envelope: &Envelope, number: u64, member: impl FnOnce() -> Option<Member>) {
         let peer = NodeId::new(&envelope.sender);
         let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
-        let life = last.entry(peer).or_insert(Life { number, was_draining: false });
+        let life = last.entry(peer).or_insert_with(|| first_life(number, member()));
         if number < life.number {
             return;
         }
--- a/crates/beamwall-node/tests/earlier_builds.rs
+++ b/crates/beamwall-node/tests/earlier_builds.rs
@@ -156,8 +156,12 @@
 
 /// What every recorded build sends in the same form, with its name on file.
 fn unchanged() -> Vec<(&'static str, Body)> {
-    let versions =
-        VersionNews { policy_version: 12, directory_revision: 40, directory_digest: 0x0123_4567_89ab_cdef };
+    let versions = VersionNews {
+        policy_version: 12,
+        directory_revision: 40,
+        directory_digest: 0x0123_4567_89ab_cdef,
+        life: 0,
+    };
     let policy_request = PolicyRequest { held_version: 12, held_digest: 0x0123_4567_89ab_cdef };
     let life = LifeUsage { node: "node-2".to_owned(), life: 1_700_000_000_002, usage: usage() };
     let probe = ProbeRequest { node: "node-2".to_owned(), address: "127.0.0.1:7002".to_owned() };
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -63,7 +63,7 @@
 }
 
 /// What the sender holds, told at once when it is newer than before. With names of usual length it
-/// takes 77 bytes; a heartbeat tells the same among much else, too much for each change of a back end.
+/// takes 84 bytes; a heartbeat tells the same among much else, too much for each change of a back end.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct VersionNews {
     /// Version of the policy in force; 0 for none.
@@ -75,6 +75,9 @@
     /// Digest of the list of back ends.
     #[prost(fixed64, tag = "3")]
     pub directory_digest: u64,
+    /// Number of the sender's life, as in heartbeats: the first word of a node that starts is often this one; 0 where it is not told.
+    #[prost(uint64, tag = "4")]
+    pub life: u64,
 }
 
 /// Sums over what the sender observed of a service's back ends.
