An answer is slow by what is usual in its service, not by what its engine did before

Cause: during a rollout an answer counts as bad where it took 2.5 times what was expected of its engine. What is expected of an engine is what the service usually takes times the engine's own slowness, which four answers teach. So a version three or eight times slower gave 3 and 12 bad answers in 100, where the decision counts on 70 and 98, and was found good: callers would have got the slow version for good, and after the success its predecessor is stopped. Ruled out: noise (the old version's answers: 0.0 in 100 slow, before and now); the choice of an engine, for which slowness must count. Change: Choice::is_slow takes the engine's slowness out of the expected time. Nothing changes without a rollout.

--- a/crates/beamwall-gateway/src/placement.rs
+++ b/crates/beamwall-gateway/src/placement.rs
@@ -91,9 +91,15 @@
 }
 
 impl Choice {
-    /// Whether an answer that began after `took_ms` took several times as long as was expected.
+    /// Time that an engine of its service usually takes: the expected time follows what this one did, so a version all of whose
+    /// engines are slow would seem to be as fast as is expected of it.
+    fn usual_ms(&self) -> Option<f64> {
+        Some(self.expected_ms? / self.slowness)
+    }
+
+    /// Whether an answer that began after `took_ms` took several times as long as is usual in its service.
     pub fn is_slow(&self, took_ms: f64) -> bool {
-        self.expected_ms.is_some_and(|expected_ms| took_ms > expected_ms * SLOW_FACTOR + SLOW_BESIDE_MS)
+        self.usual_ms().is_some_and(|usual_ms| took_ms > usual_ms * SLOW_FACTOR + SLOW_BESIDE_MS)
     }
 
     /// What the time to the first event of a model request depends on there.
