--- a/crates/beamwall-node/tests/earlier_builds.rs
+++ b/crates/beamwall-node/tests/earlier_builds.rs
@@ -20,6 +20,9 @@
     UsageCount, UsageKnown, UsageRequest, UsageWindow, VersionNews, ZoneSummary,
 };
 use beamwall_peer::message::{MemberUpdate, ProbeRequest};
+use beamwall_peer::quarantine_message::{
+    QuarantineNews, QuarantineRequest, ToldCompletion, ToldEnding, ToldTrial,
+};
 use beamwall_peer::{Body, Envelope};
 use prost::Message;
 use recorded_schema::earlier;
@@ -28,6 +31,8 @@
 const RECORDED_BEFORE_NAMES: &str = include_str!("recorded/7105913.txt");
 /// Messages of the first build that told them with names sent once.
 const RECORDED_WITH_NAMES: &str = include_str!("recorded/32779df.txt");
+/// Messages of the first build that told of requests under which back ends end.
+const RECORDED_WITH_HELD_REQUESTS: &str = include_str!("recorded/08e9762.txt");
 
 fn read(recorded: &str, name: &str) -> Vec<u8> {
     let lines = recorded.lines().filter_map(|line| line.split_once(' '));
@@ -207,7 +212,7 @@
 
 #[test]
 fn what_earlier_builds_send_keeps_its_meaning() {
-    for recorded in [RECORDED_BEFORE_NAMES, RECORDED_WITH_NAMES] {
+    for recorded in [RECORDED_BEFORE_NAMES, RECORDED_WITH_NAMES, RECORDED_WITH_HELD_REQUESTS] {
         for (name, body) in unchanged() {
             let read = Envelope::decode(read(recorded, name).as_slice()).expect("it can be read");
             assert_eq!(read, envelope(body), "{name}");
@@ -215,6 +220,37 @@
     }
 }
 
+#[test]
+fn what_is_told_of_held_requests_keeps_its_meaning() {
+    let read =
+        |name| Envelope::decode(read(RECORDED_WITH_HELD_REQUESTS, name).as_slice()).expect("it can be read");
+    let news = QuarantineNews {
+        endings: vec![ToldEnding {
+            backend: "i-3".to_owned(),
+            at_ms: 1_700_000_000_003,
+            open: (0..32).collect(),
+        }],
+        completions: vec![ToldCompletion { request: (0..16).collect(), at_ms: 1_700_000_000_004 }],
+        trials: vec![ToldTrial { request: (16..32).collect(), number: 2, at_ms: 1_700_000_000_005 }],
+    };
+    assert_eq!(read("quarantine_news"), envelope(Body::QuarantineNews(news)));
+    assert_eq!(read("quarantine_request"), envelope(Body::QuarantineRequest(QuarantineRequest {})));
+    let with_digest = GatewayBeat { members_known: 3, time_ms: 9, quarantine_digest: 77, ..beat() };
+    assert_eq!(read("beat_with_digest"), envelope(Body::GatewayBeat(with_digest)));
+    let asks = DirectoryRequest { held_revision: 40, reads_names: true };
+    assert_eq!(read("directory_request"), envelope(Body::DirectoryRequest(asks)));
+}
+
+#[test]
+fn what_earlier_builds_do_not_tell_is_harmless() {
+    let read =
+        |name| Envelope::decode(read(RECORDED_WITH_HELD_REQUESTS, name).as_slice()).expect("it can be read");
+    let Some(Body::VersionNews(versions)) = read("versions").body else { panic!("news of versions") };
+    assert_eq!(versions.life, 0, "no life is told");
+    let Some(Body::PlacementReply(reply)) = read("placement_reply").body else { panic!("an answer") };
+    assert_eq!(reply.slowness, 0.0, "no slowness is told");
+}
+
 #[test]
 fn a_list_with_names_keeps_its_meaning() {
     let whole = directory_wire::decode(&directory_answer(RECORDED_WITH_NAMES, "directory_whole"));
