A node that starts again waits for the whole term of its earlier life's lease, as before

Since the node under whose name the lease stands took it 2 s after a kill of all instead of 5. Conclusion: to mend it, orders must wait until their holder knows the demand.

--- a/crates/beamwall-store/src/lease.rs
+++ b/crates/beamwall-store/src/lease.rs
@@ -3,8 +3,7 @@
 //! No wall clock is compared between machines. The holder counts its time from the moment it sent
 //! the last renewal that succeeded; a contender counts from the moment it first saw the current
 //! version and waits longer than the holder may count on. A holder that was paused, or whose machine was
-//! suspended, finds its own time over before it acts. One that has started again waits for the orders of its
-//! earlier life only.
+//! suspended, finds its own time over before it acts.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,9 +23,6 @@
 /// Time a contender waits on an unchanged lease; longer than [`LEASE_TTL`] by the longest time an
 /// order may be in flight.
 pub const TAKEOVER_WAIT: Duration = Duration::from_secs(5);
-/// The same on a lease under the contender's own name: an earlier life of this node can't use the rest of its term, so only
-/// its orders in flight are waited for. Else a node that is restarted every few seconds holds no duty in any life.
-const OWN_TAKEOVER_WAIT: Duration = TAKEOVER_WAIT.saturating_sub(LEASE_TTL);
 /// Time between renewals and between looks at somebody else's lease.
 const RENEW_PERIOD: Duration = Duration::from_secs(1);
 /// A holder stops this long before its time ends.
@@ -121,7 +117,7 @@
             return self.write(object.version, record.epoch, sent).await;
         }
         self.note_other(&object, &record);
-        if self.unchanged_for() >= self.takeover_wait(&record) {
+        if self.unchanged_for() >= TAKEOVER_WAIT {
             let epoch = self.highest_epoch + 1;
             return self.write(object.version, epoch, Moment::now()).await;
         }
@@ -156,10 +152,6 @@
         });
     }
 
-    fn takeover_wait(&self, record: &LeaseRecord) -> Duration {
-        if record.holder == self.node.as_str() { OWN_TAKEOVER_WAIT } else { TAKEOVER_WAIT }
-    }
-
     fn unchanged_for(&self) -> Duration {
         self.seen.map_or(Duration::ZERO, |(_, since)| since.elapsed())
     }
