Who tells this node its own work is asked in one place

Ruled out: a change of behaviour: the condition is the same. Measured: clippy and format clean; duties, lifecycle, large and earlier_builds pass. Conclusion: kept.

--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -421,7 +421,7 @@
     }
 
     /// Whether a message is from a node that tells this one its own work.
-    fn is_close(&self, envelope: &Envelope) -> bool {
+    pub(super) fn is_close(&self, envelope: &Envelope) -> bool {
         !self.is_large() || envelope.zone == self.zone.as_str()
     }
 
--- a/crates/beamwall-node/src/gateway/known_usage.rs
+++ b/crates/beamwall-node/src/gateway/known_usage.rs
@@ -21,7 +21,7 @@
     /// Tells a node that has started what is known of others' usage. One of another zone gets no answer in a large
     /// deployment: there these counts come with this zone's sums, and would count twice.
     pub(super) fn answer_usage(&self, question: &Envelope) {
-        if !self.is_large() || question.zone == self.zone.as_str() {
+        if self.is_close(question) {
             self.reply(question, Body::UsageKnown(self.known_usage()));
         }
     }
