A peer's changes are taken only by the list that they lead on from

Cause: a gateway asks a peer what changed after the revision that it holds. The peer may know only the difference of two whole lists, which leaves out what came and went in between. While the answer was under way the asker's own watch could move its list on; the difference was applied all the same, and a back end that had come at the asker and gone at the peer stayed listed for ever, at the newest revision. Callers were sent to a back end that is gone. Change: changes of a peer are refused unless just that revision is still held, and asked for again from there. A watch's changes leave nothing out and are applied as before.

--- a/crates/beamwall-gateway/src/directory.rs
+++ b/crates/beamwall-gateway/src/directory.rs
@@ -224,6 +224,12 @@
         true
     }
 
+    /// Takes changes that a peer told to a node that held `base`; returns whether they were taken. They may leave out what came
+    /// and went since, so only the list of just this revision may take them.
+    pub fn apply_told(&mut self, base: u64, changes: DirectoryChanges, vanishing: Vanishing) -> bool {
+        self.revision == base && self.apply(base, changes, vanishing)
+    }
+
     /// Takes changes that follow `base`; returns whether they were taken. Changes are refused when
     /// this directory is not at least at `base`, because some between would be missing, and when
     /// it is already beyond them. An empty answer counts, too: it says that nothing has changed up to
--- a/crates/beamwall-gateway/tests/directory.rs
+++ b/crates/beamwall-gateway/tests/directory.rs
@@ -300,3 +300,21 @@
     assert!(directory.apply(0, changes(7, Vec::new()), Vanishing::Gone));
     assert_eq!(directory.usable(&"model".into()).count(), 0);
 }
+
+/// Guards against back ends that stay listed for ever: what a peer tells leads on from the revision that it was asked for, and
+/// leaves out what came and went since.
+#[test]
+fn changes_told_to_a_list_that_has_moved_on_meanwhile_leave_nothing_behind() {
+    let mut peer = listed(10, vec![backend(1, false)]);
+    // It reads the whole list; in between a back end came and went, of which it knows nothing.
+    peer.replace(DirectorySnapshot { revision: 20, backends: vec![backend(1, false)] }, Vanishing::Gone);
+    let mut own = listed(10, vec![backend(1, false)]);
+    let told = peer.changes_since(own.revision()).expect("known");
+    let came = DirectoryChange::Changed(backend(2, false));
+    assert!(own.apply(10, changes(15, vec![came]), Vanishing::Gone));
+    assert!(!own.apply_told(10, told, Vanishing::Gone), "it leaves out that the other one went");
+    // Asked again from where it stands, the peer knows no changes that lead on from there.
+    assert_eq!(peer.changes_since(own.revision()), None);
+    assert!(own.replace(peer.snapshot(), Vanishing::Gone));
+    assert_eq!(own.snapshot(), peer.snapshot());
+}
--- a/crates/beamwall-node/src/actors/directory.rs
+++ b/crates/beamwall-node/src/actors/directory.rs
@@ -127,7 +127,7 @@
     }
 }
 
-/// A watch or a peer told what changed after the revision `base`.
+/// A watch told what changed after the revision `base`.
 pub struct ApplyChanges {
     /// The revision from which the changes lead on.
     pub base: u64,
@@ -151,6 +151,30 @@
     }
 }
 
+/// A peer told what changed since the revision that was held when it was asked.
+pub struct ApplyTold {
+    /// That revision.
+    pub held: u64,
+    /// The changes.
+    pub changes: DirectoryChanges,
+    /// The peer, for logs.
+    pub source: String,
+}
+
+impl Message<ApplyTold> for DirectoryActor {
+    type Reply = bool;
+
+    /// Applies the changes if just that revision is still held; answers whether they were taken.
+    async fn handle(&mut self, message: ApplyTold, context: &mut Context<Self, Self::Reply>) -> bool {
+        let before = self.before();
+        let taken = self.directory.apply_told(message.held, message.changes, self.vanishing());
+        if taken {
+            self.publish_newer(message.source, &before, context.actor_ref().clone());
+        }
+        taken
+    }
+}
+
 /// The time of lapsed back ends is over.
 struct DropLapsed;
 
--- a/crates/beamwall-node/src/gateway/directories.rs
+++ b/crates/beamwall-node/src/gateway/directories.rs
@@ -14,7 +14,7 @@
 use prost::Message;
 use tokio::time::Instant;
 
-use crate::actors::directory::{ApplyChanges, TakeSnapshot};
+use crate::actors::directory::{ApplyTold, TakeSnapshot};
 use crate::gateway::directory_wire::{self, ToldDirectory};
 use crate::gateway::exchange::{ANSWER_LIMIT, Exchange, OWN_WATCH_TIME};
 use crate::gateway::heard_versions::{pause_for_busy, to_busy_ms};
@@ -66,7 +66,9 @@
                 Some(answer) => self.take_directory(peer, held, &answer).await,
                 None => false,
             };
-            if !is_taken {
+            // What came meanwhile is no fault of the peer: it is asked again from there.
+            let has_moved_on = self.directory_revision() != held;
+            if !is_taken && !has_moved_on {
                 self.directories.drop_holder(peer);
             }
         }
@@ -92,7 +94,7 @@
                 self.directory_actor.ask(TakeSnapshot { snapshot, source }).await.unwrap_or(false)
             }
             Ok(ToldDirectory::Changes(changes)) => {
-                let offer = ApplyChanges { base: held, changes, source };
+                let offer = ApplyTold { held, changes, source };
                 self.directory_actor.ask(offer).await.unwrap_or(false)
             }
             Err(error) => {
