A list of back ends that something speaks against is read whole again

Cause: a watch that had heard nothing answered with the newest revision, and the gateway took its list for right up to there. Whatever is asked by revision can't bring back what was passed over, and nothing ever doubted the list: no digest of a peer at the same revision, no refused connection, no time since it was last read whole. Policy and orders of rollouts were followed as blindly. Change: ListDoubts collects signs against the list; watches read it whole at a sign, at once where they watch for their zone, others later unless told by then, at pauses from 2 s to a minute while readings find nothing. A reading replaces a list of its own revision that differs. One node of a zone holds list, policy and orders against a cheaper (stale) reading each 5 s and more, by the number of entries.

--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -143,6 +143,10 @@
     4108 Warn EntryUnreadable "entry of a back end unreadable" { entry, reason }
     /// A back end ended without having announced it.
     4109 Warn BackendEnded "back end ended" { backend, open }
+    /// Something speaks against the list of back ends that is held here, so it is read anew.
+    4110 Warn DirectoryDoubted "list of back ends doubted" { reason, revision }
+    /// The list of back ends was read anew: it agrees with the one held, differs from it, or is of an earlier revision.
+    4111 Info DirectoryReviewed "list of back ends read anew" { outcome, held, read }
     /// An order to move a service to another version was read or heard of, or something of it changed.
     4201 Info RolloutOrdered "rollout ordered" { service, target, interval_ms, verdict, withdrawn }
     /// A new version takes all requests of its service.
@@ -215,6 +219,8 @@
     6105 Info CapacityNotKnown "capacity not known yet" { service, kept }
     /// The object of fixed usage counts can't be read.
     6106 Warn FixedUsageUnreadable "fixed usage unreadable" { reason }
+    /// The store holds something that its watch did not tell.
+    6107 Warn WatchMissedChange "watch missed a change" { what, revision }
     /// An invariant was broken: a fault in the program, to be reported.
     9001 Error InvariantBroken "invariant broken" { invariant, detail }
 }
--- a/crates/beamwall-gateway/src/attempt.rs
+++ b/crates/beamwall-gateway/src/attempt.rs
@@ -121,6 +121,9 @@
             if matches!(error, PoolError::Refused(_)) {
                 forwarder.quarantine.note_ended(backend);
             }
+            if matches!(error, PoolError::Refused(_) | PoolError::Connect(..)) {
+                forwarder.knowledge.doubts.note_unreached(backend, Instant::now());
+            }
             Err(from_pool(&error, call, sent_at.elapsed()))
         }
         Some(Ok(response)) => check_head(forwarder, call, backend, response, work),
@@ -198,6 +201,11 @@
         let other = head.request_id.unwrap_or_default();
         return Err(AttemptFailure::may_have_run(format!("the answer belongs to request {other:?}")));
     }
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        forwarder.knowledge.doubts.note_unreached(backend, Instant::now());
+    } else {
+        forwarder.knowledge.doubts.note_reached(backend);
+    }
     if head.proves_not_run {
         return Err(AttemptFailure::not_run(format!("refused with status {status}")));
     }
--- a/crates/beamwall-gateway/src/candidates.rs
+++ b/crates/beamwall-gateway/src/candidates.rs
@@ -15,6 +15,7 @@
 use crate::directory::{Backend, Directory};
 use crate::health::HealthBook;
 use crate::health::HealthView;
+use crate::list_doubts::ListDoubts;
 use crate::load::{LoadBook, OpenLoad};
 use crate::placement::{ReadingQueues, UnreachableReports};
 use crate::placement_groups::EngineGroup;
@@ -70,6 +71,8 @@
     pub prefixes: PrefixBelief,
     /// Prompts that this node placed for all.
     pub queues: ReadingQueues,
+    /// What speaks against the list of back ends.
+    pub doubts: ListDoubts,
     /// Engines that those could not reach for whom this node places.
     pub reports: UnreachableReports,
     /// Zones from which this node seems to be cut off.
@@ -82,6 +85,7 @@
     /// Forgets back ends that the directory does not hold.
     pub fn follow(&self, directory: &Directory) {
         self.health.retain(|backend| directory.get(backend).is_some());
+        self.doubts.retain(|backend| directory.get(backend).is_some());
         self.prefixes.retain(|backend| directory.get(backend).is_some());
         self.queues.retain(|backend| directory.get(backend).is_some());
         self.reports.retain(|backend| directory.get(backend).is_some());
--- a/crates/beamwall-gateway/src/directory.rs
+++ b/crates/beamwall-gateway/src/directory.rs
@@ -79,6 +79,17 @@
 /// Back ends by the name under which they are listed: of each instance one life.
 type Listed = BTreeMap<InstanceName, Arc<Backend>>;
 
+/// What a list that was read says of the one held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Correction {
+    /// Both are the same.
+    Confirmed,
+    /// They differed; the one that was read is held now.
+    Changed,
+    /// The store gave an earlier revision than the one held, which stays.
+    Outdated,
+}
+
 /// What it means when a back end is not listed any more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Vanishing {
@@ -119,6 +130,14 @@
         self.lives.get(id).map(Arc::as_ref)
     }
 
+    /// Whether a life of a back end is listed, leaving ones left out.
+    pub fn lists(&self, id: &BackendId) -> bool {
+        self.get(id).is_some_and(|known| {
+            let listed = self.backends.get(&known.instance);
+            listed.is_some_and(|listed| listed.id == *id && !listed.draining)
+        })
+    }
+
     /// Back ends of a service that take new requests, lapsed ones included.
     pub fn usable<'a>(&'a self, service: &ServiceName) -> impl Iterator<Item = &'a Backend> + use<'a> {
         let groups = self.usable.get(service);
@@ -206,6 +225,26 @@
         if snapshot.revision <= self.revision {
             return false;
         }
+        self.put_in_place(snapshot, vanishing);
+        true
+    }
+
+    /// Takes a list that was read from the store at one moment, also where it has the revision of the list held and other contents:
+    /// then what led to this revision left something out. Peers are not told what led there any more.
+    pub fn correct(&mut self, read: DirectorySnapshot, vanishing: Vanishing) -> Correction {
+        if read.revision < self.revision {
+            return Correction::Outdated;
+        }
+        let is_newer = read.revision > self.revision;
+        let before = self.digest;
+        self.put_in_place(read, vanishing);
+        if !is_newer && self.digest != before {
+            self.recent = ChangeLog::default();
+        }
+        if self.digest == before { Correction::Confirmed } else { Correction::Changed }
+    }
+
+    fn put_in_place(&mut self, snapshot: DirectorySnapshot, vanishing: Vanishing) {
         let known = &self.backends;
         let listed = snapshot.backends.into_iter().map(Arc::new).map(|backend| {
             let known = known.get(&backend.instance).filter(|known| known.follows(&backend));
@@ -220,8 +259,7 @@
         self.revision = snapshot.revision;
         self.read_so_far.clear();
         self.note_lapsed(before, vanishing);
-        self.digest = self.backends.values().fold(0, |sum, backend| sum ^ digest(backend));
-        true
+        self.digest = digest_of(self.backends.values().map(Arc::as_ref));
     }
 
     /// Takes changes that a peer told to a node that held `base`; returns whether they were taken. They may leave out what came
@@ -280,6 +318,11 @@
     gone.chain(changed.map(|backend| DirectoryChange::Changed(Backend::clone(backend)))).collect()
 }
 
+/// A number that is equal for lists of equal contents.
+pub fn digest_of<'a>(backends: impl Iterator<Item = &'a Backend>) -> u64 {
+    backends.fold(0, |sum, backend| sum ^ digest(backend))
+}
+
 /// A back end's part of the digest of its list, which is all parts combined by exclusive or.
 fn digest(backend: &Backend) -> u64 {
     let mut hasher = Xxh3::new();
--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod forward;
 pub mod handler;
 pub mod health;
+pub mod list_doubts;
 pub mod load;
 pub mod losses;
 pub mod metrics;
@@ -40,8 +41,9 @@
 pub mod unary;
 pub mod usage;
 
-pub use directory::{Backend, Directory, Vanishing};
+pub use directory::{Backend, Correction, Directory, Vanishing};
 pub use handler::{Gateway, GatewayHandler};
+pub use list_doubts::{Doubt, ListDoubts};
 pub use placement::{Choice, PlacementAnswer, PlacementPort, PlacementQuestion};
 pub use ports::{
     AnswerHead, CallHead, ControlStore, ControlStoreError, Dialect, DutyError, DutyPort, ForwardHead, Prompt,
--- a/crates/beamwall-gateway/src/ports.rs
+++ b/crates/beamwall-gateway/src/ports.rs
@@ -199,6 +199,10 @@
         revision: u64,
         wait: Duration,
     ) -> Result<WatchedBackends, ControlStoreError>;
+    /// Reads a policy that may be seconds old, at a lower price.
+    async fn recent_policy(&self) -> Result<PolicyAnswer, ControlStoreError>;
+    /// Reads a page of a list of back ends that may be seconds old, at a lower price.
+    async fn recent_backends(&self, after: Option<&str>) -> Result<DirectoryPage, ControlStoreError>;
 }
 
 /// The orders to move traffic to other versions, as the store holds them.
@@ -226,6 +230,8 @@
 pub trait RolloutStore: Send + Sync + 'static {
     /// Reads all orders.
     async fn orders(&self) -> Result<ListedOrders, ControlStoreError>;
+    /// Reads orders that may be seconds old, at a lower price.
+    async fn recent_orders(&self) -> Result<ListedOrders, ControlStoreError>;
     /// Waits up to `wait` for a change after `revision`; gives the revision reached and whether anything changed.
     async fn wait_for_orders(&self, revision: u64, wait: Duration) -> Result<(u64, bool), ControlStoreError>;
     /// Tells the operator how far an order has come.
--- a/crates/beamwall-gateway/tests/directory.rs
+++ b/crates/beamwall-gateway/tests/directory.rs
@@ -4,7 +4,7 @@
 
 use arbtest::arbitrary::Unstructured;
 use beamwall_gateway::ports::{DirectoryChange, DirectoryChanges, DirectorySnapshot};
-use beamwall_gateway::{Backend, Directory, Vanishing};
+use beamwall_gateway::{Backend, Correction, Directory, Vanishing};
 use beamwall_model::BackendId;
 use beamwall_seeds::on_seeds;
 
@@ -318,3 +318,20 @@
     assert!(own.replace(peer.snapshot(), Vanishing::Gone));
     assert_eq!(own.snapshot(), peer.snapshot());
 }
+
+/// Guards against a list that is wrong at the store's newest revision and therefore never replaced.
+#[test]
+fn a_reading_of_the_same_revision_replaces_a_list_that_differs() {
+    let mut directory = listed(10, vec![backend(1, false)]);
+    // A watch told a later revision without the change that led to it.
+    directory.apply(10, changes(20, Vec::new()), Vanishing::Gone);
+    let read = DirectorySnapshot { revision: 20, backends: vec![backend(2, false)] };
+    assert!(!directory.clone().replace(read.clone(), Vanishing::Gone), "what peers tell is newer or nothing");
+    assert_eq!(directory.correct(read.clone(), Vanishing::Gone), Correction::Changed);
+    assert_eq!(directory.snapshot(), read);
+    assert_eq!(directory.changes_since(10), None, "nobody else is told what led to it");
+    assert_eq!(directory.correct(read.clone(), Vanishing::Gone), Correction::Confirmed);
+    let older = DirectorySnapshot { revision: 19, backends: vec![backend(1, false)] };
+    assert_eq!(directory.correct(older, Vanishing::Gone), Correction::Outdated);
+    assert_eq!(directory.snapshot(), read);
+}
--- /dev/null
+++ b/crates/beamwall-gateway/tests/list_doubts.rs
@@ -0,0 +1,135 @@
+//! What speaks against a list of back ends leads to a reading of it: soon, by few nodes, and at longer pauses where it finds nothing.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use beamwall_gateway::ports::{DirectoryChange, DirectoryChanges, DirectorySnapshot};
+use beamwall_gateway::{Backend, Directory, Doubt, ListDoubts, Vanishing};
+use tokio::time::Instant;
+
+const SECOND: Duration = Duration::from_secs(1);
+/// Gateways of one large zone.
+const NODES: u16 = 300;
+/// Those of them that watch the store for the others.
+const WATCHERS: u16 = 2;
+
+fn backend(number: u8) -> Backend {
+    Backend {
+        id: format!("b{number}").as_str().into(),
+        instance: format!("b{number}").as_str().into(),
+        born_ms: None,
+        service: "model".into(),
+        address: ([127, 0, 0, 1], 9_000 + u16::from(number)).into(),
+        zone: "a".into(),
+        version: "v1".into(),
+        slots: 4,
+        draining: false,
+        reclaimable: false,
+    }
+}
+
+fn listed(revision: u64, numbers: &[u8]) -> Directory {
+    let mut directory = Directory::default();
+    let backends = numbers.iter().map(|number| backend(*number)).collect();
+    assert!(directory.replace(DirectorySnapshot { revision, backends }, Vanishing::Gone));
+    directory
+}
+
+fn peer(number: u16) -> SocketAddr {
+    ([127, 0, 0, 1], 1_000 + number).into()
+}
+
+#[test]
+fn a_back_end_that_can_not_be_reached_for_long_raises_a_doubt_and_one_that_answers_does_not() {
+    let (doubts, directory, now) = (ListDoubts::default(), listed(5, &[1, 2]), Instant::now());
+    for tenth in 0..30 {
+        let now = now + SECOND * tenth / 10;
+        doubts.note_unreached(&"b1".into(), now);
+        doubts.note_unreached(&"b2".into(), now);
+        doubts.note_reached(&"b2".into());
+        let expected = (tenth >= 20).then(|| Doubt::Unreached("b1".into()));
+        assert_eq!(doubts.reason(&directory, true, now), expected, "after {tenth} tenths of a second");
+    }
+}
+
+#[test]
+fn a_back_end_that_left_the_list_or_was_not_tried_for_long_raises_none() {
+    let (doubts, directory, now) = (ListDoubts::default(), listed(5, &[1]), Instant::now());
+    for second in 0..4 {
+        doubts.note_unreached(&"b1".into(), now + SECOND * second);
+        doubts.note_unreached(&"gone".into(), now + SECOND * second);
+    }
+    assert_eq!(doubts.reason(&listed(6, &[2]), true, now + SECOND * 4), None);
+    assert_eq!(doubts.reason(&directory, true, now + SECOND * 60), None);
+    doubts.note_unreached(&"b1".into(), now + SECOND * 60);
+    assert_eq!(
+        doubts.reason(&directory, true, now + SECOND * 60),
+        None,
+        "the tries of before are another matter"
+    );
+}
+
+/// Readings that find nothing new come at longer and longer pauses: a machine that vanished stays listed for a while.
+#[test]
+fn readings_that_find_nothing_become_rare() {
+    let (doubts, directory, begun) = (ListDoubts::default(), listed(5, &[1]), Instant::now());
+    let mut readings = 0;
+    for tenth in 0..6_000 {
+        let now = begun + SECOND * tenth / 10;
+        doubts.note_unreached(&"b1".into(), now);
+        if doubts.reason(&directory, true, now).is_some() {
+            doubts.note_read(false, now);
+            readings += 1;
+        }
+    }
+    assert!((8..=16).contains(&readings), "{readings} readings in ten minutes");
+}
+
+/// The load of one node that differs in a zone of many: it reads, and so do those that watch for the zone; nobody else does.
+#[test]
+fn of_many_nodes_those_that_watch_and_the_one_that_differs_read() {
+    let (right, wrong, now) = (listed(5, &[1, 2]), listed(5, &[1]), Instant::now());
+    let list_of = |node: u16| if node == NODES - 1 { &wrong } else { &right };
+    let reads = |node: u16| {
+        let doubts = ListDoubts::default();
+        for other in (0..NODES).filter(|other| *other != node) {
+            doubts.note_peer(peer(other), 5, list_of(other).digest(), now);
+        }
+        assert_eq!(doubts.reason(list_of(node), node < WATCHERS, now), None, "news may be under way");
+        doubts.reason(list_of(node), node < WATCHERS, now + SECOND).is_some()
+    };
+    let reading: Vec<u16> = (0..NODES).filter(|node| reads(*node)).collect();
+    assert_eq!(reading, [0, 1, NODES - 1]);
+}
+
+#[test]
+fn peers_of_other_revisions_or_not_heard_for_long_say_nothing() {
+    let (doubts, held, now) = (ListDoubts::default(), listed(5, &[1]), Instant::now());
+    doubts.note_peer(peer(1), 4, 99, now);
+    doubts.note_peer(peer(2), 6, 99, now);
+    assert_eq!(doubts.reason(&held, true, now + SECOND), None);
+    doubts.note_peer(peer(3), 5, 99, now);
+    assert_eq!(doubts.reason(&held, true, now + SECOND), Some(Doubt::PeersDiffer(1)));
+    assert_eq!(doubts.reason(&held, true, now + SECOND * 5), None);
+}
+
+#[test]
+fn a_list_that_the_store_gave_differently_is_read_once() {
+    let (doubts, held, now) = (ListDoubts::default(), listed(5, &[1]), Instant::now());
+    doubts.note_store_differs();
+    assert_eq!(doubts.reason(&held, true, now), Some(Doubt::StoreDiffers));
+    doubts.note_read(true, now);
+    assert_eq!(doubts.reason(&held, true, now + SECOND * 9), None);
+}
+
+/// Guards against a leaving back end, which refuses connections as it ends, being taken for a fault of the list.
+#[test]
+fn a_leaving_back_end_that_refuses_raises_none() {
+    let (doubts, mut directory, now) = (ListDoubts::default(), listed(5, &[1]), Instant::now());
+    let leaving = DirectoryChange::Changed(Backend { draining: true, ..backend(1) });
+    directory.apply(5, DirectoryChanges { revision: 6, changes: vec![leaving] }, Vanishing::Gone);
+    for second in 0..5 {
+        doubts.note_unreached(&"b1".into(), now + SECOND * second);
+    }
+    assert_eq!(doubts.reason(&directory, true, now + SECOND * 5), None);
+}
--- a/crates/beamwall-node/src/actors/directory.rs
+++ b/crates/beamwall-node/src/actors/directory.rs
@@ -7,10 +7,10 @@
 use beamwall_events::emit;
 use beamwall_events::internal_events::{BackendsLapsed, DirectoryChanged, LapsedBackendsDropped};
 use beamwall_gateway::ports::{DirectoryChanges, DirectorySnapshot};
-use beamwall_gateway::{Backend, Directory, Gateway, Vanishing};
-use kameo::Actor;
+use beamwall_gateway::{Backend, Correction, Directory, Gateway, Vanishing};
 use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
+use kameo::{Actor, Reply};
 use tokio::sync::Notify;
 
 use crate::gateway::store_status::StoreStatus;
@@ -109,6 +109,36 @@
     }
 }
 
+/// The whole list was read from the store at one moment.
+pub struct TakeReading {
+    /// The list.
+    pub snapshot: DirectorySnapshot,
+    /// Where it came from, for logs.
+    pub source: String,
+}
+
+/// What a reading says of the list that was held.
+#[derive(Debug, Clone, Copy, Reply)]
+pub struct ReadingTaken(pub Correction);
+
+impl Message<TakeReading> for DirectoryActor {
+    type Reply = ReadingTaken;
+
+    /// Takes the list, also in place of another one of the same revision; answers what it says of that.
+    async fn handle(
+        &mut self,
+        message: TakeReading,
+        context: &mut Context<Self, Self::Reply>,
+    ) -> ReadingTaken {
+        let before = self.before();
+        let correction = self.directory.correct(message.snapshot, self.vanishing());
+        if correction != Correction::Outdated {
+            self.publish_newer(message.source, &before, context.actor_ref().clone());
+        }
+        ReadingTaken(correction)
+    }
+}
+
 /// Some pages of the list were read, and the whole is not known yet.
 pub struct UseMeanwhile {
     /// The back ends read so far.
--- a/crates/beamwall-node/src/gateway/chooser.rs
+++ b/crates/beamwall-node/src/gateway/chooser.rs
@@ -46,6 +46,11 @@
         !self.members.load().members.is_empty()
     }
 
+    /// Nodes known beside this one.
+    pub fn nodes_known(&self) -> usize {
+        self.members.load().members.len()
+    }
+
     /// Returns as soon as this node is chosen.
     pub async fn wait_chosen(&self, what: &str, count: usize) {
         while !self.is_chosen(what, count) {
--- a/crates/beamwall-node/src/gateway/listing.rs
+++ b/crates/beamwall-node/src/gateway/listing.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use beamwall_gateway::directory::digest_of;
 use beamwall_gateway::ports::{DirectoryPage, DirectorySnapshot};
 use beamwall_gateway::{ControlStore, ControlStoreError, Directory};
 use kameo::actor::ActorRef;
@@ -38,6 +39,15 @@
 /// Longest pause after a page was refused, a random part of which is waited; it doubles with each further try.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
+/// Why the list is read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    /// No list is known here.
+    Anew,
+    /// The list held here is doubted or can.t be followed on, so that it is no reason to leave the rest unread.
+    Review,
+}
+
 /// What a reading came to.
 #[derive(Debug)]
 pub enum Listed {
@@ -65,7 +75,7 @@
 
 impl Listing {
     /// Reads all pages, or as many as it takes until a peer has told the list.
-    pub async fn read(&self) -> Result<Listed, ControlStoreError> {
+    pub async fn read(&self, purpose: Purpose) -> Result<Listed, ControlStoreError> {
         let first = self.store.backends(None).await?;
         self.unreadable.note(&first.unreadable);
         // What changes between two pages is seen by the watch from the first page's revision.
@@ -76,7 +86,7 @@
             self.use_meanwhile(&snapshot).await;
             self.leave_to_peers(pages).await;
             let told = self.known.load().revision();
-            if pages >= READ_BY_ALL && told >= snapshot.revision {
+            if purpose == Purpose::Anew && pages >= READ_BY_ALL && told >= snapshot.revision {
                 return Ok(Listed::ToldByPeer(told));
             }
             let next = self.page_after(&after).await?;
@@ -91,6 +101,20 @@
         Ok(Listed::Whole(snapshot))
     }
 
+    /// Reads a list that may be seconds old; gives a number that is equal for lists of equal contents.
+    pub async fn recent_digest(&self) -> Result<u64, ControlStoreError> {
+        let mut backends = Vec::new();
+        let mut after: Option<String> = None;
+        loop {
+            let page = self.store.recent_backends(after.as_deref()).await?;
+            backends.extend(page.backends);
+            match page.last {
+                Some(last) if after.as_ref() != Some(&last) => after = Some(last),
+                _ => return Ok(digest_of(backends.iter())),
+            }
+        }
+    }
+
     /// Lets callers be served by what was read so far, where no whole list is known.
     async fn use_meanwhile(&self, read: &DirectorySnapshot) {
         if !self.known.load().is_whole() {
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -186,8 +186,11 @@
             readiness_path: ports.readiness_path,
         });
         let chooser = exchange.chooser.clone();
-        let followed_policy =
-            FollowedPolicy { store: ports.store.clone(), policy: exchange.policy_actor.clone() };
+        let followed_policy = Arc::new(FollowedPolicy {
+            store: ports.store.clone(),
+            policy: exchange.policy_actor.clone(),
+            gateway: gateway.clone(),
+        });
         let listing = Listing {
             store: ports.store.clone(),
             known: exchange.directory.clone(),
@@ -196,13 +199,19 @@
             status: status.clone(),
             unreadable,
         };
-        let followed_backends =
-            FollowedBackends { store: ports.store, listing, directory: exchange.directory_actor.clone() };
+        let followed_backends = Arc::new(FollowedBackends {
+            store: ports.store,
+            listing,
+            directory: exchange.directory_actor.clone(),
+            gateway: gateway.clone(),
+        });
         let mut tasks = vec![
             tokio::spawn(serve_forever(readiness_listener, status_handler.clone())),
             tokio::spawn(serve_forever(metrics_listener, status_handler)),
-            tokio::spawn(watches::follow(followed_policy, status.clone(), chooser.clone())),
-            tokio::spawn(watches::follow(followed_backends, status.clone(), chooser.clone())),
+            tokio::spawn(watches::follow(followed_policy.clone(), status.clone(), chooser.clone())),
+            tokio::spawn(watches::review(followed_policy, chooser.clone())),
+            tokio::spawn(watches::follow(followed_backends.clone(), status.clone(), chooser.clone())),
+            tokio::spawn(watches::review(followed_backends, chooser.clone())),
             tokio::spawn(exchange.clone().send_beats()),
             tokio::spawn(exchange.clone().receive(inbox)),
         ];
@@ -212,8 +221,9 @@
         tasks.push(tokio::spawn(standstills.watch(Suspensions::new(exchange.news.clone()))));
         tasks.push(tokio::spawn(recall_held_requests(kept_quarantine.clone(), gateway.clone())));
         if let Some(store) = ports.rollouts.clone() {
-            let followed = FollowedOrders { store, exchange: exchange.clone() };
-            tasks.push(tokio::spawn(watches::follow(followed, status, chooser.clone())));
+            let followed = Arc::new(FollowedOrders { store, exchange: exchange.clone() });
+            tasks.push(tokio::spawn(watches::follow(followed.clone(), status, chooser.clone())));
+            tasks.push(tokio::spawn(watches::review(followed, chooser.clone())));
         }
         if let Some(calls) = ports.duties {
             let duty_ports = DutyPorts { objects: ports.objects, calls, rollouts: ports.rollouts };
--- a/crates/beamwall-node/src/gateway/rollouts.rs
+++ b/crates/beamwall-node/src/gateway/rollouts.rs
@@ -7,7 +7,7 @@
 use beamwall_events::emit;
 use beamwall_events::internal_events::RolloutOrdered;
 use beamwall_gateway::ControlStoreError;
-use beamwall_gateway::ports::{ListedOrder, RolloutStore};
+use beamwall_gateway::ports::{ListedOrder, ListedOrders, RolloutStore};
 use beamwall_model::{NodeId, ServiceName, ZoneName};
 use beamwall_peer::rollout_message::RolloutNews;
 use beamwall_rollout::{OrderNews, RolloutBook};
@@ -42,6 +42,25 @@
             }
         }
         let listed = self.store.orders().await?;
+        let revision = listed.revision;
+        self.take(listed);
+        Ok(revision)
+    }
+
+    async fn review(&self) -> Result<Option<u64>, ControlStoreError> {
+        let listed = self.store.recent_orders().await?;
+        let revision = listed.revision;
+        Ok(self.take(listed).then_some(revision))
+    }
+
+    fn entries(&self) -> usize {
+        self.exchange.rollouts().orders(beamwall_clock::now()).len()
+    }
+}
+
+impl FollowedOrders {
+    /// Takes the orders as listed; returns whether anything is new.
+    fn take(&self, listed: ListedOrders) -> bool {
         let services: Vec<ServiceName> =
             listed.orders.iter().map(|listed| listed.order.id.service.clone()).collect();
         let book = self.exchange.rollouts();
@@ -52,7 +71,7 @@
         if has_changed {
             self.exchange.news.notify_one();
         }
-        Ok(listed.revision)
+        has_changed
     }
 }
 
--- a/crates/beamwall-node/src/gateway/watches.rs
+++ b/crates/beamwall-node/src/gateway/watches.rs
@@ -6,18 +6,27 @@
 //! A watch that fails is taken up again at the revision it had reached, so nothing between is
 //! missed; when that history is gone, everything is read anew. Waits are short, because a watch
 //! on a connection that died silently hears nothing until its time is over.
+//!
+//! A watch that passes a change over never tells of it. So one node of each zone holds what is known against a cheaper reading now
+//! and then, and what is doubted is read whole again.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
-use beamwall_gateway::ports::PolicyAnswer;
-use beamwall_gateway::{ControlStore, ControlStoreError};
+use beamwall_events::emit;
+use beamwall_events::internal_events::{DirectoryDoubted, DirectoryReviewed, WatchMissedChange};
+use beamwall_gateway::ports::{DirectorySnapshot, PolicyAnswer};
+use beamwall_gateway::{ControlStore, ControlStoreError, Correction, Doubt, Gateway, ListDoubts};
+use beamwall_policy::TrafficPolicy;
 use kameo::actor::ActorRef;
+use rand::RngExt;
+use tokio::time::Instant;
 
-use crate::actors::directory::{ApplyChanges, DirectoryActor, TakeSnapshot};
+use crate::actors::directory::{ApplyChanges, DirectoryActor, ReadingTaken, TakeReading};
 use crate::actors::policy::{OfferPolicy, PolicyActor};
 use crate::gateway::chooser::ZoneChooser;
-use crate::gateway::listing::{Listed, Listing};
+use crate::gateway::listing::{Listed, Listing, Purpose};
 use crate::gateway::store_status::StoreStatus;
 
 /// Longest wait of one watch call.
@@ -28,6 +37,20 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// Time between two cheaper readings of a subject, by one node of each zone.
+const REVIEW_PERIOD: Duration = Duration::from_secs(5);
+/// Further time for each entry that such a reading brings: a long list takes the link of the node that reads it.
+const REVIEW_PERIOD_PER_ENTRY: Duration = Duration::from_millis(10);
+/// Parts of the period that are waited, so that zones read at different moments.
+const REVIEW_PERIOD_PARTS: std::ops::Range<f64> = 0.75..1.25;
+/// Nodes of a zone that review each subject.
+const REVIEWERS_PER_ZONE: usize = 1;
+/// Time between two looks at whether the list of back ends is doubted.
+const DOUBT_PERIOD: Duration = Duration::from_millis(250);
+/// Longest wait, for each node known, of those that don't watch for their zone: those that do read first and tell the others.
+const LEFT_TO_WATCHERS_PER_NODE: Duration = Duration::from_millis(20);
+/// The shortest wait of those that don't watch.
+const LEFT_TO_WATCHERS: Duration = Duration::from_secs(2);
 /// The source named in logs.
 const SOURCE: &str = "store";
 /// The policy as a subject of the store.
@@ -53,7 +76,7 @@
     }
 }
 
-/// Something in the store that is followed: read whole once, then watched.
+/// Something in the store that is followed: read whole once, then watched, and held against a cheaper reading now and then.
 pub trait Followed: Send + Sync + 'static {
     /// Its name in logs, and by which its watchers are chosen.
     const SUBJECT: &'static str;
@@ -61,21 +84,41 @@
     const GATHERING_TIME: Duration;
 
     /// Reads it whole, or watches on from the revision reached; gives the revision reached then.
-    fn step(
-        &self,
-        reached: Option<u64>,
-    ) -> impl std::future::Future<Output = Result<u64, ControlStoreError>> + Send;
+    fn step(&self, reached: Option<u64>) -> impl Future<Output = Result<u64, ControlStoreError>> + Send;
+
+    /// Takes what a cheaper reading brings that was not told; gives its revision, or `None` where there is nothing new.
+    fn review(&self) -> impl Future<Output = Result<Option<u64>, ControlStoreError>> + Send;
+
+    /// Entries that such a reading brings.
+    fn entries(&self) -> usize;
+
+    /// Returns as soon as what is known should be read whole again.
+    fn doubted(&self) -> impl Future<Output = ()> + Send {
+        std::future::pending()
+    }
 }
 
 /// Follows a subject until the task is ended. After the first reading only the nodes chosen watch on.
-pub async fn follow<F: Followed>(followed: F, status: Arc<StoreStatus>, chooser: ZoneChooser) {
+pub async fn follow<F: Followed>(followed: Arc<F>, status: Arc<StoreStatus>, chooser: ZoneChooser) {
     let mut backoff = Backoff::new();
     let mut reached: Option<u64> = None;
+    let mut doubted = pin!(followed.doubted());
     loop {
-        if reached.is_some() {
-            chooser.wait_chosen(F::SUBJECT, WATCHERS_PER_ZONE).await;
-        }
-        match followed.step(reached).await {
+        let watched = async {
+            if reached.is_some() {
+                chooser.wait_chosen(F::SUBJECT, WATCHERS_PER_ZONE).await;
+            }
+            followed.step(reached).await
+        };
+        let answer = tokio::select! {
+            answer = watched => answer,
+            () = &mut doubted, if reached.is_some() => {
+                doubted.set(followed.doubted());
+                reached = None;
+                continue;
+            }
+        };
+        match answer {
             Ok(revision) => {
                 status.note_answer(F::SUBJECT);
                 backoff.reset();
@@ -93,12 +136,31 @@
     }
 }
 
+/// Holds a subject against cheaper readings until the task is ended, while this node is chosen to.
+pub async fn review<F: Followed>(followed: Arc<F>, chooser: ZoneChooser) {
+    loop {
+        let entries = u32::try_from(followed.entries()).unwrap_or(u32::MAX);
+        let period = REVIEW_PERIOD + REVIEW_PERIOD_PER_ENTRY * entries;
+        let part = rand::rng().random_range(REVIEW_PERIOD_PARTS);
+        tokio::time::sleep(period.mul_f64(part)).await;
+        if !chooser.is_chosen(F::SUBJECT, REVIEWERS_PER_ZONE) {
+            continue;
+        }
+        // Where the store is away, the watch over the same subject tells of it.
+        if let Ok(Some(revision)) = followed.review().await {
+            emit(&WatchMissedChange { what: F::SUBJECT.to_owned(), revision: revision.to_string() });
+        }
+    }
+}
+
 /// The policy in the store.
 pub struct FollowedPolicy {
     /// The store.
     pub store: Arc<dyn ControlStore>,
     /// Takes newer policies.
     pub policy: ActorRef<PolicyActor>,
+    /// Holds the policy in force.
+    pub gateway: Arc<Gateway>,
 }
 
 impl Followed for FollowedPolicy {
@@ -110,11 +172,31 @@
             None => self.store.policy().await?,
             Some(revision) => self.store.watch_policy(revision, WATCH_WAIT).await?,
         };
-        if let Some(policy) = policy {
-            let _ = self.policy.ask(OfferPolicy { policy, source: SOURCE.to_owned() }).await;
-        }
+        self.offer(policy).await;
         Ok(revision)
     }
+
+    async fn review(&self) -> Result<Option<u64>, ControlStoreError> {
+        let PolicyAnswer { revision, policy } = self.store.recent_policy().await?;
+        let is_new = self.offer(policy).await;
+        Ok(is_new.then_some(revision))
+    }
+
+    fn entries(&self) -> usize {
+        let index = self.gateway.policy.load();
+        let policy = index.policy();
+        policy.routes.len() + policy.services.len() + policy.tenants.len()
+    }
+}
+
+impl FollowedPolicy {
+    /// Offers what was read; returns whether it is newer than what was in force.
+    async fn offer(&self, policy: Option<TrafficPolicy>) -> bool {
+        let Some(policy) = policy else { return false };
+        let offer = OfferPolicy { policy, source: SOURCE.to_owned() };
+        // The actor ends only with the node.
+        self.policy.ask(offer).await.unwrap_or(false)
+    }
 }
 
 /// The back ends in the store.
@@ -125,6 +207,8 @@
     pub listing: Listing,
     /// Takes lists and changes.
     pub directory: ActorRef<DirectoryActor>,
+    /// Knows what speaks against the list.
+    pub gateway: Arc<Gateway>,
 }
 
 impl Followed for FollowedBackends {
@@ -133,14 +217,7 @@
 
     async fn step(&self, reached: Option<u64>) -> Result<u64, ControlStoreError> {
         match reached {
-            None => match self.listing.read().await? {
-                Listed::Whole(snapshot) => {
-                    let revision = snapshot.revision;
-                    let _ = self.directory.ask(TakeSnapshot { snapshot, source: SOURCE.to_owned() }).await;
-                    Ok(revision)
-                }
-                Listed::ToldByPeer(revision) => Ok(revision),
-            },
+            None => self.read_whole().await,
             Some(base) => {
                 let watched = self.store.watch_backends(base, WATCH_WAIT).await?;
                 self.listing.unreadable.note(&watched.unreadable);
@@ -152,6 +229,89 @@
             }
         }
     }
+
+    async fn review(&self) -> Result<Option<u64>, ControlStoreError> {
+        let read = self.listing.recent_digest().await?;
+        // It may be older than what is held, so it is no proof: the newest is read before anything is taken.
+        if read != self.listing.known.load().digest() {
+            self.doubts().note_store_differs();
+        }
+        Ok(None)
+    }
+
+    fn entries(&self) -> usize {
+        self.listing.known.load().backends().count()
+    }
+
+    async fn doubted(&self) {
+        loop {
+            tokio::time::sleep(DOUBT_PERIOD).await;
+            if self.doubt().is_none() {
+                continue;
+            }
+            if !self.watches() {
+                tokio::time::sleep(self.left_to_watchers()).await;
+            }
+            if let Some(doubt) = self.doubt() {
+                let revision = self.listing.known.load().revision().to_string();
+                emit(&DirectoryDoubted { reason: describe(&doubt), revision });
+                return;
+            }
+        }
+    }
+}
+
+impl FollowedBackends {
+    fn doubts(&self) -> &ListDoubts {
+        &self.gateway.forwarder.knowledge.doubts
+    }
+
+    fn watches(&self) -> bool {
+        self.listing.chooser.is_chosen(BACKENDS, WATCHERS_PER_ZONE)
+    }
+
+    fn doubt(&self) -> Option<Doubt> {
+        self.doubts().reason(&self.listing.known.load(), self.watches(), Instant::now())
+    }
+
+    /// Time for which a node that does not watch for its zone leaves a reading to those that do.
+    fn left_to_watchers(&self) -> Duration {
+        let nodes = u32::try_from(self.listing.chooser.nodes_known()).unwrap_or(u32::MAX);
+        LEFT_TO_WATCHERS + (LEFT_TO_WATCHERS_PER_NODE * nodes).mul_f64(rand::rng().random())
+    }
+
+    /// Reads the whole list: for the first time, where it can't be followed on, or because it is doubted.
+    async fn read_whole(&self) -> Result<u64, ControlStoreError> {
+        let held = self.listing.known.load().revision();
+        let purpose = if held == 0 { Purpose::Anew } else { Purpose::Review };
+        let read = match self.listing.read(purpose).await? {
+            Listed::ToldByPeer(revision) => return Ok(revision),
+            Listed::Whole(read) => read,
+        };
+        let revision = read.revision;
+        let correction = self.take(read).await;
+        if purpose == Purpose::Review {
+            self.doubts().note_read(correction == Correction::Changed, Instant::now());
+            let outcome = format!("{correction:?}");
+            emit(&DirectoryReviewed { outcome, held: held.to_string(), read: revision.to_string() });
+        }
+        Ok(revision)
+    }
+
+    async fn take(&self, snapshot: DirectorySnapshot) -> Correction {
+        let reading = TakeReading { snapshot, source: SOURCE.to_owned() };
+        // The actor ends only with the node.
+        let taken = self.directory.ask(reading).await;
+        taken.map_or(Correction::Outdated, |ReadingTaken(correction)| correction)
+    }
+}
+
+fn describe(doubt: &Doubt) -> String {
+    match doubt {
+        Doubt::Unreached(backend) => format!("unreached: {backend}"),
+        Doubt::PeersDiffer(peers) => format!("peers: {peers}"),
+        Doubt::StoreDiffers => "store".to_owned(),
+    }
 }
 
 /// Whether a watch may be taken up again at the revision it had reached.
