Usage of open windows and the needs of services are kept with each renewal of the lease on duties

Seen: after all gateways were killed within a window and started again, 0 of 30 requests that they had counted were reported; killed 1.2 s after a window's end, it was never reported at all, by anybody. Cause, two: counts live in the gateways until a window is fixed in the store; and each life began its reports with the window of its own start where none was fixed. Both are one thing that no holder left behind for the next. Ruled out: counts that are not told (each gateway knew all of them; counts_of_a_killed_life_outlive_those_that_heard_it holds). The rule of which window is due moves into that package, without a network. While needs are not known orders go by those that were kept. Renewals come each 0.65 s while there is more to keep (1 s otherwise), looks at another's lease each 1.6 s instead of 1 s and at the moment it may be taken.

--- /dev/null
+++ b/crates/beamwall-duties/src/usage_windows.rs
@@ -0,0 +1,70 @@
+//! Which window of usage is reported next, and when.
+
+use std::time::Duration;
+
+/// Times of reports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UsageTiming {
+    /// Length of a window.
+    pub window: Duration,
+    /// Time after a window's end until all nodes have told their counts.
+    pub settles: Duration,
+    /// Time after a window's end for which counts of silent nodes are waited for: they may be cut off and come back.
+    pub waits: Duration,
+    /// Time after a window's end after which it is not reported any more.
+    pub forgotten: Duration,
+}
+
+/// The time of day as windows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WindowClock {
+    /// The window of now.
+    pub current: u64,
+    /// How much of it has passed.
+    pub passed: Duration,
+}
+
+impl WindowClock {
+    /// Time since a window's end; `None` before it.
+    pub fn ended_for(&self, window: u64, length: Duration) -> Option<Duration> {
+        let windows_since = u32::try_from(self.current.checked_sub(window + 1)?).unwrap_or(u32::MAX);
+        Some(self.passed + length.saturating_mul(windows_since))
+    }
+}
+
+/// How far the windows are done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WindowProgress {
+    /// The last window that this tenure reported.
+    pub reported_through: Option<u64>,
+    /// The last window whose counts are fixed in the store.
+    pub newest_fixed: Option<u64>,
+    /// The window with which reports begin where none is fixed: an earlier holder's oldest open one, or that of the start.
+    pub first: u64,
+}
+
+impl WindowProgress {
+    /// The oldest window whose counts are not fixed: from here on they must not be lost.
+    pub fn first_open(&self) -> u64 {
+        let done = self.reported_through.max(self.newest_fixed);
+        done.map_or(self.first, |window| window + 1)
+    }
+
+    /// The next window to report if it is due. A new holder repeats the last window that was fixed: its predecessor may not have
+    /// reported it. `is_complete` tells whether no node is silent that may still count.
+    pub fn due(
+        &self,
+        clock: &WindowClock,
+        timing: &UsageTiming,
+        is_complete: bool,
+        is_fixed: impl Fn(u64) -> bool,
+    ) -> Option<u64> {
+        let next = self.reported_through.map(|window| window + 1).or(self.newest_fixed).unwrap_or(self.first);
+        let kept = timing.forgotten.as_millis() / timing.window.as_millis().max(1);
+        let oldest = clock.current.saturating_sub(u64::try_from(kept).unwrap_or(u64::MAX));
+        let window = next.max(oldest);
+        let ended_for = clock.ended_for(window, timing.window)?;
+        let is_settled = ended_for >= timing.waits || (ended_for >= timing.settles && is_complete);
+        (is_settled || is_fixed(window)).then_some(window)
+    }
+}
--- /dev/null
+++ b/crates/beamwall-duties/tests/usage_windows.rs
@@ -0,0 +1,64 @@
+//! Every window is reported, whoever holds the duty when it is due.
+
+use std::time::Duration;
+
+use beamwall_duties::{UsageTiming, WindowClock, WindowProgress};
+
+const SECOND: Duration = Duration::from_secs(1);
+const TIMING: UsageTiming = UsageTiming {
+    window: Duration::from_secs(6),
+    settles: SECOND,
+    waits: Duration::from_secs(8),
+    forgotten: Duration::from_secs(30),
+};
+
+fn at(current: u64, passed_s: u64) -> WindowClock {
+    WindowClock { current, passed: SECOND * u32::try_from(passed_s).expect("small") }
+}
+
+fn progress(first: u64) -> WindowProgress {
+    WindowProgress { reported_through: None, newest_fixed: None, first }
+}
+
+fn due(progress: WindowProgress, clock: WindowClock, is_complete: bool) -> Option<u64> {
+    progress.due(&clock, &TIMING, is_complete, |window| progress.newest_fixed == Some(window))
+}
+
+#[test]
+fn a_window_is_due_when_all_have_told_their_counts() {
+    assert_eq!(due(progress(40), at(40, 5), true), None, "it has not ended");
+    assert_eq!(due(progress(40), at(41, 0), true), None, "counts are under way");
+    assert_eq!(due(progress(40), at(41, 1), true), Some(40));
+    assert_eq!(due(progress(40), at(41, 1), false), None, "somebody silent may still count");
+    assert_eq!(due(progress(40), at(42, 2), false), Some(40), "not for ever");
+}
+
+/// Guards against a window that nobody reports, because each life began with the window of its own start.
+#[test]
+fn a_window_that_a_predecessor_left_open_is_due() {
+    let taken_over = WindowProgress { first: 39, ..progress(41) };
+    assert_eq!(due(taken_over, at(41, 1), true), Some(39));
+    let done = WindowProgress { reported_through: Some(39), ..taken_over };
+    assert_eq!(due(done, at(41, 1), true), Some(40));
+}
+
+#[test]
+fn a_successor_repeats_the_last_fixed_window_and_goes_on() {
+    let fixed = WindowProgress { newest_fixed: Some(40), ..progress(44) };
+    assert_eq!(due(fixed, at(44, 0), false), Some(40), "its counts are fixed");
+    assert_eq!(fixed.first_open(), 41);
+    let repeated = WindowProgress { reported_through: Some(40), ..fixed };
+    assert_eq!(due(repeated, at(44, 0), true), Some(41));
+}
+
+#[test]
+fn windows_that_ended_long_ago_are_not_reported() {
+    assert_eq!(due(progress(1), at(100, 0), true), Some(95));
+}
+
+#[test]
+fn open_windows_begin_after_the_last_one_that_is_fixed() {
+    assert_eq!(progress(40).first_open(), 40);
+    let reported = WindowProgress { reported_through: Some(42), newest_fixed: Some(41), first: 40 };
+    assert_eq!(reported.first_open(), 43);
+}
--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -221,6 +221,10 @@
     6106 Warn FixedUsageUnreadable "fixed usage unreadable" { reason }
     /// The store holds something that its watch did not tell.
     6107 Warn WatchMissedChange "watch missed a change" { what, revision }
+    /// This node takes the lease on duties and goes on from what the last holder kept.
+    6108 Info DutiesTakenOver "duties taken over" { first_window, windows, requests, services }
+    /// What the last holder of the duties kept can't be read, or what this one keeps can't be written.
+    6109 Warn DutiesNotKept "duties not kept" { reason }
     /// An invariant was broken: a fault in the program, to be reported.
     9001 Error InvariantBroken "invariant broken" { invariant, detail }
 }
--- a/crates/beamwall-gateway/src/sizing.rs
+++ b/crates/beamwall-gateway/src/sizing.rs
@@ -1,6 +1,7 @@
 //! How many back ends a workload needs: the fewest at which what is expected of each keeps callers' objectives.
 
 use beamwall_engine_model::{Occupancy, ServiceEstimates, Workload};
+use serde::{Deserialize, Serialize};
 
 /// Most back ends that are tried: a service that would need more is given what it may have.
 const MOST: u32 = 20_000;
@@ -45,7 +46,7 @@
 }
 
 /// How many back ends are needed at each fullness.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Needed {
     /// While reclaimable back ends can be had.
     pub usual: u32,
--- a/crates/beamwall-gateway/tests/usage.rs
+++ b/crates/beamwall-gateway/tests/usage.rs
@@ -91,3 +91,81 @@
     // What other zones told is not told to them again.
     assert_eq!(here.sum_of_nodes(3)[0].counts, [("alder".into(), 1)].into());
 }
+
+/// Guards against usage that is lost with all nodes: what was written down and what later lives count are summed.
+#[test]
+fn what_was_written_down_before_all_lives_ended_is_carried_on() {
+    let before = UsageLedger::new(WINDOW).of_life(&"n1".into(), 1);
+    let other = UsageLedger::new(WINDOW).of_life(&"n2".into(), 1);
+    before.record(&"alder".into(), second(10));
+    other.record(&"alder".into(), second(11));
+    before.merge(&"n2".into(), 1, other.recent(3));
+    let written = before.to_carry(2);
+    let after = UsageLedger::new(WINDOW).of_life(&"n1".into(), 2);
+    after.carry(written);
+    after.record(&"alder".into(), second(13));
+    assert_eq!(after.total(2).counts, [("alder".into(), 3)].into());
+    // And once more, with a life that is known from others as well.
+    let last = UsageLedger::new(WINDOW).of_life(&"n3".into(), 1);
+    last.merge(&"n2".into(), 1, other.recent(3));
+    last.carry(after.to_carry(2));
+    last.record(&"birch".into(), second(14));
+    assert_eq!(last.total(2).counts, [("alder".into(), 3), ("birch".into(), 1)].into());
+}
+
+/// A successor that has heard the lives counts none of them twice, also where they went on counting.
+#[test]
+fn lives_that_were_written_down_and_go_on_count_once() {
+    let holder = UsageLedger::new(WINDOW).of_life(&"n1".into(), 1);
+    let successor = UsageLedger::new(WINDOW).of_life(&"n2".into(), 1);
+    holder.record(&"alder".into(), second(10));
+    successor.record(&"alder".into(), second(10));
+    holder.merge(&"n2".into(), 1, successor.recent(3));
+    let written = holder.to_carry(2);
+    holder.record(&"alder".into(), second(11));
+    successor.record(&"alder".into(), second(12));
+    successor.merge(&"n1".into(), 1, holder.recent(3));
+    successor.carry(written);
+    assert_eq!(successor.total(2).counts, [("alder".into(), 4)].into());
+}
+
+/// Whatever is killed when, nothing is counted twice, and nothing is lost that was told before it was written down.
+#[test]
+fn counts_are_at_least_what_was_written_down_and_at_most_what_ran() {
+    beamwall_seeds::on_seeds(2_000, |random| {
+        let mut lives = [0_u64; 3];
+        let new = |node: usize, life: u64| {
+            UsageLedger::new(WINDOW).of_life(&format!("n{node}").as_str().into(), life)
+        };
+        let mut nodes: Vec<UsageLedger> = (0..3).map(|node| new(node, 0)).collect();
+        let (mut ran, mut written, mut written_total) = (0, None, 0);
+        for _ in 0..random.int_in_range(1..=40)? {
+            let node = random.int_in_range(0..=2)?;
+            match random.int_in_range(0..=5)? {
+                0..=2 => {
+                    nodes[node].record(&"alder".into(), second(12));
+                    ran += 1;
+                }
+                3 => {
+                    let told = nodes[node].recent(3);
+                    for other in (0..3).filter(|other| *other != node) {
+                        nodes[other].merge(&format!("n{node}").as_str().into(), lives[node], told.clone());
+                    }
+                }
+                4 => {
+                    // One takes the duty over and writes down what it knows.
+                    nodes[node].carry(written.take().unwrap_or_default());
+                    let total = nodes[node].total(2).counts.values().sum();
+                    assert!(total >= written_total, "{total} of {written_total} written down");
+                    assert!(total <= ran, "{total} of {ran}");
+                    (written, written_total) = (Some(nodes[node].to_carry(0)), total);
+                }
+                _ => {
+                    lives[node] += 1;
+                    nodes[node] = new(node, lives[node]);
+                }
+            }
+        }
+        Ok(())
+    });
+}
--- a/crates/beamwall-node/src/gateway/duties/capacity.rs
+++ b/crates/beamwall-node/src/gateway/duties/capacity.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use crate::gateway::duties::followed_demand::FollowedDemand;
+use crate::gateway::duties::kept::KeptDuties;
 use crate::gateway::duties::{Holding, describe};
 
 /// Time between two looks at the number of back ends.
@@ -44,13 +45,14 @@
 pub(super) struct CapacityDuty {
     gateway: Arc<Gateway>,
     port: Arc<dyn DutyPort>,
+    kept: Arc<KeptDuties>,
     demands: BTreeMap<ServiceName, FollowedDemand>,
 }
 
 impl CapacityDuty {
     /// A duty that has seen no demand yet.
-    pub(super) fn new(gateway: Arc<Gateway>, port: Arc<dyn DutyPort>) -> Self {
-        Self { gateway, port, demands: BTreeMap::new() }
+    pub(super) fn new(gateway: Arc<Gateway>, port: Arc<dyn DutyPort>, kept: Arc<KeptDuties>) -> Self {
+        Self { gateway, port, kept, demands: BTreeMap::new() }
     }
 
     /// Follows the demand for each service that is scaled: up at once, down slowly.
@@ -71,7 +73,8 @@
         self.tell_unknown(book);
         let policy = self.gateway.policy.load_full();
         let is_settled = |service: &&Shared<Service>| {
-            self.demands.get(&service.name).is_some_and(FollowedDemand::is_settled)
+            let is_settled = self.demands.get(&service.name).is_some_and(FollowedDemand::is_settled);
+            is_settled || self.needs_of_predecessor(&service.name).is_some()
         };
         // While a service moves to another version its numbers stay: those of both versions would count as one.
         let rollouts = &self.gateway.forwarder.rollouts;
@@ -146,11 +149,31 @@
         }
     }
 
-    /// Back ends that a service's work needs; none while that is not known, when the floor decides.
+    /// Back ends that a service's work needs: while that is not known, what the last holder found; without that the floor decides.
     fn needed(&self, policy: &TrafficPolicy, service: &Service) -> Needed {
-        let needed =
-            self.demands.get(&service.name).map(|demand| demand.needed(&self.gateway, policy, service));
-        needed.flatten().unwrap_or_default()
+        if let Some(needed) = self.needs_of_predecessor(&service.name) {
+            return needed;
+        }
+        let Some(demand) = self.demands.get(&service.name) else { return Needed::default() };
+        let needed = demand.needed(&self.gateway, policy, service).unwrap_or_default();
+        if !demand.is_unknown() {
+            self.kept.note_needs(&service.name, needed);
+        }
+        needed
+    }
+
+    /// What the last holder found that a service needs, until this node knows it.
+    fn needs_of_predecessor(&self, service: &ServiceName) -> Option<Needed> {
+        let is_unknown = self.demands.get(service).is_none_or(FollowedDemand::is_unknown);
+        self.kept.taken_needs(service).filter(|_| is_unknown)
+    }
+
+    /// Back ends that are kept because nothing is known of the needs.
+    fn floor(&self, service: &ServiceName) -> u32 {
+        match self.needs_of_predecessor(service) {
+            Some(_) => 0,
+            None => self.demands.get(service).map_or(0, FollowedDemand::floor),
+        }
     }
 
     fn orders_for(&self, service: &Service, needed: Needed, book: &mut OrderBook) -> Vec<CapacityOrder> {
@@ -162,7 +185,7 @@
             limits,
             zones: &zones,
             needed,
-            floor: self.demands.get(&service.name).map_or(0, FollowedDemand::floor),
+            floor: self.floor(&service.name),
         };
         scaling::note_usable(&mut book.given, inputs.service, &zones);
         scaling::due(&scaling::plan(&inputs), &book.given, &inputs, Instant::now())
--- /dev/null
+++ b/crates/beamwall-node/src/gateway/duties/kept.rs
@@ -0,0 +1,126 @@
+//! What the duties of this node keep with the lease, and went on from: open windows of usage and the needs of services.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use beamwall_duties::DutyCheckpoint;
+use beamwall_events::emit;
+use beamwall_events::internal_events::{DutiesNotKept, DutiesTakenOver};
+use beamwall_gateway::Gateway;
+use beamwall_gateway::sizing::Needed;
+use beamwall_model::ServiceName;
+use beamwall_peer::compressed;
+use beamwall_store::Checkpoint;
+
+/// Largest checkpoint, as text: the platform bounds the size of an object.
+const CHECKPOINT_LIMIT_BYTES: usize = 256 << 10;
+
+#[derive(Debug)]
+struct State {
+    first_open_window: u64,
+    needs: BTreeMap<ServiceName, Needed>,
+    /// Needs that the last holder kept.
+    taken_needs: BTreeMap<ServiceName, Needed>,
+}
+
+/// What the duties keep with the lease.
+pub(super) struct KeptDuties {
+    gateway: Arc<Gateway>,
+    state: Mutex<State>,
+}
+
+impl KeptDuties {
+    /// Nothing taken over yet: usage begins with the window of now.
+    pub(super) fn new(gateway: Arc<Gateway>) -> Self {
+        let (current, _) = gateway.forwarder.usage.window_at(gateway.forwarder.clock.now());
+        let state =
+            State { first_open_window: current, needs: BTreeMap::new(), taken_needs: BTreeMap::new() };
+        Self { gateway, state: Mutex::new(state) }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The oldest window of usage that is not fixed, as far as this node knows.
+    pub(super) fn first_open_window(&self) -> u64 {
+        self.lock().first_open_window
+    }
+
+    /// Notes the oldest window that is not fixed.
+    pub(super) fn note_first_open_window(&self, window: u64) {
+        self.lock().first_open_window = window;
+    }
+
+    /// Notes what a service needs.
+    pub(super) fn note_needs(&self, service: &ServiceName, needed: Needed) {
+        self.lock().needs.insert(service.clone(), needed);
+    }
+
+    /// What a service needed when the last holder looked.
+    pub(super) fn taken_needs(&self, service: &ServiceName) -> Option<Needed> {
+        self.lock().taken_needs.get(service).copied()
+    }
+
+    fn checkpoint(&self) -> DutyCheckpoint {
+        let state = self.lock();
+        let mut needs = state.taken_needs.clone();
+        needs.extend(state.needs.clone());
+        DutyCheckpoint {
+            first_open_window: Some(state.first_open_window),
+            usage: self.gateway.forwarder.usage.to_carry(state.first_open_window),
+            needs,
+        }
+    }
+
+    fn go_on_from(&self, kept: DutyCheckpoint) {
+        let DutyCheckpoint { first_open_window, usage, needs } = kept;
+        let mut state = self.lock();
+        if let Some(first) = first_open_window {
+            state.first_open_window = state.first_open_window.min(first);
+        }
+        let requests: u64 = usage.windows.iter().flat_map(|window| window.counts.values()).sum();
+        emit(&DutiesTakenOver {
+            first_window: state.first_open_window.to_string(),
+            windows: usage.windows.len().to_string(),
+            requests: requests.to_string(),
+            services: needs.len().to_string(),
+        });
+        state.taken_needs = needs;
+        self.gateway.forwarder.usage.carry(usage);
+    }
+}
+
+impl Checkpoint for KeptDuties {
+    fn to_keep(&self) -> String {
+        let text = compressed::encode(&self.checkpoint()).map(hex::encode);
+        match text {
+            Ok(text) if text.len() <= CHECKPOINT_LIMIT_BYTES => text,
+            Ok(text) => {
+                emit(&DutiesNotKept { reason: format!("{} bytes are too many", text.len()) });
+                String::new()
+            }
+            Err(error) => {
+                emit(&DutiesNotKept { reason: error.to_string() });
+                String::new()
+            }
+        }
+    }
+
+    fn changes(&self) -> u64 {
+        self.gateway.forwarder.usage.changes()
+    }
+
+    fn take_over(&self, kept: &str) {
+        // A holder of an earlier build keeps nothing.
+        if kept.is_empty() {
+            return;
+        }
+        let bytes = hex::decode(kept).map_err(|error| error.to_string());
+        let read = bytes.and_then(|bytes| compressed::decode(&bytes).map_err(|error| error.to_string()));
+        match read {
+            Ok(checkpoint) => self.go_on_from(checkpoint),
+            Err(reason) => emit(&DutiesNotKept { reason }),
+        }
+    }
+}
--- a/crates/beamwall-node/src/gateway/duties/mod.rs
+++ b/crates/beamwall-node/src/gateway/duties/mod.rs
@@ -2,9 +2,12 @@
 //!
 //! The counts of a window are fixed in the store before they are reported, so that a successor
 //! repeats the same numbers. The store's conditional write decides whose counts are fixed.
+//!
+//! What is not fixed yet, and what services need, is kept with each renewal of the lease (`kept`).
 
 mod capacity;
 mod followed_demand;
+mod kept;
 mod rollouts;
 mod usage;
 
@@ -25,6 +28,7 @@
 
 use crate::gateway::chooser::ZoneChooser;
 use crate::gateway::duties::capacity::{CapacityDuty, OrderBook};
+use crate::gateway::duties::kept::KeptDuties;
 use crate::gateway::duties::rollouts::{RolloutDuty, RolloutTenure};
 use crate::gateway::duties::usage::{UsageDuty, UsageProgress};
 use crate::gateway::exchange::Exchange;
@@ -33,8 +37,6 @@
 
 /// Time between two looks at what is due.
 const PERIOD: Duration = Duration::from_millis(250);
-/// Time between renewals and between looks at somebody else's lease.
-const RENEW_PERIOD: Duration = Duration::from_secs(1);
 /// Nodes of a zone that contend for the lease.
 const CONTENDERS_PER_ZONE: usize = 1;
 /// The lease on all duties.
@@ -78,6 +80,7 @@
     node: NodeId,
     directory: Arc<ArcSwap<Directory>>,
     objects: Arc<dyn VersionedObjects>,
+    kept: Arc<KeptDuties>,
     chooser: ZoneChooser,
     /// The epoch held, for metrics; 0 while none is.
     lease_epoch: IntGauge,
@@ -106,11 +109,19 @@
             rollback: settings.rollback,
         };
         let rollouts = rollouts.map(|store| RolloutDuty::new(gateway.clone(), store, bounds));
+        let kept = Arc::new(KeptDuties::new(gateway.clone()));
         let usage = || {
             let window = settings.usage_window;
-            UsageDuty::new(window, gateway.clone(), objects.clone(), port.clone(), exchange.clone())
+            UsageDuty::new(
+                window,
+                kept.clone(),
+                gateway.clone(),
+                objects.clone(),
+                port.clone(),
+                exchange.clone(),
+            )
         };
-        let capacity = || CapacityDuty::new(gateway.clone(), port.clone());
+        let capacity = || CapacityDuty::new(gateway.clone(), port.clone(), kept.clone());
         Self {
             node: settings.node.clone(),
             directory: gateway.forwarder.directory.clone(),
@@ -120,6 +131,7 @@
             models: ModelKeeper::new(gateway.clone(), objects.clone()),
             held_requests,
             objects,
+            kept,
             chooser,
             lease_epoch,
         }
@@ -128,6 +140,7 @@
     /// Contends for the lease and does what is due while holding it, until the task is ended.
     pub async fn run(mut self) {
         let (lease, state) = Lease::over(LEASE_NAME, self.node.clone(), self.objects.clone());
+        let lease = lease.keeping(self.kept.clone());
         let _contending = AbortOnDrop(tokio::spawn(contend(lease, state.clone(), self.chooser.clone())));
         let mut tenure: Option<Tenure> = None;
         loop {
@@ -183,7 +196,7 @@
         if holds || chooser.is_chosen(LEASE_NAME, CONTENDERS_PER_ZONE) {
             let _ = lease.step().await;
         }
-        tokio::time::sleep(RENEW_PERIOD).await;
+        lease.pause().await;
     }
 }
 
--- a/crates/beamwall-node/src/gateway/duties/usage.rs
+++ b/crates/beamwall-node/src/gateway/duties/usage.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use beamwall_duties::{UsageTiming, WindowClock, WindowProgress};
 use beamwall_events::emit;
 use beamwall_events::internal_events::{FixedUsageUnreadable, UsageReported};
 use beamwall_gateway::usage::WindowCounts;
@@ -13,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::gateway::duties::kept::KeptDuties;
 use crate::gateway::duties::{Holding, describe};
 use crate::gateway::exchange::Exchange;
 
@@ -57,7 +59,7 @@
 /// The duty of reporting usage.
 pub(super) struct UsageDuty {
     window_length: Duration,
-    first_window: u64,
+    kept: Arc<KeptDuties>,
     gateway: Arc<Gateway>,
     objects: Arc<dyn VersionedObjects>,
     port: Arc<dyn DutyPort>,
@@ -65,16 +67,16 @@
 }
 
 impl UsageDuty {
-    /// A duty that begins with the window of now.
+    /// A duty that goes on from what is kept.
     pub(super) fn new(
         window_length: Duration,
+        kept: Arc<KeptDuties>,
         gateway: Arc<Gateway>,
         objects: Arc<dyn VersionedObjects>,
         port: Arc<dyn DutyPort>,
         exchange: Arc<Exchange>,
     ) -> Self {
-        let (first_window, _) = gateway.forwarder.usage.window_at(gateway.forwarder.clock.now());
-        Self { window_length, first_window, gateway, objects, port, exchange }
+        Self { window_length, kept, gateway, objects, port, exchange }
     }
 
     /// Reports the oldest window that is due, if any.
@@ -83,10 +85,12 @@
             self.read_fixed(progress).await;
         }
         let Some((_, fixed)) = &progress.fixed else { return };
-        let Some(due) = self.due_window(progress.reported_through, fixed) else { return };
+        let done = self.done(progress.reported_through, fixed);
+        self.kept.note_first_open_window(done.first_open());
+        let Some(due) = self.due_window(&done, fixed) else { return };
         let Some(counts) = self.fix(progress, due).await else { return };
         let Some(holder) = holding.holder() else { return };
-        let after = self.ended_for(due).unwrap_or_default();
+        let after = self.clock().ended_for(due, self.window_length).unwrap_or_default();
         let unheard = self.exchange.unheard();
         let result = self.port.report_usage(&holder, &counts).await;
         emit(&UsageReported {
@@ -102,27 +106,29 @@
         }
     }
 
-    /// The oldest window that is due and not reported in this tenure. A new holder repeats the last
-    /// window that was fixed: its predecessor may not have reported it.
-    fn due_window(&self, reported_through: Option<u64>, fixed: &FixedUsage) -> Option<u64> {
-        let now = self.gateway.forwarder.clock.now();
-        let (current, _) = self.gateway.forwarder.usage.window_at(now);
-        let first = reported_through.map(|window| window + 1).or(fixed.newest()).unwrap_or(self.first_window);
-        let forgotten = USAGE_FORGOTTEN.as_millis() / self.window_length.as_millis().max(1);
-        let oldest = current.saturating_sub(forgotten as u64);
-        let window = first.max(oldest);
-        let ended_for = self.ended_for(window)?;
-        let settles = if self.exchange.is_large() { USAGE_SETTLES_LARGE } else { USAGE_SETTLES };
-        let settled = ended_for >= USAGE_WAITS || (ended_for >= settles && self.exchange.unheard() == 0);
-        (settled || fixed.get(window).is_some()).then_some(window)
+    fn done(&self, reported_through: Option<u64>, fixed: &FixedUsage) -> WindowProgress {
+        WindowProgress {
+            reported_through,
+            newest_fixed: fixed.newest(),
+            first: self.kept.first_open_window(),
+        }
+    }
+
+    fn due_window(&self, done: &WindowProgress, fixed: &FixedUsage) -> Option<u64> {
+        let timing = UsageTiming {
+            window: self.window_length,
+            settles: if self.exchange.is_large() { USAGE_SETTLES_LARGE } else { USAGE_SETTLES },
+            waits: USAGE_WAITS,
+            forgotten: USAGE_FORGOTTEN,
+        };
+        let is_complete = self.exchange.unheard() == 0;
+        done.due(&self.clock(), &timing, is_complete, |window| fixed.get(window).is_some())
     }
 
-    /// Time since a window's end; `None` before it.
-    fn ended_for(&self, window: u64) -> Option<Duration> {
+    fn clock(&self) -> WindowClock {
         let now = self.gateway.forwarder.clock.now();
         let (current, passed) = self.gateway.forwarder.usage.window_at(now);
-        let windows_since = u32::try_from(current.checked_sub(window + 1)?).unwrap_or(u32::MAX);
-        Some(passed + self.window_length * windows_since)
+        WindowClock { current, passed }
     }
 
     /// Reads what was fixed. Where another writer has taken its place, it is not known which windows were reported, so none that
@@ -133,9 +139,7 @@
             Ok(Some(object)) => {
                 let fixed = serde_json::from_slice(&object.value).unwrap_or_else(|error| {
                     emit(&FixedUsageUnreadable { reason: format!("{error}") });
-                    let (current, _) =
-                        self.gateway.forwarder.usage.window_at(self.gateway.forwarder.clock.now());
-                    let ended = current.saturating_sub(1);
+                    let ended = self.clock().current.saturating_sub(1);
                     progress.reported_through =
                         Some(progress.reported_through.map_or(ended, |done| done.max(ended)));
                     FixedUsage::default()
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -322,7 +322,7 @@
         demand: DemandBook::default(),
         rollouts: RolloutBook::default(),
         retries: RetryBudgets::new(retries, nodes),
-        usage: UsageLedger::new(settings.usage_window),
+        usage: UsageLedger::new(settings.usage_window).of_life(&settings.node, life),
         clock,
         quarantine: Arc::new(quarantine),
         metrics: GatewayMetrics::new(registry)?,
--- a/crates/beamwall-store/src/lease.rs
+++ b/crates/beamwall-store/src/lease.rs
@@ -4,6 +4,8 @@
 //! the last renewal that succeeded; a contender counts from the moment it first saw the current
 //! version and waits longer than the holder may count on. A holder that was paused, or whose machine was
 //! suspended, finds its own time over before it acts.
+//!
+//! With each renewal the holder keeps a checkpoint of what it does under the lease. Whoever takes the lease next goes on from there.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,11 +22,18 @@
 
 /// Time a holder may act after sending a renewal.
 pub const LEASE_TTL: Duration = Duration::from_secs(3);
-/// Time a contender waits on an unchanged lease; longer than [`LEASE_TTL`] by the longest time an
-/// order may be in flight.
-pub const TAKEOVER_WAIT: Duration = Duration::from_secs(5);
-/// Time between renewals and between looks at somebody else's lease.
+/// Longest time for which an order may be in flight after its sender has ended.
+pub const ORDERS_IN_FLIGHT: Duration = Duration::from_secs(2);
+/// Time a contender waits on an unchanged lease of somebody else.
+pub const TAKEOVER_WAIT: Duration = LEASE_TTL.saturating_add(ORDERS_IN_FLIGHT);
+/// Longest time between renewals.
 const RENEW_PERIOD: Duration = Duration::from_secs(1);
+/// Time between renewals while there is more to keep: counts reach the holder within a heartbeat of 0.5 s.
+const KEEP_PERIOD: Duration = Duration::from_millis(650);
+/// Time between looks at somebody else's lease, which is renewed meanwhile if its holder lives.
+const LOOK_PERIOD: Duration = Duration::from_millis(1_600);
+/// Time between looks at whether there is more to keep.
+const CHECK_PERIOD: Duration = Duration::from_millis(50);
 /// A holder stops this long before its time ends.
 const SAFETY_MARGIN: Duration = Duration::from_millis(300);
 
@@ -33,6 +42,34 @@
     holder: String,
     epoch: u64,
     renewal: u64,
+    /// What the holder keeps for whoever holds the lease next.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    checkpoint: String,
+}
+
+/// What the holder of a lease keeps with each renewal, and a successor goes on from.
+pub trait Checkpoint: Send + Sync + 'static {
+    /// What to keep now.
+    fn to_keep(&self) -> String;
+    /// A number that changes when there is more to keep.
+    fn changes(&self) -> u64;
+    /// Takes over what the last holder kept. This node is about to take the lease, and may still fail to.
+    fn take_over(&self, kept: &str);
+}
+
+/// For leases whose holders keep nothing.
+struct NothingKept;
+
+impl Checkpoint for NothingKept {
+    fn to_keep(&self) -> String {
+        String::new()
+    }
+
+    fn changes(&self) -> u64 {
+        0
+    }
+
+    fn take_over(&self, _: &str) {}
 }
 
 /// What this node knows of a lease.
@@ -58,6 +95,9 @@
 pub struct Lease {
     key: String,
     node: NodeId,
+    checkpoint: Arc<dyn Checkpoint>,
+    /// The changes of the checkpoint that the last write kept.
+    kept_changes: u64,
     store: Arc<dyn VersionedObjects>,
     state: watch::Sender<LeaseState>,
     seen: Option<(Version, Moment)>,
@@ -87,20 +127,56 @@
         let (state, receiver) = watch::channel(LeaseState::default());
         let renewal = rand::random::<u32>().into();
         let key = format!("leases/{name}");
-        (
-            Self { key, node, store, state, seen: None, highest_epoch: 0, held_version: None, renewal },
-            receiver,
-        )
+        let lease = Self {
+            key,
+            node,
+            checkpoint: Arc::new(NothingKept),
+            kept_changes: 0,
+            store,
+            state,
+            seen: None,
+            highest_epoch: 0,
+            held_version: None,
+            renewal,
+        };
+        (lease, receiver)
+    }
+
+    /// The same lease, under which the holder keeps a checkpoint.
+    pub fn keeping(self, checkpoint: Arc<dyn Checkpoint>) -> Self {
+        Self { checkpoint, ..self }
     }
 
     /// Renews or contends until the task is ended.
     pub async fn run(mut self) {
         loop {
             let _ = self.step().await;
-            tokio::time::sleep(RENEW_PERIOD).await;
+            self.pause().await;
+        }
+    }
+
+    /// Waits until the next step is due.
+    pub async fn pause(&self) {
+        let since = Instant::now();
+        if self.current_epoch(Moment::now()).is_none() {
+            return tokio::time::sleep(self.time_to_look()).await;
+        }
+        tokio::time::sleep(KEEP_PERIOD).await;
+        while since.elapsed() < RENEW_PERIOD && self.checkpoint.changes() == self.kept_changes {
+            tokio::time::sleep(CHECK_PERIOD).await;
         }
     }
 
+    /// Time until somebody else's lease is looked at again: by then it was renewed, or may be taken.
+    fn time_to_look(&self) -> Duration {
+        let Some((_, since)) = self.seen else { return RENEW_PERIOD };
+        let waited = since.elapsed();
+        let waits = [ORDERS_IN_FLIGHT, TAKEOVER_WAIT];
+        let ends =
+            waits.into_iter().filter_map(|wait| wait.checked_sub(waited)).filter(|left| !left.is_zero());
+        ends.chain([LOOK_PERIOD]).min().unwrap_or(LOOK_PERIOD)
+    }
+
     /// One look and, when due, one write.
     pub async fn step(&mut self) -> Result<(), ObjectError> {
         let sent = Moment::now();
@@ -119,6 +195,7 @@
         self.note_other(&object, &record);
         if self.unchanged_for() >= TAKEOVER_WAIT {
             let epoch = self.highest_epoch + 1;
+            self.checkpoint.take_over(&record.checkpoint);
             return self.write(object.version, epoch, Moment::now()).await;
         }
         Ok(())
@@ -158,7 +235,13 @@
 
     async fn write(&mut self, expected: Version, epoch: u64, sent: Moment) -> Result<(), ObjectError> {
         self.renewal += 1;
-        let record = LeaseRecord { holder: self.node.to_string(), epoch, renewal: self.renewal };
+        let changes = self.checkpoint.changes();
+        let record = LeaseRecord {
+            holder: self.node.to_string(),
+            epoch,
+            renewal: self.renewal,
+            checkpoint: self.checkpoint.to_keep(),
+        };
         let value =
             serde_json::to_vec(&record).map_err(|error| ObjectError::Unexpected(error.to_string()))?;
         let mine = |object: &Object| object.value.as_ref() == value.as_slice();
@@ -169,6 +252,7 @@
         if let Some(version) = settled.ok().and_then(Settled::version_of_whole) {
             self.highest_epoch = self.highest_epoch.max(epoch);
             self.seen = None;
+            self.kept_changes = changes;
             self.held_version = Some(version);
             let valid_until = Some(sent + LEASE_TTL);
             self.state.send_replace(LeaseState { holder: record.holder, epoch, valid_until });
@@ -180,6 +264,11 @@
 /// A lease as written. One that can't be read was written by somebody else: it is waited for as any other, and counts as of the
 /// highest epoch that there can have been, since each took a write and each write raises the version.
 fn read_record(object: &Object) -> LeaseRecord {
-    let unreadable = |_| LeaseRecord { holder: String::new(), epoch: object.version, renewal: 0 };
+    let unreadable = |_| LeaseRecord {
+        holder: String::new(),
+        epoch: object.version,
+        renewal: 0,
+        checkpoint: String::new(),
+    };
     serde_json::from_slice(&object.value).unwrap_or_else(unreadable)
 }
--- a/crates/beamwall-store/src/lib.rs
+++ b/crates/beamwall-store/src/lib.rs
@@ -14,6 +14,6 @@
 
 pub use budget::CallBudget;
 pub use cloud::{CloudClient, CloudError, Machine, MachineState, Notice};
-pub use lease::{Lease, LeaseState};
+pub use lease::{Checkpoint, Lease, LeaseState};
 pub use object::{Object, ObjectError, ObjectStore, Version, VersionedObjects};
 pub use settle::{SettleError, Settled, put_settled};
--- a/crates/beamwall-store/tests/lease.rs
+++ b/crates/beamwall-store/tests/lease.rs
@@ -8,7 +8,7 @@
 use beamwall_lab::object_store::{ObjectFaults, ObjectRates, ObjectStandIn};
 use beamwall_lab::running::loopback;
 use beamwall_store::lease::{LEASE_TTL, TAKEOVER_WAIT};
-use beamwall_store::{CallBudget, Lease, ObjectStore};
+use beamwall_store::{CallBudget, Checkpoint, Lease, LeaseState, ObjectStore};
 
 async fn platform() -> (Arc<ObjectStandIn>, Running) {
     let stand_in = ObjectStandIn::new(ObjectRates::default());
@@ -121,3 +121,63 @@
         epoch = held;
     }
 }
+
+/// What one process keeps under its lease and was given.
+#[derive(Default)]
+struct Kept {
+    text: std::sync::Mutex<String>,
+    taken: std::sync::Mutex<Option<String>>,
+}
+
+impl Kept {
+    fn of(text: &str) -> Arc<Self> {
+        Arc::new(Self { text: std::sync::Mutex::new(text.to_owned()), ..Self::default() })
+    }
+
+    fn taken(&self) -> Option<String> {
+        self.taken.lock().expect("no panic").clone()
+    }
+}
+
+impl Checkpoint for Kept {
+    fn to_keep(&self) -> String {
+        self.text.lock().expect("no panic").clone()
+    }
+
+    fn changes(&self) -> u64 {
+        self.to_keep().len() as u64
+    }
+
+    fn take_over(&self, kept: &str) {
+        *self.taken.lock().expect("no panic") = Some(kept.to_owned());
+    }
+}
+
+/// Steps until a lease is held, on the simulated clock; gives how long that took.
+async fn steps_until_held(lease: &mut Lease, state: &tokio::sync::watch::Receiver<LeaseState>) -> Duration {
+    let mut waited = Duration::ZERO;
+    while state.borrow().held_epoch().is_none() {
+        assert!(waited < TAKEOVER_WAIT * 3, "it is never taken");
+        beamwall_clock::simulation::suspend_for(STEP);
+        waited += STEP;
+        lease.step().await.expect("platform answers");
+    }
+    waited
+}
+
+/// Guards against duties that begin anew with each holder: who takes a lease is given what was kept with its last renewal.
+#[tokio::test]
+async fn a_successor_goes_on_from_what_was_kept_with_the_last_renewal() {
+    let (_stand_in, running) = platform().await;
+    let (first, _) = Lease::new("duty", "one".into(), store(&running));
+    let (second, state) = Lease::new("duty", "two".into(), store(&running));
+    let (of_first, of_second) = (Kept::of("early"), Kept::of("of the second"));
+    let (mut first, mut second) = (first.keeping(of_first.clone()), second.keeping(of_second.clone()));
+    first.step().await.expect("platform answers");
+    second.step().await.expect("platform answers");
+    "late".clone_into(&mut of_first.text.lock().expect("no panic"));
+    first.step().await.expect("platform answers");
+    assert_eq!(of_second.taken(), None, "it is another's");
+    steps_until_held(&mut second, &state).await;
+    assert_eq!(of_second.taken().as_deref(), Some("late"));
+}
