A process that finds the lease under its own name and address waits for orders in flight only

Cause: each life waits 5 s from its own first look: 3 s for the term of the holder, 2 s for orders in flight. Under its own name the term can only be its own earlier life's, which has ended. Ruled out: taking the lease at once, since an order of the earlier life may be carried out for 2 s after its end (a_restarted_holder_of_the_same_name_waits_for_its_own_old_lease stands). Change: 2 s where the record bears this node's name and address, which no other process can listen at while this one does; a machine of the same name at another address waits 5 s as any other. Each life takes a new epoch.

--- a/crates/beamwall-node/src/gateway/duties/mod.rs
+++ b/crates/beamwall-node/src/gateway/duties/mod.rs
@@ -11,6 +11,7 @@
 mod rollouts;
 mod usage;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -78,6 +79,7 @@
 /// The duties of one node.
 pub struct Duties {
     node: NodeId,
+    address: SocketAddr,
     directory: Arc<ArcSwap<Directory>>,
     objects: Arc<dyn VersionedObjects>,
     kept: Arc<KeptDuties>,
@@ -124,6 +126,7 @@
         let capacity = || CapacityDuty::new(gateway.clone(), port.clone(), kept.clone());
         Self {
             node: settings.node.clone(),
+            address: settings.peers,
             directory: gateway.forwarder.directory.clone(),
             usage: settings.report_usage.then(usage),
             capacity: settings.order_capacity.then(capacity),
@@ -140,7 +143,7 @@
     /// Contends for the lease and does what is due while holding it, until the task is ended.
     pub async fn run(mut self) {
         let (lease, state) = Lease::over(LEASE_NAME, self.node.clone(), self.objects.clone());
-        let lease = lease.keeping(self.kept.clone());
+        let lease = lease.at(self.address).keeping(self.kept.clone());
         let _contending = AbortOnDrop(tokio::spawn(contend(lease, state.clone(), self.chooser.clone())));
         let mut tenure: Option<Tenure> = None;
         loop {
--- a/crates/beamwall-store/src/lease.rs
+++ b/crates/beamwall-store/src/lease.rs
@@ -5,8 +5,13 @@
 //! version and waits longer than the holder may count on. A holder that was paused, or whose machine was
 //! suspended, finds its own time over before it acts.
 //!
+//! A process that finds the lease under its own name and address follows an earlier life of its own, which has ended: it
+//! holds the address. Nobody can act in that life's term any more, so only its orders in flight are waited for. Without, a
+//! holder that loses power every few seconds would never hold the lease again, since each life begins its wait anew.
+//!
 //! With each renewal the holder keeps a checkpoint of what it does under the lease. Whoever takes the lease next goes on from there.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -42,6 +47,9 @@
     holder: String,
     epoch: u64,
     renewal: u64,
+    /// Where the holder listens: two machines may bear the same name. Earlier builds tell none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    address: Option<SocketAddr>,
     /// What the holder keeps for whoever holds the lease next.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     checkpoint: String,
@@ -95,6 +103,7 @@
 pub struct Lease {
     key: String,
     node: NodeId,
+    address: Option<SocketAddr>,
     checkpoint: Arc<dyn Checkpoint>,
     /// The changes of the checkpoint that the last write kept.
     kept_changes: u64,
@@ -130,6 +139,7 @@
         let lease = Self {
             key,
             node,
+            address: None,
             checkpoint: Arc::new(NothingKept),
             kept_changes: 0,
             store,
@@ -142,6 +152,11 @@
         (lease, receiver)
     }
 
+    /// The same lease for a process that listens at an address, which no other process can have at the same time.
+    pub fn at(self, address: SocketAddr) -> Self {
+        Self { address: Some(address), ..self }
+    }
+
     /// The same lease, under which the holder keeps a checkpoint.
     pub fn keeping(self, checkpoint: Arc<dyn Checkpoint>) -> Self {
         Self { checkpoint, ..self }
@@ -193,7 +208,7 @@
             return self.write(object.version, record.epoch, sent).await;
         }
         self.note_other(&object, &record);
-        if self.unchanged_for() >= TAKEOVER_WAIT {
+        if self.unchanged_for() >= self.takeover_wait(&record) {
             let epoch = self.highest_epoch + 1;
             self.checkpoint.take_over(&record.checkpoint);
             return self.write(object.version, epoch, Moment::now()).await;
@@ -216,6 +231,12 @@
         (now < until).then_some(state.epoch)
     }
 
+    /// Time for which a lease must be unchanged until this node may take it.
+    fn takeover_wait(&self, record: &LeaseRecord) -> Duration {
+        let is_own = record.holder == self.node.as_str() && record.address == self.address;
+        if is_own { ORDERS_IN_FLIGHT } else { TAKEOVER_WAIT }
+    }
+
     fn note_other(&mut self, object: &Object, record: &LeaseRecord) {
         self.highest_epoch = self.highest_epoch.max(record.epoch);
         if self.seen.is_none_or(|(version, _)| version != object.version) {
@@ -240,6 +261,7 @@
             holder: self.node.to_string(),
             epoch,
             renewal: self.renewal,
+            address: self.address,
             checkpoint: self.checkpoint.to_keep(),
         };
         let value =
@@ -268,6 +290,7 @@
         holder: String::new(),
         epoch: object.version,
         renewal: 0,
+        address: None,
         checkpoint: String::new(),
     };
     serde_json::from_slice(&object.value).unwrap_or_else(unreadable)
--- a/crates/beamwall-store/tests/lease.rs
+++ b/crates/beamwall-store/tests/lease.rs
@@ -7,7 +7,7 @@
 use beamwall_lab::Running;
 use beamwall_lab::object_store::{ObjectFaults, ObjectRates, ObjectStandIn};
 use beamwall_lab::running::loopback;
-use beamwall_store::lease::{LEASE_TTL, TAKEOVER_WAIT};
+use beamwall_store::lease::{LEASE_TTL, ORDERS_IN_FLIGHT, TAKEOVER_WAIT};
 use beamwall_store::{CallBudget, Checkpoint, Lease, LeaseState, ObjectStore};
 
 async fn platform() -> (Arc<ObjectStandIn>, Running) {
@@ -181,3 +181,42 @@
     steps_until_held(&mut second, &state).await;
     assert_eq!(of_second.taken().as_deref(), Some("late"));
 }
+
+/// Guards against two machines of one name that act at once: only where the address is the same has the earlier life ended.
+#[tokio::test]
+async fn a_machine_of_the_same_name_at_another_address_waits_as_any_other() {
+    let (_stand_in, running) = platform().await;
+    let at = |port: u16| std::net::SocketAddr::from(([127, 0, 0, 1], port));
+    let (first, first_state) = Lease::new("duty", "one".into(), store(&running));
+    let mut first = first.at(at(7_001));
+    first.step().await.expect("platform answers");
+    let (other, state) = Lease::new("duty", "one".into(), store(&running));
+    let mut other = other.at(at(7_002));
+    other.step().await.expect("platform answers");
+    let waited = steps_until_held(&mut other, &state).await;
+    assert!(waited >= TAKEOVER_WAIT, "{waited:?}");
+    assert_eq!(first_state.borrow().held_epoch(), None, "its term is over by then");
+    let (again, state) = Lease::new("duty", "one".into(), store(&running));
+    let mut again = again.at(at(7_002));
+    again.step().await.expect("platform answers");
+    let waited = steps_until_held(&mut again, &state).await;
+    assert!((ORDERS_IN_FLIGHT..TAKEOVER_WAIT).contains(&waited), "{waited:?}");
+}
+
+/// An order of an earlier life may be carried out for two seconds after its end; the next life has a higher epoch by then.
+#[tokio::test]
+async fn lives_under_one_name_hold_rising_epochs_and_wait_for_orders_in_flight() {
+    let (_stand_in, running) = platform().await;
+    let mut last = 0;
+    for _ in 0..3 {
+        let (mut lease, state) = Lease::new("duty", "one".into(), store(&running));
+        lease.step().await.expect("platform answers");
+        if last > 0 {
+            let waited = steps_until_held(&mut lease, &state).await;
+            assert!(waited >= ORDERS_IN_FLIGHT, "{waited:?}");
+        }
+        let epoch = state.borrow().held_epoch().expect("it holds");
+        assert!(epoch > last, "{epoch} after {last}");
+        last = epoch;
+    }
+}
