One node of all reviews what is followed; another's lease is looked at each two seconds

Cause: calls to the store rose from 53 to 56 to 70 in 8 s of calm requests at three gateways of three zones: each zone reviewed policy, back ends and orders for itself. Ruled out: the renewals, which are four more under traffic and save more looks than that. Change: one node of all alive reviews (each side of a cut has one), orders each 10 s; what it finds reaches the others by revisions and digests. Who contends for a lease looks each 2 s, and at the moment at which it may be taken.

--- a/crates/beamwall-node/src/gateway/chooser.rs
+++ b/crates/beamwall-node/src/gateway/chooser.rs
@@ -1,11 +1,11 @@
-//! Chooses the few nodes of a zone that do something for the others.
+//! Chooses the few nodes of a zone, or the one of all, that do something for the others.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use beamwall_model::{NodeId, ZoneName, rendezvous};
-use beamwall_peer::{MemberState, link_weight};
+use beamwall_peer::{Member, MemberState, link_weight};
 
 use crate::shared::MembershipView;
 
@@ -31,12 +31,22 @@
     /// Whether this node is among the `count` of its zone that do `what`. Nodes that drain are not
     /// counted: they are about to stop.
     pub fn is_chosen(&self, what: &str, count: usize) -> bool {
+        self.is_among(what, count, |member| member.zone == self.zone)
+    }
+
+    /// Whether this node is the one of all that does `what`. Where zones are cut off from each other, each side has one.
+    pub fn is_chosen_of_all(&self, what: &str) -> bool {
+        self.is_among(what, 1, |_| true)
+    }
+
+    fn is_among(&self, what: &str, count: usize, is_asked: impl Fn(&Member) -> bool) -> bool {
         let view = self.members.load();
-        let in_zone = view.members.iter().filter(|member| {
-            member.zone == self.zone && member.state == MemberState::Alive && !member.draining
-        });
-        let mut candidates: Vec<(&str, f64)> =
-            in_zone.map(|member| (member.node.as_str(), link_weight(member.link_mbps))).collect();
+        let alive =
+            view.members.iter().filter(|member| member.state == MemberState::Alive && !member.draining);
+        let mut candidates: Vec<(&str, f64)> = alive
+            .filter(|member| is_asked(member))
+            .map(|member| (member.node.as_str(), link_weight(member.link_mbps)))
+            .collect();
         candidates.push((self.node.as_str(), link_weight(self.link_mbps)));
         rendezvous::choose_weighted(what.as_bytes(), &candidates, count).contains(&self.node.as_str())
     }
--- a/crates/beamwall-node/src/gateway/rollouts.rs
+++ b/crates/beamwall-node/src/gateway/rollouts.rs
@@ -19,6 +19,9 @@
 /// Longest wait of one watch call: orders are rare, and each call has its price.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
 
+/// Time between two cheaper readings: orders are rare, and take longer than this.
+const REVIEW_PERIOD: Duration = Duration::from_secs(10);
+
 /// Time before a new version takes all requests from which nodes tell at each news what they counted.
 const TOLD_AT_ONCE: Duration = Duration::from_millis(500);
 
@@ -33,6 +36,7 @@
 impl Followed for FollowedOrders {
     const SUBJECT: &'static str = "rollouts";
     const GATHERING_TIME: Duration = Duration::ZERO;
+    const REVIEW_PERIOD: Duration = REVIEW_PERIOD;
 
     async fn step(&self, reached: Option<u64>) -> Result<u64, ControlStoreError> {
         if let Some(revision) = reached {
--- a/crates/beamwall-node/src/gateway/watches.rs
+++ b/crates/beamwall-node/src/gateway/watches.rs
@@ -7,7 +7,7 @@
 //! missed; when that history is gone, everything is read anew. Waits are short, because a watch
 //! on a connection that died silently hears nothing until its time is over.
 //!
-//! A watch that passes a change over never tells of it. So one node of each zone holds what is known against a cheaper reading now
+//! A watch that passes a change over never tells of it. So one node holds what is known against a cheaper reading now
 //! and then, and what is doubted is read whole again.
 
 use std::pin::pin;
@@ -37,14 +37,10 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
-/// Time between two cheaper readings of a subject, by one node of each zone.
+/// Time between two cheaper readings of a subject, by one node for all.
 const REVIEW_PERIOD: Duration = Duration::from_secs(5);
 /// Further time for each entry that such a reading brings: a long list takes the link of the node that reads it.
 const REVIEW_PERIOD_PER_ENTRY: Duration = Duration::from_millis(10);
-/// Parts of the period that are waited, so that zones read at different moments.
-const REVIEW_PERIOD_PARTS: std::ops::Range<f64> = 0.75..1.25;
-/// Nodes of a zone that review each subject.
-const REVIEWERS_PER_ZONE: usize = 1;
 /// Time between two looks at whether the list of back ends is doubted.
 const DOUBT_PERIOD: Duration = Duration::from_millis(250);
 /// Longest wait, for each node known, of those that don't watch for their zone: those that do read first and tell the others.
@@ -82,6 +78,8 @@
     const SUBJECT: &'static str;
     /// Pause after a change, so that those that follow at once come in one answer.
     const GATHERING_TIME: Duration;
+    /// Time between two cheaper readings.
+    const REVIEW_PERIOD: Duration;
 
     /// Reads it whole, or watches on from the revision reached; gives the revision reached then.
     fn step(&self, reached: Option<u64>) -> impl Future<Output = Result<u64, ControlStoreError>> + Send;
@@ -140,10 +138,9 @@
 pub async fn review<F: Followed>(followed: Arc<F>, chooser: ZoneChooser) {
     loop {
         let entries = u32::try_from(followed.entries()).unwrap_or(u32::MAX);
-        let period = REVIEW_PERIOD + REVIEW_PERIOD_PER_ENTRY * entries;
-        let part = rand::rng().random_range(REVIEW_PERIOD_PARTS);
-        tokio::time::sleep(period.mul_f64(part)).await;
-        if !chooser.is_chosen(F::SUBJECT, REVIEWERS_PER_ZONE) {
+        let period = F::REVIEW_PERIOD + REVIEW_PERIOD_PER_ENTRY * entries;
+        tokio::time::sleep(period).await;
+        if !chooser.is_chosen_of_all(F::SUBJECT) {
             continue;
         }
         // Where the store is away, the watch over the same subject tells of it.
@@ -166,6 +163,7 @@
 impl Followed for FollowedPolicy {
     const SUBJECT: &'static str = POLICY;
     const GATHERING_TIME: Duration = Duration::ZERO;
+    const REVIEW_PERIOD: Duration = REVIEW_PERIOD;
 
     async fn step(&self, reached: Option<u64>) -> Result<u64, ControlStoreError> {
         let PolicyAnswer { revision, policy } = match reached {
@@ -214,6 +212,7 @@
 impl Followed for FollowedBackends {
     const SUBJECT: &'static str = BACKENDS;
     const GATHERING_TIME: Duration = Duration::from_millis(60);
+    const REVIEW_PERIOD: Duration = REVIEW_PERIOD;
 
     async fn step(&self, reached: Option<u64>) -> Result<u64, ControlStoreError> {
         match reached {
--- a/crates/beamwall-store/src/lease.rs
+++ b/crates/beamwall-store/src/lease.rs
@@ -36,7 +36,7 @@
 /// Time between renewals while there is more to keep: counts reach the holder within a heartbeat of 0.5 s.
 const KEEP_PERIOD: Duration = Duration::from_millis(650);
 /// Time between looks at somebody else's lease, which is renewed meanwhile if its holder lives.
-const LOOK_PERIOD: Duration = Duration::from_millis(1_600);
+const LOOK_PERIOD: Duration = Duration::from_secs(2);
 /// Time between looks at whether there is more to keep.
 const CHECK_PERIOD: Duration = Duration::from_millis(50);
 /// A holder stops this long before its time ends.
