--- a/crates/beamwall-duties/src/checkpoint.rs
+++ b/crates/beamwall-duties/src/checkpoint.rs
@@ -10,6 +10,8 @@
 use beamwall_model::ServiceName;
 use serde::{Deserialize, Serialize};
 
+use crate::orders::KeptOrder;
+
 /// What the holder of the duties keeps.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -20,4 +22,6 @@
     pub usage: CarriedUsage,
     /// How many back ends each service needed as of the last look.
     pub needs: BTreeMap<ServiceName, Needed>,
+    /// What was ordered, and what could not be had.
+    pub orders: Vec<KeptOrder>,
 }
--- a/crates/beamwall-duties/src/lib.rs
+++ b/crates/beamwall-duties/src/lib.rs
@@ -1,8 +1,10 @@
 //! Rules of the duties that one node does for all, without a network: which window of usage is reported next
-//! ([`usage_windows`]), and what the holder of the duties keeps for whoever holds them next ([`checkpoint`]).
+//! ([`usage_windows`]), what was ordered of back ends ([`orders`]), and what the holder of the duties keeps for whoever holds them next ([`checkpoint`]).
 
 pub mod checkpoint;
+pub mod orders;
 pub mod usage_windows;
 
 pub use checkpoint::DutyCheckpoint;
+pub use orders::{KeptOrder, OrderBook};
 pub use usage_windows::{UsageTiming, WindowClock, WindowProgress};
--- a/crates/beamwall-duties/tests/checkpoint.rs
+++ b/crates/beamwall-duties/tests/checkpoint.rs
@@ -1,6 +1,7 @@
 //! A checkpoint rides on the renewal of a lease, so it must stay small however large the deployment.
 
-use beamwall_duties::DutyCheckpoint;
+use beamwall_duties::{DutyCheckpoint, KeptOrder};
+use beamwall_gateway::scaling::OrderKey;
 use beamwall_gateway::sizing::Needed;
 use beamwall_gateway::usage::{CarriedUsage, WindowCounts};
 use beamwall_peer::compressed;
@@ -9,6 +10,7 @@
 const TENANTS: u64 = 300;
 const LIVES: u32 = 2_700;
 const WINDOWS: u64 = 3;
+const ZONES: u32 = 25;
 /// The platform bounds an object; what is larger is not kept.
 const LIMIT_BYTES: usize = 256 << 10;
 
@@ -28,10 +30,22 @@
             lives: (0..LIVES).map(|life| life.wrapping_mul(0x9e37_79b9)).collect(),
             windows: windows.collect(),
         },
+        orders: (0..20).flat_map(orders).collect(),
         needs: (0..20).map(|service| (format!("service-{service}").as_str().into(), needed)).collect(),
     }
 }
 
+/// Orders of one service in all zones.
+fn orders(service: u32) -> Vec<KeptOrder> {
+    let name = format!("service-{service}").as_str().into();
+    let kept = |number: u32| KeptOrder {
+        key: OrderKey::new(&name, &format!("zone-{}", number / 2).as_str().into(), number % 2 == 0),
+        wanted: Some(400 + number),
+        is_exhausted: number % 7 == 0,
+    };
+    (0..2 * ZONES).map(kept).collect()
+}
+
 #[test]
 fn a_checkpoint_of_the_planned_size_can_be_kept_and_read_back() {
     let kept = compressed::encode(&checkpoint()).expect("it is written");
--- a/crates/beamwall-gateway/src/scaling.rs
+++ b/crates/beamwall-gateway/src/scaling.rs
@@ -9,6 +9,7 @@
 
 use beamwall_model::{ServiceName, ZoneName};
 use beamwall_policy::ScalingLimits;
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use crate::ports::CapacityOrder;
@@ -199,7 +200,7 @@
 }
 
 /// What an order is about.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct OrderKey {
     service: ServiceName,
     zone: ZoneName,
--- a/crates/beamwall-node/src/gateway/duties/capacity.rs
+++ b/crates/beamwall-node/src/gateway/duties/capacity.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use beamwall_duties::{KeptOrder, OrderBook};
 use beamwall_events::emit;
 use beamwall_events::internal_events::{CapacityNotKnown, CapacityOrdered};
 use beamwall_gateway::ports::CapacityOrder;
-use beamwall_gateway::scaling::{self, GivenOrder, OrderKey, ScalingInputs, ZoneSupply};
+use beamwall_gateway::scaling::{self, OrderKey, ScalingInputs, ZoneSupply};
 use beamwall_gateway::sizing::Needed;
 use beamwall_gateway::{DutyError, DutyPort, Gateway};
 use beamwall_model::{ServiceName, ZoneName};
@@ -20,27 +21,22 @@
 
 /// Time between two looks at the number of back ends.
 const SCALING_PERIOD: Duration = Duration::from_millis(500);
-/// Pause after an order that could not be carried out.
-const ORDER_PAUSE: Duration = Duration::from_secs(3);
-
-/// An order whose last try was not taken.
-#[derive(Debug, Clone, Copy)]
-struct RefusedOrder {
-    at: Instant,
-    /// Whether none could be had; otherwise no answer came.
-    is_exhausted: bool,
-}
-
-/// The orders of one tenure.
+/// The orders of one tenure, and when to look at them.
 #[derive(Debug, Default)]
-pub(super) struct OrderBook {
-    given: BTreeMap<OrderKey, GivenOrder>,
-    refused: BTreeMap<OrderKey, RefusedOrder>,
+pub(super) struct OrderTenure {
+    book: OrderBook,
     next_look: Option<Instant>,
     /// Services of which it was said that their needs are not known.
     told_unknown: BTreeSet<ServiceName>,
 }
 
+impl OrderTenure {
+    /// A tenure that goes on from what the last holder kept.
+    pub(super) fn continuing(kept: Vec<KeptOrder>) -> Self {
+        Self { book: OrderBook::continuing(kept, Instant::now()), ..Self::default() }
+    }
+}
+
 /// The duty of ordering back ends.
 pub(super) struct CapacityDuty {
     gateway: Arc<Gateway>,
@@ -64,13 +60,13 @@
     }
 
     /// Gives the orders that are due.
-    pub(super) async fn order_due(&self, book: &mut OrderBook, holding: &Holding) {
+    pub(super) async fn order_due(&self, tenure: &mut OrderTenure, holding: &Holding) {
         let now = Instant::now();
-        if book.next_look.is_some_and(|at| now < at) {
+        if tenure.next_look.is_some_and(|at| now < at) {
             return;
         }
-        book.next_look = Some(now + SCALING_PERIOD);
-        self.tell_unknown(book);
+        tenure.next_look = Some(now + SCALING_PERIOD);
+        self.tell_unknown(tenure);
         let policy = self.gateway.policy.load_full();
         let is_settled = |service: &&Shared<Service>| {
             let is_settled = self.demands.get(&service.name).is_some_and(FollowedDemand::is_settled);
@@ -82,25 +78,25 @@
         let services = policy.policy().services.iter().filter(is_settled);
         for service in services.filter(|service| !is_moving(service)) {
             let needed = self.needed(policy.policy(), service);
-            for order in self.orders_for(service, needed, book) {
-                self.give(order, needed, book, holding).await;
+            for order in self.orders_for(service, needed, &mut tenure.book) {
+                self.give(order, needed, tenure, holding).await;
             }
         }
+        self.kept.note_orders(tenure.book.to_keep());
     }
 
     /// Says once a tenure of each service that its back ends are kept because its needs are not known.
-    fn tell_unknown(&self, book: &mut OrderBook) {
+    fn tell_unknown(&self, tenure: &mut OrderTenure) {
         for (service, demand) in self.demands.iter().filter(|(_, demand)| demand.is_unknown()) {
-            if book.told_unknown.insert(service.clone()) {
+            if tenure.told_unknown.insert(service.clone()) {
                 emit(&CapacityNotKnown { service: service.to_string(), kept: demand.floor().to_string() });
             }
         }
     }
 
     /// Gives one order, unless it was refused a moment ago, and notes what came of it.
-    async fn give(&self, order: CapacityOrder, needed: Needed, book: &mut OrderBook, holding: &Holding) {
-        let key = OrderKey::of(&order);
-        if book.refused.get(&key).is_some_and(|refused| refused.at.elapsed() < ORDER_PAUSE) {
+    async fn give(&self, order: CapacityOrder, needed: Needed, tenure: &mut OrderTenure, holding: &Holding) {
+        if !tenure.book.may_try(&OrderKey::of(&order), Instant::now()) {
             return;
         }
         let Some(holder) = holding.holder() else { return };
@@ -114,18 +110,14 @@
             epoch: holder.epoch.to_string(),
             result: describe(&result),
         });
-        let at = Instant::now();
+        let now = Instant::now();
         match result {
-            Ok(()) => {
-                book.refused.remove(&key);
-                book.given.insert(key, GivenOrder::new(order.wanted, at));
-            }
+            Ok(()) => tenure.book.note_done(&order, now),
             Err(error) => {
-                let is_exhausted = error == DutyError::Exhausted;
-                let before = book.refused.insert(key, RefusedOrder { at, is_exhausted });
-                if is_exhausted && !before.is_some_and(|before| before.is_exhausted) {
+                let is_news = tenure.book.note_refused(&order, error == DutyError::Exhausted, now);
+                if is_news {
                     // What can't be had is news: lasting ones stand in for it from the next look on.
-                    book.next_look = None;
+                    tenure.next_look = None;
                 }
             }
         }
@@ -143,9 +135,9 @@
             zone: zone.clone(),
             lasting_usable,
             reclaimable_usable: usable(true),
-            // A new holder does not know what its predecessor ordered, but what came of it.
-            lasting_ordered: book.given.get(&key(false)).map_or(lasting_usable, |given| given.wanted),
-            is_exhausted: book.refused.get(&key(true)).is_some_and(|refused| refused.is_exhausted),
+            // Where nothing is kept of what a predecessor ordered, it is known what came of it.
+            lasting_ordered: book.ordered(&key(false)).unwrap_or(lasting_usable),
+            is_exhausted: book.is_exhausted(&key(true)),
         }
     }
 
@@ -187,7 +179,7 @@
             needed,
             floor: self.floor(&service.name),
         };
-        scaling::note_usable(&mut book.given, inputs.service, &zones);
-        scaling::due(&scaling::plan(&inputs), &book.given, &inputs, Instant::now())
+        scaling::note_usable(book.given_mut(), inputs.service, &zones);
+        scaling::due(&scaling::plan(&inputs), book.given(), &inputs, Instant::now())
     }
 }
--- a/crates/beamwall-node/src/gateway/duties/kept.rs
+++ b/crates/beamwall-node/src/gateway/duties/kept.rs
@@ -1,9 +1,9 @@
-//! What the duties of this node keep with the lease, and went on from: open windows of usage and the needs of services.
+//! What the duties of this node keep with the lease, and went on from: open windows of usage, the needs of services, and orders.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use beamwall_duties::DutyCheckpoint;
+use beamwall_duties::{DutyCheckpoint, KeptOrder};
 use beamwall_events::emit;
 use beamwall_events::internal_events::{DutiesNotKept, DutiesTakenOver};
 use beamwall_gateway::Gateway;
@@ -21,6 +21,7 @@
     needs: BTreeMap<ServiceName, Needed>,
     /// Needs that the last holder kept.
     taken_needs: BTreeMap<ServiceName, Needed>,
+    orders: Vec<KeptOrder>,
 }
 
 /// What the duties keep with the lease.
@@ -33,8 +34,12 @@
     /// Nothing taken over yet: usage begins with the window of now.
     pub(super) fn new(gateway: Arc<Gateway>) -> Self {
         let (current, _) = gateway.forwarder.usage.window_at(gateway.forwarder.clock.now());
-        let state =
-            State { first_open_window: current, needs: BTreeMap::new(), taken_needs: BTreeMap::new() };
+        let state = State {
+            first_open_window: current,
+            needs: BTreeMap::new(),
+            taken_needs: BTreeMap::new(),
+            orders: Vec::new(),
+        };
         Self { gateway, state: Mutex::new(state) }
     }
 
@@ -62,6 +67,16 @@
         self.lock().taken_needs.get(service).copied()
     }
 
+    /// Notes what was ordered.
+    pub(super) fn note_orders(&self, orders: Vec<KeptOrder>) {
+        self.lock().orders = orders;
+    }
+
+    /// What was ordered last, as far as this node knows.
+    pub(super) fn orders(&self) -> Vec<KeptOrder> {
+        self.lock().orders.clone()
+    }
+
     fn checkpoint(&self) -> DutyCheckpoint {
         let state = self.lock();
         let mut needs = state.taken_needs.clone();
@@ -70,11 +85,12 @@
             first_open_window: Some(state.first_open_window),
             usage: self.gateway.forwarder.usage.to_carry(state.first_open_window),
             needs,
+            orders: state.orders.clone(),
         }
     }
 
     fn go_on_from(&self, kept: DutyCheckpoint) {
-        let DutyCheckpoint { first_open_window, usage, needs } = kept;
+        let DutyCheckpoint { first_open_window, usage, needs, orders } = kept;
         let mut state = self.lock();
         if let Some(first) = first_open_window {
             state.first_open_window = state.first_open_window.min(first);
@@ -87,6 +103,7 @@
             services: needs.len().to_string(),
         });
         state.taken_needs = needs;
+        state.orders = orders;
         self.gateway.forwarder.usage.carry(usage);
     }
 }
--- a/crates/beamwall-node/src/gateway/duties/mod.rs
+++ b/crates/beamwall-node/src/gateway/duties/mod.rs
@@ -3,7 +3,7 @@
 //! The counts of a window are fixed in the store before they are reported, so that a successor
 //! repeats the same numbers. The store's conditional write decides whose counts are fixed.
 //!
-//! What is not fixed yet, and what services need, is kept with each renewal of the lease (`kept`).
+//! What is not fixed yet, what services need and what was ordered is kept with each renewal of the lease (`kept`).
 
 mod capacity;
 mod followed_demand;
@@ -28,7 +28,7 @@
 use tokio::sync::watch;
 
 use crate::gateway::chooser::ZoneChooser;
-use crate::gateway::duties::capacity::{CapacityDuty, OrderBook};
+use crate::gateway::duties::capacity::{CapacityDuty, OrderTenure};
 use crate::gateway::duties::kept::KeptDuties;
 use crate::gateway::duties::rollouts::{RolloutDuty, RolloutTenure};
 use crate::gateway::duties::usage::{UsageDuty, UsageProgress};
@@ -62,7 +62,7 @@
 struct Tenure {
     holding: Holding,
     usage: UsageProgress,
-    orders: OrderBook,
+    orders: OrderTenure,
     rollouts: RolloutTenure,
 }
 
@@ -172,7 +172,7 @@
         Tenure {
             holding,
             usage: UsageProgress::default(),
-            orders: OrderBook::default(),
+            orders: OrderTenure::continuing(self.kept.orders()),
             rollouts: RolloutTenure::default(),
         }
     }
