A caller's connection may rest for as long as the operator's limits say

Cause: the wait for the next request's head had a fixed limit of 10 s, rest included; the limits of the configuration were read and used nowhere ("by reading only" until now). Ruled out: the caller's side, which is a bare socket in the test. Change: the limit is the larger of the operator's two (rest, head), asked when a connection is accepted.

--- a/crates/beamwall-duties/tests/checkpoint.rs
+++ b/crates/beamwall-duties/tests/checkpoint.rs
@@ -39,9 +39,9 @@
 fn orders(service: u32) -> Vec<KeptOrder> {
     let name = format!("service-{service}").as_str().into();
     let kept = |number: u32| KeptOrder {
-        key: OrderKey::new(&name, &format!("zone-{}", number / 2).as_str().into(), number % 2 == 0),
+        key: OrderKey::new(&name, &format!("zone-{}", number / 2).as_str().into(), number.is_multiple_of(2)),
         wanted: Some(400 + number),
-        is_exhausted: number % 7 == 0,
+        is_exhausted: number.is_multiple_of(7),
     };
     (0..2 * ZONES).map(kept).collect()
 }
--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -83,6 +83,13 @@
         }
     }
 
+    /// The operator's limits: callers reuse what has rested for nearly as long.
+    fn next_head_limit(&self) -> Duration {
+        let policy = self.gateway.policy.load();
+        let limits = &policy.policy().caller_limits;
+        Duration::from_millis(limits.idle_ms.max(limits.head_ms))
+    }
+
     fn connection_failed(&self, failure: ConnectionFailure, error: &hyper::Error) {
         let kind = failure.as_str();
         self.gateway.forwarder.metrics.caller_connections_failed.with_label_values(&[kind]).inc();
--- a/crates/beamwall-http/src/server.rs
+++ b/crates/beamwall-http/src/server.rs
@@ -17,7 +17,7 @@
 use crate::Body;
 use crate::cause::is_among_causes;
 
-/// A sender of request headers slower than this is cut off.
+/// Usual time until the head of a connection's next request has come.
 const HEADER_READ_LIMIT: Duration = Duration::from_secs(10);
 /// Pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
@@ -27,6 +27,11 @@
     /// Answers one request; failures are answers too.
     fn handle(self: &Arc<Self>, request: Request<Incoming>) -> impl Future<Output = Response<Body>> + Send;
 
+    /// How long a connection may take until the head of its next request has come, rest included; asked when it is accepted.
+    fn next_head_limit(&self) -> Duration {
+        HEADER_READ_LIMIT
+    }
+
     /// Notes that a connection ended by an error. One that rested for too long is not such.
     fn connection_failed(&self, _failure: ConnectionFailure, _error: &hyper::Error) {}
 }
@@ -114,7 +119,7 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_READ_LIMIT)
+        .header_read_timeout(handler.next_head_limit())
         .half_close(false)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
