--- a/crates/beamwall-gateway/tests/usage.rs
+++ b/crates/beamwall-gateway/tests/usage.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, UNIX_EPOCH};
 
-use beamwall_gateway::usage::UsageLedger;
+use beamwall_gateway::usage::{UsageLedger, WindowCounts};
 
 const WINDOW: Duration = Duration::from_secs(5);
 
@@ -169,3 +169,16 @@
         Ok(())
     });
 }
+
+/// Known red: in a large deployment the sums of a zone whose nodes were all killed begin anew, and what was written down holds the
+/// earlier ones. The sums say nothing of lives, so the larger of both counts.
+#[test]
+fn what_zones_count_after_all_nodes_were_killed_comes_on_top() {
+    let sum = |requests| vec![WindowCounts { window: 2, counts: [("alder".into(), requests)].into() }];
+    let before = UsageLedger::new(WINDOW).of_life(&"n1".into(), 1);
+    before.merge_zone(&"b".into(), sum(10));
+    let after = UsageLedger::new(WINDOW).of_life(&"n1".into(), 2);
+    after.carry(before.to_carry(2));
+    after.merge_zone(&"b".into(), sum(4));
+    assert_eq!(after.total(2).counts, [("alder".into(), 14)].into());
+}
