Refusals tell the fingerprint of the request; orders of an earlier tenure are forgotten where a predecessor kept none

Cause: tries that come again bear new identifiers and reach other nodes; attempts are logged with the fingerprint that connects them, refusals were not, so that first tries could not be told from further ones. And a node that takes the lease from a holder of an earlier build, which keeps nothing, went on from the orders of its own last tenure (found reading the diff).

--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -9,7 +9,7 @@
 use beamwall_http::body::ReadError;
 use beamwall_http::{Body, ConnectionFailure, Handler, read_limited_with};
 use beamwall_policy::{PolicyIndex, Route, RouteKind, TenantRef};
-use beamwall_quarantine::FingerprintHasher;
+use beamwall_quarantine::{Fingerprint, FingerprintHasher};
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{HeaderMap, Request, Response};
@@ -69,7 +69,8 @@
         let request_id = head.request_id.clone();
         startup::wait_known(|| gateway.knows_enough(), head.patience).await;
         let policy = gateway.policy.load_full();
-        let mut context = AnswerContext { route: None, tenant: None, version: policy.version() };
+        let mut context =
+            AnswerContext { route: None, tenant: None, fingerprint: None, version: policy.version() };
         let result = gateway.answer(request, head, &policy, received, &mut context).await;
         match result {
             Ok(response) => {
@@ -101,6 +102,8 @@
 struct AnswerContext {
     route: Option<Arc<Route>>,
     tenant: Option<TenantRef>,
+    /// The same for all tries of one request; known once its body was read.
+    fingerprint: Option<Fingerprint>,
     version: u64,
 }
 
@@ -149,6 +152,7 @@
         self.count(gateway, refusal.status().as_str(), received);
         emit(&GatewayRefused {
             request: request_id.unwrap_or_default().to_owned(),
+            fingerprint: self.fingerprint.map(|known| known.to_string()).unwrap_or_default(),
             route: self.route_name(),
             tenant: self.tenant_name(),
             status: refusal.status().as_u16().to_string(),
@@ -191,6 +195,7 @@
         let read = read_limited_with(body, body_limit, BODY_READ_LIMIT, see).await;
         let body = read.map_err(from_read_error)?;
         let fingerprint = fingerprint.finish();
+        context.fingerprint = Some(fingerprint);
         let call = Call {
             service: route.service_for(rand::random()).cloned().ok_or(Refusal::NoRoute)?,
             deadline: deadline(&route, &head, received),
--- a/crates/beamwall-node/src/gateway/duties/kept.rs
+++ b/crates/beamwall-node/src/gateway/duties/kept.rs
@@ -89,6 +89,12 @@
         }
     }
 
+    fn forget_orders(&self) {
+        let mut state = self.lock();
+        state.orders.clear();
+        state.taken_needs.clear();
+    }
+
     fn go_on_from(&self, kept: DutyCheckpoint) {
         let DutyCheckpoint { first_open_window, usage, needs, orders } = kept;
         let mut state = self.lock();
@@ -129,15 +135,18 @@
     }
 
     fn take_over(&self, kept: &str) {
-        // A holder of an earlier build keeps nothing.
+        // A holder of an earlier build keeps nothing, and may have ordered otherwise than this node once did.
         if kept.is_empty() {
-            return;
+            return self.forget_orders();
         }
         let bytes = hex::decode(kept).map_err(|error| error.to_string());
         let read = bytes.and_then(|bytes| compressed::decode(&bytes).map_err(|error| error.to_string()));
         match read {
             Ok(checkpoint) => self.go_on_from(checkpoint),
-            Err(reason) => emit(&DutiesNotKept { reason }),
+            Err(reason) => {
+                emit(&DutiesNotKept { reason });
+                self.forget_orders();
+            }
         }
     }
 }
--- a/crates/beamwall-node/src/gateway/listing.rs
+++ b/crates/beamwall-node/src/gateway/listing.rs
@@ -44,7 +44,7 @@
 pub enum Purpose {
     /// No list is known here.
     Anew,
-    /// The list held here is doubted or can.t be followed on, so that it is no reason to leave the rest unread.
+    /// The list held here is doubted or can't be followed on, so that it is no reason to leave the rest unread.
     Review,
 }
 
