Model: sets of node generations, for sums that name what they include

Cause: sums that zones tell each other and the checkpoint of usage need the same four-byte names of node generations; the hash stood in the usage ledger only. Change: `GenerationSet` and `generation_hash` in beamwall-model, beside the identifiers, so that usage and rollouts share them.

--- a/crates/beamwall-model/src/lib.rs
+++ b/crates/beamwall-model/src/lib.rs
@@ -5,6 +5,7 @@
 //! engine name is expected.
 
 pub mod class;
+pub mod generations;
 pub mod identifiers;
 pub mod milliseconds;
 pub mod outcome;
@@ -12,6 +13,7 @@
 pub mod strategy;
 
 pub use class::ServiceClass;
+pub use generations::{GenerationSet, generation_hash};
 pub use identifiers::{
     AttemptId, BackendId, EngineVersion, InstanceName, NodeId, RequestId, ServiceName, TenantName, ZoneName,
 };
