Usage: a gateway that starts also recovers the sums of zones

What callers saw: requests missing from the bills of a large deployment where a zone ended for good or all of its gateways were killed, and then the holder of the duties started anew; and where a zone's gateways were killed one after another. Cause: a gateway that starts asks one member for the counts of generations. Sums of zones were not in the answer, though nobody reports a zone's earlier generations any more, and neither were the counts of the one that answers, which may end before its next heartbeat. A zone whose nodes are all gone has no member that remembers it. Entries were taken for the asker's own by the generation alone. Change: the answer holds sums of zones (field 2) for those who say that they read them (a field of the question), and the answerer's own generation. A relay includes such a sum in its own where it overlaps with nodes that it knows itself. Weighed: asking again and again until all is known (no sign when that is so); sums in each heartbeat of a node (bytes for ever).

--- a/crates/beamwall-gateway/src/usage/mod.rs
+++ b/crates/beamwall-gateway/src/usage/mod.rs
@@ -62,29 +62,47 @@
     }
 
     /// The counts of this node and of all nodes that report their own counts.
-    fn nodes(&self, own_hash: Option<u32>) -> impl Iterator<Item = Source<'_>> {
+    fn nodes<'a>(&'a self, own: &'a OwnNode) -> impl Iterator<Item = Source<'a>> {
         let source = |hash, windows| Source {
             origin: Origin::Node,
-            zone: None,
+            zone: own.zone.as_ref(),
             included: Included::One(hash),
             windows,
         };
         let peers = self.peers.iter().map(move |((node, generation), windows)| {
             source(Some(generation_hash(node, *generation)), windows)
         });
-        std::iter::once(source(own_hash, &self.own)).chain(peers)
+        std::iter::once(source(own.hash(), &self.own)).chain(peers)
+    }
+
+    /// The sums of one zone.
+    fn zone_sources<'a>(&'a self, zone: &'a ZoneName) -> impl Iterator<Item = Source<'a>> {
+        self.zones.get(zone).into_iter().flat_map(|sums| sums.sources(zone))
     }
 
     /// All counts and sums.
-    fn sources(&self, own_hash: Option<u32>) -> impl Iterator<Item = Source<'_>> {
-        let zones = self.zones.iter().flat_map(|(zone, sums)| sums.sources(zone));
+    fn sources<'a>(&'a self, own: &'a OwnNode) -> impl Iterator<Item = Source<'a>> {
+        let zones = self.zones.keys().flat_map(|zone| self.zone_sources(zone));
         let checkpointed = Source {
             origin: Origin::Checkpoint,
             zone: None,
             included: Included::Several(&self.checkpointed.generations),
             windows: &self.checkpointed.windows,
         };
-        self.nodes(own_hash).chain(zones).chain([checkpointed])
+        self.nodes(own).chain(zones).chain([checkpointed])
+    }
+}
+
+/// The node that holds a ledger.
+#[derive(Debug, Default)]
+struct OwnNode {
+    generation: Option<(NodeId, u64)>,
+    zone: Option<ZoneName>,
+}
+
+impl OwnNode {
+    fn hash(&self) -> Option<u32> {
+        self.generation.as_ref().map(|(node, generation)| generation_hash(node, *generation))
     }
 }
 
@@ -92,20 +110,24 @@
 #[derive(Debug)]
 pub struct UsageLedger {
     window_length: Duration,
-    /// Hash of this node's generation.
-    own_hash: Option<u32>,
+    own: OwnNode,
     state: Mutex<State>,
 }
 
 impl UsageLedger {
     /// Creates an empty ledger with windows of `window_length`.
     pub fn new(window_length: Duration) -> Self {
-        Self { window_length, own_hash: None, state: Mutex::default() }
+        Self { window_length, own: OwnNode::default(), state: Mutex::default() }
     }
 
     /// Makes this the ledger of the given generation of a node.
     pub fn for_generation(self, node: &NodeId, generation: u64) -> Self {
-        Self { own_hash: Some(generation_hash(node, generation)), ..self }
+        Self { own: OwnNode { generation: Some((node.clone(), generation)), ..self.own }, ..self }
+    }
+
+    /// Makes this the ledger of a node of the given zone.
+    pub fn in_zone(self, zone: &ZoneName) -> Self {
+        Self { own: OwnNode { zone: Some(zone.clone()), ..self.own }, ..self }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -142,8 +164,13 @@
         state.remove_stale_generations();
     }
 
-    /// Merges the sum reported by a relay of another zone.
+    /// Merges a sum over nodes of a zone: of another zone, as its relays report it, or of this node's own zone
+    /// before all its nodes were killed, as other zones recall it. A sum of the own zone over unknown
+    /// generations is ignored: it may include running nodes, whose counts are known.
     pub fn merge_zone(&self, zone: &ZoneName, reported: PartialSum) {
+        if self.own.zone.as_ref() == Some(zone) && reported.generations.is_empty() {
+            return;
+        }
         let mut state = self.lock();
         let has_grown = state.zones.entry(zone.clone()).or_default().merge(zone, reported);
         state.changes += u64::from(has_grown);
@@ -164,14 +191,26 @@
         state.peers.iter().map(generation).collect()
     }
 
-    /// The sum of this node and all nodes that report their own counts, in the newest `windows` windows.
+    /// The sum of this node and all nodes that report their own counts, in the newest `windows` windows. Sums
+    /// of this zone that other zones recall are included where they overlap with the counts of these nodes;
+    /// the others were reported before.
     pub fn sum_of_nodes(&self, windows: usize) -> PartialSum {
         let state = self.lock();
-        let counting = state.nodes(self.own_hash).filter(|node| !node.windows.is_empty());
-        let overlaps = Overlaps::new(counting.collect());
+        let counting = state.nodes(&self.own).filter(|node| !node.windows.is_empty());
+        let recalled = self.own.zone.iter().flat_map(|zone| state.zone_sources(zone));
+        let overlaps = Overlaps::new(counting.chain(recalled).collect()).with_nodes();
         PartialSum { generations: overlaps.hashes().collect(), windows: overlaps.newest_totals(windows) }
     }
 
+    /// Known sums of zones, in their newest windows, at most `windows`.
+    pub fn zone_sums(&self, windows: usize) -> Vec<(ZoneName, PartialSum)> {
+        let state = self.lock();
+        let sums_of = |(zone, sums): (&ZoneName, &ZoneSums)| -> Vec<(ZoneName, PartialSum)> {
+            sums.newest(windows).map(|sum| (zone.clone(), sum)).collect()
+        };
+        state.zones.iter().flat_map(sums_of).collect()
+    }
+
     /// A number that changes whenever a count has grown.
     pub fn changes(&self) -> u64 {
         self.lock().changes
@@ -180,7 +219,7 @@
     /// Creates a checkpoint of the windows from `oldest` on.
     pub fn to_checkpoint(&self, oldest: u64) -> UsageCheckpoint {
         let state = self.lock();
-        let overlaps = Overlaps::new(state.sources(self.own_hash).collect());
+        let overlaps = Overlaps::new(state.sources(&self.own).collect());
         UsageCheckpoint { lives: overlaps.hashes().collect(), windows: overlaps.totals_from(oldest) }
     }
 
@@ -194,7 +233,7 @@
     /// The counts of all nodes for one window.
     pub fn total(&self, window: u64) -> WindowCounts {
         let state = self.lock();
-        let counted = state.sources(self.own_hash).filter(|source| source.windows.contains_key(&window));
+        let counted = state.sources(&self.own).filter(|source| source.windows.contains_key(&window));
         WindowCounts { window, counts: Overlaps::new(counted.collect()).total(window) }
     }
 }
--- a/crates/beamwall-gateway/src/usage/overlap.rs
+++ b/crates/beamwall-gateway/src/usage/overlap.rs
@@ -102,6 +102,12 @@
         Self { sources, neighbours }
     }
 
+    /// Only the sources that overlap, directly or through others, with the counts of a node.
+    pub(super) fn with_nodes(self) -> Self {
+        let has_node = |group: &Vec<Source>| group.iter().any(|source| source.origin == Origin::Node);
+        Self::new(self.groups().into_iter().filter(has_node).flatten().collect())
+    }
+
     /// Hashes of all generations that are included.
     pub(super) fn hashes(&self) -> impl Iterator<Item = u32> {
         self.sources.iter().flat_map(Source::hashes)
@@ -131,7 +137,13 @@
         (0..self.sources.len()).collect()
     }
 
-    /// The groups of sources that overlap directly or through others.
+    /// The groups of sources that overlap directly or through others. No two groups include the same
+    /// requests.
+    fn groups(&self) -> Vec<Vec<Source<'a>>> {
+        let groups = self.groups_among(&self.all()).into_iter();
+        groups.map(|group| group.into_iter().map(|number| self.sources[number]).collect()).collect()
+    }
+
     fn groups_among(&self, members: &BTreeSet<usize>) -> Vec<Vec<usize>> {
         let mut ungrouped = members.clone();
         let mut groups = Vec::new();
--- a/crates/beamwall-gateway/src/usage/partial_sum.rs
+++ b/crates/beamwall-gateway/src/usage/partial_sum.rs
@@ -78,6 +78,19 @@
         }
     }
 
+    /// The sums in their newest windows, at most `windows`.
+    pub(super) fn newest(&self, windows: usize) -> impl Iterator<Item = PartialSum> {
+        let known = self.known.iter().map(move |sum| PartialSum {
+            generations: sum.generations.clone(),
+            windows: windows::newest(&sum.windows, windows),
+        });
+        let unknown = PartialSum {
+            generations: GenerationSet::default(),
+            windows: windows::newest(&self.unknown, windows),
+        };
+        known.chain((!self.unknown.is_empty()).then_some(unknown))
+    }
+
     /// The sums of the zone as sources of a total.
     pub(super) fn sources<'a>(&'a self, zone: &'a ZoneName) -> impl Iterator<Item = Source<'a>> {
         let known = self.known.iter().map(move |sum| source_of(zone, sum));
--- a/crates/beamwall-gateway/tests/usage_zones.rs
+++ b/crates/beamwall-gateway/tests/usage_zones.rs
@@ -47,8 +47,17 @@
     Heartbeat(Vec<WindowCounts>),
     /// Sum of the sender's zone.
     Summary(PartialSum),
-    /// Recorded counts of ended and running processes, for one process of one node.
-    Recovery { node: usize, generation: u64, recorded: Vec<(NodeId, u64, Vec<WindowCounts>)> },
+    /// Recorded counts, for one process of one node.
+    Recovery { node: usize, generation: u64, recorded: Recorded },
+}
+
+/// What a node answers to one that starts.
+#[derive(Clone)]
+struct Recorded {
+    /// Counts of ended and running processes, for nodes that report their own counts.
+    generations: Vec<(NodeId, u64, Vec<WindowCounts>)>,
+    /// Sums of zones.
+    zone_sums: Vec<(ZoneName, PartialSum)>,
 }
 
 /// A message, which may be delivered to several nodes, late, repeatedly or never.
@@ -104,10 +113,25 @@
 }
 
 fn start(node: usize, generation: u64, is_large: bool) -> Node {
-    let ledger = UsageLedger::new(WINDOW_LENGTH).for_generation(&node_name(node), generation);
+    let ledger = UsageLedger::new(WINDOW_LENGTH)
+        .for_generation(&node_name(node), generation)
+        .in_zone(&ZoneName::new(zone_of(node)));
     Node { generation, ledger, told: Told::new(), past: Told::new(), is_large, uses_summaries: is_large }
 }
 
+impl Node {
+    /// Merges recorded counts as the exchange does.
+    fn merge_recovered(&self, own: usize, recorded: &Recorded) {
+        let is_own = |(name, life, _): &&(NodeId, u64, Vec<WindowCounts>)| {
+            (name, *life) == (&node_name(own), self.generation)
+        };
+        for (name, life, counts) in recorded.generations.iter().filter(|recorded| !is_own(recorded)) {
+            self.ledger.merge(name, *life, counts.clone());
+        }
+        recorded.zone_sums.iter().for_each(|(zone, sum)| self.ledger.merge_zone(zone, sum.clone()));
+    }
+}
+
 impl Deployment {
     fn new(is_large: bool) -> Self {
         let nodes = (0..NODES).map(|node| start(node, node as u64, is_large)).collect();
@@ -158,21 +182,26 @@
         self.message(sender, Content::Summary(sums), told.collect())
     }
 
-    /// The answer of `sender` to the process that runs at `node`, unless that is in a zone that it knows by
-    /// summaries.
-    fn recovery(&self, sender: usize, node: usize) -> Option<Message> {
+    /// The answer of `sender` to the process that runs at `node`. In a large deployment, nodes of another zone
+    /// get the sums of zones.
+    fn recovery(&self, sender: usize, node: usize) -> Message {
         let from = &self.nodes[sender];
-        if from.is_large && zone_of(sender) != zone_of(node) {
-            return None;
+        let generation = self.nodes[node].generation;
+        let mut generations = Vec::new();
+        if !from.is_large || zone_of(sender) == zone_of(node) {
+            generations = from.ledger.generations(REPORTED_WINDOWS);
+            generations.push((node_name(sender), from.generation, from.ledger.recent(REPORTED_WINDOWS)));
         }
-        let recorded = from.ledger.generations(REPORTED_WINDOWS);
         let is_recorded = |key: &(usize, u64)| {
-            recorded.iter().any(|(name, life, _)| (&node_name(key.0), key.1) == (name, *life))
+            let is_generation = |(name, life, _): &(NodeId, u64, Vec<WindowCounts>)| {
+                (&node_name(key.0), key.1) == (name, *life)
+            };
+            zone_of(key.0) != zone_of(sender) || generations.iter().any(is_generation)
         };
-        let told =
-            from.told.iter().filter(|(key, _)| is_recorded(key)).map(|(key, count)| (*key, *count)).collect();
-        let generation = self.nodes[node].generation;
-        Some(self.message(sender, Content::Recovery { node, generation, recorded }, told))
+        let told = from.told.iter().filter(|(key, _)| is_recorded(key));
+        let told = told.map(|(key, count)| (*key, *count)).collect();
+        let recorded = Recorded { generations, zone_sums: from.ledger.zone_sums(REPORTED_WINDOWS) };
+        self.message(sender, Content::Recovery { node, generation, recorded }, told)
     }
 
     /// Delivers a message to one node, which applies it as the exchange does.
@@ -191,9 +220,7 @@
             Content::Recovery { node, generation, recorded }
                 if (*node, *generation) == (receiver, here.generation) =>
             {
-                for (name, life, counts) in recorded.iter().filter(|(_, life, _)| *life != here.generation) {
-                    here.ledger.merge(name, *life, counts.clone());
-                }
+                here.merge_recovered(receiver, recorded);
             }
             _ => return,
         }
@@ -314,7 +341,7 @@
     deployment.summary_to(B1, &[A1]);
     deployment.restart(B1);
     // Of the members of its zone, the one that answers missed the heartbeat.
-    let answer = deployment.recovery(B2, B1).expect("members of a zone answer");
+    let answer = deployment.recovery(B2, B1);
     deployment.deliver(&answer, B1);
     deployment.requests(B1, 4);
     deployment.summary_to(B1, &[A1]);
@@ -394,6 +421,51 @@
     deployment.assert_total_of_all(A1);
 }
 
+/// Guards against: a sum of a zone that was told to others is lost with the process of the holder.
+#[test]
+fn a_restarted_holder_recovers_sums_of_other_zones() {
+    let mut deployment = Deployment::large();
+    deployment.requests(B1, 10);
+    deployment.summary_to(B1, &[A1, A2]);
+    // Zone B ends for good.
+    deployment.restart(A1);
+    let answer = deployment.recovery(A2, A1);
+    deployment.deliver(&answer, A1);
+    assert_eq!(deployment.total(A1), deployment.told(A2));
+}
+
+/// Guards against: a node that answers a starting node leaves out its own counts, and ends before it reports.
+#[test]
+fn an_answer_includes_the_counts_of_the_node_that_answers() {
+    let mut deployment = Deployment::small();
+    deployment.requests(A2, 10);
+    deployment.heartbeat_to(A2, &[A1]);
+    deployment.restart(A1);
+    let answer = deployment.recovery(A2, A1);
+    deployment.deliver(&answer, A1);
+    // A2 ends before its next heartbeat.
+    assert_eq!(deployment.total(A1), deployment.ran);
+}
+
+/// Guards against: an earlier node generation is missing in the sums of a zone whose nodes end one after another.
+#[test]
+fn counts_of_a_zone_whose_nodes_end_one_after_another_add_up() {
+    let mut deployment = Deployment::large();
+    deployment.requests(B1, 10);
+    deployment.requests(B2, 3);
+    deployment.heartbeat_to(B2, &[B1]);
+    deployment.summary_to(B1, &[A1, C1]);
+    deployment.restart(B1);
+    deployment.heartbeat_to(B2, &[B1]);
+    deployment.restart(B2);
+    // No node of the zone remembers the first counts of B1, but zone C remembers its sum.
+    let answer = deployment.recovery(C1, B1);
+    deployment.deliver(&answer, B1);
+    deployment.requests(B1, 4);
+    deployment.summary_to(B1, &[A1]);
+    deployment.assert_total_of_all(A1);
+}
+
 /// Guards against: the summaries of a relay that lost counts equal those of one that hears a node again.
 #[test]
 fn summaries_after_a_restart_tell_lost_counts_from_late_ones() {
@@ -499,7 +571,7 @@
                 deployment.restart(node);
                 holder = holder.filter(|holder| *holder != node);
             }
-            10 => sent.extend(deployment.recovery(random.int_in_range(0..=last)?, node)),
+            10 => sent.push(deployment.recovery(random.int_in_range(0..=last)?, node)),
             11 if events.checkpoints => match holder {
                 // The lease is held by one node at a time, which restores the checkpoint once.
                 Some(holder) if random.arbitrary()? => deployment.store_checkpoint(holder),
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -375,7 +375,7 @@
             }
             Some(Body::QuarantineNews(update)) => self.handle_quarantine_update(&envelope, &update),
             Some(Body::QuarantineRequest(_)) => self.send_all_evidence(&envelope),
-            Some(Body::UsageRequest(_)) => self.answer_usage(&envelope),
+            Some(Body::UsageRequest(request)) => self.answer_usage(&envelope, request),
             Some(Body::DirectoryRequest(request)) => {
                 self.reply(&envelope, Body::DirectoryAnswer(self.answer_directory(request)));
             }
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -332,7 +332,9 @@
         demand: DemandTracker::default(),
         rollouts: RolloutRegistry::default(),
         retries: RetryBudgets::new(retries, nodes),
-        usage: UsageLedger::new(settings.usage_window).for_generation(&settings.node, generation),
+        usage: UsageLedger::new(settings.usage_window)
+            .for_generation(&settings.node, generation)
+            .in_zone(&settings.zone),
         clock,
         quarantine: Arc::new(quarantine),
         metrics: GatewayMetrics::new(registry)?,
--- a/crates/beamwall-node/tests/earlier_builds.rs
+++ b/crates/beamwall-node/tests/earlier_builds.rs
@@ -16,7 +16,7 @@
 use beamwall_peer::gateway_message::{
     BackendLoad, BackendSlowness, DirectoryAnswer, DirectoryRequest, GatewayHeartbeat, GenerationUsage,
     PlacementPart, PlacementReply, PlacementRequest, PolicyAnswer, PolicyRequest, QuotaUse, ServiceDemand,
-    ServiceModel, UsageAnswer, UsageCount, UsageRequest, UsageWindow, VersionUpdate, ZoneSummary,
+    ServiceModel, UsageAnswer, UsageCount, UsageRequest, UsageWindow, VersionUpdate, ZoneSummary, ZoneUsage,
 };
 use beamwall_peer::message::{MemberUpdate, ProbeRequest};
 use beamwall_peer::quarantine_message::{
@@ -179,8 +179,8 @@
         ("zone_sum", Body::ZoneSummary(zone_sum())),
         ("policy_request", Body::PolicyRequest(policy_request)),
         ("policy_answer", Body::PolicyAnswer(PolicyAnswer { change: vec![1, 2, 3], busy_for_ms: 20 })),
-        ("usage_request", Body::UsageRequest(UsageRequest {})),
-        ("usage_known", Body::UsageKnown(UsageAnswer { lives: vec![life] })),
+        ("usage_request", Body::UsageRequest(UsageRequest::default())),
+        ("usage_known", Body::UsageKnown(UsageAnswer { lives: vec![life], zones: Vec::new() })),
         ("placement_request", Body::PlacementRequest(placement_request())),
         ("placement_reply", Body::PlacementReply(placement_reply())),
         ("probe", Body::ProbeRequest(probe)),
@@ -345,6 +345,26 @@
     assert_eq!((recorded.usage, recorded.usage_lives), (usage(), Vec::new()));
 }
 
+/// Guards against a starting gateway whose question another build cannot read, or to which it answers what cannot be read.
+#[test]
+fn usage_that_a_starting_gateway_asks_for_is_read_by_both_builds() {
+    let question = Body::UsageRequest(UsageRequest { reads_zone_sums: true });
+    let bytes = envelope(question).encode_to_vec();
+    let by_earlier = earlier::Envelope::decode(bytes.as_slice()).expect("new fields are passed over");
+    assert!(matches!(by_earlier.body, Some(earlier::Body::UsageRequest(_))));
+    let recorded = Envelope::decode(read(RECORDED_WITH_SLOWNESS, "usage_request").as_slice());
+    assert_eq!(
+        recorded.expect("it can be read").body,
+        Some(Body::UsageRequest(UsageRequest { reads_zone_sums: false }))
+    );
+    let zone = ZoneUsage { zone: "b".to_owned(), lives: vec![7], usage: usage() };
+    let answer = Body::UsageKnown(UsageAnswer { lives: Vec::new(), zones: vec![zone] });
+    let bytes = envelope(answer).encode_to_vec();
+    let by_earlier = earlier::Envelope::decode(bytes.as_slice()).expect("new fields are passed over");
+    let Some(earlier::Body::UsageKnown(by_earlier)) = by_earlier.body else { panic!("an answer") };
+    assert!(by_earlier.lives.is_empty());
+}
+
 #[test]
 fn prefixes_and_unknown_fields_end_nothing() {
     let names: Vec<&str> = unchanged().iter().map(|(name, _)| *name).collect();
@@ -369,7 +389,8 @@
 
 #[test]
 fn a_message_of_an_unknown_kind_has_no_body() {
-    let mut bytes = Envelope { body: None, ..envelope(Body::UsageRequest(UsageRequest {})) }.encode_to_vec();
+    let mut bytes =
+        Envelope { body: None, ..envelope(Body::UsageRequest(UsageRequest::default())) }.encode_to_vec();
     prost::encoding::encode_varint((199 << 3) | 2, &mut bytes);
     prost::encoding::encode_varint(0, &mut bytes);
     let read = Envelope::decode(bytes.as_slice()).expect("it can be read");
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -222,14 +222,36 @@
 
 /// Requests the usage known to the receiver.
 #[derive(Clone, Copy, PartialEq, Message)]
-pub struct UsageRequest {}
+pub struct UsageRequest {
+    /// Whether the sender can decode sums of zones. To builds that do not set this field, gateways of other
+    /// zones do not reply in a large deployment.
+    #[prost(bool, tag = "1")]
+    pub reads_zone_sums: bool,
+}
 
-/// Usage by generation of gateways, ended generations included.
+/// Usage known to the sender, ended generations included.
 #[derive(Clone, PartialEq, Message)]
 pub struct UsageAnswer {
-    /// Usage of each generation.
+    /// Usage of each generation, for gateways that report their own usage to the sender.
     #[prost(message, repeated, tag = "1")]
     pub lives: Vec<GenerationUsage>,
+    /// Usage of zones, for gateways of another zone of a large deployment.
+    #[prost(message, repeated, tag = "2")]
+    pub zones: Vec<ZoneUsage>,
+}
+
+/// Usage summed over gateway generations of one zone.
+#[derive(Clone, PartialEq, Message)]
+pub struct ZoneUsage {
+    /// Zone of the gateways.
+    #[prost(string, tag = "1")]
+    pub zone: String,
+    /// Hashes of the generations that are included, in ascending order; empty if unknown.
+    #[prost(fixed32, repeated, tag = "2")]
+    pub lives: Vec<u32>,
+    /// The sums by window.
+    #[prost(message, repeated, tag = "3")]
+    pub usage: Vec<UsageWindow>,
 }
 
 /// Usage counted by one generation of a gateway.
