Introduce all members to a restarted node whose earlier process is still known

Cause: a node introduced all members only to a sender that it did not know. After a fast restart the entry of the earlier process still stood, so nobody introduced the new one; until it knew more than 24 members it took the deployment for a small one, which sends no zone summaries and drops those that come.

Change: Membership::known_process tells a sender's current process from an earlier one by the rise of its incarnation (start time in milliseconds; a refutation adds one, so 100 or more is a restart). The first three seeds introduce all members to a restarted sender, once; relays do so if it reports fewer members than are not dead. No field of a message changes. The simulated network of the membership tests calls the changed functions; none of its checks changed.

Not run: 300 real processes.

--- a/crates/beamwall-node/src/actors/membership.rs
+++ b/crates/beamwall-node/src/actors/membership.rs
@@ -104,6 +104,7 @@
     async fn handle(&mut self, message: Hear, _: &mut Context<Self, Self::Reply>) -> Introduction {
         let now = Instant::now();
         let sender = NodeId::new(&message.envelope.sender);
+        let known_process = self.membership.known_process(&message.envelope);
         let before = self.membership.member(&sender).map(standing);
         let mut changes: Vec<MembershipChange> =
             self.membership.record_message(&message.envelope, now).into_iter().collect();
@@ -113,7 +114,7 @@
         if !changes.is_empty() || before != after {
             self.publish();
         }
-        Introduction(self.membership.immediate_updates(&sender, before.is_some(), message.knows))
+        Introduction(self.membership.immediate_updates(&message.envelope, known_process, message.knows))
     }
 }
 
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -372,6 +372,7 @@
         MembershipTiming::default(),
     )
     .with_link(settings.link_mbps)
+    .with_seeds(&settings.seeds, settings.peers)
     .with_broadcast();
     let directory = gateway.forwarder.directory.clone();
     let versions_changed: Arc<Notify> = Arc::default();
--- a/crates/beamwall-node/src/node.rs
+++ b/crates/beamwall-node/src/node.rs
@@ -143,7 +143,8 @@
         settings.zone.clone(),
         new_incarnation(),
         MembershipTiming::default(),
-    );
+    )
+    .with_seeds(&settings.seeds, settings.peers);
     Ok(Arc::new(Shared {
         tree_actor: TreeActor::spawn(TreeActor::new(tree.clone())),
         membership_actor: MembershipActor::spawn(MembershipActor::new(membership, members.clone())),
--- a/crates/beamwall-peer/src/lib.rs
+++ b/crates/beamwall-peer/src/lib.rs
@@ -18,7 +18,7 @@
 pub mod transfer;
 
 pub use member::{Member, MemberState, link_weight};
-pub use membership::{Membership, MembershipChange, MembershipTiming, Target};
+pub use membership::{KnownProcess, Membership, MembershipChange, MembershipTiming, Target};
 pub use message::{Body, Envelope};
 pub use network::{PeerError, PeerNetwork};
 pub use transfer::TransferPacer;
--- a/crates/beamwall-peer/src/membership.rs
+++ b/crates/beamwall-peer/src/membership.rs
@@ -41,6 +41,11 @@
 const BROADCAST_TRANSMISSIONS_PER_UPDATE: u32 = 2;
 /// Maximum number of member updates in one heartbeat.
 const UPDATES_PER_HEARTBEAT: usize = 24;
+/// Rise of a node's incarnation from which its process must have been restarted: incarnations begin at the
+/// start time in milliseconds, and a refuted suspicion, which takes seconds, raises them by one.
+const MIN_RISE_AT_RESTART: u64 = 100;
+/// Number of seeds that introduce members to a restarted node.
+const INTRODUCING_SEEDS: usize = 3;
 
 /// Timing of failure detection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -77,17 +82,33 @@
     pub state: MemberState,
 }
 
+/// The process of a sender that this node knew before a message of it arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KnownProcess {
+    /// The sender was not known.
+    None,
+    /// One that ran before the process that sent the message.
+    Earlier,
+    /// The one that sent the message.
+    Current,
+}
+
 /// One node's view of all other nodes.
 #[derive(Debug)]
 pub struct Membership {
     own: NodeId,
     zone: ZoneName,
     link_mbps: u32,
+    /// Whether this node is one of the seeds that introduce members to restarted nodes.
+    is_introducing_seed: bool,
     /// Whether heartbeats are sent to all nodes of the zone.
     broadcasts: bool,
     incarnation: u64,
     timing: MembershipTiming,
     members: BTreeMap<NodeId, Member>,
+    /// Incarnation with which each member last sent a message here that decided whether it is introduced.
+    /// Other nodes may report a higher one before a restarted member sends its first message.
+    decided_incarnations: BTreeMap<NodeId, u64>,
     pending_updates: BTreeMap<NodeId, u32>,
     refresh_cursor: usize,
     /// Members from which no message has arrived since they were probed, with the time of the first such
@@ -114,10 +135,12 @@
             own,
             zone,
             link_mbps: 0,
+            is_introducing_seed: false,
             broadcasts: false,
             incarnation,
             timing,
             members: BTreeMap::new(),
+            decided_incarnations: BTreeMap::new(),
             pending_updates: BTreeMap::new(),
             refresh_cursor: 0,
             unanswered_probes: BTreeMap::new(),
@@ -131,6 +154,13 @@
         Self { link_mbps, ..self }
     }
 
+    /// Makes this node introduce members to restarted nodes if `address`, its own, is one of the first of
+    /// `seeds`, which all nodes contact at their start. Only a few do, since any number of nodes may be seeds.
+    pub fn with_seeds(self, seeds: &[SocketAddr], address: SocketAddr) -> Self {
+        let is_introducing_seed = seeds.iter().take(INTRODUCING_SEEDS).any(|seed| *seed == address);
+        Self { is_introducing_seed, ..self }
+    }
+
     /// Sends heartbeats to all nodes of the zone. Since all nodes of the zone do so, each receives heartbeats
     /// directly from all others.
     pub fn with_broadcast(self) -> Self {
@@ -158,6 +188,15 @@
         self.members.get(node)
     }
 
+    /// Returns the process of a message's sender that is known before the message is recorded.
+    pub fn known_process(&self, envelope: &Envelope) -> KnownProcess {
+        let sender = NodeId::new(&envelope.sender);
+        let Some(member) = self.members.get(&sender) else { return KnownProcess::None };
+        let known = self.decided_incarnations.get(&sender).copied().unwrap_or(member.incarnation);
+        let is_restarted = envelope.incarnation >= known.saturating_add(MIN_RISE_AT_RESTART);
+        if is_restarted { KnownProcess::Earlier } else { KnownProcess::Current }
+    }
+
     /// Records a message received directly from its sender.
     pub fn record_message(&mut self, envelope: &Envelope, now: Instant) -> Option<MembershipChange> {
         let address: SocketAddr = envelope.address.parse().ok()?;
@@ -205,26 +244,58 @@
         }
     }
 
-    /// Returns the updates to send to `sender` immediately. A sender that was not known before gets all
-    /// members, unless it reports in a large zone with broadcast heartbeats that it knows at least as many
-    /// (`members_known`). A sender that is not alive in this node's view gets its own state.
+    /// Returns the updates to send immediately to the sender of a recorded message. A sender that was not
+    /// known before gets all members, unless it reports in a large zone with broadcast heartbeats that it
+    /// knows at least as many (`members_known`). A sender that was restarted gets them if it is introduced
+    /// here. A sender that is not alive in this node's view gets its own state.
     pub fn immediate_updates(
-        &self,
-        sender: &NodeId,
-        was_known: bool,
+        &mut self,
+        envelope: &Envelope,
+        known_process: KnownProcess,
         members_known: Option<usize>,
     ) -> Vec<MemberUpdate> {
-        let is_fully_informed = || {
-            self.broadcasts_to_large_zone()
-                && members_known.is_some_and(|members_known| members_known >= self.members.len())
+        let is_introduced = match known_process {
+            KnownProcess::None => !self.is_fully_informed(members_known),
+            KnownProcess::Earlier => self.introduces_restarted(members_known),
+            KnownProcess::Current => false,
         };
-        match self.members.get(sender) {
-            Some(_) if !was_known && !is_fully_informed() => self.all_updates(),
+        let is_restarted = known_process == KnownProcess::Earlier;
+        if is_introduced || members_known.is_some() || !is_restarted {
+            self.note_decided(envelope);
+        }
+        match self.members.get(&NodeId::new(&envelope.sender)) {
+            Some(_) if is_introduced => self.all_updates(),
             Some(member) if member.state != MemberState::Alive => vec![to_update(member)],
             _ => Vec::new(),
         }
     }
 
+    fn note_decided(&mut self, envelope: &Envelope) {
+        let decided = self.decided_incarnations.entry(NodeId::new(&envelope.sender)).or_default();
+        *decided = envelope.incarnation.max(*decided);
+    }
+
+    fn is_fully_informed(&self, members_known: Option<usize>) -> bool {
+        self.broadcasts_to_large_zone()
+            && members_known.is_some_and(|members_known| members_known >= self.members.len())
+    }
+
+    /// Whether this node introduces all members to a restarted one. All nodes of its zone still send it
+    /// heartbeats and soon receive its own, so of these only the relays do, if it reports that it knows fewer
+    /// members. The first seeds, which it contacts at its start, also do if it reports no number.
+    fn introduces_restarted(&self, members_known: Option<usize>) -> bool {
+        match members_known {
+            Some(known) if known >= self.introducible_members() => false,
+            Some(_) => self.is_introducing_seed || self.is_relay(),
+            None => self.is_introducing_seed,
+        }
+    }
+
+    /// Number of members that a node adds if they are introduced to it: those that are not dead.
+    fn introducible_members(&self) -> usize {
+        self.members.values().filter(|member| member.state < MemberState::Dead).count()
+    }
+
     /// Applies member updates received from a peer and returns the resulting changes.
     pub fn merge(&mut self, updates: &[MemberUpdate], now: Instant) -> Vec<MembershipChange> {
         updates.iter().filter_map(|update| self.merge_one(update, now)).collect()
@@ -326,6 +397,7 @@
         };
         self.members.retain(|_, member| !is_expired(member));
         let members = &self.members;
+        self.decided_incarnations.retain(|node, _| members.contains_key(node));
         self.unanswered_probes
             .retain(|node, _| members.get(node).is_some_and(|member| member.state == MemberState::Alive));
         changed.iter().filter_map(|node| self.record_change(node)).collect()
--- a/crates/beamwall-peer/tests/membership.rs
+++ b/crates/beamwall-peer/tests/membership.rs
@@ -161,11 +161,10 @@
         let envelope = self.envelope(from);
         let members_known = Some(self.nodes[&from].2.members().count()).filter(|_| self.broadcasts);
         let membership = &mut self.nodes.get_mut(&to).expect("known").2;
-        let sender = NodeId::new(&envelope.sender);
-        let was_known = membership.member(&sender).is_some();
+        let known_process = membership.known_process(&envelope);
         membership.record_message(&envelope, self.now);
         membership.merge(updates, self.now);
-        let reply = self.nodes[&to].2.immediate_updates(&sender, was_known, members_known);
+        let reply = membership.immediate_updates(&envelope, known_process, members_known);
         if !reply.is_empty() {
             self.deliver(to, from, &reply, is_delivered);
         }
