Rollout evidence of zones names the node generations that it includes, so a restarted zone counts on

Cause: zones report sums, nodes that restart count from zero, and the larger of two sums of a zone was kept, so what a restarted zone counted was hidden, the request rate seemed too low, and the new version received all requests too early. Change: a sum names the generations whose counts it contains (EvidenceMessage, new field 6, packed fixed32). Sums of a zone over different generations are added; of sums with a generation in common the larger of the new one and the total of the known ones counts, count by count. Sums without generations (earlier builds) are compared as before. Direct reports of a node that are in a sum of its zone are taken once, when a deployment passes the limit of 24 in either direction. RolloutRegistry::for_generation names the counting node; the tests call it where a node starts.

What remains: one generation that a sum of a restarted zone has in common with the earlier one hides its counts again.

--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -330,7 +330,7 @@
         chooser: Chooser::new(settings.choice),
         placement,
         demand: DemandTracker::default(),
-        rollouts: RolloutRegistry::default(),
+        rollouts: RolloutRegistry::default().for_generation(&settings.node, generation),
         retries: RetryBudgets::new(retries, nodes),
         usage: UsageLedger::new(settings.usage_window)
             .for_generation(&settings.node, generation)
--- a/crates/beamwall-node/src/gateway/rollout_wire.rs
+++ b/crates/beamwall-node/src/gateway/rollout_wire.rs
@@ -85,6 +85,7 @@
         exposed: evidence.exposed,
         answers,
         old_answers: encode_counts(&evidence.old),
+        generations: evidence.generations.as_slice().to_vec(),
     }
 }
 
@@ -148,7 +149,8 @@
 }
 
 /// Decodes evidence. Builds that do not distinguish the back ends of the old version send sums by route,
-/// which are counted as one back end with an empty name.
+/// which are counted as one back end with an empty name. Builds that do not name the generations of a sum
+/// leave its set of generations empty.
 pub fn decode_evidence(update: &RolloutUpdate) -> Vec<(OrderId, Evidence)> {
     let decode = |wire_entry: &EvidenceMessage| {
         let (sums, of_new): (Vec<&AnswerCountsMessage>, Vec<&AnswerCountsMessage>) =
@@ -160,6 +162,7 @@
             exposed: wire_entry.exposed,
             old: decode_counts(of_old),
             new: decode_counts(of_new),
+            generations: wire_entry.generations.iter().copied().collect(),
         };
         Some((decode_id(wire_entry.id.as_ref())?, evidence))
     };
--- a/crates/beamwall-node/tests/rollout_wire.rs
+++ b/crates/beamwall-node/tests/rollout_wire.rs
@@ -4,10 +4,18 @@
 use beamwall_model::BackendId;
 use beamwall_node::gateway::rollout_wire;
 use beamwall_peer::rollout_message::{AnswerCountsMessage, EvidenceMessage, OrderIdMessage, RolloutUpdate};
-use beamwall_rollout::{AnswerCounts, Evidence, OrderId, OrderUpdate, RolloutOrder, Verdict};
+use beamwall_rollout::{
+    AnswerCounts, Evidence, OrderId, OrderUpdate, RolloutOrder, RolloutRegistry, Verdict,
+};
 use prost::Message;
 use std::time::Duration;
+use tokio::time::Instant;
 
+/// Nodes of a large zone.
+const NODES: u32 = 25;
+/// Bytes that name a generation, and at most those around all of them.
+const GENERATION_BYTES: usize = 4;
+const FIELD_BYTES: usize = 3;
 /// Back ends of a large service, and its routes.
 const BACK_ENDS: usize = 160;
 const ROUTES: usize = 5;
@@ -71,6 +79,7 @@
         exposed: 10,
         answers: vec![row("letters", "", 70, 3), row("letters", "new-1", 10, 5)],
         old_answers: Vec::new(),
+        generations: Vec::new(),
     };
     let news = RolloutUpdate { orders: Vec::new(), stages: Vec::new(), evidence: vec![told] };
     let (_, heard) = &rollout_wire::decode_evidence(&news)[0];
@@ -90,3 +99,89 @@
     println!("{bytes} bytes");
     assert!(bytes < 40 * BACK_ENDS * ROUTES, "{bytes}");
 }
+
+/// The message of evidence as earlier builds know it.
+#[derive(Clone, PartialEq, Message)]
+struct EarlierEvidenceMessage {
+    #[prost(message, optional, tag = "1")]
+    id: Option<OrderIdMessage>,
+    #[prost(uint64, tag = "2")]
+    requests: u64,
+    #[prost(uint64, tag = "3")]
+    exposed: u64,
+    #[prost(message, repeated, tag = "4")]
+    answers: Vec<AnswerCountsMessage>,
+    #[prost(message, repeated, tag = "5")]
+    old_answers: Vec<AnswerCountsMessage>,
+}
+
+/// A rollout update as earlier builds know it.
+#[derive(Clone, PartialEq, Message)]
+struct EarlierRolloutUpdate {
+    #[prost(message, repeated, tag = "3")]
+    evidence: Vec<EarlierEvidenceMessage>,
+}
+
+fn registry_of_node(node: &str, generation: u64) -> RolloutRegistry {
+    let registry = RolloutRegistry::default().for_generation(&node.into(), generation);
+    registry.merge_order(order(), Instant::now());
+    registry
+}
+
+/// What a relay that counted some requests tells other zones.
+fn sum_of_relay(generation: u64, requests: u64) -> RolloutUpdate {
+    let relay = registry_of_node("relay", generation);
+    (0..requests).for_each(|_| relay.note_request(&id().service));
+    let evidence = relay.evidence_of_nodes();
+    rollout_wire::encode(relay.orders(Instant::now()), Vec::new(), evidence).expect("an order runs")
+}
+
+/// The same update without what earlier builds do not know.
+fn as_earlier_build(update: &RolloutUpdate) -> RolloutUpdate {
+    let earlier = EarlierRolloutUpdate::decode(update.encode_to_vec().as_slice()).expect("readable");
+    RolloutUpdate::decode(earlier.encode_to_vec().as_slice()).expect("readable")
+}
+
+fn known_requests(updates: &[RolloutUpdate]) -> u64 {
+    let receiver = registry_of_node("receiver", 1);
+    for update in updates {
+        receiver.merge_zone_evidence(&"b".into(), &rollout_wire::decode_evidence(update));
+    }
+    receiver.evidence(&id()).requests
+}
+
+/// Guards against sums of a restarted zone that are compared with earlier ones after they crossed the network.
+#[test]
+fn generations_of_a_sum_arrive_so_that_a_restarted_zone_counts_on() {
+    let (before, after) = (sum_of_relay(1, 100), sum_of_relay(2, 60));
+    assert_eq!(known_requests(&[before.clone(), after.clone(), before, after]), 160);
+}
+
+/// Guards against sums that an earlier build reads differently because they name generations.
+#[test]
+fn earlier_builds_read_the_counts_of_a_sum_that_names_generations() {
+    let mut named = evidence();
+    named.generations = (1..=NODES).collect();
+    let expected = EarlierRolloutUpdate::decode(tell(evidence()).encode_to_vec().as_slice());
+    let read = EarlierRolloutUpdate::decode(tell(named).encode_to_vec().as_slice());
+    assert_eq!(read, expected);
+}
+
+/// Guards against sums of earlier builds that are added to sums of the same nodes that name generations.
+#[test]
+fn sums_of_relays_of_both_builds_are_counted_once() {
+    let (fewer, more) = (sum_of_relay(1, 60), sum_of_relay(1, 100));
+    assert_eq!(known_requests(&[as_earlier_build(&fewer), more.clone()]), 100);
+    assert_eq!(known_requests(&[more.clone(), as_earlier_build(&fewer)]), 100);
+    assert_eq!(known_requests(&[fewer, as_earlier_build(&more)]), 100);
+}
+
+/// Guards against sums that grow by more than four bytes for each node generation.
+#[test]
+fn a_sum_names_each_generation_in_four_bytes() {
+    let mut named = evidence();
+    named.generations = (1..=NODES).collect();
+    let added = tell(named).encoded_len() - tell(evidence()).encoded_len();
+    println!("{added} bytes for {NODES} generations");
+    assert!(added <= GENERATION_BYTES * NODES as usize + FIELD_BYTES, "{added}");
+}
--- a/crates/beamwall-peer/src/rollout_message.rs
+++ b/crates/beamwall-peer/src/rollout_message.rs
@@ -99,6 +99,9 @@
     /// in `answers`.
     #[prost(message, repeated, tag = "5")]
     pub old_answers: Vec<AnswerCountsMessage>,
+    /// Hashes of the node generations whose counts these are, in sums of a zone; empty if they are not told.
+    #[prost(fixed32, repeated, tag = "6")]
+    pub generations: Vec<u32>,
 }
 
 /// Number of responses on one route: of one back end, or of all back ends of the old version.
--- a/crates/beamwall-rollout/src/evidence.rs
+++ b/crates/beamwall-rollout/src/evidence.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use beamwall_model::BackendId;
+use beamwall_model::{BackendId, GenerationSet};
 
 /// Counters of all answers and of the bad ones. Both only grow.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -54,18 +54,40 @@
     pub old: CountsByBackEnd,
     /// Answers of the new version.
     pub new: CountsByBackEnd,
+    /// Generations of all nodes whose counts these are; empty where they are not known.
+    pub generations: GenerationSet,
 }
 
 impl Evidence {
-    /// Adds the counts of other nodes.
-    pub fn add(&mut self, other: &Self) {
+    /// Sums the counts of different nodes. The sum names their generations if all of them are known.
+    pub fn sum<'a>(parts: impl IntoIterator<Item = &'a Self>) -> Self {
+        let parts: Vec<&Self> = parts.into_iter().filter(|part| part.has_counts()).collect();
+        let mut sum = Self::default();
+        parts.iter().for_each(|part| sum.add_counts(part));
+        if parts.iter().all(|part| !part.generations.is_empty()) {
+            sum.generations = parts.iter().flat_map(|part| part.generations.as_slice()).copied().collect();
+        }
+        sum
+    }
+
+    /// Whether anything was counted.
+    pub fn has_counts(&self) -> bool {
+        self.requests > 0 || self.exposed > 0 || !self.old.is_empty() || !self.new.is_empty()
+    }
+
+    /// Whether a generation is named by both this evidence and another.
+    pub fn shares_generations(&self, other: &Self) -> bool {
+        other.generations.as_slice().iter().any(|hash| self.generations.contains(*hash))
+    }
+
+    fn add_counts(&mut self, other: &Self) {
         self.requests += other.requests;
         self.exposed += other.exposed;
         merge(&mut self.old, &other.old, AnswerCounts::add);
         merge(&mut self.new, &other.new, AnswerCounts::add);
     }
 
-    /// Raises each count to the value in a later report of the same nodes.
+    /// Raises each count to the value in another report of the same nodes.
     pub fn merge_max(&mut self, reported: &Self) {
         self.requests = self.requests.max(reported.requests);
         self.exposed = self.exposed.max(reported.exposed);
--- a/crates/beamwall-rollout/src/lib.rs
+++ b/crates/beamwall-rollout/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod detector;
 pub mod evidence;
 pub mod history;
+mod known_evidence;
 pub mod likelihood;
 pub mod order;
 pub mod outliers;
@@ -28,6 +29,7 @@
 pub mod schedule;
 pub mod stage;
 pub mod traffic;
+mod zone_evidence;
 
 pub use bounds::Bounds;
 pub use detector::{Detector, Finding};
--- a/crates/beamwall-rollout/src/registry.rs
+++ b/crates/beamwall-rollout/src/registry.rs
@@ -1,14 +1,17 @@
 //! The `RolloutRegistry`: the rollout orders known to one node, with their stages and the evidence
 //! counted by this and other nodes.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use beamwall_model::{BackendId, EngineVersion, NodeId, ServiceName, ZoneName};
+use beamwall_model::{
+    BackendId, EngineVersion, GenerationSet, NodeId, ServiceName, ZoneName, generation_hash,
+};
 use tokio::time::Instant;
 
 use crate::evidence::Evidence;
+use crate::known_evidence::KnownEvidence;
 use crate::order::{OrderId, RolloutOrder};
 use crate::stage::{Stage, Verdict};
 use crate::traffic;
@@ -102,13 +105,11 @@
     sequence: (u64, u64),
     stage: Stage,
     staged_at: Instant,
-    own: Evidence,
-    nodes: HashMap<(NodeId, u64), Evidence>,
-    zones: HashMap<ZoneName, Evidence>,
+    evidence: KnownEvidence,
 }
 
 impl KnownOrder {
-    fn new(order_update: OrderUpdate, now: Instant) -> Self {
+    fn new(order_update: OrderUpdate, evidence: KnownEvidence, now: Instant) -> Self {
         Self {
             started_at: now.checked_sub(order_update.age).unwrap_or(now),
             order: order_update.order,
@@ -119,9 +120,7 @@
             sequence: (0, 0),
             stage: Stage::NONE,
             staged_at: now,
-            own: Evidence::default(),
-            nodes: HashMap::new(),
-            zones: HashMap::new(),
+            evidence,
         }
     }
 
@@ -167,9 +166,17 @@
 #[derive(Debug, Default)]
 pub struct RolloutRegistry {
     known: Mutex<BTreeMap<ServiceName, KnownOrder>>,
+    /// This node's generation; empty if it is not known.
+    generation: GenerationSet,
 }
 
 impl RolloutRegistry {
+    /// Names the generation of the node that counts here, for sums that include its counts.
+    #[must_use]
+    pub fn for_generation(self, node: &NodeId, generation: u64) -> Self {
+        Self { generation: [generation_hash(node, generation)].into_iter().collect(), ..self }
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeMap<ServiceName, KnownOrder>> {
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -179,13 +186,13 @@
         let mut registry = self.lock();
         let service = order_update.order.id.service.clone();
         let Some(known) = registry.get_mut(&service) else {
-            registry.insert(service, KnownOrder::new(order_update, now));
+            registry.insert(service, self.known_order(order_update, now));
             return true;
         };
         if known.order.id != order_update.order.id {
             let is_newer = order_update.revision > known.revision;
             if is_newer {
-                *known = KnownOrder::new(order_update, now);
+                *known = self.known_order(order_update, now);
             }
             return is_newer;
         }
@@ -201,6 +208,10 @@
         before != (known.verdict, known.is_withdrawn, known.order.interval)
     }
 
+    fn known_order(&self, order_update: OrderUpdate, now: Instant) -> KnownOrder {
+        KnownOrder::new(order_update, KnownEvidence::of_generation(self.generation.clone()), now)
+    }
+
     /// Marks orders as withdrawn that the store no longer lists.
     pub fn withdraw_unlisted(&self, listed: &[ServiceName], revision: u64) -> bool {
         let mut changed = false;
@@ -278,14 +289,14 @@
     /// Counts a request to a service.
     pub fn note_request(&self, service: &ServiceName) {
         if let Some(known) = self.lock().get_mut(service) {
-            known.own.requests += 1;
+            known.evidence.own.requests += 1;
         }
     }
 
     /// Counts a request that is sent to a back end of the given version.
     pub fn note_sent(&self, service: &ServiceName, version: &EngineVersion) {
         if let Some(known) = self.lock().get_mut(service) {
-            known.own.exposed += u64::from(known.order.id.target == *version);
+            known.evidence.own.exposed += u64::from(known.order.id.target == *version);
         }
     }
 
@@ -301,70 +312,63 @@
         let mut registry = self.lock();
         let Some(known) = registry.get_mut(service) else { return };
         let is_new = known.order.id.target == *version;
-        let answers = if is_new { &mut known.own.new } else { &mut known.own.old };
+        let answers = if is_new { &mut known.evidence.own.new } else { &mut known.evidence.own.old };
         answers.entry((route.to_owned(), back_end.clone())).or_default().note(is_bad);
     }
 
     /// Returns what this node counted for each running order, to send to peers.
     pub fn own_evidence(&self) -> Vec<(OrderId, Evidence)> {
-        self.collect(|known| known.own.clone())
+        self.collect(KnownEvidence::of_this_node)
     }
 
     /// Returns the counts of this node and of all nodes that report to it directly, to send to other
-    /// zones.
+    /// zones. They name the generations that counted anything.
     pub fn evidence_of_nodes(&self) -> Vec<(OrderId, Evidence)> {
-        self.collect(|known| sum(&known.own, known.nodes.values()))
+        self.collect(KnownEvidence::of_zone)
     }
 
     /// Returns the counts of all nodes.
     pub fn evidence(&self, order: &OrderId) -> Evidence {
         let registry = self.lock();
         let known = registry.get(&order.service).filter(|known| known.order.id == *order);
-        known.map_or_else(Evidence::default, |known| {
-            sum(&known.own, known.nodes.values().chain(known.zones.values()))
-        })
+        known.map_or_else(Evidence::default, |known| known.evidence.of_all())
     }
 
-    fn collect(&self, of: impl Fn(&KnownOrder) -> Evidence) -> Vec<(OrderId, Evidence)> {
+    fn collect(&self, of: impl Fn(&KnownEvidence) -> Evidence) -> Vec<(OrderId, Evidence)> {
         let registry = self.lock();
         let running =
             registry.values().filter(|known| known.verdict == Verdict::Running && !known.is_withdrawn);
-        running.map(|known| (known.order.id.clone(), of(known))).collect()
+        running.map(|known| (known.order.id.clone(), of(&known.evidence))).collect()
     }
 
     /// Merges the counts of one generation of another node.
     pub fn merge_node_evidence(&self, node: &NodeId, generation: u64, reported: &[(OrderId, Evidence)]) {
-        self.merge_evidence(reported, |known| known.nodes.entry((node.clone(), generation)).or_default());
+        self.merge_evidence(reported, |known, evidence| known.merge_node(node, generation, evidence));
     }
 
     /// Merges the summed counts of another zone.
     pub fn merge_zone_evidence(&self, zone: &ZoneName, reported: &[(OrderId, Evidence)]) {
-        self.merge_evidence(reported, |known| known.zones.entry(zone.clone()).or_default());
+        self.merge_evidence(reported, |known, evidence| known.merge_zone(zone, evidence));
     }
 
-    /// Removes what a node reported directly; from now on its counts are part of its zone's sums.
+    /// Removes what a node of another zone reported directly from the sums of this zone's nodes: from now
+    /// on its own zone's sums include it.
     pub fn remove_node_evidence(&self, node: &NodeId) {
         for known in self.lock().values_mut() {
-            known.nodes.retain(|(reporter, _), _| reporter != node);
+            known.evidence.mark_remote(node);
         }
     }
 
     fn merge_evidence(
         &self,
         reported: &[(OrderId, Evidence)],
-        entry: impl Fn(&mut KnownOrder) -> &mut Evidence,
+        merge: impl Fn(&mut KnownEvidence, &Evidence),
     ) {
         let mut registry = self.lock();
         for (order, evidence) in reported {
             if let Some(known) = registry.get_mut(&order.service).filter(|known| known.order.id == *order) {
-                entry(known).merge_max(evidence);
+                merge(&mut known.evidence, evidence);
             }
         }
     }
 }
-
-fn sum<'a>(own: &Evidence, others: impl Iterator<Item = &'a Evidence>) -> Evidence {
-    let mut sum = own.clone();
-    others.for_each(|other| sum.add(other));
-    sum
-}
