Usage: a total over zones that a checkpoint joins takes no exponential time

What callers saw: nothing yet; by test: each request at the holder of the duties waits for the ledger, up to seconds, after many partial restarts in several zones. Cause: a total tries each group with and without the sum that overlaps with the most others. Where a restored checkpoint overlaps with a few sums of each zone, sums of zones were tried first while the checkpoint still joined them, so the zones' branches multiplied. Change: a restored sum is tried first: without it the zones fall apart. A zone keeps 8 sums instead of 16. Computing outside of the lock is open.

--- a/crates/beamwall-gateway/src/usage/overlap.rs
+++ b/crates/beamwall-gateway/src/usage/overlap.rs
@@ -189,7 +189,9 @@
         total
     }
 
-    /// Counts of one group in a window: the larger total, for each tenant, with and without the source that
+    /// Counts of one group in a window: the larger total, for each tenant, with and without one source. Each
+    /// total is a lower bound of every tenant's count, so the larger one is too. A restored sum is chosen
+    /// first, since what it joins are different zones, which fall apart without it; then the source that
     /// overlaps with the most others.
     fn total_of_group(&self, group: &[usize], window: u64) -> Counts {
         let counts_of =
@@ -198,8 +200,11 @@
             return counts_of(*single);
         }
         let members: BTreeSet<usize> = group.iter().copied().collect();
-        let overlaps_in_group = |number: &usize| self.neighbours[*number].intersection(&members).count();
-        let Some(hub) = members.iter().copied().max_by_key(overlaps_in_group) else { return Counts::new() };
+        let priority = |number: &usize| {
+            let is_restored = self.sources[*number].origin == Origin::Checkpoint;
+            (is_restored, self.neighbours[*number].intersection(&members).count())
+        };
+        let Some(hub) = members.iter().copied().max_by_key(priority) else { return Counts::new() };
         let mut others = members;
         others.remove(&hub);
         let apart: BTreeSet<usize> = others.difference(&self.neighbours[hub]).copied().collect();
--- a/crates/beamwall-gateway/src/usage/partial_sum.rs
+++ b/crates/beamwall-gateway/src/usage/partial_sum.rs
@@ -6,8 +6,8 @@
 use super::windows::{self, KEPT_WINDOWS, WindowCounts, Windows};
 
 /// Number of sums kept for a zone: one for each time that all its nodes restart within the windows that are
-/// kept, or, when a deployment has just become large, one for each of its nodes.
-const MAX_SUMS_OF_ZONE: usize = 16;
+/// kept. Beyond, two are combined, and of sums that overlap with both only the larger total counts.
+const MAX_SUMS_OF_ZONE: usize = 8;
 
 /// Counts that are summed over node generations. Each is a lower bound, since the generations may have
 /// counted more than was known when the sum was computed.
--- a/crates/beamwall-gateway/tests/usage_checkpoint.rs
+++ b/crates/beamwall-gateway/tests/usage_checkpoint.rs
@@ -1,9 +1,10 @@
 //! Usage counts that pass through the checkpoint of one lease holder after another.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use beamwall_gateway::usage::{UsageCheckpoint, UsageLedger, WindowCounts};
+use beamwall_gateway::usage::{PartialSum, UsageCheckpoint, UsageLedger, WindowCounts};
+use beamwall_model::generation_hash;
 
 const WINDOW: Duration = Duration::from_secs(5);
 const KEPT_WINDOWS: usize = 3;
@@ -203,3 +204,38 @@
     }
     assert_eq!(totals, [30; 4]);
 }
+
+/// Number of zones whose sums one checkpoint overlaps with.
+const ZONES_JOINED: usize = 24;
+
+fn window_of(count: u64) -> Vec<WindowCounts> {
+    vec![WindowCounts { window: 2, counts: [("alder".into(), count)].into() }]
+}
+
+/// Guards against: sums that overlap within several zones, and a checkpoint that joins these, block all requests.
+#[test]
+fn a_total_over_zones_joined_by_a_checkpoint_ends() {
+    let holder = UsageLedger::new(WINDOW);
+    let generations = |zone: &str, first: u64, count: u64| -> Vec<u32> {
+        (first..first + count).map(|generation| generation_hash(&zone.into(), generation)).collect()
+    };
+    let mut lives = BTreeSet::new();
+    for zone in (0..ZONES_JOINED).map(|zone| format!("zone-{zone}")) {
+        let zone = zone.as_str();
+        lives.extend(generations(zone, 0, 1));
+        for first in 0..16 {
+            let generations = generations(zone, first, 8).into_iter().collect();
+            holder.merge_zone(
+                &zone.into(),
+                PartialSum { generations, windows: window_of(100 + first * 37 % 50) },
+            );
+        }
+    }
+    holder.restore_checkpoint(UsageCheckpoint {
+        lives,
+        windows: window_of(900),
+        ..UsageCheckpoint::default()
+    });
+    // Each of these zones would multiply the time by eight if their sums were not taken apart.
+    assert!(requests(&holder.total(2)) >= 900);
+}
