Usage: what an earlier build's sums include isn't counted beside sums that name it

What callers saw: nothing yet, since this build hasn't landed; by test: bills too high when the holder of the duties changes from an earlier build to this one in a large deployment, or while relays of both builds run (30 of 20). Cause: a checkpoint of an earlier build names its own zone's generations, but its total includes all zones; this build took the names as complete. A sum that names nothing went into this build's checkpoint without a trace. Change: a checkpoint says of which zones it includes counts without naming their generations; where it says nothing (an earlier build) any zone's sum may be included. Such a sum overlaps with all that it may include, so the larger counts. Parts that don't fit the total are ignored. No real processes of two builds were run for it.

--- a/crates/beamwall-duties/tests/checkpoint.rs
+++ b/crates/beamwall-duties/tests/checkpoint.rs
@@ -1,5 +1,7 @@
 //! A checkpoint is written with each lease renewal, so it must stay small however large the deployment.
 
+use std::collections::BTreeSet;
+
 use beamwall_duties::{DutyCheckpoint, SavedOrder};
 use beamwall_gateway::scaling::OrderKey;
 use beamwall_gateway::sizing::Needed;
@@ -40,6 +42,7 @@
                 windows: if kills > 0 { windows() } else { Vec::new() },
             },
             own: CheckpointPart { lives: generations(1), windows: windows() },
+            unnamed_zones: Some(BTreeSet::new()),
         },
         orders: (0..20).flat_map(orders).collect(),
         needs: (0..20).map(|service| (format!("service-{service}").as_str().into(), needed)).collect(),
--- a/crates/beamwall-gateway/src/usage/mod.rs
+++ b/crates/beamwall-gateway/src/usage/mod.rs
@@ -27,8 +27,9 @@
 pub use partial_sum::PartialSum;
 pub use windows::WindowCounts;
 
-use overlap::{GenerationStatus, Included, Origin, Overlaps, Source};
-use partial_sum::{KnownSum, ZoneSums};
+use checkpoint::RestoredSums;
+use overlap::{GenerationStatus, Included, Origin, Overlaps, Source, Unnamed};
+use partial_sum::ZoneSums;
 use windows::{KEPT_WINDOWS, Windows};
 
 #[derive(Debug, Default)]
@@ -36,8 +37,7 @@
     own: Windows,
     peers: HashMap<(NodeId, u64), Windows>,
     zones: HashMap<ZoneName, ZoneSums>,
-    /// The sums of the restored checkpoint.
-    checkpointed: [KnownSum; 3],
+    restored: RestoredSums,
     /// Incremented whenever a count grows.
     changes: u64,
 }
@@ -59,6 +59,7 @@
             origin: Origin::Node,
             zone: own.zone.as_ref(),
             included: Included::One(hash),
+            unnamed: Unnamed::Nothing,
             windows,
             status,
         };
@@ -82,7 +83,7 @@
     /// All counts and sums.
     fn sources<'a>(&'a self, own: &'a OwnNode) -> impl Iterator<Item = Source<'a>> {
         let zones = self.zones.keys().flat_map(|zone| self.zone_sources(zone, own));
-        self.nodes(own).chain(zones).chain(self.checkpointed.iter().map(checkpoint::source_of))
+        self.nodes(own).chain(zones).chain(self.restored.sources())
     }
 }
 
@@ -226,7 +227,7 @@
 
     /// Replaces the checkpointed sums with those of a stored checkpoint.
     pub fn restore_checkpoint(&self, checkpointed: UsageCheckpoint) {
-        self.lock().checkpointed = checkpointed.into_sums();
+        self.lock().restored = RestoredSums::new(checkpointed);
     }
 
     /// The counts of all nodes for one window.
--- a/crates/beamwall-gateway/src/usage/overlap.rs
+++ b/crates/beamwall-gateway/src/usage/overlap.rs
@@ -28,8 +28,19 @@
     One(Option<u32>),
     /// Several generations.
     Several(&'a GenerationSet),
-    /// Unknown generations of the zone: the relay runs an earlier build.
-    Unknown,
+}
+
+/// Generations whose counts a sum may include without naming them, since an earlier build computed it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Unnamed<'a> {
+    /// None: the sum names all its generations.
+    Nothing,
+    /// Generations of the zone that the sum is of.
+    OfItsZone,
+    /// Generations of several zones.
+    OfZones(&'a BTreeSet<ZoneName>),
+    /// Generations of any zone whose relays report sums.
+    OfAllSums,
 }
 
 /// Whether other nodes are told the counts of generations.
@@ -50,6 +61,7 @@
     /// The zone of the included generations, if it is known and a single one.
     pub zone: Option<&'a ZoneName>,
     pub included: Included<'a>,
+    pub unnamed: Unnamed<'a>,
     pub windows: &'a Windows,
     pub status: GenerationStatus,
 }
@@ -60,22 +72,27 @@
         let (one, several) = match self.included {
             Included::One(hash) => (hash, [].as_slice()),
             Included::Several(generations) => (None, generations.as_slice()),
-            Included::Unknown => (None, [].as_slice()),
         };
         one.into_iter().chain(several.iter().copied())
     }
 
-    /// Whether both sums may include the same generation, if they have a hash in common. The sums of two
-    /// zones include nodes of these zones only, so a common hash is a collision.
+    /// Whether both sums may include the same generation, if they have a hash in common. Relays sum nodes of
+    /// their own zone only, so a hash in the sums of two zones is taken for a collision.
     fn may_share_with(&self, other: &Source) -> bool {
         (self.origin, other.origin) != (Origin::Zone, Origin::Zone) || self.zone == other.zone
     }
 
-    /// Whether the generations of this sum are unknown and may be those of the other one.
-    fn is_unknown_part_of(&self, other: &Source) -> bool {
-        let is_unknown = matches!(self.included, Included::Unknown);
-        let may_be_in_zone = other.zone.is_none() || other.zone == self.zone;
-        is_unknown && may_be_in_zone && other.origin != Origin::Node
+    /// Whether this sum may include generations of the other one without naming them.
+    fn may_include_unnamed(&self, other: &Source) -> bool {
+        match self.unnamed {
+            Unnamed::Nothing => false,
+            // The nodes that report their own counts are of another zone. A restored sum may be of any zone.
+            Unnamed::OfItsZone => {
+                other.origin != Origin::Node && (other.zone.is_none() || other.zone == self.zone)
+            }
+            Unnamed::OfZones(zones) => other.zone.is_some_and(|zone| zones.contains(zone)),
+            Unnamed::OfAllSums => other.origin == Origin::Zone,
+        }
     }
 }
 
@@ -105,11 +122,13 @@
                     .for_each(|other| connect(number, *other));
                 sharing.push(number);
             }
-            for (other, unknown) in sources.iter().enumerate().filter(|(other, _)| *other != number) {
-                if unknown.is_unknown_part_of(source) {
-                    connect(number, other);
-                }
-            }
+        }
+        let with_unnamed = sources.iter().enumerate().filter(|(_, sum)| sum.unnamed != Unnamed::Nothing);
+        for (number, sum) in with_unnamed {
+            let others = sources.iter().enumerate().filter(|(other, _)| *other != number);
+            others
+                .filter(|(_, other)| sum.may_include_unnamed(other))
+                .for_each(|(other, _)| connect(number, other));
         }
         Self { sources, neighbours }
     }
--- a/crates/beamwall-gateway/src/usage/partial_sum.rs
+++ b/crates/beamwall-gateway/src/usage/partial_sum.rs
@@ -2,7 +2,7 @@
 
 use beamwall_model::{GenerationSet, NodeId, ZoneName, generation_hash};
 
-use super::overlap::{GenerationStatus, Included, Origin, Overlaps, Source};
+use super::overlap::{GenerationStatus, Included, Origin, Overlaps, Source, Unnamed};
 use super::windows::{self, KEPT_WINDOWS, WindowCounts, Windows};
 
 /// Number of sums kept for a zone: one for each time that all its nodes restart within the windows that are
@@ -48,6 +48,7 @@
         if reported.generations.is_empty() {
             return windows::raise_all(&mut self.unknown, reported.windows);
         }
+        // A part's counts are a lower bound of the whole one, so either may raise the other.
         let mut sum = self.take_including(&reported.generations).unwrap_or_else(|| KnownSum {
             windows: total_of(zone, &self.take_included_in(&reported.generations)),
             generations: reported.generations,
@@ -98,7 +99,8 @@
         known.chain((!self.unknown.is_empty()).then_some(unknown))
     }
 
-    /// The sums of the zone as sources of a total.
+    /// The sums of the zone as sources of a total. The last one is taken for what the zone's relays still
+    /// report, since a zone that restarts reports another sum.
     pub(super) fn sources<'a>(&'a self, zone: &'a ZoneName) -> impl Iterator<Item = Source<'a>> {
         let last = self.known.len().saturating_sub(1);
         let known = self.known.iter().enumerate().map(move |(number, sum)| Source {
@@ -108,7 +110,8 @@
         let unknown = Source {
             origin: Origin::Zone,
             zone: Some(zone),
-            included: Included::Unknown,
+            included: Included::One(None),
+            unnamed: Unnamed::OfItsZone,
             windows: &self.unknown,
             status: GenerationStatus::Reported,
         };
@@ -121,6 +124,7 @@
         origin: Origin::Zone,
         zone: Some(zone),
         included: Included::Several(&sum.generations),
+        unnamed: Unnamed::Nothing,
         windows: &sum.windows,
         status: GenerationStatus::Unreported,
     }
--- a/crates/beamwall-gateway/src/usage/windows.rs
+++ b/crates/beamwall-gateway/src/usage/windows.rs
@@ -44,20 +44,21 @@
 /// Adds counts of other requests.
 pub(super) fn add(sum: &mut Counts, counts: &Counts) {
     for (tenant, count) in counts {
-        *sum.entry(tenant.clone()).or_default() += count;
+        let total = sum.entry(tenant.clone()).or_default();
+        *total = total.saturating_add(*count);
     }
 }
 
-/// Subtracts the counts of a part.
-pub(super) fn subtract(windows: &mut Windows, part: &Windows) {
+/// Subtracts the counts of a part. Returns `None` if they exceed the counts.
+pub(super) fn subtract(mut windows: Windows, part: &Windows) -> Option<Windows> {
     for (window, counts) in part {
-        let Some(remaining) = windows.get_mut(window) else { continue };
+        let remaining = windows.get_mut(window)?;
         for (tenant, count) in counts {
-            if let Some(left) = remaining.get_mut(tenant) {
-                *left = left.saturating_sub(*count);
-            }
+            let left = remaining.get_mut(tenant)?;
+            *left = left.checked_sub(*count)?;
         }
     }
+    Some(windows)
 }
 
 /// Raises counts to those of a newer report. Returns whether any count has grown.
