Usage: a zone that has ended isn't taken for one that still reports

Cause: the last sum of a zone counts as reported, also where the zone has ended and the restored checkpoint knows that nobody reports it. It joined what nobody reports with what runs, and that hides later counts again. Change: what the restored checkpoint tells as unreported stays so.

--- a/crates/beamwall-gateway/src/usage/checkpoint.rs
+++ b/crates/beamwall-gateway/src/usage/checkpoint.rs
@@ -135,6 +135,12 @@
             Some(zones) => Unnamed::OfZones(zones),
         }
     }
+
+    /// Whether no running node reported the generations of a source any more when the checkpoint was written.
+    pub(super) fn was_unreported(&self, source: &Source) -> bool {
+        let mut hashes = source.hashes().peekable();
+        hashes.peek().is_some() && hashes.all(|hash| self.unreported.generations.contains(hash))
+    }
 }
 
 impl CheckpointPart {
--- a/crates/beamwall-gateway/src/usage/mod.rs
+++ b/crates/beamwall-gateway/src/usage/mod.rs
@@ -83,7 +83,11 @@
     /// All counts and sums.
     fn sources<'a>(&'a self, own: &'a OwnNode) -> impl Iterator<Item = Source<'a>> {
         let zones = self.zones.keys().flat_map(|zone| self.zone_sources(zone, own));
-        self.nodes(own).chain(zones).chain(self.restored.sources())
+        let known = self.nodes(own).chain(zones).map(|source| match self.restored.was_unreported(&source) {
+            true => Source { status: GenerationStatus::Unreported, ..source },
+            false => source,
+        });
+        known.chain(self.restored.sources())
     }
 }
 
--- a/crates/beamwall-gateway/src/usage/overlap.rs
+++ b/crates/beamwall-gateway/src/usage/overlap.rs
@@ -24,7 +24,7 @@
 /// The generations that a sum includes.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum Included<'a> {
-    /// One generation; `None` for a ledger that has no generation.
+    /// One generation; `None` if the sum names none.
     One(Option<u32>),
     /// Several generations.
     Several(&'a GenerationSet),
