Gateway: an engine that nobody chooses is asked whether it still names its limit

What callers saw: an engine that was in need no more kept its limit for as long as others were chosen before it. Cause: the end of a limit is read from a response, and where another engine answers a tenth of a millisecond sooner, no request goes to the limited one. Change: an engine whose limit no response has confirmed for two seconds is preferred for one request, permits and reachability given; once in two seconds for each node that chooses. A caller's request (Call) stands in a file of its own.

--- a/crates/beamwall-engine-limits/src/known.rs
+++ b/crates/beamwall-engine-limits/src/known.rs
@@ -59,6 +59,13 @@
         self.lock().get(backend)?.limit
     }
 
+    /// Whether an engine has a limit that no response has confirmed for `period`.
+    pub fn is_unconfirmed(&self, backend: &BackendId, period: Duration, now: Instant) -> bool {
+        let observations = self.lock();
+        let limited = observations.get(backend).filter(|observation| observation.limit.is_some());
+        limited.is_some_and(|observation| now.saturating_duration_since(observation.observed) >= period)
+    }
+
     /// All engines with a limit.
     pub fn limited(&self) -> Vec<(BackendId, RequestRate)> {
         let limited = |(backend, observation): (&BackendId, &Observation)| {
--- /dev/null
+++ b/crates/beamwall-gateway/src/call.rs
@@ -0,0 +1,110 @@
+//! A caller's request, with the decisions made on its arrival.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use beamwall_clock::timers;
+use beamwall_model::ServiceName;
+use beamwall_policy::{Route, TenantRef};
+use beamwall_quarantine::{Admission, Fingerprint};
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, Uri};
+use tokio::time::Instant;
+
+use crate::ports::Prompt;
+
+/// Highest rank sent to back ends; the least urgent.
+const LOWEST_PRIORITY_RANK: u8 = 9;
+/// Number of route ranks within one tenant rank.
+const RANKS_PER_TENANT_RANK: u8 = 3;
+
+/// Fraction of the route's objective within which a prompt must be prefilled to count as short.
+const SHORT_PREFILL_SHARE: f64 = 0.04;
+
+/// A caller's request, completely received, with the decisions made on arrival.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// The caller's identifier of this try of the request.
+    pub request_id: Option<String>,
+    /// Identifies the request across its retries by the caller.
+    pub fingerprint: Fingerprint,
+    /// Whether it may be sent normally or only as a trial.
+    pub admission: Admission,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target: Uri,
+    /// The caller's headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// The route.
+    pub route: Arc<Route>,
+    /// The service chosen among the route's.
+    pub service: ServiceName,
+    /// The tenant; `None` on public routes.
+    pub tenant: Option<TenantRef>,
+    /// The prompt, for model engines.
+    pub prompt: Option<Prompt>,
+    /// The last event that the caller received, when it resumes a stream.
+    pub last_event: Option<u64>,
+    /// When it arrived.
+    pub received: Instant,
+    /// Total time for which the machine had been suspended when the request arrived.
+    pub suspended_before: Duration,
+    /// Deadline: the caller's timeout or the route's limit, whichever is earlier.
+    pub deadline: Instant,
+    /// The policy version that was in force on arrival.
+    pub policy_version: u64,
+}
+
+impl Call {
+    /// The identifier for logs.
+    pub fn log_id(&self) -> String {
+        self.request_id.clone().unwrap_or_default()
+    }
+
+    /// Time left until the deadline. It is sent to engines, so it keeps running while the machine is
+    /// suspended.
+    pub fn remaining(&self) -> Duration {
+        let suspended = beamwall_clock::suspended_time().saturating_sub(self.suspended_before);
+        self.deadline.saturating_duration_since(Instant::now()).saturating_sub(suspended)
+    }
+
+    /// Waits until the deadline, also across a suspension of the machine: a caller that still waits gets a
+    /// response soon after the machine resumes.
+    pub async fn deadline_elapsed(&self) {
+        timers::sleep(self.remaining()).await;
+    }
+
+    /// Maximum number of back ends to which it may be sent.
+    pub fn attempt_limit(&self) -> u32 {
+        match self.admission {
+            Admission::Normal => self.route.attempt_limit.max(1),
+            Admission::Trial => 1,
+        }
+    }
+
+    /// Whether it may fail over to another back end after it was sent `sent` times, although one of these
+    /// back ends may have executed it.
+    pub fn may_fail_over(&self, sent: u32) -> bool {
+        self.route.kind.is_idempotent() && sent < self.attempt_limit()
+    }
+
+    /// The tenant for logs and metrics.
+    pub fn tenant_name(&self) -> String {
+        self.tenant.as_ref().map(|tenant| tenant.name.to_string()).unwrap_or_default()
+    }
+
+    /// The rank sent to back ends: the tenant's rank first, then the route's. A short prompt is moved up to
+    /// the next more urgent route rank, but never above it: it delays others by a few milliseconds, while it
+    /// would otherwise wait for seconds behind long prompts of its own rank. `prefill_ms` is the time to
+    /// prefill the whole prompt, if known.
+    pub fn rank(&self, prefill_ms: Option<f64>) -> u8 {
+        let tenant = self.tenant.as_ref().and_then(|tenant| tenant.rank).unwrap_or(0);
+        let short_ms = self.route.objective_ms as f64 * SHORT_PREFILL_SHARE;
+        let is_short = prefill_ms.is_some_and(|prefill_ms| prefill_ms < short_ms);
+        let route = self.route.rank.min(RANKS_PER_TENANT_RANK - 1).saturating_sub(u8::from(is_short));
+        tenant.saturating_mul(RANKS_PER_TENANT_RANK).saturating_add(route).min(LOWEST_PRIORITY_RANK)
+    }
+}
--- a/crates/beamwall-gateway/src/engine_gate.rs
+++ b/crates/beamwall-gateway/src/engine_gate.rs
@@ -1,7 +1,7 @@
 //! The gate that every request passes before it is sent to an engine: an engine that names a limit gets only
 //! requests for which its permit node granted a permit.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -22,6 +22,10 @@
 /// Time for which an engine is not used after its permit node did not answer.
 const UNANSWERED_WAIT: Duration = Duration::from_millis(300);
 
+/// Time without a response after which an engine with a limit is preferred for one request, to find out
+/// whether it still has the limit. Otherwise an engine that no request chooses would keep it for good.
+const CONFIRM_AFTER: Duration = Duration::from_secs(2);
+
 /// A request for one permit.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PermitRequest {
@@ -84,6 +88,8 @@
     reachable_fraction: Mutex<f64>,
     /// Notified when a limit has changed, so that peers learn of it at once.
     changed: Arc<Notify>,
+    /// When this node last preferred each engine in order to confirm its limit.
+    confirmations: Mutex<HashMap<BackendId, Instant>>,
     /// Engines whose unreadable limit was logged.
     unreadable: Mutex<HashSet<BackendId>>,
 }
@@ -99,6 +105,7 @@
             permits,
             reachable_fraction: Mutex::new(1.0 / nodes.max(1) as f64),
             changed,
+            confirmations: Mutex::default(),
             unreadable: Mutex::default(),
         }
     }
@@ -123,6 +130,21 @@
         self.denials.wait(backend, now)
     }
 
+    /// Whether the next request should prefer an engine in order to confirm its limit. It is true once per
+    /// [`CONFIRM_AFTER`], since the request may fail or be denied a permit.
+    pub fn take_confirmation(&self, backend: &BackendId) -> bool {
+        let now = Instant::now();
+        if !self.limits.is_unconfirmed(backend, CONFIRM_AFTER, now) || self.wait(backend, now).is_some() {
+            return false;
+        }
+        let mut confirmations = self.confirmations.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_due = confirmations.get(backend).is_none_or(|at| now.duration_since(*at) >= CONFIRM_AFTER);
+        if is_due {
+            confirmations.insert(backend.clone(), now);
+        }
+        is_due
+    }
+
     /// Admits one request of a rank to an engine.
     pub async fn admit(&self, backend: &BackendId, rank: u8) -> Result<SendPermit, LimitReached> {
         let granted = || SendPermit { backend: backend.clone() };
@@ -227,6 +249,8 @@
     pub fn retain_listed(&self, directory: &Directory) {
         self.limits.retain(|backend| directory.get(backend).is_some());
         self.ledger.retain(|backend| directory.get(backend).is_some());
+        let mut confirmations = self.confirmations.lock().unwrap_or_else(PoisonError::into_inner);
+        confirmations.retain(|backend, _| directory.get(backend).is_some());
         self.lock_unreadable().retain(|backend| directory.get(backend).is_some());
     }
 }
--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod admission;
 pub mod attempt;
 pub mod attempts;
+pub mod call;
 pub mod candidates;
 pub mod choice;
 pub mod demand;
