Gateway: requests go to a peer while no engine can be reached from this node

What callers saw: at gateways partitioned from all engines 0 to 4 of 54 to 66 first tries were served, at the others almost all. Cause: a gateway had no way to an engine but its own links. It tried one engine after another, 400 ms each, and gave the request back, although peers that it reached served theirs. Class: health judged engine by engine, where the fault is the node's own. Evidence: 239 of the 264 failed attempts of the two gateways found no connection, at all engines alike; peers were heard all the time. Change: a service counts as unreachable once two engines (the only one, where there is one) can't be reached or are silent with no response in between; a response of any engine ends that. Meanwhile requests are passed to a peer that reaches the engines, found by asking a few of the own zone and of others; the less busy of two is taken. The peer handles them as its own callers': key, quota, usage, permits, placement. A token that the peer hands out marks them, so that callers can't, and they are passed on once. Before that, a request for which no connection could be opened goes to a peer as well; one whose response was lost only if it may run again, at the cost of a retry. A probe that no engine executes finds out when the path is back; it needs a permit like every request. Weighed: to say not ready (the balancer uses all gateways of a zone of which most are not; the tries before it notices fail) and to send by the peers' own message link (its frames would carry bodies and streams a second time); peers' caller ports do it with what is there.

--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -151,6 +151,10 @@
     4112 Warn EngineLimitChanged "engine limit changed" { backend, before, now, source }
     /// An engine names a limit that can't be understood.
     4113 Warn EngineLimitUnreadable "engine limit unreadable" { backend, reason }
+    /// No engine of a service can be reached from this node.
+    4114 Warn EnginesUnreachable "engines unreachable" { service, reason }
+    /// Engines of a service that could not be reached respond again.
+    4115 Info EnginesReachable "engines reachable" { service, after_ms }
     /// An order to move a service to another version was read or heard of, or something of it changed.
     4201 Info RolloutOrdered "rollout ordered" { service, target, interval_ms, verdict, withdrawn }
     /// A new version takes all requests of its service.
@@ -197,6 +201,8 @@
     5113 Info CallerConnectionFailed "connection to a caller failed" { kind, reason }
     /// A back end has been silent for too long, and nothing better is there for its request.
     5114 Warn SilentBackendKept "silent back end kept" { request, backend, missing }
+    /// A request was passed to a peer, since no engine can be reached from this node.
+    5115 Info RequestDelegated "request delegated" { request, service, peer, remaining_ms }
     /// The platform stopped answering.
     6001 Warn PlatformAway "platform away" { reason }
     /// The platform answers again.
--- a/crates/beamwall-gateway/src/attempt.rs
+++ b/crates/beamwall-gateway/src/attempt.rs
@@ -56,6 +56,8 @@
     /// Whether the connection closed or went silent before the whole response arrived, which may mean that
     /// the back end terminated.
     pub response_lost: bool,
+    /// Whether no connection could be opened or used.
+    pub is_connect_failure: bool,
     /// Description of the failure.
     pub reason: String,
 }
@@ -70,6 +72,7 @@
             has_started: false,
             timed_out: false,
             response_lost: false,
+            is_connect_failure: false,
             reason,
         }
     }
@@ -147,6 +150,7 @@
         return result;
     }
     note_health(forwarder, backend, &result);
+    forwarder.note_reachability(&call.service, backend, result.as_ref().err());
     if let Err(failure) = &result
         && failure.execution == Execution::MaybeExecuted
     {
@@ -165,7 +169,9 @@
 ) -> FailedAttempt {
     forwarder.record_response(call, backend, true);
     forwarder.backend_state.health.note_unreachable(backend, Instant::now());
-    FailedAttempt { failure: AttemptFailure::lost("the engine is silent"), next: Some(next) }
+    let failure = AttemptFailure::lost("the engine is silent");
+    forwarder.note_reachability(&call.service, backend, Some(&failure));
+    FailedAttempt { failure, next: Some(next) }
 }
 
 fn build_request(
@@ -192,7 +198,7 @@
     let lost = AttemptFailure::lost(error.to_string());
     match error {
         PoolError::Connect(..) | PoolError::Refused(_) | PoolError::NotWritten(_) => {
-            AttemptFailure::not_sent(error.to_string())
+            AttemptFailure { is_connect_failure: true, ..AttemptFailure::not_sent(error.to_string()) }
         }
         _ if elapsed < MIN_STARTED_TIME => lost,
         PoolError::Reset(_) => lost.after_start(),
--- a/crates/beamwall-gateway/src/attempts.rs
+++ b/crates/beamwall-gateway/src/attempts.rs
@@ -256,10 +256,12 @@
             Some(failure) => failure.reason.clone(),
             None => "no back end takes requests".to_owned(),
         };
+        let is_unreachable = self.last_failure.as_ref().is_some_and(|failure| failure.is_connect_failure);
         match (self.may_have_run, timed_out) {
             (true, true) => Refusal::TimedOut,
             (true, false) => Refusal::ResponseLost(reason),
             (false, true) => Refusal::TooLate,
+            (false, false) if self.sent == 0 && is_unreachable => Refusal::Unreachable(reason),
             (false, false) => Refusal::NotRun(reason),
         }
     }
--- a/crates/beamwall-gateway/src/call.rs
+++ b/crates/beamwall-gateway/src/call.rs
@@ -28,6 +28,8 @@
     pub request_id: Option<String>,
     /// Identifies the request across its retries by the caller.
     pub fingerprint: Fingerprint,
+    /// Whether a peer that can't reach the engines delegated it to this node.
+    pub is_delegated: bool,
     /// Whether it may be sent normally or only as a trial.
     pub admission: Admission,
     /// Method.
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -16,6 +16,7 @@
 pub use crate::call::Call;
 use crate::candidates::{BackendState, ChosenBy, Search};
 use crate::choice::{Candidate, Chooser, Expectation};
+use crate::delegation::DelegationPort;
 use crate::demand::DemandTracker;
 use crate::directory::Directory;
 use crate::engine_gate::{EngineGate, LimitReached, SendPermit};
@@ -25,6 +26,7 @@
 use crate::placement_groups::{EngineGroup, EngineGroups};
 use crate::ports::{Dialect, Prompt};
 use crate::quarantine::Quarantine;
+use crate::reachability::EngineReachability;
 use crate::retries::RetryBudgets;
 use crate::usage::UsageLedger;
 
@@ -83,6 +85,10 @@
     pub placement: Arc<dyn PlacementPort>,
     /// Keeps the limits that engines name.
     pub gate: EngineGate,
+    /// Services whose engines this node can't reach.
+    pub reachability: EngineReachability,
+    /// Finds peers for requests to these services.
+    pub delegation: Arc<dyn DelegationPort>,
     /// Work requested by callers.
     pub demand: DemandTracker,
     /// Rollouts of new versions.
--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -20,7 +20,7 @@
 use crate::ports::{CallHead, Prompt};
 use crate::quota::{Charge, QuotaLimiter};
 use crate::refusal::Refusal;
-use crate::{startup, stream, unary};
+use crate::{delegation, startup, stream, unary};
 
 /// Time limit for receiving a caller's request body.
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(10);
@@ -158,6 +158,11 @@
 }
 
 impl Gateway {
+    /// Whether a peer delegated a request with this token to this node.
+    fn is_delegated(&self, token: Option<u64>) -> bool {
+        token.is_some_and(|token| self.forwarder.delegation.is_own_token(token))
+    }
+
     /// Whether a policy and back ends are known. No request can be served without both.
     fn has_policy_and_back_ends(&self) -> bool {
         self.policy.load().version() > 0 && self.forwarder.directory.load().is_known()
@@ -195,6 +200,7 @@
             deadline: deadline(&route, &head, received),
             request_id: head.request_id,
             fingerprint,
+            is_delegated: self.is_delegated(head.delegation_token),
             admission: self.forwarder.quarantine.admit(&fingerprint).await?,
             method: parts.method,
             target: parts.uri,
@@ -212,18 +218,46 @@
     }
 
     async fn forward(&self, call: Arc<Call>) -> Result<Response<Body>, Refusal> {
-        let charge = self.charge(&call).await?;
+        if self.forwarder.reachability.is_unreachable(&call.service)
+            && let Some(result) = delegation::delegate(&self.forwarder, &call).await
+        {
+            return result;
+        }
+        let result = self.forward_to_engines(&call).await;
+        if let Err(refusal) = &result
+            && self.may_delegate_after(&call, refusal)
+            && let Some(delegated) = delegation::delegate(&self.forwarder, &call).await
+        {
+            return delegated;
+        }
+        result
+    }
+
+    /// Whether a call that got no response from an engine may be passed to a peer: if it was not sent, or if
+    /// it may run again, at the cost of a retry, while no engine is reached.
+    fn may_delegate_after(&self, call: &Call, refusal: &Refusal) -> bool {
+        match refusal {
+            Refusal::Unreachable(_) => true,
+            Refusal::ResponseLost(_) => {
+                call.route.kind.is_idempotent()
+                    && self.forwarder.reachability.is_unreachable(&call.service)
+                    && self.forwarder.retries.take(&call.service, Instant::now())
+            }
+            _ => false,
+        }
+    }
+
+    async fn forward_to_engines(&self, call: &Arc<Call>) -> Result<Response<Body>, Refusal> {
+        let charge = self.charge(call).await?;
         self.forwarder.retries.earn(&call.service, Instant::now());
         self.forwarder.rollouts.note_request(&call.service);
         let result = if call.route.kind.is_stream() {
-            stream::forward(&self.forwarder, &call).await
+            stream::forward(&self.forwarder, call).await
         } else {
-            unary::forward(&self.forwarder, &call).await
+            unary::forward(&self.forwarder, call).await
         };
-        if let (
-            Err(Refusal::NotRun(_) | Refusal::TooLate | Refusal::Unservable(_) | Refusal::LimitReached(_)),
-            Some(charge),
-        ) = (&result, &charge)
+        if let (Err(refusal), Some(charge)) = (&result, &charge)
+            && refusal.returns_quota()
         {
             self.quotas.refund(charge);
         }
--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -5,7 +5,7 @@
 //! request may go, and the [`Directory`] lists the back ends. [`choice`] selects one of them; for model
 //! requests the placement node does this for all senders (see [`placement`]). Every request then passes
 //! [`engine_gate`], which keeps the limits that engines name. [`forward`] and [`attempts`] take a request
-//! through its attempts. Limits that apply across all nodes are in [`quota`], billed requests
+//! through its attempts, and [`delegation`] to a peer while this node can't reach the engines. Limits that apply across all nodes are in [`quota`], billed requests
 //! in [`usage`], and the number of back ends to order in [`scaling`].
 
 pub mod admission;
@@ -14,6 +14,7 @@
 pub mod call;
 pub mod candidates;
 pub mod choice;
+pub mod delegation;
 pub mod demand;
 pub mod directory;
 mod directory_log;
@@ -34,6 +35,8 @@
 pub mod prefix_cache;
 pub mod quarantine;
 pub mod quota;
+pub mod reachability;
+pub mod reachability_probe;
 pub mod refusal;
 pub mod reporter;
 pub mod retries;
@@ -45,6 +48,7 @@
 pub mod unreachable_zones;
 pub mod usage;
 
+pub use delegation::{DelegationPeer, DelegationPort};
 pub use directory::{Backend, Directory, Reconciliation, RemovalCause};
 pub use directory_staleness::{StalenessEvidence, StalenessTracker};
 pub use engine_gate::{EngineGate, PermitOutcome, PermitPort, PermitRequest, SendPermit};
--- a/crates/beamwall-gateway/src/metrics.rs
+++ b/crates/beamwall-gateway/src/metrics.rs
@@ -21,6 +21,8 @@
     pub silent_back_ends: IntCounterVec,
     /// Failed connections to callers by kind of failure.
     pub caller_connections_failed: IntCounterVec,
+    /// Requests delegated to peers by outcome.
+    pub delegated: IntCounterVec,
     /// Permits that were denied because of the limits that engines name, by service.
     pub permits_denied: IntCounterVec,
 }
@@ -64,6 +66,14 @@
             ),
             &["service"],
         )?;
+        let delegated = IntCounterVec::new(
+            Opts::new(
+                "beamwall_gateway_delegated_total",
+                "requests passed to a peer since this node can't reach the engines, by outcome",
+            ),
+            &["outcome"],
+        )?;
+        registry.register(Box::new(delegated.clone()))?;
         registry.register(Box::new(permits_denied.clone()))?;
         registry.register(Box::new(silent_back_ends.clone()))?;
         registry.register(Box::new(caller_connections_failed.clone()))?;
@@ -79,6 +89,7 @@
             silent_back_ends,
             caller_connections_failed,
             permits_denied,
+            delegated,
         })
     }
 }
--- a/crates/beamwall-gateway/src/ports.rs
+++ b/crates/beamwall-gateway/src/ports.rs
@@ -47,6 +47,8 @@
     pub prompt: Option<Prompt>,
     /// The last event that the caller received, when it resumes a stream.
     pub last_event: Option<u64>,
+    /// The token of a request that a peer delegates to this node. A caller may have set it.
+    pub delegation_token: Option<u64>,
 }
 
 /// Data that the gateway sets in the head of a forwarded request.
@@ -84,6 +86,11 @@
     /// The headers of a forwarded request: the caller's headers without hop-by-hop headers and the API key,
     /// plus the headers that the gateway sets.
     fn forward_headers(&self, from_caller: &HeaderMap, head: &ForwardHead<'_>) -> HeaderMap;
+    /// The headers of a request that is delegated to a peer with this token: the caller's headers without
+    /// hop-by-hop headers, and the time left.
+    fn delegated_headers(&self, from_caller: &HeaderMap, remaining: Duration, token: u64) -> HeaderMap;
+    /// The headers of a request that every back end answers and none executes.
+    fn probe_headers(&self) -> HeaderMap;
     /// Reads the head of a back end's response.
     fn read_response_head(&self, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
     /// The headers of a response to the caller: the back end's headers without hop-by-hop headers.
--- a/crates/beamwall-gateway/src/refusal.rs
+++ b/crates/beamwall-gateway/src/refusal.rs
@@ -41,6 +41,8 @@
     QuotaExceeded(QuotaExceeded),
     /// No back end accepted it, and it was not executed.
     NotRun(String),
+    /// No back end could be reached, and nothing was sent.
+    Unreachable(String),
     /// It may have been executed, and its response was lost.
     ResponseLost(String),
     /// It may have been executed, and there was no response in time.
@@ -67,6 +69,7 @@
         match self {
             Self::NotReady
             | Self::NotRun(_)
+            | Self::Unreachable(_)
             | Self::TooLate
             | Self::Unservable(_)
             | Self::LimitReached(_) => StatusCode::SERVICE_UNAVAILABLE,
@@ -91,11 +94,23 @@
             Self::Unservable(unservable) => Some(unservable.retry_after),
             Self::Held(held) => held.retry_after,
             Self::LimitReached(limit) => Some(limit.wait.min(MAX_LIMIT_WAIT) + random_spread()),
-            Self::NotReady | Self::NotRun(_) => Some(TRANSIENT_RETRY_AFTER),
+            Self::NotReady | Self::NotRun(_) | Self::Unreachable(_) => Some(TRANSIENT_RETRY_AFTER),
             _ => None,
         }
     }
 
+    /// Whether the charge to the tenant's quota is refunded: the request was admitted and did not run.
+    pub fn returns_quota(&self) -> bool {
+        matches!(
+            self,
+            Self::NotRun(_)
+                | Self::Unreachable(_)
+                | Self::TooLate
+                | Self::Unservable(_)
+                | Self::LimitReached(_)
+        )
+    }
+
     /// The reason given in logs and in the response.
     pub fn reason(&self) -> String {
         match self {
@@ -108,7 +123,7 @@
                 "the tenant is beyond its quota: {:.0} asked for, {:.0} left, {} of {} nodes heard",
                 exceeded.amount, exceeded.level, exceeded.membership.reachable, exceeded.membership.known
             ),
-            Self::NotRun(reason) => format!("not run: {reason}"),
+            Self::NotRun(reason) | Self::Unreachable(reason) => format!("not run: {reason}"),
             Self::ResponseLost(reason) => format!("the answer is lost: {reason}"),
             Self::TimedOut => "no answer in time".to_owned(),
             Self::TooLate => "not begun in time".to_owned(),
--- a/crates/beamwall-gateway/src/stream/relay.rs
+++ b/crates/beamwall-gateway/src/stream/relay.rs
@@ -194,6 +194,7 @@
         let FailedAttempt { failure, next } = failed;
         self.forwarder.backend_state.health.note(&from.backend, true, Instant::now());
         self.forwarder.record_response(&self.call, &from.backend, true);
+        self.forwarder.note_reachability(&self.call.service, &from.backend, Some(&failure));
         self.attempts.note(&self.forwarder, &self.call, &from.backend, failure);
         let mut next = self.attempts.next_choice(&self.forwarder, &self.call, from, next).await;
         while let Some(PermittedChoice { choice, permit }) = next {
--- a/crates/beamwall-gateway/src/unary.rs
+++ b/crates/beamwall-gateway/src/unary.rs
@@ -18,7 +18,7 @@
 use crate::refusal::Refusal;
 
 /// Largest response that is buffered in memory.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
+pub(crate) const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// Number of objectives after which failover starts for a repeatable call without a response.
 const FAILOVER_DELAY_OBJECTIVES: u32 = 1;
 /// Failover starts at the latest after the remaining time divided by this.
--- a/crates/beamwall-gateway/tests/attempts.rs
+++ b/crates/beamwall-gateway/tests/attempts.rs
@@ -22,10 +22,11 @@
 use beamwall_gateway::retries::{RetryAllowance, RetryBudgets};
 use beamwall_gateway::usage::UsageLedger;
 use beamwall_gateway::{
-    CallHead, Dialect, ForwardHead, PlacementOutcome, PlacementPort, PlacementQuery, ResponseHead,
+    CallHead, DelegationPeer, DelegationPort, Dialect, ForwardHead, PlacementOutcome, PlacementPort,
+    PlacementQuery, ResponseHead,
 };
 use beamwall_http::Pool;
-use beamwall_model::{BackendId, ChoiceStrategy};
+use beamwall_model::{BackendId, ChoiceStrategy, NodeId, ServiceName};
 use beamwall_quarantine::{Fingerprint, QuarantineRegistry};
 use beamwall_rollout::RolloutRegistry;
 use hyper::{HeaderMap, StatusCode};
@@ -46,6 +47,12 @@
     fn read_response_head(&self, _: StatusCode, _: &HeaderMap) -> ResponseHead {
         ResponseHead::default()
     }
+    fn delegated_headers(&self, _: &HeaderMap, _: Duration, _: u64) -> HeaderMap {
+        HeaderMap::new()
+    }
+    fn probe_headers(&self) -> HeaderMap {
+        HeaderMap::new()
+    }
     fn response_headers(&self, _: &HeaderMap) -> HeaderMap {
         HeaderMap::new()
     }
@@ -69,6 +76,17 @@
     }
 }
 
+#[async_trait]
+impl DelegationPort for StubPorts {
+    async fn find_peer(&self, _: &ServiceName, _: &[NodeId]) -> Option<DelegationPeer> {
+        None
+    }
+    fn note_unreachable(&self, _: &NodeId) {}
+    fn is_own_token(&self, _: u64) -> bool {
+        false
+    }
+}
+
 #[async_trait]
 impl TrialPort for StubPorts {
     async fn claim_trial(&self, _: &Fingerprint, _: u32, _: u64) -> bool {
@@ -95,6 +113,8 @@
         chooser: Chooser::new(ChoiceStrategy::ExpectedTime),
         placement: Arc::new(StubPorts),
         gate: EngineGate::new(Box::new(StubPorts), 1, Arc::default()),
+        reachability: Default::default(),
+        delegation: Arc::new(StubPorts),
         demand: DemandTracker::default(),
         rollouts: RolloutRegistry::default(),
         quarantine: Arc::new(quarantine),
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -16,9 +16,7 @@
 use beamwall_gateway::usage::WindowCounts;
 use beamwall_gateway::{Directory, Gateway, Reporter};
 use beamwall_model::{NodeId, ServiceName, TenantName, ZoneName, since_1970_ms};
-use beamwall_peer::gateway_message::{
-    GatewayHeartbeat, PermitRequest, PlacementRequest, UsageWindow, VersionUpdate,
-};
+use beamwall_peer::gateway_message::{GatewayHeartbeat, UsageWindow, VersionUpdate};
 use beamwall_peer::message::{MemberUpdate, ProbeRequest};
 use beamwall_peer::{Body, Envelope, Member, MemberState, MembershipTiming, PeerNetwork, TransferPacer};
 use kameo::actor::ActorRef;
@@ -32,8 +30,7 @@
 use crate::gateway::counter_deltas::CounterDeltas;
 use crate::gateway::heartbeat_wire;
 use crate::gateway::node_selector::NodeSelector;
-use crate::gateway::peer_permits;
-use crate::gateway::peer_placement;
+use crate::gateway::peer_delegation::PeerDelegation;
 use crate::gateway::peer_restarts::PeerRestarts;
 use crate::gateway::peer_versions::PeerVersions;
 use crate::gateway::policy_sync::PolicyDistribution;
@@ -115,6 +112,8 @@
     pub peer_restarts: PeerRestarts,
     /// Paces transfers that serve other nodes.
     pub transfers: Arc<TransferPacer>,
+    /// Finds peers for requests to engines that this node can't reach, and answers those of peers.
+    pub delegation: Arc<PeerDelegation>,
     /// Versions of the policy announced to and by peers.
     pub policies: PolicyDistribution,
     /// State of the other zones of a large deployment.
@@ -325,7 +324,7 @@
         }
     }
 
-    /// Handles messages until the network is closed. Requests for placements and permits bypass the queue
+    /// Handles messages until the network is closed. Requests for placements, permits and delegations bypass the queue
     /// of other messages: a caller waits for each of them, and a zone sends hundreds of heartbeats a second.
     pub async fn receive(self: Arc<Self>, mut inbox: mpsc::Receiver<Envelope>) {
         let (other_messages, waiting) = mpsc::channel(INBOX_CAPACITY);
@@ -336,6 +335,7 @@
                 match envelope.body.take() {
                     Some(Body::PlacementRequest(request)) => self.answer_placement(&envelope, request),
                     Some(Body::PermitRequest(request)) => self.answer_permit(&envelope, &request),
+                    Some(Body::DelegationRequest(request)) => self.answer_delegation(&envelope, &request),
                     body => {
                         envelope.body = body;
                         if other_messages.send(envelope).await.is_err() {
@@ -395,20 +395,6 @@
         }
     }
 
-    /// Places a request for a peer. Placement requests carry no membership information and are frequent, so
-    /// they are not passed to membership.
-    fn answer_placement(&self, envelope: &Envelope, request: PlacementRequest) {
-        let question = peer_placement::decode(request, envelope);
-        let choice = self.gateway.forwarder.place(&question);
-        self.reply(envelope, Body::PlacementReply(peer_placement::encode_reply(choice)));
-    }
-
-    /// Grants or denies a peer a permit for an engine that names a limit.
-    fn answer_permit(&self, envelope: &Envelope, request: &PermitRequest) {
-        let grant = self.gateway.forwarder.gate.grant(&peer_permits::decode(request));
-        self.reply(envelope, Body::PermitReply(peer_permits::encode_reply(grant)));
-    }
-
     fn probe_on_behalf(&self, probe: &ProbeRequest) {
         if let Ok(address) = probe.address.parse() {
             let heartbeat =
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod listing;
 pub mod node_selector;
 pub mod observations;
+pub mod peer_delegation;
 pub mod peer_permits;
 pub mod peer_placement;
 pub mod peer_restarts;
@@ -56,15 +57,17 @@
 use beamwall_gateway::ports::RolloutStore;
 use beamwall_gateway::quarantine::{Quarantine, TrialPort};
 use beamwall_gateway::quota::{QuotaLimiter, Tolerance};
+use beamwall_gateway::reachability::EngineReachability;
+use beamwall_gateway::reachability_probe;
 use beamwall_gateway::retries::{RetryAllowance, RetryBudgets};
 use beamwall_gateway::usage::UsageLedger;
 use beamwall_gateway::{
-    ControlStore, Dialect, Directory, DutyPort, EngineGate, Gateway, GatewayHandler, PermitPort,
-    PlacementPort,
+    ControlStore, DelegationPort, Dialect, Directory, DutyPort, EngineGate, Gateway, GatewayHandler,
+    PermitPort, PlacementPort,
 };
 use beamwall_http::{Pool, serve};
 use beamwall_model::since_1970_ms;
-use beamwall_peer::{Membership, MembershipTiming, PeerNetwork, TransferPacer};
+use beamwall_peer::{Envelope, Membership, MembershipTiming, PeerNetwork, TransferPacer};
 use beamwall_policy::PolicyHistory;
 use beamwall_quarantine::QuarantineRegistry;
 use beamwall_rollout::RolloutRegistry;
@@ -85,6 +88,7 @@
 use crate::gateway::gauges::GatewayGauges;
 use crate::gateway::listing::DirectoryReader;
 use crate::gateway::node_selector::NodeSelector;
+use crate::gateway::peer_delegation::PeerDelegation;
 use crate::gateway::peer_permits::PeerPermits;
 use crate::gateway::peer_placement::PeerPlacement;
 use crate::gateway::peer_restarts::PeerRestarts;
@@ -167,18 +171,19 @@
         let members = Arc::new(ArcSwap::default());
         let placement = Arc::new(PeerPlacement::new(&settings, network.clone(), members.clone()));
         let permits = Box::new(PeerPermits::new(&settings, network.clone(), members.clone()));
-        let choice = ChoicePorts { placement, permits };
+        let delegation = Arc::new(PeerDelegation::new(&settings, network.clone(), members.clone()));
+        let peers = PeerPorts { placement, permits, delegation: delegation.clone() };
         let (quarantine_registry, clock): (Arc<QuarantineRegistry>, Arc<FleetClock>) = Default::default();
         let stored_quarantine =
             StoredQuarantine::new(ports.objects.clone(), quarantine_registry.clone(), clock.clone());
         let stored_quarantine = Arc::new(stored_quarantine);
         let quarantine = QuarantineParts { quarantine_registry, clock, trials: stored_quarantine.clone() };
-        let gateway = assemble_gateway(&settings, &ports, &registry, generation, choice, quarantine)?;
+        let gateway = assemble_gateway(&settings, &ports, &registry, generation, peers, quarantine)?;
         let directory = gateway.forwarder.directory.clone();
         let readiness = Arc::new(Readiness::new(gateway.policy.clone(), directory, status.clone()));
-        let exchange = Arc::new(assemble_exchange(
-            &settings, network, members, &gateway, &readiness, &status, generation,
-        ));
+        let links = PeerLinks { network, members, delegation };
+        let exchange =
+            Arc::new(assemble_exchange(&settings, links, &gateway, &readiness, &status, generation));
         let stopping = watch::channel(false).0;
         let callers =
             tokio::spawn(serve(callers, GatewayHandler::new(gateway.clone()), stopping.subscribe()));
@@ -225,6 +230,7 @@
             tokio::spawn(exchange.clone().send_heartbeats()),
             tokio::spawn(exchange.clone().receive(inbox)),
         ];
+        tasks.push(tokio::spawn(probe_unreachable_engines(gateway.clone())));
         tasks.push(tokio::spawn(exchange.clone().recover_usage()));
         tasks.push(tokio::spawn(stored_models::restore(gateway.clone(), ports.objects.clone())));
         tasks.push(tokio::spawn(exchange.clone().broadcast_evidence()));
@@ -290,10 +296,29 @@
     serve(listener, handler, stop).await;
 }
 
-/// Peers that take part in the choice of a back end.
-struct ChoicePorts {
+/// Ports to peers that take part in the handling of a request.
+struct PeerPorts {
     placement: Arc<dyn PlacementPort>,
     permits: Box<dyn PermitPort>,
+    delegation: Arc<dyn DelegationPort>,
+}
+
+/// What a node uses to reach its peers.
+struct PeerLinks {
+    network: Arc<PeerNetwork>,
+    members: Arc<ArcSwap<MembershipView>>,
+    delegation: Arc<PeerDelegation>,
+}
+
+/// The envelope of this node's questions to peers.
+fn peer_envelope(settings: &GatewaySettings) -> Envelope {
+    Envelope {
+        sender: settings.node.to_string(),
+        zone: settings.zone.to_string(),
+        address: settings.peers.to_string(),
+        link_mbps: settings.link_mbps,
+        ..Envelope::default()
+    }
 }
 
 /// Parts of the quarantine besides the pool and the directory.
@@ -303,6 +328,10 @@
     trials: Arc<dyn TrialPort>,
 }
 
+async fn probe_unreachable_engines(gateway: Arc<Gateway>) {
+    reachability_probe::run(&gateway.forwarder).await;
+}
+
 async fn restore_held_requests(stored: Arc<StoredQuarantine>, gateway: Arc<Gateway>) {
     stored.restore().await;
     gateway.forwarder.quarantine.log_changes();
@@ -318,7 +347,7 @@
     ports: &Ports,
     registry: &Registry,
     generation: u64,
-    choice: ChoicePorts,
+    peers: PeerPorts,
     quarantine: QuarantineParts,
 ) -> Result<Arc<Gateway>, NodeError> {
     let nodes = settings.expected_nodes.max(1);
@@ -342,8 +371,10 @@
         directory,
         backend_state: BackendState::default(),
         chooser: Chooser::new(settings.choice),
-        placement: choice.placement,
-        gate: EngineGate::new(choice.permits, nodes, peer_notify.clone()),
+        placement: peers.placement,
+        gate: EngineGate::new(peers.permits, nodes, peer_notify.clone()),
+        reachability: EngineReachability::default(),
+        delegation: peers.delegation,
         demand: DemandTracker::default(),
         rollouts: RolloutRegistry::default().for_generation(&settings.node, generation),
         retries: RetryBudgets::new(retries, nodes),
@@ -373,13 +404,13 @@
 
 fn assemble_exchange(
     settings: &GatewaySettings,
-    network: Arc<PeerNetwork>,
-    members: Arc<ArcSwap<MembershipView>>,
+    links: PeerLinks,
     gateway: &Arc<Gateway>,
     readiness: &Arc<Readiness>,
     status: &Arc<StoreStatus>,
     generation: u64,
 ) -> PeerExchange {
+    let PeerLinks { network, members, delegation } = links;
     let membership = Membership::new(
         settings.node.clone(),
         settings.zone.clone(),
@@ -434,6 +465,7 @@
         peer_restarts: PeerRestarts::default(),
         policies: PolicyDistribution::new(policy_history, transfers.clone()),
         transfers,
+        delegation,
         zones: Default::default(),
         quarantine_request_throttle: Default::default(),
         usage_deltas: Mutex::default(),
--- a/crates/beamwall-node/src/gateway/peer_permits.rs
+++ b/crates/beamwall-node/src/gateway/peer_permits.rs
@@ -16,7 +16,8 @@
 use beamwall_peer::gateway_message::{PermitReply, PermitRequest as PermitRequestMessage};
 use beamwall_peer::{Body, Envelope, Member, MemberState, PeerNetwork, link_weight};
 
-use crate::gateway::heartbeat_wire;
+use crate::gateway::exchange::PeerExchange;
+use crate::gateway::{heartbeat_wire, peer_envelope};
 use crate::shared::MembershipView;
 
 /// Timeout for a permit: a small part of the tightest latency objective.
@@ -38,14 +39,8 @@
         network: Arc<PeerNetwork>,
         members: Arc<ArcSwap<MembershipView>>,
     ) -> Self {
-        let envelope = Envelope {
-            sender: settings.node.to_string(),
-            zone: settings.zone.to_string(),
-            address: settings.peers.to_string(),
-            link_mbps: settings.link_mbps,
-            ..Envelope::default()
-        };
-        Self { envelope, node: settings.node.to_string(), link_mbps: settings.link_mbps, network, members }
+        let (envelope, node) = (peer_envelope(settings), settings.node.to_string());
+        Self { envelope, node, link_mbps: settings.link_mbps, network, members }
     }
 
     /// The permit node of an engine; `None`: this node.
@@ -90,8 +85,15 @@
     }
 }
 
-/// Decodes a peer's request for a permit.
-pub(super) fn decode(message: &PermitRequestMessage) -> PermitRequest {
+impl PeerExchange {
+    /// Grants or denies a peer a permit for an engine that names a limit.
+    pub(super) fn answer_permit(&self, envelope: &Envelope, request: &PermitRequestMessage) {
+        let grant = self.gateway.forwarder.gate.grant(&decode(request));
+        self.reply(envelope, Body::PermitReply(encode_reply(grant)));
+    }
+}
+
+fn decode(message: &PermitRequestMessage) -> PermitRequest {
     PermitRequest {
         backend: BackendId::new(&message.backend),
         known: message.limit.as_ref().and_then(heartbeat_wire::decode_engine_limit),
@@ -99,8 +101,7 @@
     }
 }
 
-/// Encodes the answer to a request for a permit.
-pub(super) fn encode_reply(grant: Grant) -> PermitReply {
+fn encode_reply(grant: Grant) -> PermitReply {
     match grant {
         Grant::Granted => PermitReply { is_granted: true, wait_ms: 0 },
         Grant::Denied(wait) => {
--- a/crates/beamwall-node/src/gateway/peer_placement.rs
+++ b/crates/beamwall-node/src/gateway/peer_placement.rs
@@ -17,8 +17,9 @@
 use beamwall_peer::{Body, Envelope, PeerNetwork};
 use tokio::time::Instant;
 
-use crate::gateway::heartbeat_wire;
+use crate::gateway::exchange::PeerExchange;
 use crate::gateway::placement_router::{LocalNode, PlacementRouter, PlacementTarget};
+use crate::gateway::{heartbeat_wire, peer_envelope};
 use crate::shared::MembershipView;
 
 /// Timeout for a placement: a small part of the tightest latency objective.
@@ -40,13 +41,7 @@
         network: Arc<PeerNetwork>,
         members: Arc<ArcSwap<MembershipView>>,
     ) -> Self {
-        let envelope = Envelope {
-            sender: settings.node.to_string(),
-            zone: settings.zone.to_string(),
-            address: settings.peers.to_string(),
-            link_mbps: settings.link_mbps,
-            ..Envelope::default()
-        };
+        let envelope = peer_envelope(settings);
         let local = LocalNode {
             node: settings.node.clone(),
             zone: settings.zone.clone(),
@@ -111,8 +106,17 @@
     }
 }
 
-/// Decodes a placement request of a peer.
-pub(super) fn decode(request: PlacementRequest, envelope: &Envelope) -> PlacementQuery {
+impl PeerExchange {
+    /// Places a request for a peer. Placement requests carry no membership information and are frequent, so
+    /// they are not passed to membership.
+    pub(super) fn answer_placement(&self, envelope: &Envelope, request: PlacementRequest) {
+        let question = decode(request, envelope);
+        let choice = self.gateway.forwarder.place(&question);
+        self.reply(envelope, Body::PlacementReply(encode_reply(choice)));
+    }
+}
+
+fn decode(request: PlacementRequest, envelope: &Envelope) -> PlacementQuery {
     let parts = request.parts.iter().map(|part| PromptPart { id: part.id, tokens: part.tokens }).collect();
     PlacementQuery {
         sender: NodeId::new(&envelope.sender),
@@ -129,8 +133,7 @@
     }
 }
 
-/// Encodes the answer to a placement request.
-pub(super) fn encode_reply(choice: Option<Choice>) -> PlacementReply {
+fn encode_reply(choice: Option<Choice>) -> PlacementReply {
     let Some(choice) = choice else { return PlacementReply::default() };
     PlacementReply {
         backend: choice.backend.to_string(),
--- a/crates/beamwall-node/src/tasks/inbox.rs
+++ b/crates/beamwall-node/src/tasks/inbox.rs
@@ -87,7 +87,9 @@
             | Body::PlacementRequest(_)
             | Body::PlacementReply(_)
             | Body::PermitRequest(_)
-            | Body::PermitReply(_),
+            | Body::PermitReply(_)
+            | Body::DelegationRequest(_)
+            | Body::DelegationOffer(_),
         )
         | None => {}
     }
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -173,6 +173,31 @@
     pub age_ms: u64,
 }
 
+/// Asks whether the receiver takes requests for a service whose engines the sender can't reach.
+#[derive(Clone, PartialEq, Message)]
+pub struct DelegationRequest {
+    /// Service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+}
+
+/// Reply to a delegation request.
+#[derive(Clone, PartialEq, Message)]
+pub struct DelegationOffer {
+    /// Whether the sender takes such requests.
+    #[prost(bool, tag = "1")]
+    pub is_able: bool,
+    /// Address at which it takes callers' requests.
+    #[prost(string, tag = "2")]
+    pub callers: String,
+    /// Token by which it recognizes a delegated request.
+    #[prost(fixed64, tag = "3")]
+    pub token: u64,
+    /// Requests that it has open at back ends.
+    #[prost(uint32, tag = "4")]
+    pub open_requests: u32,
+}
+
 /// Requests a permit to send one request to an engine that names a limit, from the engine's permit node.
 #[derive(Clone, PartialEq, Message)]
 pub struct PermitRequest {
--- a/crates/beamwall-peer/src/message.rs
+++ b/crates/beamwall-peer/src/message.rs
@@ -6,8 +6,9 @@
 use prost::{Message, Oneof};
 
 use crate::gateway_message::{
-    DirectoryAnswer, DirectoryRequest, GatewayHeartbeat, PermitReply, PermitRequest, PlacementReply,
-    PlacementRequest, PolicyAnswer, PolicyRequest, UsageAnswer, UsageRequest, VersionUpdate, ZoneSummary,
+    DelegationOffer, DelegationRequest, DirectoryAnswer, DirectoryRequest, GatewayHeartbeat, PermitReply,
+    PermitRequest, PlacementReply, PlacementRequest, PolicyAnswer, PolicyRequest, UsageAnswer, UsageRequest,
+    VersionUpdate, ZoneSummary,
 };
 use crate::quarantine_message::{QuarantineRequest, QuarantineUpdate};
 
@@ -50,7 +51,7 @@
     /// Body of the message.
     #[prost(
         oneof = "Body",
-        tags = "20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 40, 41, 42, 43, 44, 45, 46, 47, 48, 49, 50, 51, 52, 53, 54"
+        tags = "20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 40, 41, 42, 43, 44, 45, 46, 47, 48, 49, 50, 51, 52, 53, 54, 55, 56"
     )]
     pub body: Option<Body>,
 }
@@ -139,6 +140,12 @@
     /// Reply to a permit request.
     #[prost(message, tag = "54")]
     PermitReply(PermitReply),
+    /// Asks whether a gateway takes requests for engines that the sender can't reach.
+    #[prost(message, tag = "55")]
+    DelegationRequest(DelegationRequest),
+    /// Reply to a delegation request.
+    #[prost(message, tag = "56")]
+    DelegationOffer(DelegationOffer),
 }
 
 impl Envelope {
@@ -168,6 +175,7 @@
             Self::QuarantineNews(_) | Self::QuarantineRequest(_) => "quarantine",
             Self::PlacementRequest(_) | Self::PlacementReply(_) => "placement",
             Self::PermitRequest(_) | Self::PermitReply(_) => "permit",
+            Self::DelegationRequest(_) | Self::DelegationOffer(_) => "delegation",
         }
     }
 }
