Gateway: brittle engines that reject requests get fewer, by permits, from all nodes together

Cause: a rejection for want of room was known to one node, and only kept moves of streams away; first tries of all nodes went on. Class: the same as of the limits, a bound over all nodes that no node can keep alone. Change: once a brittle engine has rejected a request, requests there need permits of its permit node, as with a limit that it names. The rate begins at half of the rejections that it stands (the other half is the burst), doubles each second without a rejection and is halved by one; a response that does not call the engine brittle ends it. Rejections are told to peers at once.

--- a/crates/beamwall-engine-limits/src/lib.rs
+++ b/crates/beamwall-engine-limits/src/lib.rs
@@ -8,14 +8,19 @@
 //!   is sent to a limited engine without one;
 //! - a node that was denied a permit does not ask again until the next one is due ([`denials`]).
 //!
+//! A brittle engine, which terminates when it has to reject too many requests, is treated in the same way once
+//! it has rejected one ([`rejections`]).
+//!
 //! This package performs no input or output. Which node is an engine's permit node is decided by the caller.
 
 pub mod denials;
 pub mod known;
 pub mod permits;
 pub mod rate;
+pub mod rejections;
 
 pub use denials::Denials;
 pub use known::{KnownLimits, LimitChange, LimitReport};
-pub use permits::{Grant, PermitLedger};
+pub use permits::{Allowance, Grant, PermitLedger};
 pub use rate::{LimitNotice, RequestRate, UnreadableLimit};
+pub use rejections::{KnownRejections, RejectionReport};
--- a/crates/beamwall-engine-limits/src/permits.rs
+++ b/crates/beamwall-engine-limits/src/permits.rs
@@ -28,6 +28,23 @@
 /// Smallest fraction of the limit at which a bucket is refilled, so that a wait is always finite.
 const MIN_FRACTION: f64 = 0.01;
 
+/// Requests that all nodes together may send to an engine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Allowance {
+    /// Requests a second.
+    pub per_second: f64,
+    /// Requests that may be sent at once after a pause.
+    pub burst: f64,
+}
+
+impl Allowance {
+    /// The allowance at an engine that names this limit.
+    pub fn for_limit(limit: RequestRate) -> Self {
+        let burst = limit.requests_in(BURST_TIME).max(MIN_BURST);
+        Self { per_second: limit.per_second(), burst }
+    }
+}
+
 /// The answer to a request for a permit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Grant {
@@ -55,19 +72,19 @@
         self.buckets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Grants or denies one request of a rank at an engine with this limit. `fraction` is the part of the
+    /// Grants or denies one request of a rank at an engine with this allowance. `fraction` is the part of the
     /// limit that the nodes on this side of a partition may use. `now` is read from a clock that stops while
     /// this process is stalled: others may have granted permits meanwhile.
     pub fn request(
         &self,
         backend: &BackendId,
-        limit: RequestRate,
+        allowance: Allowance,
         fraction: f64,
         rank: u8,
         now: Instant,
     ) -> Grant {
-        let rate = limit.per_second() * fraction.clamp(MIN_FRACTION, 1.0);
-        let burst = limit.requests_in(BURST_TIME).max(MIN_BURST);
+        let Allowance { per_second, burst } = allowance;
+        let rate = per_second * fraction.clamp(MIN_FRACTION, 1.0);
         let mut buckets = self.lock();
         let empty = Bucket { level: 0.0, refilled: now + HANDOVER_TIME };
         let bucket = buckets.entry(backend.clone()).or_insert(empty);
--- a/crates/beamwall-engine-limits/src/rate.rs
+++ b/crates/beamwall-engine-limits/src/rate.rs
@@ -55,6 +55,11 @@
         self.0
     }
 
+    /// The larger of two rates.
+    pub fn max(self, other: Self) -> Self {
+        Self(self.0.max(other.0))
+    }
+
     /// Number of requests in a time.
     pub fn requests_in(self, time: Duration) -> f64 {
         self.0 * time.as_secs_f64()
--- a/crates/beamwall-engine-limits/tests/permits.rs
+++ b/crates/beamwall-engine-limits/tests/permits.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use arbtest::arbitrary::Unstructured;
-use beamwall_engine_limits::{Denials, Grant, PermitLedger, RequestRate};
+use beamwall_engine_limits::{Allowance, Denials, Grant, PermitLedger, RequestRate};
 use beamwall_model::BackendId;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -59,7 +59,7 @@
             return;
         }
         let ledger = &self.ledgers[self.views[node]];
-        match ledger.request(&engine(), self.limit, self.fraction, rank, now) {
+        match ledger.request(&engine(), Allowance::for_limit(self.limit), self.fraction, rank, now) {
             Grant::Granted => self.sent.push(now),
             Grant::Denied(wait) => self.denials[node].note(&engine(), wait, now),
         }
@@ -194,7 +194,7 @@
 #[test]
 fn a_lower_limit_holds_at_once() {
     let (ledger, start) = (PermitLedger::default(), Instant::now());
-    let rate = |per_second| RequestRate::new(per_second).expect("a rate");
+    let rate = |per_second| Allowance::for_limit(RequestRate::new(per_second).expect("a rate"));
     ledger.request(&engine(), rate(200.0), 1.0, 0, start);
     let later = start + WINDOW;
     assert_eq!(ledger.request(&engine(), rate(200.0), 1.0, 0, later), Grant::Granted);
@@ -207,7 +207,7 @@
 #[test]
 fn urgent_requests_come_first() {
     let (ledger, start) = (PermitLedger::default(), Instant::now());
-    let rate = RequestRate::new(1.0).expect("a rate");
+    let rate = Allowance::for_limit(RequestRate::new(1.0).expect("a rate"));
     ledger.request(&engine(), rate, 1.0, 9, start);
     let later = start + WINDOW;
     while ledger.request(&engine(), rate, 1.0, 9, later) == Grant::Granted {}
--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -155,6 +155,8 @@
     4114 Warn EnginesUnreachable "engines unreachable" { service, reason }
     /// Engines of a service that could not be reached respond again.
     4115 Info EnginesReachable "engines reachable" { service, after_ms }
+    /// A brittle engine rejected a request for want of room.
+    4116 Warn BrittleEngineRejects "brittle engine rejects" { backend, tolerated }
     /// An order to move a service to another version was read or heard of, or something of it changed.
     4201 Info RolloutOrdered "rollout ordered" { service, target, interval_ms, verdict, withdrawn }
     /// A new version takes all requests of its service.
--- a/crates/beamwall-gateway/src/attempt.rs
+++ b/crates/beamwall-gateway/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use beamwall_clock::{process_clock, timers};
+use beamwall_engine_limits::LimitNotice;
 use beamwall_http::{PoolError, PooledBody, full};
 use beamwall_model::{BackendId, InstanceName};
 use hyper::{Request, Response, StatusCode};
@@ -228,6 +229,11 @@
         forwarder.backend_state.staleness.note_response(backend);
         forwarder.gate.note_response(backend, &head.limit, sent_at);
     }
+    if head.proves_not_run && status == StatusCode::SERVICE_UNAVAILABLE {
+        forwarder.gate.note_rejection(backend, &head.brittleness);
+    } else if head.brittleness == LimitNotice::Unlimited {
+        forwarder.gate.note_sound(backend, sent_at);
+    }
     if head.proves_not_run {
         return Err(AttemptFailure::not_run(format!("refused with status {status}")));
     }
--- a/crates/beamwall-gateway/src/engine_gate.rs
+++ b/crates/beamwall-gateway/src/engine_gate.rs
@@ -1,5 +1,5 @@
 //! The gate that every request passes before it is sent to an engine: an engine that names a limit gets only
-//! requests for which its permit node granted a permit.
+//! requests for which its permit node granted a permit, and so does a brittle engine that rejects requests.
 
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -8,11 +8,11 @@
 use async_trait::async_trait;
 use beamwall_clock::process_clock;
 use beamwall_engine_limits::{
-    Denials, Grant, KnownLimits, LimitChange, LimitNotice, LimitReport, PermitLedger, RequestRate,
-    UnreadableLimit,
+    Allowance, Denials, Grant, KnownLimits, KnownRejections, LimitChange, LimitNotice, LimitReport,
+    PermitLedger, RejectionReport, RequestRate, UnreadableLimit,
 };
 use beamwall_events::emit;
-use beamwall_events::internal_events::{EngineLimitChanged, EngineLimitUnreadable};
+use beamwall_events::internal_events::{BrittleEngineRejects, EngineLimitChanged, EngineLimitUnreadable};
 use beamwall_model::BackendId;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -33,6 +33,8 @@
     pub backend: BackendId,
     /// The engine's limit as the sender knows it.
     pub known: Option<LimitReport>,
+    /// The engine's newest rejection as the sender knows it, if it is brittle.
+    pub rejection: Option<RejectionReport>,
     /// Rank of the request; 0 is the most urgent.
     pub rank: u8,
 }
@@ -81,8 +83,12 @@
 /// The limits that engines name, as one node knows and keeps them.
 pub struct EngineGate {
     limits: KnownLimits,
+    rejections: KnownRejections,
     denials: Denials,
+    /// Permits by the limits that engines name.
     ledger: PermitLedger,
+    /// Permits by the rejections of brittle engines.
+    rejection_ledger: PermitLedger,
     permits: Box<dyn PermitPort>,
     /// The part of every limit that this node and those that it reaches may use, 0 to 1.
     reachable_fraction: Mutex<f64>,
@@ -100,8 +106,10 @@
     pub fn new(permits: Box<dyn PermitPort>, nodes: usize, changed: Arc<Notify>) -> Self {
         Self {
             limits: KnownLimits::default(),
+            rejections: KnownRejections::default(),
             denials: Denials::default(),
             ledger: PermitLedger::default(),
+            rejection_ledger: PermitLedger::default(),
             permits,
             reachable_fraction: Mutex::new(1.0 / nodes.max(1) as f64),
             changed,
@@ -115,9 +123,16 @@
         self.limits.limit(backend)
     }
 
-    /// All engines with a limit.
-    pub fn limited(&self) -> Vec<(BackendId, RequestRate)> {
-        self.limits.limited()
+    /// All engines for which permits are needed.
+    pub fn restricted(&self) -> Vec<BackendId> {
+        let mut restricted = self.rejections.rejecting(Instant::now());
+        restricted.extend(self.limits.limited().into_iter().map(|(backend, _)| backend));
+        restricted
+    }
+
+    fn is_restricted(&self, backend: &BackendId) -> bool {
+        let is_rejecting = || self.rejections.allowance(backend, Instant::now()).is_some();
+        self.limits.limit(backend).is_some() || is_rejecting()
     }
 
     /// Engines whose limit is used up for now, as far as this node knows.
@@ -148,14 +163,16 @@
     /// Admits one request of a rank to an engine.
     pub async fn admit(&self, backend: &BackendId, rank: u8) -> Result<SendPermit, LimitReached> {
         let granted = || SendPermit { backend: backend.clone() };
-        if self.limits.limit(backend).is_none() {
+        if !self.is_restricted(backend) {
             return Ok(granted());
         }
         if let Some(wait) = self.wait(backend, Instant::now()) {
             return Err(LimitReached { wait });
         }
-        let known = self.limits.report(backend, Instant::now());
-        let request = PermitRequest { backend: backend.clone(), known, rank };
+        let now = Instant::now();
+        let known = self.limits.report(backend, now);
+        let rejection = self.rejections.report(backend, now);
+        let request = PermitRequest { backend: backend.clone(), known, rejection, rank };
         let wait = match self.permits.request_permit(&request).await {
             PermitOutcome::Answered(Grant::Granted) => return Ok(granted()),
             PermitOutcome::Answered(Grant::Denied(wait)) => wait,
@@ -174,12 +191,57 @@
         if let Some(report) = &request.known {
             self.merge(std::slice::from_ref(report), "permit request");
         }
+        if let Some(report) = &request.rejection {
+            self.merge_rejections(std::slice::from_ref(report));
+        }
         if !self.permits.grants(&request.backend) {
             return Grant::Denied(UNANSWERED_WAIT);
         }
-        let Some(limit) = self.limits.limit(&request.backend) else { return Grant::Granted };
+        let limit = self.limits.limit(&request.backend).map(Allowance::for_limit);
+        match self.grant_within(&self.ledger, limit, request) {
+            Grant::Granted => {
+                let allowance = self.rejections.allowance(&request.backend, Instant::now());
+                self.grant_within(&self.rejection_ledger, allowance, request)
+            }
+            denied => denied,
+        }
+    }
+
+    fn grant_within(
+        &self,
+        ledger: &PermitLedger,
+        allowance: Option<Allowance>,
+        request: &PermitRequest,
+    ) -> Grant {
+        let Some(allowance) = allowance else { return Grant::Granted };
         let fraction = *self.reachable_fraction.lock().unwrap_or_else(PoisonError::into_inner);
-        self.ledger.request(&request.backend, limit, fraction, request.rank, process_clock::now())
+        ledger.request(&request.backend, allowance, fraction, request.rank, process_clock::now())
+    }
+
+    /// Records that an engine rejected a request for want of room, and what its response says about the
+    /// rejections that it stands.
+    pub fn note_rejection(&self, backend: &BackendId, notice: &LimitNotice) {
+        let LimitNotice::Limited(tolerated) = notice else { return };
+        if self.rejections.note_rejection(backend, *tolerated, Instant::now()) {
+            emit(&BrittleEngineRejects { backend: backend.to_string(), tolerated: tolerated.to_string() });
+            self.changed.notify_one();
+        }
+    }
+
+    /// Records that the response to a request sent at `sent_at` does not call its engine brittle.
+    pub fn note_sound(&self, backend: &BackendId, sent_at: Instant) {
+        self.rejections.note_sound(backend, sent_at);
+    }
+
+    /// Takes over the rejections that a peer observed.
+    pub fn merge_rejections(&self, reports: &[RejectionReport]) {
+        let now = Instant::now();
+        reports.iter().for_each(|report| self.rejections.merge(report, now));
+    }
+
+    /// The rejections that this node knows of, to be reported to peers.
+    pub fn rejection_reports(&self) -> Vec<RejectionReport> {
+        self.rejections.reports(Instant::now())
     }
 
     /// Records what the response to a request sent at `sent_at` says about its engine's limit.
@@ -243,12 +305,15 @@
     /// Discards the permits of engines whose permit node is another one now.
     pub fn discard_foreign_permits(&self) {
         self.ledger.retain(|backend| self.permits.grants(backend));
+        self.rejection_ledger.retain(|backend| self.permits.grants(backend));
     }
 
     /// Removes the state of engines that are not in the directory.
     pub fn retain_listed(&self, directory: &Directory) {
         self.limits.retain(|backend| directory.get(backend).is_some());
+        self.rejections.retain(|backend| directory.get(backend).is_some());
         self.ledger.retain(|backend| directory.get(backend).is_some());
+        self.rejection_ledger.retain(|backend| directory.get(backend).is_some());
         let mut confirmations = self.confirmations.lock().unwrap_or_else(PoisonError::into_inner);
         confirmations.retain(|backend, _| directory.get(backend).is_some());
         self.lock_unreadable().retain(|backend| directory.get(backend).is_some());
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -122,7 +122,7 @@
                 denials += 1;
                 exhausted.push(choice.backend);
                 if denials == MAX_DENIED_PERMITS {
-                    exhausted.extend(self.gate.limited().into_iter().map(|(backend, _)| backend));
+                    exhausted.extend(self.gate.restricted());
                 }
                 continue;
             };
--- a/crates/beamwall-gateway/src/ports.rs
+++ b/crates/beamwall-gateway/src/ports.rs
@@ -77,6 +77,8 @@
     pub proves_not_run: bool,
     /// What it says about the requests that its back end takes.
     pub limit: LimitNotice,
+    /// The rejections a second at which its back end terminates, if it says that there are any.
+    pub brittleness: LimitNotice,
 }
 
 /// Reads and writes request and response heads.
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -304,6 +304,7 @@
             time_ms: since_1970_ms(SystemTime::now()),
             quarantine_digest: self.quarantine_digest(),
             engine_limits: heartbeat_wire::encode_engine_limits(&forwarder.gate.reports()),
+            engine_rejections: heartbeat_wire::encode_rejections(&forwarder.gate.rejection_reports()),
         }
     }
 
@@ -431,6 +432,8 @@
         self.compare_quarantine_digest(envelope, incoming_heartbeat.quarantine_digest);
         let limits = heartbeat_wire::decode_engine_limits(&incoming_heartbeat.engine_limits);
         self.gateway.forwarder.gate.merge(&limits, "heartbeat");
+        let rejections = heartbeat_wire::decode_rejections(&incoming_heartbeat.engine_rejections);
+        self.gateway.forwarder.gate.merge_rejections(&rejections);
         // In a large deployment the work of other zones arrives in zone summaries.
         if self.is_direct_peer(envelope) {
             self.apply_node_report(envelope, incoming_heartbeat);
--- a/crates/beamwall-node/src/gateway/heartbeat_wire.rs
+++ b/crates/beamwall-node/src/gateway/heartbeat_wire.rs
@@ -3,13 +3,14 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use beamwall_engine_limits::{LimitReport, RequestRate};
+use beamwall_engine_limits::{LimitReport, RejectionReport, RequestRate};
 use beamwall_engine_model::{ServiceStatistics, SlownessObservation, Workload};
 use beamwall_gateway::load::OpenLoad;
 use beamwall_gateway::usage::{PartialSum, WindowCounts};
 use beamwall_model::{BackendId, ServiceName, TenantName};
 use beamwall_peer::gateway_message::{
-    BackendLoad, BackendSlowness, EngineLimit, QuotaUse, ServiceDemand, ServiceModel, UsageCount, UsageWindow,
+    BackendLoad, BackendSlowness, EngineLimit, EngineRejection, QuotaUse, ServiceDemand, ServiceModel,
+    UsageCount, UsageWindow,
 };
 
 /// Encodes open work.
@@ -136,6 +137,36 @@
     Some(LimitReport { backend: BackendId::new(&limit.backend), limit: rate, age })
 }
 
+/// Encodes the rejections of brittle engines.
+pub fn encode_rejections(reports: &[RejectionReport]) -> Vec<EngineRejection> {
+    reports.iter().map(encode_rejection).collect()
+}
+
+/// Encodes one rejection.
+pub fn encode_rejection(report: &RejectionReport) -> EngineRejection {
+    EngineRejection {
+        backend: report.backend.to_string(),
+        tolerated: report.tolerated.per_second(),
+        rate: report.rate.per_second(),
+        age_ms: report.age.as_millis() as u64,
+    }
+}
+
+/// Decodes the rejections of brittle engines. Those without usable rates are left out.
+pub fn decode_rejections(rejections: &[EngineRejection]) -> Vec<RejectionReport> {
+    rejections.iter().filter_map(decode_rejection).collect()
+}
+
+/// Decodes one rejection; `None` if it has no usable rates.
+pub fn decode_rejection(rejection: &EngineRejection) -> Option<RejectionReport> {
+    Some(RejectionReport {
+        backend: BackendId::new(&rejection.backend),
+        tolerated: RequestRate::new(rejection.tolerated).ok()?,
+        rate: RequestRate::new(rejection.rate).ok()?,
+        age: Duration::from_millis(rejection.age_ms),
+    })
+}
+
 /// Encodes usage windows.
 pub fn encode_usage(windows: Vec<WindowCounts>) -> Vec<UsageWindow> {
     let count = |(tenant, requests): (TenantName, u64)| UsageCount { tenant: tenant.to_string(), requests };
--- a/crates/beamwall-node/src/gateway/peer_permits.rs
+++ b/crates/beamwall-node/src/gateway/peer_permits.rs
@@ -82,6 +82,7 @@
         backend: request.backend.to_string(),
         limit: request.known.as_ref().map(heartbeat_wire::encode_engine_limit),
         rank: u32::from(request.rank),
+        rejection: request.rejection.as_ref().map(heartbeat_wire::encode_rejection),
     }
 }
 
@@ -98,6 +99,7 @@
         backend: BackendId::new(&message.backend),
         known: message.limit.as_ref().and_then(heartbeat_wire::decode_engine_limit),
         rank: u8::try_from(message.rank).unwrap_or(u8::MAX),
+        rejection: message.rejection.as_ref().and_then(heartbeat_wire::decode_rejection),
     }
 }
 
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -63,6 +63,9 @@
     /// Limits of engines that the sender observed or heard of recently.
     #[prost(message, repeated, tag = "17")]
     pub engine_limits: Vec<EngineLimit>,
+    /// Rejections by brittle engines that the sender observed or heard of recently.
+    #[prost(message, repeated, tag = "18")]
+    pub engine_rejections: Vec<EngineRejection>,
 }
 
 /// Versions that the sender holds, sent immediately when they are newer than before. With names of usual
@@ -157,6 +160,9 @@
     /// Limits of engines that the relay observed or heard of recently.
     #[prost(message, repeated, tag = "14")]
     pub engine_limits: Vec<EngineLimit>,
+    /// Rejections by brittle engines that the relay observed or heard of recently.
+    #[prost(message, repeated, tag = "15")]
+    pub engine_rejections: Vec<EngineRejection>,
 }
 
 /// The requests that one engine takes from all nodes together, as observed by a node.
@@ -173,6 +179,23 @@
     pub age_ms: u64,
 }
 
+/// The newest rejection by one brittle engine.
+#[derive(Clone, PartialEq, Message)]
+pub struct EngineRejection {
+    /// Engine.
+    #[prost(string, tag = "1")]
+    pub backend: String,
+    /// Rejections a second that it tolerates.
+    #[prost(double, tag = "2")]
+    pub tolerated: f64,
+    /// Requests a second that it may get from all nodes together, at the time of the rejection.
+    #[prost(double, tag = "3")]
+    pub rate: f64,
+    /// Time since the rejection, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
+}
+
 /// Asks whether the receiver takes requests for a service whose engines the sender can't reach.
 #[derive(Clone, PartialEq, Message)]
 pub struct DelegationRequest {
@@ -210,6 +233,9 @@
     /// Rank of the request; 0 is the most urgent.
     #[prost(uint32, tag = "3")]
     pub rank: u32,
+    /// The engine's newest rejection as the sender knows it, if it is brittle.
+    #[prost(message, optional, tag = "4")]
+    pub rejection: Option<EngineRejection>,
 }
 
 /// Reply of the permit node.
