Capacity: an engine in need counts for what its limit allows

What callers saw: nothing yet; the other engines take over what an engine in need no longer does, and are overrun in their turn. Cause: the plan of engines counted one that takes 1 request a second as a whole one. Change: each usable engine whose limit is below the usual requests of an engine is replaced by its missing part, rounded up over the service; the maximum and the zones hold as before.

--- a/crates/beamwall-gateway/src/sizing.rs
+++ b/crates/beamwall-gateway/src/sizing.rs
@@ -59,6 +59,27 @@
     pub after_loss: u32,
 }
 
+impl Needed {
+    /// The same with more back ends, which replace others.
+    pub fn with_replacements(self, count: u32) -> Self {
+        Self {
+            usual: self.usual + count,
+            standing_in: self.standing_in + count,
+            after_loss: self.after_loss + count,
+        }
+    }
+}
+
+/// Number of back ends that replace engines in need. Each of these is worth the part of the usual requests of
+/// one back end that its limit allows. Both are in requests a second.
+pub fn replacements(limits: &[f64], usual_requests: f64) -> u32 {
+    if usual_requests <= 0.0 {
+        return 0;
+    }
+    let missing: f64 = limits.iter().map(|limit| 1.0 - (limit / usual_requests).min(1.0)).sum();
+    missing.ceil() as u32
+}
+
 /// Number of back ends that `work` needs; `None` while the service's model is not trained.
 pub fn needed(
     work: Workload,
--- a/crates/beamwall-gateway/tests/sizing.rs
+++ b/crates/beamwall-gateway/tests/sizing.rs
@@ -5,8 +5,8 @@
 use arbtest::arbitrary::{Result, Unstructured};
 use beamwall_engine_model::{ServiceEstimates, Workload};
 use beamwall_gateway::sizing::{
-    self, AFTER_LOSS_UTILIZATION, NORMAL_UTILIZATION, Objectives, SUBSTITUTE_UTILIZATION, min_back_ends,
-    normal_utilization,
+    self, AFTER_LOSS_UTILIZATION, NORMAL_UTILIZATION, Needed, Objectives, SUBSTITUTE_UTILIZATION,
+    min_back_ends, normal_utilization,
 };
 use beamwall_seeds::on_seeds;
 
@@ -136,3 +136,15 @@
         Ok(())
     });
 }
+
+/// Guards against: engines in need count as whole ones, and the others are overrun before new ones are ordered.
+#[test]
+fn an_engine_in_need_is_worth_what_its_limit_allows() {
+    assert_eq!(sizing::replacements(&[], 4.0), 0);
+    assert_eq!(sizing::replacements(&[1.0, 1.0], 4.0), 2);
+    assert_eq!(sizing::replacements(&[2.0, 2.0], 4.0), 1);
+    assert_eq!(sizing::replacements(&[8.0], 4.0), 0);
+    assert_eq!(sizing::replacements(&[1.0], 0.0), 0);
+    let needed = Needed { usual: 3, standing_in: 2, after_loss: 1 };
+    assert_eq!(needed.with_replacements(2), Needed { usual: 5, standing_in: 4, after_loss: 3 });
+}
--- a/crates/beamwall-node/src/gateway/duties/capacity.rs
+++ b/crates/beamwall-node/src/gateway/duties/capacity.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use beamwall_duties::{OrderTracker, SavedOrder};
+use beamwall_engine_limits::RequestRate;
 use beamwall_events::emit;
 use beamwall_events::internal_events::{CapacityNotKnown, CapacityOrdered};
 use beamwall_gateway::ports::CapacityOrder;
 use beamwall_gateway::scaling::{self, OrderKey, ScalingInputs, ZoneSupply};
-use beamwall_gateway::sizing::Needed;
+use beamwall_gateway::sizing::{self, Needed};
 use beamwall_gateway::{DutyError, DutyPort, Gateway};
 use beamwall_model::{ServiceName, ZoneName};
 use beamwall_policy::{Service, Shared, TrafficPolicy};
@@ -164,7 +165,18 @@
         if !demand.is_demand_unknown() {
             self.checkpointer.note_needs(&service.name, needed);
         }
-        needed
+        needed.with_replacements(self.replacements(&service.name, demand.requests_per_back_end(needed)))
+    }
+
+    /// Back ends that replace those of a service whose limits allow fewer than the usual requests a second.
+    fn replacements(&self, service: &ServiceName, usual_requests: f64) -> u32 {
+        let directory = self.gateway.forwarder.directory.load();
+        let limits: Vec<f64> = directory
+            .usable(service)
+            .filter_map(|backend| self.gateway.forwarder.gate.limit(&backend.id))
+            .map(RequestRate::per_second)
+            .collect();
+        sizing::replacements(&limits, usual_requests)
     }
 
     /// Needs of a service found by the previous lease holder, until this node knows them itself.
--- a/crates/beamwall-node/src/gateway/duties/demand_tracker.rs
+++ b/crates/beamwall-node/src/gateway/duties/demand_tracker.rs
@@ -62,6 +62,11 @@
         sizing::needed(self.work, &estimates, slots(gateway, service), objectives(policy, service))
     }
 
+    /// Requests a second of each back end if `needed` ones share the work.
+    pub(super) fn requests_per_back_end(&self, needed: Needed) -> f64 {
+        self.work.requests / f64::from(needed.usual.max(1))
+    }
+
     /// Whether a plan can be made: the needs are known, or the list of back ends counts as complete.
     pub(super) fn is_settled(&self) -> bool {
         let listed = self.peak_at.is_some_and(|at| at.elapsed() >= LIST_SETTLE_TIME);
