Gateway: a denied permit does not keep a node from asking for more urgent requests

Cause: the permit node keeps some permits for urgent requests, and a node remembered each denial for requests of all ranks. Change: a denial holds for its rank and less urgent ones. Rejections of brittle engines are forgotten after ten seconds, when the rate has doubled ten times.

--- a/crates/beamwall-engine-limits/src/rejections.rs
+++ b/crates/beamwall-engine-limits/src/rejections.rs
@@ -17,7 +17,7 @@
 /// Time in which the rate doubles without a rejection.
 const DOUBLING_TIME: Duration = Duration::from_secs(1);
 /// Time after which an engine that rejected nothing is unlimited again.
-const FORGOTTEN_AFTER: Duration = Duration::from_secs(20);
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(10);
 /// Rejections within this time after another one do not reduce the rate further: their requests were sent
 /// before it was reduced.
 const REDUCTION_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/beamwall-engine-limits/tests/permits.rs
+++ b/crates/beamwall-engine-limits/tests/permits.rs
@@ -55,13 +55,13 @@
 
     /// A request of a rank comes to a node.
     fn request(&mut self, node: usize, rank: u8, now: Instant) {
-        if self.denials[node].wait(&engine(), now).is_some() {
+        if self.denials[node].wait(&engine(), rank, now).is_some() {
             return;
         }
         let ledger = &self.ledgers[self.views[node]];
         match ledger.request(&engine(), Allowance::for_limit(self.limit), self.fraction, rank, now) {
             Grant::Granted => self.sent.push(now),
-            Grant::Denied(wait) => self.denials[node].note(&engine(), wait, now),
+            Grant::Denied(wait) => self.denials[node].note(&engine(), rank, wait, now),
         }
     }
 
@@ -213,3 +213,15 @@
     while ledger.request(&engine(), rate, 1.0, 9, later) == Grant::Granted {}
     assert_eq!(ledger.request(&engine(), rate, 1.0, 0, later), Grant::Granted);
 }
+
+/// Guards against: a denial of the least urgent request keeps a node from asking for its most urgent ones.
+#[test]
+fn a_denial_holds_for_its_rank_and_less_urgent_ones() {
+    let (denials, start) = (Denials::default(), Instant::now());
+    denials.note(&engine(), 5, WINDOW, start);
+    assert_eq!(denials.wait(&engine(), 4, start), None);
+    assert_eq!(denials.wait(&engine(), 5, start), Some(WINDOW));
+    assert_eq!(denials.denied(9, start), vec![engine()]);
+    assert!(denials.denied(0, start).is_empty());
+    assert!(denials.denied(9, start + WINDOW).is_empty());
+}
--- a/crates/beamwall-gateway/src/attempts.rs
+++ b/crates/beamwall-gateway/src/attempts.rs
@@ -220,6 +220,7 @@
     /// the retry budget is empty, it tries again after a delay, since either may change soon.
     async fn return_to_abandoned(&mut self, forwarder: &Forwarder, call: &Call) -> Option<PermittedChoice> {
         let abandoned = self.abandoned.clone()?;
+        let rank = call.rank(forwarder.call_prefill_ms(call));
         while self.returns < MAX_RETURNS {
             if self.returns > 0 {
                 process_clock::sleep(RETURN_DELAY).await;
@@ -229,7 +230,7 @@
                 return None;
             }
             let Some(retry) = forwarder.retries.reserve(&call.service, Instant::now()) else { continue };
-            if let Ok(permit) = forwarder.admit(call, &abandoned.backend).await {
+            if let Ok(permit) = forwarder.admit(call, rank, &abandoned.backend).await {
                 retry.spend();
                 forwarder.note_chosen(call, &abandoned, 0);
                 return Some(PermittedChoice { choice: abandoned, permit });
--- a/crates/beamwall-gateway/src/call.rs
+++ b/crates/beamwall-gateway/src/call.rs
@@ -14,7 +14,7 @@
 use crate::ports::Prompt;
 
 /// Highest rank sent to back ends; the least urgent.
-const LOWEST_PRIORITY_RANK: u8 = 9;
+pub const LOWEST_PRIORITY_RANK: u8 = 9;
 /// Number of route ranks within one tenant rank.
 const RANKS_PER_TENANT_RANK: u8 = 3;
 
--- a/crates/beamwall-gateway/src/engine_gate.rs
+++ b/crates/beamwall-gateway/src/engine_gate.rs
@@ -17,6 +17,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::call::LOWEST_PRIORITY_RANK;
 use crate::directory::Directory;
 
 /// Time for which an engine is not used after its permit node did not answer.
@@ -135,21 +136,23 @@
         self.limits.limit(backend).is_some() || is_rejecting()
     }
 
-    /// Engines whose limit is used up for now, as far as this node knows.
-    pub fn exhausted(&self) -> Vec<BackendId> {
-        self.denials.denied(Instant::now())
+    /// Engines whose limit is used up for now for requests of this rank, as far as this node knows.
+    pub fn exhausted(&self, rank: u8) -> Vec<BackendId> {
+        self.denials.denied(rank, Instant::now())
     }
 
-    /// Time until an engine with a used up limit may be asked for again; `None`: now.
-    pub fn wait(&self, backend: &BackendId, now: Instant) -> Option<Duration> {
-        self.denials.wait(backend, now)
+    /// Time until a permit for a request of this rank at an engine may be requested again; `None`: now.
+    pub fn wait(&self, backend: &BackendId, rank: u8) -> Option<Duration> {
+        self.denials.wait(backend, rank, Instant::now())
     }
 
     /// Whether the next request should prefer an engine in order to confirm its limit. It is true once per
     /// [`CONFIRM_AFTER`], since the request may fail or be denied a permit.
     pub fn take_confirmation(&self, backend: &BackendId) -> bool {
         let now = Instant::now();
-        if !self.limits.is_unconfirmed(backend, CONFIRM_AFTER, now) || self.wait(backend, now).is_some() {
+        if !self.limits.is_unconfirmed(backend, CONFIRM_AFTER, now)
+            || self.wait(backend, LOWEST_PRIORITY_RANK).is_some()
+        {
             return false;
         }
         let mut confirmations = self.confirmations.lock().unwrap_or_else(PoisonError::into_inner);
@@ -166,7 +169,7 @@
         if !self.is_restricted(backend) {
             return Ok(granted());
         }
-        if let Some(wait) = self.wait(backend, Instant::now()) {
+        if let Some(wait) = self.wait(backend, rank) {
             return Err(LimitReached { wait });
         }
         let now = Instant::now();
@@ -182,7 +185,7 @@
             },
             PermitOutcome::Unanswered => UNANSWERED_WAIT,
         };
-        self.denials.note(backend, wait, Instant::now());
+        self.denials.note(backend, rank, wait, Instant::now());
         Err(LimitReached { wait })
     }
 
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -36,6 +36,9 @@
 /// Fraction of the route's objective within which a start in the first group is acceptable.
 const ACCEPTABLE_DELAY_SHARE: f64 = 0.5;
 
+/// Rank of the most urgent requests. The rank of a request that is placed for a peer is not known.
+const MOST_URGENT_RANK: u8 = 0;
+
 /// Permits that are requested and denied for one choice, before all engines with a limit are left out.
 const MAX_DENIED_PERMITS: usize = 3;
 
@@ -111,14 +114,15 @@
     /// as long as one of them responds.
     pub async fn choose(&self, call: &Call, avoided: &[BackendId]) -> Result<PermittedChoice, NoBackEnd> {
         let versions = self.rollouts.rule(&call.service, call.request_id.as_deref(), beamwall_clock::now());
-        let mut exhausted = self.exhausted_engines(call);
+        let rank = call.rank(self.call_prefill_ms(call));
+        let mut exhausted = self.exhausted_engines(call, rank);
         let mut denials = 0;
         loop {
             let excluded = [avoided, &exhausted].concat();
             let Some(choice) = self.choose_among(call, &excluded, versions.as_ref()).await else {
-                return Err(self.no_back_end(call, avoided));
+                return Err(self.no_back_end(call, rank, avoided));
             };
-            let Ok(permit) = self.admit(call, &choice.backend).await else {
+            let Ok(permit) = self.admit(call, rank, &choice.backend).await else {
                 denials += 1;
                 exhausted.push(choice.backend);
                 if denials == MAX_DENIED_PERMITS {
@@ -131,9 +135,13 @@
         }
     }
 
-    /// Asks for a permit to send a call to a back end.
-    pub(crate) async fn admit(&self, call: &Call, backend: &BackendId) -> Result<SendPermit, LimitReached> {
-        let rank = call.rank(self.call_prefill_ms(call));
+    /// Asks for a permit to send a call of this rank to a back end.
+    pub(crate) async fn admit(
+        &self,
+        call: &Call,
+        rank: u8,
+        backend: &BackendId,
+    ) -> Result<SendPermit, LimitReached> {
         let admitted = self.gate.admit(backend, rank).await;
         if admitted.is_err() {
             self.metrics.permits_denied.with_label_values(&[call.service.as_str()]).inc();
@@ -141,9 +149,9 @@
         admitted
     }
 
-    /// Engines of the call's service whose limit is used up for now.
-    fn exhausted_engines(&self, call: &Call) -> Vec<BackendId> {
-        let mut exhausted = self.gate.exhausted();
+    /// Engines of the call's service whose limit is used up for now for calls of this rank.
+    fn exhausted_engines(&self, call: &Call, rank: u8) -> Vec<BackendId> {
+        let mut exhausted = self.gate.exhausted(rank);
         if !exhausted.is_empty() {
             let directory = self.directory.load();
             exhausted.retain(|backend| {
@@ -155,11 +163,10 @@
 
     /// Why no back end outside `avoided` takes a call: because of the limits that engines name, if there is
     /// any whose limit is used up.
-    fn no_back_end(&self, call: &Call, avoided: &[BackendId]) -> NoBackEnd {
-        let now = Instant::now();
-        let exhausted = self.exhausted_engines(call).into_iter();
+    fn no_back_end(&self, call: &Call, rank: u8, avoided: &[BackendId]) -> NoBackEnd {
+        let exhausted = self.exhausted_engines(call, rank).into_iter();
         let waits = exhausted.filter(|backend| !avoided.contains(backend));
-        match waits.filter_map(|backend| self.gate.wait(&backend, now)).min() {
+        match waits.filter_map(|backend| self.gate.wait(&backend, rank)).min() {
             Some(wait) => NoBackEnd::LimitReached(LimitReached { wait }),
             None => NoBackEnd::Unavailable,
         }
@@ -321,7 +328,7 @@
         let now = Instant::now();
         self.backend_state.reports.note(&engine_query.sender, &engine_query.unreachable, now);
         self.backend_state.models.add_report(engine_query.observed.clone(), now);
-        let exhausted = self.gate.exhausted();
+        let exhausted = self.gate.exhausted(MOST_URGENT_RANK);
         let avoided = [engine_query.tried.as_slice(), &engine_query.unreachable, &exhausted].concat();
         // Senders choose canary back ends themselves, so this applies to all other requests.
         let versions = self.rollouts.rule(&engine_query.service, None, beamwall_clock::now());
--- a/crates/beamwall-gateway/src/reachability_probe.rs
+++ b/crates/beamwall-gateway/src/reachability_probe.rs
@@ -7,6 +7,7 @@
 use hyper::Request;
 use rand::seq::IteratorRandom;
 
+use crate::call::LOWEST_PRIORITY_RANK;
 use crate::directory::Backend;
 use crate::forward::Forwarder;
 
@@ -14,8 +15,6 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Rank of a probe among the requests at an engine that names a limit: the least urgent.
-const PROBE_RANK: u8 = 9;
 
 /// Probes one engine of each unreachable service at intervals, until the task is aborted.
 pub async fn run(forwarder: &Forwarder) {
@@ -32,7 +31,7 @@
 /// Whether any engine of a service responds. The request is one that no engine runs.
 async fn probe(forwarder: &Forwarder, service: &ServiceName) -> bool {
     let Some(engine) = any_engine(forwarder, service) else { return false };
-    let Ok(_permit) = forwarder.gate.admit(&engine.id, PROBE_RANK).await else { return false };
+    let Ok(_permit) = forwarder.gate.admit(&engine.id, LOWEST_PRIORITY_RANK).await else { return false };
     let mut request = Request::new(empty());
     *request.headers_mut() = forwarder.dialect.probe_headers();
     let sent = forwarder.pool.send(engine.address, request);
