Rollout evidence: nodes tell peers that restarted what ended generations counted

What callers saw: in a deployment of more than 24 gateways, a part of whose zone restarts during a rollout, the new version may receive more requests than the exposure bound allows, and a bad version may succeed.

Cause: nodes report their present counts to each other and nothing else, so a node that restarts never hears of what ended generations counted, and the sum of a new relay lacks it.

Change: a node keeps counts of ended generations (restarted, died or left) by generation. Each report to peers lists them with a checksum of their counts, 8 bytes each (EvidenceMessage, field 7), and contains the counts of those that a peer did not list, unless another node has told the same since. Counts of one generation are merged by the larger, count by count, so nothing counts twice, and what is lost is told again. Replies to single peers have the list only. Earlier builds pass over the field. own_evidence returns NodeEvidence; the literal in rollout_wire gains the new field. zone_evidence is unchanged. zone_restart's simulation has zones of several nodes now; its checks and scenarios are as they were. Weighed: one sum over all ended generations (sums that overlap in part lose counts for good), a question at start (who is asked may have missed a report; a call more), the whole past in each report (24 kB for each ended generation, for ever).

No call more.

--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -218,7 +218,8 @@
         let (models, slowness) = self.own_observations();
         let base = self.heartbeat_without_quotas(tick.updates);
         let usage = if self.is_large_deployment() { self.usage_delta() } else { base.usage };
-        let heartbeat = GatewayHeartbeat { quota_uses, demands, models, slowness, usage, ..base };
+        let rollouts = self.node_rollout_update();
+        let heartbeat = GatewayHeartbeat { quota_uses, demands, models, slowness, usage, rollouts, ..base };
         let probe =
             self.envelope(Body::GatewayBeat(GatewayHeartbeat { wants_answer: true, ..heartbeat.clone() }));
         let plain = self.envelope(Body::GatewayBeat(heartbeat));
@@ -282,7 +283,8 @@
         targets
     }
 
-    /// A heartbeat for a single peer. It has no quota usage, which must be sent to all peers together.
+    /// A heartbeat for a single peer. It has no quota usage and no evidence of ended generations, which must be
+    /// sent to all peers together.
     fn heartbeat_without_quotas(&self, members: Vec<MemberUpdate>) -> GatewayHeartbeat {
         let directory = self.directory.load();
         let forwarder = &self.gateway.forwarder;
@@ -300,7 +302,7 @@
             life: self.generation,
             usage: heartbeat_wire::encode_usage(forwarder.usage.recent(REPORTED_WINDOWS)),
             members_known: u32::try_from(self.members.load().members.len()).unwrap_or(u32::MAX),
-            rollouts: self.node_rollout_update(),
+            rollouts: self.node_rollout_update_for_one_peer(),
             time_ms: since_1970_ms(SystemTime::now()),
             quarantine_digest: self.quarantine_digest(),
             engine_limits: heartbeat_wire::encode_engine_limits(&forwarder.gate.reports()),
@@ -470,7 +472,7 @@
             self.zones.note_node_report();
         }
         if let Some(update) = &heartbeat.rollouts {
-            self.apply_node_rollouts(&node, heartbeat.life, update);
+            self.apply_node_rollouts(&ZoneName::new(&envelope.zone), &node, heartbeat.life, update);
         }
         let reporter = Reporter::Node(node.clone());
         let forwarder = &self.gateway.forwarder;
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -376,7 +376,9 @@
         reachability: EngineReachability::default(),
         delegation: peers.delegation,
         demand: DemandTracker::default(),
-        rollouts: RolloutRegistry::default().for_generation(&settings.node, generation),
+        rollouts: RolloutRegistry::default()
+            .for_generation(&settings.node, generation)
+            .in_zone(&settings.zone),
         retries: RetryBudgets::new(retries, nodes),
         usage: UsageLedger::new(settings.usage_window)
             .for_generation(&settings.node, generation)
--- a/crates/beamwall-node/src/gateway/rollout_wire.rs
+++ b/crates/beamwall-node/src/gateway/rollout_wire.rs
@@ -3,12 +3,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use beamwall_model::{BackendId, EngineVersion, ServiceName, to_ms};
+use beamwall_model::{BackendId, EngineVersion, ServiceName, ZoneName, to_ms};
 use beamwall_peer::rollout_message::{
-    AnswerCountsMessage, EvidenceMessage, OrderIdMessage, OrderMessage, RolloutUpdate, StageMessage,
+    AnswerCountsMessage, EndedEvidenceMessage, EndedGenerationMessage, EvidenceMessage, OrderIdMessage,
+    OrderMessage, RolloutUpdate, StageMessage,
 };
 use beamwall_rollout::{
-    AnswerCounts, CountsByBackEnd, Evidence, OrderId, OrderUpdate, RolloutOrder, Stage, StageUpdate, Verdict,
+    AnswerCounts, CountsByBackEnd, EndedDigest, EndedGeneration, EndedReport, Evidence, NodeEvidence,
+    OrderId, OrderUpdate, RolloutOrder, Stage, StageUpdate, Verdict,
 };
 
 fn encode_id(id: &OrderId) -> Option<OrderIdMessage> {
@@ -40,16 +42,35 @@
     }
 }
 
-/// Encodes the rollouts; `None` if there are none.
+/// Encodes the rollouts with the evidence of a zone; `None` if there are none.
 pub fn encode(
     orders: Vec<OrderUpdate>,
     stages: Vec<StageUpdate>,
     evidence: Vec<(OrderId, Evidence)>,
+) -> Option<RolloutUpdate> {
+    let evidence = evidence.iter().map(|(id, evidence)| encode_evidence(id, evidence)).collect();
+    encode_with(orders, stages, evidence)
+}
+
+/// Encodes the rollouts with the evidence that a node reports; `None` if there are none.
+pub fn encode_node(
+    orders: Vec<OrderUpdate>,
+    stages: Vec<StageUpdate>,
+    evidence: Vec<(OrderId, NodeEvidence)>,
+) -> Option<RolloutUpdate> {
+    let evidence = evidence.iter().map(|(id, reported)| encode_node_evidence(id, reported)).collect();
+    encode_with(orders, stages, evidence)
+}
+
+fn encode_with(
+    orders: Vec<OrderUpdate>,
+    stages: Vec<StageUpdate>,
+    evidence: Vec<EvidenceMessage>,
 ) -> Option<RolloutUpdate> {
     (!orders.is_empty()).then(|| RolloutUpdate {
         orders: orders.iter().map(encode_order).collect(),
         stages: stages.iter().map(encode_stage).collect(),
-        evidence: evidence.iter().map(encode_evidence).collect(),
+        evidence,
     })
 }
 
@@ -76,7 +97,7 @@
     }
 }
 
-fn encode_evidence((id, evidence): &(OrderId, Evidence)) -> EvidenceMessage {
+fn encode_evidence(id: &OrderId, evidence: &Evidence) -> EvidenceMessage {
     let mut answers = encode_sums_by_route(&evidence.old);
     answers.extend(encode_counts(&evidence.new));
     EvidenceMessage {
@@ -86,6 +107,38 @@
         answers,
         old_answers: encode_counts(&evidence.old),
         generations: evidence.generations.as_slice().to_vec(),
+        ended: None,
+    }
+}
+
+fn encode_node_evidence(id: &OrderId, reported: &NodeEvidence) -> EvidenceMessage {
+    let ended = reported.ended.as_ref().map(encode_ended);
+    EvidenceMessage { ended, ..encode_evidence(id, &reported.counts) }
+}
+
+fn encode_ended(ended: &EndedReport) -> EndedEvidenceMessage {
+    EndedEvidenceMessage {
+        known: ended.known.iter().map(encode_digest).collect(),
+        told: ended.told.iter().map(encode_ended_generation).collect(),
+    }
+}
+
+fn encode_digest(digest: &EndedDigest) -> u64 {
+    u64::from(digest.generation) << u32::BITS | u64::from(digest.checksum)
+}
+
+fn decode_digest(encoded: u64) -> EndedDigest {
+    EndedDigest { generation: (encoded >> u32::BITS) as u32, checksum: encoded as u32 }
+}
+
+fn encode_ended_generation(ended: &EndedGeneration) -> EndedGenerationMessage {
+    EndedGenerationMessage {
+        zone: ended.zone.to_string(),
+        generation: ended.generation,
+        requests: ended.counts.requests,
+        exposed: ended.counts.exposed,
+        old_answers: encode_counts(&ended.counts.old),
+        new_answers: encode_counts(&ended.counts.new),
     }
 }
 
@@ -148,25 +201,60 @@
     update.stages.iter().filter_map(decode).collect()
 }
 
-/// Decodes evidence. Builds that do not distinguish the back ends of the old version send sums by route,
-/// which are counted as one back end with an empty name. Builds that do not name the generations of a sum
-/// leave its set of generations empty.
+/// Decodes the evidence of a zone.
 pub fn decode_evidence(update: &RolloutUpdate) -> Vec<(OrderId, Evidence)> {
-    let decode = |wire_entry: &EvidenceMessage| {
-        let (sums, of_new): (Vec<&AnswerCountsMessage>, Vec<&AnswerCountsMessage>) =
-            wire_entry.answers.iter().partition(|row| row.back_end.is_empty());
-        let of_old =
-            if wire_entry.old_answers.is_empty() { sums } else { wire_entry.old_answers.iter().collect() };
-        let evidence = Evidence {
-            requests: wire_entry.requests,
-            exposed: wire_entry.exposed,
-            old: decode_counts(of_old),
-            new: decode_counts(of_new),
-            generations: wire_entry.generations.iter().copied().collect(),
-        };
-        Some((decode_id(wire_entry.id.as_ref())?, evidence))
+    decode_each(update, decode_counts_of)
+}
+
+/// Decodes the evidence that a node reports.
+pub fn decode_node_evidence(update: &RolloutUpdate) -> Vec<(OrderId, NodeEvidence)> {
+    decode_each(update, |wire_entry| NodeEvidence {
+        counts: decode_counts_of(wire_entry),
+        ended: wire_entry.ended.as_ref().map(decode_ended),
+    })
+}
+
+fn decode_each<Decoded>(
+    update: &RolloutUpdate,
+    decode: impl Fn(&EvidenceMessage) -> Decoded,
+) -> Vec<(OrderId, Decoded)> {
+    let with_id =
+        |wire_entry: &EvidenceMessage| Some((decode_id(wire_entry.id.as_ref())?, decode(wire_entry)));
+    update.evidence.iter().filter_map(with_id).collect()
+}
+
+/// Decodes counts. Builds that do not distinguish the back ends of the old version send sums by route, which
+/// are counted as one back end with an empty name. Builds that do not name the generations of a sum leave its
+/// set of generations empty.
+fn decode_counts_of(wire_entry: &EvidenceMessage) -> Evidence {
+    let (sums, of_new): (Vec<&AnswerCountsMessage>, Vec<&AnswerCountsMessage>) =
+        wire_entry.answers.iter().partition(|row| row.back_end.is_empty());
+    let of_old =
+        if wire_entry.old_answers.is_empty() { sums } else { wire_entry.old_answers.iter().collect() };
+    Evidence {
+        requests: wire_entry.requests,
+        exposed: wire_entry.exposed,
+        old: decode_counts(of_old),
+        new: decode_counts(of_new),
+        generations: wire_entry.generations.iter().copied().collect(),
+    }
+}
+
+fn decode_ended(ended: &EndedEvidenceMessage) -> EndedReport {
+    let mut known: Vec<EndedDigest> = ended.known.iter().copied().map(decode_digest).collect();
+    known.sort_unstable();
+    EndedReport { known, told: ended.told.iter().map(decode_ended_generation).collect() }
+}
+
+fn decode_ended_generation(wire_entry: &EndedGenerationMessage) -> EndedGeneration {
+    let counts = Evidence {
+        requests: wire_entry.requests,
+        exposed: wire_entry.exposed,
+        old: decode_counts(wire_entry.old_answers.iter().collect()),
+        new: decode_counts(wire_entry.new_answers.iter().collect()),
+        generations: std::iter::once(wire_entry.generation).collect(),
     };
-    update.evidence.iter().filter_map(decode).collect()
+    EndedGeneration { zone: ZoneName::new(&wire_entry.zone), generation: wire_entry.generation, counts }
 }
 
 fn decode_counts(rows: Vec<&AnswerCountsMessage>) -> CountsByBackEnd {
--- a/crates/beamwall-node/src/gateway/rollouts.rs
+++ b/crates/beamwall-node/src/gateway/rollouts.rs
@@ -10,6 +10,7 @@
 use beamwall_gateway::ControlStoreError;
 use beamwall_gateway::ports::{ListedOrder, ListedOrders, RolloutStore};
 use beamwall_model::{NodeId, ServiceName, ZoneName};
+use beamwall_peer::MemberState;
 use beamwall_peer::rollout_message::RolloutUpdate;
 use beamwall_rollout::{OrderUpdate, RolloutRegistry};
 
@@ -114,10 +115,20 @@
         &self.gateway.forwarder.rollouts
     }
 
-    /// Orders, stages and the evidence counted by this node.
+    /// Orders, stages and the evidence counted by this node, for all peers.
     pub(super) fn node_rollout_update(&self) -> Option<RolloutUpdate> {
         let (registry, now) = (self.rollouts(), beamwall_clock::now());
-        rollout_wire::encode(registry.orders(now), registry.stages(now), registry.own_evidence())
+        let view = self.members.load();
+        let ended = view.members.iter().filter(|member| member.state >= MemberState::Dead);
+        registry.note_ended(ended.map(|member| &member.node));
+        rollout_wire::encode_node(registry.orders(now), registry.stages(now), registry.own_evidence())
+    }
+
+    /// The same for a single peer. What other peers lack is left for the update that all of them receive.
+    pub(super) fn node_rollout_update_for_one_peer(&self) -> Option<RolloutUpdate> {
+        let (registry, now) = (self.rollouts(), beamwall_clock::now());
+        let evidence = registry.own_evidence_for_one_peer();
+        rollout_wire::encode_node(registry.orders(now), registry.stages(now), evidence)
     }
 
     /// Orders, stages and the evidence counted by all nodes of this zone, for other zones.
@@ -127,9 +138,16 @@
     }
 
     /// Applies the rollouts and the evidence reported by a node.
-    pub(super) fn apply_node_rollouts(&self, node: &NodeId, generation: u64, update: &RolloutUpdate) {
+    pub(super) fn apply_node_rollouts(
+        &self,
+        zone: &ZoneName,
+        node: &NodeId,
+        generation: u64,
+        update: &RolloutUpdate,
+    ) {
         self.apply_rollout_update(update);
-        self.rollouts().merge_node_evidence(node, generation, &rollout_wire::decode_evidence(update));
+        let evidence = rollout_wire::decode_node_evidence(update);
+        self.rollouts().merge_node_evidence_of_zone(zone, node, generation, &evidence);
     }
 
     /// Applies the rollouts reported by a relay and the evidence of its zone.
--- a/crates/beamwall-node/tests/rollout_wire.rs
+++ b/crates/beamwall-node/tests/rollout_wire.rs
@@ -80,6 +80,7 @@
         answers: vec![row("letters", "", 70, 3), row("letters", "new-1", 10, 5)],
         old_answers: Vec::new(),
         generations: Vec::new(),
+        ended: None,
     };
     let news = RolloutUpdate { orders: Vec::new(), stages: Vec::new(), evidence: vec![told] };
     let (_, heard) = &rollout_wire::decode_evidence(&news)[0];
--- a/crates/beamwall-peer/src/rollout_message.rs
+++ b/crates/beamwall-peer/src/rollout_message.rs
@@ -102,6 +102,45 @@
     /// Hashes of the node generations whose counts these are, in sums of a zone; empty if they are not told.
     #[prost(fixed32, repeated, tag = "6")]
     pub generations: Vec<u32>,
+    /// What the sender knows of node generations that have ended, in heartbeats; `None` from builds that do
+    /// not know this field.
+    #[prost(message, optional, tag = "7")]
+    pub ended: Option<EndedEvidenceMessage>,
+}
+
+/// What a node knows of node generations that have ended.
+#[derive(Clone, PartialEq, Message)]
+pub struct EndedEvidenceMessage {
+    /// The generations whose counts the sender knows, 8 bytes each: the hash of the generation in the upper
+    /// half, the checksum of its counts in the lower one.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub known: Vec<u64>,
+    /// Counts that some receiver lacks.
+    #[prost(message, repeated, tag = "2")]
+    pub told: Vec<EndedGenerationMessage>,
+}
+
+/// Counts of one node generation that has ended.
+#[derive(Clone, PartialEq, Message)]
+pub struct EndedGenerationMessage {
+    /// Zone of the node.
+    #[prost(string, tag = "1")]
+    pub zone: String,
+    /// Hash of the generation.
+    #[prost(fixed32, tag = "2")]
+    pub generation: u32,
+    /// Requests to the service.
+    #[prost(uint64, tag = "3")]
+    pub requests: u64,
+    /// Requests sent to the new version.
+    #[prost(uint64, tag = "4")]
+    pub exposed: u64,
+    /// Responses of the old version by route and back end.
+    #[prost(message, repeated, tag = "5")]
+    pub old_answers: Vec<AnswerCountsMessage>,
+    /// Responses of the new version by route and back end.
+    #[prost(message, repeated, tag = "6")]
+    pub new_answers: Vec<AnswerCountsMessage>,
 }
 
 /// Number of responses on one route: of one back end, or of all back ends of the old version.
--- a/crates/beamwall-rollout/src/evidence.rs
+++ b/crates/beamwall-rollout/src/evidence.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use beamwall_model::{BackendId, GenerationSet};
+use xxhash_rust::xxh3::Xxh3;
 
 /// Counters of all answers and of the bad ones. Both only grow.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -58,7 +59,18 @@
     pub generations: GenerationSet,
 }
 
+impl AsRef<Evidence> for Evidence {
+    fn as_ref(&self) -> &Evidence {
+        self
+    }
+}
+
 impl Evidence {
+    /// Evidence of one generation, which has counted nothing yet.
+    pub fn of_generation(hash: u32) -> Self {
+        Self { generations: std::iter::once(hash).collect(), ..Self::default() }
+    }
+
     /// Sums the counts of different nodes. The sum names their generations if all of them are known.
     pub fn sum<'a>(parts: impl IntoIterator<Item = &'a Self>) -> Self {
         let parts: Vec<&Self> = parts.into_iter().filter(|part| part.has_counts()).collect();
@@ -80,6 +92,28 @@
         other.generations.as_slice().iter().any(|hash| self.generations.contains(*hash))
     }
 
+    /// Number of back ends on routes that have counts, of both versions.
+    pub fn rows(&self) -> usize {
+        self.old.len() + self.new.len()
+    }
+
+    /// Checksum of the counts, the same at each node and in each build.
+    pub fn checksum(&self) -> u32 {
+        let mut hasher = Xxh3::new();
+        for total in [self.requests, self.exposed, self.old.len() as u64] {
+            hasher.update(&total.to_le_bytes());
+        }
+        for ((route, back_end), counts) in self.old.iter().chain(&self.new) {
+            for name in [route.as_str(), back_end.as_str()] {
+                hasher.update(&(name.len() as u64).to_le_bytes());
+                hasher.update(name.as_bytes());
+            }
+            hasher.update(&counts.answers.to_le_bytes());
+            hasher.update(&counts.bad.to_le_bytes());
+        }
+        hasher.digest() as u32
+    }
+
     fn add_counts(&mut self, other: &Self) {
         self.requests += other.requests;
         self.exposed += other.exposed;
--- a/crates/beamwall-rollout/src/lib.rs
+++ b/crates/beamwall-rollout/src/lib.rs
@@ -18,10 +18,12 @@
 
 pub mod bounds;
 pub mod detector;
+mod ended_evidence;
 pub mod evidence;
 pub mod history;
 mod known_evidence;
 pub mod likelihood;
+pub mod node_evidence;
 pub mod order;
 pub mod outliers;
 pub mod registry;
@@ -34,6 +36,7 @@
 pub use bounds::Bounds;
 pub use detector::{Detector, Finding};
 pub use evidence::{AnswerCounts, CountsByBackEnd, Evidence};
+pub use node_evidence::{EndedDigest, EndedGeneration, EndedReport, NodeEvidence};
 pub use order::{OrderId, RolloutOrder};
 pub use registry::{OrderUpdate, RolloutRegistry, StageUpdate, VersionChoice, VersionRule};
 pub use rollout::{Rollout, VersionCapacity};
--- a/crates/beamwall-rollout/src/registry.rs
+++ b/crates/beamwall-rollout/src/registry.rs
@@ -12,6 +12,7 @@
 
 use crate::evidence::Evidence;
 use crate::known_evidence::KnownEvidence;
+use crate::node_evidence::NodeEvidence;
 use crate::order::{OrderId, RolloutOrder};
 use crate::stage::{Stage, Verdict};
 use crate::traffic;
@@ -163,11 +164,19 @@
 }
 
 /// The newest rollout order of each service, as known to one node.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RolloutRegistry {
     known: Mutex<BTreeMap<ServiceName, KnownOrder>>,
     /// This node's generation; empty if it is not known.
     generation: GenerationSet,
+    /// This node's zone.
+    zone: ZoneName,
+}
+
+impl Default for RolloutRegistry {
+    fn default() -> Self {
+        Self { known: Mutex::default(), generation: GenerationSet::default(), zone: ZoneName::new("") }
+    }
 }
 
 impl RolloutRegistry {
@@ -177,6 +186,12 @@
         Self { generation: [generation_hash(node, generation)].into_iter().collect(), ..self }
     }
 
+    /// Names the zone of the node that counts here, whose ended generations its sums include.
+    #[must_use]
+    pub fn in_zone(self, zone: &ZoneName) -> Self {
+        Self { zone: zone.clone(), ..self }
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeMap<ServiceName, KnownOrder>> {
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -209,7 +224,8 @@
     }
 
     fn known_order(&self, order_update: OrderUpdate, now: Instant) -> KnownOrder {
-        KnownOrder::new(order_update, KnownEvidence::of_generation(self.generation.clone()), now)
+        let evidence = KnownEvidence::new(self.zone.clone(), self.generation.clone());
+        KnownOrder::new(order_update, evidence, now)
     }
 
     /// Marks orders as withdrawn that the store no longer lists.
@@ -316,15 +332,22 @@
         answers.entry((route.to_owned(), back_end.clone())).or_default().note(is_bad);
     }
 
-    /// Returns what this node counted for each running order, to send to peers.
-    pub fn own_evidence(&self) -> Vec<(OrderId, Evidence)> {
-        self.collect(KnownEvidence::of_this_node)
+    /// Returns what this node counted for each running order, and what it knows of ended generations, to
+    /// send to all peers. What a peer lacks is contained in one such report only.
+    pub fn own_evidence(&self) -> Vec<(OrderId, NodeEvidence)> {
+        self.collect(KnownEvidence::report_to_all)
     }
 
-    /// Returns the counts of this node and of all nodes that report to it directly, to send to other
-    /// zones. They name the generations that counted anything.
+    /// Returns what this node counted for each running order, and which ended generations it knows, to send
+    /// to a single peer.
+    pub fn own_evidence_for_one_peer(&self) -> Vec<(OrderId, NodeEvidence)> {
+        self.collect(|known| known.report())
+    }
+
+    /// Returns the counts of this node, of all nodes of its zone that report to it directly, and of their
+    /// ended generations, to send to other zones. They name the generations that counted anything.
     pub fn evidence_of_nodes(&self) -> Vec<(OrderId, Evidence)> {
-        self.collect(KnownEvidence::of_zone)
+        self.collect(|known| known.of_zone())
     }
 
     /// Returns the counts of all nodes.
@@ -334,21 +357,40 @@
         known.map_or_else(Evidence::default, |known| known.evidence.of_all())
     }
 
-    fn collect(&self, of: impl Fn(&KnownEvidence) -> Evidence) -> Vec<(OrderId, Evidence)> {
-        let registry = self.lock();
+    fn collect<Reported>(&self, of: impl Fn(&mut KnownEvidence) -> Reported) -> Vec<(OrderId, Reported)> {
+        let mut registry = self.lock();
         let running =
-            registry.values().filter(|known| known.verdict == Verdict::Running && !known.is_withdrawn);
-        running.map(|known| (known.order.id.clone(), of(&known.evidence))).collect()
+            registry.values_mut().filter(|known| known.verdict == Verdict::Running && !known.is_withdrawn);
+        running.map(|known| (known.order.id.clone(), of(&mut known.evidence))).collect()
+    }
+
+    /// Merges what one generation of another node of this zone reported.
+    pub fn merge_node_evidence(&self, node: &NodeId, generation: u64, reported: &[(OrderId, NodeEvidence)]) {
+        self.merge_node_evidence_of_zone(&self.zone, node, generation, reported);
     }
 
-    /// Merges the counts of one generation of another node.
-    pub fn merge_node_evidence(&self, node: &NodeId, generation: u64, reported: &[(OrderId, Evidence)]) {
-        self.merge_evidence(reported, |known, evidence| known.merge_node(node, generation, evidence));
+    /// Merges what one generation of a node of any zone reported.
+    pub fn merge_node_evidence_of_zone(
+        &self,
+        zone: &ZoneName,
+        node: &NodeId,
+        generation: u64,
+        reported: &[(OrderId, NodeEvidence)],
+    ) {
+        self.merge_evidence(reported, |known, evidence| known.merge_node(zone, node, generation, evidence));
+    }
+
+    /// Notes that nodes have died or left, so that peers that restart are told what they counted.
+    pub fn note_ended<'a>(&self, nodes: impl Iterator<Item = &'a NodeId>) {
+        let mut registry = self.lock();
+        for node in nodes {
+            registry.values_mut().for_each(|known| known.evidence.note_ended(node));
+        }
     }
 
     /// Merges the summed counts of another zone.
-    pub fn merge_zone_evidence(&self, zone: &ZoneName, reported: &[(OrderId, Evidence)]) {
-        self.merge_evidence(reported, |known, evidence| known.merge_zone(zone, evidence));
+    pub fn merge_zone_evidence<Sum: AsRef<Evidence>>(&self, zone: &ZoneName, reported: &[(OrderId, Sum)]) {
+        self.merge_evidence(reported, |known, sum| known.merge_zone(zone, sum.as_ref()));
     }
 
     /// Removes what a node of another zone reported directly from the sums of this zone's nodes: from now
@@ -359,10 +401,10 @@
         }
     }
 
-    fn merge_evidence(
+    fn merge_evidence<Reported>(
         &self,
-        reported: &[(OrderId, Evidence)],
-        merge: impl Fn(&mut KnownEvidence, &Evidence),
+        reported: &[(OrderId, Reported)],
+        merge: impl Fn(&mut KnownEvidence, &Reported),
     ) {
         let mut registry = self.lock();
         for (order, evidence) in reported {
--- a/crates/beamwall-rollout/tests/zone_restart.rs
+++ b/crates/beamwall-rollout/tests/zone_restart.rs
@@ -1,14 +1,15 @@
-//! Simulates rollouts during which all nodes of a zone are killed and start again. The operator's bounds on
-//! bad versions hold whatever the zone counted before.
+//! Simulates rollouts during which all or some nodes of a zone are killed and start again. The operator's
+//! bounds on bad versions hold whatever the zone counted before.
 //!
-//! Everything but the restart is at its best: stages and summaries arrive without delay or loss, and no back
-//! end fails. Each zone is one registry, since its nodes die together; the lease holder is in the first zone,
-//! which runs on.
+//! Everything but the restart is at its best: stages, reports and summaries arrive without delay or loss, and
+//! no back end fails. Where all nodes of a zone die together it is one registry; the lease holder is in the
+//! first zone, which runs on.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::time::Duration;
 
-use beamwall_model::BackendId;
+use beamwall_model::{BackendId, NodeId};
 use beamwall_rollout::{
     Bounds, Evidence, OrderId, OrderUpdate, Rollout, RolloutOrder, RolloutRegistry, StageUpdate, Verdict,
     VersionCapacity, VersionChoice,
@@ -20,6 +21,10 @@
 
 const BOUNDS: Bounds =
     Bounds { exposure_share: 0.1, exposure_slack: 50.0, rollback: Duration::from_millis(5_000) };
+/// Nodes of each zone that report to other zones.
+const RELAYS: usize = 2;
+/// Nodes of a zone of which some run on.
+const NODES_OF_ZONE: usize = 4;
 /// Time without a disruption after which the rules bind a machine (`contact_ms`).
 const CONTACT_MS: u64 = 4_000;
 /// Time after the kill of a zone in which it serves nothing.
@@ -47,14 +52,24 @@
 /// Seeds of each scenario.
 const RUNS: u64 = 10;
 
+/// Nodes of a zone that are killed at the same time and start again.
+#[derive(Debug, Clone)]
+struct Kill {
+    zone: usize,
+    nodes: Range<usize>,
+    at_ms: u64,
+}
+
 /// One rollout of a bad version.
 #[derive(Debug, Clone)]
 struct Scenario {
     interval_ms: u64,
     /// The zone of each request, in rotation: an index that appears twice receives twice the requests.
     zones_of_requests: Vec<usize>,
-    /// Zones that are killed, and when.
-    kills: Vec<(usize, u64)>,
+    /// Nodes of each zone.
+    nodes_of_zone: usize,
+    /// Zones, and which of their nodes are killed when.
+    kills: Vec<Kill>,
     /// When the version turns bad.
     onset_ms: u64,
     /// Additional share of bad answers from then on.
@@ -93,11 +108,22 @@
     }
 }
 
+/// A node of a zone.
+struct Node {
+    name: NodeId,
+    registry: RolloutRegistry,
+    /// Generation of the present process.
+    generation: u64,
+    /// When it begins to serve.
+    started_at_ms: u64,
+}
+
 /// An answer in transit.
 struct Answer {
     zone: usize,
-    /// Start of the zone that sent the request.
-    zone_started_at_ms: u64,
+    node: usize,
+    /// Start of the node that sent the request.
+    node_started_at_ms: u64,
     back_end: BackendId,
     is_new: bool,
     is_bad: bool,
@@ -110,8 +136,8 @@
     order: OrderId,
     old: Vec<BackendId>,
     new: Vec<BackendId>,
-    zones: Vec<RolloutRegistry>,
-    started_at_ms: Vec<u64>,
+    /// Nodes by zone; the lease holder is the first one.
+    zones: Vec<Vec<Node>>,
     /// Answers in transit by the time at which they arrive.
     answers: BTreeMap<u64, Vec<Answer>>,
     outcome: Outcome,
@@ -130,11 +156,12 @@
         old: ids("old"),
         new: ids("new"),
         zones: Vec::new(),
-        started_at_ms: vec![0; zones],
         answers: BTreeMap::new(),
         outcome: Outcome::default(),
     };
-    simulation.zones = (0..zones).map(|zone| simulation.registry_with_order(zone, 0)).collect();
+    let nodes = |zone| (0..scenario.nodes_of_zone).map(move |node| (zone, node));
+    let started = |zone| nodes(zone).map(|(zone, node)| simulation.node(zone, node, 0, 0, 0)).collect();
+    simulation.zones = (0..zones).map(started).collect();
     simulation.run();
     simulation.outcome
 }
@@ -148,31 +175,36 @@
         RolloutOrder { id: self.order.clone(), interval: Duration::from_millis(self.scenario.interval_ms) }
     }
 
-    /// A registry of a node that receives the order from others, which know when it was placed.
-    fn registry_with_order(&self, zone: usize, now_ms: u64) -> RolloutRegistry {
-        self.registry_with_order_of_age(zone, Duration::from_millis(now_ms), now_ms)
-    }
-
-    fn registry_with_order_of_age(&self, zone: usize, age: Duration, now_ms: u64) -> RolloutRegistry {
-        let node = format!("node-of-zone-{zone}");
-        let registry = RolloutRegistry::default().for_generation(&node.as_str().into(), now_ms);
+    /// A node whose process begins at `generation` in milliseconds and receives the order, of the given age.
+    fn node(&self, zone: usize, node: usize, generation: u64, age_ms: u64, started_at_ms: u64) -> Node {
+        let name = NodeId::new(format!("node-{node}-of-zone-{zone}"));
+        let registry = RolloutRegistry::default().for_generation(&name, generation);
         let order_update = OrderUpdate {
             order: self.order(),
             revision: 10,
-            age,
+            age: Duration::from_millis(age_ms),
             verdict: Verdict::Running,
             is_withdrawn: false,
         };
-        registry.merge_order(order_update, self.at(now_ms));
-        registry
+        registry.merge_order(order_update, self.at(generation));
+        Node { name, registry, generation, started_at_ms }
+    }
+
+    /// Kills nodes. They receive the order from others, which know when it was placed.
+    fn kill(&mut self, kill: &Kill) {
+        for node in kill.nodes.clone() {
+            let started_at_ms = kill.at_ms + RESTART_MS;
+            self.zones[kill.zone][node] = self.node(kill.zone, node, kill.at_ms, kill.at_ms, started_at_ms);
+        }
     }
 
     /// Kills all zones. They read the order from the store again, which does not tell when it was placed.
     fn kill_all(&mut self, now_ms: u64) {
         let started_at_ms = now_ms + RESTART_MS;
         for zone in 0..self.zones.len() {
-            self.zones[zone] = self.registry_with_order_of_age(zone, Duration::ZERO, started_at_ms);
-            self.started_at_ms[zone] = started_at_ms;
+            for node in 0..self.zones[zone].len() {
+                self.zones[zone][node] = self.node(zone, node, started_at_ms, 0, started_at_ms);
+            }
         }
     }
 
@@ -180,10 +212,7 @@
         let mut rollout = Rollout::new(self.order(), BOUNDS, self.began);
         for now_ms in (0..self.scenario.interval_ms + AFTER_END_MS).step_by(STEP_MS as usize) {
             let kills = self.scenario.kills.clone();
-            for (zone, _) in kills.iter().filter(|(_, at)| *at == now_ms) {
-                self.zones[*zone] = self.registry_with_order(*zone, now_ms);
-                self.started_at_ms[*zone] = now_ms + RESTART_MS;
-            }
+            kills.iter().filter(|kill| kill.at_ms == now_ms).for_each(|kill| self.kill(kill));
             if self.scenario.all_killed_at_ms == Some(now_ms) {
                 self.kill_all(now_ms);
                 rollout = Rollout::new(self.order(), BOUNDS, self.at(now_ms + RESTART_MS));
@@ -191,6 +220,7 @@
             self.send_requests(now_ms);
             self.count_answers(now_ms);
             if now_ms.is_multiple_of(SUMMARY_INTERVAL_MS) {
+                self.send_reports();
                 self.send_summaries();
             }
             let is_without_holder = self
@@ -206,19 +236,37 @@
         }
     }
 
+    /// The nodes of each zone report to each other.
+    fn send_reports(&self) {
+        for nodes in &self.zones {
+            for sender in nodes {
+                let reported = sender.registry.own_evidence();
+                for receiver in nodes.iter().filter(|receiver| receiver.name != sender.name) {
+                    receiver.registry.merge_node_evidence(&sender.name, sender.generation, &reported);
+                }
+            }
+        }
+    }
+
     fn send_summaries(&self) {
-        for (zone, registry) in self.zones.iter().enumerate().skip(1) {
-            let summary: Vec<(OrderId, Evidence)> = registry.evidence_of_nodes();
-            let start_ms = if self.scenario.keeps_starts_apart { self.started_at_ms[zone] } else { 0 };
-            let name = format!("zone-{zone}-{start_ms}");
-            self.zones[0].merge_zone_evidence(&name.as_str().into(), &summary);
+        for (zone, nodes) in self.zones.iter().enumerate().skip(1) {
+            for relay in nodes.iter().take(RELAYS) {
+                let summary: Vec<(OrderId, Evidence)> = relay.registry.evidence_of_nodes();
+                let start_ms = if self.scenario.keeps_starts_apart { relay.started_at_ms } else { 0 };
+                let name = format!("zone-{zone}-{start_ms}");
+                self.holder().merge_zone_evidence(&name.as_str().into(), &summary);
+            }
         }
     }
 
+    fn holder(&self) -> &RolloutRegistry {
+        &self.zones[0][0].registry
+    }
+
     fn evaluate(&mut self, rollout: &mut Rollout, now_ms: u64) {
         let running_at_old = self.answers.values().flatten().filter(|answer| !answer.is_new).count() as u64;
         let capacity = VersionCapacity { new: BACK_ENDS, old: BACK_ENDS, running_at_old };
-        let evidence = self.zones[0].evidence(&self.order);
+        let evidence = self.holder().evidence(&self.order);
         match rollout.evaluate(&evidence, capacity, self.at(now_ms)) {
             Verdict::Running => {}
             Verdict::RolledBack => self.outcome.rolled_back_at_ms = Some(now_ms),
@@ -233,9 +281,9 @@
             stage: rollout.stage(),
             age: Duration::ZERO,
         };
-        for registry in &self.zones {
-            registry.merge_stage(&stage_update, self.at(now_ms));
-            registry.merge_verdict(&self.order, rollout.verdict(), self.at(now_ms));
+        for node in self.zones.iter().flatten() {
+            node.registry.merge_stage(&stage_update, self.at(now_ms));
+            node.registry.merge_verdict(&self.order, rollout.verdict(), self.at(now_ms));
         }
     }
 
@@ -244,15 +292,16 @@
             let rotation = now_ms / STEP_MS * REQUESTS_PER_STEP + number;
             let zones = &self.scenario.zones_of_requests;
             let zone = zones[rotation as usize % zones.len()];
-            if now_ms >= self.started_at_ms[zone] {
-                self.send_request(zone, now_ms);
+            let node = rotation as usize / zones.len() % self.zones[zone].len();
+            if now_ms >= self.zones[zone][node].started_at_ms {
+                self.send_request(zone, node, now_ms);
             }
         }
     }
 
-    fn send_request(&mut self, zone: usize, now_ms: u64) {
+    fn send_request(&mut self, zone: usize, node: usize, now_ms: u64) {
         let request = self.random.random::<u64>().to_string();
-        let registry = &self.zones[zone];
+        let Node { registry, started_at_ms, .. } = &self.zones[zone][node];
         let service = &self.order.service;
         registry.note_request(service);
         let rule = registry.rule(service, Some(&request), self.at(now_ms));
@@ -265,10 +314,10 @@
         let back_end = (*candidates.choose(&mut self.random).expect("back ends")).clone();
         registry.note_sent(service, &if is_new { "new" } else { "old" }.into());
         let is_bad = self.random.random::<f64>() < self.bad_share(is_new, now_ms);
-        let zone_started_at_ms = self.started_at_ms[zone];
-        let answer = Answer { zone, zone_started_at_ms, back_end, is_new, is_bad };
+        let node_started_at_ms = *started_at_ms;
+        let answer = Answer { zone, node, node_started_at_ms, back_end, is_new, is_bad };
         self.answers.entry(now_ms + ANSWER_MS).or_default().push(answer);
-        let is_bound = zone_started_at_ms == 0 || now_ms >= zone_started_at_ms + CONTACT_MS;
+        let is_bound = node_started_at_ms == 0 || now_ms >= node_started_at_ms + CONTACT_MS;
         let is_before_end = now_ms < self.scenario.interval_ms;
         self.outcome.requests += u64::from(is_before_end);
         self.outcome.exposed += u64::from(is_before_end && is_new && is_bound);
@@ -289,11 +338,11 @@
                 self.outcome.bad_answers_ms.push(now_ms);
             }
             // A killed node counts no answers to what it sent.
-            if self.started_at_ms[answer.zone] == answer.zone_started_at_ms {
+            let node = &self.zones[answer.zone][answer.node];
+            if node.started_at_ms == answer.node_started_at_ms {
                 let version = if answer.is_new { "new" } else { "old" };
-                let registry = &self.zones[answer.zone];
                 let service = &self.order.service;
-                registry.note_answer(service, "chat", &answer.back_end, &version.into(), answer.is_bad);
+                node.registry.note_answer(service, "chat", &answer.back_end, &version.into(), answer.is_bad);
             }
         }
     }
@@ -317,7 +366,8 @@
             let scenario = Scenario {
                 interval_ms,
                 zones_of_requests,
-                kills: killed.into_iter().map(|zone| (zone, kill_at_ms)).collect(),
+                nodes_of_zone: 1,
+                kills: killed.into_iter().map(|zone| Kill { zone, nodes: 0..1, at_ms: kill_at_ms }).collect(),
                 onset_ms: (interval_ms as f64 * onset) as u64,
                 bad_share: SLIGHT_DEFECT_SHARE,
                 keeps_starts_apart,
@@ -329,6 +379,35 @@
     scenarios
 }
 
+/// Scenarios in which the zone of three quarters of the requests restarts in parts: the half with both relays,
+/// one half after the other, and one node after another.
+fn partial_restarts(interval_ms: u64, onset: f64) -> Vec<(String, Scenario)> {
+    let half = NODES_OF_ZONE / 2;
+    let parts: [(&str, Vec<Range<usize>>); 3] = [
+        ("the half with both relays", std::iter::once(0..half).collect()),
+        ("one half after the other", vec![0..half, half..NODES_OF_ZONE]),
+        ("one node after another", (0..NODES_OF_ZONE).map(|node| node..node + 1).collect()),
+    ];
+    let scenario_of = |(name, parts): (&str, Vec<Range<usize>>)| {
+        // The restarts end at three quarters of the interval.
+        let pause_ms = interval_ms / 4 / parts.len() as u64 / STEP_MS * STEP_MS;
+        let kill =
+            |(number, nodes)| Kill { zone: 1, nodes, at_ms: interval_ms / 2 + pause_ms * number as u64 };
+        let scenario = Scenario {
+            interval_ms,
+            zones_of_requests: vec![0, 1, 1, 1],
+            nodes_of_zone: NODES_OF_ZONE,
+            kills: parts.into_iter().enumerate().map(kill).collect(),
+            onset_ms: (interval_ms as f64 * onset) as u64,
+            bad_share: SLIGHT_DEFECT_SHARE,
+            keeps_starts_apart: false,
+            all_killed_at_ms: None,
+        };
+        (format!("{interval_ms} ms, {name}"), scenario)
+    };
+    parts.into_iter().map(scenario_of).collect()
+}
+
 /// Runs scenarios and returns descriptions of those whose runs exceed the exposure bound.
 fn exceeded_exposure(scenarios: &[(String, Scenario)]) -> Vec<String> {
     let mut exceeded = Vec::new();
@@ -396,6 +475,22 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
+/// Guards against more requests to a bad version than allowed because restarted nodes do not know what their
+/// zone counted before.
+#[test]
+fn the_exposure_bound_holds_when_parts_of_a_zone_restart() {
+    let exceeded = exceeded_exposure(&partial_restarts(12_000, LAST_MOMENT));
+    assert!(exceeded.is_empty(), "{exceeded:#?}");
+}
+
+/// Guards against a bad version that succeeds or is rolled back late for the same reason.
+#[test]
+fn a_bad_version_is_rolled_back_in_time_when_parts_of_a_zone_restart() {
+    let scenarios = [12_000, 60_000].into_iter().flat_map(|interval_ms| partial_restarts(interval_ms, LATE));
+    let wrong = wrong_verdicts(&scenarios.collect::<Vec<_>>());
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
 /// Guards against more requests to a bad version than allowed when all evidence and the order's start are lost.
 #[test]
 fn the_exposure_bound_holds_when_all_zones_restart() {
@@ -405,6 +500,7 @@
             let scenario = Scenario {
                 interval_ms,
                 zones_of_requests: vec![0, 1, 2],
+                nodes_of_zone: 1,
                 kills: Vec::new(),
                 onset_ms: (interval_ms as f64 * LAST_MOMENT) as u64,
                 bad_share: SLIGHT_DEFECT_SHARE,
