Rollout: a test in which the request rate is read between two reports; known red

What callers saw: nothing yet; found by the simulation of partial restarts. It is another fault than the evidence that restarted nodes lacked, and not mended here. No product code.

--- a/crates/beamwall-rollout/tests/zone_restart.rs
+++ b/crates/beamwall-rollout/tests/zone_restart.rs
@@ -491,6 +491,18 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
+/// Guards against a new version that receives all requests too early, with and without restarts, because the
+/// lease holder reads a low request rate between two reports.
+#[test]
+fn the_exposure_bound_holds_in_a_minute_in_which_reports_arrive_at_every_second_reading() {
+    let mut scenarios = partial_restarts(60_000, LAST_MOMENT);
+    let (_, without_restart) = &scenarios[0];
+    let without_restart = Scenario { kills: Vec::new(), ..without_restart.clone() };
+    scenarios.push(("60000 ms, no restart".to_owned(), without_restart));
+    let exceeded = exceeded_exposure(&scenarios);
+    assert!(exceeded.is_empty(), "{exceeded:#?}");
+}
+
 /// Guards against more requests to a bad version than allowed when all evidence and the order's start are lost.
 #[test]
 fn the_exposure_bound_holds_when_all_zones_restart() {
