Rollout evidence: a report is put together once, and a heartbeat encodes it once

What callers saw: nothing. Cause: found by reading the diff: a heartbeat to all encoded the evidence for a single peer and dropped it, and a report to all listed ended generations twice. Change: heartbeat_with takes the rollouts; report and report_to_all share report_with; the list is one function. No message changes. Processor time not measured.

--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -18,6 +18,7 @@
 use beamwall_model::{NodeId, ServiceName, TenantName, ZoneName, since_1970_ms};
 use beamwall_peer::gateway_message::{GatewayHeartbeat, UsageWindow, VersionUpdate};
 use beamwall_peer::message::{MemberUpdate, ProbeRequest};
+use beamwall_peer::rollout_message::RolloutUpdate;
 use beamwall_peer::{Body, Envelope, Member, MemberState, MembershipTiming, PeerNetwork, TransferPacer};
 use kameo::actor::ActorRef;
 use rand::seq::IteratorRandom;
@@ -216,10 +217,9 @@
         self.note_silent_zones();
         self.gateway.forwarder.quarantine.remove_expired();
         let (models, slowness) = self.own_observations();
-        let base = self.heartbeat_without_quotas(tick.updates);
+        let base = self.heartbeat_with(tick.updates, self.node_rollout_update());
         let usage = if self.is_large_deployment() { self.usage_delta() } else { base.usage };
-        let rollouts = self.node_rollout_update();
-        let heartbeat = GatewayHeartbeat { quota_uses, demands, models, slowness, usage, rollouts, ..base };
+        let heartbeat = GatewayHeartbeat { quota_uses, demands, models, slowness, usage, ..base };
         let probe =
             self.envelope(Body::GatewayBeat(GatewayHeartbeat { wants_answer: true, ..heartbeat.clone() }));
         let plain = self.envelope(Body::GatewayBeat(heartbeat));
@@ -283,9 +283,18 @@
         targets
     }
 
-    /// A heartbeat for a single peer. It has no quota usage and no evidence of ended generations, which must be
+    /// A heartbeat for a single peer. It has no quota usage and no counts of ended generations, which must be
     /// sent to all peers together.
     fn heartbeat_without_quotas(&self, members: Vec<MemberUpdate>) -> GatewayHeartbeat {
+        self.heartbeat_with(members, self.node_rollout_update_for_one_peer())
+    }
+
+    /// A heartbeat without quota usage, demands and observations.
+    fn heartbeat_with(
+        &self,
+        members: Vec<MemberUpdate>,
+        rollouts: Option<RolloutUpdate>,
+    ) -> GatewayHeartbeat {
         let directory = self.directory.load();
         let forwarder = &self.gateway.forwarder;
         GatewayHeartbeat {
@@ -302,7 +311,7 @@
             life: self.generation,
             usage: heartbeat_wire::encode_usage(forwarder.usage.recent(REPORTED_WINDOWS)),
             members_known: u32::try_from(self.members.load().members.len()).unwrap_or(u32::MAX),
-            rollouts: self.node_rollout_update_for_one_peer(),
+            rollouts,
             time_ms: since_1970_ms(SystemTime::now()),
             quarantine_digest: self.quarantine_digest(),
             engine_limits: heartbeat_wire::encode_engine_limits(&forwarder.gate.reports()),
--- a/crates/beamwall-rollout/src/ended_evidence.rs
+++ b/crates/beamwall-rollout/src/ended_evidence.rs
@@ -46,17 +46,17 @@
         known.checksum = known.counts.checksum();
     }
 
-    /// Merges what a peer reported, and notes which of the generations of the given zones it lacks.
+    /// Merges what a peer reported, and notes which of the generations in the given zones it lacks.
     pub fn merge_report(&mut self, reported: &EndedReport, is_told: impl Fn(&ZoneName) -> bool) {
         for told in &reported.told {
             self.merge(&told.zone, told.generation, &told.counts);
         }
-        for (generation, known) in self.generations.iter().take(MAX_LISTED) {
-            let digest = EndedDigest { generation: *generation, checksum: known.checksum };
-            if is_told(&known.zone) && lacks(&reported.known, digest) {
-                self.requested.insert(*generation);
-            }
-        }
+        let is_requested = |digest: &EndedDigest| {
+            is_told(&self.generations[&digest.generation].zone) && lacks(&reported.known, *digest)
+        };
+        let requested: Vec<u32> =
+            self.digests().filter(is_requested).map(|digest| digest.generation).collect();
+        self.requested.extend(requested);
         for told in &reported.told {
             self.note_told(told);
         }
@@ -70,16 +70,17 @@
         }
     }
 
-    /// Returns the list of known generations, without counts.
-    pub fn list(&self) -> EndedReport {
+    /// Returns the list of known generations.
+    pub fn list(&self) -> Vec<EndedDigest> {
+        self.digests().collect()
+    }
+
+    fn digests(&self) -> impl Iterator<Item = EndedDigest> {
         let digest = |(generation, known): (&u32, &KnownGeneration)| EndedDigest {
             generation: *generation,
             checksum: known.checksum,
         };
-        EndedReport {
-            known: self.generations.iter().take(MAX_LISTED).map(digest).collect(),
-            told: Vec::new(),
-        }
+        self.generations.iter().take(MAX_LISTED).map(digest)
     }
 
     /// Returns counts that peers lack, as many as one report may contain. Nodes with different `seed`s begin
@@ -90,16 +91,14 @@
         let mut rows = 0;
         let mut told = Vec::new();
         for generation in requested {
-            let Some(known) = self.generations.get(&generation) else { continue };
+            let known = &self.generations[&generation];
             rows += known.counts.rows();
             if rows > MAX_TOLD_ROWS && !told.is_empty() {
                 break;
             }
+            self.requested.remove(&generation);
             told.push(EndedGeneration { zone: known.zone.clone(), generation, counts: known.counts.clone() });
         }
-        told.iter().for_each(|told| {
-            self.requested.remove(&told.generation);
-        });
         told
     }
 
--- a/crates/beamwall-rollout/src/known_evidence.rs
+++ b/crates/beamwall-rollout/src/known_evidence.rs
@@ -8,7 +8,7 @@
 
 use crate::ended_evidence::EndedEvidence;
 use crate::evidence::Evidence;
-use crate::node_evidence::NodeEvidence;
+use crate::node_evidence::{EndedGeneration, EndedReport, NodeEvidence};
 use crate::zone_evidence::ZoneEvidence;
 
 /// What the latest known generation of a node reported.
@@ -100,16 +100,19 @@
 
     /// Returns what this node reports to a single peer: its counts, and which ended generations it knows.
     pub fn report(&self) -> NodeEvidence {
-        let counts = Evidence { generations: GenerationSet::default(), ..self.own.clone() };
-        NodeEvidence { counts, ended: Some(self.ended.list()) }
+        self.report_with(Vec::new())
     }
 
     /// Returns what this node reports to all its peers: in addition, counts that one of them lacks.
     pub fn report_to_all(&mut self) -> NodeEvidence {
-        let mut ended = self.ended.list();
         let seed = self.own.generations.as_slice().first().copied().unwrap_or_default();
-        ended.told = self.ended.take_requested(seed);
-        NodeEvidence { ended: Some(ended), ..self.report() }
+        let told = self.ended.take_requested(seed);
+        self.report_with(told)
+    }
+
+    fn report_with(&self, told: Vec<EndedGeneration>) -> NodeEvidence {
+        let counts = Evidence { generations: GenerationSet::default(), ..self.own.clone() };
+        NodeEvidence { counts, ended: Some(EndedReport { known: self.ended.list(), told }) }
     }
 
     /// Counts of this zone: of this node, of those that report to it directly, and of ended generations.
