--- a/crates/beamwall-node/tests/rollout_evidence_of_restarted_nodes.rs
+++ b/crates/beamwall-node/tests/rollout_evidence_of_restarted_nodes.rs
@@ -119,6 +119,10 @@
         self.registry = Self::registry(&self.name, self.generation, ZONE);
     }
 
+    fn knows_order(&self) -> bool {
+        !self.registry.orders(Instant::now()).is_empty()
+    }
+
     fn serve(&self, requests: u64) {
         for number in 0..requests {
             self.serve_at(&format!("e{}", number % 3), "chat");
@@ -160,7 +164,7 @@
         for node in &self.nodes {
             let requests = self.random.random_range(0..20);
             // A node that does not know the order yet counts nothing.
-            if !node.registry.orders(Instant::now()).is_empty() {
+            if node.knows_order() {
                 node.serve(requests);
                 self.served += requests;
             }
@@ -176,7 +180,7 @@
         let mut senders: Vec<usize> = (0..self.nodes.len()).collect();
         senders.shuffle(&mut self.random);
         for sender in senders {
-            if self.nodes[sender].registry.orders(Instant::now()).is_empty() {
+            if !self.nodes[sender].knows_order() {
                 continue;
             }
             let bytes = self.nodes[sender].report();
@@ -194,7 +198,7 @@
 
     fn send_sums(&mut self) {
         for relay in 0..RELAYS {
-            if !self.nodes[relay].registry.orders(Instant::now()).is_empty() {
+            if self.nodes[relay].knows_order() {
                 receive_sum(&self.receiver.registry, ZONE, &sum_bytes(&self.nodes[relay].registry));
                 self.check_never_too_much();
             }
@@ -221,6 +225,36 @@
         }
     }
 
+    /// All nodes of the zone and the receiver know what the zone served.
+    fn check_complete(&self) {
+        for node in self.nodes.iter().chain([&self.receiver]) {
+            assert_eq!(known_counts(&node.registry), [self.served; 4], "{}", node.name);
+        }
+    }
+
+    /// All nodes of the zone know the same.
+    fn check_agreement(&self) {
+        let known: Vec<[u64; 4]> = self.nodes.iter().map(|node| known_counts(&node.registry)).collect();
+        assert!(known.iter().all(|counts| *counts == known[0]), "{known:?}");
+    }
+
+    /// Each node sends a report to all others; returns the size of the largest.
+    fn exchange_without_checks(&mut self) -> usize {
+        let mut largest = 0;
+        for sender in 0..self.nodes.len() {
+            if !self.nodes[sender].knows_order() {
+                continue;
+            }
+            let bytes = self.nodes[sender].report();
+            largest = largest.max(bytes.len());
+            let sender = &self.nodes[sender];
+            for receiver in self.nodes.iter().filter(|receiver| receiver.name != sender.name) {
+                receiver.receive(ZONE, &sender.name, sender.generation, &bytes);
+            }
+        }
+        largest
+    }
+
     fn exchange_until_equal(&mut self) {
         (0..ROUNDS_UNTIL_EQUAL).for_each(|_| self.exchange_reports());
         self.send_sums();
@@ -241,9 +275,7 @@
         play.exchange_until_equal();
         play.serve();
         play.exchange_until_equal();
-        for node in play.nodes.iter().chain([&play.receiver]) {
-            assert_eq!(known_counts(&node.registry), [play.served; 4], "{}", node.name);
-        }
+        play.check_complete();
     }
 }
 
@@ -260,9 +292,7 @@
         play.exchange_reports();
     }
     play.exchange_until_equal();
-    let known: Vec<[u64; 4]> =
-        play.nodes.iter().chain([&play.receiver]).map(|node| known_counts(&node.registry)).collect();
-    assert_eq!(known, vec![[play.served; 4]; 7]);
+    play.check_complete();
 }
 
 /// Guards against nodes that know different evidence for good, or too much, after lost reports and restarts
@@ -281,8 +311,7 @@
         }
         play.exchange_until_equal();
         play.exchange_until_equal();
-        let known: Vec<[u64; 4]> = play.nodes.iter().map(|node| known_counts(&node.registry)).collect();
-        assert!(known.iter().all(|counts| *counts == known[0]), "{known:?}");
+        play.check_agreement();
     }
 }
 
@@ -305,8 +334,7 @@
         play.exchange_until_equal();
         play.exchange_until_equal();
         play.check_never_too_much();
-        let known: Vec<[u64; 4]> = play.nodes.iter().map(|node| known_counts(&node.registry)).collect();
-        assert!(known.iter().all(|counts| *counts == known[0]), "{known:?}");
+        play.check_agreement();
     }
 }
 
@@ -350,9 +378,7 @@
     play.nodes[1].receive(ZONE, &name, 1, &late);
     play.check_never_too_much();
     play.exchange_until_equal();
-    for node in play.nodes.iter().chain([&play.receiver]) {
-        assert_eq!(known_counts(&node.registry), [play.served; 4], "{}", node.name);
-    }
+    play.check_complete();
 }
 
 /// Guards against evidence of a node that died for good, which is lost as the others restart.
@@ -370,9 +396,7 @@
         play.nodes[restarted].restart();
         play.exchange_until_equal();
     }
-    for node in play.nodes.iter().chain([&play.receiver]) {
-        assert_eq!(known_counts(&node.registry), [play.served; 4], "{}", node.name);
-    }
+    play.check_complete();
 }
 
 /// Guards against counts that are lost, taken twice or told with every report after a node that stood still
@@ -413,9 +437,7 @@
         let mut is_large = false;
         for _ in 0..MAX_RESTARTS {
             is_large ^= random.random_bool(0.4);
-            for (zone, node) in
-                nodes.iter().filter(|(_, node)| !node.registry.orders(Instant::now()).is_empty())
-            {
+            for (zone, node) in nodes.iter().filter(|(_, node)| node.knows_order()) {
                 let requests = random.random_range(0..20);
                 node.serve(requests);
                 *served.entry(zone).or_default() += requests;
@@ -444,14 +466,13 @@
 
 /// One report and one sum of each node, as a large deployment sends them or a small one.
 fn exchange(nodes: &[(&str, Node)], is_large: bool) {
-    let has_order = |node: &Node| !node.registry.orders(Instant::now()).is_empty();
     if is_large {
         for (zone, node) in nodes {
             let others = nodes.iter().filter(|(other, _)| other != zone);
             others.for_each(|(_, other)| node.registry.remove_node_evidence(&other.name.as_str().into()));
         }
     }
-    for (zone, sender) in nodes.iter().filter(|(_, node)| has_order(node)) {
+    for (zone, sender) in nodes.iter().filter(|(_, node)| node.knows_order()) {
         let bytes = sender.report();
         for (other_zone, receiver) in nodes.iter().filter(|(_, receiver)| receiver.name != sender.name) {
             if !is_large || zone == other_zone {
@@ -459,7 +480,7 @@
             }
         }
     }
-    for (zone, relay) in nodes.iter().filter(|(_, node)| is_large && has_order(node)) {
+    for (zone, relay) in nodes.iter().filter(|(_, node)| is_large && node.knows_order()) {
         let sum = sum_bytes(&relay.registry);
         let others = nodes.iter().filter(|(other, _)| other != zone);
         others.for_each(|(_, receiver)| receive_sum(&receiver.registry, zone, &sum));
@@ -502,7 +523,7 @@
     assert_eq!(known_counts(&play.nodes[1].registry), [15; 4]);
 }
 
-/// Bytes of reports at each stage of an upgrade of a large zone.
+/// Bytes of the largest report of a node, as it would be sent now.
 fn largest_report(play: &Play) -> usize {
     play.nodes.iter().map(|node| report_bytes(&node.registry).len()).max().expect("nodes")
 }
@@ -542,25 +563,6 @@
     assert!(largest <= 2 * before + list, "{largest} during the upgrade, {before} before");
 }
 
-impl Play {
-    /// Each node sends a report to all others; returns the size of the largest.
-    fn exchange_without_checks(&mut self) -> usize {
-        let mut largest = 0;
-        for sender in 0..self.nodes.len() {
-            if self.nodes[sender].registry.orders(Instant::now()).is_empty() {
-                continue;
-            }
-            let bytes = self.nodes[sender].report();
-            largest = largest.max(bytes.len());
-            let sender = &self.nodes[sender];
-            for receiver in self.nodes.iter().filter(|receiver| receiver.name != sender.name) {
-                receiver.receive(ZONE, &sender.name, sender.generation, &bytes);
-            }
-        }
-        largest
-    }
-}
-
 /// Guards against memory that grows with each restart: an order's evidence goes when another order replaces
 /// it, and nothing of it is reported any more.
 #[test]
