--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -205,6 +205,10 @@
     5114 Warn SilentBackendKept "silent back end kept" { request, backend, missing }
     /// A request was passed to a peer, since no engine can be reached from this node.
     5115 Info RequestDelegated "request delegated" { request, service, peer, remaining_ms }
+    /// The version was found that began a stream which its caller takes up again.
+    5116 Info StreamOriginFound "version of a resumed stream found" { request, resumes, service, version, known_from, age_ms }
+    /// The versions that engines have had lately can't be written to the store or read from it.
+    5117 Warn EngineVersionsNotKept "engine versions not kept" { reason }
     /// The platform stopped answering.
     6001 Warn PlatformAway "platform away" { reason }
     /// The platform answers again.
--- a/crates/beamwall-gateway/benches/choice.rs
+++ b/crates/beamwall-gateway/benches/choice.rs
@@ -6,6 +6,7 @@
 #[path = "../tests/support/mod.rs"]
 mod support;
 
+use beamwall_gateway::allowed_versions::AllowedVersions;
 use beamwall_gateway::candidates::{BackendState, ChosenBy, Search};
 use beamwall_gateway::choice::{Expectation, choose};
 use beamwall_gateway::placement_groups::EngineGroup;
@@ -53,7 +54,7 @@
         prompt: Some(prompt),
         group,
         avoided: &[],
-        versions: None,
+        versions: &AllowedVersions::All,
         by,
     };
     let candidates = backend_state.candidates(directory, search);
--- a/crates/beamwall-gateway/src/attempt.rs
+++ b/crates/beamwall-gateway/src/attempt.rs
@@ -5,10 +5,11 @@
 use beamwall_clock::{process_clock, timers};
 use beamwall_engine_limits::LimitNotice;
 use beamwall_http::{PoolError, PooledBody, full};
-use beamwall_model::{BackendId, InstanceName};
+use beamwall_model::{BackendId, EngineVersion, InstanceName};
 use hyper::{Request, Response, StatusCode};
 use tokio::time::Instant;
 
+use crate::directory::Backend;
 use crate::engine_gate::SendPermit;
 use crate::failover::FailedAttempt;
 use crate::forward::{Call, Forwarder, PermittedChoice};
@@ -106,6 +107,8 @@
 pub struct OpenResponse {
     /// The back end.
     pub backend: BackendId,
+    /// Its software version.
+    pub version: EngineVersion,
     /// The response.
     pub response: Response<PooledBody>,
     /// Counts the request as open until dropped.
@@ -142,7 +145,7 @@
             }
             Err(failure_from_pool(&error, call, sent_at.elapsed()))
         }
-        Some(Ok(response)) => check_head(forwarder, call, backend, sent_at, response, work),
+        Some(Ok(response)) => check_head(forwarder, call, target, sent_at, response, work),
     };
     // While this process was stalled, a response may have arrived without being read, so the timeout says
     // nothing about the back end.
@@ -155,20 +158,21 @@
     if let Err(failure) = &result
         && failure.execution == Execution::MaybeExecuted
     {
-        forwarder.record_response(call, backend, true);
+        forwarder.record_stream_response(call, backend, last_event, true);
     }
     result
 }
 
-/// Records that a back end is abandoned because it was silent before it started its response. `next` is
-/// reserved for the next attempt.
+/// Records that a back end is abandoned because it was silent before it started its response. `last_event` is
+/// the last event delivered, when a stream is continued. `next` is reserved for the next attempt.
 pub(crate) fn abandon_silent(
     forwarder: &Forwarder,
     call: &Call,
     backend: &BackendId,
+    last_event: Option<u64>,
     next: PermittedChoice,
 ) -> FailedAttempt {
-    forwarder.record_response(call, backend, true);
+    forwarder.record_stream_response(call, backend, last_event, true);
     forwarder.backend_state.health.note_unreachable(backend, Instant::now());
     let failure = AttemptFailure::lost("the engine is silent");
     forwarder.note_reachability(&call.service, backend, Some(&failure));
@@ -212,11 +216,12 @@
 fn check_head(
     forwarder: &Forwarder,
     call: &Call,
-    backend: &BackendId,
+    target: &Backend,
     sent_at: Instant,
     response: Response<PooledBody>,
     work: OpenRequestGuard,
 ) -> Result<OpenResponse, AttemptFailure> {
+    let backend = &target.id;
     let status = response.status();
     let head = forwarder.dialect.read_response_head(status, response.headers());
     if !matches_request(&head, call) {
@@ -243,7 +248,7 @@
     if implies_not_executed(status) && !call.route.kind.is_idempotent() {
         return Err(AttemptFailure::may_have_run(format!("status {status} without proof")));
     }
-    Ok(OpenResponse { backend: backend.clone(), response, work })
+    Ok(OpenResponse { backend: backend.clone(), version: target.version.clone(), response, work })
 }
 
 /// A response without a request identifier can't be distinguished from a late response to another request.
--- a/crates/beamwall-gateway/src/attempts.rs
+++ b/crates/beamwall-gateway/src/attempts.rs
@@ -5,7 +5,7 @@
 use beamwall_clock::process_clock;
 use beamwall_events::emit;
 use beamwall_events::internal_events::AttemptFailed;
-use beamwall_model::BackendId;
+use beamwall_model::{BackendId, EngineVersion};
 use beamwall_quarantine::Admission;
 use tokio::time::Instant;
 
@@ -75,12 +75,23 @@
     abandoned: Option<Choice>,
     /// Number of tries to return to it.
     returns: u32,
+    /// The version that began the stream that goes on; `None` while the stream has no event.
+    origin: Option<EngineVersion>,
 }
 
 impl Attempts {
-    /// Records that an attempt began to respond.
-    pub fn note_response_started(&mut self) {
+    /// The attempts of a call, none of which was made yet.
+    pub fn of(call: &Call) -> Self {
+        Self { origin: call.origin.clone(), ..Self::default() }
+    }
+
+    /// Records that an attempt began to respond. All further attempts are bound to `version`, the one that
+    /// sent the first event of a stream.
+    pub fn note_response_started(&mut self, version: Option<&EngineVersion>) {
         self.sent += 1;
+        if self.origin.is_none() {
+            self.origin = version.cloned();
+        }
     }
 
     /// Records an attempt that failed before it began to respond, and returns the choice for the next
@@ -206,7 +217,7 @@
         mut avoided: Vec<BackendId>,
     ) -> Result<PermittedChoice, NoBackEnd> {
         avoided.extend(self.tried.iter().cloned());
-        let chosen = forwarder.choose(call, &avoided).await;
+        let chosen = forwarder.choose(call, &avoided, self.origin.as_ref()).await;
         match &chosen {
             Ok(permitted) => self.tried.push(permitted.choice.backend.clone()),
             Err(NoBackEnd::LimitReached(limit)) => self.limit_reached = Some(*limit),
@@ -243,7 +254,10 @@
         let was_refused =
             self.last_failure.as_ref().is_some_and(|failure| failure.execution == Execution::NotExecuted);
         let directory = forwarder.directory.load();
-        let is_usable = directory.get(abandoned).is_some_and(|listed| !listed.draining);
+        let is_usable = directory.get(abandoned).is_some_and(|listed| {
+            let is_of_origin = self.origin.as_ref().is_none_or(|origin| listed.version == *origin);
+            !listed.draining && is_of_origin
+        });
         was_refused && is_usable && self.may_resend(forwarder, call)
     }
 
@@ -255,7 +269,12 @@
         }
         let reason = match &self.last_failure {
             Some(failure) => failure.reason.clone(),
-            None => "no back end takes requests".to_owned(),
+            None => match &self.origin {
+                Some(version) => {
+                    format!("no back end of version {version}, which began the stream, takes requests")
+                }
+                None => "no back end takes requests".to_owned(),
+            },
         };
         let is_unreachable = self.last_failure.as_ref().is_some_and(|failure| failure.is_connect_failure);
         match (self.may_have_run, timed_out) {
--- a/crates/beamwall-gateway/src/call.rs
+++ b/crates/beamwall-gateway/src/call.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use beamwall_clock::timers;
-use beamwall_model::ServiceName;
+use beamwall_model::{EngineVersion, ServiceName};
 use beamwall_policy::{Route, TenantRef};
 use beamwall_quarantine::{Admission, Fingerprint};
 use bytes::Bytes;
@@ -52,6 +52,8 @@
     pub last_event: Option<u64>,
     /// The caller's identifier of the try that brought the stream's first event, when it resumes a stream.
     pub resumes: Option<String>,
+    /// The version that began the stream, when it resumes a stream.
+    pub origin: Option<EngineVersion>,
     /// When it arrived.
     pub received: Instant,
     /// Total time for which the machine had been suspended when the request arrived.
--- a/crates/beamwall-gateway/src/candidates.rs
+++ b/crates/beamwall-gateway/src/candidates.rs
@@ -6,10 +6,10 @@
 use beamwall_clock::process_clock;
 use beamwall_engine_model::{EngineModels, PrefillWork, ServiceEstimates};
 use beamwall_model::{BackendId, ServiceName, ZoneName};
-use beamwall_rollout::{VersionChoice, VersionRule};
 use rand::seq::SliceRandom;
 use tokio::time::Instant;
 
+use crate::allowed_versions::AllowedVersions;
 use crate::choice::Candidate;
 use crate::directory::{Backend, Directory};
 use crate::directory_staleness::StalenessTracker;
@@ -43,8 +43,8 @@
     pub group: EngineGroup,
     /// Back ends that are excluded.
     pub avoided: &'a [BackendId],
-    /// Versions that may serve the request during a rollout.
-    pub versions: Option<&'a VersionRule>,
+    /// Versions that may serve the request.
+    pub versions: &'a AllowedVersions,
     /// Who chooses, which determines how precisely the queued prompts are known.
     pub by: ChosenBy,
 }
@@ -99,8 +99,7 @@
         let now = Instant::now();
         let estimates = self.models.estimates(search.service);
         let factors = self.models.factors();
-        let usable =
-            allowed_by_rollout(search.versions, directory.usable_in_group(search.service, search.group));
+        let usable = search.versions.select(directory.usable_in_group(search.service, search.group));
         let names = usable.iter().map(|backend| &backend.id);
         let preferred_back_end =
             search.prompt.and_then(|prompt| prefix_cache::preferred_back_end(prompt, names));
@@ -193,18 +192,3 @@
         PrefillWork::of_uncached(cached, u64::from(prompt.prompt_tokens) - cached)
     }
 }
-
-/// The back ends that may serve a request during a rollout.
-fn allowed_by_rollout<'a>(
-    versions: Option<&VersionRule>,
-    back_ends: impl Iterator<Item = &'a Backend>,
-) -> Vec<&'a Backend> {
-    let Some(rule) = versions else { return back_ends.collect() };
-    let allowed: Vec<&Backend> = back_ends.filter(|backend| rule.allows(&backend.version)).collect();
-    if rule.version_choice != VersionChoice::Canary {
-        return allowed;
-    }
-    let ids: Vec<&BackendId> = allowed.iter().map(|backend| &backend.id).collect();
-    let in_use = rule.active_back_ends(&ids);
-    allowed.into_iter().filter(|backend| in_use.contains(&&backend.id)).collect()
-}
--- a/crates/beamwall-gateway/src/directory.rs
+++ b/crates/beamwall-gateway/src/directory.rs
@@ -18,7 +18,7 @@
 //! otherwise a fleet that starts all at once would serve no requests for seconds. A partial list is not part
 //! of a revision either.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -74,6 +74,8 @@
     by_id: Arc<HashMap<BackendId, Arc<Backend>>>,
     /// The back ends that accept requests, by service; rebuilt on each change.
     usable: Arc<HashMap<ServiceName, EngineGroups>>,
+    /// The versions of each service's back ends; rebuilt on each change.
+    versions: Arc<BTreeSet<(ServiceName, EngineVersion)>>,
     /// Recent changes, to be sent to peers.
     recent: ChangeLog,
 }
@@ -162,11 +164,18 @@
         self.usable.get(service)
     }
 
-    /// Rebuilds the maps by generation and by service.
+    /// The versions of each service's back ends, including expired and draining ones.
+    pub fn versions(&self) -> impl Iterator<Item = (&ServiceName, &EngineVersion)> {
+        self.versions.iter().map(|(service, version)| (service, version))
+    }
+
+    /// Rebuilds the maps by generation and by service, and the versions.
     fn rebuild_indexes(&mut self) {
         let mut by_service: HashMap<ServiceName, Vec<Arc<Backend>>> = HashMap::new();
         let known = self.backends.values().chain(self.expired.values()).chain(self.partial_list.values());
         self.by_id = Arc::new(known.clone().map(|known| (known.id.clone(), known.clone())).collect());
+        let versions = known.clone().map(|known| (known.service.clone(), known.version.clone()));
+        self.versions = Arc::new(versions.collect());
         for backend in known.filter(|backend| !backend.draining) {
             by_service.entry(backend.service.clone()).or_default().push(backend.clone());
         }
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -8,11 +8,12 @@
 use beamwall_events::emit;
 use beamwall_events::internal_events::AttemptSent;
 use beamwall_http::Pool;
-use beamwall_model::{BackendId, NodeId, ServiceName, ZoneName};
-use beamwall_rollout::{RolloutRegistry, VersionChoice, VersionRule};
+use beamwall_model::{BackendId, EngineVersion, NodeId, ServiceName, ZoneName};
+use beamwall_rollout::RolloutRegistry;
 use tokio::time::Instant;
 
 use crate::admission;
+use crate::allowed_versions::AllowedVersions;
 pub use crate::call::Call;
 use crate::candidates::{BackendState, ChosenBy, Search};
 use crate::choice::{Candidate, Chooser, Expectation};
@@ -28,6 +29,7 @@
 use crate::quarantine::Quarantine;
 use crate::reachability::EngineReachability;
 use crate::retries::RetryBudgets;
+use crate::stream_origins::StreamOrigins;
 use crate::usage::UsageLedger;
 
 /// Groups of engines queried for one request: the second one if the first can't start the request soon or
@@ -96,6 +98,8 @@
     pub demand: DemandTracker,
     /// Rollouts of new versions.
     pub rollouts: RolloutRegistry,
+    /// Versions that streams are bound to.
+    pub origins: StreamOrigins,
     /// Requests suspected of terminating back ends.
     pub quarantine: Arc<Quarantine>,
     /// Retry budgets.
@@ -111,15 +115,20 @@
 impl Forwarder {
     /// Chooses a back end for the next attempt that is not in `avoided` and whose limit allows it, and logs
     /// the decision. The engine of a model request is chosen by the placement nodes of the service's groups,
-    /// as long as one of them responds.
-    pub async fn choose(&self, call: &Call, avoided: &[BackendId]) -> Result<PermittedChoice, NoBackEnd> {
-        let versions = self.rollouts.rule(&call.service, call.request_id.as_deref(), beamwall_clock::now());
+    /// as long as one of them responds. `origin` is the version that began the stream that goes on.
+    pub async fn choose(
+        &self,
+        call: &Call,
+        avoided: &[BackendId],
+        origin: Option<&EngineVersion>,
+    ) -> Result<PermittedChoice, NoBackEnd> {
+        let versions = self.allowed_versions(&call.service, call.request_id.as_deref(), origin);
         let rank = call.rank(self.call_prefill_ms(call));
         let mut exhausted = self.exhausted_engines(call, rank);
         let mut denials = 0;
         loop {
             let excluded = [avoided, &exhausted].concat();
-            let Some(choice) = self.choose_among(call, &excluded, versions.as_ref()).await else {
+            let Some(choice) = self.choose_among(call, &excluded, &versions).await else {
                 return Err(self.no_back_end(call, rank, avoided));
             };
             let Ok(permit) = self.admit(call, rank, &choice.backend).await else {
@@ -135,6 +144,25 @@
         }
     }
 
+    /// The versions that may serve a request: the one that began its stream, or those that a rollout allows.
+    fn allowed_versions(
+        &self,
+        service: &ServiceName,
+        request: Option<&str>,
+        origin: Option<&EngineVersion>,
+    ) -> AllowedVersions {
+        if let Some(version) = origin {
+            let is_rolled_back = self.rollouts.is_rolled_back(service, version);
+            return if is_rolled_back {
+                AllowedVersions::Nothing
+            } else {
+                AllowedVersions::Only(version.clone())
+            };
+        }
+        let rule = self.rollouts.rule(service, request, beamwall_clock::now());
+        rule.map_or(AllowedVersions::All, AllowedVersions::Rollout)
+    }
+
     /// Asks for a permit to send a call of this rank to a back end.
     pub(crate) async fn admit(
         &self,
@@ -207,12 +235,12 @@
         &self,
         call: &Call,
         avoided: &[BackendId],
-        versions: Option<&VersionRule>,
+        versions: &AllowedVersions,
     ) -> Option<Choice> {
-        if let Some(rule) = versions.filter(|rule| rule.version_choice == VersionChoice::Canary) {
-            let chosen = self.choose_as_sender(call, avoided, Some(rule));
-            let old = rule.without_new();
-            return chosen.or_else(|| self.choose_as_sender(call, avoided, Some(&old)));
+        if let Some(rule) = versions.canary() {
+            let chosen = self.choose_as_sender(call, avoided, versions);
+            let old = AllowedVersions::Rollout(rule.without_new());
+            return chosen.or_else(|| self.choose_as_sender(call, avoided, &old));
         }
         let placement = match &call.prompt {
             Some(prompt) if !self.chooser.is_baseline() => {
@@ -237,19 +265,34 @@
         }
     }
 
+    /// Counts a response of an attempt for the rollout of its service, unless the attempt continues a stream
+    /// after `continued_after`: the version of such an attempt was not chosen for it.
+    pub(crate) fn record_stream_response(
+        &self,
+        call: &Call,
+        backend: &BackendId,
+        continued_after: Option<u64>,
+        is_bad: bool,
+    ) {
+        if continued_after.is_none() {
+            self.record_response(call, backend, is_bad);
+        }
+    }
+
     async fn request_placement(
         &self,
         call: &Call,
         prompt: &Prompt,
         avoided: &[BackendId],
-        versions: Option<&VersionRule>,
+        versions: &AllowedVersions,
     ) -> Option<Choice> {
         let groups = self.directory.load().groups(&call.service)?.in_order(prompt, rand::random());
         let mut best: Option<Choice> = None;
         for (position, group) in groups.iter().take(MAX_GROUPS_QUERIED).enumerate() {
             let is_last = position + 1 == groups.len().min(MAX_GROUPS_QUERIED);
             let enough_ms = (!is_last).then_some(call.route.objective_ms as f64 * ACCEPTABLE_DELAY_SHARE);
-            let engine_query = self.placement_query(call, prompt, avoided, *group, enough_ms);
+            let engine_query =
+                self.placement_query(call, prompt, avoided, versions.only(), *group, enough_ms);
             let choice = self.query_group(call, &engine_query, avoided, versions).await;
             let Some(choice) = choice else { continue };
             let is_enough = engine_query.is_good_enough(&choice);
@@ -269,6 +312,7 @@
         call: &Call,
         prompt: &Prompt,
         avoided: &[BackendId],
+        origin: Option<&EngineVersion>,
         group: EngineGroup,
         enough_ms: Option<f64>,
     ) -> PlacementQuery {
@@ -279,6 +323,7 @@
             group,
             prompt: prompt.clone(),
             tried: avoided.to_vec(),
+            origin: origin.cloned(),
             unreachable: self.backend_state.health.unreachable(Instant::now()),
             observed: self
                 .backend_state
@@ -296,7 +341,7 @@
         call: &Call,
         engine_query: &PlacementQuery,
         avoided: &[BackendId],
-        versions: Option<&VersionRule>,
+        versions: &AllowedVersions,
     ) -> Option<Choice> {
         match self.placement.place(engine_query).await {
             PlacementOutcome::Chosen(choice)
@@ -316,12 +361,11 @@
         call: &Call,
         backend: &BackendId,
         avoided: &[BackendId],
-        versions: Option<&VersionRule>,
+        versions: &AllowedVersions,
     ) -> bool {
         let directory = self.directory.load();
         let is_usable = directory.get(backend).is_some_and(|listed| {
-            let is_allowed = versions.is_none_or(|rule| rule.allows(&listed.version));
-            !listed.draining && listed.service == call.service && is_allowed
+            !listed.draining && listed.service == call.service && versions.allows(&listed.version)
         });
         is_usable && !avoided.contains(backend)
     }
@@ -335,14 +379,14 @@
         let exhausted = self.gate.exhausted(MOST_URGENT_RANK);
         let avoided = [engine_query.tried.as_slice(), &engine_query.unreachable, &exhausted].concat();
         // Senders choose canary back ends themselves, so this applies to all other requests.
-        let versions = self.rollouts.rule(&engine_query.service, None, beamwall_clock::now());
+        let versions = self.allowed_versions(&engine_query.service, None, engine_query.origin.as_ref());
         let search = Search {
             service: &engine_query.service,
             zone: &engine_query.zone,
             prompt: Some(&engine_query.prompt),
             group: engine_query.group,
             avoided: &avoided,
-            versions: versions.as_ref(),
+            versions: &versions,
             by: ChosenBy::PlacementNode,
         };
         let choice = self.find(search, engine_query.pause_objective_ms)?;
@@ -363,7 +407,7 @@
         &self,
         call: &Call,
         avoided: &[BackendId],
-        versions: Option<&VersionRule>,
+        versions: &AllowedVersions,
     ) -> Option<Choice> {
         let search = Search {
             service: &call.service,
--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -10,6 +10,7 @@
 use beamwall_http::{Body, ConnectionFailure, Handler, read_limited_with};
 use beamwall_policy::{PolicyIndex, Route, RouteKind, TenantRef};
 use beamwall_quarantine::{Fingerprint, FingerprintHasher};
+use beamwall_stream_origin::StreamOrigin;
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{HeaderMap, Request, Response};
@@ -20,6 +21,7 @@
 use crate::ports::{CallHead, Prompt};
 use crate::quota::{Charge, QuotaLimiter};
 use crate::refusal::Refusal;
+use crate::stream_origins::ResumedStream;
 use crate::{delegation, startup, stream, unary};
 
 /// Time limit for receiving a caller's request body.
@@ -195,13 +197,17 @@
         let body = read.map_err(refusal_from_read_error)?;
         let fingerprint = fingerprint.finish();
         context.fingerprint = Some(fingerprint);
+        let admission = self.forwarder.quarantine.admit(&fingerprint).await?;
+        let service = route.service_for(rand::random()).ok_or(Refusal::NoRoute)?;
+        let stream = ResumedStream { route: &route, service, tenant: tenant_name, head: &head };
+        let origin = self.find_origin(stream).await?;
         let call = Call {
-            service: route.service_for(rand::random()).cloned().ok_or(Refusal::NoRoute)?,
+            service: origin.as_ref().map_or(service, |origin| &origin.service).clone(),
             deadline: deadline(&route, &head, received),
             request_id: head.request_id,
             fingerprint,
             is_delegated: self.is_delegated(head.delegation_token),
-            admission: self.forwarder.quarantine.admit(&fingerprint).await?,
+            admission,
             method: parts.method,
             target: parts.uri,
             headers: parts.headers,
@@ -211,6 +217,7 @@
             prompt: head.prompt,
             last_event: head.last_event,
             resumes: head.resumes,
+            origin: origin.map(|origin| origin.version),
             received,
             suspended_before,
             policy_version: policy.version(),
@@ -218,6 +225,35 @@
         self.forward(Arc::new(call)).await
     }
 
+    /// Where a request that continues a stream must go: to the version that began it, in the service that
+    /// began it if the route still leads there. `None` for a request that continues none.
+    async fn find_origin(&self, stream: ResumedStream<'_>) -> Result<Option<StreamOrigin>, Refusal> {
+        if stream.route.kind != RouteKind::ResumableStream || stream.head.last_event.is_none() {
+            return Ok(None);
+        }
+        let result = self.find_available_origin(stream).await;
+        let outcome = match &result {
+            Ok(_) => "bound",
+            Err(Refusal::VersionUnavailable(_)) => "version_unavailable",
+            Err(_) => "unknown",
+        };
+        self.forwarder.metrics.streams_resumed.with_label_values(&[outcome]).inc();
+        result.map(Some)
+    }
+
+    async fn find_available_origin(&self, stream: ResumedStream<'_>) -> Result<StreamOrigin, Refusal> {
+        let directory = self.forwarder.directory.load_full();
+        self.forwarder.origins.note_directory(&directory);
+        let found = self.forwarder.origins.find(stream).await.map_err(Refusal::UnknownOrigin)?;
+        let is_target = stream.route.targets.iter().any(|target| target.service == found.service);
+        let service = if is_target { found.service } else { stream.service.clone() };
+        let origin = StreamOrigin { service, version: found.version };
+        if !directory.usable(&origin.service).any(|backend| backend.version == origin.version) {
+            return Err(Refusal::VersionUnavailable(origin.version));
+        }
+        Ok(origin)
+    }
+
     async fn forward(&self, call: Arc<Call>) -> Result<Response<Body>, Refusal> {
         if self.forwarder.reachability.is_unreachable(&call.service)
             && let Some(result) = delegation::delegate(&self.forwarder, &call).await
--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -5,10 +5,11 @@
 //! request may go, and the [`Directory`] lists the back ends. [`choice`] selects one of them; for model
 //! requests the placement node does this for all senders (see [`placement`]). Every request then passes
 //! [`engine_gate`], which keeps the limits that engines name. [`forward`] and [`attempts`] take a request
-//! through its attempts, and [`delegation`] to a peer while this node can't reach the engines. Limits that apply across all nodes are in [`quota`], billed requests
+//! through its attempts, [`stream_origins`] binds a stream to the version that began it, and [`delegation`] to a peer while this node can't reach the engines. Limits that apply across all nodes are in [`quota`], billed requests
 //! in [`usage`], and the number of back ends to order in [`scaling`].
 
 pub mod admission;
+pub mod allowed_versions;
 pub mod attempt;
 pub mod attempts;
 pub mod call;
@@ -44,6 +45,7 @@
 pub mod sizing;
 pub mod startup;
 pub mod stream;
+pub mod stream_origins;
 pub mod unary;
 pub mod unreachable_zones;
 pub mod usage;
@@ -59,3 +61,4 @@
     ResponseHead,
 };
 pub use reporter::Reporter;
+pub use stream_origins::{OriginPort, PeerAnswer, StreamOrigins};
--- a/crates/beamwall-gateway/src/metrics.rs
+++ b/crates/beamwall-gateway/src/metrics.rs
@@ -14,6 +14,8 @@
     pub latency: HistogramVec,
     /// Streams continued at another engine.
     pub streams_continued: IntCounter,
+    /// Streams that callers took up again, by what is known of the version that began them.
+    pub streams_resumed: IntCounterVec,
     /// Streams that ended before they were complete.
     pub streams_broken: IntCounter,
     /// Requests whose back end was silent for too long. The label tells whether the request moved to another
@@ -43,6 +45,13 @@
             "beamwall_gateway_streams_continued_total",
             "streams continued at another engine",
         )?;
+        let streams_resumed = IntCounterVec::new(
+            Opts::new(
+                "beamwall_gateway_streams_resumed_total",
+                "streams that callers took up again: bound to a version, or refused for want of it",
+            ),
+            &["origin"],
+        )?;
         let streams_broken =
             IntCounter::new("beamwall_gateway_streams_broken_total", "streams that broke off")?;
         let caller_connections_failed = IntCounterVec::new(
@@ -80,11 +89,13 @@
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(latency.clone()))?;
         registry.register(Box::new(streams_continued.clone()))?;
+        registry.register(Box::new(streams_resumed.clone()))?;
         registry.register(Box::new(streams_broken.clone()))?;
         Ok(Self {
             requests,
             latency,
             streams_continued,
+            streams_resumed,
             streams_broken,
             silent_back_ends,
             caller_connections_failed,
--- a/crates/beamwall-gateway/src/placement.rs
+++ b/crates/beamwall-gateway/src/placement.rs
@@ -13,7 +13,7 @@
 
 use async_trait::async_trait;
 use beamwall_engine_model::{FirstEventInputs, PrefillWork, SlownessObservation};
-use beamwall_model::{BackendId, NodeId, ServiceName, ZoneName};
+use beamwall_model::{BackendId, EngineVersion, NodeId, ServiceName, ZoneName};
 use tokio::time::Instant;
 
 use crate::placement_groups::EngineGroup;
@@ -47,6 +47,8 @@
     pub prompt: Prompt,
     /// Engines that were already tried.
     pub tried: Vec<BackendId>,
+    /// The version that began the stream that goes on, if one does.
+    pub origin: Option<EngineVersion>,
     /// Engines that the sender recently could not reach.
     pub unreachable: Vec<BackendId>,
     /// Slowness of single engines of the group that the sender observed and has not reported yet.
--- a/crates/beamwall-gateway/src/refusal.rs
+++ b/crates/beamwall-gateway/src/refusal.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use beamwall_http::{Body, full};
+use beamwall_model::EngineVersion;
 use beamwall_quarantine::HeldRequest;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
@@ -11,10 +12,15 @@
 use crate::engine_gate::LimitReached;
 use crate::ports::Dialect;
 use crate::quota::QuotaExceeded;
+use crate::stream_origins::UnknownOrigin;
 
 /// `retry_after` of refusals for a temporary reason.
 const TRANSIENT_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// `retry_after` of a stream no engine of whose version takes requests: an engine that restarts is away for
+/// seconds.
+const VERSION_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Longest wait for engines in need that a refused caller is asked for, before the spread.
 const MAX_LIMIT_WAIT: Duration = Duration::from_secs(4);
 /// Time over which the callers refused by engines in need return.
@@ -55,6 +61,10 @@
     Unservable(Unservable),
     /// The limits that all available engines name are used up; it was not executed.
     LimitReached(LimitReached),
+    /// It continues a stream, and the version that began the stream is not known.
+    UnknownOrigin(UnknownOrigin),
+    /// It continues a stream, and no engine of the version that began the stream takes requests.
+    VersionUnavailable(EngineVersion),
 }
 
 impl From<HeldRequest> for Refusal {
@@ -72,7 +82,9 @@
             | Self::Unreachable(_)
             | Self::TooLate
             | Self::Unservable(_)
-            | Self::LimitReached(_) => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::LimitReached(_)
+            | Self::UnknownOrigin(_)
+            | Self::VersionUnavailable(_) => StatusCode::SERVICE_UNAVAILABLE,
             // Without a `retry_after` the request itself is considered at fault, so the caller gets a client
             // error. Otherwise another request may be at fault.
             Self::Held(HeldRequest { retry_after: None, .. }) => StatusCode::BAD_REQUEST,
@@ -94,7 +106,10 @@
             Self::Unservable(unservable) => Some(unservable.retry_after),
             Self::Held(held) => held.retry_after,
             Self::LimitReached(limit) => Some(limit.wait.min(MAX_LIMIT_WAIT) + random_spread()),
-            Self::NotReady | Self::NotRun(_) | Self::Unreachable(_) => Some(TRANSIENT_RETRY_AFTER),
+            Self::VersionUnavailable(_) => Some(VERSION_RETRY_AFTER),
+            Self::NotReady | Self::NotRun(_) | Self::Unreachable(_) | Self::UnknownOrigin(_) => {
+                Some(TRANSIENT_RETRY_AFTER)
+            }
             _ => None,
         }
     }
@@ -132,6 +147,15 @@
                 "not run: the engines in need take no more requests for {} ms",
                 limit.wait.as_millis()
             ),
+            Self::UnknownOrigin(UnknownOrigin::NotRecorded) => {
+                "not run: the version that began the stream is not known".to_owned()
+            }
+            Self::UnknownOrigin(UnknownOrigin::PeersSilent) => {
+                "not run: no peer told which version began the stream".to_owned()
+            }
+            Self::VersionUnavailable(version) => {
+                format!("not run: no back end of version {version}, which began the stream, takes requests")
+            }
             Self::Unservable(unservable) => format!(
                 "not run: the best back end would begin to answer in {} ms, after the caller's patience",
                 unservable.expected.as_millis()
--- a/crates/beamwall-gateway/src/stream/mod.rs
+++ b/crates/beamwall-gateway/src/stream/mod.rs
@@ -11,6 +11,7 @@
 
 use beamwall_clock::process_clock;
 use beamwall_http::Body;
+use beamwall_model::EngineVersion;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Response, StatusCode};
 use tokio::time::Instant;
@@ -30,7 +31,7 @@
 
 /// Forwards a call whose response is an event stream. Returns once the first events have arrived.
 pub async fn forward(forwarder: &Arc<Forwarder>, call: &Arc<Call>) -> Result<Response<Body>, Refusal> {
-    let mut attempts = Attempts::default();
+    let mut attempts = Attempts::of(call);
     let mut next = attempts.first_choice(forwarder, call).await;
     while let Some(PermittedChoice { choice, permit }) = next {
         if attempts.tried.len() == 1 {
@@ -40,7 +41,7 @@
         let failed =
             match start_attempt(forwarder, call, &choice, permit, call.last_event, &mut attempts).await {
                 Ok(AttemptStart::Stream(started)) => {
-                    attempts.note_response_started();
+                    attempts.note_response_started(started.version.as_ref());
                     return Ok(relay(forwarder, call, *started, attempts));
                 }
                 Ok(AttemptStart::Answer(response)) => return Ok(response),
@@ -75,6 +76,8 @@
     head: StreamHead,
     source: Source,
     first: Piece,
+    /// The version that sent these events; `None` if the stream ended without any.
+    version: Option<EngineVersion>,
 }
 
 /// Status and headers of a streaming response.
@@ -105,23 +108,24 @@
         biased;
         opened = attempt::open(forwarder, call, choice, permit, last_event, limit) => opened?,
         next = next_back_end.as_mut() => {
-            return Err(attempt::abandon_silent(forwarder, call, &choice.backend, next));
+            return Err(attempt::abandon_silent(forwarder, call, &choice.backend, last_event, next));
         }
     };
     if !opened.response.status().is_success() {
-        forwarder.record_response(call, &choice.backend, opened.response.status().is_server_error());
+        let is_bad = opened.response.status().is_server_error();
+        forwarder.record_stream_response(call, &choice.backend, last_event, is_bad);
         return Ok(unary::respond_buffered(forwarder, call, opened).await.map(AttemptStart::Answer)?);
     }
-    let OpenResponse { response, work, .. } = opened;
+    let OpenResponse { response, work, version, .. } = opened;
     let (parts, body) = response.into_parts();
     let is_framed =
         parts.headers.contains_key(CONTENT_LENGTH) || parts.headers.contains_key(TRANSFER_ENCODING);
-    let mut source = Source::new(choice, body, work, is_framed);
+    let mut source = Source::new(choice, body, work, is_framed, last_event);
     let first = tokio::select! {
         biased;
         piece = source.next_piece() => piece,
         next = next_back_end.as_mut() => {
-            return Err(attempt::abandon_silent(forwarder, call, &choice.backend, next));
+            return Err(attempt::abandon_silent(forwarder, call, &choice.backend, last_event, next));
         }
         () = call.deadline_elapsed() => {
             Piece::Broken(AttemptFailure::lost("no first event in time"))
@@ -129,27 +133,37 @@
     };
     if let Piece::Broken(failure) = first {
         forwarder.backend_state.health.note(&choice.backend, true, Instant::now());
-        forwarder.record_response(call, &choice.backend, true);
+        forwarder.record_stream_response(call, &choice.backend, last_event, true);
         return Err(failure.after_start().into());
     }
     forwarder.backend_state.health.note_activity(&choice.backend, process_clock::now());
+    let version = matches!(first, Piece::Events(_)).then_some(version);
+    if let Some(version) = &version {
+        forwarder.origins.note_stream(call, version);
+    }
     source.work.start_response();
-    record_time_to_first_event(forwarder, call, choice, sent_at);
+    record_time_to_first_event(forwarder, call, choice, last_event, sent_at);
     forwarder.record_usage(call);
     if let Some(prompt) = &call.prompt {
         forwarder.backend_state.prefixes.note_prefill(&choice.backend, prompt, Instant::now());
     }
     let head =
         StreamHead { status: parts.status, headers: forwarder.dialect.response_headers(&parts.headers) };
-    Ok(AttemptStart::Stream(Box::new(StartedStream { head, source, first })))
+    Ok(AttemptStart::Stream(Box::new(StartedStream { head, source, first, version })))
 }
 
 /// Records the engine's time to first event. Events that were ready before the request, as in a resumed
 /// stream, count as well.
-fn record_time_to_first_event(forwarder: &Forwarder, call: &Call, choice: &Choice, sent_at: Instant) {
+fn record_time_to_first_event(
+    forwarder: &Forwarder,
+    call: &Call,
+    choice: &Choice,
+    last_event: Option<u64>,
+    sent_at: Instant,
+) {
     let of = choice.first_event();
     let took_ms = process_clock::now().duration_since(sent_at).as_secs_f64() * 1_000.0;
     let models = &forwarder.backend_state.models;
     models.record_first_event(&call.service, &choice.backend, of, took_ms, Instant::now());
-    forwarder.record_response(call, &choice.backend, choice.is_slow(took_ms));
+    forwarder.record_stream_response(call, &choice.backend, last_event, choice.is_slow(took_ms));
 }
--- a/crates/beamwall-gateway/src/stream/relay.rs
+++ b/crates/beamwall-gateway/src/stream/relay.rs
@@ -32,7 +32,7 @@
     started: StartedStream,
     attempts: Attempts,
 ) -> Response<Body> {
-    let StartedStream { head, source, first } = started;
+    let StartedStream { head, source, first, .. } = started;
     let (sender, body) = channel(CHANNEL_CAPACITY);
     let relay = Relay {
         forwarder: forwarder.clone(),
@@ -78,7 +78,7 @@
         let mut first = Some(first);
         loop {
             let stop = self.forward_pieces(&mut source, first.take()).await;
-            let choice = source.choice.clone();
+            let (choice, continued_after) = (source.choice.clone(), source.continued_after);
             match stop {
                 Stop::Finished => return self.finish(&choice.backend),
                 Stop::CallerGone => {
@@ -88,7 +88,7 @@
                 Stop::Failed(failed) => {
                     // Closes the connection before another engine is contacted.
                     drop(source);
-                    match self.resume_elsewhere(&choice, failed).await {
+                    match self.resume_elsewhere(&choice, continued_after, failed).await {
                         Some(started) => {
                             source = started.source;
                             first = Some(started.first);
@@ -189,11 +189,17 @@
         }
     }
 
-    /// Resumes the stream at another engine after the last forwarded event, when `from` has failed.
-    async fn resume_elsewhere(&mut self, from: &Choice, failed: FailedAttempt) -> Option<StartedStream> {
+    /// Resumes the stream at another engine after the last forwarded event, when `from` has failed, which
+    /// itself had continued the stream after `continued_after`.
+    async fn resume_elsewhere(
+        &mut self,
+        from: &Choice,
+        continued_after: Option<u64>,
+        failed: FailedAttempt,
+    ) -> Option<StartedStream> {
         let FailedAttempt { failure, next } = failed;
         self.forwarder.backend_state.health.note(&from.backend, true, Instant::now());
-        self.forwarder.record_response(&self.call, &from.backend, true);
+        self.forwarder.record_stream_response(&self.call, &from.backend, continued_after, true);
         self.forwarder.note_reachability(&self.call.service, &from.backend, Some(&failure));
         self.attempts.note(&self.forwarder, &self.call, &from.backend, failure);
         let mut next = self.attempts.next_choice(&self.forwarder, &self.call, from, next).await;
@@ -205,7 +211,7 @@
             };
             let failed = match resumed {
                 Ok(AttemptStart::Stream(resumed)) => {
-                    self.attempts.note_response_started();
+                    self.attempts.note_response_started(resumed.version.as_ref());
                     self.record_resumption(&from.backend, &choice.backend);
                     return Some(*resumed);
                 }
--- a/crates/beamwall-gateway/src/stream/source.rs
+++ b/crates/beamwall-gateway/src/stream/source.rs
@@ -28,13 +28,22 @@
     splitter: EventSplitter,
     /// Whether the HTTP framing of the response marks its end.
     is_framed: bool,
+    /// The event after which it continues a stream; `None` if it began the stream.
+    pub(super) continued_after: Option<u64>,
 }
 
 impl Source {
     /// Creates the source for a response whose head was received. `is_framed`: its HTTP framing marks its
     /// end.
-    pub(super) fn new(choice: &Choice, body: PooledBody, work: OpenRequestGuard, is_framed: bool) -> Self {
-        Self { choice: choice.clone(), body, work, splitter: EventSplitter::default(), is_framed }
+    pub(super) fn new(
+        choice: &Choice,
+        body: PooledBody,
+        work: OpenRequestGuard,
+        is_framed: bool,
+        continued_after: Option<u64>,
+    ) -> Self {
+        let splitter = EventSplitter::default();
+        Self { choice: choice.clone(), body, work, splitter, is_framed, continued_after }
     }
 
     /// Waits for whole events and returns all that are available.
--- a/crates/beamwall-gateway/src/unary.rs
+++ b/crates/beamwall-gateway/src/unary.rs
@@ -32,7 +32,7 @@
 
 /// Forwards a call until a back end responds or no attempt is left.
 pub async fn forward(forwarder: &Forwarder, call: &Call) -> Result<Response<Body>, Refusal> {
-    let mut attempts = Attempts::default();
+    let mut attempts = Attempts::of(call);
     let mut failed_response = None;
     let mut next = attempts.first_choice(forwarder, call).await;
     while let Some(PermittedChoice { choice, permit }) = next {
@@ -94,7 +94,7 @@
     tokio::select! {
         biased;
         opened = attempt::open(forwarder, call, choice, permit, None, call.remaining()) => Ok(opened?),
-        next = next_back_end => Err(attempt::abandon_silent(forwarder, call, &choice.backend, next)),
+        next = next_back_end => Err(attempt::abandon_silent(forwarder, call, &choice.backend, None, next)),
     }
 }
 
@@ -132,7 +132,7 @@
     call: &Call,
     opened: OpenResponse,
 ) -> Result<BufferedResponse, AttemptFailure> {
-    let OpenResponse { backend, response, work } = opened;
+    let OpenResponse { backend, response, work, .. } = opened;
     let (parts, body) = response.into_parts();
     let left = call.remaining();
     // The time limit of the body reader does not include the time for which the machine was suspended.
--- a/crates/beamwall-gateway/tests/attempts.rs
+++ b/crates/beamwall-gateway/tests/attempts.rs
@@ -22,13 +22,14 @@
 use beamwall_gateway::retries::{RetryAllowance, RetryBudgets};
 use beamwall_gateway::usage::UsageLedger;
 use beamwall_gateway::{
-    CallHead, DelegationPeer, DelegationPort, Dialect, ForwardHead, PlacementOutcome, PlacementPort,
-    PlacementQuery, ResponseHead,
+    CallHead, DelegationPeer, DelegationPort, Dialect, ForwardHead, OriginPort, PeerAnswer, PlacementOutcome,
+    PlacementPort, PlacementQuery, ResponseHead, StreamOrigins,
 };
 use beamwall_http::Pool;
 use beamwall_model::{BackendId, ChoiceStrategy, NodeId, ServiceName};
 use beamwall_quarantine::{Fingerprint, QuarantineRegistry};
 use beamwall_rollout::RolloutRegistry;
+use beamwall_stream_origin::StreamKey;
 use hyper::{HeaderMap, StatusCode};
 use tokio::time::Instant;
 
@@ -87,6 +88,13 @@
     }
 }
 
+#[async_trait]
+impl OriginPort for StubPorts {
+    async fn ask(&self, _: &StreamKey, _: &ServiceName, _: Duration) -> PeerAnswer {
+        PeerAnswer::NoPeers
+    }
+}
+
 #[async_trait]
 impl TrialPort for StubPorts {
     async fn claim_trial(&self, _: &Fingerprint, _: u32, _: u64) -> bool {
@@ -117,6 +125,7 @@
         delegation: Arc::new(StubPorts),
         demand: DemandTracker::default(),
         rollouts: RolloutRegistry::default(),
+        origins: StreamOrigins::new(Arc::new(StubPorts)),
         quarantine: Arc::new(quarantine),
         retries: RetryBudgets::new(allowance, 1),
         usage: UsageLedger::new(SECOND),
--- a/crates/beamwall-gateway/tests/back_end_restart.rs
+++ b/crates/beamwall-gateway/tests/back_end_restart.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use beamwall_engine_model::SlownessObservation;
+use beamwall_gateway::allowed_versions::AllowedVersions;
 use beamwall_gateway::candidates::{BackendState, ChosenBy, Search};
 use beamwall_gateway::choice::Candidate;
 use beamwall_gateway::load::OpenLoad;
@@ -32,7 +33,7 @@
         prompt: Some(&prompt()),
         group: EngineGroup::WHOLE,
         avoided: &[],
-        versions: None,
+        versions: &AllowedVersions::All,
         by: ChosenBy::PlacementNode,
     };
     let mut candidates = backend_state.candidates(directory, search);
--- a/crates/beamwall-gateway/tests/placement.rs
+++ b/crates/beamwall-gateway/tests/placement.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use beamwall_engine_model::PrefillWork;
+use beamwall_gateway::allowed_versions::AllowedVersions;
 use beamwall_gateway::candidates::{BackendState, ChosenBy, Search};
 use beamwall_gateway::choice::{Expectation, choose};
 use beamwall_gateway::health::HealthTracker;
@@ -53,7 +54,7 @@
         group: EngineGroup::WHOLE,
         avoided,
 
-        versions: None,
+        versions: &AllowedVersions::All,
         by: ChosenBy::PlacementNode,
     };
     let candidates = backend_state.candidates(directory, search);
--- a/crates/beamwall-gateway/tests/placement_groups.rs
+++ b/crates/beamwall-gateway/tests/placement_groups.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use beamwall_engine_model::PrefillWork;
+use beamwall_gateway::allowed_versions::AllowedVersions;
 use beamwall_gateway::candidates::{BackendState, ChosenBy, Search};
 use beamwall_gateway::choice::{Expectation, choose};
 use beamwall_gateway::placement_groups::{EngineGroup, EngineGroups};
@@ -61,7 +62,7 @@
         prompt: Some(prompt),
         group,
         avoided: &[],
-        versions: None,
+        versions: &AllowedVersions::All,
         by: ChosenBy::PlacementNode,
     };
     let candidates = backend_state.candidates(directory, search);
--- a/crates/beamwall-gateway/tests/slow_engines.rs
+++ b/crates/beamwall-gateway/tests/slow_engines.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use beamwall_engine_model::{EngineModels, FirstEventInputs, PrefillWork};
+use beamwall_gateway::allowed_versions::AllowedVersions;
 use beamwall_gateway::candidates::{BackendState, ChosenBy, Search};
 use beamwall_gateway::choice::{Expectation, choose};
 use beamwall_gateway::placement_groups::EngineGroup;
@@ -86,7 +87,7 @@
             prompt: Some(&prompt),
             group: EngineGroup::WHOLE,
             avoided: &[],
-            versions: None,
+            versions: &AllowedVersions::All,
             by: ChosenBy::PlacementNode,
         };
         let candidates = self.placement_node.candidates(&self.directory, search);
--- a/crates/beamwall-node/src/actors/directory.rs
+++ b/crates/beamwall-node/src/actors/directory.rs
@@ -69,6 +69,8 @@
 
     fn publish(&mut self, source: String, digest_before: u64) {
         let before = self.view.swap(Arc::new(self.directory.clone()));
+        self.gateway.forwarder.origins.note_directory(&before);
+        self.gateway.forwarder.origins.note_directory(&self.directory);
         if self.directory.digest() == digest_before {
             return;
         }
--- a/crates/beamwall-node/src/gateway/duties/mod.rs
+++ b/crates/beamwall-node/src/gateway/duties/mod.rs
@@ -36,6 +36,7 @@
 use crate::gateway::node_selector::NodeSelector;
 use crate::gateway::stored_models::ModelStorage;
 use crate::gateway::stored_quarantine::StoredQuarantine;
+use crate::gateway::stored_versions::VersionStorage;
 
 /// Time between two checks for duties that are due.
 const DUTY_POLL_PERIOD: Duration = Duration::from_millis(250);
@@ -77,6 +78,14 @@
     pub rollouts: Option<Arc<dyn RolloutStore>>,
 }
 
+/// What the node that holds the lease keeps in the store for all nodes.
+pub struct StoredKnowledge {
+    /// Requests that are held.
+    pub held_requests: Arc<StoredQuarantine>,
+    /// Versions that the engines have had lately.
+    pub versions: Arc<VersionStorage>,
+}
+
 /// The duties of one node.
 pub struct Duties {
     node: NodeId,
@@ -91,7 +100,7 @@
     capacity: Option<CapacityDuty>,
     rollouts: Option<RolloutDuty>,
     model_storage: ModelStorage,
-    held_requests: Arc<StoredQuarantine>,
+    stored: StoredKnowledge,
 }
 
 impl Duties {
@@ -103,7 +112,7 @@
         exchange: &Arc<PeerExchange>,
         selector: NodeSelector,
         lease_epoch: IntGauge,
-        held_requests: Arc<StoredQuarantine>,
+        stored: StoredKnowledge,
     ) -> Self {
         let DutyPorts { objects, calls: port, rollouts } = ports;
         let bounds = Bounds {
@@ -133,7 +142,7 @@
             capacity: settings.order_capacity.then(capacity),
             rollouts,
             model_storage: ModelStorage::new(gateway.clone(), objects.clone()),
-            held_requests,
+            stored,
             objects,
             checkpointer,
             selector,
@@ -164,7 +173,8 @@
             if let Some(term) = &mut term {
                 self.run_due(term).await;
                 self.model_storage.write_if_due().await;
-                self.held_requests.write_if_due().await;
+                self.stored.held_requests.write_if_due().await;
+                self.stored.versions.write_if_due().await;
             }
         }
     }
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -216,6 +216,7 @@
         self.fit_models();
         self.note_silent_zones();
         self.gateway.forwarder.quarantine.remove_expired();
+        self.gateway.forwarder.origins.registry.remove_expired(Instant::now());
         let (models, slowness) = self.own_observations();
         let base = self.heartbeat_with(tick.updates, self.node_rollout_update());
         let usage = if self.is_large_deployment() { self.usage_delta() } else { base.usage };
@@ -348,6 +349,10 @@
                     Some(Body::PlacementRequest(request)) => self.answer_placement(&envelope, request),
                     Some(Body::PermitRequest(request)) => self.answer_permit(&envelope, &request),
                     Some(Body::DelegationRequest(request)) => self.answer_delegation(&envelope, &request),
+                    Some(Body::StreamOriginUpdate(update)) => self.merge_stream_origins(&update),
+                    Some(Body::StreamOriginRequest(request)) => {
+                        self.answer_stream_origin(&envelope, &request);
+                    }
                     body => {
                         envelope.body = body;
                         if other_messages.send(envelope).await.is_err() {
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod node_selector;
 pub mod observations;
 pub mod peer_delegation;
+pub mod peer_origins;
 pub mod peer_permits;
 pub mod peer_placement;
 pub mod peer_restarts;
@@ -35,6 +36,8 @@
 mod stored_models;
 mod stored_objects;
 pub mod stored_quarantine;
+mod stored_versions;
+pub mod stream_origin_wire;
 pub mod suspension;
 pub mod unreadable_entries;
 pub mod watches;
@@ -63,7 +66,7 @@
 use beamwall_gateway::usage::UsageLedger;
 use beamwall_gateway::{
     ControlStore, DelegationPort, Dialect, Directory, DutyPort, EngineGate, Gateway, GatewayHandler,
-    PermitPort, PlacementPort,
+    OriginPort, PermitPort, PlacementPort, StreamOrigins,
 };
 use beamwall_http::{Pool, serve};
 use beamwall_model::since_1970_ms;
@@ -83,12 +86,13 @@
 use crate::actors::membership::MembershipActor;
 use crate::actors::policy::PolicyActor;
 use crate::error::NodeError;
-use crate::gateway::duties::{Duties, DutyPorts};
+use crate::gateway::duties::{Duties, DutyPorts, StoredKnowledge};
 use crate::gateway::exchange::PeerExchange;
 use crate::gateway::gauges::GatewayGauges;
 use crate::gateway::listing::DirectoryReader;
 use crate::gateway::node_selector::NodeSelector;
 use crate::gateway::peer_delegation::PeerDelegation;
+use crate::gateway::peer_origins::PeerOrigins;
 use crate::gateway::peer_permits::PeerPermits;
 use crate::gateway::peer_placement::PeerPlacement;
 use crate::gateway::peer_restarts::PeerRestarts;
@@ -99,6 +103,7 @@
 use crate::gateway::stall_monitor::StallMonitor;
 use crate::gateway::store_status::StoreStatus;
 use crate::gateway::stored_quarantine::StoredQuarantine;
+use crate::gateway::stored_versions::VersionStorage;
 use crate::gateway::suspension::SuspensionMonitor;
 use crate::gateway::unreadable_entries::UnreadableEntries;
 use crate::gateway::watches::{WatchedBackends, WatchedPolicy};
@@ -172,7 +177,8 @@
         let placement = Arc::new(PeerPlacement::new(&settings, network.clone(), members.clone()));
         let permits = Box::new(PeerPermits::new(&settings, network.clone(), members.clone()));
         let delegation = Arc::new(PeerDelegation::new(&settings, network.clone(), members.clone()));
-        let peers = PeerPorts { placement, permits, delegation: delegation.clone() };
+        let origins = Arc::new(PeerOrigins::new(&settings, network.clone(), members.clone()));
+        let peers = PeerPorts { placement, permits, delegation: delegation.clone(), origins };
         let (quarantine_registry, clock): (Arc<QuarantineRegistry>, Arc<FleetClock>) = Default::default();
         let stored_quarantine =
             StoredQuarantine::new(ports.objects.clone(), quarantine_registry.clone(), clock.clone());
@@ -234,10 +240,13 @@
         tasks.push(tokio::spawn(exchange.clone().recover_usage()));
         tasks.push(tokio::spawn(stored_models::restore(gateway.clone(), ports.objects.clone())));
         tasks.push(tokio::spawn(exchange.clone().broadcast_evidence()));
+        tasks.push(tokio::spawn(exchange.clone().send_stream_origins()));
         tasks.push(tokio::spawn(
             stall_monitor.watch(SuspensionMonitor::new(exchange.heartbeat_trigger.clone())),
         ));
         tasks.push(tokio::spawn(restore_held_requests(stored_quarantine.clone(), gateway.clone())));
+        let version_storage = Arc::new(VersionStorage::new(ports.objects.clone(), gateway.clone()));
+        tasks.push(tokio::spawn(restore_versions(version_storage.clone())));
         if let Some(store) = ports.rollouts.clone() {
             let watched_orders = Arc::new(WatchedOrders { store, exchange: exchange.clone() });
             tasks.push(tokio::spawn(watches::watch_resource(
@@ -256,7 +265,7 @@
                 &exchange,
                 selector,
                 lease_epoch,
-                stored_quarantine,
+                StoredKnowledge { held_requests: stored_quarantine, versions: version_storage },
             );
             tasks.push(tokio::spawn(duties.run()));
         }
@@ -301,6 +310,7 @@
     placement: Arc<dyn PlacementPort>,
     permits: Box<dyn PermitPort>,
     delegation: Arc<dyn DelegationPort>,
+    origins: Arc<dyn OriginPort>,
 }
 
 /// What a node uses to reach its peers.
@@ -337,6 +347,10 @@
     gateway.forwarder.quarantine.log_changes();
 }
 
+async fn restore_versions(stored: Arc<VersionStorage>) {
+    stored.restore().await;
+}
+
 /// A number that grows with each start of the process: the start time in milliseconds.
 fn new_generation() -> u64 {
     since_1970_ms(SystemTime::now())
@@ -379,6 +393,7 @@
         rollouts: RolloutRegistry::default()
             .for_generation(&settings.node, generation)
             .in_zone(&settings.zone),
+        origins: StreamOrigins::new(peers.origins),
         retries: RetryBudgets::new(retries, nodes),
         usage: UsageLedger::new(settings.usage_window)
             .for_generation(&settings.node, generation)
--- a/crates/beamwall-node/src/gateway/peer_placement.rs
+++ b/crates/beamwall-node/src/gateway/peer_placement.rs
@@ -12,7 +12,7 @@
 use beamwall_events::internal_events::PlacementUnanswered;
 use beamwall_gateway::placement_groups::EngineGroup;
 use beamwall_gateway::{Choice, PlacementOutcome, PlacementPort, PlacementQuery, Prompt, PromptPart};
-use beamwall_model::{BackendId, NodeId, ServiceName, ZoneName};
+use beamwall_model::{BackendId, EngineVersion, NodeId, ServiceName, ZoneName};
 use beamwall_peer::gateway_message::{PlacementPart, PlacementReply, PlacementRequest};
 use beamwall_peer::{Body, Envelope, PeerNetwork};
 use tokio::time::Instant;
@@ -103,6 +103,7 @@
         groups: question.group.count,
         enough_ms: question.enough_ms,
         observed: heartbeat_wire::encode_slowness(question.observed.clone()),
+        origin: question.origin.as_ref().map(EngineVersion::to_string).unwrap_or_default(),
     }
 }
 
@@ -124,6 +125,7 @@
         zone: ZoneName::new(&envelope.zone),
         prompt: Prompt { prompt_tokens: request.prompt_tokens, output_tokens: request.output_tokens, parts },
         tried: request.tried.iter().map(BackendId::new).collect(),
+        origin: (!request.origin.is_empty()).then(|| EngineVersion::new(&request.origin)),
         unreachable: request.unreachable.iter().map(BackendId::new).collect(),
         pause_objective_ms: request.pause_objective_ms,
         remaining: Duration::from_millis(request.remaining_ms),
--- a/crates/beamwall-node/src/tasks/inbox.rs
+++ b/crates/beamwall-node/src/tasks/inbox.rs
@@ -89,7 +89,10 @@
             | Body::PermitRequest(_)
             | Body::PermitReply(_)
             | Body::DelegationRequest(_)
-            | Body::DelegationOffer(_),
+            | Body::DelegationOffer(_)
+            | Body::StreamOriginUpdate(_)
+            | Body::StreamOriginRequest(_)
+            | Body::StreamOriginReply(_),
         )
         | None => {}
     }
--- a/crates/beamwall-node/tests/earlier_builds.rs
+++ b/crates/beamwall-node/tests/earlier_builds.rs
@@ -22,6 +22,7 @@
 use beamwall_peer::quarantine_message::{
     CompletionMessage, QuarantineRequest, QuarantineUpdate, TerminationMessage, TrialMessage,
 };
+use beamwall_peer::stream_origin_message::{StreamOriginRequest, StreamOriginUpdate};
 use beamwall_peer::{Body, Envelope};
 use beamwall_seeds::on_seeds;
 use prost::Message;
@@ -144,6 +145,7 @@
         groups: 3,
         enough_ms: Some(300.0),
         observed: slowness(),
+        origin: String::new(),
     }
 }
 
@@ -365,6 +367,24 @@
     assert!(by_earlier.lives.is_empty());
 }
 
+/// Guards against: an earlier build can't read a placement request for a stream that goes on, or takes the origin of a stream
+/// for another message.
+#[test]
+fn what_is_sent_of_the_origins_of_streams_is_passed_over_by_the_recorded_schema() {
+    let request = PlacementRequest { origin: "v1.1".to_owned(), ..placement_request() };
+    let bytes = envelope(Body::PlacementRequest(request)).encode_to_vec();
+    let by_earlier = earlier::Envelope::decode(bytes.as_slice()).expect("new fields are passed over");
+    let Some(earlier::Body::PlacementRequest(by_earlier)) = by_earlier.body else { panic!("a request") };
+    assert_eq!((by_earlier.service.as_str(), by_earlier.tried.len()), ("pool", 1));
+    let update = StreamOriginUpdate { names: vec!["pool".to_owned()], ..StreamOriginUpdate::default() };
+    let question = StreamOriginRequest { stream: vec![7; 16], service: "pool".to_owned(), span_ms: 60_000 };
+    for body in [Body::StreamOriginUpdate(update), Body::StreamOriginRequest(question)] {
+        let bytes = envelope(body).encode_to_vec();
+        let by_earlier = earlier::Envelope::decode(bytes.as_slice()).expect("it can be read");
+        assert_eq!((by_earlier.sender.as_str(), by_earlier.body), ("node-1", None));
+    }
+}
+
 #[test]
 fn prefixes_and_unknown_fields_end_nothing() {
     let names: Vec<&str> = unchanged().iter().map(|(name, _)| *name).collect();
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -498,6 +498,9 @@
     /// yet.
     #[prost(message, repeated, tag = "12")]
     pub observed: Vec<BackendSlowness>,
+    /// Software version that the engine must have because it began the request's stream; empty if any.
+    #[prost(string, tag = "13")]
+    pub origin: String,
 }
 
 /// One part of a prompt.
--- a/crates/beamwall-peer/src/lib.rs
+++ b/crates/beamwall-peer/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod quarantine_message;
 pub mod rollout_message;
 mod session;
+pub mod stream_origin_message;
 pub mod transfer;
 
 pub use member::{Member, MemberState, link_weight};
--- a/crates/beamwall-peer/src/message.rs
+++ b/crates/beamwall-peer/src/message.rs
@@ -11,6 +11,7 @@
     VersionUpdate, ZoneSummary,
 };
 use crate::quarantine_message::{QuarantineRequest, QuarantineUpdate};
+use crate::stream_origin_message::{StreamOriginReply, StreamOriginRequest, StreamOriginUpdate};
 
 /// The envelope of every message: the sender, its state and the body.
 #[derive(Clone, PartialEq, Message)]
@@ -51,7 +52,7 @@
     /// Body of the message.
     #[prost(
         oneof = "Body",
-        tags = "20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 40, 41, 42, 43, 44, 45, 46, 47, 48, 49, 50, 51, 52, 53, 54, 55, 56"
+        tags = "20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 40, 41, 42, 43, 44, 45, 46, 47, 48, 49, 50, 51, 52, 53, 54, 55, 56, 57, 58, 59"
     )]
     pub body: Option<Body>,
 }
@@ -146,6 +147,15 @@
     /// Reply to a delegation request.
     #[prost(message, tag = "56")]
     DelegationOffer(DelegationOffer),
+    /// Versions that began streams, for gateways that hold them.
+    #[prost(message, tag = "57")]
+    StreamOriginUpdate(StreamOriginUpdate),
+    /// Asks which version began a stream.
+    #[prost(message, tag = "58")]
+    StreamOriginRequest(StreamOriginRequest),
+    /// Reply with the version that began a stream.
+    #[prost(message, tag = "59")]
+    StreamOriginReply(StreamOriginReply),
 }
 
 impl Envelope {
@@ -176,6 +186,9 @@
             Self::PlacementRequest(_) | Self::PlacementReply(_) => "placement",
             Self::PermitRequest(_) | Self::PermitReply(_) => "permit",
             Self::DelegationRequest(_) | Self::DelegationOffer(_) => "delegation",
+            Self::StreamOriginUpdate(_) | Self::StreamOriginRequest(_) | Self::StreamOriginReply(_) => {
+                "stream_origin"
+            }
         }
     }
 }
--- a/crates/beamwall-rollout/src/registry.rs
+++ b/crates/beamwall-rollout/src/registry.rs
@@ -295,6 +295,13 @@
         self.lock().get(service)?.rule(request, now)
     }
 
+    /// Whether a version of a service was rolled back, so that no requests may go to it.
+    pub fn is_rolled_back(&self, service: &ServiceName, version: &EngineVersion) -> bool {
+        self.lock().get(service).is_some_and(|known| {
+            known.verdict == Verdict::RolledBack && !known.is_withdrawn && known.order.id.target == *version
+        })
+    }
+
     /// Whether a rollout of a service is running. Back ends of both versions are then needed, so neither
     /// are surplus.
     pub fn is_running(&self, service: &ServiceName) -> bool {
--- /dev/null
+++ b/crates/beamwall-stream-origin/src/history.rs
@@ -0,0 +1,169 @@
+//! The `VersionHistory`: which software versions the engines of each service have had lately.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use beamwall_model::{EngineVersion, ServiceName};
+use tokio::time::Instant;
+
+/// Time for which a version that is not listed any more is remembered, longer than any stream lasts.
+const RETENTION: Duration = Duration::from_secs(3_600);
+/// Versions remembered of one service; of more, the one listed longest ago is dropped.
+const MAX_VERSIONS: usize = 64;
+
+/// The versions of a service's engines within a time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ServiceVersions {
+    /// All engines were of this version.
+    One(EngineVersion),
+    /// There were engines of several versions.
+    Several,
+    /// This node has not known the engines for so long, or knows of none.
+    Unknown,
+}
+
+impl ServiceVersions {
+    /// What two nodes know together.
+    #[must_use]
+    pub fn and(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Several, _) | (_, Self::Several) => Self::Several,
+            (Self::One(one), Self::One(other)) if one != other => Self::Several,
+            (Self::One(version), _) | (_, Self::One(version)) => Self::One(version),
+            (Self::Unknown, Self::Unknown) => Self::Unknown,
+        }
+    }
+}
+
+/// When engines of one version were listed last.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VersionAge {
+    /// The service.
+    pub service: ServiceName,
+    /// The version.
+    pub version: EngineVersion,
+    /// Time since an engine of it was listed.
+    pub age: Duration,
+}
+
+/// Versions of all services as one node has seen them listed.
+#[derive(Debug, Default)]
+pub struct VersionHistory {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Since when all versions are known; `None` while the engines are not listed completely.
+    complete_since: Option<Instant>,
+    last_listed: BTreeMap<ServiceName, BTreeMap<EngineVersion, Instant>>,
+}
+
+impl VersionHistory {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records the versions of all engines that are listed now. `is_complete`: the list is.
+    pub fn note_listed<'a>(
+        &self,
+        listed: impl Iterator<Item = (&'a ServiceName, &'a EngineVersion)>,
+        is_complete: bool,
+        now: Instant,
+    ) {
+        let mut state = self.lock();
+        if is_complete && state.complete_since.is_none() {
+            state.complete_since = Some(now);
+        }
+        for (service, version) in listed {
+            state.note(service, version, now);
+        }
+    }
+
+    /// Adds what an earlier process or another node has known: the versions, all of those within
+    /// `complete_for`.
+    pub fn merge(&self, versions: impl Iterator<Item = VersionAge>, complete_for: Duration, now: Instant) {
+        let mut state = self.lock();
+        for VersionAge { service, version, age } in versions {
+            if let Some(at) = now.checked_sub(age) {
+                state.note(&service, &version, at);
+            }
+        }
+        let complete_since = now.checked_sub(complete_for);
+        state.complete_since = match (state.complete_since, complete_since) {
+            (Some(known), Some(merged)) => Some(known.min(merged)),
+            (known, merged) => known.or(merged),
+        };
+    }
+
+    /// The versions that a service's engines have had within `span`.
+    pub fn within(&self, service: &ServiceName, span: Duration, now: Instant) -> ServiceVersions {
+        let state = self.lock();
+        let is_within = |at: &Instant| now.saturating_duration_since(*at) <= span;
+        let listed = state.last_listed.get(service);
+        let mut versions = listed.into_iter().flatten().filter(|(_, at)| is_within(at));
+        let Some((version, _)) = versions.next() else { return ServiceVersions::Unknown };
+        if versions.next().is_some() {
+            return ServiceVersions::Several;
+        }
+        match state.complete_since {
+            Some(since) if now.saturating_duration_since(since) >= span => {
+                ServiceVersions::One(version.clone())
+            }
+            _ => ServiceVersions::Unknown,
+        }
+    }
+
+    /// The versions that a service's engines have had as far as this node knows, for however short a time.
+    pub fn seen(&self, service: &ServiceName) -> ServiceVersions {
+        let state = self.lock();
+        let mut versions = state.last_listed.get(service).into_iter().flatten();
+        match (versions.next(), versions.next()) {
+            (None, _) => ServiceVersions::Unknown,
+            (Some((version, _)), None) => ServiceVersions::One(version.clone()),
+            (Some(_), Some(_)) => ServiceVersions::Several,
+        }
+    }
+
+    /// All remembered versions, and the time for which they are all that there were; `None` while the
+    /// engines are not listed completely.
+    pub fn remembered(&self, now: Instant) -> Option<(Vec<VersionAge>, Duration)> {
+        let mut state = self.lock();
+        state.forget_old(now);
+        let complete_for = now.saturating_duration_since(state.complete_since?);
+        let versions = state.last_listed.iter().flat_map(|(service, versions)| {
+            versions.iter().map(move |(version, at)| VersionAge {
+                service: service.clone(),
+                version: version.clone(),
+                age: now.saturating_duration_since(*at),
+            })
+        });
+        Some((versions.collect(), complete_for))
+    }
+}
+
+impl State {
+    fn note(&mut self, service: &ServiceName, version: &EngineVersion, at: Instant) {
+        if !self.last_listed.contains_key(service) {
+            self.last_listed.insert(service.clone(), BTreeMap::new());
+        }
+        let Some(versions) = self.last_listed.get_mut(service) else { return };
+        if let Some(known) = versions.get_mut(version) {
+            *known = at.max(*known);
+            return;
+        }
+        versions.insert(version.clone(), at);
+        if versions.len() > MAX_VERSIONS {
+            let oldest = versions.iter().min_by_key(|(_, at)| **at).map(|(version, _)| version.clone());
+            oldest.and_then(|oldest| versions.remove(&oldest));
+        }
+    }
+
+    fn forget_old(&mut self, now: Instant) {
+        for versions in self.last_listed.values_mut() {
+            versions.retain(|_, at| now.saturating_duration_since(*at) <= RETENTION);
+        }
+        self.last_listed.retain(|_, versions| !versions.is_empty());
+    }
+}
