--- a/crates/beamwall-lab/src/ending.rs
+++ b/crates/beamwall-lab/src/ending.rs
@@ -11,21 +11,25 @@
 /// Under which requests one stand-in ends, and whether it is due to.
 #[derive(Debug, Default)]
 pub struct Ending {
-    /// Bytes in a request under which it ends; none where there are none.
-    marker: Mutex<Vec<u8>>,
+    /// Bytes in a request under each of which it ends.
+    markers: Mutex<Vec<Vec<u8>>>,
     due: Notify,
 }
 
 impl Ending {
-    /// Ends under each request that holds `marker`, soon after it has begun to run it.
+    /// Ends under each request that holds `marker`, as under those that hold earlier ones, soon after it has
+    /// begun to run it.
     pub fn end_under(&self, marker: &[u8]) {
-        *self.marker.lock().unwrap_or_else(PoisonError::into_inner) = marker.to_vec();
+        if !marker.is_empty() {
+            self.markers.lock().unwrap_or_else(PoisonError::into_inner).push(marker.to_vec());
+        }
     }
 
     /// Whether it ends under a request with this content.
     pub fn ends_under(&self, content: &[u8]) -> bool {
-        let marker = self.marker.lock().unwrap_or_else(PoisonError::into_inner);
-        !marker.is_empty() && content.windows(marker.len()).any(|bytes| bytes == marker.as_slice())
+        let markers = self.markers.lock().unwrap_or_else(PoisonError::into_inner);
+        let holds = |marker: &Vec<u8>| content.windows(marker.len()).any(|bytes| bytes == marker.as_slice());
+        markers.iter().any(holds)
     }
 
     /// Runs a request under which it ends, up to its end.
