Quarantine: a part of prompts that ends engines is held, whatever request it comes with

Cause: evidence was kept by whole request (caller, host, path, body), and what ended the engines was one part that requests share, no two of which are alike. Each began with no evidence. Sound requests that were sent again collected it instead, and were held. Change: the shared parts of a prompt are suspects beside the request, in the same registry under fingerprints of their own, so rules, messages, stored form and trials hold for them as they are. A part on which a whole answer was written within a minute is no suspect, and a node that knows that tells those that don't. A request is refused, and no attempt follows, while a part of it is held. A lost response still counts 256 requests of an engine at most, and 256 parts beside.

--- a/crates/beamwall-gateway/src/attempt.rs
+++ b/crates/beamwall-gateway/src/attempt.rs
@@ -6,7 +6,8 @@
 use beamwall_engine_limits::LimitNotice;
 use beamwall_http::{PoolError, PooledBody, full};
 use beamwall_model::{BackendId, EngineVersion, InstanceName};
-use hyper::{Request, Response, StatusCode};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use tokio::time::Instant;
 
 use crate::directory::Backend;
@@ -251,6 +252,11 @@
     Ok(OpenResponse { backend: backend.clone(), version: target.version.clone(), response, work })
 }
 
+/// Whether the HTTP framing of a response marks its end. Otherwise it ends with its connection.
+pub(crate) fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// A response without a request identifier can't be distinguished from a late response to another request.
 fn matches_request(head: &ResponseHead, call: &Call) -> bool {
     match (&head.request_id, &call.request_id) {
--- a/crates/beamwall-gateway/src/attempts.rs
+++ b/crates/beamwall-gateway/src/attempts.rs
@@ -134,7 +134,7 @@
         failure: AttemptFailure,
     ) {
         if failure.response_lost {
-            forwarder.quarantine.note_lost(call.fingerprint, backend);
+            forwarder.quarantine.note_lost(&call.suspects().collect::<Vec<_>>(), backend);
         }
         emit(&AttemptFailed {
             request: call.log_id(),
@@ -157,7 +157,8 @@
     }
 
     fn may_resend(&self, forwarder: &Forwarder, call: &Call) -> bool {
-        let is_held = call.admission == Admission::Normal && forwarder.quarantine.is_held(&call.fingerprint);
+        let is_held =
+            call.admission == Admission::Normal && forwarder.quarantine.is_any_held(call.suspects());
         let may_run_again = call.route.kind.is_idempotent() || !self.may_have_run;
         !is_held && may_run_again && !call.remaining().is_zero()
     }
--- a/crates/beamwall-gateway/src/call.rs
+++ b/crates/beamwall-gateway/src/call.rs
@@ -21,6 +21,12 @@
 /// Fraction of the route's objective within which a prompt must be prefilled to count as short.
 const SHORT_PREFILL_SHARE: f64 = 0.04;
 
+/// What may terminate a back end that runs a request: the request itself and the shared parts of its prompt.
+pub fn suspects(request: Fingerprint, prompt: Option<&Prompt>) -> impl Iterator<Item = Fingerprint> {
+    let parts = prompt.into_iter().flat_map(Prompt::shared_parts);
+    std::iter::once(request).chain(parts.map(Fingerprint::of_part))
+}
+
 /// A caller's request, completely received, with the decisions made on arrival.
 #[derive(Debug, Clone)]
 pub struct Call {
@@ -65,6 +71,11 @@
 }
 
 impl Call {
+    /// What may terminate a back end that runs it: the request itself and the shared parts of its prompt.
+    pub fn suspects(&self) -> impl Iterator<Item = Fingerprint> {
+        suspects(self.fingerprint, self.prompt.as_ref())
+    }
+
     /// The parts of its prompt that other requests may share, for logs: identifiers separated by commas.
     pub fn shared_part_names(&self) -> String {
         let parts = self.prompt.iter().flat_map(Prompt::shared_parts);
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -25,7 +25,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::placement::{Choice, PlacementOutcome, PlacementPort, PlacementQuery};
 use crate::placement_groups::{EngineGroup, EngineGroups};
-use crate::ports::{Dialect, Prompt};
+use crate::ports::{Dialect, MAX_SHARED_PARTS, Prompt};
 use crate::quarantine::Quarantine;
 use crate::reachability::EngineReachability;
 use crate::retries::RetryBudgets;
@@ -482,6 +482,14 @@
         self.estimates(&call.service).prefill_ms(whole)
     }
 
+    /// Records that a back end wrote a whole answer on a call's prompt.
+    pub(crate) fn note_parts_completed(&self, call: &Call) {
+        if let Some(prompt) = &call.prompt {
+            let parts = prompt.parts.iter().take(MAX_SHARED_PARTS + 1);
+            self.quarantine.note_parts_completed(parts.map(|part| part.id));
+        }
+    }
+
     /// Counts a request that a back end started to execute.
     pub fn record_usage(&self, call: &Call) {
         if let Some(tenant) = &call.tenant {
--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -17,6 +17,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
+use crate::call::suspects;
 use crate::forward::{Call, Forwarder};
 use crate::ports::{CallHead, Prompt};
 use crate::quota::{Charge, QuotaLimiter};
@@ -197,7 +198,8 @@
         let body = read.map_err(refusal_from_read_error)?;
         let fingerprint = fingerprint.finish();
         context.fingerprint = Some(fingerprint);
-        let admission = self.forwarder.quarantine.admit(&fingerprint).await?;
+        let admission =
+            self.forwarder.quarantine.admit_all(suspects(fingerprint, head.prompt.as_ref())).await?;
         let service = route.service_for(rand::random()).ok_or(Refusal::NoRoute)?;
         let stream = ResumedStream { route: &route, service, tenant: tenant_name, head: &head };
         let origin = self.find_origin(stream).await?;
--- a/crates/beamwall-gateway/src/lost_responses.rs
+++ b/crates/beamwall-gateway/src/lost_responses.rs
@@ -19,6 +19,8 @@
 const MAX_BACK_ENDS: usize = 512;
 /// Maximum number of lost responses kept per back end.
 const MAX_REQUESTS_PER_BACK_END: usize = 256;
+/// Maximum number of parts of their prompts kept per back end.
+const MAX_PARTS_PER_BACK_END: usize = 256;
 
 /// Action that a lost response requires.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -40,18 +42,31 @@
 #[derive(Debug)]
 struct BackendLosses {
     requests: Vec<Fingerprint>,
+    parts: Vec<Fingerprint>,
     last: Instant,
     is_probed: bool,
     has_terminated: bool,
 }
 
+impl BackendLosses {
+    fn add(&mut self, suspect: Fingerprint) {
+        let (kept, limit) = match suspect.part() {
+            None => (&mut self.requests, MAX_REQUESTS_PER_BACK_END),
+            Some(_) => (&mut self.parts, MAX_PARTS_PER_BACK_END),
+        };
+        if kept.len() < limit && !kept.contains(&suspect) {
+            kept.push(suspect);
+        }
+    }
+}
+
 impl LostResponses {
     fn lock(&self) -> MutexGuard<'_, HashMap<BackendId, BackendLosses>> {
         self.back_ends.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that a back end's response to a request was lost.
-    pub fn note(&self, backend: &BackendId, request: Fingerprint, now: Instant) -> ProbeAction {
+    /// Records that a back end's response was lost. `suspects`: the request and the shared parts of its prompt.
+    pub fn note(&self, backend: &BackendId, suspects: &[Fingerprint], now: Instant) -> ProbeAction {
         let mut back_ends = self.lock();
         back_ends.retain(|_, lost| now.saturating_duration_since(lost.last) < LOSS_TTL);
         if back_ends.len() >= MAX_BACK_ENDS && !back_ends.contains_key(backend) {
@@ -59,6 +74,7 @@
         }
         let lost = back_ends.entry(backend.clone()).or_insert_with(|| BackendLosses {
             requests: Vec::new(),
+            parts: Vec::new(),
             last: now,
             is_probed: false,
             has_terminated: false,
@@ -67,9 +83,7 @@
         if lost.has_terminated {
             return ProbeAction::Count;
         }
-        if lost.requests.len() < MAX_REQUESTS_PER_BACK_END && !lost.requests.contains(&request) {
-            lost.requests.push(request);
-        }
+        suspects.iter().for_each(|suspect| lost.add(*suspect));
         if std::mem::replace(&mut lost.is_probed, true) { ProbeAction::Wait } else { ProbeAction::Probe }
     }
 
@@ -85,12 +99,14 @@
         }
     }
 
-    /// Records that a back end terminated; returns the requests whose responses were lost there. Nothing is
+    /// Records that a back end terminated; returns the suspects of the responses that were lost there. Nothing is
     /// recorded for a back end without lost responses.
     pub fn mark_terminated(&self, backend: &BackendId) -> Vec<Fingerprint> {
         let mut back_ends = self.lock();
         let Some(lost) = back_ends.get_mut(backend) else { return Vec::new() };
         lost.has_terminated = true;
-        std::mem::take(&mut lost.requests)
+        let mut suspects = std::mem::take(&mut lost.requests);
+        suspects.append(&mut lost.parts);
+        suspects
     }
 }
--- a/crates/beamwall-gateway/src/quarantine.rs
+++ b/crates/beamwall-gateway/src/quarantine.rs
@@ -1,5 +1,8 @@
 //! Handles requests suspected of terminating back ends: probes whether a back end whose response was lost has
 //! terminated, and admits or holds requests according to the [`QuarantineRegistry`].
+//!
+//! What terminates back ends may be a whole request or a part of prompts that requests share. Both are
+//! suspects of the same registry. A part is no suspect while answers on it are completed ([`SoundParts`]).
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,7 +15,9 @@
 use beamwall_events::internal_events::{BackendEnded, RequestFreed, RequestHeld, TrialGranted};
 use beamwall_http::{Pool, Reachability};
 use beamwall_model::BackendId;
-use beamwall_quarantine::{Admission, Evidence, Fingerprint, HeldRequest, QuarantineRegistry, RequestStatus};
+use beamwall_quarantine::{
+    Admission, Evidence, Fingerprint, HeldRequest, QuarantineRegistry, RequestStatus, SoundParts,
+};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -70,6 +75,7 @@
     /// Notified when this node has evidence that its peers should receive.
     pub peer_notify: Notify,
     lost_responses: LostResponses,
+    sound_parts: SoundParts,
     pool: Pool,
     backends: Arc<dyn BackendLookup>,
     clock: Arc<FleetClock>,
@@ -87,9 +93,19 @@
         clock: Arc<FleetClock>,
         trials: Arc<dyn TrialPort>,
     ) -> Self {
-        let (peer_notify, lost_responses) = (Notify::new(), LostResponses::default());
-        let trial_throttle = Throttle::default();
-        Self { registry, peer_notify, lost_responses, pool, backends, clock, trials, trial_throttle }
+        let (lost_responses, sound_parts) = (LostResponses::default(), SoundParts::default());
+        let (peer_notify, trial_throttle) = (Notify::new(), Throttle::default());
+        Self {
+            registry,
+            peer_notify,
+            lost_responses,
+            sound_parts,
+            pool,
+            backends,
+            clock,
+            trials,
+            trial_throttle,
+        }
     }
 
     /// The time used in evidence, in milliseconds since 1970.
@@ -97,20 +113,41 @@
         self.clock.now_ms()
     }
 
-    /// Decides whether a request may be sent.
-    pub async fn admit(&self, request: &Fingerprint) -> Result<Admission, HeldRequest> {
+    /// Decides whether a request may be sent: neither it nor a shared part of its prompt is held, or a trial is
+    /// granted for each that is.
+    pub async fn admit_all(
+        &self,
+        suspects: impl Iterator<Item = Fingerprint>,
+    ) -> Result<Admission, HeldRequest> {
+        // Fast path for almost all requests.
+        if !self.registry.has_held() {
+            return Ok(Admission::Normal);
+        }
+        let mut admission = Admission::Normal;
+        for suspect in suspects {
+            if self.admit(&suspect).await? == Admission::Trial {
+                admission = Admission::Trial;
+            }
+        }
+        Ok(admission)
+    }
+
+    /// Decides whether a request may be sent as far as a single suspect is concerned.
+    pub async fn admit(&self, suspect: &Fingerprint) -> Result<Admission, HeldRequest> {
         // Fast path for almost all requests: computing the fleet time takes longer than everything else here.
-        if !self.is_held(request) {
+        if !self.is_held(suspect) {
             return Ok(Admission::Normal);
         }
-        match self.registry.request_status(request, self.now_ms()) {
+        let held = *suspect;
+        match self.registry.request_status(suspect, self.now_ms()) {
             RequestStatus::Free => Ok(Admission::Normal),
-            RequestStatus::Held { endings, retry_after } => Err(HeldRequest { endings, retry_after }),
+            RequestStatus::Held { endings, retry_after } => Err(HeldRequest { held, endings, retry_after }),
             RequestStatus::TrialDue { number, endings, is_in_doubt } => {
-                if self.try_claim_trial(request, number).await {
+                if self.try_claim_trial(suspect, number).await {
                     return Ok(Admission::Trial);
                 }
-                Err(HeldRequest { endings, retry_after: is_in_doubt.then_some(TRIAL_RETRY_AFTER) })
+                let retry_after = is_in_doubt.then_some(TRIAL_RETRY_AFTER);
+                Err(HeldRequest { held, endings, retry_after })
             }
         }
     }
@@ -128,9 +165,22 @@
         true
     }
 
-    /// Whether a request is held now, so that it must not be sent again.
-    pub fn is_held(&self, request: &Fingerprint) -> bool {
-        self.registry.is_held(request)
+    /// Whether a request or part is held now, so that it must not be sent again.
+    pub fn is_held(&self, suspect: &Fingerprint) -> bool {
+        self.registry.is_held(suspect)
+    }
+
+    /// Whether any of these is held now.
+    pub fn is_any_held(&self, mut suspects: impl Iterator<Item = Fingerprint>) -> bool {
+        self.registry.has_held() && suspects.any(|suspect| self.is_held(&suspect))
+    }
+
+    /// Records that a back end wrote a whole answer on the parts of a prompt, the last one included.
+    pub fn note_parts_completed(&self, parts: impl Iterator<Item = u64> + Clone) {
+        self.sound_parts.note_completed(parts.clone(), self.now_ms());
+        if self.registry.suspects() > 0 {
+            parts.for_each(|part| self.note_completed(&Fingerprint::of_part(part)));
+        }
     }
 
     /// Records that a back end completed a request and is therefore alive.
@@ -141,13 +191,13 @@
     }
 
     /// Records that the response of a back end to a request was lost because the connection closed or went
-    /// silent.
-    pub fn note_lost(self: &Arc<Self>, request: Fingerprint, backend: &BackendId) {
+    /// silent. `suspects`: the request and the shared parts of its prompt.
+    pub fn note_lost(self: &Arc<Self>, suspects: &[Fingerprint], backend: &BackendId) {
         // A back end that has announced that it is leaving, or is no longer listed, terminates for reasons of
         // its own.
         let Some(listed) = self.backends.find(backend).filter(|listed| !listed.is_leaving) else { return };
-        match self.lost_responses.note(backend, request, Instant::now()) {
-            ProbeAction::Count => self.record_termination(backend, vec![request]),
+        match self.lost_responses.note(backend, suspects, Instant::now()) {
+            ProbeAction::Count => self.record_termination(backend, suspects.to_vec()),
             ProbeAction::Probe => {
                 tokio::spawn(self.clone().probe(listed));
             }
@@ -160,7 +210,7 @@
     /// be sent the request in the meantime.
     pub async fn note_lost_and_wait(self: &Arc<Self>, request: Fingerprint, backend: &BackendId) {
         let was_suspected = self.registry.is_suspected(&request);
-        self.note_lost(request, backend);
+        self.note_lost(&[request], backend);
         while was_suspected && self.lost_responses.is_probed(backend) && !self.is_held(&request) {
             tokio::time::sleep(PROBE_POLL_INTERVAL).await;
         }
@@ -214,9 +264,18 @@
         }
     }
 
-    /// Merges evidence received from peers; returns the part that was new to this node.
+    /// Merges evidence received from peers; returns the part that was new to this node. What is suspected by
+    /// peers and sound here is told to them.
     pub fn merge_evidence(&self, evidence: Evidence) -> Evidence {
-        let new = self.registry.merge_evidence(evidence, self.now_ms());
+        let now_ms = self.now_ms();
+        let completed = evidence.completions.iter().filter_map(|completion| completion.request.part());
+        self.sound_parts.note_completed(completed, now_ms);
+        let new = self.registry.merge_evidence(evidence, now_ms);
+        for suspect in new.endings.iter().flat_map(|termination| &termination.open) {
+            if suspect.part().is_some_and(|part| self.sound_parts.is_sound(part, now_ms)) {
+                self.note_completed(suspect);
+            }
+        }
         self.log_changes();
         new
     }
@@ -227,10 +286,12 @@
         self.log_changes();
     }
 
-    fn record_termination(&self, backend: &BackendId, open: Vec<Fingerprint>) {
+    fn record_termination(&self, backend: &BackendId, mut open: Vec<Fingerprint>) {
+        let now_ms = self.now_ms();
+        open.retain(|suspect| suspect.part().is_none_or(|part| !self.sound_parts.is_sound(part, now_ms)));
         let requests: Vec<String> = open.iter().map(Fingerprint::to_string).collect();
         emit(&BackendEnded { backend: backend.to_string(), open: requests.join(",") });
-        self.registry.note_termination(backend, open, self.now_ms());
+        self.registry.note_termination(backend, open, now_ms);
         self.publish_changes();
     }
 
--- a/crates/beamwall-gateway/src/stream/mod.rs
+++ b/crates/beamwall-gateway/src/stream/mod.rs
@@ -12,7 +12,6 @@
 use beamwall_clock::process_clock;
 use beamwall_http::Body;
 use beamwall_model::EngineVersion;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Response, StatusCode};
 use tokio::time::Instant;
 
@@ -118,8 +117,7 @@
     }
     let OpenResponse { response, work, version, .. } = opened;
     let (parts, body) = response.into_parts();
-    let is_framed =
-        parts.headers.contains_key(CONTENT_LENGTH) || parts.headers.contains_key(TRANSFER_ENCODING);
+    let is_framed = attempt::is_framed(&parts.headers);
     let mut source = Source::new(choice, body, work, is_framed, last_event);
     let first = tokio::select! {
         biased;
--- a/crates/beamwall-gateway/src/stream/relay.rs
+++ b/crates/beamwall-gateway/src/stream/relay.rs
@@ -59,7 +59,11 @@
 
 /// Why a relay stopped reading an engine.
 enum Stop {
-    Finished,
+    /// The stream ended. `proves_parts`: the engine wrote events and marked their end, which one that
+    /// terminates does not.
+    Finished {
+        proves_parts: bool,
+    },
     CallerGone,
     Failed(FailedAttempt),
 }
@@ -80,7 +84,7 @@
             let stop = self.forward_pieces(&mut source, first.take()).await;
             let (choice, continued_after) = (source.choice.clone(), source.continued_after);
             match stop {
-                Stop::Finished => return self.finish(&choice.backend),
+                Stop::Finished { proves_parts } => return self.finish(&choice.backend, proves_parts),
                 Stop::CallerGone => {
                     let request = self.call.log_id();
                     return emit(&CallerGone { request, backend: choice.backend.to_string() });
@@ -134,10 +138,11 @@
                     self.last_event = batch.last.or(self.last_event);
                 }
                 Piece::End => {
+                    let proves_parts = gap_meter.is_some() && source.has_marked_end();
                     if let Some(gap_meter) = gap_meter {
                         self.record_whole_stream(&gap_meter, source);
                     }
-                    return Stop::Finished;
+                    return Stop::Finished { proves_parts };
                 }
                 Piece::Broken(failure) => return Stop::Failed(failure.into()),
             }
@@ -239,8 +244,11 @@
         self.forwarder.metrics.streams_continued.inc();
     }
 
-    fn finish(&self, backend: &BackendId) {
+    fn finish(&self, backend: &BackendId, proves_parts: bool) {
         self.forwarder.quarantine.note_completed(&self.call.fingerprint);
+        if proves_parts {
+            self.forwarder.note_parts_completed(&self.call);
+        }
         if let Some(last) = self.last_event {
             self.forwarder.demand.note_events(&self.call.route.name, last);
         }
--- a/crates/beamwall-gateway/src/stream/source.rs
+++ b/crates/beamwall-gateway/src/stream/source.rs
@@ -46,6 +46,11 @@
         Self { choice: choice.clone(), body, work, splitter, is_framed, continued_after }
     }
 
+    /// Whether the end of the stream is told from a broken connection.
+    pub(super) fn has_marked_end(&self) -> bool {
+        self.is_framed
+    }
+
     /// Waits for whole events and returns all that are available.
     pub(super) async fn next_piece(&mut self) -> Piece {
         loop {
--- a/crates/beamwall-gateway/src/unary.rs
+++ b/crates/beamwall-gateway/src/unary.rs
@@ -143,6 +143,9 @@
         Ok(body) => {
             forwarder.record_usage(call);
             forwarder.quarantine.note_completed(&call.fingerprint);
+            if parts.status.is_success() && attempt::is_framed(&parts.headers) {
+                forwarder.note_parts_completed(call);
+            }
             Ok(BufferedResponse { parts, body })
         }
         Err(error) => {
--- a/crates/beamwall-gateway/tests/lost_responses.rs
+++ b/crates/beamwall-gateway/tests/lost_responses.rs
@@ -18,12 +18,12 @@
 fn the_first_loss_asks_for_a_probe_and_the_others_wait_for_it() {
     let lost_responses = LostResponses::default();
     let (engine, now) = (backend("i-1"), Instant::now());
-    assert_eq!(lost_responses.note(&engine.id, request("a"), now), ProbeAction::Probe);
-    assert_eq!(lost_responses.note(&engine.id, request("b"), now), ProbeAction::Wait);
-    assert_eq!(lost_responses.note(&engine.id, request("b"), now), ProbeAction::Wait);
+    assert_eq!(lost_responses.note(&engine.id, &[request("a")], now), ProbeAction::Probe);
+    assert_eq!(lost_responses.note(&engine.id, &[request("b")], now), ProbeAction::Wait);
+    assert_eq!(lost_responses.note(&engine.id, &[request("b")], now), ProbeAction::Wait);
     assert_eq!(lost_responses.mark_terminated(&engine.id), [request("a"), request("b")]);
     assert_eq!(
-        lost_responses.note(&engine.id, request("c"), now),
+        lost_responses.note(&engine.id, &[request("c")], now),
         ProbeAction::Count,
         "its termination is known"
     );
@@ -34,9 +34,9 @@
 fn a_running_back_end_is_probed_again_at_its_next_loss() {
     let lost_responses = LostResponses::default();
     let (engine, now) = (backend("i-1"), Instant::now());
-    assert_eq!(lost_responses.note(&engine.id, request("a"), now), ProbeAction::Probe);
+    assert_eq!(lost_responses.note(&engine.id, &[request("a")], now), ProbeAction::Probe);
     lost_responses.finish_probe(&engine.id);
-    assert_eq!(lost_responses.note(&engine.id, request("b"), now), ProbeAction::Probe);
+    assert_eq!(lost_responses.note(&engine.id, &[request("b")], now), ProbeAction::Probe);
     assert_eq!(lost_responses.mark_terminated(&engine.id), [request("a"), request("b")]);
 }
 
@@ -44,8 +44,8 @@
 fn losses_from_long_ago_are_ignored() {
     let lost_responses = LostResponses::default();
     let (engine, now) = (backend("i-1"), Instant::now());
-    lost_responses.note(&engine.id, request("a"), now);
-    lost_responses.note(&backend("i-2").id, request("b"), now + Duration::from_secs(11));
+    lost_responses.note(&engine.id, &[request("a")], now);
+    lost_responses.note(&backend("i-2").id, &[request("b")], now + Duration::from_secs(11));
     assert_eq!(lost_responses.mark_terminated(&engine.id), []);
 }
 
@@ -55,8 +55,8 @@
     let now = Instant::now();
     let names: Vec<String> = (0..2_000).map(|number| format!("i-{number}")).collect();
     for name in &names {
-        lost_responses.note(&backend(name).id, request("a"), now);
-        lost_responses.note(&backend("i-0").id, request(name), now);
+        lost_responses.note(&backend(name).id, &[request("a")], now);
+        lost_responses.note(&backend("i-0").id, &[request(name)], now);
     }
     assert!(lost_responses.mark_terminated(&BackendId::new("i-0")).len() <= 256);
     let kept = names
--- a/crates/beamwall-gateway/tests/quarantine.rs
+++ b/crates/beamwall-gateway/tests/quarantine.rs
@@ -53,7 +53,7 @@
     update_directory(&directory, 1, names.iter().map(|name| backend(name, false)).collect());
     for name in names {
         assert_eq!(quarantine.admit(&request()).await, Ok(Admission::Normal));
-        quarantine.note_lost(request(), &BackendId::new(name));
+        quarantine.note_lost(&[request()], &BackendId::new(name));
     }
     tokio::time::sleep(Duration::from_millis(500)).await;
     assert!(quarantine.admit(&request()).await.is_err());
@@ -67,7 +67,7 @@
     // An engine starts draining before its response is lost, or before its termination is known.
     update_directory(&directory, 2, names.iter().map(|name| backend(name, *name < "i-3")).collect());
     for name in names {
-        quarantine.note_lost(request(), &BackendId::new(name));
+        quarantine.note_lost(&[request()], &BackendId::new(name));
     }
     update_directory(&directory, 3, names.iter().map(|name| backend(name, true)).collect());
     for name in names {
--- a/crates/beamwall-quarantine/src/admission.rs
+++ b/crates/beamwall-quarantine/src/admission.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::fingerprint::Fingerprint;
+
 /// How an admitted request may be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -11,9 +13,11 @@
     Trial,
 }
 
-/// A refusal: back ends terminated while this request was open.
+/// A refusal: back ends terminated while this request was open, or others that share a part of its prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct HeldRequest {
+    /// What is held: the request or a part of its prompt.
+    pub held: Fingerprint,
     /// Number of terminations.
     pub endings: usize,
     /// Time until the next trial; `None` if the request must not be sent again.
@@ -24,9 +28,13 @@
     /// The reason given to the caller.
     pub fn reason(&self) -> String {
         let endings = self.endings;
+        let what = match self.held.part() {
+            Some(part) => format!("requests with part {part:x} of this prompt"),
+            None => "this request".to_owned(),
+        };
         match self.retry_after {
-            None => format!("not run: {endings} back ends ended under this request; do not send it again"),
-            Some(_) => format!("not run: {endings} back ends ended under this request or others beside it"),
+            None => format!("not run: {endings} back ends ended under {what}; do not send it again"),
+            Some(_) => format!("not run: {endings} back ends ended under {what} or others beside it"),
         }
     }
 }
--- a/crates/beamwall-quarantine/src/fingerprint.rs
+++ b/crates/beamwall-quarantine/src/fingerprint.rs
@@ -1,4 +1,5 @@
-//! Fingerprints, which are equal for all attempts of the same request.
+//! Fingerprints of what may terminate back ends: a request, equal for all its attempts, or a part of a prompt,
+//! equal for all requests whose prompts share it.
 
 use std::fmt;
 
@@ -9,8 +10,12 @@
 pub const FINGERPRINT_BYTES: usize = 16;
 /// Number of fingerprint bytes shown in logs.
 const DISPLAYED_BYTES: usize = 8;
+/// The second half of the fingerprint of a part, after its identifier. A request has it with a probability of
+/// 2^-64.
+const PART_MARK: [u8; 8] = *b"\0\0\0\0part";
 
-/// Identifies a request by its caller, host, path with query, and body; other headers are ignored.
+/// Identifies a request by its caller, host, path with query, and body; other headers are ignored. Or
+/// identifies a part of prompts.
 ///
 /// It is a truncated SHA-256, so that no tenant can construct a request with the fingerprint of another
 /// tenant's request.
@@ -23,6 +28,20 @@
         Self(bytes)
     }
 
+    /// The fingerprint of a part of prompts.
+    pub fn of_part(part: u64) -> Self {
+        let mut bytes = [0; FINGERPRINT_BYTES];
+        bytes[..DISPLAYED_BYTES].copy_from_slice(&part.to_be_bytes());
+        bytes[DISPLAYED_BYTES..].copy_from_slice(&PART_MARK);
+        Self(bytes)
+    }
+
+    /// The part that it identifies; `None` for a request.
+    pub fn part(&self) -> Option<u64> {
+        let (part, mark) = self.0.split_first_chunk()?;
+        (*mark == PART_MARK).then(|| u64::from_be_bytes(*part))
+    }
+
     /// Parses a fingerprint from its full hexadecimal form.
     pub fn from_hex(digits: &str) -> Option<Self> {
         let mut bytes = [0; FINGERPRINT_BYTES];
@@ -43,7 +62,10 @@
 
 impl fmt::Display for Fingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(&self.to_hex()[..2 * DISPLAYED_BYTES])
+        match self.part() {
+            Some(part) => write!(formatter, "part:{part:x}"),
+            None => formatter.write_str(&self.to_hex()[..2 * DISPLAYED_BYTES]),
+        }
     }
 }
 
--- a/crates/beamwall-quarantine/src/lib.rs
+++ b/crates/beamwall-quarantine/src/lib.rs
@@ -4,7 +4,10 @@
 //! another request identifier or to another node. Attempt limits apply to a single request identifier
 //! and retry budgets to a whole service, so neither stops such a request. In this package
 //!
-//! - a request is identified by its [`Fingerprint`]: caller, host, path and body;
+//! - a request is identified by its [`Fingerprint`]: caller, host, path and body. What terminates back ends may
+//!   also be a part of prompts that many requests share, whatever else they hold; such a part has a
+//!   [`Fingerprint`] of its own and is treated like a request, unless answers on it are completed
+//!   ([`sound_parts`]);
 //! - every node records which requests were open at a back end when it terminated ([`evidence`]), and
 //!   all nodes exchange these records;
 //! - a request that was open at the termination of [`TERMINATIONS_UNTIL_HELD`] back ends is held
@@ -23,6 +26,7 @@
 pub mod hold_decision;
 pub mod limits;
 pub mod registry;
+pub mod sound_parts;
 pub mod suspect;
 
 pub use admission::{Admission, HeldRequest};
@@ -30,4 +34,5 @@
 pub use fingerprint::{Fingerprint, FingerprintHasher};
 pub use limits::TERMINATIONS_UNTIL_HELD;
 pub use registry::{QuarantineRegistry, RequestStatus};
+pub use sound_parts::SoundParts;
 pub use suspect::Suspect;
--- a/crates/beamwall-quarantine/src/registry.rs
+++ b/crates/beamwall-quarantine/src/registry.rs
@@ -71,6 +71,7 @@
 struct View {
     /// Suspected requests, with the hold state of those that are held.
     suspects: HashMap<Fingerprint, Option<HoldState>>,
+    has_held: bool,
     digest: u64,
     persistent_digest: u64,
 }
@@ -116,6 +117,11 @@
         self.view.load().held(request).is_some()
     }
 
+    /// Whether anything is held.
+    pub fn has_held(&self) -> bool {
+        self.view.load().has_held
+    }
+
     /// Whether any termination counts against a request.
     pub fn is_suspected(&self, request: &Fingerprint) -> bool {
         let is_known = self.view.load().suspects.contains_key(request);
@@ -254,6 +260,7 @@
         state.changes.freed.extend(freed);
         let persistent = state.suspects.iter().filter(|(request, _)| held.contains_key(request));
         let view = View {
+            has_held: !held.is_empty(),
             digest: digest(state.suspects.iter()),
             persistent_digest: digest(persistent),
             suspects: state.suspects.keys().map(|request| (*request, held.get(request).copied())).collect(),
