Peer: messages of claims and of placements, and version announcements, in modules of their own

What callers saw: nothing. Change: the messages of claims and of placements stand in files of their own, and so does the announcement of versions. Nothing else changes: no tag, name or behaviour.

--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -21,7 +21,6 @@
 use beamwall_peer::rollout_message::RolloutUpdate;
 use beamwall_peer::{Body, Envelope, Member, MemberState, MembershipTiming, PeerNetwork, TransferPacer};
 use kameo::actor::ActorRef;
-use rand::seq::IteratorRandom;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
 
@@ -45,11 +44,6 @@
 pub(super) const WATCH_HEAD_START: Duration = Duration::from_millis(60);
 /// Usage windows sent in a heartbeat: those whose usage report may still be due.
 pub(super) const REPORTED_WINDOWS: usize = 3;
-/// Up to this number of heartbeat targets an announcement goes to all of them at once.
-const FULL_ANNOUNCEMENT_LIMIT: usize = 32;
-/// Recipients of an announcement if there are more targets: with eight each, about three nodes in 10,000 are
-/// missed.
-const ANNOUNCEMENT_FAN_OUT: usize = 8;
 /// Minimum time between two heartbeats.
 const MIN_PERIOD: Duration = Duration::from_millis(40);
 /// Minimum time between two heartbeats per member.
@@ -167,33 +161,6 @@
         }
     }
 
-    /// Announces the versions held here to all heartbeat targets, and to the relays of other zones in a large
-    /// deployment. In a large zone only some targets receive the announcement, and forward their own to some
-    /// others once they hold the version: it reaches 100 nodes in three steps with eight messages a node
-    /// instead of 99. The few nodes that are missed learn of the version from heartbeats.
-    fn announce_versions(&self) {
-        // A new policy may add tenants whose quotas must be divided from now on.
-        self.share_limits();
-        let directory = self.directory.load();
-        let announcement = self.envelope(Body::VersionNews(VersionUpdate {
-            policy_version: self.gateway.policy.load().version(),
-            directory_revision: directory.revision(),
-            directory_digest: directory.digest(),
-            life: self.generation,
-        }));
-        let view = self.members.load();
-        let mut recipients = self.targets(std::iter::empty());
-        if recipients.len() > FULL_ANNOUNCEMENT_LIMIT {
-            recipients =
-                recipients.into_iter().sample(&mut rand::rng(), ANNOUNCEMENT_FAN_OUT).into_iter().collect();
-        }
-        recipients.extend(view.relays_elsewhere.iter().copied());
-        recipients.remove(&self.address);
-        for address in recipients {
-            self.network.send(address, &announcement);
-        }
-    }
-
     /// Returns the maximum and the minimum time between two heartbeats. Both grow with the number of members,
     /// since each heartbeat goes to all of them. In a large deployment only the members of the zone count.
     pub(super) fn heartbeat_timing(&self) -> (Duration, Duration) {
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -40,6 +40,7 @@
 pub mod stream_origin_wire;
 pub mod suspension;
 pub mod unreadable_entries;
+mod version_announcements;
 pub mod watches;
 pub mod zones;
 
--- a/crates/beamwall-node/src/gateway/peer_placement.rs
+++ b/crates/beamwall-node/src/gateway/peer_placement.rs
@@ -13,7 +13,7 @@
 use beamwall_gateway::placement_groups::EngineGroup;
 use beamwall_gateway::{Choice, PlacementOutcome, PlacementPort, PlacementQuery, Prompt, PromptPart};
 use beamwall_model::{BackendId, EngineVersion, NodeId, ServiceName, ZoneName};
-use beamwall_peer::gateway_message::{PlacementPart, PlacementReply, PlacementRequest};
+use beamwall_peer::placement_message::{PlacementPart, PlacementReply, PlacementRequest};
 use beamwall_peer::{Body, Envelope, PeerNetwork};
 use tokio::time::Instant;
 
--- a/crates/beamwall-node/src/tasks/claims.rs
+++ b/crates/beamwall-node/src/tasks/claims.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use beamwall_model::{AttemptId, NodeId, rendezvous};
-use beamwall_peer::message::{CallAnswer, ClaimAnswer, ClaimRequest, ClaimRequestKind, ClaimResult};
+use beamwall_peer::claim_message::{CallAnswer, ClaimAnswer, ClaimRequest, ClaimRequestKind, ClaimResult};
 use beamwall_peer::{Body, Envelope, Member};
 use beamwall_request::claim::ClaimChange;
 use beamwall_request::claim_ledger::{Decision, Forwarded};
--- a/crates/beamwall-node/tests/earlier_builds.rs
+++ b/crates/beamwall-node/tests/earlier_builds.rs
@@ -15,10 +15,11 @@
 use beamwall_node::gateway::directory_wire::{self, DirectoryUpdate};
 use beamwall_peer::gateway_message::{
     BackendLoad, BackendSlowness, DirectoryAnswer, DirectoryRequest, GatewayHeartbeat, GenerationUsage,
-    PlacementPart, PlacementReply, PlacementRequest, PolicyAnswer, PolicyRequest, QuotaUse, ServiceDemand,
-    ServiceModel, UsageAnswer, UsageCount, UsageRequest, UsageWindow, VersionUpdate, ZoneSummary, ZoneUsage,
+    PolicyAnswer, PolicyRequest, QuotaUse, ServiceDemand, ServiceModel, UsageAnswer, UsageCount,
+    UsageRequest, UsageWindow, VersionUpdate, ZoneSummary, ZoneUsage,
 };
 use beamwall_peer::message::{MemberUpdate, ProbeRequest};
+use beamwall_peer::placement_message::{PlacementPart, PlacementReply, PlacementRequest};
 use beamwall_peer::quarantine_message::{
     CompletionMessage, QuarantineRequest, QuarantineUpdate, TerminationMessage, TrialMessage,
 };
--- a/crates/beamwall-peer/src/lib.rs
+++ b/crates/beamwall-peer/src/lib.rs
@@ -4,6 +4,7 @@
 //! each recipient. [`Membership`] derives from them which nodes are alive. It never takes the platform's
 //! machine list as evidence that a node is alive or dead.
 
+pub mod claim_message;
 pub mod compressed;
 mod frame;
 pub mod gateway_message;
@@ -12,6 +13,7 @@
 pub mod message;
 pub mod network;
 pub mod outbox;
+pub mod placement_message;
 pub mod quarantine_message;
 pub mod rollout_message;
 mod session;
