Quarantine: a trial is claimed only if nothing else refuses the request

What callers saw: nothing; found by reading the change. Cause: what a request is suspected of was admitted one after the other, so a trial of the request could be claimed in the store, and spent, before a held part of its prompt refused it. Evidence: no_trial_is_claimed_for_a_request_that_a_part_refuses fails without the change: the refusal names the request, after a claim. Change: all that is held and not due for a trial refuses the request first.

--- a/crates/beamwall-gateway/src/quarantine.rs
+++ b/crates/beamwall-gateway/src/quarantine.rs
@@ -123,9 +123,17 @@
         if !self.registry.has_held() {
             return Ok(Admission::Normal);
         }
+        let held: Vec<Fingerprint> = suspects.filter(|suspect| self.is_held(suspect)).collect();
+        // A trial is claimed only if nothing else refuses the request.
+        for suspect in &held {
+            let status = self.registry.request_status(suspect, self.now_ms());
+            if let RequestStatus::Held { endings, retry_after } = status {
+                return Err(HeldRequest { held: *suspect, endings, retry_after });
+            }
+        }
         let mut admission = Admission::Normal;
-        for suspect in suspects {
-            if self.admit(&suspect).await? == Admission::Trial {
+        for suspect in &held {
+            if self.admit(suspect).await? == Admission::Trial {
                 admission = Admission::Trial;
             }
         }
--- a/crates/beamwall-gateway/tests/quarantine_parts.rs
+++ b/crates/beamwall-gateway/tests/quarantine_parts.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -21,12 +22,16 @@
 /// Terminations after which a part must be held, by the platform's rules.
 const TERMINATIONS_ALLOWED: usize = 5;
 
-/// A trial port that never grants a trial.
-struct NoTrials;
+/// A trial port that grants no trial and counts how many were asked for.
+#[derive(Default)]
+struct NoTrials {
+    asked: AtomicUsize,
+}
 
 #[async_trait]
 impl TrialPort for NoTrials {
     async fn claim_trial(&self, _: &Fingerprint, _: u32, _: u64) -> bool {
+        self.asked.fetch_add(1, Ordering::Relaxed);
         false
     }
 }
@@ -34,6 +39,7 @@
 /// Nodes that tell each other what they see.
 struct Fleet {
     nodes: Vec<Arc<Quarantine>>,
+    trials: Arc<NoTrials>,
     requests: u64,
 }
 
@@ -43,13 +49,14 @@
         let mut directory = Directory::default();
         directory.replace(DirectorySnapshot { revision: 1, backends }, RemovalCause::Gone);
         let directory = Arc::new(ArcSwap::from_pointee(directory));
+        let trials: Arc<NoTrials> = Arc::default();
         let node = |_| {
             let registry: Arc<QuarantineRegistry> = Arc::default();
             let pool = Pool::new(Duration::from_millis(400));
-            let trials = Arc::new(NoTrials);
-            Arc::new(Quarantine::new(registry, pool, directory.clone(), Arc::default(), trials))
+            Arc::new(Quarantine::new(registry, pool, directory.clone(), Arc::default(), trials.clone()))
         };
-        Self { nodes: (0..nodes).map(node).collect(), requests: 0 }
+        let nodes = (0..nodes).map(node).collect();
+        Self { nodes, trials, requests: 0 }
     }
 
     /// What may terminate a back end under a request that no other one is like, with these shared parts.
@@ -189,6 +196,31 @@
     assert_eq!((fleet.holding(DEADLY), fleet.holding(0xbad)), (3, 3));
 }
 
+/// Guards against: the trial of a request is spent although a part of its prompt refuses it.
+#[tokio::test]
+async fn no_trial_is_claimed_for_a_request_that_a_part_refuses() {
+    let mut fleet = Fleet::new(1);
+    fleet.complete(0, &SHARED);
+    let (suspects, _) = fleet.request(&with(DEADLY));
+    let node = fleet.nodes[0].clone();
+    // The request has been held for so long that a trial is due.
+    let long_ago_ms = node.now_ms() - 3_600_000;
+    for engine in 0..3 {
+        let engine = BackendId::new(format!("i-{engine}"));
+        node.registry.note_termination(
+            &engine,
+            vec![suspects[0]],
+            long_ago_ms + engine.as_str().len() as u64,
+        );
+    }
+    for engine in 10..13 {
+        fleet.terminate(engine, &[(0, &with(DEADLY))]).await;
+    }
+    let refused = node.admit_all(suspects.into_iter()).await.expect_err("the part is held");
+    assert_eq!(refused.held, Fingerprint::of_part(DEADLY));
+    assert_eq!(fleet.trials.asked.load(Ordering::Relaxed), 0);
+}
+
 /// Guards against: a request lists so many parts that they displace what is known, or identifiers at the ends of their range.
 #[tokio::test]
 async fn odd_prompts_are_bounded_and_blame_nobody_else() {
