Gateway: the version that a stream is bound to has one name

What callers saw: nothing. Cause: fields named origin held a version, while a StreamOrigin is a service and a version. Evidence: read as a newcomer would. Change: the fields of calls, attempts and placement requests are named stream_version. The tag of the message is as before. Measured: clippy is clean; the tests of attempts and of earlier builds pass.

--- a/crates/beamwall-gateway/src/attempts.rs
+++ b/crates/beamwall-gateway/src/attempts.rs
@@ -76,21 +76,21 @@
     /// Number of tries to return to it.
     returns: u32,
     /// The version that began the stream that goes on; `None` while the stream has no event.
-    origin: Option<EngineVersion>,
+    stream_version: Option<EngineVersion>,
 }
 
 impl Attempts {
     /// The attempts of a call, none of which was made yet.
     pub fn of(call: &Call) -> Self {
-        Self { origin: call.origin.clone(), ..Self::default() }
+        Self { stream_version: call.stream_version.clone(), ..Self::default() }
     }
 
     /// Records that an attempt began to respond. All further attempts are bound to `version`, the one that
     /// sent the first event of a stream.
     pub fn note_response_started(&mut self, version: Option<&EngineVersion>) {
         self.sent += 1;
-        if self.origin.is_none() {
-            self.origin = version.cloned();
+        if self.stream_version.is_none() {
+            self.stream_version = version.cloned();
         }
     }
 
@@ -219,7 +219,7 @@
         mut avoided: Vec<BackendId>,
     ) -> Result<PermittedChoice, NoBackEnd> {
         avoided.extend(self.tried.iter().cloned());
-        let chosen = forwarder.choose(call, &avoided, self.origin.as_ref()).await;
+        let chosen = forwarder.choose(call, &avoided, self.stream_version.as_ref()).await;
         match &chosen {
             Ok(permitted) => self.tried.push(permitted.choice.backend.clone()),
             Err(NoBackEnd::LimitReached(limit)) => self.limit_reached = Some(*limit),
@@ -257,8 +257,8 @@
             self.last_failure.as_ref().is_some_and(|failure| failure.execution == Execution::NotExecuted);
         let directory = forwarder.directory.load();
         let is_usable = directory.get(abandoned).is_some_and(|listed| {
-            let is_of_origin = self.origin.as_ref().is_none_or(|origin| listed.version == *origin);
-            !listed.draining && is_of_origin
+            let is_of_version = self.stream_version.as_ref().is_none_or(|version| listed.version == *version);
+            !listed.draining && is_of_version
         });
         was_refused && is_usable && self.may_resend(forwarder, call)
     }
@@ -271,7 +271,7 @@
         }
         let reason = match &self.last_failure {
             Some(failure) => failure.reason.clone(),
-            None => match &self.origin {
+            None => match &self.stream_version {
                 Some(version) => {
                     format!("no back end of version {version}, which began the stream, takes requests")
                 }
--- a/crates/beamwall-gateway/src/call.rs
+++ b/crates/beamwall-gateway/src/call.rs
@@ -59,7 +59,7 @@
     /// The caller's identifier of the try that brought the stream's first event, when it resumes a stream.
     pub resumes: Option<String>,
     /// The version that began the stream, when it resumes a stream.
-    pub origin: Option<EngineVersion>,
+    pub stream_version: Option<EngineVersion>,
     /// When it arrived.
     pub received: Instant,
     /// Total time for which the machine had been suspended when the request arrived.
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -115,14 +115,14 @@
 impl Forwarder {
     /// Chooses a back end for the next attempt that is not in `avoided` and whose limit allows it, and logs
     /// the decision. The engine of a model request is chosen by the placement nodes of the service's groups,
-    /// as long as one of them responds. `origin` is the version that began the stream that goes on.
+    /// as long as one of them responds. `stream_version` is the version that began the stream that goes on.
     pub async fn choose(
         &self,
         call: &Call,
         avoided: &[BackendId],
-        origin: Option<&EngineVersion>,
+        stream_version: Option<&EngineVersion>,
     ) -> Result<PermittedChoice, NoBackEnd> {
-        let versions = self.allowed_versions(&call.service, call.request_id.as_deref(), origin);
+        let versions = self.allowed_versions(&call.service, call.request_id.as_deref(), stream_version);
         let rank = call.rank(self.call_prefill_ms(call));
         let mut exhausted = self.exhausted_engines(call, rank);
         let mut denials = 0;
@@ -149,9 +149,9 @@
         &self,
         service: &ServiceName,
         request: Option<&str>,
-        origin: Option<&EngineVersion>,
+        stream_version: Option<&EngineVersion>,
     ) -> AllowedVersions {
-        if let Some(version) = origin {
+        if let Some(version) = stream_version {
             let is_rolled_back = self.rollouts.is_rolled_back(service, version);
             return if is_rolled_back {
                 AllowedVersions::Nothing
@@ -312,7 +312,7 @@
         call: &Call,
         prompt: &Prompt,
         avoided: &[BackendId],
-        origin: Option<&EngineVersion>,
+        stream_version: Option<&EngineVersion>,
         group: EngineGroup,
         enough_ms: Option<f64>,
     ) -> PlacementQuery {
@@ -323,7 +323,7 @@
             group,
             prompt: prompt.clone(),
             tried: avoided.to_vec(),
-            origin: origin.cloned(),
+            stream_version: stream_version.cloned(),
             unreachable: self.backend_state.health.unreachable(Instant::now()),
             observed: self
                 .backend_state
@@ -379,7 +379,8 @@
         let exhausted = self.gate.exhausted(MOST_URGENT_RANK);
         let avoided = [engine_query.tried.as_slice(), &engine_query.unreachable, &exhausted].concat();
         // Senders choose canary back ends themselves, so this applies to all other requests.
-        let versions = self.allowed_versions(&engine_query.service, None, engine_query.origin.as_ref());
+        let versions =
+            self.allowed_versions(&engine_query.service, None, engine_query.stream_version.as_ref());
         let search = Search {
             service: &engine_query.service,
             zone: &engine_query.zone,
--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -219,7 +219,7 @@
             prompt: head.prompt,
             last_event: head.last_event,
             resumes: head.resumes,
-            origin: origin.map(|origin| origin.version),
+            stream_version: origin.map(|origin| origin.version),
             received,
             suspended_before,
             policy_version: policy.version(),
--- a/crates/beamwall-gateway/src/placement.rs
+++ b/crates/beamwall-gateway/src/placement.rs
@@ -48,7 +48,7 @@
     /// Engines that were already tried.
     pub tried: Vec<BackendId>,
     /// The version that began the stream that goes on, if one does.
-    pub origin: Option<EngineVersion>,
+    pub stream_version: Option<EngineVersion>,
     /// Engines that the sender recently could not reach.
     pub unreachable: Vec<BackendId>,
     /// Slowness of single engines of the group that the sender observed and has not reported yet.
--- a/crates/beamwall-gateway/tests/support/mod.rs
+++ b/crates/beamwall-gateway/tests/support/mod.rs
@@ -135,7 +135,7 @@
         prompt: Some(Prompt { prompt_tokens, output_tokens: 10, parts: Vec::new() }),
         last_event: None,
         resumes: None,
-        origin: None,
+        stream_version: None,
         received: now,
         suspended_before: beamwall_clock::suspended_time(),
         deadline: now,
--- a/crates/beamwall-node/src/gateway/peer_placement.rs
+++ b/crates/beamwall-node/src/gateway/peer_placement.rs
@@ -103,7 +103,7 @@
         groups: question.group.count,
         enough_ms: question.enough_ms,
         observed: heartbeat_wire::encode_slowness(question.observed.clone()),
-        origin: question.origin.as_ref().map(EngineVersion::to_string).unwrap_or_default(),
+        stream_version: question.stream_version.as_ref().map(EngineVersion::to_string).unwrap_or_default(),
     }
 }
 
@@ -125,7 +125,8 @@
         zone: ZoneName::new(&envelope.zone),
         prompt: Prompt { prompt_tokens: request.prompt_tokens, output_tokens: request.output_tokens, parts },
         tried: request.tried.iter().map(BackendId::new).collect(),
-        origin: (!request.origin.is_empty()).then(|| EngineVersion::new(&request.origin)),
+        stream_version: (!request.stream_version.is_empty())
+            .then(|| EngineVersion::new(&request.stream_version)),
         unreachable: request.unreachable.iter().map(BackendId::new).collect(),
         pause_objective_ms: request.pause_objective_ms,
         remaining: Duration::from_millis(request.remaining_ms),
--- a/crates/beamwall-node/tests/earlier_builds.rs
+++ b/crates/beamwall-node/tests/earlier_builds.rs
@@ -146,7 +146,7 @@
         groups: 3,
         enough_ms: Some(300.0),
         observed: slowness(),
-        origin: String::new(),
+        stream_version: String::new(),
     }
 }
 
@@ -372,7 +372,7 @@
 /// for another message.
 #[test]
 fn what_is_sent_of_the_origins_of_streams_is_passed_over_by_the_recorded_schema() {
-    let request = PlacementRequest { origin: "v1.1".to_owned(), ..placement_request() };
+    let request = PlacementRequest { stream_version: "v1.1".to_owned(), ..placement_request() };
     let bytes = envelope(Body::PlacementRequest(request)).encode_to_vec();
     let by_earlier = earlier::Envelope::decode(bytes.as_slice()).expect("new fields are passed over");
     let Some(earlier::Body::PlacementRequest(by_earlier)) = by_earlier.body else { panic!("a request") };
--- a/crates/beamwall-peer/src/placement_message.rs
+++ b/crates/beamwall-peer/src/placement_message.rs
@@ -47,7 +47,7 @@
     pub observed: Vec<BackendSlowness>,
     /// Software version that the engine must have because it began the request's stream; empty if any.
     #[prost(string, tag = "13")]
-    pub origin: String,
+    pub stream_version: String,
 }
 
 /// One part of a prompt.
