Stream origins: a version that stays listed needs no new list to be known

What callers saw: nothing yet. Where the list of engines did not change for as long as a stream can last, gateways would have sent records of all streams though the engines are of one version. Cause: the history kept when a version was last seen in a list, and lists are noted when they change or when a stream is taken up. Every list is noted, also one of the same digest.

--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -245,7 +245,6 @@
 
     async fn find_available_origin(&self, stream: ResumedStream<'_>) -> Result<StreamOrigin, Refusal> {
         let directory = self.forwarder.directory.load_full();
-        self.forwarder.origins.note_directory(&directory);
         let found = self.forwarder.origins.find(stream).await.map_err(Refusal::UnknownOrigin)?;
         let is_target = stream.route.targets.iter().any(|target| target.service == found.service);
         let service = if is_target { found.service } else { stream.service.clone() };
--- a/crates/beamwall-node/src/actors/directory.rs
+++ b/crates/beamwall-node/src/actors/directory.rs
@@ -69,7 +69,6 @@
 
     fn publish(&mut self, source: String, digest_before: u64) {
         let before = self.view.swap(Arc::new(self.directory.clone()));
-        self.gateway.forwarder.origins.note_directory(&before);
         self.gateway.forwarder.origins.note_directory(&self.directory);
         if self.directory.digest() == digest_before {
             return;
@@ -158,6 +157,7 @@
     async fn handle(&mut self, message: UseMeanwhile, _: &mut Context<Self, Self::Reply>) {
         if self.directory.use_partial_list(message.read) {
             self.view.store(Arc::new(self.directory.clone()));
+            self.gateway.forwarder.origins.note_directory(&self.directory);
             self.gateway.forwarder.retain_listed(&self.directory);
         }
     }
@@ -223,6 +223,7 @@
         if self.directory.drop_expired() {
             emit(&LapsedBackendsDropped { dropped: lapsed.to_string() });
             self.view.store(Arc::new(self.directory.clone()));
+            self.gateway.forwarder.origins.note_directory(&self.directory);
             self.gateway.forwarder.retain_listed(&self.directory);
         }
     }
--- a/crates/beamwall-node/src/gateway/peer_origins.rs
+++ b/crates/beamwall-node/src/gateway/peer_origins.rs
@@ -133,7 +133,6 @@
     /// Answers a peer that asks for a stream's origin.
     pub(super) fn answer_stream_origin(&self, envelope: &Envelope, request: &StreamOriginRequest) {
         let origins = &self.gateway.forwarder.origins;
-        origins.note_directory(&self.directory.load());
         let now = Instant::now();
         let key = stream_origin_wire::key(&request.stream);
         let span = Duration::from_millis(request.span_ms);
