Gateway: tests that rollouts and silent engines don't change a stream's version

What callers saw: nothing. Cause: three paths of the binding had no test of their own: a rollout that has moved all traffic, a version that was rolled back, and the return to an engine that was left before the first event. Evidence: they pass on the code as it is. Change: three tests; the directory of a test may have several versions.

--- a/crates/beamwall-gateway/tests/attempts.rs
+++ b/crates/beamwall-gateway/tests/attempts.rs
@@ -22,13 +22,13 @@
 use beamwall_gateway::retries::{RetryAllowance, RetryBudgets};
 use beamwall_gateway::usage::UsageLedger;
 use beamwall_gateway::{
-    CallHead, DelegationPeer, DelegationPort, Dialect, ForwardHead, OriginPort, PeerAnswer, PlacementOutcome,
-    PlacementPort, PlacementQuery, ResponseHead, StreamOrigins,
+    CallHead, DelegationPeer, DelegationPort, Dialect, Directory, ForwardHead, OriginPort, PeerAnswer,
+    PlacementOutcome, PlacementPort, PlacementQuery, ResponseHead, StreamOrigins,
 };
 use beamwall_http::Pool;
 use beamwall_model::{BackendId, ChoiceStrategy, NodeId, ServiceName};
 use beamwall_quarantine::{Fingerprint, QuarantineRegistry};
-use beamwall_rollout::RolloutRegistry;
+use beamwall_rollout::{OrderId, OrderUpdate, RolloutOrder, RolloutRegistry, Verdict};
 use beamwall_stream_origin::StreamKey;
 use hyper::{HeaderMap, StatusCode};
 use tokio::time::Instant;
@@ -104,7 +104,11 @@
 
 /// A node with `engines` engines and a budget of `retries` extra retries.
 fn forwarder(engines: usize, retries: f64) -> Forwarder {
-    let directory = Arc::new(ArcSwap::from_pointee(support::directory(engines, 8)));
+    forwarder_with(support::directory(engines, 8), retries)
+}
+
+fn forwarder_with(directory: Directory, retries: f64) -> Forwarder {
+    let directory = Arc::new(ArcSwap::from_pointee(directory));
     let (pool, clock): (Pool, Arc<FleetClock>) = (Pool::new(SECOND), Arc::default());
     let registry: Arc<QuarantineRegistry> = Arc::default();
     let quarantine =
@@ -230,3 +234,64 @@
         attempts.continue_after_failure(&forwarder, &call, &first, lost).await.expect("the other engine");
     assert_eq!(attempts.continue_after_failure(&forwarder, &call, &second, refused_attempt()).await, None);
 }
+
+/// A call that continues a stream which engines of this version began.
+fn continuing_call(version: &str) -> Call {
+    Call { last_event: Some(3), stream_version: Some(version.into()), ..call() }
+}
+
+/// A rollout of the service to this version has ended so.
+fn roll_out(forwarder: &Forwarder, target: &str, verdict: Verdict) {
+    let id = OrderId { service: "pool".into(), target: target.into(), made: 1 };
+    let order = RolloutOrder { id: id.clone(), interval: SECOND * 60 };
+    let age = SECOND;
+    let verdict_so_far = Verdict::Running;
+    let update = OrderUpdate { order, revision: 1, age, verdict: verdict_so_far, is_withdrawn: false };
+    forwarder.rollouts.merge_order(update, Instant::now());
+    forwarder.rollouts.merge_verdict(&id, verdict, Instant::now());
+}
+
+async fn engines_chosen(forwarder: &Forwarder, call: &Call) -> Vec<String> {
+    let mut attempts = Attempts::of(call);
+    let mut chosen = Vec::new();
+    let mut next = attempts.first_choice(forwarder, call).await;
+    while let Some(choice) = next {
+        chosen.push(choice.backend.to_string());
+        next = attempts.continue_after_failure(forwarder, call, &choice, refused_attempt()).await;
+    }
+    chosen
+}
+
+/// Guards against: a rollout moves a stream that goes on to another version than the one that began it.
+#[tokio::test(start_paused = true)]
+async fn a_rollout_does_not_move_a_stream_that_goes_on() {
+    let forwarder = forwarder_with(support::directory_of_versions(&["v1", "v2", "v1", "v2"]), 5.0);
+    roll_out(&forwarder, "v2", Verdict::Succeeded);
+    let new = engines_chosen(&forwarder, &call()).await;
+    assert!(!new.is_empty() && new.iter().all(|engine| ["e1", "e3"].contains(&engine.as_str())), "{new:?}");
+    let old = engines_chosen(&forwarder, &continuing_call("v1")).await;
+    assert!(!old.is_empty() && old.iter().all(|engine| ["e0", "e2"].contains(&engine.as_str())), "{old:?}");
+}
+
+/// Guards against: streams that go on take a version that was rolled back beyond what it may get.
+#[tokio::test(start_paused = true)]
+async fn a_version_that_was_rolled_back_continues_no_stream() {
+    let forwarder = forwarder_with(support::directory_of_versions(&["v1", "v2"]), 5.0);
+    roll_out(&forwarder, "v2", Verdict::RolledBack);
+    assert!(engines_chosen(&forwarder, &continuing_call("v2")).await.is_empty());
+    assert_eq!(engines_chosen(&forwarder, &continuing_call("v1")).await, ["e0"]);
+}
+
+/// Guards against: a stream returns to the engine that it left before its first event, although another version began it.
+#[tokio::test(start_paused = true)]
+async fn a_stream_does_not_return_to_a_silent_engine_of_another_version() {
+    let forwarder = forwarder_with(support::directory_of_versions(&["v1", "v2"]), 5.0);
+    let call = call();
+    (0..10).for_each(|_| forwarder.retries.earn(&call.service, Instant::now()));
+    let (mut attempts, first, next) = fail_over(&forwarder, &call).await;
+    let failed = FailedAttempt { failure: AttemptFailure::lost("silent"), next: next.ok() };
+    let second = attempts.continue_after_failure(&forwarder, &call, &first, failed).await.expect("an engine");
+    let version = forwarder.directory.load().get(&second.backend).map(|listed| listed.version.clone());
+    attempts.note_response_started(version.as_ref());
+    assert_eq!(attempts.continue_after_failure(&forwarder, &call, &second, refused_attempt()).await, None);
+}
--- a/crates/beamwall-gateway/tests/support/mod.rs
+++ b/crates/beamwall-gateway/tests/support/mod.rs
@@ -95,6 +95,18 @@
     directory
 }
 
+/// A directory of engines `e0`, `e1` and so on of the service `pool`, one of each of `versions`.
+pub fn directory_of_versions(versions: &[&str]) -> Directory {
+    let of_version = |(number, version): (usize, &&str)| Backend {
+        version: (*version).into(),
+        ..backend(&format!("e{number}"))
+    };
+    let backends = versions.iter().enumerate().map(of_version).collect();
+    let mut directory = Directory::default();
+    directory.replace(DirectorySnapshot { revision: 1, backends }, RemovalCause::Gone);
+    directory
+}
+
 /// A call on a route and of a tenant with these ranks.
 pub fn call(route_rank: u8, tenant_rank: Option<u8>, prompt_tokens: u32) -> Call {
     let now = Instant::now();
