Gateway: events tell what engines say of themselves, and each failed call to the store

Callers saw: an engine that had said that it leaves, or that wants no requests for a while, got further ones, and a policy was not in force seconds after the store was back. The logs couldn't tell why: no line named an engine's words or a failed call. Cause: answers' headers on departure and rest were not read at all, and only the second failed call in a row is logged. Nothing acts on them yet.

--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -157,6 +157,12 @@
     4115 Info EnginesReachable "engines reachable" { service, after_ms }
     /// A brittle engine rejected a request for want of room.
     4116 Warn BrittleEngineRejects "brittle engine rejects" { backend, tolerated }
+    /// An engine announced in a response that it leaves.
+    4117 Info EngineLeaves "engine leaves" { backend, source }
+    /// An engine wants no requests from this node for a while.
+    4118 Info EngineRests "engine rests" { backend, rest_ms }
+    /// An engine names a rest that can't be understood.
+    4119 Warn EngineRestUnreadable "engine rest unreadable" { backend, reason }
     /// An order to move a service to another version was read or heard of, or something of it changed.
     4201 Info RolloutOrdered "rollout ordered" { service, target, interval_ms, verdict, withdrawn }
     /// A new version takes all requests of its service.
@@ -241,6 +247,8 @@
     6108 Info DutiesTakenOver "duties taken over" { first_window, windows, requests, services }
     /// What the last holder of the duties kept can't be read, or what this one keeps can't be written.
     6109 Warn DutiesNotKept "duties not kept" { reason }
+    /// A call to the store of decisions failed.
+    6110 Warn ControlStoreCallFailed "control store call failed" { what, took_ms, reason }
     /// An invariant was broken: a fault in the program, to be reported.
     9001 Error InvariantBroken "invariant broken" { invariant, detail }
 }
--- a/crates/beamwall-gateway/src/attempt.rs
+++ b/crates/beamwall-gateway/src/attempt.rs
@@ -234,6 +234,7 @@
     } else {
         forwarder.backend_state.staleness.note_response(backend);
         forwarder.gate.note_response(backend, &head.limit, sent_at);
+        forwarder.gate.availability.note_response(backend, &head);
     }
     if head.proves_not_run && status == StatusCode::SERVICE_UNAVAILABLE {
         forwarder.gate.note_rejection(backend, &head.brittleness);
--- a/crates/beamwall-gateway/src/engine_gate.rs
+++ b/crates/beamwall-gateway/src/engine_gate.rs
@@ -19,6 +19,7 @@
 
 use crate::call::LOWEST_PRIORITY_RANK;
 use crate::directory::Directory;
+use crate::engine_availability::EngineAvailability;
 
 /// Time for which an engine is not used after its permit node did not answer.
 const UNANSWERED_WAIT: Duration = Duration::from_millis(300);
@@ -83,6 +84,8 @@
 
 /// The limits that engines name, as one node knows and keeps them.
 pub struct EngineGate {
+    /// Engines that leave or rest.
+    pub availability: EngineAvailability,
     limits: KnownLimits,
     rejections: KnownRejections,
     denials: Denials,
@@ -106,6 +109,7 @@
     /// `changed` when a limit changes.
     pub fn new(permits: Box<dyn PermitPort>, nodes: usize, changed: Arc<Notify>) -> Self {
         Self {
+            availability: EngineAvailability::default(),
             limits: KnownLimits::default(),
             rejections: KnownRejections::default(),
             denials: Denials::default(),
@@ -313,6 +317,7 @@
 
     /// Removes the state of engines that are not in the directory.
     pub fn retain_listed(&self, directory: &Directory) {
+        self.availability.retain_listed(directory);
         self.limits.retain(|backend| directory.get(backend).is_some());
         self.rejections.retain(|backend| directory.get(backend).is_some());
         self.ledger.retain(|backend| directory.get(backend).is_some());
--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod directory;
 mod directory_log;
 pub mod directory_staleness;
+pub mod engine_availability;
 pub mod engine_gate;
 pub mod event_stream;
 pub mod failover;
--- a/crates/beamwall-gateway/src/ports.rs
+++ b/crates/beamwall-gateway/src/ports.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use beamwall_engine_limits::LimitNotice;
+use beamwall_engine_limits::{LimitNotice, RestNotice};
 use beamwall_model::{InstanceName, ServiceName, TenantName, ZoneName};
 use beamwall_policy::TrafficPolicy;
 use beamwall_rollout::{OrderId, RolloutOrder, Verdict};
@@ -92,6 +92,10 @@
     pub limit: LimitNotice,
     /// The rejections a second at which its back end terminates, if it says that there are any.
     pub brittleness: LimitNotice,
+    /// Whether it says that its back end leaves.
+    pub is_leaving: bool,
+    /// How long its back end, which rejected the request, wants nothing from this node.
+    pub rest: RestNotice,
 }
 
 /// Reads and writes request and response heads.
--- a/crates/beamwall-node/src/gateway/listing.rs
+++ b/crates/beamwall-node/src/gateway/listing.rs
@@ -155,9 +155,10 @@
     async fn page_after(&self, after: &str) -> Result<DirectoryPage, ControlStoreError> {
         let mut pause = FIRST_PAUSE;
         for _ in 1..MAX_ATTEMPTS {
+            let started = Instant::now();
             match self.store.backends(Some(after)).await {
                 Err(error @ ControlStoreError::Unavailable(_)) => {
-                    self.status.note_failure(BACKENDS, &error.to_string());
+                    self.status.note_failure(BACKENDS, &error.to_string(), started.elapsed());
                 }
                 answered => return answered,
             }
--- a/crates/beamwall-node/src/gateway/store_status.rs
+++ b/crates/beamwall-node/src/gateway/store_status.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use beamwall_events::emit;
-use beamwall_events::internal_events::{ControlStoreLost, ControlStoreRegained};
+use beamwall_events::internal_events::{ControlStoreCallFailed, ControlStoreLost, ControlStoreRegained};
 use prometheus::{IntCounterVec, Opts, Registry};
 use tokio::time::Instant;
 
@@ -67,8 +67,13 @@
         }
     }
 
-    /// Records a failed call for `subject_name`.
-    pub fn note_failure(&self, subject_name: &str, reason: &str) {
+    /// Records a call for `subject_name` that failed after `took`.
+    pub fn note_failure(&self, subject_name: &str, reason: &str, took: Duration) {
+        emit(&ControlStoreCallFailed {
+            what: subject_name.to_owned(),
+            took_ms: took.as_millis().to_string(),
+            reason: reason.to_owned(),
+        });
         self.calls.with_label_values(&[subject_name, "failed"]).inc();
         self.has_failed.store(true, Ordering::Relaxed);
         let mut subjects = self.lock();
--- a/crates/beamwall-node/src/gateway/watches.rs
+++ b/crates/beamwall-node/src/gateway/watches.rs
@@ -118,10 +118,11 @@
             if last_revision.is_some() {
                 selector.wait_until_selected(F::SUBJECT, WATCHERS_PER_ZONE).await;
             }
-            resource.read_or_watch(last_revision).await
+            let started = Instant::now();
+            (started, resource.read_or_watch(last_revision).await)
         };
-        let answer = tokio::select! {
-            answer = step_future => answer,
+        let (started, answer) = tokio::select! {
+            timed_answer = step_future => timed_answer,
             () = &mut suspected_stale, if last_revision.is_some() => {
                 suspected_stale.set(resource.suspected_stale());
                 last_revision = None;
@@ -139,7 +140,7 @@
             }
             Err(error) => {
                 last_revision = last_revision.filter(|_| may_resume(&error));
-                status.note_failure(F::SUBJECT, &error.to_string());
+                status.note_failure(F::SUBJECT, &error.to_string(), started.elapsed());
                 backoff.pause().await;
             }
         }
