Gateway: an engine that says in a response that it leaves gets no more requests

Callers saw: requests went to an engine seconds after its own answers had said that it leaves (DRAIN). Cause: only the store's list told that an engine leaves, and the store was silent for twelve seconds. Nothing read the engine's own word. One question, EngineGate::check, is asked where an engine is chosen, placed or permitted and once more as the permit is spent; the probe of unreachable engines asks it too. Peers are told, since an answer may have come through one. The end of such an engine is no crash for the quarantine, the rollouts or the reachability of its service.

--- a/crates/beamwall-gateway/src/attempt.rs
+++ b/crates/beamwall-gateway/src/attempt.rs
@@ -131,6 +131,9 @@
     let Some(target) = directory.get(backend) else {
         return Err(AttemptFailure::not_sent("the back end is gone".to_owned()));
     };
+    if let Err(unavailable) = forwarder.gate.check(backend) {
+        return Err(AttemptFailure::not_sent(unavailable.to_string()));
+    }
     let request = build_request(forwarder, call, &target.instance, last_event);
     let work = forwarder.backend_state.loads.open(backend, choice.prefill.tokens);
     let (sent_at, stall_before) = (Instant::now(), process_clock::stall_time());
@@ -233,8 +236,7 @@
         forwarder.backend_state.staleness.note_connect_failure(backend, Instant::now());
     } else {
         forwarder.backend_state.staleness.note_response(backend);
-        forwarder.gate.note_response(backend, &head.limit, sent_at);
-        forwarder.gate.availability.note_response(backend, &head);
+        forwarder.gate.note_response(backend, &head, sent_at);
     }
     if head.proves_not_run && status == StatusCode::SERVICE_UNAVAILABLE {
         forwarder.gate.note_rejection(backend, &head.brittleness);
--- a/crates/beamwall-gateway/src/attempts.rs
+++ b/crates/beamwall-gateway/src/attempts.rs
@@ -258,7 +258,7 @@
         let directory = forwarder.directory.load();
         let is_usable = directory.get(abandoned).is_some_and(|listed| {
             let is_of_version = self.stream_version.as_ref().is_none_or(|version| listed.version == *version);
-            !listed.draining && is_of_version
+            !listed.draining && is_of_version && forwarder.gate.check(abandoned).is_ok()
         });
         was_refused && is_usable && self.may_resend(forwarder, call)
     }
--- a/crates/beamwall-gateway/src/delegation.rs
+++ b/crates/beamwall-gateway/src/delegation.rs
@@ -175,7 +175,7 @@
 
 impl Forwarder {
     /// Records whether an attempt reached an engine of a service. An engine that responded was reached, even
-    /// if the attempt failed.
+    /// if the attempt failed; one that leaves by its own word may have ended.
     pub(crate) fn note_reachability(
         &self,
         service: &ServiceName,
@@ -189,6 +189,9 @@
     }
 
     fn note_unreached(&self, service: &ServiceName, backend: &BackendId, failure: &AttemptFailure) {
+        if self.gate.is_leaving(backend) {
+            return;
+        }
         let usable = self.directory.load().usable(service).count();
         if self.reachability.note_failure(service, backend, usable, Instant::now()) {
             emit(&EnginesUnreachable { service: service.to_string(), reason: failure.reason.clone() });
--- a/crates/beamwall-gateway/src/engine_availability.rs
+++ b/crates/beamwall-gateway/src/engine_availability.rs
@@ -2,9 +2,10 @@
 //! node for a while.
 
 use std::collections::HashSet;
-use std::sync::{Mutex, PoisonError};
+use std::fmt;
+use std::sync::{Arc, Mutex, PoisonError};
 
-use beamwall_engine_limits::{KnownDepartures, KnownRests, RestNotice, UnreadableRest};
+use beamwall_engine_limits::{DepartureReport, KnownDepartures, KnownRests, RestNotice, UnreadableRest};
 use beamwall_events::emit;
 use beamwall_events::internal_events::{EngineLeaves, EngineRestUnreadable, EngineRests};
 use beamwall_model::BackendId;
@@ -13,28 +14,70 @@
 use crate::directory::Directory;
 use crate::ports::ResponseHead;
 
+/// Why an engine takes no requests from this node, whatever the list of back ends says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unavailable {
+    /// It announced that it leaves.
+    Leaving,
+}
+
+impl fmt::Display for Unavailable {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Leaving => write!(formatter, "the engine leaves by its own word"),
+        }
+    }
+}
+
 /// The engines that leave or rest, as one node knows them.
 #[derive(Debug, Default)]
 pub struct EngineAvailability {
-    departures: KnownDepartures,
+    departures: Arc<KnownDepartures>,
     rests: KnownRests,
     /// Engines whose unreadable rest was logged.
     unreadable: Mutex<HashSet<BackendId>>,
 }
 
 impl EngineAvailability {
-    /// Records what a response says about its engine.
-    pub fn note_response(&self, backend: &BackendId, head: &ResponseHead) {
-        if head.is_leaving {
-            self.note_leaving(backend);
+    /// The departures that engines announced.
+    pub fn departures(&self) -> Arc<KnownDepartures> {
+        self.departures.clone()
+    }
+
+    /// Whether an engine takes requests from this node now, as far as its own words tell.
+    pub fn check(&self, backend: &BackendId) -> Result<(), Unavailable> {
+        if self.departures.is_leaving(backend) {
+            return Err(Unavailable::Leaving);
         }
-        self.note_rest(backend, &head.rest);
+        Ok(())
     }
 
-    fn note_leaving(&self, backend: &BackendId) {
-        if self.departures.note(backend, Instant::now()) {
+    /// The engines that take no requests from this node now.
+    pub fn unavailable(&self) -> Vec<BackendId> {
+        self.departures.leaving()
+    }
+
+    /// Records what a response says about its engine. Returns whether peers should learn of it at once.
+    pub fn note_response(&self, backend: &BackendId, head: &ResponseHead) -> bool {
+        self.note_rest(backend, &head.rest);
+        let is_news = head.is_leaving && self.departures.note(backend, Instant::now());
+        if is_news {
             emit(&EngineLeaves { backend: backend.to_string(), source: "response".to_owned() });
         }
+        is_news
+    }
+
+    /// Takes over the departures that a peer knows. `source` names the message in the log.
+    pub fn merge_departures(&self, reports: &[DepartureReport], source: &str) {
+        let now = Instant::now();
+        for report in reports.iter().filter(|report| self.departures.merge(report, now)) {
+            emit(&EngineLeaves { backend: report.backend.to_string(), source: source.to_owned() });
+        }
+    }
+
+    /// The departures to be reported to peers.
+    pub fn departure_reports(&self) -> Vec<DepartureReport> {
+        self.departures.reports(Instant::now())
     }
 
     fn note_rest(&self, backend: &BackendId, notice: &RestNotice) {
--- a/crates/beamwall-gateway/src/engine_gate.rs
+++ b/crates/beamwall-gateway/src/engine_gate.rs
@@ -1,5 +1,8 @@
-//! The gate that every request passes before it is sent to an engine: an engine that names a limit gets only
-//! requests for which its permit node granted a permit, and so does a brittle engine that rejects requests.
+//! The gate that every request passes before it is sent to an engine: may this node send to this engine now, and
+//! if not, until when.
+//!
+//! An engine that leaves by its own word gets nothing more. An engine that names a limit gets only requests for
+//! which its permit node granted a permit, and so does a brittle engine that rejects requests.
 
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -19,7 +22,8 @@
 
 use crate::call::LOWEST_PRIORITY_RANK;
 use crate::directory::Directory;
-use crate::engine_availability::EngineAvailability;
+use crate::engine_availability::{EngineAvailability, Unavailable};
+use crate::ports::ResponseHead;
 
 /// Time for which an engine is not used after its permit node did not answer.
 const UNANSWERED_WAIT: Duration = Duration::from_millis(300);
@@ -82,6 +86,21 @@
     pub wait: Duration,
 }
 
+/// Why no request may be sent to an engine now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Blocked {
+    /// It takes none from this node.
+    Unavailable(Unavailable),
+    /// Its limit allows no further one.
+    LimitReached(LimitReached),
+}
+
+impl From<Unavailable> for Blocked {
+    fn from(reason: Unavailable) -> Self {
+        Self::Unavailable(reason)
+    }
+}
+
 /// The limits that engines name, as one node knows and keeps them.
 pub struct EngineGate {
     /// Engines that leave or rest.
@@ -140,9 +159,21 @@
         self.limits.limit(backend).is_some() || is_rejecting()
     }
 
-    /// Engines whose limit is used up for now for requests of this rank, as far as this node knows.
-    pub fn exhausted(&self, rank: u8) -> Vec<BackendId> {
-        self.denials.denied(rank, Instant::now())
+    /// Whether an engine leaves by its own word.
+    pub fn is_leaving(&self, backend: &BackendId) -> bool {
+        self.check(backend) == Err(Unavailable::Leaving)
+    }
+
+    /// Engines to which no request of this rank may be sent now, as far as this node knows.
+    pub fn blocked(&self, rank: u8) -> Vec<BackendId> {
+        let mut blocked = self.denials.denied(rank, Instant::now());
+        blocked.extend(self.availability.unavailable());
+        blocked
+    }
+
+    /// Whether an engine takes requests from this node now. It is asked once more when a permit is spent.
+    pub fn check(&self, backend: &BackendId) -> Result<(), Unavailable> {
+        self.availability.check(backend)
     }
 
     /// Time until a permit for a request of this rank at an engine may be requested again; `None`: now.
@@ -168,7 +199,12 @@
     }
 
     /// Admits one request of a rank to an engine.
-    pub async fn admit(&self, backend: &BackendId, rank: u8) -> Result<SendPermit, LimitReached> {
+    pub async fn admit(&self, backend: &BackendId, rank: u8) -> Result<SendPermit, Blocked> {
+        self.check(backend)?;
+        self.admit_within_limits(backend, rank).await.map_err(Blocked::LimitReached)
+    }
+
+    async fn admit_within_limits(&self, backend: &BackendId, rank: u8) -> Result<SendPermit, LimitReached> {
         let granted = || SendPermit { backend: backend.clone() };
         if !self.is_restricted(backend) {
             return Ok(granted());
@@ -251,8 +287,15 @@
         self.rejections.reports(Instant::now())
     }
 
-    /// Records what the response to a request sent at `sent_at` says about its engine's limit.
-    pub fn note_response(&self, backend: &BackendId, notice: &LimitNotice, sent_at: Instant) {
+    /// Records what the response to a request sent at `sent_at` says about its engine.
+    pub fn note_response(&self, backend: &BackendId, head: &ResponseHead, sent_at: Instant) {
+        if self.availability.note_response(backend, head) {
+            self.changed.notify_one();
+        }
+        self.note_limit(backend, &head.limit, sent_at);
+    }
+
+    fn note_limit(&self, backend: &BackendId, notice: &LimitNotice, sent_at: Instant) {
         let change = match notice {
             LimitNotice::Unlimited => self.limits.note_unlimited(backend, sent_at),
             LimitNotice::Limited(limit) => self.limits.note_limited(backend, *limit, Instant::now()),
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -20,7 +20,7 @@
 use crate::delegation::DelegationPort;
 use crate::demand::DemandTracker;
 use crate::directory::Directory;
-use crate::engine_gate::{EngineGate, LimitReached, SendPermit};
+use crate::engine_gate::{Blocked, EngineGate, LimitReached, SendPermit};
 use crate::fleet_clock::FleetClock;
 use crate::metrics::GatewayMetrics;
 use crate::placement::{Choice, PlacementOutcome, PlacementPort, PlacementQuery};
@@ -124,22 +124,22 @@
     ) -> Result<PermittedChoice, NoBackEnd> {
         let versions = self.allowed_versions(&call.service, call.request_id.as_deref(), stream_version);
         let rank = call.rank(self.call_prefill_ms(call));
-        let mut exhausted = self.exhausted_engines(call, rank);
+        let mut blocked = self.blocked_engines(call, rank);
         let mut denials = 0;
         loop {
-            let excluded = [avoided, &exhausted].concat();
+            let excluded = [avoided, &blocked].concat();
             let Some(choice) = self.choose_among(call, &excluded, &versions).await else {
                 return Err(self.no_back_end(call, rank, avoided));
             };
             let Ok(permit) = self.admit(call, rank, &choice.backend).await else {
                 denials += 1;
-                exhausted.push(choice.backend);
+                blocked.push(choice.backend);
                 if denials == MAX_DENIED_PERMITS {
-                    exhausted.extend(self.gate.restricted());
+                    blocked.extend(self.gate.restricted());
                 }
                 continue;
             };
-            self.note_chosen(call, &choice, exhausted.len());
+            self.note_chosen(call, &choice, blocked.len());
             return Ok(PermittedChoice { choice, permit });
         }
     }
@@ -169,31 +169,31 @@
         call: &Call,
         rank: u8,
         backend: &BackendId,
-    ) -> Result<SendPermit, LimitReached> {
+    ) -> Result<SendPermit, Blocked> {
         let admitted = self.gate.admit(backend, rank).await;
-        if admitted.is_err() {
+        if matches!(admitted, Err(Blocked::LimitReached(_))) {
             self.metrics.permits_denied.with_label_values(&[call.service.as_str()]).inc();
         }
         admitted
     }
 
-    /// Engines of the call's service whose limit is used up for now for calls of this rank.
-    fn exhausted_engines(&self, call: &Call, rank: u8) -> Vec<BackendId> {
-        let mut exhausted = self.gate.exhausted(rank);
-        if !exhausted.is_empty() {
+    /// Engines of the call's service to which calls of this rank may not be sent now.
+    fn blocked_engines(&self, call: &Call, rank: u8) -> Vec<BackendId> {
+        let mut blocked = self.gate.blocked(rank);
+        if !blocked.is_empty() {
             let directory = self.directory.load();
-            exhausted.retain(|backend| {
+            blocked.retain(|backend| {
                 directory.get(backend).is_some_and(|listed| listed.service == call.service)
             });
         }
-        exhausted
+        blocked
     }
 
     /// Why no back end outside `avoided` takes a call: because of the limits that engines name, if there is
     /// any whose limit is used up.
     fn no_back_end(&self, call: &Call, rank: u8, avoided: &[BackendId]) -> NoBackEnd {
-        let exhausted = self.exhausted_engines(call, rank).into_iter();
-        let waits = exhausted.filter(|backend| !avoided.contains(backend));
+        let blocked = self.blocked_engines(call, rank).into_iter();
+        let waits = blocked.filter(|backend| !avoided.contains(backend));
         match waits.filter_map(|backend| self.gate.wait(&backend, rank)).min() {
             Some(wait) => NoBackEnd::LimitReached(LimitReached { wait }),
             None => NoBackEnd::Unavailable,
@@ -201,7 +201,7 @@
     }
 
     /// Records and logs the back end of the next attempt. `passed_over` is the number of back ends that were
-    /// left out because their limit is used up.
+    /// left out because they leave or because their limit is used up.
     pub(crate) fn note_chosen(&self, call: &Call, choice: &Choice, passed_over: usize) {
         self.note_sent(&call.service, &choice.backend);
         let directory = self.directory.load();
@@ -260,6 +260,10 @@
     /// Counts a response for the rollout of its service, if there is one. It is bad if the request failed or
     /// took several times as long as expected.
     pub fn record_response(&self, call: &Call, backend: &BackendId, is_bad: bool) {
+        if is_bad && self.gate.is_leaving(backend) {
+            // An engine that ends breaks off what it runs, whatever its version.
+            return;
+        }
         if let Some(listed) = self.directory.load().get(backend) {
             self.rollouts.note_answer(&call.service, &call.route.name, backend, &listed.version, is_bad);
         }
@@ -376,8 +380,8 @@
         let now = Instant::now();
         self.backend_state.reports.note(&engine_query.sender, &engine_query.unreachable, now);
         self.backend_state.models.add_report(engine_query.observed.clone(), now);
-        let exhausted = self.gate.exhausted(MOST_URGENT_RANK);
-        let avoided = [engine_query.tried.as_slice(), &engine_query.unreachable, &exhausted].concat();
+        let blocked = self.gate.blocked(MOST_URGENT_RANK);
+        let avoided = [engine_query.tried.as_slice(), &engine_query.unreachable, &blocked].concat();
         // Senders choose canary back ends themselves, so this applies to all other requests.
         let versions =
             self.allowed_versions(&engine_query.service, None, engine_query.stream_version.as_ref());
--- a/crates/beamwall-gateway/src/quarantine.rs
+++ b/crates/beamwall-gateway/src/quarantine.rs
@@ -11,6 +11,7 @@
 use arc_swap::ArcSwap;
 use async_trait::async_trait;
 use beamwall_clock::Throttle;
+use beamwall_engine_limits::KnownDepartures;
 use beamwall_events::emit;
 use beamwall_events::internal_events::{BackendEnded, RequestFreed, RequestHeld, TrialGranted};
 use beamwall_http::{Pool, Reachability};
@@ -78,6 +79,8 @@
     sound_parts: SoundParts,
     pool: Pool,
     backends: Arc<dyn BackendLookup>,
+    /// Back ends that announced in a response that they leave.
+    departures: Arc<KnownDepartures>,
     clock: Arc<FleetClock>,
     trials: Arc<dyn TrialPort>,
     /// Limits how often this node requests a trial.
@@ -102,12 +105,24 @@
             sound_parts,
             pool,
             backends,
+            departures: Arc::default(),
             clock,
             trials,
             trial_throttle,
         }
     }
 
+    /// Sets the departures that back ends announced in their responses.
+    pub fn with_departures(self, departures: Arc<KnownDepartures>) -> Self {
+        Self { departures, ..self }
+    }
+
+    /// Whether a back end has announced that it leaves. Such a back end terminates for reasons of its own.
+    fn has_announced_departure(&self, backend: &BackendId) -> bool {
+        let is_listed_leaving = || self.backends.find(backend).is_some_and(|listed| listed.is_leaving);
+        self.departures.is_leaving(backend) || is_listed_leaving()
+    }
+
     /// The time used in evidence, in milliseconds since 1970.
     pub fn now_ms(&self) -> u64 {
         self.clock.now_ms()
@@ -201,9 +216,11 @@
     /// Records that the response of a back end to a request was lost because the connection closed or went
     /// silent. `suspects`: the request and the shared parts of its prompt.
     pub fn note_lost(self: &Arc<Self>, suspects: &[Fingerprint], backend: &BackendId) {
-        // A back end that has announced that it is leaving, or is no longer listed, terminates for reasons of
-        // its own.
-        let Some(listed) = self.backends.find(backend).filter(|listed| !listed.is_leaving) else { return };
+        if self.has_announced_departure(backend) {
+            return;
+        }
+        // A back end that is no longer listed terminates for reasons of its own as well.
+        let Some(listed) = self.backends.find(backend) else { return };
         match self.lost_responses.note(backend, suspects, Instant::now()) {
             ProbeAction::Count => self.record_termination(backend, suspects.to_vec()),
             ProbeAction::Probe => {
@@ -240,8 +257,7 @@
     /// name.
     pub fn note_terminated(&self, backend: &BackendId) {
         let open = self.lost_responses.mark_terminated(backend);
-        // A back end that has announced in the meantime that it is leaving terminates for reasons of its own.
-        if self.backends.find(backend).is_some_and(|listed| listed.is_leaving) {
+        if self.has_announced_departure(backend) {
             return;
         }
         if open.is_empty() {
--- a/crates/beamwall-gateway/src/reachability_probe.rs
+++ b/crates/beamwall-gateway/src/reachability_probe.rs
@@ -40,5 +40,6 @@
 
 fn any_engine(forwarder: &Forwarder, service: &ServiceName) -> Option<Backend> {
     let directory = forwarder.directory.load();
-    directory.usable(service).choose(&mut rand::rng()).cloned()
+    let available = directory.usable(service).filter(|engine| forwarder.gate.check(&engine.id).is_ok());
+    available.choose(&mut rand::rng()).cloned()
 }
--- a/crates/beamwall-gateway/tests/attempts.rs
+++ b/crates/beamwall-gateway/tests/attempts.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::ArcSwap;
 use async_trait::async_trait;
-use beamwall_gateway::attempt::{AttemptFailure, Execution};
+use beamwall_gateway::attempt::{self, AttemptFailure, Execution};
 use beamwall_gateway::attempts::{Attempts, RetryBlocker};
 use beamwall_gateway::candidates::BackendState;
 use beamwall_gateway::choice::Chooser;
@@ -295,3 +295,37 @@
     attempts.note_response_started(version.as_ref());
     assert_eq!(attempts.continue_after_failure(&forwarder, &call, &second, refused_attempt()).await, None);
 }
+
+/// An engine says in a response that it leaves.
+fn announce_departure(forwarder: &Forwarder, backend: &BackendId) {
+    let head = ResponseHead { is_leaving: true, ..ResponseHead::default() };
+    forwarder.gate.note_response(backend, &head, Instant::now());
+}
+
+/// Guards against: a permit that was obtained before an engine announced its departure is spent afterwards.
+#[tokio::test(start_paused = true)]
+async fn a_permit_is_not_spent_at_an_engine_that_has_announced_its_departure() {
+    let (forwarder, call) = (forwarder(1, 1.0), call());
+    let PermittedChoice { choice, permit } =
+        forwarder.choose(&call, &[], None).await.expect("the only engine");
+    announce_departure(&forwarder, &choice.backend);
+    let opened = attempt::open(&forwarder, &call, &choice, permit, None, SECOND).await;
+    let failure = opened.err().expect("nothing is sent");
+    assert!(!failure.sent);
+    assert_eq!(failure.execution, Execution::NotExecuted);
+    assert!(forwarder.choose(&call, &[], None).await.is_err(), "no engine is left");
+}
+
+/// Guards against: a request returns to the silent engine that it left, although that engine leaves.
+#[tokio::test(start_paused = true)]
+async fn a_request_does_not_return_to_a_silent_engine_that_leaves() {
+    let (forwarder, call) = (forwarder(2, 5.0), call());
+    (0..10).for_each(|_| forwarder.retries.earn(&call.service, Instant::now()));
+    let (mut attempts, first, next) = fail_over(&forwarder, &call).await;
+    let failed = FailedAttempt { failure: AttemptFailure::lost("silent"), next: next.ok() };
+    let second = attempts.continue_after_failure(&forwarder, &call, &first, failed).await.expect("an engine");
+    announce_departure(&forwarder, &first.backend);
+    let retries_before = retries_left(&forwarder);
+    assert_eq!(attempts.continue_after_failure(&forwarder, &call, &second, refused_attempt()).await, None);
+    assert_eq!(retries_left(&forwarder), retries_before);
+}
--- a/crates/beamwall-gateway/tests/quarantine.rs
+++ b/crates/beamwall-gateway/tests/quarantine.rs
@@ -7,12 +7,14 @@
 
 use arc_swap::ArcSwap;
 use async_trait::async_trait;
+use beamwall_engine_limits::KnownDepartures;
 use beamwall_gateway::ports::DirectorySnapshot;
 use beamwall_gateway::quarantine::{Quarantine, TrialPort};
 use beamwall_gateway::{Backend, Directory, RemovalCause};
 use beamwall_http::Pool;
 use beamwall_model::BackendId;
 use beamwall_quarantine::{Admission, Fingerprint, FingerprintHasher, QuarantineRegistry};
+use tokio::time::Instant;
 
 /// A trial port that never grants a trial.
 struct NoTrials;
@@ -76,3 +78,24 @@
     assert_eq!(quarantine.registry.suspects(), 0);
     assert_eq!(quarantine.admit(&request()).await, Ok(Admission::Normal));
 }
+
+/// Guards against: the end of an engine that said in a response that it leaves is blamed on the requests that it ran.
+#[tokio::test]
+async fn the_termination_of_an_engine_that_announced_its_departure_is_not_blamed_on_requests() {
+    let directory: Arc<ArcSwap<Directory>> = Arc::default();
+    let departures: Arc<KnownDepartures> = Arc::default();
+    let pool = Pool::new(Duration::from_millis(400));
+    let quarantine =
+        Quarantine::new(Arc::default(), pool, directory.clone(), Arc::default(), Arc::new(NoTrials))
+            .with_departures(departures.clone());
+    let quarantine = Arc::new(quarantine);
+    let names = ["i-1", "i-2", "i-3"];
+    update_directory(&directory, 1, names.iter().map(|name| backend(name, false)).collect());
+    for name in names {
+        departures.note(&BackendId::new(name), Instant::now());
+        quarantine.note_lost(&[request()], &BackendId::new(name));
+        quarantine.note_terminated(&BackendId::new(name));
+    }
+    assert_eq!(quarantine.registry.suspects(), 0);
+    assert_eq!(quarantine.admit(&request()).await, Ok(Admission::Normal));
+}
--- a/crates/beamwall-node/src/gateway/duties/capacity.rs
+++ b/crates/beamwall-node/src/gateway/duties/capacity.rs
@@ -137,8 +137,10 @@
 
     fn supply(&self, service: &Service, zone: &ZoneName, tracker: &OrderTracker) -> ZoneSupply {
         let directory = self.gateway.forwarder.directory.load();
+        let gate = &self.gateway.forwarder.gate;
         let usable = |reclaimable: bool| {
-            let in_zone = directory.usable(&service.name).filter(|backend| &backend.zone == zone);
+            let staying = directory.usable(&service.name).filter(|backend| !gate.is_leaving(&backend.id));
+            let in_zone = staying.filter(|backend| &backend.zone == zone);
             in_zone.filter(|backend| backend.reclaimable == reclaimable).count() as u32
         };
         let key = |reclaimable| OrderKey::new(&service.name, zone, reclaimable);
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -284,6 +284,9 @@
             quarantine_digest: self.quarantine_digest(),
             engine_limits: heartbeat_wire::encode_engine_limits(&forwarder.gate.reports()),
             engine_rejections: heartbeat_wire::encode_rejections(&forwarder.gate.rejection_reports()),
+            engine_departures: heartbeat_wire::encode_departures(
+                &forwarder.gate.availability.departure_reports(),
+            ),
         }
     }
 
@@ -417,6 +420,8 @@
         self.gateway.forwarder.gate.merge(&limits, "heartbeat");
         let rejections = heartbeat_wire::decode_rejections(&incoming_heartbeat.engine_rejections);
         self.gateway.forwarder.gate.merge_rejections(&rejections);
+        let departures = heartbeat_wire::decode_departures(&incoming_heartbeat.engine_departures);
+        self.gateway.forwarder.gate.availability.merge_departures(&departures, "heartbeat");
         // In a large deployment the work of other zones arrives in zone summaries.
         if self.is_direct_peer(envelope) {
             self.apply_node_report(envelope, incoming_heartbeat);
--- a/crates/beamwall-node/src/gateway/heartbeat_wire.rs
+++ b/crates/beamwall-node/src/gateway/heartbeat_wire.rs
@@ -3,14 +3,14 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use beamwall_engine_limits::{LimitReport, RejectionReport, RequestRate};
+use beamwall_engine_limits::{DepartureReport, LimitReport, RejectionReport, RequestRate};
 use beamwall_engine_model::{ServiceStatistics, SlownessObservation, Workload};
 use beamwall_gateway::load::OpenLoad;
 use beamwall_gateway::usage::{PartialSum, WindowCounts};
 use beamwall_model::{BackendId, ServiceName, TenantName};
 use beamwall_peer::gateway_message::{
-    BackendLoad, BackendSlowness, EngineLimit, EngineRejection, QuotaUse, ServiceDemand, ServiceModel,
-    UsageCount, UsageWindow,
+    BackendLoad, BackendSlowness, EngineDeparture, EngineLimit, EngineRejection, QuotaUse, ServiceDemand,
+    ServiceModel, UsageCount, UsageWindow,
 };
 
 /// Encodes open work.
@@ -167,6 +167,24 @@
     })
 }
 
+/// Encodes the engines that leave by their own word.
+pub fn encode_departures(reports: &[DepartureReport]) -> Vec<EngineDeparture> {
+    let encode = |report: &DepartureReport| EngineDeparture {
+        backend: report.backend.to_string(),
+        age_ms: report.age.as_millis() as u64,
+    };
+    reports.iter().map(encode).collect()
+}
+
+/// Decodes the engines that leave by their own word.
+pub fn decode_departures(departures: &[EngineDeparture]) -> Vec<DepartureReport> {
+    let decode = |departure: &EngineDeparture| DepartureReport {
+        backend: BackendId::new(&departure.backend),
+        age: Duration::from_millis(departure.age_ms),
+    };
+    departures.iter().map(decode).collect()
+}
+
 /// Encodes usage windows.
 pub fn encode_usage(windows: Vec<WindowCounts>) -> Vec<UsageWindow> {
     let count = |(tenant, requests): (TenantName, u64)| UsageCount { tenant: tenant.to_string(), requests };
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -370,8 +370,10 @@
     let directory: Arc<ArcSwap<Directory>> = Arc::default();
     let peer_notify: Arc<Notify> = Arc::default();
     let QuarantineParts { quarantine_registry, clock, trials } = quarantine;
+    let gate = EngineGate::new(peers.permits, nodes, peer_notify.clone());
     let quarantine =
-        Quarantine::new(quarantine_registry, pool.clone(), directory.clone(), clock.clone(), trials);
+        Quarantine::new(quarantine_registry, pool.clone(), directory.clone(), clock.clone(), trials)
+            .with_departures(gate.availability.departures());
     let retries = RetryAllowance {
         earned_percent: percent(settings.retry_ratio * RETRY_RATIO_EARNED),
         saved_percent: percent(settings.retry_ratio * RETRY_RATIO_SAVED),
@@ -387,7 +389,7 @@
         backend_state: BackendState::default(),
         chooser: Chooser::new(settings.choice),
         placement: peers.placement,
-        gate: EngineGate::new(peers.permits, nodes, peer_notify.clone()),
+        gate,
         reachability: EngineReachability::default(),
         delegation: peers.delegation,
         demand: DemandTracker::default(),
--- a/crates/beamwall-node/src/gateway/zones.rs
+++ b/crates/beamwall-node/src/gateway/zones.rs
@@ -172,6 +172,9 @@
             usage_lives: usage.generations.as_slice().to_vec(),
             engine_limits: heartbeat_wire::encode_engine_limits(&forwarder.gate.reports()),
             engine_rejections: heartbeat_wire::encode_rejections(&forwarder.gate.rejection_reports()),
+            engine_departures: heartbeat_wire::encode_departures(
+                &forwarder.gate.availability.departure_reports(),
+            ),
         }
     }
 
@@ -188,6 +191,8 @@
         let forwarder = &self.gateway.forwarder;
         forwarder.gate.merge(&heartbeat_wire::decode_engine_limits(&summary.engine_limits), "zone summary");
         forwarder.gate.merge_rejections(&heartbeat_wire::decode_rejections(&summary.engine_rejections));
+        let departures = heartbeat_wire::decode_departures(&summary.engine_departures);
+        forwarder.gate.availability.merge_departures(&departures, "zone summary");
         let reporter = Reporter::Zone(zone.clone());
         forwarder.backend_state.loads.set_peer(&reporter, heartbeat_wire::decode_loads(summary.loads));
         forwarder.demand.set_peer(&reporter, heartbeat_wire::decode_demands(&summary.demands));
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -66,6 +66,9 @@
     /// Rejections by brittle engines that the sender observed or heard of recently.
     #[prost(message, repeated, tag = "18")]
     pub engine_rejections: Vec<EngineRejection>,
+    /// Engines that the sender knows to leave by their own word.
+    #[prost(message, repeated, tag = "19")]
+    pub engine_departures: Vec<EngineDeparture>,
 }
 
 /// Versions that the sender holds, sent immediately when they are newer than before. With names of usual
@@ -163,6 +166,20 @@
     /// Rejections by brittle engines that the relay observed or heard of recently.
     #[prost(message, repeated, tag = "15")]
     pub engine_rejections: Vec<EngineRejection>,
+    /// Engines that the relay knows to leave by their own word.
+    #[prost(message, repeated, tag = "16")]
+    pub engine_departures: Vec<EngineDeparture>,
+}
+
+/// An engine that announced in a response that it leaves.
+#[derive(Clone, PartialEq, Message)]
+pub struct EngineDeparture {
+    /// Engine.
+    #[prost(string, tag = "1")]
+    pub backend: String,
+    /// Time since it last announced the departure, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
 }
 
 /// The requests that one engine takes from all nodes together, as observed by a node.
