Gateway: an engine that asks this node for rest gets none of its requests meanwhile

Callers saw: requests went to engines that had turned the gateway away with 503 and Retry-After, and came back refused (BUDGET). Change: a rest is state of the node that was asked for it, and EngineGate::check names it at the choice, the permit and as the permit is spent. When all engines rest, callers are refused at once with what is left of the shortest rest. New tests of the rests, the permit and the refusal pass.

--- a/crates/beamwall-gateway/src/attempts.rs
+++ b/crates/beamwall-gateway/src/attempts.rs
@@ -10,7 +10,8 @@
 use tokio::time::Instant;
 
 use crate::attempt::{AttemptFailure, Execution};
-use crate::engine_gate::LimitReached;
+use crate::engine_availability::Unavailable;
+use crate::engine_gate::Blocked;
 use crate::failover::FailedAttempt;
 use crate::forward::{Call, Forwarder, NoBackEnd, PermittedChoice};
 use crate::placement::Choice;
@@ -35,13 +36,16 @@
     BackEnd,
     /// The limits that the available engines name are used up.
     EngineLimit,
+    /// The available engines want no requests from this node for a while.
+    EngineRest,
 }
 
 impl From<NoBackEnd> for RetryBlocker {
     fn from(reason: NoBackEnd) -> Self {
         match reason {
             NoBackEnd::Unavailable => Self::BackEnd,
-            NoBackEnd::LimitReached(_) => Self::EngineLimit,
+            NoBackEnd::Blocked(Blocked::LimitReached(_)) => Self::EngineLimit,
+            NoBackEnd::Blocked(Blocked::Unavailable(_)) => Self::EngineRest,
         }
     }
 }
@@ -54,6 +58,7 @@
             Self::Retry => "retry",
             Self::BackEnd => "back_end",
             Self::EngineLimit => "engine_limit",
+            Self::EngineRest => "engine_rest",
         }
     }
 }
@@ -69,8 +74,8 @@
     pub last_failure: Option<AttemptFailure>,
     /// Whether any attempt may have executed the request.
     pub may_have_run: bool,
-    /// Set if the limits that engines name left no back end for the last choice.
-    limit_reached: Option<LimitReached>,
+    /// Set if what engines say of themselves left no back end for the last choice.
+    blocked: Option<Blocked>,
     /// The back end that was abandoned only because it was silent.
     abandoned: Option<Choice>,
     /// Number of tries to return to it.
@@ -222,8 +227,8 @@
         let chosen = forwarder.choose(call, &avoided, self.stream_version.as_ref()).await;
         match &chosen {
             Ok(permitted) => self.tried.push(permitted.choice.backend.clone()),
-            Err(NoBackEnd::LimitReached(limit)) => self.limit_reached = Some(*limit),
-            Err(NoBackEnd::Unavailable) => self.limit_reached = None,
+            Err(NoBackEnd::Blocked(blocked)) => self.blocked = Some(*blocked),
+            Err(NoBackEnd::Unavailable) => self.blocked = None,
         }
         chosen
     }
@@ -266,8 +271,12 @@
     /// The refusal that is returned to the caller after the last failure.
     pub fn refusal(&self, call: &Call) -> Refusal {
         let timed_out = call.remaining().is_zero();
-        if let (Some(limit), false, false) = (self.limit_reached, self.may_have_run, timed_out) {
-            return Refusal::LimitReached(limit);
+        if let (Some(blocked), false, false) = (self.blocked, self.may_have_run, timed_out) {
+            match blocked {
+                Blocked::LimitReached(limit) => return Refusal::LimitReached(limit),
+                Blocked::Unavailable(Unavailable::Resting(left)) => return Refusal::EnginesRest(left),
+                Blocked::Unavailable(Unavailable::Leaving) => {}
+            }
         }
         let reason = match &self.last_failure {
             Some(failure) => failure.reason.clone(),
--- a/crates/beamwall-gateway/src/engine_availability.rs
+++ b/crates/beamwall-gateway/src/engine_availability.rs
@@ -4,6 +4,7 @@
 use std::collections::HashSet;
 use std::fmt;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use beamwall_engine_limits::{DepartureReport, KnownDepartures, KnownRests, RestNotice, UnreadableRest};
 use beamwall_events::emit;
@@ -14,17 +15,27 @@
 use crate::directory::Directory;
 use crate::ports::ResponseHead;
 
+/// Longest time that is added to an engine's rest, and its part of the rest: nodes that it rejected together do
+/// not return to it together.
+const LONGEST_RETURN_SPREAD: Duration = Duration::from_millis(500);
+const RETURN_SPREAD_FRACTION: f64 = 0.125;
+
 /// Why an engine takes no requests from this node, whatever the list of back ends says.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Unavailable {
     /// It announced that it leaves.
     Leaving,
+    /// It wants nothing from this node for so long.
+    Resting(Duration),
 }
 
 impl fmt::Display for Unavailable {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Leaving => write!(formatter, "the engine leaves by its own word"),
+            Self::Resting(left) => {
+                write!(formatter, "the engine wants no requests for {} ms", left.as_millis())
+            }
         }
     }
 }
@@ -49,14 +60,22 @@
         if self.departures.is_leaving(backend) {
             return Err(Unavailable::Leaving);
         }
-        Ok(())
+        match self.rests.remaining(backend, Instant::now()) {
+            Some(left) => Err(Unavailable::Resting(left)),
+            None => Ok(()),
+        }
     }
 
-    /// The engines that take no requests from this node now.
-    pub fn unavailable(&self) -> Vec<BackendId> {
+    /// The engines that take no requests from any node.
+    pub fn leaving(&self) -> Vec<BackendId> {
         self.departures.leaving()
     }
 
+    /// The engines that want nothing from this node now.
+    pub fn resting(&self) -> Vec<BackendId> {
+        self.rests.resting(Instant::now())
+    }
+
     /// Records what a response says about its engine. Returns whether peers should learn of it at once.
     pub fn note_response(&self, backend: &BackendId, head: &ResponseHead) -> bool {
         self.note_rest(backend, &head.rest);
@@ -87,7 +106,7 @@
             RestNotice::Rest(rest) => *rest,
         };
         let now = Instant::now();
-        if self.rests.note(backend, now + rest, now) {
+        if self.rests.note(backend, now + rest + return_spread(rest), now) {
             emit(&EngineRests { backend: backend.to_string(), rest_ms: rest.as_millis().to_string() });
         }
     }
@@ -106,3 +125,7 @@
         unreadable.retain(|backend| directory.get(backend).is_some());
     }
 }
+
+fn return_spread(rest: Duration) -> Duration {
+    rest.mul_f64(RETURN_SPREAD_FRACTION).min(LONGEST_RETURN_SPREAD).mul_f64(rand::random())
+}
--- a/crates/beamwall-gateway/src/engine_gate.rs
+++ b/crates/beamwall-gateway/src/engine_gate.rs
@@ -1,7 +1,8 @@
 //! The gate that every request passes before it is sent to an engine: may this node send to this engine now, and
 //! if not, until when.
 //!
-//! An engine that leaves by its own word gets nothing more. An engine that names a limit gets only requests for
+//! An engine that leaves by its own word gets nothing more, and one that wants nothing from this node for a while
+//! gets nothing meanwhile. An engine that names a limit gets only requests for
 //! which its permit node granted a permit, and so does a brittle engine that rejects requests.
 
 use std::collections::{HashMap, HashSet};
@@ -95,6 +96,17 @@
     LimitReached(LimitReached),
 }
 
+impl Blocked {
+    /// Time after which the engine may take requests; `None`: it never will.
+    pub fn wait(&self) -> Option<Duration> {
+        match self {
+            Self::Unavailable(Unavailable::Leaving) => None,
+            Self::Unavailable(Unavailable::Resting(left)) => Some(*left),
+            Self::LimitReached(limit) => Some(limit.wait),
+        }
+    }
+}
+
 impl From<Unavailable> for Blocked {
     fn from(reason: Unavailable) -> Self {
         Self::Unavailable(reason)
@@ -166,11 +178,24 @@
 
     /// Engines to which no request of this rank may be sent now, as far as this node knows.
     pub fn blocked(&self, rank: u8) -> Vec<BackendId> {
+        let mut blocked = self.blocked_for_peers(rank);
+        blocked.extend(self.availability.resting());
+        blocked
+    }
+
+    /// Engines to which no request of this rank may be sent now, as far as that concerns other nodes as well.
+    pub fn blocked_for_peers(&self, rank: u8) -> Vec<BackendId> {
         let mut blocked = self.denials.denied(rank, Instant::now());
-        blocked.extend(self.availability.unavailable());
+        blocked.extend(self.availability.leaving());
         blocked
     }
 
+    /// Why no request of this rank may be sent to an engine now, as far as this node knows.
+    pub fn blocking(&self, backend: &BackendId, rank: u8) -> Option<Blocked> {
+        let is_denied = || self.wait(backend, rank).map(|wait| Blocked::LimitReached(LimitReached { wait }));
+        self.check(backend).err().map(Blocked::Unavailable).or_else(is_denied)
+    }
+
     /// Whether an engine takes requests from this node now. It is asked once more when a permit is spent.
     pub fn check(&self, backend: &BackendId) -> Result<(), Unavailable> {
         self.availability.check(backend)
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -20,7 +20,7 @@
 use crate::delegation::DelegationPort;
 use crate::demand::DemandTracker;
 use crate::directory::Directory;
-use crate::engine_gate::{Blocked, EngineGate, LimitReached, SendPermit};
+use crate::engine_gate::{Blocked, EngineGate, SendPermit};
 use crate::fleet_clock::FleetClock;
 use crate::metrics::GatewayMetrics;
 use crate::placement::{Choice, PlacementOutcome, PlacementPort, PlacementQuery};
@@ -66,8 +66,8 @@
 pub enum NoBackEnd {
     /// None is available.
     Unavailable,
-    /// The limits that the available engines name are used up.
-    LimitReached(LimitReached),
+    /// All that are available take none now. This one takes requests again first.
+    Blocked(Blocked),
 }
 
 /// State that forwarding needs, shared by all requests of a node.
@@ -189,19 +189,18 @@
         blocked
     }
 
-    /// Why no back end outside `avoided` takes a call: because of the limits that engines name, if there is
-    /// any whose limit is used up.
+    /// Why no back end outside `avoided` takes a call: because of what the engines say of themselves, if any of
+    /// them will take requests again.
     fn no_back_end(&self, call: &Call, rank: u8, avoided: &[BackendId]) -> NoBackEnd {
-        let blocked = self.blocked_engines(call, rank).into_iter();
-        let waits = blocked.filter(|backend| !avoided.contains(backend));
-        match waits.filter_map(|backend| self.gate.wait(&backend, rank)).min() {
-            Some(wait) => NoBackEnd::LimitReached(LimitReached { wait }),
-            None => NoBackEnd::Unavailable,
-        }
+        let engines = self.blocked_engines(call, rank).into_iter();
+        let others = engines.filter(|backend| !avoided.contains(backend));
+        let returning = others.filter_map(|backend| self.gate.blocking(&backend, rank));
+        let first = returning.filter(|blocked| blocked.wait().is_some()).min_by_key(Blocked::wait);
+        first.map_or(NoBackEnd::Unavailable, NoBackEnd::Blocked)
     }
 
     /// Records and logs the back end of the next attempt. `passed_over` is the number of back ends that were
-    /// left out because they leave or because their limit is used up.
+    /// left out because they leave, rest, or have used up their limit.
     pub(crate) fn note_chosen(&self, call: &Call, choice: &Choice, passed_over: usize) {
         self.note_sent(&call.service, &choice.backend);
         let directory = self.directory.load();
@@ -380,7 +379,7 @@
         let now = Instant::now();
         self.backend_state.reports.note(&engine_query.sender, &engine_query.unreachable, now);
         self.backend_state.models.add_report(engine_query.observed.clone(), now);
-        let blocked = self.gate.blocked(MOST_URGENT_RANK);
+        let blocked = self.gate.blocked_for_peers(MOST_URGENT_RANK);
         let avoided = [engine_query.tried.as_slice(), &engine_query.unreachable, &blocked].concat();
         // Senders choose canary back ends themselves, so this applies to all other requests.
         let versions =
--- a/crates/beamwall-gateway/src/refusal.rs
+++ b/crates/beamwall-gateway/src/refusal.rs
@@ -21,11 +21,19 @@
 /// seconds.
 const VERSION_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Longest wait for engines in need that a refused caller is asked for, before the spread.
+/// Longest wait for engines in need or at rest that a refused caller is asked for, before the spread.
 const MAX_LIMIT_WAIT: Duration = Duration::from_secs(4);
 /// Time over which the callers refused by engines in need return.
 const LIMIT_RETURN_SPREAD: Duration = Duration::from_secs(1);
 
+/// Part of an engine's rest over which the callers that it kept out return.
+const REST_RETURN_SPREAD_FRACTION: f64 = 0.25;
+
+fn after_rest(left: Duration) -> Duration {
+    let left = left.min(MAX_LIMIT_WAIT);
+    left + left.mul_f64(REST_RETURN_SPREAD_FRACTION * rand::random::<f64>())
+}
+
 fn random_spread() -> Duration {
     LIMIT_RETURN_SPREAD.mul_f64(rand::random())
 }
@@ -61,6 +69,8 @@
     Unservable(Unservable),
     /// The limits that all available engines name are used up; it was not executed.
     LimitReached(LimitReached),
+    /// All available engines want no requests from this node, the first for so long; it was not executed.
+    EnginesRest(Duration),
     /// It continues a stream, and the version that began the stream is not known.
     UnknownOrigin(UnknownOrigin),
     /// It continues a stream, and no engine of the version that began the stream takes requests.
@@ -83,6 +93,7 @@
             | Self::TooLate
             | Self::Unservable(_)
             | Self::LimitReached(_)
+            | Self::EnginesRest(_)
             | Self::UnknownOrigin(_)
             | Self::VersionUnavailable(_) => StatusCode::SERVICE_UNAVAILABLE,
             // Without a `retry_after` the request itself is considered at fault, so the caller gets a client
@@ -106,6 +117,7 @@
             Self::Unservable(unservable) => Some(unservable.retry_after),
             Self::Held(held) => held.retry_after,
             Self::LimitReached(limit) => Some(limit.wait.min(MAX_LIMIT_WAIT) + random_spread()),
+            Self::EnginesRest(left) => Some(after_rest(*left)),
             Self::VersionUnavailable(_) => Some(VERSION_RETRY_AFTER),
             Self::NotReady | Self::NotRun(_) | Self::Unreachable(_) | Self::UnknownOrigin(_) => {
                 Some(TRANSIENT_RETRY_AFTER)
@@ -123,6 +135,7 @@
                 | Self::TooLate
                 | Self::Unservable(_)
                 | Self::LimitReached(_)
+                | Self::EnginesRest(_)
         )
     }
 
@@ -147,6 +160,9 @@
                 "not run: the engines in need take no more requests for {} ms",
                 limit.wait.as_millis()
             ),
+            Self::EnginesRest(left) => {
+                format!("not run: the engines want no requests for {} ms", left.as_millis())
+            }
             Self::UnknownOrigin(UnknownOrigin::NotRecorded) => {
                 "not run: the version that began the stream is not known".to_owned()
             }
--- a/crates/beamwall-gateway/tests/attempts.rs
+++ b/crates/beamwall-gateway/tests/attempts.rs
@@ -8,6 +8,7 @@
 
 use arc_swap::ArcSwap;
 use async_trait::async_trait;
+use beamwall_engine_limits::RestNotice;
 use beamwall_gateway::attempt::{self, AttemptFailure, Execution};
 use beamwall_gateway::attempts::{Attempts, RetryBlocker};
 use beamwall_gateway::candidates::BackendState;
@@ -16,7 +17,7 @@
 use beamwall_gateway::engine_gate::{EngineGate, PermitOutcome, PermitPort, PermitRequest};
 use beamwall_gateway::failover::FailedAttempt;
 use beamwall_gateway::fleet_clock::FleetClock;
-use beamwall_gateway::forward::{Call, Forwarder, PermittedChoice};
+use beamwall_gateway::forward::{Call, Forwarder, NoBackEnd, PermittedChoice};
 use beamwall_gateway::metrics::GatewayMetrics;
 use beamwall_gateway::quarantine::{Quarantine, TrialPort};
 use beamwall_gateway::retries::{RetryAllowance, RetryBudgets};
@@ -329,3 +330,54 @@
     assert_eq!(attempts.continue_after_failure(&forwarder, &call, &second, refused_attempt()).await, None);
     assert_eq!(retries_left(&forwarder), retries_before);
 }
+
+/// An engine rejects a request and wants nothing from this node for so long.
+fn ask_for_rest(forwarder: &Forwarder, backend: &BackendId, rest: Duration) {
+    let head = ResponseHead { rest: RestNotice::Rest(rest), ..ResponseHead::default() };
+    forwarder.gate.note_response(backend, &head, Instant::now());
+}
+
+/// Guards against: an engine that rests is sent requests that were permitted before, or one good response ends its rest.
+#[tokio::test(start_paused = true)]
+async fn an_engine_that_rests_gets_nothing_until_its_rest_is_over() {
+    let (forwarder, call) = (forwarder(1, 1.0), call());
+    let PermittedChoice { choice, permit } =
+        forwarder.choose(&call, &[], None).await.expect("the only engine");
+    ask_for_rest(&forwarder, &choice.backend, SECOND * 3);
+    let opened = attempt::open(&forwarder, &call, &choice, permit, None, SECOND).await;
+    assert!(!opened.err().expect("nothing is sent").sent);
+    forwarder.gate.note_response(&choice.backend, &ResponseHead::default(), Instant::now());
+    tokio::time::advance(SECOND * 2).await;
+    let blocked = forwarder.choose(&call, &[], None).await.err();
+    let Some(NoBackEnd::Blocked(blocked)) = blocked else { panic!("{blocked:?}") };
+    assert!(blocked.wait().is_some_and(|wait| wait >= SECOND && wait < SECOND * 2), "{blocked:?}");
+    tokio::time::advance(SECOND * 2).await;
+    assert!(forwarder.choose(&call, &[], None).await.is_ok());
+}
+
+/// Guards against: callers are told nothing of when resting engines take requests again, or wait for them.
+#[tokio::test(start_paused = true)]
+async fn the_refusal_names_what_is_left_of_the_shortest_rest() {
+    let (forwarder, call) = (forwarder(2, 1.0), call());
+    for (engine, rest) in ["e0", "e1"].into_iter().zip([SECOND * 3, SECOND * 2]) {
+        ask_for_rest(&forwarder, &BackendId::new(engine), rest);
+    }
+    let mut attempts = Attempts::default();
+    let started = Instant::now();
+    assert!(attempts.first_choice(&forwarder, &call).await.is_none());
+    assert_eq!(started.elapsed(), Duration::ZERO);
+    let refusal = attempts.refusal(&call);
+    assert_eq!(refusal.status(), StatusCode::SERVICE_UNAVAILABLE);
+    let retry_after = refusal.retry_after().expect("a time to return");
+    assert!(retry_after >= SECOND * 2 && retry_after < SECOND * 3, "{retry_after:?}");
+}
+
+/// Guards against: a rest that an engine asked one node for keeps the other nodes' requests from it.
+#[tokio::test(start_paused = true)]
+async fn a_rest_concerns_the_node_that_was_asked_for_it() {
+    let forwarder = forwarder(2, 1.0);
+    let engine = BackendId::new("e0");
+    ask_for_rest(&forwarder, &engine, SECOND * 3);
+    assert_eq!(forwarder.gate.blocked(0), [engine]);
+    assert!(forwarder.gate.blocked_for_peers(0).is_empty());
+}
