Gateway: while the store does not answer, calls to it are short

Callers saw: 401 and 404 by a policy three versions old, 2.9 s after the newer one was acknowledged (CONFIG). Cause: a watch that was sent while the store was silent got no answer after the store was back either, until its time out of 3.2 s and a pause of 0.8 s; all watches of all gateways were in step. Change: after a lost call the next ones wait 0.2 s until one is answered, and a lost call of one resource replaces the waiting watches of the others. Pauses count from a call's start and have a random part. A usual watch waits 2.2 s.

--- a/crates/beamwall-node/src/gateway/rollouts.rs
+++ b/crates/beamwall-node/src/gateway/rollouts.rs
@@ -38,12 +38,17 @@
 
 impl WatchedResource for WatchedOrders {
     const SUBJECT: &'static str = "rollouts";
+    const WATCH_WAIT: Duration = WATCH_WAIT;
     const BATCH_DELAY: Duration = Duration::ZERO;
     const VERIFY_PERIOD: Duration = VERIFY_PERIOD;
 
-    async fn read_or_watch(&self, last_revision: Option<u64>) -> Result<u64, ControlStoreError> {
+    async fn read_or_watch(
+        &self,
+        last_revision: Option<u64>,
+        wait: Duration,
+    ) -> Result<u64, ControlStoreError> {
         if let Some(revision) = last_revision {
-            let (now_at, has_changed) = self.store.wait_for_orders(revision, WATCH_WAIT).await?;
+            let (now_at, has_changed) = self.store.wait_for_orders(revision, wait).await?;
             if !has_changed {
                 return Ok(now_at);
             }
--- a/crates/beamwall-node/src/gateway/store_status.rs
+++ b/crates/beamwall-node/src/gateway/store_status.rs
@@ -8,6 +8,7 @@
 use beamwall_events::emit;
 use beamwall_events::internal_events::{ControlStoreCallFailed, ControlStoreLost, ControlStoreRegained};
 use prometheus::{IntCounterVec, Opts, Registry};
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// Consecutive failed calls after which the store counts as lost: a single watch may be cut.
@@ -34,6 +35,8 @@
 pub struct StoreStatus {
     calls: IntCounterVec,
     has_failed: AtomicBool,
+    /// Whether the last call for any subject was answered.
+    is_answering: watch::Sender<bool>,
     subjects: Mutex<HashMap<String, Subject>>,
 }
 
@@ -44,7 +47,13 @@
             Opts::new("beamwall_gateway_store_calls_total", "calls to the store by subject and outcome");
         let calls = IntCounterVec::new(name, &["subject", "outcome"])?;
         registry.register(Box::new(calls.clone()))?;
-        Ok(Self { calls, has_failed: AtomicBool::default(), subjects: Mutex::default() })
+        let (has_failed, is_answering) = (AtomicBool::default(), watch::Sender::new(true));
+        Ok(Self { calls, has_failed, is_answering, subjects: Mutex::default() })
+    }
+
+    /// Whether the last call for any subject was answered, and its changes.
+    pub fn is_answering(&self) -> watch::Receiver<bool> {
+        self.is_answering.subscribe()
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<String, Subject>> {
@@ -54,6 +63,7 @@
     /// Records a successful call for `subject_name`.
     pub fn note_answer(&self, subject_name: &str) {
         self.calls.with_label_values(&[subject_name, "answered"]).inc();
+        self.note_answering(true);
         let mut subjects = self.lock();
         let subject = subjects.entry(subject_name.to_owned()).or_default();
         let was_lost = subject.is_lost();
@@ -67,6 +77,10 @@
         }
     }
 
+    fn note_answering(&self, answers: bool) {
+        self.is_answering.send_if_modified(|known| std::mem::replace(known, answers) != answers);
+    }
+
     /// Records a call for `subject_name` that failed after `took`.
     pub fn note_failure(&self, subject_name: &str, reason: &str, took: Duration) {
         emit(&ControlStoreCallFailed {
@@ -75,6 +89,7 @@
             reason: reason.to_owned(),
         });
         self.calls.with_label_values(&[subject_name, "failed"]).inc();
+        self.note_answering(false);
         self.has_failed.store(true, Ordering::Relaxed);
         let mut subjects = self.lock();
         let subject = subjects.entry(subject_name.to_owned()).or_default();
--- a/crates/beamwall-node/src/gateway/watches.rs
+++ b/crates/beamwall-node/src/gateway/watches.rs
@@ -5,8 +5,11 @@
 //! start.
 //!
 //! A watch that fails is resumed at the last revision, so no change is missed; if the store no longer has
-//! that history, everything is read again. Waits are short, because a watch on a connection that died
-//! silently receives nothing until its timeout.
+//! that history, everything is read again.
+//!
+//! A call that is lost receives nothing until its timeout, also if the store is back right after it was sent.
+//! While the store does not answer, calls are therefore short, and as soon as one call is lost, those that are
+//! waiting for changes of other resources are replaced by short ones. The first answer ends this.
 //!
 //! A watch that skipped a change never delivers it later. One node therefore verifies the current state
 //! periodically with a cheaper read, and a list suspected to be stale is read again in full.
@@ -24,6 +27,7 @@
 use beamwall_policy::TrafficPolicy;
 use kameo::actor::ActorRef;
 use rand::RngExt;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::actors::directory::{ApplyChanges, DirectoryActor, ReadingTaken, TakeReading};
@@ -33,13 +37,19 @@
 use crate::gateway::store_status::StoreStatus;
 
 /// Longest wait of one watch call.
-const WATCH_WAIT: Duration = Duration::from_millis(2_500);
+const WATCH_WAIT: Duration = Duration::from_millis(2_200);
+/// Wait of one watch call while the store does not answer.
+const SHORT_WATCH_WAIT: Duration = Duration::from_millis(200);
 /// Number of nodes of a zone that watch each resource.
 pub(super) const WATCHERS_PER_ZONE: usize = 2;
-/// Delay after the first failure; it doubles with each further one.
-const FIRST_PAUSE: Duration = Duration::from_millis(100);
-/// Longest delay after a failure.
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// Time from the start of a failed call to the next call, after the first failure; it doubles with each further
+/// one.
+const FIRST_RETRY_PERIOD: Duration = Duration::from_millis(100);
+/// Longest time from the start of a failed call to the next call, unless the failed call took longer.
+const LONGEST_RETRY_PERIOD: Duration = Duration::from_millis(800);
+/// Longest delay after a failed call that took longer than that. Its random part keeps nodes whose calls were
+/// lost together from asking together.
+const LONGEST_PAUSE_AFTER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time between two verifications of a resource, by one node of the deployment.
 const VERIFY_PERIOD: Duration = Duration::from_secs(5);
 /// Additional time per entry: reading a long list occupies the link of the node that verifies.
@@ -63,16 +73,18 @@
 
 impl Backoff {
     fn new() -> Self {
-        Self(FIRST_PAUSE)
+        Self(FIRST_RETRY_PERIOD)
     }
 
-    async fn pause(&mut self) {
-        tokio::time::sleep(self.0).await;
-        self.0 = (self.0 * 2).min(LONGEST_PAUSE);
+    /// Pauses after a call that failed after `took`.
+    async fn pause(&mut self, took: Duration) {
+        let spread = LONGEST_PAUSE_AFTER_TIMEOUT.mul_f64(rand::rng().random());
+        tokio::time::sleep(self.0.saturating_sub(took).max(spread)).await;
+        self.0 = (self.0 * 2).min(LONGEST_RETRY_PERIOD);
     }
 
     fn reset(&mut self) {
-        self.0 = FIRST_PAUSE;
+        self.0 = FIRST_RETRY_PERIOD;
     }
 }
 
@@ -80,15 +92,19 @@
 pub trait WatchedResource: Send + Sync + 'static {
     /// Name in logs and metrics, and key for selecting the watching nodes.
     const SUBJECT: &'static str;
+    /// Longest wait of one watch call.
+    const WATCH_WAIT: Duration;
     /// Delay after a change, so that further changes right after it arrive in one answer.
     const BATCH_DELAY: Duration;
     /// Time between two verifications.
     const VERIFY_PERIOD: Duration;
 
-    /// Reads the whole resource, or watches it from `last_revision`; returns the new revision.
+    /// Reads the whole resource, or waits up to `wait` for changes after `last_revision`; returns the new
+    /// revision.
     fn read_or_watch(
         &self,
         last_revision: Option<u64>,
+        wait: Duration,
     ) -> impl Future<Output = Result<u64, ControlStoreError>> + Send;
 
     /// Verifies the resource with a cheaper read and applies missed changes; returns the revision read, or
@@ -113,13 +129,15 @@
     let mut backoff = Backoff::new();
     let mut last_revision: Option<u64> = None;
     let mut suspected_stale = pin!(resource.suspected_stale());
+    let mut is_answering = status.is_answering();
     loop {
+        let wait = if *is_answering.borrow_and_update() { F::WATCH_WAIT } else { SHORT_WATCH_WAIT };
         let step_future = async {
             if last_revision.is_some() {
                 selector.wait_until_selected(F::SUBJECT, WATCHERS_PER_ZONE).await;
             }
             let started = Instant::now();
-            (started, resource.read_or_watch(last_revision).await)
+            (started, resource.read_or_watch(last_revision, wait).await)
         };
         let (started, answer) = tokio::select! {
             timed_answer = step_future => timed_answer,
@@ -128,6 +146,7 @@
                 last_revision = None;
                 continue;
             }
+            () = stops_answering(&mut is_answering), if last_revision.is_some() => continue,
         };
         match answer {
             Ok(revision) => {
@@ -141,12 +160,23 @@
             Err(error) => {
                 last_revision = last_revision.filter(|_| may_resume(&error));
                 status.note_failure(F::SUBJECT, &error.to_string(), started.elapsed());
-                backoff.pause().await;
+                backoff.pause(started.elapsed()).await;
             }
         }
     }
 }
 
+/// Returns when a call to the store fails while the store was answering before.
+async fn stops_answering(is_answering: &mut watch::Receiver<bool>) {
+    // The status exists as long as the node.
+    while is_answering.changed().await.is_ok() {
+        if !*is_answering.borrow_and_update() {
+            return;
+        }
+    }
+    std::future::pending().await
+}
+
 /// Verifies a resource periodically until the task is aborted, while this node is selected to do so.
 pub async fn verify_resource<F: WatchedResource>(resource: Arc<F>, selector: NodeSelector) {
     loop {
@@ -175,13 +205,18 @@
 
 impl WatchedResource for WatchedPolicy {
     const SUBJECT: &'static str = POLICY;
+    const WATCH_WAIT: Duration = WATCH_WAIT;
     const BATCH_DELAY: Duration = Duration::ZERO;
     const VERIFY_PERIOD: Duration = VERIFY_PERIOD;
 
-    async fn read_or_watch(&self, last_revision: Option<u64>) -> Result<u64, ControlStoreError> {
+    async fn read_or_watch(
+        &self,
+        last_revision: Option<u64>,
+        wait: Duration,
+    ) -> Result<u64, ControlStoreError> {
         let PolicyAnswer { revision, policy } = match last_revision {
             None => self.store.policy().await?,
-            Some(revision) => self.store.watch_policy(revision, WATCH_WAIT).await?,
+            Some(revision) => self.store.watch_policy(revision, wait).await?,
         };
         self.offer(policy).await;
         Ok(revision)
@@ -224,14 +259,19 @@
 
 impl WatchedResource for WatchedBackends {
     const SUBJECT: &'static str = BACKENDS;
+    const WATCH_WAIT: Duration = WATCH_WAIT;
     const BATCH_DELAY: Duration = Duration::from_millis(60);
     const VERIFY_PERIOD: Duration = VERIFY_PERIOD;
 
-    async fn read_or_watch(&self, last_revision: Option<u64>) -> Result<u64, ControlStoreError> {
+    async fn read_or_watch(
+        &self,
+        last_revision: Option<u64>,
+        wait: Duration,
+    ) -> Result<u64, ControlStoreError> {
         match last_revision {
             None => self.read_whole_list().await,
             Some(base) => {
-                let watched = self.store.watch_backends(base, WATCH_WAIT).await?;
+                let watched = self.store.watch_backends(base, wait).await?;
                 self.reader.unreadable.note(&watched.unreadable);
                 let changes = watched.changes;
                 let revision = changes.revision;
