Gateway: events tell the era that the store names in its answers

Callers saw: requests went to an engine that had told the store, after it was back, that it leaves (DRAIN). Nothing acts on it yet.

--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -249,6 +249,10 @@
     6109 Warn DutiesNotKept "duties not kept" { reason }
     /// A call to the store of decisions failed.
     6110 Warn ControlStoreCallFailed "control store call failed" { what, took_ms, reason }
+    /// A new era of the store of decisions is known; revisions of the earlier ones mean nothing in it.
+    6111 Warn StoreEraBegan "store era began" { from, to, source }
+    /// The store of decisions names an era that is no number, or an earlier one than before.
+    6112 Warn StoreEraUnusable "store era unusable" { reason }
     /// An invariant was broken: a fault in the program, to be reported.
     9001 Error InvariantBroken "invariant broken" { invariant, detail }
 }
--- a/crates/beamwall-http/src/client.rs
+++ b/crates/beamwall-http/src/client.rs
@@ -59,6 +59,8 @@
 pub struct ClientResponse {
     /// The HTTP status.
     pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
 }
@@ -153,8 +155,8 @@
 
     async fn exchange(&self, request: Request<crate::Body>) -> Result<ClientResponse, ClientError> {
         let response = self.pool.send(self.address, request).await?;
-        let status = response.status();
-        let body = read_limited(response.into_body(), MAX_RESPONSE_BYTES, self.call_timeout).await?;
-        Ok(ClientResponse { status, body })
+        let (parts, body) = response.into_parts();
+        let body = read_limited(body, MAX_RESPONSE_BYTES, self.call_timeout).await?;
+        Ok(ClientResponse { status: parts.status, headers: parts.headers, body })
     }
 }
--- a/crates/beamwall-store/src/lib.rs
+++ b/crates/beamwall-store/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod budget;
 pub mod cloud;
 pub mod cloud_wire;
+pub mod era;
 pub mod lease;
 pub mod object;
 pub mod object_wire;
@@ -14,6 +15,7 @@
 
 pub use budget::CallBudget;
 pub use cloud::{CloudClient, CloudError, Machine, MachineState, Notice};
+pub use era::StoreEra;
 pub use lease::{Checkpoint, Lease, LeaseState};
 pub use object::{Object, ObjectError, ObjectStore, Version, VersionedObjects};
 pub use settle::{SettleError, Settled, put_settled};
