--- a/crates/beamwall-gateway/src/directory.rs
+++ b/crates/beamwall-gateway/src/directory.rs
@@ -1,7 +1,8 @@
 //! The `Directory` aggregate: all back ends at the newest store revision that this node knows.
 //!
-//! Store revisions are totally ordered, so of two directories the one with the higher revision is correct. A
-//! node learns revisions from the store's watch or from a peer, and never goes back to an earlier one.
+//! Store revisions are totally ordered, over the eras of the store as well, so of two directories the one with
+//! the higher revision is correct. A node learns revisions from the store's watch or from a peer, and never goes
+//! back to an earlier one.
 //!
 //! Peers are sent the changes since the revision that they hold, as long as these are still logged, and
 //! otherwise the whole list. With 3,000 back ends the whole list takes about 100 KB, a change about 60 bytes.
@@ -12,7 +13,8 @@
 //! While the store is unavailable, live back ends can't renew their entries, so the entries expire; they are
 //! listed again soon after the store recovers. Back ends that disappear during that time without having
 //! announced it are therefore still used for a short time, marked as expired. Expired back ends are not part
-//! of the revision and are not sent to peers.
+//! of the revision and are not sent to peers. The same holds for back ends that are missing when a new era
+//! begins: the store lost their entries, which they write again.
 //!
 //! A long list is read in pages. Until a starting node has read the whole list it uses the pages read so far;
 //! otherwise a fleet that starts all at once would serve no requests for seconds. A partial list is not part
@@ -22,7 +24,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use beamwall_model::{BackendId, EngineVersion, InstanceName, ServiceName, ZoneName};
+use beamwall_model::{BackendId, EngineVersion, InstanceName, ServiceName, StoreRevision, ZoneName};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::directory_log::ChangeLog;
@@ -64,7 +66,7 @@
 /// All back ends at one revision.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Directory {
-    revision: u64,
+    revision: StoreRevision,
     digest: u64,
     backends: BackendsByInstance,
     expired: BackendsByInstance,
@@ -99,13 +101,13 @@
 pub enum RemovalCause {
     /// They are gone.
     Gone,
-    /// Their entries may have expired while the store was unavailable.
+    /// Their entries may have expired while the store was unavailable, or been lost when it was restored.
     MaybeExpired,
 }
 
 impl Directory {
-    /// The store revision of the last known change; 0 before the first.
-    pub fn revision(&self) -> u64 {
+    /// The store revision of the last known change; the default before the first.
+    pub fn revision(&self) -> StoreRevision {
         self.revision
     }
 
@@ -117,7 +119,7 @@
     /// Whether the complete list is known. A partial list is enough to serve callers, but not to count the
     /// back ends.
     pub fn is_fully_loaded(&self) -> bool {
-        self.revision > 0
+        self.revision > StoreRevision::default()
     }
 
     /// A digest that is equal for equal contents.
@@ -228,7 +230,7 @@
     }
 
     /// Changes after `peer_revision`; `None` if they are no longer logged.
-    pub fn changes_since(&self, peer_revision: u64) -> Option<DirectoryChanges> {
+    pub fn changes_since(&self, peer_revision: StoreRevision) -> Option<DirectoryChanges> {
         self.recent.since(peer_revision)
     }
 
@@ -257,6 +259,12 @@
         if self.digest == before { Reconciliation::Confirmed } else { Reconciliation::Changed }
     }
 
+    /// What it means that back ends are missing at a newer revision. At the beginning of an era the store may have
+    /// lost their entries.
+    fn removal_cause(&self, newer: StoreRevision, removal_cause: RemovalCause) -> RemovalCause {
+        if newer.era > self.revision.era { RemovalCause::MaybeExpired } else { removal_cause }
+    }
+
     fn install_snapshot(&mut self, snapshot: DirectorySnapshot, removal_cause: RemovalCause) {
         let known = &self.backends;
         let listed = snapshot.backends.into_iter().map(Arc::new).map(|backend| {
@@ -270,6 +278,7 @@
         // that holds exactly the earlier revision can be sent these changes.
         self.recent
             .add(self.revision..=self.revision, DirectoryChanges { revision: snapshot.revision, changes });
+        let removal_cause = self.removal_cause(snapshot.revision, removal_cause);
         self.revision = snapshot.revision;
         self.partial_list.clear();
         self.update_expired(before, removal_cause);
@@ -281,7 +290,7 @@
     /// a list of exactly this revision.
     pub fn apply_peer_changes(
         &mut self,
-        base: u64,
+        base: StoreRevision,
         changes: DirectoryChanges,
         removal_cause: RemovalCause,
     ) -> bool {
@@ -292,7 +301,12 @@
     /// directory is older than `base`, because intermediate changes would be missing, and if it is already at
     /// or past their revision. An empty set of changes counts, too: it means that nothing changed up to its
     /// revision, from which the next set will follow.
-    pub fn apply(&mut self, base: u64, changes: DirectoryChanges, removal_cause: RemovalCause) -> bool {
+    pub fn apply(
+        &mut self,
+        base: StoreRevision,
+        changes: DirectoryChanges,
+        removal_cause: RemovalCause,
+    ) -> bool {
         if self.revision < base || changes.revision <= self.revision {
             return false;
         }
@@ -314,12 +328,14 @@
             self.digest ^= before.map_or(0, |before| digest(&before));
             applied.push(change);
         }
+        let removal_cause = self.removal_cause(changes.revision, removal_cause);
         self.revision = changes.revision;
         let has_changed = !applied.is_empty();
-        self.recent.add(
-            base..=changes.revision - 1,
-            DirectoryChanges { revision: changes.revision, changes: applied },
-        );
+        // Within an era the changes apply to all revisions in between as well.
+        let applies_through =
+            if base.era == changes.revision.era { changes.revision.previous() } else { base };
+        self.recent
+            .add(base..=applies_through, DirectoryChanges { revision: changes.revision, changes: applied });
         let was_incomplete = !std::mem::take(&mut self.partial_list).is_empty();
         // A quiet watch responds every few seconds and changes nothing but the revision.
         if has_changed || was_incomplete {
--- a/crates/beamwall-gateway/src/directory_log.rs
+++ b/crates/beamwall-gateway/src/directory_log.rs
@@ -5,7 +5,7 @@
 use std::ops::RangeInclusive;
 use std::sync::Arc;
 
-use beamwall_model::InstanceName;
+use beamwall_model::{InstanceName, StoreRevision};
 
 use crate::ports::{DirectoryChange, DirectoryChanges};
 
@@ -18,7 +18,7 @@
 #[derive(Debug, Clone, PartialEq)]
 struct Step {
     /// The revisions to which the changes can be applied.
-    from: RangeInclusive<u64>,
+    from: RangeInclusive<StoreRevision>,
     changes: Arc<DirectoryChanges>,
 }
 
@@ -32,7 +32,7 @@
 
 impl ChangeLog {
     /// Adds a step that applies to any of the revisions `from`.
-    pub(crate) fn add(&mut self, from: RangeInclusive<u64>, changes: DirectoryChanges) {
+    pub(crate) fn add(&mut self, from: RangeInclusive<StoreRevision>, changes: DirectoryChanges) {
         self.logged_changes += changes.changes.len();
         self.steps.push_back(Step { from, changes: Arc::new(changes) });
         while self.logged_changes > MAX_LOGGED_CHANGES || self.steps.len() > MAX_LOGGED_CHANGES {
@@ -43,7 +43,7 @@
 
     /// The changes after a revision, merged to the last change of each back end; `None` if no logged step
     /// applies to that revision.
-    pub(crate) fn since(&self, peer_revision: u64) -> Option<DirectoryChanges> {
+    pub(crate) fn since(&self, peer_revision: StoreRevision) -> Option<DirectoryChanges> {
         let first = self.steps.iter().rposition(|step| step.from.contains(&peer_revision))?;
         let steps = self.steps.range(first..);
         let mut last: BTreeMap<&InstanceName, &DirectoryChange> = BTreeMap::new();
--- a/crates/beamwall-gateway/src/directory_staleness.rs
+++ b/crates/beamwall-gateway/src/directory_staleness.rs
@@ -12,7 +12,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use beamwall_model::BackendId;
+use beamwall_model::{BackendId, StoreRevision};
 use tokio::time::Instant;
 
 use crate::directory::Directory;
@@ -40,6 +40,8 @@
     PeersDisagree(usize),
     /// The store returned a different list, which may be older.
     StoreDisagrees,
+    /// The list is of an era of the store that has ended.
+    EarlierEra,
 }
 
 /// Time range of the failed connections to one back end, without any success in between.
@@ -52,7 +54,7 @@
 /// The list that a peer reported.
 #[derive(Debug, Clone, Copy)]
 struct PeerList {
-    revision: u64,
+    revision: StoreRevision,
     digest: u64,
     /// Since when the peer has reported this list.
     since: Instant,
@@ -102,7 +104,7 @@
     }
 
     /// Records the list that a peer reported.
-    pub fn note_peer(&self, peer: SocketAddr, revision: u64, digest: u64, now: Instant) {
+    pub fn note_peer(&self, peer: SocketAddr, revision: StoreRevision, digest: u64, now: Instant) {
         let mut state = self.lock();
         let reported = PeerList { revision, digest, since: now, last_reported: now };
         let known = state.peers.entry(peer).or_insert(reported);
@@ -169,7 +171,7 @@
     }
 
     /// Recent peer reports of the list at a revision.
-    fn peers_at(&self, revision: u64, now: Instant) -> impl Iterator<Item = &PeerList> {
+    fn peers_at(&self, revision: StoreRevision, now: Instant) -> impl Iterator<Item = &PeerList> {
         let is_fresh =
             move |list: &&PeerList| now.saturating_duration_since(list.last_reported) < PEER_REPORT_TTL;
         self.peers.values().filter(move |list| list.revision == revision).filter(is_fresh)
--- a/crates/beamwall-gateway/src/engine_availability.rs
+++ b/crates/beamwall-gateway/src/engine_availability.rs
@@ -86,6 +86,16 @@
         is_news
     }
 
+    /// Records that an engine was listed as leaving before the store was restored.
+    pub fn note_left(&self, backend: &BackendId) {
+        if self.departures.note(backend, Instant::now()) {
+            emit(&EngineLeaves {
+                backend: backend.to_string(),
+                source: "earlier era of the store".to_owned(),
+            });
+        }
+    }
+
     /// Takes over the departures that a peer knows. `source` names the message in the log.
     pub fn merge_departures(&self, reports: &[DepartureReport], source: &str) {
         let now = Instant::now();
--- a/crates/beamwall-gateway/src/ports.rs
+++ b/crates/beamwall-gateway/src/ports.rs
@@ -5,11 +5,12 @@
 
 use async_trait::async_trait;
 use beamwall_engine_limits::{LimitNotice, RestNotice};
-use beamwall_model::{InstanceName, ServiceName, TenantName, ZoneName};
+use beamwall_model::{InstanceName, ServiceName, StoreRevision, TenantName, ZoneName};
 use beamwall_policy::TrafficPolicy;
 use beamwall_rollout::{OrderId, RolloutOrder, Verdict};
 use hyper::{HeaderMap, StatusCode};
 use quick_error::quick_error;
+use tokio::sync::watch;
 
 use crate::directory::Backend;
 use crate::usage::WindowCounts;
@@ -122,7 +123,7 @@
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct DirectorySnapshot {
     /// The store's revision.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The back ends.
     pub backends: Vec<Backend>,
 }
@@ -131,7 +132,7 @@
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct DirectoryPage {
     /// The store's revision.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The back ends.
     pub backends: Vec<Backend>,
     /// The last entry of this page, to request the next page; `None` on the last page.
@@ -181,7 +182,7 @@
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct DirectoryChanges {
     /// The store's revision after these changes.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The changes in order.
     pub changes: Vec<DirectoryChange>,
 }
@@ -190,7 +191,7 @@
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct PolicyAnswer {
     /// The store's revision.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The newest policy; `None` if there is none or, for a watch, no newer one.
     pub policy: Option<TrafficPolicy>,
 }
@@ -203,7 +204,8 @@
         Unavailable(reason: String) {
             display("store unavailable: {}", reason)
         }
-        /// The store no longer has the history since the given revision; the list must be read again.
+        /// The store no longer has the history since the given revision, or is in a later era than that; the list
+        /// must be read again.
         HistoryGone {
             display("the store has forgotten the revision to watch from")
         }
@@ -214,19 +216,31 @@
     }
 }
 
+/// The eras of the store as this process knows them.
+pub trait StoreEras: Send + Sync + 'static {
+    /// The newest era known, 0 while none is, and its changes.
+    fn era(&self) -> watch::Receiver<u64>;
+    /// Learns of an era from a peer.
+    fn learn_era_from_peer(&self, era: u64);
+}
+
 /// The control store, which holds the operator's settings and the list of back ends.
 #[async_trait]
-pub trait ControlStore: Send + Sync + 'static {
+pub trait ControlStore: StoreEras {
     /// Reads the newest policy.
     async fn policy(&self) -> Result<PolicyAnswer, ControlStoreError>;
     /// Waits up to `wait` for a policy newer than `revision`.
-    async fn watch_policy(&self, revision: u64, wait: Duration) -> Result<PolicyAnswer, ControlStoreError>;
+    async fn watch_policy(
+        &self,
+        revision: StoreRevision,
+        wait: Duration,
+    ) -> Result<PolicyAnswer, ControlStoreError>;
     /// Reads a page of the list of back ends: the first one, or the one after the given entry.
     async fn backends(&self, after: Option<&str>) -> Result<DirectoryPage, ControlStoreError>;
     /// Waits up to `wait` for changes of the back ends after `revision`.
     async fn watch_backends(
         &self,
-        revision: u64,
+        revision: StoreRevision,
         wait: Duration,
     ) -> Result<WatchedBackends, ControlStoreError>;
     /// Reads a policy that may be stale by seconds; cheaper for the store.
@@ -239,7 +253,7 @@
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct ListedOrders {
     /// The store's revision.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The orders that could be parsed.
     pub orders: Vec<ListedOrder>,
 }
@@ -250,21 +264,25 @@
     /// The order.
     pub order: RolloutOrder,
     /// The store's revision of its last change.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The verdict in its status.
     pub verdict: Verdict,
 }
 
 /// The store of rollout orders.
 #[async_trait]
-pub trait RolloutStore: Send + Sync + 'static {
+pub trait RolloutStore: StoreEras {
     /// Reads all orders.
     async fn orders(&self) -> Result<ListedOrders, ControlStoreError>;
     /// Reads orders that may be stale by seconds; cheaper for the store.
     async fn recent_orders(&self) -> Result<ListedOrders, ControlStoreError>;
     /// Waits up to `wait` for a change after `revision`; returns the revision reached and whether anything
     /// changed.
-    async fn wait_for_orders(&self, revision: u64, wait: Duration) -> Result<(u64, bool), ControlStoreError>;
+    async fn wait_for_orders(
+        &self,
+        revision: StoreRevision,
+        wait: Duration,
+    ) -> Result<(StoreRevision, bool), ControlStoreError>;
     /// Writes an order's status for the operator.
     async fn set_status(&self, order: &OrderId, verdict: Verdict) -> Result<(), ControlStoreError>;
 }
--- a/crates/beamwall-gateway/tests/attempts.rs
+++ b/crates/beamwall-gateway/tests/attempts.rs
@@ -247,7 +247,7 @@
     let order = RolloutOrder { id: id.clone(), interval: SECOND * 60 };
     let age = SECOND;
     let verdict_so_far = Verdict::Running;
-    let update = OrderUpdate { order, revision: 1, age, verdict: verdict_so_far, is_withdrawn: false };
+    let update = OrderUpdate { order, revision: 1.into(), age, verdict: verdict_so_far, is_withdrawn: false };
     forwarder.rollouts.merge_order(update, Instant::now());
     forwarder.rollouts.merge_verdict(&id, verdict, Instant::now());
 }
--- a/crates/beamwall-gateway/tests/back_end_restart.rs
+++ b/crates/beamwall-gateway/tests/back_end_restart.rs
@@ -66,7 +66,7 @@
     support::add_peer_statistics(&backend_state.models, support::typical_statistics());
     let mut directory = Directory::default();
     directory.replace(
-        DirectorySnapshot { revision: 1, backends: vec![backend_started_at(1)] },
+        DirectorySnapshot { revision: 1.into(), backends: vec![backend_started_at(1)] },
         RemovalCause::Gone,
     );
     record_all(&backend_state, &backend_started_at(1).id, Instant::now());
@@ -78,7 +78,7 @@
     assert_eq!(before.prefill.expect("a prompt").tokens, 0);
 
     let changes = vec![DirectoryChange::Changed(backend_started_at(2))];
-    directory.apply(1, DirectoryChanges { revision: 2, changes }, RemovalCause::Gone);
+    directory.apply(1.into(), DirectoryChanges { revision: 2.into(), changes }, RemovalCause::Gone);
     backend_state.retain_listed(&directory);
     report_loads(&backend_state, &backend_started_at(1).id);
     tokio::time::advance(Duration::from_millis(10)).await;
--- a/crates/beamwall-gateway/tests/directory_staleness.rs
+++ b/crates/beamwall-gateway/tests/directory_staleness.rs
@@ -32,7 +32,7 @@
 fn listed(revision: u64, numbers: &[u8]) -> Directory {
     let mut directory = Directory::default();
     let backends = numbers.iter().map(|number| backend(*number)).collect();
-    assert!(directory.replace(DirectorySnapshot { revision, backends }, RemovalCause::Gone));
+    assert!(directory.replace(DirectorySnapshot { revision: revision.into(), backends }, RemovalCause::Gone));
     directory
 }
 
@@ -96,7 +96,7 @@
     let reads = |node: u16| {
         let staleness = StalenessTracker::default();
         for other in (0..NODES).filter(|other| *other != node) {
-            staleness.note_peer(peer(other), 5, list_of(other).digest(), now);
+            staleness.note_peer(peer(other), 5.into(), list_of(other).digest(), now);
         }
         assert_eq!(
             staleness.reason(list_of(node), node < SELECTED_NODES, now),
@@ -112,10 +112,10 @@
 #[test]
 fn peers_at_other_revisions_or_silent_for_long_are_ignored() {
     let (staleness, directory, now) = (StalenessTracker::default(), listed(5, &[1]), Instant::now());
-    staleness.note_peer(peer(1), 4, 99, now);
-    staleness.note_peer(peer(2), 6, 99, now);
+    staleness.note_peer(peer(1), 4.into(), 99, now);
+    staleness.note_peer(peer(2), 6.into(), 99, now);
     assert_eq!(staleness.reason(&directory, true, now + SECOND), None);
-    staleness.note_peer(peer(3), 5, 99, now);
+    staleness.note_peer(peer(3), 5.into(), 99, now);
     assert_eq!(staleness.reason(&directory, true, now + SECOND), Some(StalenessEvidence::PeersDisagree(1)));
     assert_eq!(staleness.reason(&directory, true, now + SECOND * 5), None);
 }
@@ -135,7 +135,11 @@
 fn a_draining_back_end_that_refuses_connections_is_no_evidence() {
     let (staleness, mut directory, now) = (StalenessTracker::default(), listed(5, &[1]), Instant::now());
     let leaving = DirectoryChange::Changed(Backend { draining: true, ..backend(1) });
-    directory.apply(5, DirectoryChanges { revision: 6, changes: vec![leaving] }, RemovalCause::Gone);
+    directory.apply(
+        5.into(),
+        DirectoryChanges { revision: 6.into(), changes: vec![leaving] },
+        RemovalCause::Gone,
+    );
     for second in 0..5 {
         staleness.note_connect_failure(&"b1".into(), now + SECOND * second);
     }
--- a/crates/beamwall-gateway/tests/quarantine.rs
+++ b/crates/beamwall-gateway/tests/quarantine.rs
@@ -32,7 +32,7 @@
 
 fn update_directory(directory: &ArcSwap<Directory>, revision: u64, backends: Vec<Backend>) {
     let mut listed = Directory::clone(&directory.load());
-    assert!(listed.replace(DirectorySnapshot { revision, backends }, RemovalCause::Gone));
+    assert!(listed.replace(DirectorySnapshot { revision: revision.into(), backends }, RemovalCause::Gone));
     directory.store(Arc::new(listed));
 }
 
--- a/crates/beamwall-gateway/tests/quarantine_parts.rs
+++ b/crates/beamwall-gateway/tests/quarantine_parts.rs
@@ -47,7 +47,7 @@
     fn new(nodes: usize) -> Self {
         let backends = (0..ENGINES).map(|number| support::backend(&format!("i-{number}"))).collect();
         let mut directory = Directory::default();
-        directory.replace(DirectorySnapshot { revision: 1, backends }, RemovalCause::Gone);
+        directory.replace(DirectorySnapshot { revision: 1.into(), backends }, RemovalCause::Gone);
         let directory = Arc::new(ArcSwap::from_pointee(directory));
         let trials: Arc<NoTrials> = Arc::default();
         let node = |_| {
--- a/crates/beamwall-gateway/tests/support/mod.rs
+++ b/crates/beamwall-gateway/tests/support/mod.rs
@@ -91,7 +91,7 @@
     let backend = |number: usize| Backend { slots, ..backend(&format!("e{number}")) };
     let mut directory = Directory::default();
     let backends = (0..engines).map(backend).collect();
-    directory.replace(DirectorySnapshot { revision: 1, backends }, RemovalCause::Gone);
+    directory.replace(DirectorySnapshot { revision: 1.into(), backends }, RemovalCause::Gone);
     directory
 }
 
@@ -103,7 +103,7 @@
     };
     let backends = versions.iter().enumerate().map(of_version).collect();
     let mut directory = Directory::default();
-    directory.replace(DirectorySnapshot { revision: 1, backends }, RemovalCause::Gone);
+    directory.replace(DirectorySnapshot { revision: 1.into(), backends }, RemovalCause::Gone);
     directory
 }
 
--- a/crates/beamwall-gateway/tests/unreachable_zones.rs
+++ b/crates/beamwall-gateway/tests/unreachable_zones.rs
@@ -26,7 +26,7 @@
     };
     let backends = [("e0", "east"), ("e1", "east"), ("w0", "west")].map(backend).to_vec();
     let mut directory = Directory::default();
-    directory.replace(DirectorySnapshot { revision: 1, backends }, RemovalCause::Gone);
+    directory.replace(DirectorySnapshot { revision: 1.into(), backends }, RemovalCause::Gone);
     directory
 }
 
--- a/crates/beamwall-model/src/lib.rs
+++ b/crates/beamwall-model/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod milliseconds;
 pub mod outcome;
 pub mod rendezvous;
+pub mod store_revision;
 pub mod strategy;
 
 pub use class::ServiceClass;
@@ -19,4 +20,5 @@
 };
 pub use milliseconds::{since_1970_ms, to_ms};
 pub use outcome::Outcome;
+pub use store_revision::StoreRevision;
 pub use strategy::ChoiceStrategy;
--- a/crates/beamwall-node/src/actors/directory.rs
+++ b/crates/beamwall-node/src/actors/directory.rs
@@ -1,5 +1,6 @@
 //! Owner of the list of back ends: its revision only grows.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,10 +9,12 @@
 use beamwall_events::internal_events::{BackendsLapsed, DirectoryChanged, LapsedBackendsDropped};
 use beamwall_gateway::ports::{DirectoryChanges, DirectorySnapshot};
 use beamwall_gateway::{Backend, Directory, Gateway, Reconciliation, RemovalCause};
+use beamwall_model::{BackendId, StoreRevision};
 use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
 use kameo::{Actor, Reply};
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use crate::gateway::store_status::StoreStatus;
 use crate::gateway::watches::BACKENDS;
@@ -20,6 +23,12 @@
 /// store's return; those that don't must not get requests for longer.
 const LAPSED_FOR: Duration = Duration::from_millis(1_700);
 
+/// Time for which back ends are used whose entries were lost when the store was restored: they write them again.
+const LOST_FOR: Duration = Duration::from_secs(5);
+/// Time for which a back end that was listed as leaving is remembered: a copy from which the store is restored may
+/// call it ready again.
+const LEAVING_REMEMBERED_FOR: Duration = Duration::from_secs(60);
+
 /// Owner of the list of back ends.
 #[derive(Actor)]
 pub struct DirectoryActor {
@@ -28,6 +37,8 @@
     gateway: Arc<Gateway>,
     status: Arc<StoreStatus>,
     news: Arc<Notify>,
+    /// Back ends that were listed as leaving lately.
+    leaving: HashMap<BackendId, Instant>,
 }
 
 impl DirectoryActor {
@@ -38,7 +49,7 @@
         status: Arc<StoreStatus>,
         news: Arc<Notify>,
     ) -> Self {
-        Self { directory: Directory::default(), view, gateway, status, news }
+        Self { directory: Directory::default(), view, gateway, status, news, leaving: HashMap::new() }
     }
 
     /// What it means that a back end is not listed any more.
@@ -52,19 +63,43 @@
 
     /// Publishes a newer list. Where entries have lapsed by it, they are dropped after a while.
     fn publish_newer(&mut self, source: String, before: &Before, actor: ActorRef<Self>) {
+        let begins_era = self.directory.revision().era > before.era;
+        if begins_era {
+            self.report_left();
+        }
+        self.note_leaving();
         self.publish(source, before.digest);
         let lapsed = self.directory.expired();
         if lapsed > before.lapsed {
-            emit(&BackendsLapsed { lapsed: lapsed.to_string(), kept_ms: LAPSED_FOR.as_millis().to_string() });
+            let kept = if begins_era { LOST_FOR } else { LAPSED_FOR };
+            emit(&BackendsLapsed { lapsed: lapsed.to_string(), kept_ms: kept.as_millis().to_string() });
             tokio::spawn(async move {
-                tokio::time::sleep(LAPSED_FOR).await;
+                tokio::time::sleep(kept).await;
                 let _ = actor.tell(DropLapsed).await;
             });
         }
     }
 
     fn before(&self) -> Before {
-        Before { digest: self.directory.digest(), lapsed: self.directory.expired() }
+        Before {
+            digest: self.directory.digest(),
+            lapsed: self.directory.expired(),
+            era: self.directory.revision().era,
+        }
+    }
+
+    /// Records the back ends that are listed as leaving.
+    fn note_leaving(&mut self) {
+        let now = Instant::now();
+        self.leaving.retain(|_, at| now.duration_since(*at) < LEAVING_REMEMBERED_FOR);
+        let leaving = self.directory.backends().filter(|backend| backend.draining);
+        self.leaving.extend(leaving.map(|backend| (backend.id.clone(), now)));
+    }
+
+    /// Tells the gate of the back ends that were leaving before the store was restored: none of them stays.
+    fn report_left(&self) {
+        let availability = &self.gateway.forwarder.gate.availability;
+        self.leaving.keys().for_each(|backend| availability.note_left(backend));
     }
 
     fn publish(&mut self, source: String, digest_before: u64) {
@@ -90,6 +125,7 @@
 struct Before {
     digest: u64,
     lapsed: usize,
+    era: u64,
 }
 
 /// The whole list was read or heard of.
@@ -166,7 +202,7 @@
 /// A watch told what changed after the revision `base`.
 pub struct ApplyChanges {
     /// The revision from which the changes lead on.
-    pub base: u64,
+    pub base: StoreRevision,
     /// The changes.
     pub changes: DirectoryChanges,
     /// Where they came from, for logs.
@@ -190,7 +226,7 @@
 /// A peer told what changed since the revision that was held when it was asked.
 pub struct ApplyTold {
     /// That revision.
-    pub held: u64,
+    pub held: StoreRevision,
     /// The changes.
     pub changes: DirectoryChanges,
     /// The peer, for logs.
--- a/crates/beamwall-node/src/gateway/directory_sync.rs
+++ b/crates/beamwall-node/src/gateway/directory_sync.rs
@@ -10,6 +10,7 @@
 
 use beamwall_events::emit;
 use beamwall_events::internal_events::PeerDirectoryUnusable;
+use beamwall_model::StoreRevision;
 use beamwall_peer::Body;
 use beamwall_peer::gateway_message::{DirectoryAnswer, DirectoryRequest};
 use prost::Message;
@@ -26,9 +27,10 @@
     /// again.
     pub(super) fn answer_directory(&self, request: DirectoryRequest) -> DirectoryAnswer {
         let directory = self.directory.load();
+        let held = StoreRevision::new(request.held_era, request.held_revision);
         // Builds that read JSON only can't read changes, and send no revision of their own.
         let may_read_whole_only = request.held_revision == 0 && !request.reads_names;
-        let changes = directory.changes_since(request.held_revision).filter(|_| !may_read_whole_only);
+        let changes = directory.changes_since(held).filter(|_| !may_read_whole_only);
         if let Some(changes) = changes {
             return directory_wire::encode(&DirectoryUpdate::Changes(changes));
         }
@@ -40,8 +42,17 @@
     }
 
     /// Records the revision and digest of the list that a peer holds, and fetches the list if it is newer.
-    pub(super) fn note_directory_revision(self: &Arc<Self>, peer: SocketAddr, revision: u64, digest: u64) {
+    pub(super) fn note_directory_revision(
+        self: &Arc<Self>,
+        peer: SocketAddr,
+        revision: StoreRevision,
+        digest: u64,
+    ) {
+        self.store_eras.learn_era_from_peer(revision.era);
         let directory = self.directory.load();
+        if revision.era == 0 && directory.revision().era > 0 {
+            self.selector.note_peer_without_eras();
+        }
         self.gateway.forwarder.backend_state.staleness.note_peer(peer, revision, digest, Instant::now());
         let differs = digest != directory.digest();
         if differs && self.directory_versions.note(peer, revision, directory.revision()) {
@@ -49,13 +60,13 @@
         }
     }
 
-    fn directory_revision(&self) -> u64 {
+    fn directory_revision(&self) -> StoreRevision {
         self.directory.load().revision()
     }
 
     /// Requests the list from peers until this node holds the newest reported one, or no holder answers.
     async fn fetch_directory(self: Arc<Self>) {
-        if self.selector.is_selected(BACKENDS, WATCHERS_PER_ZONE) {
+        if self.selector.is_watcher(BACKENDS, WATCHERS_PER_ZONE) {
             tokio::time::sleep(WATCH_HEAD_START).await;
         }
         while let Some(peer) = self.directory_versions.pick_holder(self.directory_revision()) {
@@ -78,9 +89,9 @@
         self.directory_versions.finish_fetch(self.directory_revision());
     }
 
-    async fn ask_for_directory(&self, peer: SocketAddr, held: u64) -> Option<DirectoryAnswer> {
-        let question = self
-            .envelope(Body::DirectoryRequest(DirectoryRequest { held_revision: held, reads_names: true }));
+    async fn ask_for_directory(&self, peer: SocketAddr, held: StoreRevision) -> Option<DirectoryAnswer> {
+        let request = DirectoryRequest { held_revision: held.number, held_era: held.era, reads_names: true };
+        let question = self.envelope(Body::DirectoryRequest(request));
         let answer = self.network.ask(peer, question, ANSWER_TIMEOUT).await;
         match answer.map(|envelope| envelope.body) {
             Ok(Some(Body::DirectoryAnswer(answer))) => Some(answer),
@@ -89,7 +100,7 @@
     }
 
     /// Applies a peer's answer to a request sent at revision `held`; returns whether it was newer.
-    async fn take_directory(&self, peer: SocketAddr, held: u64, answer: &DirectoryAnswer) -> bool {
+    async fn take_directory(&self, peer: SocketAddr, held: StoreRevision, answer: &DirectoryAnswer) -> bool {
         let source = peer.to_string();
         // The actor stops only together with the node.
         match directory_wire::decode(answer) {
--- a/crates/beamwall-node/src/gateway/directory_wire.rs
+++ b/crates/beamwall-node/src/gateway/directory_wire.rs
@@ -7,7 +7,7 @@
 use beamwall_events::internal_events::PeerDirectoryUnusable;
 use beamwall_gateway::Backend;
 use beamwall_gateway::ports::{DirectoryChange, DirectoryChanges, DirectorySnapshot};
-use beamwall_model::{BackendId, EngineVersion, InstanceName, ServiceName, ZoneName};
+use beamwall_model::{BackendId, EngineVersion, InstanceName, ServiceName, StoreRevision, ZoneName};
 use beamwall_peer::compressed;
 use beamwall_peer::gateway_message::{DirectoryAnswer, DirectoryRequest, ListedBackend};
 use quick_error::quick_error;
@@ -80,12 +80,12 @@
     let mut answer = DirectoryAnswer::default();
     match update {
         DirectoryUpdate::Whole(snapshot) => {
-            answer.revision = snapshot.revision;
+            (answer.era, answer.revision) = (snapshot.revision.era, snapshot.revision.number);
             answer.listed =
                 snapshot.backends.iter().map(|backend| encode_backend(backend, &mut names)).collect();
         }
         DirectoryUpdate::Changes(changes) => {
-            answer.revision = changes.revision;
+            (answer.era, answer.revision) = (changes.revision.era, changes.revision.number);
             answer.is_change = true;
             for change in &changes.changes {
                 match change {
@@ -167,6 +167,7 @@
 
 /// Decodes a list or its changes.
 pub fn decode(answer: &DirectoryAnswer) -> Result<DirectoryUpdate, DirectoryWireError> {
+    let revision = StoreRevision::new(answer.era, answer.revision);
     let services: Vec<ServiceName> = answer.names.iter().map(ServiceName::new).collect();
     let zones: Vec<ZoneName> = answer.names.iter().map(ZoneName::new).collect();
     let versions: Vec<EngineVersion> = answer.names.iter().map(EngineVersion::new).collect();
@@ -178,12 +179,12 @@
             true => decode_json(&answer.compressed_json)?,
             false => listed.collect::<Result<_, _>>()?,
         };
-        return Ok(DirectoryUpdate::Whole(DirectorySnapshot { revision: answer.revision, backends }));
+        return Ok(DirectoryUpdate::Whole(DirectorySnapshot { revision, backends }));
     }
     let gone = answer.gone.iter().map(|name| Ok(DirectoryChange::Gone(InstanceName::new(name))));
     let changed = listed.map(|backend| backend.map(DirectoryChange::Changed));
     let changes = gone.chain(changed).collect::<Result<_, _>>()?;
-    Ok(DirectoryUpdate::Changes(DirectoryChanges { revision: answer.revision, changes }))
+    Ok(DirectoryUpdate::Changes(DirectoryChanges { revision, changes }))
 }
 
 fn decode_backend(
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -13,9 +13,10 @@
 use arc_swap::ArcSwap;
 use beamwall_clock::Throttle;
 use beamwall_engine_model::Workload;
+use beamwall_gateway::ports::StoreEras;
 use beamwall_gateway::usage::WindowCounts;
 use beamwall_gateway::{Directory, Gateway, Reporter};
-use beamwall_model::{NodeId, ServiceName, TenantName, ZoneName, since_1970_ms};
+use beamwall_model::{NodeId, ServiceName, StoreRevision, TenantName, ZoneName, since_1970_ms};
 use beamwall_peer::gateway_message::{GatewayHeartbeat, UsageWindow, VersionUpdate};
 use beamwall_peer::message::{MemberUpdate, ProbeRequest};
 use beamwall_peer::rollout_message::RolloutUpdate;
@@ -102,7 +103,9 @@
     /// Limits how often service statistics are sent.
     pub model_report_throttle: Throttle,
     /// Revisions of the list of back ends that peers hold.
-    pub directory_versions: PeerVersions,
+    pub directory_versions: PeerVersions<StoreRevision>,
+    /// The eras of the store.
+    pub store_eras: Arc<dyn StoreEras>,
     /// Restarts of peers.
     pub peer_restarts: PeerRestarts,
     /// Paces transfers that serve other nodes.
@@ -269,7 +272,8 @@
             members,
             wants_answer: false,
             policy_version: self.gateway.policy.load().version(),
-            directory_revision: directory.revision(),
+            directory_revision: directory.revision().number,
+            directory_era: directory.revision().era,
             directory_digest: directory.digest(),
             quota_uses: Vec::new(),
             demands: Vec::new(),
@@ -393,7 +397,8 @@
     fn handle_versions(self: &Arc<Self>, envelope: &Envelope, versions: VersionUpdate) {
         let Ok(address) = envelope.address.parse() else { return };
         self.note_policy_version(address, versions.policy_version);
-        self.note_directory_revision(address, versions.directory_revision, versions.directory_digest);
+        let directory_revision = StoreRevision::new(versions.directory_era, versions.directory_revision);
+        self.note_directory_revision(address, directory_revision, versions.directory_digest);
     }
 
     fn handle_heartbeat(self: &Arc<Self>, envelope: &Envelope, incoming_heartbeat: GatewayHeartbeat) {
@@ -411,6 +416,7 @@
         let versions = VersionUpdate {
             policy_version: incoming_heartbeat.policy_version,
             directory_revision: incoming_heartbeat.directory_revision,
+            directory_era: incoming_heartbeat.directory_era,
             directory_digest: incoming_heartbeat.directory_digest,
             life: incoming_heartbeat.life,
         };
--- a/crates/beamwall-node/src/gateway/gauges.rs
+++ b/crates/beamwall-node/src/gateway/gauges.rs
@@ -19,6 +19,7 @@
     peer_sent_bytes: IntGauge,
     peer_sent_bytes_by_kind: GaugeVec,
     directory_revision: IntGauge,
+    store_era: IntGauge,
     backends_usable: IntGauge,
     backends_draining: IntGauge,
     members_alive: IntGauge,
@@ -69,6 +70,10 @@
                 "beamwall_gateway_directory_revision",
                 "revision of the back ends known",
             )?,
+            store_era: add(
+                "beamwall_gateway_store_era",
+                "era of the store of the back ends known, 0 if none",
+            )?,
             backends_usable: add("beamwall_gateway_backends_usable", "back ends that take requests")?,
             backends_draining: add("beamwall_gateway_backends_draining", "back ends that are leaving")?,
             members_alive: add("beamwall_gateway_members_alive", "nodes believed alive, this one included")?,
@@ -132,7 +137,8 @@
         let (newest, behind) = exchange.policies.newest_reported();
         self.policy_version_told.set(newest as i64);
         self.policy_behind_ms.set(behind.as_millis() as i64);
-        self.directory_revision.set(directory.revision() as i64);
+        self.directory_revision.set(directory.revision().number as i64);
+        self.store_era.set(directory.revision().era as i64);
         self.backends_usable.set((directory.backends().count() - draining) as i64);
         self.backends_draining.set(draining as i64);
         self.members_alive.set(alive as i64 + 1);
--- a/crates/beamwall-node/src/gateway/listing.rs
+++ b/crates/beamwall-node/src/gateway/listing.rs
@@ -15,6 +15,7 @@
 use beamwall_gateway::directory::digest_of;
 use beamwall_gateway::ports::{DirectoryPage, DirectorySnapshot};
 use beamwall_gateway::{ControlStore, ControlStoreError, Directory};
+use beamwall_model::StoreRevision;
 use kameo::actor::ActorRef;
 use rand::RngExt;
 use tokio::time::Instant;
@@ -59,7 +60,7 @@
     /// The whole list was read from the store.
     Whole(DirectorySnapshot),
     /// A peer sent a list of this revision, at least as new as the one that was being read.
-    FromPeer(u64),
+    FromPeer(StoreRevision),
 }
 
 /// Reads the list of back ends.
@@ -101,6 +102,9 @@
             if next.last.as_ref() == Some(&after) {
                 return Err(ControlStoreError::Unreadable(format!("the list does not go on after {after}")));
             }
+            if next.revision.era != snapshot.revision.era {
+                return Err(ControlStoreError::HistoryGone);
+            }
             self.unreadable.note(&next.unreadable);
             snapshot.backends.extend(next.backends);
             last = next.last;
@@ -136,7 +140,7 @@
         if pages == PAGES_READ_BY_ALL {
             self.wait_for_membership().await;
         }
-        if pages >= PAGES_READ_BY_ALL && !self.selector.is_selected(BACKENDS, WATCHERS_PER_ZONE) {
+        if pages >= PAGES_READ_BY_ALL && !self.selector.is_watcher(BACKENDS, WATCHERS_PER_ZONE) {
             tokio::time::sleep(PAGE_PAUSE).await;
         }
     }
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -58,7 +58,7 @@
 use beamwall_gateway::fleet_clock::FleetClock;
 use beamwall_gateway::forward::Forwarder;
 use beamwall_gateway::metrics::GatewayMetrics;
-use beamwall_gateway::ports::RolloutStore;
+use beamwall_gateway::ports::{RolloutStore, StoreEras};
 use beamwall_gateway::quarantine::{Quarantine, TrialPort};
 use beamwall_gateway::quota::{QuotaLimiter, Tolerance};
 use beamwall_gateway::reachability::EngineReachability;
@@ -188,7 +188,7 @@
         let gateway = assemble_gateway(&settings, &ports, &registry, generation, peers, quarantine)?;
         let directory = gateway.forwarder.directory.clone();
         let readiness = Arc::new(Readiness::new(gateway.policy.clone(), directory, status.clone()));
-        let links = PeerLinks { network, members, delegation };
+        let links = PeerLinks { network, members, delegation, store_eras: ports.store.clone() };
         let exchange =
             Arc::new(assemble_exchange(&settings, links, &gateway, &readiness, &status, generation));
         let stopping = watch::channel(false).0;
@@ -319,6 +319,7 @@
     network: Arc<PeerNetwork>,
     members: Arc<ArcSwap<MembershipView>>,
     delegation: Arc<PeerDelegation>,
+    store_eras: Arc<dyn StoreEras>,
 }
 
 /// The envelope of this node's questions to peers.
@@ -430,7 +431,7 @@
     status: &Arc<StoreStatus>,
     generation: u64,
 ) -> PeerExchange {
-    let PeerLinks { network, members, delegation } = links;
+    let PeerLinks { network, members, delegation, store_eras } = links;
     let membership = Membership::new(
         settings.node.clone(),
         settings.zone.clone(),
@@ -482,6 +483,7 @@
         model_fit_throttle: Default::default(),
         model_report_throttle: Default::default(),
         directory_versions: PeerVersions::default(),
+        store_eras,
         peer_restarts: PeerRestarts::default(),
         policies: PolicyDistribution::new(policy_history, transfers.clone()),
         transfers,
--- a/crates/beamwall-node/src/gateway/node_selector.rs
+++ b/crates/beamwall-node/src/gateway/node_selector.rs
@@ -1,17 +1,22 @@
 //! Selects a few nodes of a zone, or a single node of the deployment, to perform a task for the others.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use beamwall_model::{NodeId, ZoneName, rendezvous};
 use beamwall_peer::{Member, MemberState, link_weight};
 
+use tokio::time::Instant;
+
 use crate::shared::MembershipView;
 
 /// Time between two checks of the selection.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
 
+/// Time for which a peer without eras is remembered; it sends heartbeats more often.
+const PEER_WITHOUT_ERAS_TTL: Duration = Duration::from_secs(5);
+
 /// Selects nodes of this zone by weighted rendezvous hash among those alive. Nodes with a fast network link
 /// are selected more often, because they pass on to the others what they receive.
 #[derive(Clone)]
@@ -20,12 +25,14 @@
     zone: ZoneName,
     link_mbps: u32,
     members: Arc<ArcSwap<MembershipView>>,
+    /// When a list was last reported by a peer that does not name the era of the store.
+    peer_without_eras: Arc<Mutex<Option<Instant>>>,
 }
 
 impl NodeSelector {
     /// Creates the selector of one node; `members` is its membership view.
     pub fn new(node: NodeId, zone: ZoneName, link_mbps: u32, members: Arc<ArcSwap<MembershipView>>) -> Self {
-        Self { node, zone, link_mbps, members }
+        Self { node, zone, link_mbps, members, peer_without_eras: Arc::default() }
     }
 
     /// Whether this node is among the `count` nodes of its zone that perform `task`. Draining nodes are
@@ -63,9 +70,26 @@
         self.members.load().members.len()
     }
 
-    /// Returns as soon as this node is selected.
-    pub async fn wait_until_selected(&self, task: &str, count: usize) {
-        while !self.is_selected(task, count) {
+    /// Records a peer of an earlier build that does not name the era of the lists that it reports. Such lists may
+    /// be of an ended era, so they are not used.
+    pub fn note_peer_without_eras(&self) {
+        *self.peer_without_eras.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+    }
+
+    fn has_peer_without_eras(&self) -> bool {
+        let last = *self.peer_without_eras.lock().unwrap_or_else(PoisonError::into_inner);
+        last.is_some_and(|at| at.elapsed() < PEER_WITHOUT_ERAS_TTL)
+    }
+
+    /// Whether this node watches a resource of the store for its zone, or for itself since those that are selected
+    /// may be peers whose lists it can't use.
+    pub fn is_watcher(&self, resource: &str, count: usize) -> bool {
+        self.is_selected(resource, count) || self.has_peer_without_eras()
+    }
+
+    /// Returns as soon as this node is to watch a resource of the store.
+    pub async fn wait_until_watcher(&self, resource: &str, count: usize) {
+        while !self.is_watcher(resource, count) {
             tokio::time::sleep(CHECK_PERIOD).await;
         }
     }
--- a/crates/beamwall-node/src/gateway/peer_versions.rs
+++ b/crates/beamwall-node/src/gateway/peer_versions.rs
@@ -12,14 +12,14 @@
 
 /// The versions of one resource that peers hold.
 #[derive(Debug, Default)]
-pub struct PeerVersions {
-    state: Mutex<State>,
+pub struct PeerVersions<V> {
+    state: Mutex<State<V>>,
 }
 
 #[derive(Debug, Default)]
-struct State {
+struct State<V> {
     /// The newest version that a peer reported.
-    newest: u64,
+    newest: V,
     /// Peers that reported that version.
     holders: Vec<SocketAddr>,
     /// When this node first learned of a version newer than its own; `None` while it holds the newest.
@@ -27,19 +27,19 @@
     is_fetching: bool,
 }
 
-impl PeerVersions {
-    fn lock(&self) -> MutexGuard<'_, State> {
+impl<V: Copy + Ord> PeerVersions<V> {
+    fn lock(&self) -> MutexGuard<'_, State<V>> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The newest version that a peer reported, and for how long this node has lacked it.
-    pub fn newest_reported(&self) -> (u64, Duration) {
+    pub fn newest_reported(&self) -> (V, Duration) {
         let state = self.lock();
         (state.newest, state.behind_since.map_or(Duration::ZERO, |since| since.elapsed()))
     }
 
     /// Records the version that a peer holds; returns whether the caller must start to fetch it.
-    pub(super) fn note(&self, peer: SocketAddr, version: u64, held: u64) -> bool {
+    pub(super) fn note(&self, peer: SocketAddr, version: V, held: V) -> bool {
         let mut state = self.lock();
         if version <= held || version < state.newest {
             return false;
@@ -57,7 +57,7 @@
 
     /// Returns a peer that holds the newest version; `None` if this node holds it too, or no such peer is
     /// known.
-    pub(super) fn pick_holder(&self, held: u64) -> Option<SocketAddr> {
+    pub(super) fn pick_holder(&self, held: V) -> Option<SocketAddr> {
         let state = self.lock();
         if state.newest <= held { None } else { state.holders.choose(&mut rand::rng()).copied() }
     }
@@ -69,7 +69,7 @@
 
     /// Marks the fetch as finished. A node that still lacks the version starts again at the next report of
     /// it.
-    pub(super) fn finish_fetch(&self, held: u64) {
+    pub(super) fn finish_fetch(&self, held: V) {
         let mut state = self.lock();
         state.is_fetching = false;
         if held >= state.newest {
--- a/crates/beamwall-node/src/gateway/policy_sync.rs
+++ b/crates/beamwall-node/src/gateway/policy_sync.rs
@@ -41,7 +41,7 @@
 pub struct PolicyDistribution {
     history: Arc<PolicyHistory>,
     transfers: Arc<TransferPacer>,
-    peer_versions: PeerVersions,
+    peer_versions: PeerVersions<u64>,
     encoded: Mutex<Vec<EncodedChange>>,
 }
 
@@ -102,7 +102,7 @@
 
     /// Requests changes from peers until this node holds the newest reported version, or no holder answers.
     async fn fetch_policy(self: Arc<Self>) {
-        if self.selector.is_selected(POLICY, WATCHERS_PER_ZONE) {
+        if self.selector.is_watcher(POLICY, WATCHERS_PER_ZONE) {
             tokio::time::sleep(WATCH_HEAD_START).await;
         }
         let mut wants_whole = false;
--- a/crates/beamwall-node/src/gateway/rollout_wire.rs
+++ b/crates/beamwall-node/src/gateway/rollout_wire.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use beamwall_model::{BackendId, EngineVersion, ServiceName, ZoneName, to_ms};
+use beamwall_model::{BackendId, EngineVersion, ServiceName, StoreRevision, ZoneName, to_ms};
 use beamwall_peer::rollout_message::{
     AnswerCountsMessage, EndedEvidenceMessage, EndedGenerationMessage, EvidenceMessage, OrderIdMessage,
     OrderMessage, RolloutUpdate, StageMessage,
@@ -78,7 +78,8 @@
     OrderMessage {
         id: encode_id(&rollout_update.order.id),
         interval_ms: to_ms(rollout_update.order.interval),
-        revision: rollout_update.revision,
+        revision: rollout_update.revision.number,
+        era: rollout_update.revision.era,
         age_ms: to_ms(rollout_update.age),
         verdict: encode_verdict(rollout_update.verdict),
         is_withdrawn: rollout_update.is_withdrawn,
@@ -175,7 +176,7 @@
                 id: decode_id(wire_entry.id.as_ref())?,
                 interval: Duration::from_millis(wire_entry.interval_ms),
             },
-            revision: wire_entry.revision,
+            revision: StoreRevision::new(wire_entry.era, wire_entry.revision),
             age: Duration::from_millis(wire_entry.age_ms),
             verdict: decode_verdict(wire_entry.verdict),
             is_withdrawn: wire_entry.is_withdrawn,
--- a/crates/beamwall-node/src/gateway/rollouts.rs
+++ b/crates/beamwall-node/src/gateway/rollouts.rs
@@ -9,11 +9,13 @@
 use beamwall_events::internal_events::RolloutOrdered;
 use beamwall_gateway::ControlStoreError;
 use beamwall_gateway::ports::{ListedOrder, ListedOrders, RolloutStore};
-use beamwall_model::{NodeId, ServiceName, ZoneName};
+use beamwall_model::{NodeId, ServiceName, StoreRevision, ZoneName};
 use beamwall_peer::MemberState;
 use beamwall_peer::rollout_message::RolloutUpdate;
 use beamwall_rollout::{OrderUpdate, RolloutRegistry};
 
+use tokio::sync::watch;
+
 use crate::gateway::exchange::PeerExchange;
 use crate::gateway::rollout_wire;
 use crate::gateway::watches::WatchedResource;
@@ -44,9 +46,9 @@
 
     async fn read_or_watch(
         &self,
-        last_revision: Option<u64>,
+        last_revision: Option<StoreRevision>,
         wait: Duration,
-    ) -> Result<u64, ControlStoreError> {
+    ) -> Result<StoreRevision, ControlStoreError> {
         if let Some(revision) = last_revision {
             let (now_at, has_changed) = self.store.wait_for_orders(revision, wait).await?;
             if !has_changed {
@@ -59,12 +61,16 @@
         Ok(revision)
     }
 
-    async fn verify(&self) -> Result<Option<u64>, ControlStoreError> {
+    async fn verify(&self) -> Result<Option<StoreRevision>, ControlStoreError> {
         let listed = self.store.recent_orders().await?;
         let revision = listed.revision;
         Ok(self.apply_list(listed).then_some(revision))
     }
 
+    fn era(&self) -> watch::Receiver<u64> {
+        self.store.era()
+    }
+
     fn entries(&self) -> usize {
         self.exchange.rollouts().orders(beamwall_clock::now()).len()
     }
--- a/crates/beamwall-node/src/gateway/version_announcements.rs
+++ b/crates/beamwall-node/src/gateway/version_announcements.rs
@@ -23,7 +23,8 @@
         let directory = self.directory.load();
         let announcement = self.envelope(Body::VersionNews(VersionUpdate {
             policy_version: self.gateway.policy.load().version(),
-            directory_revision: directory.revision(),
+            directory_revision: directory.revision().number,
+            directory_era: directory.revision().era,
             directory_digest: directory.digest(),
             life: self.generation,
         }));
--- a/crates/beamwall-node/src/gateway/watches.rs
+++ b/crates/beamwall-node/src/gateway/watches.rs
@@ -11,6 +11,10 @@
 //! While the store does not answer, calls are therefore short, and as soon as one call is lost, those that are
 //! waiting for changes of other resources are replaced by short ones. The first answer ends this.
 //!
+//! When the store begins a new era, the nodes that watch read everything again at once; the others receive it from
+//! them. A revision of an earlier era is never watched from: the store would tell what follows the same number in
+//! its new era, and nothing of what came before.
+//!
 //! A watch that skipped a change never delivers it later. One node therefore verifies the current state
 //! periodically with a cheaper read, and a list suspected to be stale is read again in full.
 
@@ -24,6 +28,7 @@
 use beamwall_gateway::{
     ControlStore, ControlStoreError, Gateway, Reconciliation, StalenessEvidence, StalenessTracker,
 };
+use beamwall_model::StoreRevision;
 use beamwall_policy::TrafficPolicy;
 use kameo::actor::ActorRef;
 use rand::RngExt;
@@ -103,13 +108,16 @@
     /// revision.
     fn read_or_watch(
         &self,
-        last_revision: Option<u64>,
+        last_revision: Option<StoreRevision>,
         wait: Duration,
-    ) -> impl Future<Output = Result<u64, ControlStoreError>> + Send;
+    ) -> impl Future<Output = Result<StoreRevision, ControlStoreError>> + Send;
 
     /// Verifies the resource with a cheaper read and applies missed changes; returns the revision read, or
     /// `None` if nothing was missed.
-    fn verify(&self) -> impl Future<Output = Result<Option<u64>, ControlStoreError>> + Send;
+    fn verify(&self) -> impl Future<Output = Result<Option<StoreRevision>, ControlStoreError>> + Send;
+
+    /// The newest era of the store that is known, and its changes.
+    fn era(&self) -> watch::Receiver<u64>;
 
     /// Number of entries that a verification reads.
     fn entries(&self) -> usize;
@@ -127,22 +135,29 @@
     selector: NodeSelector,
 ) {
     let mut backoff = Backoff::new();
-    let mut last_revision: Option<u64> = None;
+    let mut last_revision: Option<StoreRevision> = None;
+    // The first reading, and that of a resource that may be stale, are not left to the watching nodes.
+    let mut reads_itself = true;
     let mut suspected_stale = pin!(resource.suspected_stale());
     let mut is_answering = status.is_answering();
+    let mut era = resource.era();
     loop {
         let wait = if *is_answering.borrow_and_update() { F::WATCH_WAIT } else { SHORT_WATCH_WAIT };
         let step_future = async {
-            if last_revision.is_some() {
-                selector.wait_until_selected(F::SUBJECT, WATCHERS_PER_ZONE).await;
+            if !reads_itself {
+                selector.wait_until_watcher(F::SUBJECT, WATCHERS_PER_ZONE).await;
             }
             let started = Instant::now();
             (started, resource.read_or_watch(last_revision, wait).await)
         };
         let (started, answer) = tokio::select! {
             timed_answer = step_future => timed_answer,
-            () = &mut suspected_stale, if last_revision.is_some() => {
+            () = &mut suspected_stale, if !reads_itself => {
                 suspected_stale.set(resource.suspected_stale());
+                (last_revision, reads_itself) = (None, true);
+                continue;
+            }
+            () = era_ends(&mut era, last_revision) => {
                 last_revision = None;
                 continue;
             }
@@ -155,7 +170,7 @@
                 if last_revision.is_some_and(|before| before < revision) {
                     tokio::time::sleep(F::BATCH_DELAY).await;
                 }
-                last_revision = Some(revision);
+                (last_revision, reads_itself) = (Some(revision), false);
             }
             Err(error) => {
                 last_revision = last_revision.filter(|_| may_resume(&error));
@@ -166,6 +181,16 @@
     }
 }
 
+/// Returns when the era in which a resource was last read has ended.
+async fn era_ends(era: &mut watch::Receiver<u64>, last_revision: Option<StoreRevision>) {
+    if let Some(last) = last_revision
+        && era.wait_for(|known| *known > last.era).await.is_ok()
+    {
+        return;
+    }
+    std::future::pending().await
+}
+
 /// Returns when a call to the store fails while the store was answering before.
 async fn stops_answering(is_answering: &mut watch::Receiver<bool>) {
     // The status exists as long as the node.
@@ -211,9 +236,9 @@
 
     async fn read_or_watch(
         &self,
-        last_revision: Option<u64>,
+        last_revision: Option<StoreRevision>,
         wait: Duration,
-    ) -> Result<u64, ControlStoreError> {
+    ) -> Result<StoreRevision, ControlStoreError> {
         let PolicyAnswer { revision, policy } = match last_revision {
             None => self.store.policy().await?,
             Some(revision) => self.store.watch_policy(revision, wait).await?,
@@ -222,12 +247,16 @@
         Ok(revision)
     }
 
-    async fn verify(&self) -> Result<Option<u64>, ControlStoreError> {
+    async fn verify(&self) -> Result<Option<StoreRevision>, ControlStoreError> {
         let PolicyAnswer { revision, policy } = self.store.recent_policy().await?;
         let is_new = self.offer(policy).await;
         Ok(is_new.then_some(revision))
     }
 
+    fn era(&self) -> watch::Receiver<u64> {
+        self.store.era()
+    }
+
     fn entries(&self) -> usize {
         let index = self.gateway.policy.load();
         let policy = index.policy();
@@ -265,9 +294,9 @@
 
     async fn read_or_watch(
         &self,
-        last_revision: Option<u64>,
+        last_revision: Option<StoreRevision>,
         wait: Duration,
-    ) -> Result<u64, ControlStoreError> {
+    ) -> Result<StoreRevision, ControlStoreError> {
         match last_revision {
             None => self.read_whole_list().await,
             Some(base) => {
@@ -282,7 +311,7 @@
         }
     }
 
-    async fn verify(&self) -> Result<Option<u64>, ControlStoreError> {
+    async fn verify(&self) -> Result<Option<StoreRevision>, ControlStoreError> {
         let read = self.reader.recent_digest().await?;
         // This read may be older than the list held here, so a difference proves nothing: the newest list is
         // read before anything is applied.
@@ -292,6 +321,10 @@
         Ok(None)
     }
 
+    fn era(&self) -> watch::Receiver<u64> {
+        self.store.era()
+    }
+
     fn entries(&self) -> usize {
         self.reader.current.load().backends().count()
     }
@@ -320,10 +353,13 @@
     }
 
     fn is_watcher(&self) -> bool {
-        self.reader.selector.is_selected(BACKENDS, WATCHERS_PER_ZONE)
+        self.reader.selector.is_watcher(BACKENDS, WATCHERS_PER_ZONE)
     }
 
     fn staleness_evidence(&self) -> Option<StalenessEvidence> {
+        if *self.store.era().borrow() > self.reader.current.load().revision().era {
+            return Some(StalenessEvidence::EarlierEra);
+        }
         self.staleness().reason(&self.reader.current.load(), self.is_watcher(), Instant::now())
     }
 
@@ -335,9 +371,10 @@
 
     /// Reads the whole list: initially, when the watch can't be resumed, or when the list is suspected to be
     /// stale.
-    async fn read_whole_list(&self) -> Result<u64, ControlStoreError> {
+    async fn read_whole_list(&self) -> Result<StoreRevision, ControlStoreError> {
         let held = self.reader.current.load().revision();
-        let purpose = if held == 0 { ReadPurpose::Initial } else { ReadPurpose::Reread };
+        let purpose =
+            if held == StoreRevision::default() { ReadPurpose::Initial } else { ReadPurpose::Reread };
         let read = match self.reader.read(purpose).await? {
             ListRead::FromPeer(revision) => return Ok(revision),
             ListRead::Whole(read) => read,
@@ -365,6 +402,7 @@
         StalenessEvidence::Unreachable(backend) => format!("unreached: {backend}"),
         StalenessEvidence::PeersDisagree(peers) => format!("peers: {peers}"),
         StalenessEvidence::StoreDisagrees => "store".to_owned(),
+        StalenessEvidence::EarlierEra => "earlier era".to_owned(),
     }
 }
 
--- a/crates/beamwall-node/tests/directory_wire.rs
+++ b/crates/beamwall-node/tests/directory_wire.rs
@@ -28,16 +28,16 @@
 }
 
 fn draw(random: &mut Unstructured<'_>) -> Result<DirectoryUpdate> {
-    let revision = random.arbitrary()?;
+    let revision: u64 = random.arbitrary()?;
     let length = random.int_in_range(0..=20)?;
     let backends = (0..length).map(|_| draw_backend(random)).collect::<Result<Vec<_>>>()?;
     if random.arbitrary()? {
-        return Ok(DirectoryUpdate::Whole(DirectorySnapshot { revision, backends }));
+        return Ok(DirectoryUpdate::Whole(DirectorySnapshot { revision: revision.into(), backends }));
     }
     let gone = DirectoryChange::Gone("i-gone".into());
     let changed = backends.into_iter().map(DirectoryChange::Changed);
     let changes = std::iter::once(gone).chain(changed).collect();
-    Ok(DirectoryUpdate::Changes(DirectoryChanges { revision, changes }))
+    Ok(DirectoryUpdate::Changes(DirectoryChanges { revision: revision.into(), changes }))
 }
 
 #[test]
@@ -66,7 +66,8 @@
     assert!(whole < LARGE_LIST_BYTES, "{whole} bytes");
     let DirectoryUpdate::Whole(snapshot) = list(1) else { unreachable!("a whole list") };
     let changes = vec![DirectoryChange::Changed(snapshot.backends[0].clone())];
-    let change = encode(&DirectoryUpdate::Changes(DirectoryChanges { revision: 900, changes })).encoded_len();
+    let change =
+        encode(&DirectoryUpdate::Changes(DirectoryChanges { revision: 900.into(), changes })).encoded_len();
     println!("{whole} bytes for 3,000 back ends, {change} for a change");
     assert!(change < 100, "{change} bytes");
 }
@@ -85,5 +86,5 @@
         reclaimable: true,
     };
     let backends = (0..length).map(backend).collect();
-    DirectoryUpdate::Whole(DirectorySnapshot { revision: 900, backends })
+    DirectoryUpdate::Whole(DirectorySnapshot { revision: 900.into(), backends })
 }
--- a/crates/beamwall-node/tests/earlier_builds.rs
+++ b/crates/beamwall-node/tests/earlier_builds.rs
@@ -11,7 +11,7 @@
 
 use beamwall_gateway::Backend;
 use beamwall_gateway::ports::DirectorySnapshot;
-use beamwall_model::{BackendId, EngineVersion, InstanceName, ServiceName, ZoneName};
+use beamwall_model::{BackendId, EngineVersion, InstanceName, ServiceName, StoreRevision, ZoneName};
 use beamwall_node::gateway::directory_wire::{self, DirectoryUpdate};
 use beamwall_peer::gateway_message::{
     BackendLoad, BackendSlowness, DirectoryAnswer, DirectoryRequest, GatewayHeartbeat, GenerationUsage,
@@ -172,6 +172,7 @@
         directory_revision: 40,
         directory_digest: 0x0123_4567_89ab_cdef,
         life: 0,
+        directory_era: 0,
     };
     let policy_request = PolicyRequest { held_version: 12, held_digest: 0x0123_4567_89ab_cdef };
     let life = GenerationUsage { node: "node-2".to_owned(), life: 1_700_000_000_002, usage: usage() };
@@ -247,7 +248,7 @@
     assert_eq!(read("quarantine_request"), envelope(Body::QuarantineRequest(QuarantineRequest {})));
     let with_digest = GatewayHeartbeat { members_known: 3, time_ms: 9, quarantine_digest: 77, ..beat() };
     assert_eq!(read("beat_with_digest"), envelope(Body::GatewayBeat(with_digest)));
-    let asks = DirectoryRequest { held_revision: 40, reads_names: true };
+    let asks = DirectoryRequest { held_revision: 40, reads_names: true, held_era: 0 };
     assert_eq!(read("directory_request"), envelope(Body::DirectoryRequest(asks)));
 }
 
@@ -273,10 +274,25 @@
     assert_eq!(reply.slowness, 0.0, "no slowness is told");
 }
 
+/// Guards against: eras of the store that earlier builds do not know hide from them which list is told.
+#[test]
+fn earlier_builds_pass_over_the_eras_of_lists() {
+    let told = GatewayHeartbeat { directory_era: 3, ..beat() };
+    let bytes = envelope(Body::GatewayBeat(told)).encode_to_vec();
+    let read = earlier::Envelope::decode(bytes.as_slice()).expect("new fields are passed over");
+    let Some(earlier::Body::GatewayBeat(read)) = read.body else { panic!() };
+    assert_eq!((read.policy_version, read.directory_revision, read.loads.len()), (12, 40, 1));
+    let revision = StoreRevision::new(3, 40);
+    let snapshot = DirectorySnapshot { revision, backends: vec![backend("i-3", None, "v1")] };
+    let answer = directory_wire::encode(&DirectoryUpdate::Whole(snapshot.clone()));
+    assert_eq!((answer.era, answer.revision), (3, 40));
+    assert_eq!(directory_wire::decode(&answer), Ok(DirectoryUpdate::Whole(snapshot)));
+}
+
 #[test]
 fn a_list_with_names_keeps_its_meaning() {
     let backends = vec![backend("i-3", Some(1_700_000_000_003), "v1"), backend("i-4", None, "v1")];
-    let told = DirectoryUpdate::Whole(DirectorySnapshot { revision: 40, backends });
+    let told = DirectoryUpdate::Whole(DirectorySnapshot { revision: 40.into(), backends });
     for recorded in [RECORDED_WITH_NAMES, RECORDED_WITH_SLOWNESS] {
         let whole = directory_wire::decode(&directory_answer(recorded, "directory_whole"));
         assert_eq!(whole, Ok(told.clone()));
@@ -291,7 +307,7 @@
     let whole = directory_wire::decode(&directory_answer(RECORDED_BEFORE_NAMES, "directory_whole"));
     // That build told neither lives nor versions.
     let backends = vec![backend("i-3", None, ""), backend("i-4", None, "")];
-    assert_eq!(whole, Ok(DirectoryUpdate::Whole(DirectorySnapshot { revision: 40, backends })));
+    assert_eq!(whole, Ok(DirectoryUpdate::Whole(DirectorySnapshot { revision: 40.into(), backends })));
     assert_eq!(directory_answer(RECORDED_BEFORE_NAMES, "directory_busy").busy_for_ms, 30);
 }
 
@@ -300,7 +316,7 @@
     let envelope = Envelope::decode(read(RECORDED_BEFORE_NAMES, "directory_request").as_slice());
     let Some(Body::DirectoryRequest(request)) = envelope.expect("it can be read").body else { panic!() };
     let backends = vec![backend("i-3", Some(1_700_000_000_003), "v1"), backend("i-4", None, "v1")];
-    let told = DirectoryUpdate::Whole(DirectorySnapshot { revision: 40, backends: backends.clone() });
+    let told = DirectoryUpdate::Whole(DirectorySnapshot { revision: 40.into(), backends: backends.clone() });
     let answer = directory_wire::encode_for(&request, &told);
     let bytes = answer.encode_to_vec();
     let by_earlier = earlier::DirectoryWhole::decode(bytes.as_slice()).expect("it can be read");
--- a/crates/beamwall-node/tests/forwarded_loads.rs
+++ b/crates/beamwall-node/tests/forwarded_loads.rs
@@ -28,7 +28,7 @@
     let of = |service: &'static str| (0..engines).map(move |number| backend(service, number));
     let mut directory = Directory::default();
     let backends = of("model").chain(of("plain")).collect();
-    directory.replace(DirectorySnapshot { revision: 1, backends }, RemovalCause::Gone);
+    directory.replace(DirectorySnapshot { revision: 1.into(), backends }, RemovalCause::Gone);
     directory
 }
 
--- a/crates/beamwall-node/tests/rollout_evidence_of_restarted_nodes.rs
+++ b/crates/beamwall-node/tests/rollout_evidence_of_restarted_nodes.rs
@@ -301,7 +301,7 @@
             id: OrderId { service: SERVICE.into(), target: "v3".into(), made: 20 },
             interval: Duration::from_secs(12),
         },
-        revision: 20,
+        revision: 20.into(),
         ..order()
     };
     for node in &play.nodes {
--- a/crates/beamwall-node/tests/rollout_nodes/mod.rs
+++ b/crates/beamwall-node/tests/rollout_nodes/mod.rs
@@ -28,7 +28,7 @@
     let id = OrderId { service: SERVICE.into(), target: NEW_VERSION.into(), made: 7 };
     OrderUpdate {
         order: RolloutOrder { id, interval: Duration::from_secs(12) },
-        revision: 9,
+        revision: 9.into(),
         age: Duration::ZERO,
         verdict: Verdict::Running,
         is_withdrawn: false,
--- a/crates/beamwall-node/tests/rollout_wire.rs
+++ b/crates/beamwall-node/tests/rollout_wire.rs
@@ -27,7 +27,7 @@
 fn order() -> OrderUpdate {
     OrderUpdate {
         order: RolloutOrder { id: id(), interval: Duration::from_secs(12) },
-        revision: 9,
+        revision: 9.into(),
         age: Duration::ZERO,
         verdict: Verdict::Running,
         is_withdrawn: false,
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -69,6 +69,9 @@
     /// Engines that the sender knows to leave by their own word.
     #[prost(message, repeated, tag = "19")]
     pub engine_departures: Vec<EngineDeparture>,
+    /// Era of the store in which it counts `directory_revision`; 0 if not known.
+    #[prost(uint64, tag = "20")]
+    pub directory_era: u64,
 }
 
 /// Versions that the sender holds, sent immediately when they are newer than before. With names of usual
@@ -89,6 +92,9 @@
     /// often the first that a starting node sends.
     #[prost(uint64, tag = "4")]
     pub life: u64,
+    /// Era of the store in which it counts `directory_revision`; 0 if not known.
+    #[prost(uint64, tag = "5")]
+    pub directory_era: u64,
 }
 
 /// Sums of the observations of a service's back ends by the sender.
@@ -413,6 +419,9 @@
     /// not set this field.
     #[prost(bool, tag = "2")]
     pub reads_names: bool,
+    /// Era of the store in which it counts `held_revision`; 0 if not known.
+    #[prost(uint64, tag = "3")]
+    pub held_era: u64,
 }
 
 /// The changes of the list of back ends, the complete list, or the time after which to retry.
@@ -440,6 +449,9 @@
     /// Removed back ends.
     #[prost(string, repeated, tag = "8")]
     pub gone: Vec<String>,
+    /// Era of the store in which it counts `revision`; 0 if not known.
+    #[prost(uint64, tag = "9")]
+    pub era: u64,
 }
 
 /// A back end in a list, about 40 bytes when encoded.
--- a/crates/beamwall-peer/src/rollout_message.rs
+++ b/crates/beamwall-peer/src/rollout_message.rs
@@ -51,6 +51,9 @@
     /// Whether the order was withdrawn.
     #[prost(bool, tag = "6")]
     pub is_withdrawn: bool,
+    /// Era of the store in which it counts `revision`; 0 if not known.
+    #[prost(uint64, tag = "7")]
+    pub era: u64,
 }
 
 /// The stage of a rollout order.
--- a/crates/beamwall-rollout/src/registry.rs
+++ b/crates/beamwall-rollout/src/registry.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use beamwall_model::{
-    BackendId, EngineVersion, GenerationSet, NodeId, ServiceName, ZoneName, generation_hash,
+    BackendId, EngineVersion, GenerationSet, NodeId, ServiceName, StoreRevision, ZoneName, generation_hash,
 };
 use tokio::time::Instant;
 
@@ -33,7 +33,7 @@
     pub order: RolloutOrder,
     /// The store's revision at which the order was last read: of two orders for one service, the one
     /// with the higher revision is valid.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Time since the order was first seen.
     pub age: Duration,
     /// The verdict, as far as the sender knows it.
@@ -96,7 +96,7 @@
 #[derive(Debug)]
 struct KnownOrder {
     order: RolloutOrder,
-    revision: u64,
+    revision: StoreRevision,
     started_at: Instant,
     verdict: Verdict,
     /// When this node observed the success; `None` if the order had already succeeded when this node
@@ -229,7 +229,7 @@
     }
 
     /// Marks orders as withdrawn that the store no longer lists.
-    pub fn withdraw_unlisted(&self, listed: &[ServiceName], revision: u64) -> bool {
+    pub fn withdraw_unlisted(&self, listed: &[ServiceName], revision: StoreRevision) -> bool {
         let mut changed = false;
         for (service, known) in self.lock().iter_mut() {
             if !listed.contains(service) && known.revision < revision && !known.is_withdrawn {
--- a/crates/beamwall-rollout/tests/registry.rs
+++ b/crates/beamwall-rollout/tests/registry.rs
@@ -17,7 +17,7 @@
 fn order(target: &str, revision: u64, verdict: Verdict) -> OrderUpdate {
     OrderUpdate {
         order: RolloutOrder { id: id(target), interval: Duration::from_secs(12) },
-        revision,
+        revision: revision.into(),
         age: Duration::ZERO,
         verdict,
         is_withdrawn: false,
@@ -84,8 +84,8 @@
 fn a_withdrawn_order_applies_no_rule() {
     let (registry, now) = (RolloutRegistry::default(), Instant::now());
     registry.merge_order(order("v2", 10, Verdict::Running), now);
-    assert!(!registry.withdraw_unlisted(&["pool".into()], 30));
-    assert!(registry.withdraw_unlisted(&[], 30));
+    assert!(!registry.withdraw_unlisted(&["pool".into()], 30.into()));
+    assert!(registry.withdraw_unlisted(&[], 30.into()));
     assert_eq!(version_choice(&registry, now), None);
     assert!(!registry.is_running(&"pool".into()));
 }
--- a/crates/beamwall-rollout/tests/zone_evidence.rs
+++ b/crates/beamwall-rollout/tests/zone_evidence.rs
@@ -28,7 +28,7 @@
 fn with_order(registry: RolloutRegistry) -> RolloutRegistry {
     let order_update = OrderUpdate {
         order: RolloutOrder { id: order_id(), interval: Duration::from_secs(12) },
-        revision: 10,
+        revision: 10.into(),
         age: Duration::ZERO,
         verdict: Verdict::Running,
         is_withdrawn: false,
--- a/crates/beamwall-rollout/tests/zone_simulation/mod.rs
+++ b/crates/beamwall-rollout/tests/zone_simulation/mod.rs
@@ -171,7 +171,7 @@
         let registry = RolloutRegistry::default().for_generation(&name, generation);
         let order_update = OrderUpdate {
             order: self.order(),
-            revision: 10,
+            revision: 10.into(),
             age: Duration::from_millis(age_ms),
             verdict: Verdict::Running,
             is_withdrawn: false,
