Lease: no epoch is used twice across the return of an older store

Cause: an absent lease was taken at once with epoch 1, whatever epochs had been used, and conditional writes compared revisions that two eras give out. Change: the version of an object names its era; a write that expects a version of an ended era is in conflict, before it is sent or by the answer that names a new era. The epochs of an era begin above those of all earlier ones, so that a node that knows nothing of a lost lease can't repeat one. The holder within its term writes a lost or older lease again under its epoch; a node that knew the lease waits as for another's.

--- a/crates/beamwall-node/tests/stored_quarantine.rs
+++ b/crates/beamwall-node/tests/stored_quarantine.rs
@@ -23,13 +23,13 @@
 
     async fn put(&self, key: &str, expected: Version, value: Bytes) -> Result<Version, ObjectError> {
         let mut objects = self.0.lock().expect("no panic");
-        let current = objects.get(key).map_or(0, |object| object.version);
-        if current != expected {
-            return Err(ObjectError::Conflict(current));
+        let current = objects.get(key).map_or(0, |object| object.version.number);
+        if current != expected.number {
+            return Err(ObjectError::Conflict(current.into()));
         }
         let version = current + 1;
-        objects.insert(key.to_owned(), Object { key: key.to_owned(), version, value });
-        Ok(version)
+        objects.insert(key.to_owned(), Object { key: key.to_owned(), version: version.into(), value });
+        Ok(version.into())
     }
 }
 
@@ -92,7 +92,7 @@
 #[tokio::test]
 async fn what_another_writer_put_there_is_overwritten() {
     let objects: Arc<Objects> = Arc::default();
-    let object = Object { key: String::new(), version: 7, value: Bytes::from_static(b"[1, 2]") };
+    let object = Object { key: String::new(), version: 7.into(), value: Bytes::from_static(b"[1, 2]") };
     objects.0.lock().expect("no panic").insert("reports/held-requests".to_owned(), object);
     let first = node(&objects);
     first.kept.restore().await;
--- a/crates/beamwall-store/src/era.rs
+++ b/crates/beamwall-store/src/era.rs
@@ -13,6 +13,8 @@
 use beamwall_events::internal_events::{StoreEraBegan, StoreEraUnusable};
 use tokio::sync::watch;
 
+use crate::object::{ABSENT, ObjectError, Version};
+
 /// What an answer says about the store's era.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum NamedEra {
@@ -98,3 +100,18 @@
         }
     }
 }
+
+/// Checks that a conditional write belongs to one era: that of the version it expects, the one known when it is sent,
+/// and the one in which it is answered.
+///
+/// The expected version of an ended era may have been given to another write since, so meeting it means nothing. What
+/// was created while an era began may be lost with the former one.
+pub fn check_write(expected: Version, known_before: u64, era: u64) -> Result<(), ObjectError> {
+    if expected != ABSENT && (expected.era != known_before || expected.era != era) {
+        return Err(ObjectError::Conflict(ABSENT));
+    }
+    if era != known_before {
+        return Err(ObjectError::Ambiguous(format!("era {era} of the store began during the call")));
+    }
+    Ok(())
+}
--- a/crates/beamwall-store/src/lease.rs
+++ b/crates/beamwall-store/src/lease.rs
@@ -10,6 +10,10 @@
 //! term any more, so this process waits only for orders in flight. With the full wait, a holder that loses
 //! power every few seconds would never acquire the lease again, since each restart begins the wait anew.
 //!
+//! A store that is restored from a copy has lost the lease, or holds it as it was. The holder within its term writes
+//! it again. Any other node that knew the lease waits as for one that another node holds; and since nobody may
+//! remember the epochs that were used, those of an era begin above all of the earlier eras.
+//!
 //! With each renewal the holder stores a checkpoint of its work under the lease. The next holder continues
 //! from this checkpoint.
 
@@ -42,6 +46,8 @@
 const POLL_PERIOD: Duration = Duration::from_secs(2);
 /// Time between checks whether the checkpoint has changed.
 const CHANGE_POLL_PERIOD: Duration = Duration::from_millis(50);
+/// Epochs that one era of the store has room for. It exceeds the writes of a store over its whole life.
+const EPOCHS_PER_ERA: u64 = 1 << 32;
 /// A holder stops acting this long before its term expires.
 const SAFETY_MARGIN: Duration = Duration::from_millis(300);
 
@@ -208,30 +214,49 @@
             return self.write(version, epoch, sent).await;
         }
         let Some(object) = self.store.get(&self.key).await? else {
-            return self.write(ABSENT, 1, sent).await;
+            return self.step_without_lease(sent).await;
         };
         let record = read_record(&object);
-        if self.is_holder(&record) {
-            return self.write(object.version, record.epoch, sent).await;
+        if let Some(epoch) = self.epoch_to_renew(&record, sent) {
+            return self.write(object.version, epoch, sent).await;
         }
         self.observe_record(&object, &record);
         if self.unchanged_for() >= self.takeover_wait(&record) {
-            let epoch = self.highest_epoch + 1;
             self.checkpoint.restore(&record.checkpoint);
-            return self.write(object.version, epoch, BootInstant::now()).await;
+            return self.write(object.version, self.next_epoch(), BootInstant::now()).await;
         }
         Ok(())
     }
 
-    /// Whether a record is a lease held by this process. The name of the node is not sufficient: it is the
-    /// same after a restart, while the earlier process may have orders in flight.
-    fn is_holder(&self, record: &LeaseRecord) -> bool {
-        let state = self.state.borrow();
-        let current = state.valid_until.is_some_and(|until| BootInstant::now() < until);
-        record.holder == self.node.as_str() && record.epoch == state.epoch && current
+    /// The store has no lease: nobody ever held it, or the store lost it.
+    async fn step_without_lease(&mut self, sent: BootInstant) -> Result<(), ObjectError> {
+        if let Some(epoch) = self.current_epoch(sent) {
+            return self.write(ABSENT, epoch, sent).await;
+        }
+        if self.highest_epoch > 0 {
+            self.observe_version(ABSENT);
+            if self.unchanged_for() < TAKEOVER_WAIT {
+                return Ok(());
+            }
+        }
+        self.write(ABSENT, self.next_epoch(), BootInstant::now()).await
+    }
+
+    /// The epoch under which this process renews the lease that it read: its own, if it is the holder. A record of an
+    /// earlier epoch is one that the store went back to; its holder had lost the lease before this process took it.
+    fn epoch_to_renew(&self, record: &LeaseRecord, now: BootInstant) -> Option<u64> {
+        let epoch = self.current_epoch(now)?;
+        let is_own = record.holder == self.node.as_str() && record.epoch == epoch;
+        (is_own || record.epoch < epoch).then_some(epoch)
+    }
+
+    /// An epoch that nobody used: above all that this node knows of, and above those of earlier eras.
+    fn next_epoch(&self) -> u64 {
+        (self.highest_epoch + 1).max(first_epoch(self.store.era()))
     }
 
-    /// The epoch held by this process, unless its term has expired.
+    /// The epoch held by this process, unless its term has expired. The name of the node tells nothing: it is the same
+    /// after a restart, while the earlier process may have orders in flight.
     fn current_epoch(&self, now: BootInstant) -> Option<u64> {
         let state = self.state.borrow();
         let until = state.valid_until?;
@@ -246,9 +271,7 @@
 
     fn observe_record(&mut self, object: &Object, record: &LeaseRecord) {
         self.highest_epoch = self.highest_epoch.max(record.epoch);
-        if self.observed.is_none_or(|(version, _)| version != object.version) {
-            self.observed = Some((object.version, BootInstant::now()));
-        }
+        self.observe_version(object.version);
         let state = LeaseState { holder: record.holder.clone(), epoch: record.epoch, valid_until: None };
         self.state.send_if_modified(|current| {
             let changed = *current != state;
@@ -257,6 +280,12 @@
         });
     }
 
+    fn observe_version(&mut self, version: Version) {
+        if self.observed.is_none_or(|(known, _)| known != version) {
+            self.observed = Some((version, BootInstant::now()));
+        }
+    }
+
     fn unchanged_for(&self) -> Duration {
         self.observed.map_or(Duration::ZERO, |(_, since)| since.elapsed())
     }
@@ -297,15 +326,20 @@
 }
 
 /// Parses a lease. An object that cannot be parsed was written by an unknown writer: it is treated as a lease
-/// of another holder. Its epoch is taken to be the version of the object, which is the highest possible
-/// epoch, since each new epoch takes a write and each write increases the version.
+/// of another holder. Its epoch is taken to be the highest possible one of its era, since each new epoch takes a
+/// write and each write increases the version.
 fn read_record(object: &Object) -> LeaseRecord {
     let unreadable = |_| LeaseRecord {
         holder: String::new(),
-        epoch: object.version,
+        epoch: first_epoch(object.version.era) + object.version.number,
         renewal: 0,
         address: None,
         checkpoint: String::new(),
     };
     serde_json::from_slice(&object.value).unwrap_or_else(unreadable)
 }
+
+/// The first epoch that is taken in an era, unless a higher one was used before; 0 if the store names no era.
+fn first_epoch(era: u64) -> u64 {
+    era.saturating_mul(EPOCHS_PER_ERA)
+}
--- a/crates/beamwall-store/src/object.rs
+++ b/crates/beamwall-store/src/object.rs
@@ -6,6 +6,7 @@
 
 use async_trait::async_trait;
 use beamwall_http::{ClientError, JsonClient};
+use beamwall_model::StoreRevision;
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
 use quick_error::quick_error;
@@ -13,17 +14,19 @@
 use crate::budget::CallBudget;
 use crate::object_wire;
 
-/// Version of an object. It increases with every write; an object that does not exist has version 0.
-pub type Version = u64;
+/// Version of an object: the revision of the store that wrote it. It increases with every write.
+pub type Version = StoreRevision;
 
-/// The expected version of a conditional write that creates an object.
-pub const ABSENT: Version = 0;
+/// The expected version of a conditional write that creates an object, in any era of the store.
+pub const ABSENT: Version = StoreRevision::new(0, 0);
 
 quick_error! {
     /// Why a call to the object API failed.
     #[derive(Debug)]
     pub enum ObjectError {
-        /// The object does not have the expected version; the write did not take effect.
+        /// The object does not have the expected version, or that version is of an ended era of the store, so that
+        /// another write may have been given the same number. The write did not take effect as a change of the
+        /// expected version.
         Conflict(current: Version) {
             display("object has version {}", current)
         }
@@ -79,6 +82,10 @@
     async fn get(&self, key: &str) -> Result<Option<Object>, ObjectError>;
     /// Writes an object if it has the version `expected`; [`ABSENT`] creates it.
     async fn put(&self, key: &str, expected: Version, value: Bytes) -> Result<Version, ObjectError>;
+    /// The newest era of the store that is known; 0 if the store names none.
+    fn era(&self) -> u64 {
+        0
+    }
 }
 
 #[async_trait]
--- a/crates/beamwall-store/src/object_wire.rs
+++ b/crates/beamwall-store/src/object_wire.rs
@@ -1,4 +1,4 @@
-//! Wire format of the object API.
+//! Wire format of the object API, whose store names no eras.
 
 use std::time::Duration;
 
@@ -15,7 +15,7 @@
     /// The key.
     pub key: String,
     /// The version.
-    pub version: Version,
+    pub version: u64,
     /// The value.
     pub value: String,
 }
@@ -24,7 +24,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct WireVersion {
     /// The version after the write; for a rejected write, the current version of the object.
-    pub version: Version,
+    pub version: u64,
 }
 
 /// The response to a watch.
@@ -43,7 +43,7 @@
 
 /// Path of a conditional write or delete.
 pub fn conditional_path(key: &str, expected: Version) -> String {
-    format!("/objects/{key}?if-version={expected}")
+    format!("/objects/{key}?if-version={}", expected.number)
 }
 
 /// Path to list objects by key prefix.
@@ -63,14 +63,17 @@
 /// Parses the response to reading one object.
 pub fn read_object(key: &str, body: &Bytes) -> Result<Object, ObjectError> {
     let wire: WireObject = serde_json::from_slice(body).map_err(parse_error)?;
-    Ok(Object { key: key.to_owned(), version: wire.version, value: Bytes::from(wire.value) })
+    Ok(Object { key: key.to_owned(), version: wire.version.into(), value: Bytes::from(wire.value) })
 }
 
 /// Parses the response to listing objects.
 pub fn read_list(body: &Bytes) -> Result<Vec<Object>, ObjectError> {
     let wire: Vec<WireObject> = serde_json::from_slice(body).map_err(parse_error)?;
-    let object =
-        |item: WireObject| Object { key: item.key, version: item.version, value: Bytes::from(item.value) };
+    let object = |item: WireObject| Object {
+        key: item.key,
+        version: item.version.into(),
+        value: Bytes::from(item.value),
+    };
     Ok(wire.into_iter().map(object).collect())
 }
 
@@ -85,11 +88,11 @@
     match response.status {
         StatusCode::OK => {
             let wire: WireVersion = serde_json::from_slice(&response.body).map_err(parse_error)?;
-            Ok(wire.version)
+            Ok(wire.version.into())
         }
         StatusCode::CONFLICT => {
             let wire: WireVersion = serde_json::from_slice(&response.body).map_err(parse_error)?;
-            Err(ObjectError::Conflict(wire.version))
+            Err(ObjectError::Conflict(wire.version.into()))
         }
         _ => Err(read_error(response)),
     }
--- a/crates/beamwall-store/tests/era.rs
+++ b/crates/beamwall-store/tests/era.rs
@@ -1,6 +1,8 @@
 //! Which era of the store an answer belongs to.
 
-use beamwall_store::era::{NamedEra, OutdatedAnswer, StoreEra};
+use beamwall_store::era::{NamedEra, OutdatedAnswer, StoreEra, check_write};
+use beamwall_store::object::ABSENT;
+use beamwall_store::{ObjectError, Version};
 
 #[test]
 fn an_answer_of_a_newer_era_is_believed_and_remembered() {
@@ -40,3 +42,14 @@
         assert_eq!(NamedEra::from_text(Some(text)), NamedEra::Unreadable(text.to_owned()));
     }
 }
+
+/// Guards against: a write changes what another one has written, since both eras gave out the same revision.
+#[test]
+fn a_write_that_expects_a_version_of_an_ended_era_is_in_conflict() {
+    let expected = Version::new(1, 1_005);
+    assert!(check_write(expected, 1, 1).is_ok());
+    assert!(matches!(check_write(expected, 2, 2), Err(ObjectError::Conflict(_))), "the era ended before");
+    assert!(matches!(check_write(expected, 1, 2), Err(ObjectError::Conflict(_))), "the era ended meanwhile");
+    assert!(check_write(ABSENT, 2, 2).is_ok());
+    assert!(matches!(check_write(ABSENT, 1, 2), Err(ObjectError::Ambiguous(_))), "it may be lost again");
+}
--- a/crates/beamwall-store/tests/foreign_lease.rs
+++ b/crates/beamwall-store/tests/foreign_lease.rs
@@ -10,6 +10,10 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 
+fn next(version: Version) -> Version {
+    Version::new(version.era, version.number + 1)
+}
+
 /// A store of one object in memory.
 #[derive(Default)]
 struct SingleObjectStore(Mutex<Option<(Version, Bytes)>>);
@@ -17,7 +21,7 @@
 impl SingleObjectStore {
     fn write(&self, value: &str) {
         let mut stored = self.0.lock().expect("no panic");
-        let version = stored.as_ref().map_or(40, |(version, _)| version + 1);
+        let version = stored.as_ref().map_or(Version::from(40), |(version, _)| next(*version));
         *stored = Some((version, Bytes::copy_from_slice(value.as_bytes())));
     }
 }
@@ -35,8 +39,9 @@
         if current != expected {
             return Err(ObjectError::Conflict(current));
         }
-        *stored = Some((current + 1, value));
-        Ok(current + 1)
+        let written = next(current);
+        *stored = Some((written, value));
+        Ok(written)
     }
 }
 
