Duties: a usage window that was sent is not counted anew after the store has lost its fixed counts

Cause: a successor knew of reported windows only by the counts fixed in the store. Evidence: the failing test, a window with two sets of counts. Change: nodes tell each other, with heartbeats, which window was sent last and in which era of the store. A holder in another era sends none of these again. When all gateways and the store's newest state are lost together, nobody knows what was sent; that remains.

--- a/crates/beamwall-node/src/gateway/duties/usage.rs
+++ b/crates/beamwall-node/src/gateway/duties/usage.rs
@@ -17,6 +17,7 @@
 use crate::gateway::duties::checkpoint::DutyCheckpointer;
 use crate::gateway::duties::{LeaseHold, describe};
 use crate::gateway::exchange::PeerExchange;
+use crate::gateway::reported_usage::SentWindow;
 
 /// Time after a window's end until all nodes have reported their counts.
 const USAGE_SETTLE_TIME: Duration = Duration::from_millis(1_700);
@@ -84,6 +85,8 @@
             self.read_fixed(progress).await;
         }
         let Some((_, fixed)) = &progress.fixed else { return };
+        let sent_before = self.exchange.reported_usage.sent_in_other_era(self.objects.era());
+        progress.reported_through = progress.reported_through.max(sent_before);
         let window_progress = self.window_progress(progress.reported_through, fixed);
         self.checkpointer.note_first_open_window(window_progress.first_open());
         let Some(due) = self.due_window(&window_progress, fixed) else { return };
@@ -91,6 +94,8 @@
         let Some(holder) = lease_hold.holder() else { return };
         let after = self.clock().time_since_end(due, self.window_length).unwrap_or_default();
         let silent_members = self.exchange.silent_members();
+        self.exchange.reported_usage.note(SentWindow { window: due, era: self.objects.era() });
+        self.exchange.heartbeat_trigger.notify_one();
         let result = self.port.report_usage(&holder, &counts).await;
         emit(&UsageReported {
             window: due.to_string(),
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -36,6 +36,7 @@
 use crate::gateway::peer_versions::PeerVersions;
 use crate::gateway::policy_sync::PolicyDistribution;
 use crate::gateway::readiness::Readiness;
+use crate::gateway::reported_usage::ReportedUsage;
 use crate::gateway::zones::RemoteZones;
 use crate::shared::MembershipView;
 
@@ -118,6 +119,8 @@
     pub zones: RemoteZones,
     /// Limits how often peers are asked for quarantine evidence.
     pub quarantine_request_throttle: Throttle,
+    /// The newest usage window that was sent to the platform.
+    pub reported_usage: ReportedUsage,
     /// Usage already sent to peers in a large deployment.
     pub usage_deltas: Mutex<CounterDeltas<(u64, TenantName)>>,
 }
@@ -291,6 +294,7 @@
             engine_departures: heartbeat_wire::encode_departures(
                 &forwarder.gate.availability.departure_reports(),
             ),
+            sent_window: heartbeat_wire::encode_sent_window(self.reported_usage.newest()),
         }
     }
 
@@ -428,6 +432,9 @@
         self.gateway.forwarder.gate.merge_rejections(&rejections);
         let departures = heartbeat_wire::decode_departures(&incoming_heartbeat.engine_departures);
         self.gateway.forwarder.gate.availability.merge_departures(&departures, "heartbeat");
+        if let Some(sent) = heartbeat_wire::decode_sent_window(incoming_heartbeat.sent_window) {
+            self.reported_usage.note(sent);
+        }
         // In a large deployment the work of other zones arrives in zone summaries.
         if self.is_direct_peer(envelope) {
             self.apply_node_report(envelope, incoming_heartbeat);
--- a/crates/beamwall-node/src/gateway/heartbeat_wire.rs
+++ b/crates/beamwall-node/src/gateway/heartbeat_wire.rs
@@ -9,10 +9,12 @@
 use beamwall_gateway::usage::{PartialSum, WindowCounts};
 use beamwall_model::{BackendId, ServiceName, TenantName};
 use beamwall_peer::gateway_message::{
-    BackendLoad, BackendSlowness, EngineDeparture, EngineLimit, EngineRejection, QuotaUse, ServiceDemand,
-    ServiceModel, UsageCount, UsageWindow,
+    BackendLoad, BackendSlowness, EngineDeparture, EngineLimit, EngineRejection, QuotaUse, SentUsageWindow,
+    ServiceDemand, ServiceModel, UsageCount, UsageWindow,
 };
 
+use crate::gateway::reported_usage::SentWindow;
+
 /// Encodes open work.
 pub fn encode_loads(loads: Vec<(BackendId, OpenLoad)>) -> Vec<BackendLoad> {
     let encode = |(backend, load): (BackendId, OpenLoad)| BackendLoad {
@@ -185,6 +187,16 @@
     departures.iter().map(decode).collect()
 }
 
+/// Encodes the newest usage window that was sent to the platform.
+pub fn encode_sent_window(sent: Option<SentWindow>) -> Option<SentUsageWindow> {
+    sent.map(|sent| SentUsageWindow { window: sent.window, era: sent.era })
+}
+
+/// Decodes the newest usage window that was sent to the platform.
+pub fn decode_sent_window(sent: Option<SentUsageWindow>) -> Option<SentWindow> {
+    sent.map(|sent| SentWindow { window: sent.window, era: sent.era })
+}
+
 /// Encodes usage windows.
 pub fn encode_usage(windows: Vec<WindowCounts>) -> Vec<UsageWindow> {
     let count = |(tenant, requests): (TenantName, u64)| UsageCount { tenant: tenant.to_string(), requests };
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 pub mod quarantine_sync;
 pub mod quarantine_wire;
 pub mod readiness;
+pub mod reported_usage;
 pub mod rollout_wire;
 pub mod rollouts;
 mod sharing;
@@ -490,6 +491,7 @@
         delegation,
         zones: Default::default(),
         quarantine_request_throttle: Default::default(),
+        reported_usage: Default::default(),
         usage_deltas: Mutex::default(),
     }
 }
--- a/crates/beamwall-node/src/gateway/zones.rs
+++ b/crates/beamwall-node/src/gateway/zones.rs
@@ -175,6 +175,7 @@
             engine_departures: heartbeat_wire::encode_departures(
                 &forwarder.gate.availability.departure_reports(),
             ),
+            sent_window: heartbeat_wire::encode_sent_window(self.reported_usage.newest()),
         }
     }
 
@@ -193,6 +194,9 @@
         forwarder.gate.merge_rejections(&heartbeat_wire::decode_rejections(&summary.engine_rejections));
         let departures = heartbeat_wire::decode_departures(&summary.engine_departures);
         forwarder.gate.availability.merge_departures(&departures, "zone summary");
+        if let Some(sent) = heartbeat_wire::decode_sent_window(summary.sent_window) {
+            self.reported_usage.note(sent);
+        }
         let reporter = Reporter::Zone(zone.clone());
         forwarder.backend_state.loads.set_peer(&reporter, heartbeat_wire::decode_loads(summary.loads));
         forwarder.demand.set_peer(&reporter, heartbeat_wire::decode_demands(&summary.demands));
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -72,6 +72,9 @@
     /// Era of the store in which it counts `directory_revision`; 0 if not known.
     #[prost(uint64, tag = "20")]
     pub directory_era: u64,
+    /// The newest usage window that the sender knows to be sent to the platform.
+    #[prost(message, optional, tag = "21")]
+    pub sent_window: Option<SentUsageWindow>,
 }
 
 /// Versions that the sender holds, sent immediately when they are newer than before. With names of usual
@@ -175,6 +178,20 @@
     /// Engines that the relay knows to leave by their own word.
     #[prost(message, repeated, tag = "16")]
     pub engine_departures: Vec<EngineDeparture>,
+    /// The newest usage window that the relay knows to be sent to the platform.
+    #[prost(message, optional, tag = "17")]
+    pub sent_window: Option<SentUsageWindow>,
+}
+
+/// A usage window that was sent to the platform.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct SentUsageWindow {
+    /// The window.
+    #[prost(uint64, tag = "1")]
+    pub window: u64,
+    /// Era of the store in which its counts were fixed.
+    #[prost(uint64, tag = "2")]
+    pub era: u64,
 }
 
 /// An engine that announced in a response that it leaves.
