Gateway: what a restored store has lost is written again, and orders are not withdrawn meanwhile

Callers saw: nothing yet; after the store had come back from an older copy, a running rollout counted as withdrawn until the operator wrote its order again, so its new version got requests without bounds, and held requests and statuses that had been written once stayed lost. Cause: an order that a list lacks counts as withdrawn, and what was written is remembered without the era of the store. Change: for 5 s after a node saw the store being restored, orders that are missing are kept; held requests, versions and the statuses of rollouts are remembered as written with their era.

--- a/crates/beamwall-node/src/gateway/duties/rollouts.rs
+++ b/crates/beamwall-node/src/gateway/duties/rollouts.rs
@@ -21,14 +21,25 @@
 #[derive(Debug, Default)]
 pub(super) struct RolloutTerm {
     running: BTreeMap<OrderId, Rollout>,
-    /// The last status written for the operator in this term.
+    /// The last status written for the operator in this term and era of the store.
     reported: BTreeMap<OrderId, Verdict>,
+    /// The era of the store in which they were written.
+    reported_era: u64,
     /// Orders whose move of all traffic was logged.
     staged: BTreeSet<OrderId>,
     /// Sequence number of the last stage update.
     stage_updates: u64,
 }
 
+impl RolloutTerm {
+    /// A restored store may have lost the statuses that were written.
+    fn begin_era(&mut self, era: u64) {
+        if std::mem::replace(&mut self.reported_era, era) != era {
+            self.reported.clear();
+        }
+    }
+}
+
 /// The duty of deciding on rollouts.
 pub(super) struct RolloutDuty {
     gateway: Arc<Gateway>,
@@ -47,6 +58,7 @@
 
     /// Evaluates all orders, sends their stages to all nodes, and writes changed statuses for the operator.
     pub(super) async fn decide_due(&self, term: &mut RolloutTerm, lease_hold: &LeaseHold) {
+        term.begin_era(*self.store.era().borrow());
         let now = beamwall_clock::now();
         let orders = self.gateway.forwarder.rollouts.orders(now);
         for order_update in orders.into_iter().filter(|order_update| !order_update.is_withdrawn) {
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -250,7 +250,8 @@
         let version_storage = Arc::new(VersionStorage::new(ports.objects.clone(), gateway.clone()));
         tasks.push(tokio::spawn(restore_versions(version_storage.clone())));
         if let Some(store) = ports.rollouts.clone() {
-            let watched_orders = Arc::new(WatchedOrders { store, exchange: exchange.clone() });
+            let watched_orders =
+                Arc::new(WatchedOrders { store, exchange: exchange.clone(), restored: Mutex::default() });
             tasks.push(tokio::spawn(watches::watch_resource(
                 watched_orders.clone(),
                 status,
--- a/crates/beamwall-node/src/gateway/rollouts.rs
+++ b/crates/beamwall-node/src/gateway/rollouts.rs
@@ -2,7 +2,7 @@
 //! store for their zone read the orders, and heartbeats carry the orders, their progress and the evidence to
 //! all other nodes.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use beamwall_events::emit;
@@ -15,6 +15,7 @@
 use beamwall_rollout::{OrderUpdate, RolloutRegistry};
 
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::gateway::exchange::PeerExchange;
 use crate::gateway::rollout_wire;
@@ -26,16 +27,31 @@
 /// Time between two verifications: orders are rare, and take longer than this.
 const VERIFY_PERIOD: Duration = Duration::from_secs(10);
 
+/// Time after the beginning of an era of the store in which an order that is not listed may have been lost, and is
+/// written again by the operator.
+const WRITTEN_AGAIN_WITHIN: Duration = Duration::from_secs(5);
+
 /// Time before a new version receives all requests from which each stage update triggers an immediate
 /// heartbeat with the evidence.
 const IMMEDIATE_REPORT_WINDOW: Duration = Duration::from_millis(500);
 
+/// What one node saw of the store's eras.
+#[derive(Debug, Default)]
+pub struct LastRestore {
+    /// The era in which orders were read last; `None` before the first reading.
+    era: Option<u64>,
+    /// When an era began that was not the first one read.
+    at: Option<Instant>,
+}
+
 /// Rollout orders in the store.
 pub struct WatchedOrders {
     /// The control store.
     pub store: Arc<dyn RolloutStore>,
     /// Owns the rollouts by which requests are forwarded.
     pub exchange: Arc<PeerExchange>,
+    /// The era of the store in which orders were read last, and when this node saw the store being restored.
+    pub restored: Mutex<LastRestore>,
 }
 
 impl WatchedResource for WatchedOrders {
@@ -77,12 +93,23 @@
 }
 
 impl WatchedOrders {
+    /// Whether this node has seen the store being restored into this era a short time ago.
+    fn is_restored_lately(&self, era: u64) -> bool {
+        let now = beamwall_clock::now();
+        let mut last = self.restored.lock().unwrap_or_else(PoisonError::into_inner);
+        if last.era.replace(era).is_some_and(|known| known < era) {
+            last.at = Some(now);
+        }
+        last.at.is_some_and(|at| now.saturating_duration_since(at) < WRITTEN_AGAIN_WITHIN)
+    }
+
     /// Applies the list of orders from the store; returns whether anything changed.
     fn apply_list(&self, listed: ListedOrders) -> bool {
         let services: Vec<ServiceName> =
             listed.orders.iter().map(|listed| listed.order.id.service.clone()).collect();
         let registry = self.exchange.rollouts();
-        let mut has_changed = registry.withdraw_unlisted(&services, listed.revision);
+        let may_be_lost = self.is_restored_lately(listed.revision.era);
+        let mut has_changed = !may_be_lost && registry.withdraw_unlisted(&services, listed.revision);
         for order in listed.orders {
             has_changed |= apply_listed_order(registry, order);
         }
--- a/crates/beamwall-node/src/gateway/stored_quarantine.rs
+++ b/crates/beamwall-node/src/gateway/stored_quarantine.rs
@@ -3,8 +3,7 @@
 //! grants each one to a single node.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -24,16 +23,26 @@
 /// Minimum time between two writes of the node that holds the duties lease.
 const WRITE_PERIOD: Duration = Duration::from_secs(1);
 
+/// Digest while no request was ever held.
+const NEVER_HELD: u64 = 0;
+
 /// The stored requests, by fingerprint in hexadecimal digits.
 type StoredRequests = BTreeMap<String, Suspect>;
 
+/// What was written, and the store's era in which it was: a later era may have lost it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct Written {
+    digest: u64,
+    era: u64,
+}
+
 /// The object in the store.
 pub struct StoredQuarantine {
     objects: Arc<dyn VersionedObjects>,
     registry: Arc<QuarantineRegistry>,
     clock: Arc<FleetClock>,
-    /// Digest of the last write.
-    written_digest: AtomicU64,
+    /// The last write.
+    written: Mutex<Written>,
     write_throttle: Throttle,
 }
 
@@ -44,28 +53,32 @@
         registry: Arc<QuarantineRegistry>,
         clock: Arc<FleetClock>,
     ) -> Self {
-        Self {
-            objects,
-            registry,
-            clock,
-            written_digest: AtomicU64::default(),
-            write_throttle: Throttle::default(),
-        }
+        Self { objects, registry, clock, written: Mutex::default(), write_throttle: Throttle::default() }
     }
 
     /// Writes the held requests if they have changed; used by the node that holds the duties lease. A failure
     /// is logged and retried a period later.
     pub async fn write_if_due(&self) {
-        let digest = self.registry.persistent_digest();
-        if digest == self.written_digest.load(Ordering::Relaxed) || !self.write_throttle.admit(WRITE_PERIOD) {
+        let current = Written { digest: self.registry.persistent_digest(), era: self.objects.era() };
+        if self.is_written(current) || !self.write_throttle.admit(WRITE_PERIOD) {
             return;
         }
         match self.write(|_| true).await {
-            Ok(_) => self.written_digest.store(digest, Ordering::Relaxed),
+            Ok(_) => *self.lock_written() = current,
             Err(error) => log_not_stored(error.to_string()),
         }
     }
 
+    fn lock_written(&self) -> MutexGuard<'_, Written> {
+        self.written.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the store holds this already. As long as no request was ever held, there is nothing to write.
+    fn is_written(&self, current: Written) -> bool {
+        let written = *self.lock_written();
+        written.digest == current.digest && (written.era == current.era || current.digest == NEVER_HELD)
+    }
+
     /// Restores the stored requests at the start. Without them the node receives the held requests from its
     /// peers.
     pub async fn restore(&self) {
--- a/crates/beamwall-node/src/gateway/stored_versions.rs
+++ b/crates/beamwall-node/src/gateway/stored_versions.rs
@@ -50,8 +50,8 @@
 pub struct VersionStorage {
     objects: Arc<dyn VersionedObjects>,
     gateway: Arc<Gateway>,
-    /// What this node wrote or read last.
-    written: Mutex<Option<StoredVersions>>,
+    /// What this node wrote or read last, and the store's era in which it did: a later era may have lost it.
+    written: Mutex<Option<(u64, StoredVersions)>>,
     write_throttle: Throttle,
 }
 
@@ -83,11 +83,15 @@
 
     fn is_written(&self, current: &StoredVersions) -> bool {
         let written = self.written.lock().unwrap_or_else(PoisonError::into_inner);
-        written.as_ref().is_some_and(|written| written.listing() == current.listing())
+        let era = self.objects.era();
+        written
+            .as_ref()
+            .is_some_and(|(written_in, written)| *written_in == era && written.listing() == current.listing())
     }
 
     /// Merges what the store holds into the history, and writes the result if it differs.
     async fn write(&self) -> Result<(), ObjectError> {
+        let era = self.objects.era();
         let object = self.objects.get(KEY).await?;
         let stored = object.as_ref().map(parse);
         if let Some(stored) = &stored {
@@ -100,7 +104,7 @@
             let version = object.map_or(ABSENT, |object| object.version);
             self.objects.put(KEY, version, Bytes::from(value)).await?;
         }
-        *self.written.lock().unwrap_or_else(PoisonError::into_inner) = Some(current);
+        *self.written.lock().unwrap_or_else(PoisonError::into_inner) = Some((era, current));
         Ok(())
     }
 
--- a/crates/beamwall-node/tests/stored_quarantine.rs
+++ b/crates/beamwall-node/tests/stored_quarantine.rs
@@ -1,7 +1,9 @@
 //! Held requests in the store: known to the next nodes, and one trial of each number for all nodes.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use async_trait::async_trait;
 use beamwall_gateway::quarantine::TrialPort;
@@ -13,7 +15,15 @@
 
 /// Objects in memory.
 #[derive(Default)]
-struct Objects(Mutex<HashMap<String, Object>>);
+struct Objects(Mutex<HashMap<String, Object>>, AtomicU64);
+
+impl Objects {
+    /// Goes back to a state without any object, as the next era.
+    fn restore_empty(&self) {
+        self.0.lock().expect("no panic").clear();
+        self.1.fetch_add(1, Ordering::Relaxed);
+    }
+}
 
 #[async_trait]
 impl VersionedObjects for Objects {
@@ -31,6 +41,10 @@
         objects.insert(key.to_owned(), Object { key: key.to_owned(), version: version.into(), value });
         Ok(version.into())
     }
+
+    fn era(&self) -> u64 {
+        self.1.load(Ordering::Relaxed)
+    }
 }
 
 struct Node {
@@ -102,3 +116,18 @@
     next.kept.restore().await;
     assert!(next.book.is_held(&request()));
 }
+
+/// Guards against: held requests count as written although the store has lost them.
+#[tokio::test]
+async fn what_is_held_is_written_again_to_a_store_that_was_restored() {
+    let objects: Arc<Objects> = Arc::default();
+    let first = node(&objects);
+    hold(&first);
+    first.kept.write_if_due().await;
+    objects.restore_empty();
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    first.kept.write_if_due().await;
+    let next = node(&objects);
+    next.kept.restore().await;
+    assert_eq!(next.book.held(), first.book.held());
+}
