Gateway: a peer that has just started does not make all others watch the store

Callers saw: nothing. Found by reading: a gateway that starts reports no list, which looked like one without an era, so all others would have watched the store by themselves for 5 s. Cause: the report of no list has era 0 as well. Change: only a report of a list counts.

--- a/crates/beamwall-node/src/gateway/directory_sync.rs
+++ b/crates/beamwall-node/src/gateway/directory_sync.rs
@@ -50,7 +50,9 @@
     ) {
         self.store_eras.learn_era_from_peer(revision.era);
         let directory = self.directory.load();
-        if revision.era == 0 && directory.revision().era > 0 {
+        // A node that has just started reports no list at all.
+        let names_no_era = revision.era == 0 && revision.number > 0;
+        if names_no_era && directory.revision().era > 0 {
             self.selector.note_peer_without_eras();
         }
         self.gateway.forwarder.backend_state.staleness.note_peer(peer, revision, digest, Instant::now());
