Tidy: messages of single engines and the question of blocked engines in modules of their own

Change: engine_message.rs and blocked_engines.rs; moved as they were, and a doc comment wrapped anew.

--- a/crates/beamwall-gateway/src/engine_gate.rs
+++ b/crates/beamwall-gateway/src/engine_gate.rs
@@ -2,8 +2,8 @@
 //! if not, until when.
 //!
 //! An engine that leaves by its own word gets nothing more, and one that wants nothing from this node for a while
-//! gets nothing meanwhile. An engine that names a limit gets only requests for
-//! which its permit node granted a permit, and so does a brittle engine that rejects requests.
+//! gets nothing meanwhile. An engine that names a limit gets only requests for which its permit node granted a
+//! permit, and so does a brittle engine that rejects requests.
 
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -163,42 +163,6 @@
         rule.map_or(AllowedVersions::All, AllowedVersions::Rollout)
     }
 
-    /// Asks for a permit to send a call of this rank to a back end.
-    pub(crate) async fn admit(
-        &self,
-        call: &Call,
-        rank: u8,
-        backend: &BackendId,
-    ) -> Result<SendPermit, Blocked> {
-        let admitted = self.gate.admit(backend, rank).await;
-        if matches!(admitted, Err(Blocked::LimitReached(_))) {
-            self.metrics.permits_denied.with_label_values(&[call.service.as_str()]).inc();
-        }
-        admitted
-    }
-
-    /// Engines of the call's service to which calls of this rank may not be sent now.
-    fn blocked_engines(&self, call: &Call, rank: u8) -> Vec<BackendId> {
-        let mut blocked = self.gate.blocked(rank);
-        if !blocked.is_empty() {
-            let directory = self.directory.load();
-            blocked.retain(|backend| {
-                directory.get(backend).is_some_and(|listed| listed.service == call.service)
-            });
-        }
-        blocked
-    }
-
-    /// Why no back end outside `avoided` takes a call: because of what the engines say of themselves, if any of
-    /// them will take requests again.
-    fn no_back_end(&self, call: &Call, rank: u8, avoided: &[BackendId]) -> NoBackEnd {
-        let engines = self.blocked_engines(call, rank).into_iter();
-        let others = engines.filter(|backend| !avoided.contains(backend));
-        let returning = others.filter_map(|backend| self.gate.blocking(&backend, rank));
-        let first = returning.filter(|blocked| blocked.wait().is_some()).min_by_key(Blocked::wait);
-        first.map_or(NoBackEnd::Unavailable, NoBackEnd::Blocked)
-    }
-
     /// Records and logs the back end of the next attempt. `passed_over` is the number of back ends that were
     /// left out because they leave, rest, or have used up their limit.
     pub(crate) fn note_chosen(&self, call: &Call, choice: &Choice, passed_over: usize) {
--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod allowed_versions;
 pub mod attempt;
 pub mod attempts;
+mod blocked_engines;
 pub mod call;
 pub mod candidates;
 pub mod choice;
--- a/crates/beamwall-node/src/gateway/heartbeat_wire.rs
+++ b/crates/beamwall-node/src/gateway/heartbeat_wire.rs
@@ -8,9 +8,10 @@
 use beamwall_gateway::load::OpenLoad;
 use beamwall_gateway::usage::{PartialSum, WindowCounts};
 use beamwall_model::{BackendId, ServiceName, TenantName};
+use beamwall_peer::engine_message::{EngineDeparture, EngineLimit, EngineRejection};
 use beamwall_peer::gateway_message::{
-    BackendLoad, BackendSlowness, EngineDeparture, EngineLimit, EngineRejection, QuotaUse, SentUsageWindow,
-    ServiceDemand, ServiceModel, UsageCount, UsageWindow,
+    BackendLoad, BackendSlowness, QuotaUse, SentUsageWindow, ServiceDemand, ServiceModel, UsageCount,
+    UsageWindow,
 };
 
 use crate::gateway::reported_usage::SentWindow;
--- a/crates/beamwall-peer/src/lib.rs
+++ b/crates/beamwall-peer/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod claim_message;
 pub mod compressed;
+pub mod engine_message;
 mod frame;
 pub mod gateway_message;
 pub mod member;
