Gateway: a refusal names the rest of engines only when all of them rest, also those that this call was sent to

Callers saw: nothing; found by reading. Another was told to wait for a resting engine although one that had failed its request takes the next. Cause: the reason was looked for among engines that the call hadn't tried. Change: rests count if no usable engine takes requests, whichever the call has tried.

--- a/crates/beamwall-gateway/src/blocked_engines.rs
+++ b/crates/beamwall-gateway/src/blocked_engines.rs
@@ -33,13 +33,22 @@
         blocked
     }
 
-    /// Why no back end outside `avoided` takes a call: because of what the engines say of themselves, if any of
-    /// them will take requests again.
+    /// Why no back end outside `avoided` takes a call: because of what the engines say of themselves, if their limits
+    /// or rests will allow it later.
     pub(crate) fn no_back_end(&self, call: &Call, rank: u8, avoided: &[BackendId]) -> NoBackEnd {
-        let engines = self.blocked_engines(call, rank).into_iter();
-        let others = engines.filter(|backend| !avoided.contains(backend));
-        let returning = others.filter_map(|backend| self.gate.blocking(&backend, rank));
-        let first = returning.filter(|blocked| blocked.wait().is_some()).min_by_key(Blocked::wait);
+        let engines = self.blocked_engines(call, rank);
+        // As long as another engine takes requests, the caller may return to that one at once.
+        let is_each_blocked =
+            self.directory.load().usable(&call.service).all(|listed| engines.contains(&listed.id));
+        let blocked = engines.into_iter().filter_map(|backend| {
+            let reason = self.gate.blocking(&backend, rank)?;
+            let is_awaited = match reason {
+                Blocked::Unavailable(_) => is_each_blocked,
+                Blocked::LimitReached(_) => !avoided.contains(&backend),
+            };
+            is_awaited.then_some(reason)
+        });
+        let first = blocked.filter(|blocked| blocked.wait().is_some()).min_by_key(Blocked::wait);
         first.map_or(NoBackEnd::Unavailable, NoBackEnd::Blocked)
     }
 }
--- a/crates/beamwall-gateway/tests/attempts.rs
+++ b/crates/beamwall-gateway/tests/attempts.rs
@@ -381,3 +381,31 @@
     assert_eq!(forwarder.gate.blocked(0), [engine]);
     assert!(forwarder.gate.blocked_for_peers(0).is_empty());
 }
+
+/// Guards against: a caller whose request was just turned away by the last engines is told to return at once, and is
+/// turned away again.
+#[tokio::test(start_paused = true)]
+async fn the_refusal_names_the_rest_of_engines_that_this_call_was_sent_to() {
+    let (forwarder, call) = (forwarder(1, 5.0), call());
+    (0..10).for_each(|_| forwarder.retries.earn(&call.service, Instant::now()));
+    let mut attempts = Attempts::default();
+    let first = attempts.first_choice(&forwarder, &call).await.expect("the only engine");
+    ask_for_rest(&forwarder, &first.backend, SECOND * 3);
+    assert_eq!(attempts.continue_after_failure(&forwarder, &call, &first, refused_attempt()).await, None);
+    let retry_after = attempts.refusal(&call).retry_after().expect("a time to return");
+    assert!(retry_after >= SECOND * 3 && retry_after < SECOND * 5, "{retry_after:?}");
+}
+
+/// Guards against: a caller is told to wait for a resting engine although another one, which failed its request, may take
+/// the next one.
+#[tokio::test(start_paused = true)]
+async fn the_refusal_names_no_rest_while_another_engine_takes_requests() {
+    let (forwarder, call) = (forwarder(2, 5.0), call());
+    (0..10).for_each(|_| forwarder.retries.earn(&call.service, Instant::now()));
+    ask_for_rest(&forwarder, &BackendId::new("e0"), SECOND * 3);
+    let mut attempts = Attempts::default();
+    let first = attempts.first_choice(&forwarder, &call).await.expect("the other engine");
+    assert_eq!(attempts.continue_after_failure(&forwarder, &call, &first, refused_attempt()).await, None);
+    let retry_after = attempts.refusal(&call).retry_after().expect("a time to return");
+    assert!(retry_after < SECOND, "{retry_after:?}");
+}
