--- /dev/null
+++ b/crates/beamwall-admission/src/claim.rs
@@ -0,0 +1,21 @@
+//! What a request claims of the capacity of a group of engines.
+
+use std::time::Duration;
+
+use beamwall_model::TenantName;
+
+/// Length of a request's fingerprint in bytes.
+pub const FINGERPRINT_BYTES: usize = 16;
+
+/// Who asks for capacity, how urgently, and whether it is the same request as an earlier one.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CapacityClaim {
+    /// Tenant that sent the request; `None` on public routes.
+    pub tenant: Option<TenantName>,
+    /// Rank of the request among those of its engine; 0 is the most urgent.
+    pub rank: u8,
+    /// Time within which its response should start, counted from its arrival at the sender; zero: not known.
+    pub objective: Duration,
+    /// Equal for all tries of one request by its caller.
+    pub fingerprint: [u8; FINGERPRINT_BYTES],
+}
--- a/crates/beamwall-gateway/src/call.rs
+++ b/crates/beamwall-gateway/src/call.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use beamwall_admission::CapacityClaim;
 use beamwall_clock::timers;
 use beamwall_model::{EngineVersion, ServiceName};
 use beamwall_policy::{Route, TenantRef};
@@ -114,6 +115,17 @@
         self.route.kind.is_idempotent() && sent < self.attempt_limit()
     }
 
+    /// What it claims of the capacity of a group of engines. `prefill_ms` is the time to prefill the whole
+    /// prompt, if known.
+    pub fn capacity_claim(&self, prefill_ms: Option<f64>) -> CapacityClaim {
+        CapacityClaim {
+            tenant: self.tenant.as_ref().map(|tenant| tenant.name.clone()),
+            rank: self.rank(prefill_ms),
+            objective: Duration::from_millis(self.route.objective_ms),
+            fingerprint: *self.fingerprint.as_bytes(),
+        }
+    }
+
     /// The tenant for logs and metrics.
     pub fn tenant_name(&self) -> String {
         self.tenant.as_ref().map(|tenant| tenant.name.to_string()).unwrap_or_default()
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -299,6 +299,7 @@
             pause_objective_ms: call.route.gap_objective_ms,
             remaining: call.remaining(),
             enough_ms,
+            claim: call.capacity_claim(self.call_prefill_ms(call)),
         }
     }
 
@@ -317,7 +318,9 @@
                 Some(choice)
             }
             PlacementOutcome::PlaceLocally => self.place(engine_query),
-            PlacementOutcome::Chosen(_) | PlacementOutcome::Unanswered => None,
+            PlacementOutcome::Chosen(_) | PlacementOutcome::Rejected(_) | PlacementOutcome::Unanswered => {
+                None
+            }
         }
     }
 
--- a/crates/beamwall-gateway/src/placement.rs
+++ b/crates/beamwall-gateway/src/placement.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use beamwall_admission::{CapacityClaim, Rejection};
 use beamwall_engine_model::{FirstEventInputs, PrefillWork, SlownessObservation};
 use beamwall_model::{BackendId, EngineVersion, NodeId, ServiceName, ZoneName};
 use tokio::time::Instant;
@@ -60,6 +61,8 @@
     /// Expected time to the response, in milliseconds, above which the sender will query another group.
     /// Nothing is placed here then.
     pub enough_ms: Option<f64>,
+    /// What the request claims of the group's capacity.
+    pub claim: CapacityClaim,
 }
 
 impl PlacementQuery {
@@ -126,6 +129,8 @@
 pub enum PlacementOutcome {
     /// An engine was chosen.
     Chosen(Choice),
+    /// The group has no capacity for the request now.
+    Rejected(Rejection),
     /// This node is the placement node of the group.
     PlaceLocally,
     /// There was no response in time, or no engine was available.
--- a/crates/beamwall-node/src/gateway/peer_placement.rs
+++ b/crates/beamwall-node/src/gateway/peer_placement.rs
@@ -5,6 +5,7 @@
 
 use arc_swap::ArcSwap;
 use async_trait::async_trait;
+use beamwall_admission::{CapacityClaim, Rejection, RejectionReason};
 use beamwall_clock::process_clock;
 use beamwall_config::GatewaySettings;
 use beamwall_engine_model::PrefillWork;
@@ -12,7 +13,7 @@
 use beamwall_events::internal_events::PlacementUnanswered;
 use beamwall_gateway::placement_groups::EngineGroup;
 use beamwall_gateway::{Choice, PlacementOutcome, PlacementPort, PlacementQuery, Prompt, PromptPart};
-use beamwall_model::{BackendId, EngineVersion, NodeId, ServiceName, ZoneName};
+use beamwall_model::{BackendId, EngineVersion, NodeId, ServiceName, TenantName, ZoneName};
 use beamwall_peer::placement_message::{PlacementPart, PlacementReply, PlacementRequest};
 use beamwall_peer::{Body, Envelope, PeerNetwork};
 use tokio::time::Instant;
@@ -75,6 +76,10 @@
                 self.lock().note_answer(&target.node);
                 PlacementOutcome::Chosen(decode_reply(&reply, target.node))
             }
+            Ok(Some(Body::PlacementReply(reply))) if !reply.rejected.is_empty() => {
+                self.lock().note_answer(&target.node);
+                PlacementOutcome::Rejected(decode_rejection(&reply))
+            }
             // The node found no engine, for instance because it has just started, or did not answer in time.
             Ok(_) | Err(_) => {
                 // If this process was stalled meanwhile, the answer may have arrived unread, so the node is
@@ -104,6 +109,10 @@
         enough_ms: question.enough_ms,
         observed: heartbeat_wire::encode_slowness(question.observed.clone()),
         stream_version: question.stream_version.as_ref().map(EngineVersion::to_string).unwrap_or_default(),
+        tenant: question.claim.tenant.as_ref().map(TenantName::to_string).unwrap_or_default(),
+        rank: u32::from(question.claim.rank),
+        objective_ms: question.claim.objective.as_millis() as u64,
+        fingerprint: question.claim.fingerprint.to_vec(),
     }
 }
 
@@ -133,6 +142,12 @@
         group: EngineGroup { number: request.group, count: request.groups.max(1) },
         enough_ms: request.enough_ms,
         observed: heartbeat_wire::decode_slowness(&request.observed),
+        claim: CapacityClaim {
+            tenant: (!request.tenant.is_empty()).then(|| TenantName::new(&request.tenant)),
+            rank: u8::try_from(request.rank).unwrap_or(u8::MAX),
+            objective: Duration::from_millis(request.objective_ms),
+            fingerprint: request.fingerprint.try_into().unwrap_or_default(),
+        },
     }
 }
 
@@ -149,6 +164,15 @@
         open_requests: choice.open_requests,
         failure_share: choice.failure_share,
         candidates: u32::try_from(choice.candidates).unwrap_or(u32::MAX),
+        ..PlacementReply::default()
+    }
+}
+
+/// A reason that this build does not know is read as a lack of capacity.
+fn decode_rejection(reply: &PlacementReply) -> Rejection {
+    Rejection {
+        reason: RejectionReason::parse(&reply.rejected).unwrap_or(RejectionReason::NoCapacity),
+        retry_after: Duration::from_millis(reply.retry_after_ms),
     }
 }
 
--- a/crates/beamwall-node/tests/earlier_builds.rs
+++ b/crates/beamwall-node/tests/earlier_builds.rs
@@ -146,7 +146,7 @@
         groups: 3,
         enough_ms: Some(300.0),
         observed: slowness(),
-        stream_version: String::new(),
+        ..PlacementRequest::default()
     }
 }
 
@@ -161,7 +161,7 @@
         unread_pairs: 70,
         tokens_ahead: 800,
         expected_ms: Some(150.5),
-        slowness: 0.0,
+        ..PlacementReply::default()
     }
 }
 
--- a/crates/beamwall-peer/src/placement_message.rs
+++ b/crates/beamwall-peer/src/placement_message.rs
@@ -48,6 +48,18 @@
     /// Software version that the engine must have because it began the request's stream; empty if any.
     #[prost(string, tag = "13")]
     pub stream_version: String,
+    /// Tenant that sent the request; empty if none.
+    #[prost(string, tag = "14")]
+    pub tenant: String,
+    /// Rank of the request at its engine; 0 is the most urgent.
+    #[prost(uint32, tag = "15")]
+    pub rank: u32,
+    /// Time within which the response should start, in milliseconds; 0 if not reported.
+    #[prost(uint64, tag = "16")]
+    pub objective_ms: u64,
+    /// Fingerprint of the request, 16 bytes, equal for all tries by its caller; empty if not reported.
+    #[prost(bytes = "vec", tag = "17")]
+    pub fingerprint: Vec<u8>,
 }
 
 /// One part of a prompt.
@@ -95,4 +107,10 @@
     /// time; 0 if not reported.
     #[prost(double, tag = "10")]
     pub slowness: f64,
+    /// Why the group has no capacity for the request; empty if it was not rejected. The engine is empty then.
+    #[prost(string, tag = "11")]
+    pub rejected: String,
+    /// Time after which there will be capacity for a rejected request, in milliseconds.
+    #[prost(uint64, tag = "12")]
+    pub retry_after_ms: u64,
 }
