Gateway: back ends that have just started or recovered get a growing share of requests

Cause: candidates carry nothing of a back end's age or return; an empty one costs least. Not measured on deployments yet.

--- a/crates/beamwall-config/src/gateway.rs
+++ b/crates/beamwall-config/src/gateway.rs
@@ -91,6 +91,12 @@
         "\"expected-time\"",
         "how a back end is chosen; all but the first are baselines for measurements",
     ),
+    optional(
+        "pace.enabled",
+        ValueKind::Boolean,
+        "false",
+        "whether back ends that have just started or recovered get a growing share of requests",
+    ),
     optional(
         "limits.drain_s",
         seconds(0.0, 3_600.0),
@@ -161,6 +167,8 @@
     pub rollback: Duration,
     /// How a back end is chosen.
     pub choice: ChoiceStrategy,
+    /// Whether back ends that have just started or recovered get a growing share of requests.
+    pub paces_back_ends: bool,
     /// Time from SIGTERM to the end of the process.
     pub drain_limit: Duration,
     /// Whether log lines are JSON.
@@ -211,6 +219,7 @@
             exposure_slack: number("rollouts.exposure_slack"),
             rollback: Duration::from_millis(number("rollouts.rollback_ms") as u64),
             choice: ChoiceStrategy::from_name(settings.text("choice.strategy").unwrap_or_default()),
+            paces_back_ends: flag("pace.enabled"),
             drain_limit: Duration::from_secs_f64(number("limits.drain_s")),
             log_json: settings.text("log.format") != Some("text"),
             log_level: settings.text("log.level").unwrap_or("info").to_owned(),
--- a/crates/beamwall-engine-model/src/slowness.rs
+++ b/crates/beamwall-engine-model/src/slowness.rs
@@ -54,6 +54,11 @@
         Self { logarithms: self.logarithms * scale, weight: self.weight * scale }
     }
 
+    /// Returns the mean ratio of measured to expected time; 1 without samples.
+    pub fn mean_ratio(self) -> f64 {
+        if self.weight > 0.0 { (self.logarithms / self.weight).exp() } else { 1.0 }
+    }
+
     /// Returns the factor by which the back end is slower than is usual for its service.
     pub fn factor(self) -> f64 {
         (self.logarithms / (self.weight + PRIOR_WEIGHT)).exp()
--- a/crates/beamwall-gateway/src/attempt.rs
+++ b/crates/beamwall-gateway/src/attempt.rs
@@ -15,6 +15,7 @@
 use crate::failover::FailedAttempt;
 use crate::forward::{Call, Forwarder, PermittedChoice};
 use crate::load::OpenRequestGuard;
+use crate::pacing;
 use crate::placement::Choice;
 use crate::ports::{ForwardHead, ResponseHead};
 
@@ -157,6 +158,7 @@
     if !had_full_timeout && result.as_ref().is_err_and(|failure| failure.timed_out) {
         return result;
     }
+    pacing::note_attempt(&forwarder.backend_state, backend, result.as_ref().err());
     note_health(forwarder, backend, &result);
     forwarder.note_reachability(&call.service, backend, result.as_ref().err());
     if let Err(failure) = &result
@@ -237,6 +239,7 @@
     } else {
         forwarder.backend_state.staleness.note_response(backend);
         forwarder.gate.note_response(backend, &head, sent_at);
+        pacing::note_rest(&forwarder.backend_state.pace, backend, &head.rest);
     }
     if head.proves_not_run && status == StatusCode::SERVICE_UNAVAILABLE {
         forwarder.gate.note_rejection(backend, &head.brittleness);
--- a/crates/beamwall-gateway/src/candidates.rs
+++ b/crates/beamwall-gateway/src/candidates.rs
@@ -6,6 +6,7 @@
 use beamwall_clock::process_clock;
 use beamwall_engine_model::{EngineModels, PrefillWork, ServiceEstimates};
 use beamwall_model::{BackendId, ServiceName, ZoneName};
+use beamwall_pace::PaceTracker;
 use rand::seq::SliceRandom;
 use tokio::time::Instant;
 
@@ -80,6 +81,8 @@
     pub unreachable_zones: UnreachableZones,
     /// Performance models of the back ends.
     pub models: EngineModels<Reporter>,
+    /// Paces of back ends that have just started or recovered.
+    pub pace: PaceTracker,
 }
 
 impl BackendState {
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -23,6 +23,7 @@
 use crate::engine_gate::{Blocked, EngineGate, SendPermit};
 use crate::fleet_clock::FleetClock;
 use crate::metrics::GatewayMetrics;
+use crate::pacing;
 use crate::placement::{Choice, PlacementOutcome, PlacementPort, PlacementQuery};
 use crate::placement_groups::{EngineGroup, EngineGroups};
 use crate::ports::{Dialect, MAX_SHARED_PARTS, Prompt};
@@ -345,6 +346,7 @@
     pub fn place(&self, engine_query: &PlacementQuery) -> Option<Choice> {
         let now = Instant::now();
         self.backend_state.reports.note(&engine_query.sender, &engine_query.unreachable, now);
+        pacing::note_reports(&self.backend_state, engine_query, now);
         self.backend_state.models.add_report(engine_query.observed.clone(), now);
         let blocked = self.gate.blocked_for_peers(MOST_URGENT_RANK);
         let avoided = [engine_query.tried.as_slice(), &engine_query.unreachable, &blocked].concat();
@@ -410,6 +412,7 @@
     pub fn retain_listed(&self, directory: &Directory) {
         self.backend_state.retain_listed(directory);
         self.gate.retain_listed(directory);
+        pacing::note_listed(&self.backend_state.pace, directory);
     }
 
     /// Model estimates for a service's back ends.
@@ -422,6 +425,7 @@
         self.prefer_unconfirmed(&mut candidates);
         let estimates = self.estimates(search.service);
         let expectation = Expectation { estimates: &estimates, pause_objective_ms };
+        let candidates = pacing::apply(&self.backend_state.pace, candidates, &expectation);
         let (chosen, cost_ms) = self.chooser.choose(&candidates, &expectation)?;
         Some(Choice {
             backend: chosen.backend.clone(),
--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod load;
 pub mod lost_responses;
 pub mod metrics;
+pub mod pacing;
 pub mod placement;
 pub mod placement_groups;
 pub mod ports;
--- a/crates/beamwall-gateway/src/placement.rs
+++ b/crates/beamwall-gateway/src/placement.rs
@@ -104,7 +104,7 @@
 impl Choice {
     /// Time that engines of the service usually take. The expected time follows this engine's own slowness,
     /// so a version whose engines are all slow would otherwise appear to be as fast as expected.
-    fn usual_ms(&self) -> Option<f64> {
+    pub fn usual_ms(&self) -> Option<f64> {
         Some(self.expected_ms? / self.slowness)
     }
 
--- a/crates/beamwall-gateway/src/stream/mod.rs
+++ b/crates/beamwall-gateway/src/stream/mod.rs
@@ -21,6 +21,7 @@
 use crate::engine_gate::SendPermit;
 use crate::failover::{self, FailedAttempt};
 use crate::forward::{Call, Forwarder, PermittedChoice};
+use crate::pacing;
 use crate::placement::Choice;
 use crate::refusal::Refusal;
 use crate::stream::first_event_wait::FirstEventWait;
@@ -163,5 +164,6 @@
     let took_ms = process_clock::now().duration_since(sent_at).as_secs_f64() * 1_000.0;
     let models = &forwarder.backend_state.models;
     models.record_first_event(&call.service, &choice.backend, of, took_ms, Instant::now());
+    pacing::note_response(&forwarder.backend_state.pace, choice, took_ms);
     forwarder.record_stream_response(call, &choice.backend, last_event, choice.is_slow(took_ms));
 }
--- a/crates/beamwall-gateway/src/unary.rs
+++ b/crates/beamwall-gateway/src/unary.rs
@@ -14,6 +14,7 @@
 use crate::engine_gate::SendPermit;
 use crate::failover::{self, FailedAttempt};
 use crate::forward::{Call, Forwarder, PermittedChoice};
+use crate::pacing;
 use crate::placement::Choice;
 use crate::refusal::Refusal;
 
@@ -121,6 +122,7 @@
     forwarder.record_response(call, &choice.backend, is_bad);
     let models = &forwarder.backend_state.models;
     models.record_plain_call(&call.service, &choice.backend, choice.open_requests, took_ms, Instant::now());
+    pacing::note_response(&forwarder.backend_state.pace, choice, took_ms);
 }
 
 fn is_retryable_failure(call: &Call, status: StatusCode) -> bool {
--- a/crates/beamwall-node/src/gateway/gauges.rs
+++ b/crates/beamwall-node/src/gateway/gauges.rs
@@ -6,6 +6,7 @@
 use beamwall_gateway::Gateway;
 use beamwall_peer::MemberState;
 use prometheus::{GaugeVec, IntGauge, Opts, Registry};
+use tokio::time::Instant;
 
 use crate::gateway::exchange::PeerExchange;
 use crate::gateway::readiness::Readiness;
@@ -26,6 +27,7 @@
     members_known: IntGauge,
     ready: IntGauge,
     open_requests: IntGauge,
+    paced_back_ends: IntGauge,
     log_lines_dropped: IntGauge,
     peer_messages_dropped: IntGauge,
     peer_messages_unreadable: IntGauge,
@@ -80,6 +82,10 @@
             members_known: add("beamwall_gateway_members_known", "nodes known, this one included")?,
             ready: add("beamwall_gateway_ready", "1 while this node takes callers")?,
             open_requests: add("beamwall_gateway_open_requests", "requests open at back ends")?,
+            paced_back_ends: add(
+                "beamwall_gateway_paced_back_ends",
+                "back ends that have just started or recovered and get a share of their requests",
+            )?,
             log_lines_dropped: add("beamwall_gateway_log_lines_dropped", "log lines dropped since start")?,
             peer_messages_dropped: add(
                 "beamwall_gateway_peer_messages_dropped",
@@ -145,6 +151,8 @@
         self.members_known.set(view.members.len() as i64 + 1);
         self.ready.set(i64::from(readiness.is_ready()));
         self.open_requests.set(i64::from(exchange.open_requests()));
+        let paced = gateway.forwarder.backend_state.pace.paced(Instant::now());
+        self.paced_back_ends.set(paced as i64);
         self.log_lines_dropped.set(beamwall_events::dropped_lines() as i64);
         let traffic = &exchange.network.traffic;
         self.peer_messages_dropped.set(traffic.dropped_messages.load(Ordering::Relaxed) as i64);
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -72,6 +72,7 @@
 };
 use beamwall_http::{Pool, serve};
 use beamwall_model::since_1970_ms;
+use beamwall_pace::PaceTracker;
 use beamwall_peer::{Envelope, Membership, MembershipTiming, PeerNetwork, TransferPacer};
 use beamwall_policy::PolicyHistory;
 use beamwall_quarantine::QuarantineRegistry;
@@ -389,7 +390,7 @@
         dialect: ports.dialect.clone(),
         pool,
         directory,
-        backend_state: BackendState::default(),
+        backend_state: BackendState { pace: assemble_pace(settings), ..BackendState::default() },
         chooser: Chooser::new(settings.choice),
         placement: peers.placement,
         gate,
@@ -420,6 +421,10 @@
     Ok(Arc::new(Gateway { policy: Arc::default(), quotas, forwarder, peer_notify }))
 }
 
+fn assemble_pace(settings: &GatewaySettings) -> PaceTracker {
+    if settings.paces_back_ends { PaceTracker::enabled() } else { PaceTracker::default() }
+}
+
 /// Converts a ratio to whole percent.
 fn percent(ratio: f64) -> u32 {
     (ratio * 100.0).round() as u32
--- a/crates/beamwall-pace/src/tracker.rs
+++ b/crates/beamwall-pace/src/tracker.rs
@@ -30,8 +30,8 @@
 #[derive(Debug, Default)]
 struct State {
     ramps: HashMap<BackendId, Ramp>,
-    /// Servers that are listed; `None` before the first whole list.
-    listed: Option<HashSet<BackendId>>,
+    /// Servers that are listed; empty before the first whole list.
+    listed: HashSet<BackendId>,
 }
 
 /// The paces of all servers at one node, by generation of the server.
@@ -51,33 +51,37 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes over the list of servers and returns those that start with it. Servers of the first list are none of them:
-    /// it is this node that has started.
+    /// Takes over the whole list of servers and returns those that start with it. Servers of the first list are none of
+    /// them: it is this node that has started. `is_listed` tells whether a server is still known.
     pub fn set_listed<'a>(
         &self,
         servers: impl Iterator<Item = &'a BackendId>,
+        is_listed: impl Fn(&BackendId) -> bool,
         now: Instant,
     ) -> Vec<BackendId> {
         if !self.is_enabled {
             return Vec::new();
         }
-        let listed: HashSet<BackendId> = servers.cloned().collect();
         let mut state = self.lock();
-        let State { ramps, listed: known } = &mut *state;
-        ramps.retain(|server, ramp| listed.contains(server) && !ramp.is_over(now));
-        let before = known.replace(listed);
-        let (Some(before), Some(listed)) = (before, &*known) else { return Vec::new() };
-        let started: Vec<BackendId> = listed.difference(&before).cloned().collect();
-        ramps.extend(started.iter().map(|server| (server.clone(), Ramp::new(now))));
-        started
+        let State { ramps, listed } = &mut *state;
+        ramps.retain(|server, ramp| is_listed(server) && !ramp.is_over(now));
+        let is_first_list = listed.is_empty();
+        listed.retain(|server| is_listed(server));
+        let added: Vec<BackendId> = servers.filter(|server| !listed.contains(*server)).cloned().collect();
+        listed.extend(added.iter().cloned());
+        if is_first_list {
+            return Vec::new();
+        }
+        ramps.extend(added.iter().map(|server| (server.clone(), Ramp::new(now))));
+        added
     }
 
-    /// Records that a server returns. Returns whether it had no pace before.
-    pub fn note_returned(&self, server: &BackendId, now: Instant) -> bool {
+    /// Records that a server takes requests again from `at` on. Returns whether it had no pace before.
+    pub fn note_returned(&self, server: &BackendId, at: Instant) -> bool {
         if !self.is_enabled {
             return false;
         }
-        self.lock().ramps.insert(server.clone(), Ramp::new(now)).is_none()
+        self.lock().ramps.insert(server.clone(), Ramp::new(at)).is_none()
     }
 
     /// Records a response that took `ratio` times as long as expected.
@@ -96,9 +100,16 @@
 
     /// Part of the requests of an equal server that this one gets, 0 to 1.
     pub fn share(&self, server: &BackendId, now: Instant) -> f64 {
+        share_of(&self.lock().ramps, server, now)
+    }
+
+    /// The shares of several servers in order; `None` if no server at all has a pace.
+    pub fn shares<'a>(&self, servers: impl Iterator<Item = &'a BackendId>, now: Instant) -> Option<Vec<f64>> {
         let state = self.lock();
-        let ramp = state.ramps.get(server).filter(|ramp| !ramp.is_over(now));
-        ramp.map_or(1.0, |ramp| ramp.share(now))
+        if state.ramps.is_empty() {
+            return None;
+        }
+        Some(servers.map(|server| share_of(&state.ramps, server, now)).collect())
     }
 
     /// Number of servers with a pace.
@@ -108,3 +119,8 @@
         state.ramps.len()
     }
 }
+
+fn share_of(ramps: &HashMap<BackendId, Ramp>, server: &BackendId, now: Instant) -> f64 {
+    let ramp = ramps.get(server).filter(|ramp| !ramp.is_over(now));
+    ramp.map_or(1.0, |ramp| ramp.share(now))
+}
