Capacity ahead of need: losses, forecast, release, settings key

Cause: the needs count as unknown until 5 s after the first request, so no substitutes are ordered for a zone that is reclaimed before; a loss is noticed at the next half second and replaced an evaluation later; demand is followed two seconds behind; callers that return after a refusal count as new demand; each fluctuation of the needs is an order. Change: beamwall_duties::ahead (needs from the back ends found, evaluation at a loss, steps and delays of release, calls without an answer) and demand_forecast; demand deducts the work of refused callers when they are due back; scaling counts room and further losses (SupplyOutlook); gauges, event 6113, settings key capacity.ahead.

--- a/crates/beamwall-config/src/gateway.rs
+++ b/crates/beamwall-config/src/gateway.rs
@@ -45,6 +45,12 @@
     ),
     optional("duties.report_usage", ValueKind::Boolean, "false", "whether usage is reported"),
     optional("duties.order_capacity", ValueKind::Boolean, "false", "whether back ends are ordered"),
+    optional(
+        "capacity.ahead",
+        ValueKind::Boolean,
+        "false",
+        "whether back ends are ordered ahead of need: by the demand's trend and at announced losses",
+    ),
     optional("usage.window_s", seconds(0.1, 86_400.0), "5", "length of one usage window in seconds"),
     optional("retries.ratio", seconds(0.0, 1.0), "0.2", "retries allowed for each request to a service"),
     optional("retries.extra", seconds(0.0, 1e6), "50", "retries allowed beside, over all nodes"),
@@ -145,6 +151,8 @@
     pub report_usage: bool,
     /// Whether back ends are ordered.
     pub order_capacity: bool,
+    /// Whether back ends are ordered ahead of need.
+    pub capacity_ahead: bool,
     /// Length of one usage window.
     pub usage_window: Duration,
     /// Retries allowed for each request to a service.
@@ -208,6 +216,7 @@
             duties: (duties.port() != 0).then_some(duties),
             report_usage: flag("duties.report_usage"),
             order_capacity: flag("duties.order_capacity"),
+            capacity_ahead: flag("capacity.ahead"),
             usage_window: Duration::from_secs_f64(number("usage.window_s")),
             retry_ratio: number("retries.ratio"),
             retry_extra: number("retries.extra"),
--- a/crates/beamwall-duties/src/orders.rs
+++ b/crates/beamwall-duties/src/orders.rs
@@ -35,10 +35,18 @@
 }
 
 /// Capacity orders of one term.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct OrderTracker {
     placed: BTreeMap<OrderKey, SubmittedOrder>,
     failed: BTreeMap<OrderKey, FailedOrder>,
+    /// Delay before an order that got no answer is attempted again.
+    unanswered_retry_delay: Duration,
+}
+
+impl Default for OrderTracker {
+    fn default() -> Self {
+        Self { placed: BTreeMap::new(), failed: BTreeMap::new(), unanswered_retry_delay: RETRY_DELAY }
+    }
 }
 
 impl OrderTracker {
@@ -55,6 +63,12 @@
         tracker
     }
 
+    /// Attempts orders that got no answer again after `delay`.
+    pub fn retrying_unanswered_after(mut self, delay: Duration) -> Self {
+        self.unanswered_retry_delay = delay;
+        self
+    }
+
     /// Returns the orders to save for the next lease holder.
     pub fn to_saved(&self) -> Vec<SavedOrder> {
         let exhausted = self.failed.iter().filter(|(_, failure)| failure.is_exhausted).map(|(key, _)| key);
@@ -89,10 +103,16 @@
         self.failed.get(key).is_some_and(|failure| failure.is_exhausted)
     }
 
+    /// Returns whether the last attempt got no answer.
+    pub fn is_unanswered(&self, key: &OrderKey) -> bool {
+        self.failed.get(key).is_some_and(|failure| !failure.is_exhausted)
+    }
+
     /// Returns whether an order may be attempted: it has not failed within the retry delay.
     pub fn may_attempt(&self, key: &OrderKey, now: Instant) -> bool {
-        let elapsed_since = |failure: &FailedOrder| now.saturating_duration_since(failure.failed_at);
-        self.failed.get(key).is_none_or(|failure| elapsed_since(failure) >= RETRY_DELAY)
+        let Some(failure) = self.failed.get(key) else { return true };
+        let delay = if failure.is_exhausted { RETRY_DELAY } else { self.unanswered_retry_delay };
+        now.saturating_duration_since(failure.failed_at) >= delay
     }
 
     /// Records that an order was placed.
--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -255,6 +255,8 @@
     6111 Warn StoreEraBegan "store era began" { from, to, source }
     /// The store of decisions names an era that is no number, or an earlier one than before.
     6112 Warn StoreEraUnusable "store era unusable" { reason }
+    /// On-demand substitutes were ordered while reclaimable back ends are scarce.
+    6113 Info SubstitutesOrdered "substitutes ordered" { service, zone, count, reason }
     /// An invariant was broken: a fault in the program, to be reported.
     9001 Error InvariantBroken "invariant broken" { invariant, detail }
 }
--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod engine_availability;
 pub mod engine_gate;
 pub mod event_stream;
+mod expected_returns;
 pub mod failover;
 pub mod fleet_clock;
 pub mod forward;
--- a/crates/beamwall-gateway/src/scaling.rs
+++ b/crates/beamwall-gateway/src/scaling.rs
@@ -49,8 +49,53 @@
 /// Reclaimable back ends that each zone keeps regardless of load, as headroom for bursts and losses.
 const RECLAIMABLE_HEADROOM: u32 = 1;
 
+/// What a plan assumes of the supply of reclaimable back ends.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SupplyOutlook {
+    /// Capacity of the usable reclaimable back ends by zone, in standard back ends. Those of a zone without
+    /// an entry count as one each.
+    pub room: BTreeMap<ZoneName, f64>,
+    /// Further zones that may lose their reclaimable back ends before an order placed now serves.
+    pub losses: usize,
+}
+
+impl Default for SupplyOutlook {
+    fn default() -> Self {
+        Self { room: BTreeMap::new(), losses: 1 }
+    }
+}
+
+impl SupplyOutlook {
+    /// Room of one zone.
+    pub fn room_of(&self, supply: &ZoneSupply) -> f64 {
+        self.room.get(&supply.zone).copied().unwrap_or(f64::from(supply.reclaimable_usable))
+    }
+
+    /// Room of all zones together.
+    fn total_room(&self, zones: &[ZoneSupply]) -> f64 {
+        zones.iter().map(|supply| self.room_of(supply)).sum()
+    }
+
+    /// Room of the zones that may be lost next: those with the most.
+    fn room_at_risk(&self, zones: &[ZoneSupply]) -> f64 {
+        let mut rooms: Vec<f64> = zones.iter().map(|supply| self.room_of(supply)).collect();
+        rooms.sort_by(|left, right| right.total_cmp(left));
+        rooms.iter().take(self.losses).sum()
+    }
+}
+
 /// Plans the orders of one service: on-demand and reclaimable back ends for each zone.
 pub fn plan(inputs: &ScalingInputs<'_>) -> Vec<CapacityOrder> {
+    plan_with(inputs, &SupplyOutlook::default(), |missing| missing)
+}
+
+/// Plans the orders of one service. `substitutes` turns the number of on-demand substitutes that are missing
+/// while reclaimable back ends are scarce into the number to order.
+pub fn plan_with(
+    inputs: &ScalingInputs<'_>,
+    outlook: &SupplyOutlook,
+    substitutes: impl FnOnce(u32) -> u32,
+) -> Vec<CapacityOrder> {
     let lowest = inputs.limits.minimum.max(1);
     let zones = cheapest_first(inputs);
     let needed = inputs.needed.usual.max(inputs.floor);
@@ -60,9 +105,9 @@
         return zones.iter().zip(parts).map(on_demand).collect();
     }
     let bases = on_demand_bases(zones.len());
-    let base = bases.iter().sum();
+    let base = on_demand_base(zones.len());
     let are_scarce = are_scarce(&zones, &bases);
-    let missing = if are_scarce { missing_substitutes(inputs, base) } else { 0 };
+    let missing = if are_scarce { substitutes(missing_substitutes(inputs, outlook).total()) } else { 0 };
     let substitutes = divide_substitutes(&zones, &bases, missing, lowest);
     let reclaimable = divide_reclaimable(&zones, needed.saturating_sub(base), are_scarce);
     let both = zones.iter().zip(bases).zip(substitutes.into_iter().zip(reclaimable));
@@ -91,6 +136,11 @@
     zones.iter().zip(bases).any(|(zone, base)| zone.is_exhausted || zone.on_demand_ordered > *base)
 }
 
+/// On-demand back ends that all zones together keep in addition to reclaimable ones.
+pub fn on_demand_base(zones: usize) -> u32 {
+    on_demand_bases(zones).iter().sum()
+}
+
 /// On-demand back ends that each zone keeps in addition to reclaimable ones, cheapest zone first: one in
 /// total.
 fn on_demand_bases(zones: usize) -> Vec<u32> {
@@ -108,18 +158,34 @@
     parts.zip(zones.iter().zip(bases)).map(|(part, (zone, base))| part.max(least(zone, *base))).collect()
 }
 
-/// On-demand back ends beyond the base that are needed while reclaimable ones are scarce. While a zone can't
-/// get any, the remaining back ends must handle the load even if the zone with the most reclaimable ones
-/// loses them next. After that, substitutes stay until reclaimable back ends accept requests.
-fn missing_substitutes(inputs: &ScalingInputs<'_>, base: u32) -> u32 {
-    let usable_by_zone = || inputs.zones.iter().map(|supply| supply.reclaimable_usable);
-    let present = base + usable_by_zone().sum::<u32>();
-    let now = inputs.needed.standing_in.saturating_sub(present);
+/// On-demand back ends beyond the base that are needed while reclaimable ones are scarce.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct MissingSubstitutes {
+    /// For the work now.
+    pub now: u32,
+    /// For the work after the next loss; 0 while every zone can get reclaimable back ends.
+    pub after_loss: u32,
+}
+
+impl MissingSubstitutes {
+    /// The number that is enough for both.
+    pub fn total(self) -> u32 {
+        self.now.max(self.after_loss)
+    }
+}
+
+/// Computes the missing substitutes. While a zone can't get any reclaimable back ends, the remaining back
+/// ends must handle the load even if the zones with the most of them lose them next. After that, substitutes
+/// stay until reclaimable back ends accept requests.
+pub fn missing_substitutes(inputs: &ScalingInputs<'_>, outlook: &SupplyOutlook) -> MissingSubstitutes {
+    let present = f64::from(on_demand_base(inputs.zones.len())) + outlook.total_room(inputs.zones);
+    let beyond = |needed: u32, room: f64| (f64::from(needed) - room).max(0.0).ceil() as u32;
+    let now = beyond(inputs.needed.standing_in, present);
     if !inputs.zones.iter().any(|supply| supply.is_exhausted) {
-        return now;
+        return MissingSubstitutes { now, after_loss: 0 };
     }
-    let remaining_after_loss = present - usable_by_zone().max().unwrap_or(0);
-    now.max(inputs.needed.after_loss.saturating_sub(remaining_after_loss))
+    let remaining_after_loss = present - outlook.room_at_risk(inputs.zones);
+    MissingSubstitutes { now, after_loss: beyond(inputs.needed.after_loss, remaining_after_loss) }
 }
 
 /// Divides reclaimable back ends evenly. While they are scarce, every zone keeps those that it has: they
--- a/crates/beamwall-gateway/src/sizing.rs
+++ b/crates/beamwall-gateway/src/sizing.rs
@@ -60,6 +60,26 @@
 }
 
 impl Needed {
+    /// Needs of the work that `count` back ends at the normal utilization handle. Used while the work itself
+    /// is not known: the back ends found at the start were ordered at that utilization.
+    pub fn of_found(count: u32) -> Self {
+        let normal = normal_utilization(count);
+        let at = |limit: Utilization| {
+            let ratio = (normal.slots / limit.slots).max(normal.prefill / limit.prefill);
+            (f64::from(count) * ratio).ceil() as u32
+        };
+        Self { usual: count, standing_in: at(SUBSTITUTE_UTILIZATION), after_loss: at(AFTER_LOSS_UTILIZATION) }
+    }
+
+    /// The larger number of each.
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            usual: self.usual.max(other.usual),
+            standing_in: self.standing_in.max(other.standing_in),
+            after_loss: self.after_loss.max(other.after_loss),
+        }
+    }
+
     /// The same with more back ends, which replace others.
     pub fn with_replacements(self, count: u32) -> Self {
         Self {
--- a/crates/beamwall-gateway/src/stream/mod.rs
+++ b/crates/beamwall-gateway/src/stream/mod.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use beamwall_clock::process_clock;
+use beamwall_engine_model::PrefillWork;
 use beamwall_http::Body;
 use beamwall_model::EngineVersion;
 use hyper::{HeaderMap, Response, StatusCode};
@@ -33,10 +34,15 @@
 pub async fn forward(forwarder: &Arc<Forwarder>, call: &Arc<Call>) -> Result<Response<Body>, Refusal> {
     let mut attempts = Attempts::of(call);
     let mut next = attempts.first_choice(forwarder, call).await;
+    let mut counted = None;
     while let Some(PermittedChoice { choice, permit }) = next {
         if attempts.tried.len() == 1 {
             forwarder.demand.note_request(&call.service, &call.route.name, choice.prefill);
-            check_servable(forwarder, call, &choice)?;
+            counted = Some(choice.prefill);
+            if let Err(refusal) = check_servable(forwarder, call, &choice) {
+                note_refusal(forwarder, call, counted, &refusal);
+                return Err(refusal);
+            }
         }
         let failed =
             match start_attempt(forwarder, call, &choice, permit, call.last_event, &mut attempts).await {
@@ -49,7 +55,16 @@
             };
         next = attempts.continue_after_failure(forwarder, call, &choice, failed).await;
     }
-    Err(attempts.refusal(call))
+    let refusal = attempts.refusal(call);
+    note_refusal(forwarder, call, counted, &refusal);
+    Err(refusal)
+}
+
+/// Records for the demand that a caller whose work was counted may return.
+fn note_refusal(forwarder: &Forwarder, call: &Call, counted: Option<PrefillWork>, refusal: &Refusal) {
+    if let (Some(prefill), Some(retry_after)) = (counted, refusal.retry_after()) {
+        forwarder.demand.note_refusal(&call.service, &call.route.name, prefill, retry_after);
+    }
 }
 
 /// Refuses a call that is not expected to be served before its deadline.
--- a/crates/beamwall-gateway/tests/scaling.rs
+++ b/crates/beamwall-gateway/tests/scaling.rs
@@ -5,7 +5,8 @@
 
 use beamwall_gateway::ports::CapacityOrder;
 use beamwall_gateway::scaling::{
-    OrderKey, ScalingInputs, SubmittedOrder, ZoneSupply, note_usable, orders_due, plan,
+    OrderKey, ScalingInputs, SubmittedOrder, SupplyOutlook, ZoneSupply, missing_substitutes, note_usable,
+    orders_due, plan,
 };
 use beamwall_gateway::sizing::Needed;
 use beamwall_model::ServiceName;
@@ -264,3 +265,22 @@
     let limits = ScalingLimits { maximum: 46, ..limits(true) };
     assert_eq!(wanted_at(1.0, &zones, &limits, false), [1, 0, 1]);
 }
+
+/// Guards against: slow engines are counted like fast ones, and too few substitutes are ordered.
+#[test]
+fn substitutes_are_planned_by_the_room_that_is_left() {
+    let limits = ScalingLimits { maximum: 46, ..limits(true) };
+    let zones = [supply("a", 0, true), supply("b", 10, false), supply("c", 10, false)];
+    let service = "model".into();
+    let inputs = inputs(&service, &limits, &zones, 13.5, 0);
+    let missing = |room: &[(&str, f64)], losses| {
+        let room = room.iter().map(|(zone, room)| ((*zone).into(), *room)).collect();
+        let missing = missing_substitutes(&inputs, &SupplyOutlook { room, losses });
+        (missing.now, missing.after_loss)
+    };
+    // Load 13.5 needs 23 standard back ends now and 16 after a loss.
+    assert_eq!(missing(&[], 1), (2, 5));
+    assert_eq!(missing(&[("b", 5.0)], 1), (7, 10));
+    assert_eq!(missing(&[("b", 24.0)], 1), (0, 5));
+    assert_eq!(missing(&[], 2), (2, 15));
+}
--- a/crates/beamwall-gateway/tests/sizing.rs
+++ b/crates/beamwall-gateway/tests/sizing.rs
@@ -148,3 +148,16 @@
     let needed = Needed { usual: 3, standing_in: 2, after_loss: 1 };
     assert_eq!(needed.with_replacements(2), Needed { usual: 5, standing_in: 4, after_loss: 3 });
 }
+
+/// Guards against: a zone is reclaimed before the demand is known, and no substitutes are ordered. 61 back
+/// ends at the normal utilization of 0.47 do the work of 42 at 0.7 and of 34 at 0.85.
+#[test]
+fn needs_follow_from_the_back_ends_found_while_the_work_is_unknown() {
+    assert_eq!(Needed::of_found(61), Needed { usual: 61, standing_in: 42, after_loss: 34 });
+    assert_eq!(Needed::of_found(0), Needed::default());
+    for count in 1..2_000 {
+        let needed = Needed::of_found(count);
+        assert!(needed.after_loss <= needed.standing_in && needed.standing_in <= count, "{needed:?}");
+        assert!(needed.after_loss > 0, "{needed:?}");
+    }
+}
--- a/crates/beamwall-node/src/gateway/duties/demand_tracker.rs
+++ b/crates/beamwall-node/src/gateway/duties/demand_tracker.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use beamwall_duties::{DemandForecast, ahead};
 use beamwall_engine_model::Workload;
 use beamwall_gateway::Gateway;
 use beamwall_gateway::sizing::{self, Needed, Objectives};
@@ -22,6 +23,9 @@
 pub(super) struct DemandTracker {
     /// Work per second: increases apply at once, decreases gradually.
     work: Workload,
+    /// Work expected when back ends ordered now serve, if it rises; otherwise zero.
+    expected: Workload,
+    forecast: DemandForecast,
     /// Whether enough is known of the back ends to compute how many the work needs.
     is_known: bool,
     /// Largest number of back ends seen before the demand was known.
@@ -32,8 +36,14 @@
 }
 
 impl DemandTracker {
-    /// Applies the current demand: increases at once, decreases gradually.
-    pub(super) fn update_from(&mut self, gateway: &Gateway, service: &ServiceName) {
+    /// Applies the current demand: increases at once, decreases gradually. With `horizon`, the demand is also
+    /// forecast by its trend for that time from now.
+    pub(super) fn update_from(
+        &mut self,
+        gateway: &Gateway,
+        service: &ServiceName,
+        horizon: Option<Duration>,
+    ) {
         let requested = gateway.forwarder.demand.total(service);
         if requested.is_some_and(|work| work.requests > 0.0) {
             self.first_request.get_or_insert_with(Instant::now);
@@ -41,6 +51,10 @@
         let newest = requested.unwrap_or_default();
         self.work = newest.max(self.work.weighted_mean(newest, DECAY_WEIGHT));
         self.is_known = gateway.forwarder.estimates(service).is_known();
+        if let (Some(horizon), Some(first), false) = (horizon, self.first_request, self.is_demand_unknown()) {
+            let expected = self.forecast.update(newest, first.elapsed(), horizon, Instant::now());
+            self.expected = expected.unwrap_or_default();
+        }
         let directory = gateway.forwarder.directory.load();
         if self.is_demand_unknown() && directory.is_fully_loaded() {
             let usable = directory.usable(service).count();
@@ -59,12 +73,24 @@
         service: &Service,
     ) -> Option<Needed> {
         let estimates = gateway.forwarder.estimates(&service.name);
-        sizing::needed(self.work, &estimates, slots(gateway, service), objectives(policy, service))
+        sizing::needed(self.planned(), &estimates, slots(gateway, service), objectives(policy, service))
+    }
+
+    /// Work for which back ends are planned.
+    pub(super) fn planned(&self) -> Workload {
+        self.work.max(self.expected)
+    }
+
+    /// Needs to plan for where back ends are ordered ahead of need, from the `computed` ones.
+    pub(super) fn needs_ahead(&self, computed: Option<Needed>) -> Needed {
+        let known_since = self.first_request.map(|at| at.elapsed().saturating_sub(DEMAND_WARM_UP));
+        let known = computed.zip(known_since).filter(|_| !self.is_demand_unknown());
+        ahead::needs(known, self.peak_backends as u32)
     }
 
     /// Requests a second of each back end if `needed` ones share the work.
     pub(super) fn requests_per_back_end(&self, needed: Needed) -> f64 {
-        self.work.requests / f64::from(needed.usual.max(1))
+        self.planned().requests / f64::from(needed.usual.max(1))
     }
 
     /// Whether a plan can be made: the needs are known, or the list of back ends counts as complete.
--- a/crates/beamwall-node/src/gateway/duties/mod.rs
+++ b/crates/beamwall-node/src/gateway/duties/mod.rs
@@ -7,6 +7,7 @@
 //! (`checkpoint`).
 
 mod capacity;
+mod capacity_metrics;
 mod checkpoint;
 mod demand_tracker;
 mod rollouts;
@@ -29,6 +30,7 @@
 use tokio::sync::watch;
 
 use crate::gateway::duties::capacity::{CapacityDuty, OrderTerm};
+pub use crate::gateway::duties::capacity_metrics::CapacityMetrics;
 use crate::gateway::duties::checkpoint::DutyCheckpointer;
 use crate::gateway::duties::rollouts::{RolloutDuty, RolloutTerm};
 use crate::gateway::duties::usage::{UsageDuty, UsageProgress};
@@ -78,6 +80,14 @@
     pub rollouts: Option<Arc<dyn RolloutStore>>,
 }
 
+/// Metrics of the duties.
+pub struct DutyMetrics {
+    /// The current lease epoch; 0 while this node does not hold the lease.
+    pub lease_epoch: IntGauge,
+    /// The capacity plan.
+    pub capacity: CapacityMetrics,
+}
+
 /// What the node that holds the lease keeps in the store for all nodes.
 pub struct StoredKnowledge {
     /// Requests that are held.
@@ -111,7 +121,7 @@
         ports: DutyPorts,
         exchange: &Arc<PeerExchange>,
         selector: NodeSelector,
-        lease_epoch: IntGauge,
+        metrics: DutyMetrics,
         stored: StoredKnowledge,
     ) -> Self {
         let DutyPorts { objects, calls: port, rollouts } = ports;
@@ -133,7 +143,15 @@
                 exchange.clone(),
             )
         };
-        let capacity = || CapacityDuty::new(gateway.clone(), port.clone(), checkpointer.clone());
+        let capacity = || {
+            CapacityDuty::new(
+                gateway.clone(),
+                port.clone(),
+                checkpointer.clone(),
+                settings.capacity_ahead,
+                metrics.capacity,
+            )
+        };
         Self {
             node: settings.node.clone(),
             address: settings.peers,
@@ -146,7 +164,7 @@
             objects,
             checkpointer,
             selector,
-            lease_epoch,
+            lease_epoch: metrics.lease_epoch,
         }
     }
 
@@ -166,7 +184,7 @@
             self.lease_epoch.set(epoch.unwrap_or(0) as i64);
             log_change(term.as_ref().map(|term| term.lease_hold.epoch), epoch);
             term = match (term, epoch) {
-                (_, None) => None,
+                (term, None) => self.end_term(term),
                 (Some(term), Some(epoch)) if term.lease_hold.epoch == epoch => Some(term),
                 (_, Some(epoch)) => Some(self.begin_term(epoch, &state)),
             };
@@ -179,14 +197,18 @@
         }
     }
 
+    fn end_term(&self, term: Option<LeaseTerm>) -> Option<LeaseTerm> {
+        if let (Some(_), Some(capacity)) = (term, &self.capacity) {
+            capacity.end_term();
+        }
+        None
+    }
+
     fn begin_term(&self, epoch: u64, lease: &watch::Receiver<LeaseState>) -> LeaseTerm {
         let lease_hold = LeaseHold { node: self.node.clone(), epoch, lease: lease.clone() };
-        LeaseTerm {
-            lease_hold,
-            usage: UsageProgress::default(),
-            orders: OrderTerm::resuming(self.checkpointer.orders()),
-            rollouts: RolloutTerm::default(),
-        }
+        let saved = self.checkpointer.orders();
+        let orders = self.capacity.as_ref().map(|capacity| capacity.begin_term(saved)).unwrap_or_default();
+        LeaseTerm { lease_hold, usage: UsageProgress::default(), orders, rollouts: RolloutTerm::default() }
     }
 
     async fn run_due(&self, term: &mut LeaseTerm) {
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -89,7 +89,7 @@
 use crate::actors::membership::MembershipActor;
 use crate::actors::policy::PolicyActor;
 use crate::error::NodeError;
-use crate::gateway::duties::{Duties, DutyPorts, StoredKnowledge};
+use crate::gateway::duties::{CapacityMetrics, Duties, DutyMetrics, DutyPorts, StoredKnowledge};
 use crate::gateway::exchange::PeerExchange;
 use crate::gateway::gauges::GatewayGauges;
 use crate::gateway::listing::DirectoryReader;
@@ -196,6 +196,7 @@
         let stopping = watch::channel(false).0;
         let callers =
             tokio::spawn(serve(callers, GatewayHandler::new(gateway.clone()), stopping.subscribe()));
+        let capacity_metrics = CapacityMetrics::new(&registry)?;
         let lease_epoch = metrics::gauge(
             "beamwall_gateway_lease_epoch",
             "epoch of the lease on duties while this node holds it, else 0",
@@ -268,7 +269,7 @@
                 duty_ports,
                 &exchange,
                 selector,
-                lease_epoch,
+                DutyMetrics { lease_epoch, capacity: capacity_metrics },
                 StoredKnowledge { held_requests: stored_quarantine, versions: version_storage },
             );
             tasks.push(tokio::spawn(duties.run()));
@@ -396,7 +397,7 @@
         gate,
         reachability: EngineReachability::default(),
         delegation: peers.delegation,
-        demand: DemandTracker::default(),
+        demand: DemandTracker::new(settings.capacity_ahead),
         rollouts: RolloutRegistry::default()
             .for_generation(&settings.node, generation)
             .in_zone(&settings.zone),
