--- a/crates/beamwall-duties/tests/ahead.rs
+++ b/crates/beamwall-duties/tests/ahead.rs
@@ -235,7 +235,7 @@
             _ => ahead::needs(known, day.found as u32),
         };
         let rounds = if plan == Plan::ByDemand { 1 } else { 2 };
-        for _ in 0..rounds {
+        for round in 1..=rounds {
             let zones = ZONES.map(|zone| supply(zone, &provider, &tracker, plan, elapsed));
             let inputs = ScalingInputs { service: &service, limits: &limits, zones: &zones, needed, floor };
             let due = due(&inputs, plan, &mut tracker, now);
@@ -243,7 +243,12 @@
                 orders.push((elapsed, order.clone()));
                 match provider.order(&order, elapsed) {
                     Ok(()) => tracker.record_placed(&order, now),
-                    Err(is_exhausted) => drop(tracker.record_failure(&order, is_exhausted, now)),
+                    Err(is_exhausted) => {
+                        tracker.record_failure(&order, is_exhausted, now);
+                        if round < rounds {
+                            break;
+                        }
+                    }
                 }
             }
         }
--- a/crates/beamwall-node/src/gateway/duties/capacity.rs
+++ b/crates/beamwall-node/src/gateway/duties/capacity.rs
@@ -141,18 +141,35 @@
         lease_hold: &LeaseHold,
     ) {
         let plans = if self.is_ahead { MAX_PLANS } else { 1 };
-        for _ in 0..plans {
-            let (orders, purpose) = self.orders_for(service, needed, &mut term.tracker);
-            let mut has_failed = false;
-            for order in orders {
-                has_failed |= !self.submit_order(order, purpose, term, lease_hold).await;
-            }
-            if !has_failed {
+        for plan in 1..=plans {
+            let is_last = plan == plans;
+            if self.submit_plan(service, needed, is_last, term, lease_hold).await {
                 return;
             }
         }
     }
 
+    /// Submits the orders of one plan. Returns whether none failed. Unless it is the last plan, the first failure
+    /// ends it: the next one has substitutes, and they must not wait for further calls.
+    async fn submit_plan(
+        &self,
+        service: &Service,
+        needed: Needed,
+        is_last: bool,
+        term: &mut OrderTerm,
+        lease_hold: &LeaseHold,
+    ) -> bool {
+        let (orders, purpose) = self.orders_for(service, needed, &mut term.tracker);
+        let mut has_failed = false;
+        for order in orders {
+            has_failed |= !self.submit_order(order, purpose, term, lease_hold).await;
+            if has_failed && !is_last {
+                break;
+            }
+        }
+        !has_failed
+    }
+
     /// Whether reclaimable back ends were lost, or announced to be, since the last evaluation.
     fn has_lost_supply(&self, term: &OrderTerm) -> bool {
         let now = self.staying_by_order();
