Engine models: the lasting speed of each back end

Cause: a back end's slowness is learnt from the last seconds only, so back ends of unequal speed look equal to a node that has just begun to select, or that seldom uses them; the service's estimate is that of whichever back ends were asked most. Change: records of the lasting factor apart from the slowness at the moment (a median of samples some time apart), centred by service; measured times are divided by it before the service's estimates are fitted; it is the prior of the slowness. Unknown back ends start from the median of their kind. Peers tell notable records, a bounded number a heartbeat. Off unless the models are built with `learning_speeds`.

--- a/crates/beamwall-engine-model/src/models.rs
+++ b/crates/beamwall-engine-model/src/models.rs
@@ -8,7 +8,11 @@
 use tokio::time::Instant;
 
 use crate::estimates::ServiceEstimates;
-use crate::slowness::{SlownessFactors, SlownessObservation, SlownessTracker};
+use crate::lasting_factors::{BackendKind, FactorSpread, LastingFactors};
+use crate::lasting_speed::LastingObservation;
+use crate::learnt_speeds::LearntSpeeds;
+use crate::observation::EngineObservation;
+use crate::slowness::{SlownessFactors, SlownessObservation, SlownessTracker, sample_logarithm};
 use crate::statistics::{FirstEventInputs, ServiceStatistics};
 
 #[derive(Debug)]
@@ -21,12 +25,14 @@
     /// Observations reported to this node by the nodes for which it selects back ends.
     received_reports: SlownessTracker,
     peer_slowness: HashMap<P, SlownessTracker>,
+    /// Lasting speeds of back ends; `None` if they are not learnt.
+    speeds: Option<LearntSpeeds<P>>,
     estimates: HashMap<ServiceName, Arc<ServiceEstimates>>,
     /// Slowdown factors from the observations of all nodes.
     factors: Arc<SlownessFactors>,
 }
 
-impl<P> State<P> {
+impl<P: Clone + Eq + Hash> State<P> {
     fn estimates_of(&self, service: &ServiceName) -> Arc<ServiceEstimates> {
         self.estimates.get(service).cloned().unwrap_or_default()
     }
@@ -35,13 +41,25 @@
         self.own_statistics.entry(service.clone()).or_default()
     }
 
-    /// Compares a measured time with the estimate for any back end of the service. Does nothing without an
-    /// estimate.
-    fn record_slowness(&mut self, backend: &BackendId, took_ms: f64, expected_ms: Option<f64>, now: Instant) {
+    /// Compares a measured time with the estimate for any back end of the service, if there is one. Returns
+    /// the time that a back end of speed 1 would have taken.
+    fn record_slowness(
+        &mut self,
+        backend: &BackendId,
+        took_ms: f64,
+        expected_ms: Option<f64>,
+        now: Instant,
+    ) -> f64 {
         if let Some(expected_ms) = expected_ms {
             self.own_slowness.record_sample(backend, took_ms, expected_ms, now);
             self.unreported.record_sample(backend, took_ms, expected_ms, now);
+            if let (Some(speeds), Some(logarithm)) =
+                (&mut self.speeds, sample_logarithm(took_ms, expected_ms))
+            {
+                speeds.record_sample(backend, logarithm, now);
+            }
         }
+        took_ms / self.factors.lasting().for_backend(backend)
     }
 }
 
@@ -61,6 +79,7 @@
                 unreported: SlownessTracker::default(),
                 received_reports: SlownessTracker::default(),
                 peer_slowness: HashMap::new(),
+                speeds: None,
                 estimates: HashMap::new(),
                 factors: Arc::default(),
             }),
@@ -69,6 +88,13 @@
 }
 
 impl<P: Clone + Eq + Hash> EngineModels<P> {
+    /// Creates models that also learn the lasting speed of each back end.
+    pub fn learning_speeds() -> Self {
+        let models = Self::default();
+        models.lock().speeds = Some(LearntSpeeds::default());
+        models
+    }
+
     fn lock(&self) -> MutexGuard<'_, State<P>> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -84,7 +110,33 @@
         self.lock().factors.clone()
     }
 
-    /// Returns the factor by which a back end is slower than is usual for its service.
+    /// Returns the factor by which a back end lastingly takes longer than one of speed 1; 1 if not known.
+    pub fn lasting_factor(&self, backend: &BackendId) -> f64 {
+        self.factors().lasting().for_backend(backend)
+    }
+
+    /// Returns the mean speed of a set of back ends relative to one of speed 1; 1 for an empty set. The
+    /// service's estimates are those of a back end of speed 1.
+    pub fn mean_speed<'a>(&self, backends: impl IntoIterator<Item = &'a BackendId>) -> f64 {
+        self.factors().lasting().mean_speed(backends)
+    }
+
+    /// Returns the range of the lasting factors of a service's back ends; `None` if they are not learnt.
+    pub fn factor_spread(&self, service: &ServiceName) -> Option<FactorSpread> {
+        let state = self.lock();
+        state.speeds.as_ref()?.spread(service, state.factors.lasting())
+    }
+
+    /// Returns the back ends observed by this node that are found for the first time to differ lastingly from
+    /// their service, with their factors.
+    pub fn take_newly_notable(&self, now: Instant) -> Vec<(BackendId, f64)> {
+        let mut state = self.lock();
+        let factors = state.factors.clone();
+        let speeds = state.speeds.as_mut();
+        speeds.map(|speeds| speeds.take_newly_notable(factors.lasting(), now)).unwrap_or_default()
+    }
+
+    /// Returns the factor by which a back end is now slower than is usual for its service.
     pub fn slowness(&self, backend: &BackendId) -> f64 {
         self.factors().for_backend(backend)
     }
@@ -100,8 +152,8 @@
     ) {
         let mut state = self.lock();
         let estimates = state.estimates_of(service);
-        state.record_slowness(backend, took_ms, estimates.first_event_ms(inputs), now);
-        state.own_statistics_of(service).record_first_event(inputs, took_ms, &estimates);
+        let usual_ms = state.record_slowness(backend, took_ms, estimates.first_event_ms(inputs), now);
+        state.own_statistics_of(service).record_first_event(inputs, usual_ms, &estimates);
     }
 
     /// Records the mean time between two events of a stream.
@@ -115,8 +167,8 @@
     ) {
         let mut state = self.lock();
         let estimates = state.estimates_of(service);
-        state.record_slowness(backend, took_ms, estimates.event_gap_ms(running), now);
-        state.own_statistics_of(service).record_event_gap(running, took_ms, &estimates);
+        let usual_ms = state.record_slowness(backend, took_ms, estimates.event_gap_ms(running), now);
+        state.own_statistics_of(service).record_event_gap(running, usual_ms, &estimates);
     }
 
     /// Records the duration of a plain (not streamed) call.
@@ -130,8 +182,8 @@
     ) {
         let mut state = self.lock();
         let estimates = state.estimates_of(service);
-        state.record_slowness(backend, took_ms, estimates.plain_call_ms(running), now);
-        state.own_statistics_of(service).record_plain_call(running, took_ms);
+        let usual_ms = state.record_slowness(backend, took_ms, estimates.plain_call_ms(running), now);
+        state.own_statistics_of(service).record_plain_call(running, usual_ms);
     }
 
     /// Records the duration of a stream from its first event to its end.
@@ -145,8 +197,9 @@
         let mut state = self.lock();
         let peer_trackers = state.peer_slowness.values();
         let trackers = peer_trackers.chain([&state.own_slowness, &state.received_reports]);
-        let factors = merge_slowness(trackers, now).into_iter().collect();
-        state.factors = Arc::new(factors);
+        let recent = merge_slowness(trackers, now);
+        let lasting = state.speeds.as_ref().map_or_else(LastingFactors::default, |speeds| speeds.fit(now));
+        state.factors = Arc::new(SlownessFactors::new(recent, lasting));
         let sums =
             merge_statistics(state.own_statistics.iter().chain(state.peer_statistics.values().flatten()));
         let mut newly_known = Vec::new();
@@ -170,11 +223,17 @@
             .collect()
     }
 
-    /// Returns the notable slowness observations of this node, to be sent to its peers.
-    pub fn own_slowness(&self, now: Instant) -> Vec<(BackendId, SlownessObservation)> {
-        let state = self.lock();
-        let notable = state.own_slowness.all(now).filter(|(_, observed)| observed.is_notable());
-        notable.map(|(backend, observed)| (backend.clone(), observed)).collect()
+    /// Returns the notable observations of back ends by this node, to be sent to its peers.
+    pub fn own_slowness(&self, now: Instant) -> Vec<(BackendId, EngineObservation)> {
+        let mut state = self.lock();
+        let factors = state.factors.clone();
+        let is_notable = |(backend, observed): &(&BackendId, SlownessObservation)| {
+            observed.is_notable(factors.lasting().logarithm(backend))
+        };
+        let notable = state.own_slowness.all(now).filter(is_notable);
+        let recent = notable.map(|(backend, observed)| (backend.clone(), observed)).collect();
+        let lasting = state.speeds.as_mut().map(|speeds| speeds.node_report(factors.lasting(), now));
+        join_observations(recent, lasting.unwrap_or_default())
     }
 
     /// Removes and returns this node's observations of selected back ends that are not reported yet.
@@ -182,15 +241,26 @@
         &self,
         among: impl Fn(&BackendId) -> bool,
         now: Instant,
-    ) -> Vec<(BackendId, SlownessObservation)> {
-        self.lock().unreported.take(among, now)
+    ) -> Vec<(BackendId, EngineObservation)> {
+        let mut state = self.lock();
+        let taken = state.unreported.take(among, now);
+        let mut speeds = state.speeds.as_mut();
+        let with_lasting = |(backend, recent): (BackendId, SlownessObservation)| {
+            let lasting = speeds.as_mut().map(|speeds| speeds.take_unreported(&backend));
+            (backend, EngineObservation { recent, lasting: lasting.unwrap_or_default() })
+        };
+        taken.into_iter().map(with_lasting).collect()
     }
 
     /// Adds the observations reported by a node for which this node selects back ends.
-    pub fn add_report(&self, report: Vec<(BackendId, SlownessObservation)>, now: Instant) {
+    pub fn add_report<O: Into<EngineObservation>>(&self, report: Vec<(BackendId, O)>, now: Instant) {
         let mut state = self.lock();
         for (backend, observation) in report {
-            state.received_reports.add(backend, observation, now);
+            let observation = observation.into();
+            if let Some(speeds) = &mut state.speeds {
+                speeds.add_report(&backend, observation.lasting, now);
+            }
+            state.received_reports.add(backend, observation.recent, now);
         }
     }
 
@@ -210,13 +280,16 @@
         &self,
         is_counted: impl Fn(&P) -> bool,
         now: Instant,
-    ) -> Vec<(BackendId, SlownessObservation)> {
-        let state = self.lock();
+    ) -> Vec<(BackendId, EngineObservation)> {
+        let mut state = self.lock();
+        let factors = state.factors.clone();
         let counted = state.peer_slowness.iter().filter(|(peer, _)| is_counted(peer));
         let trackers = counted.map(|(_, tracker)| tracker).chain([&state.own_slowness]);
         let mut sums = merge_slowness(trackers, now);
-        sums.retain(|_, observed| observed.is_notable());
-        sums.into_iter().collect()
+        sums.retain(|backend, observed| observed.is_notable(factors.lasting().logarithm(backend)));
+        let speeds = state.speeds.as_mut();
+        let lasting = speeds.map(|speeds| speeds.zone_report(&is_counted, factors.lasting(), now));
+        join_observations(sums, lasting.unwrap_or_default())
     }
 
     /// Replaces the service statistics received from a peer.
@@ -224,22 +297,42 @@
         self.lock().peer_statistics.insert(peer.clone(), statistics);
     }
 
-    /// Replaces the slowness observations received from a peer.
-    pub fn set_peer_slowness(
+    /// Replaces the recent observations received from a peer, and its records of the lasting speeds that it
+    /// tells.
+    pub fn set_peer_slowness<O: Into<EngineObservation>>(
         &self,
         peer: &P,
-        observations: Vec<(BackendId, SlownessObservation)>,
+        observations: Vec<(BackendId, O)>,
         now: Instant,
     ) {
-        self.lock().peer_slowness.entry(peer.clone()).or_default().set_observations(observations, now);
+        let mut state = self.lock();
+        let mut recent = Vec::with_capacity(observations.len());
+        for (backend, observation) in observations {
+            let observation = observation.into();
+            if let Some(speeds) = &mut state.speeds {
+                speeds.set_told(peer, &backend, observation.lasting, now);
+            }
+            recent.push((backend, observation.recent));
+        }
+        state.peer_slowness.entry(peer.clone()).or_default().set_observations(recent, now);
     }
 
-    /// Removes all data received from a peer: it has failed, or another peer's data includes its observations
-    /// from now on.
+    /// Removes all data received from a peer, except for lasting speeds: it has failed, or another peer's data
+    /// includes its observations from now on.
     pub fn remove_peer(&self, peer: &P) {
         let mut state = self.lock();
         state.peer_statistics.remove(peer);
         state.peer_slowness.remove(peer);
+        if let Some(speeds) = &mut state.speeds {
+            speeds.remove_peer(peer);
+        }
+    }
+
+    /// Replaces the listed back ends, whose lasting speeds are learnt. Does nothing if they are not learnt.
+    pub fn set_listed(&self, listed: impl Iterator<Item = (BackendId, BackendKind)>) {
+        if let Some(speeds) = &mut self.lock().speeds {
+            speeds.set_listed(listed.collect());
+        }
     }
 
     /// Drops observations of back ends that no longer exist.
@@ -251,6 +344,19 @@
     }
 }
 
+/// Joins recent observations and lasting records of the same back ends.
+fn join_observations(
+    recent: HashMap<BackendId, SlownessObservation>,
+    lasting: Vec<(BackendId, LastingObservation)>,
+) -> Vec<(BackendId, EngineObservation)> {
+    let mut joined: HashMap<BackendId, EngineObservation> =
+        recent.into_iter().map(|(backend, recent)| (backend, recent.into())).collect();
+    for (backend, record) in lasting {
+        joined.entry(backend).or_default().lasting = record;
+    }
+    joined.into_iter().collect()
+}
+
 fn merge_slowness<'a>(
     trackers: impl Iterator<Item = &'a SlownessTracker>,
     now: Instant,
--- a/crates/beamwall-engine-model/src/slowness.rs
+++ b/crates/beamwall-engine-model/src/slowness.rs
@@ -16,6 +16,8 @@
 use beamwall_model::BackendId;
 use tokio::time::Instant;
 
+use crate::lasting_factors::LastingFactors;
+
 /// Half-life of a sample's weight: a slow engine must be detected within a second or two.
 const HALF_LIFE: Duration = Duration::from_secs(3);
 /// Weight, in samples, of the prior that a back end is as fast as the others.
@@ -43,9 +45,11 @@
 }
 
 impl SlownessObservation {
-    /// Returns whether enough samples show that the back end's speed differs from its service's.
-    pub(crate) fn is_notable(self) -> bool {
-        self.weight >= MIN_REPORTED_WEIGHT && self.logarithms.abs() >= MIN_REPORTED_LOGARITHM * self.weight
+    /// Returns whether enough samples show that the back end's speed now differs from its lasting speed,
+    /// given as the logarithm of its lasting factor.
+    pub(crate) fn is_notable(self, lasting_logarithm: f64) -> bool {
+        let deviation = (self.logarithms - lasting_logarithm * self.weight).abs();
+        self.weight >= MIN_REPORTED_WEIGHT && deviation >= MIN_REPORTED_LOGARITHM * self.weight
     }
 
     /// Scales the observation down to the maximum weight.
@@ -59,9 +63,10 @@
         if self.weight > 0.0 { (self.logarithms / self.weight).exp() } else { 1.0 }
     }
 
-    /// Returns the factor by which the back end is slower than is usual for its service.
-    pub fn factor(self) -> f64 {
-        (self.logarithms / (self.weight + PRIOR_WEIGHT)).exp()
+    /// Returns the factor by which the back end is slower than is usual for its service. The prior is the
+    /// logarithm of its lasting factor.
+    fn factor(self, lasting_logarithm: f64) -> f64 {
+        ((self.logarithms + lasting_logarithm * PRIOR_WEIGHT) / (self.weight + PRIOR_WEIGHT)).exp()
     }
 }
 
@@ -72,20 +77,35 @@
     }
 }
 
-/// Factors by which individual back ends are slower than is usual for their services.
+/// Factors by which individual back ends are slower than is usual for their services: their lasting factors,
+/// corrected by what was observed in the last seconds.
 #[derive(Debug, Default)]
-pub struct SlownessFactors(HashMap<BackendId, f64>);
+pub struct SlownessFactors {
+    recent: HashMap<BackendId, f64>,
+    lasting: LastingFactors,
+}
 
 impl SlownessFactors {
-    /// Returns the factor of one back end; 1 without observations.
+    /// Combines recent observations with lasting factors.
+    pub(crate) fn new(
+        observed: impl IntoIterator<Item = (BackendId, SlownessObservation)>,
+        lasting: LastingFactors,
+    ) -> Self {
+        let factor = |(backend, observed): (BackendId, SlownessObservation)| {
+            let factor = observed.factor(lasting.logarithm(&backend));
+            (backend, factor)
+        };
+        Self { recent: observed.into_iter().map(factor).collect(), lasting }
+    }
+
+    /// Returns the factor of one back end now; 1 without observations.
     pub fn for_backend(&self, backend: &BackendId) -> f64 {
-        self.0.get(backend).copied().unwrap_or(1.0)
+        self.recent.get(backend).copied().unwrap_or_else(|| self.lasting.for_backend(backend))
     }
-}
 
-impl FromIterator<(BackendId, SlownessObservation)> for SlownessFactors {
-    fn from_iter<I: IntoIterator<Item = (BackendId, SlownessObservation)>>(observed: I) -> Self {
-        Self(observed.into_iter().map(|(backend, observed)| (backend, observed.factor())).collect())
+    /// Returns the lasting factors.
+    pub fn lasting(&self) -> &LastingFactors {
+        &self.lasting
     }
 }
 
@@ -107,6 +127,14 @@
     }
 }
 
+/// Returns the logarithm of the ratio of measured to expected time, bounded; `None` if a time is not positive.
+pub(crate) fn sample_logarithm(took_ms: f64, expected_ms: f64) -> Option<f64> {
+    if took_ms <= 0.0 || expected_ms <= 0.0 {
+        return None;
+    }
+    Some((took_ms / expected_ms).clamp(1.0 / MAX_SAMPLE_FACTOR, MAX_SAMPLE_FACTOR).ln())
+}
+
 /// Decaying slowness observations of back ends.
 #[derive(Debug, Default)]
 pub struct SlownessTracker {
@@ -116,15 +144,12 @@
 impl SlownessTracker {
     /// Records that a request took `took_ms` where `expected_ms` was expected.
     pub fn record_sample(&mut self, backend: &BackendId, took_ms: f64, expected_ms: f64, now: Instant) {
-        if took_ms <= 0.0 || expected_ms <= 0.0 {
-            return;
-        }
-        let factor = (took_ms / expected_ms).clamp(1.0 / MAX_SAMPLE_FACTOR, MAX_SAMPLE_FACTOR);
+        let Some(logarithm) = sample_logarithm(took_ms, expected_ms) else { return };
         let fresh = Record { observed: SlownessObservation::default(), updated_at: now };
         let record = self.records.entry(backend.clone()).or_insert(fresh);
         let before = record.decayed_at(now);
         let observed =
-            SlownessObservation { logarithms: before.logarithms + factor.ln(), weight: before.weight + 1.0 };
+            SlownessObservation { logarithms: before.logarithms + logarithm, weight: before.weight + 1.0 };
         *record = Record { observed: observed.capped(), updated_at: now };
     }
 
