Gateways learn and tell the lasting speed of each engine

Cause: engines of three lasting speeds got prompts as if they were equal: prompts at the slow ones waited while the fast ones were idle, and a node that began to place knew nothing of them. Change: `engines.learn_speeds`. Questions to the placing node and heartbeats tell lasting observations (fields 4 and 5 of BackendSlowness); the placing node counts its queues in the engine's own time; event 4120 and a gauge of the factors' range. Earlier builds pass over the fields. slow_engines and slow_versions run with and without the setting; the limits are those they had.

--- a/crates/beamwall-config/src/gateway.rs
+++ b/crates/beamwall-config/src/gateway.rs
@@ -103,6 +103,12 @@
         "false",
         "whether back ends that have just started or recovered get a growing share of requests",
     ),
+    optional(
+        "engines.learn_speeds",
+        ValueKind::Boolean,
+        "false",
+        "whether the lasting speed of each engine is learnt; otherwise all engines of a service count as equal",
+    ),
     optional(
         "limits.drain_s",
         seconds(0.0, 3_600.0),
@@ -177,6 +183,8 @@
     pub choice: ChoiceStrategy,
     /// Whether back ends that have just started or recovered get a growing share of requests.
     pub paces_back_ends: bool,
+    /// Whether the lasting speed of each engine is learnt.
+    pub learn_speeds: bool,
     /// Time from SIGTERM to the end of the process.
     pub drain_limit: Duration,
     /// Whether log lines are JSON.
@@ -229,6 +237,7 @@
             rollback: Duration::from_millis(number("rollouts.rollback_ms") as u64),
             choice: ChoiceStrategy::from_name(settings.text("choice.strategy").unwrap_or_default()),
             paces_back_ends: flag("pace.enabled"),
+            learn_speeds: flag("engines.learn_speeds"),
             drain_limit: Duration::from_secs_f64(number("limits.drain_s")),
             log_json: settings.text("log.format") != Some("text"),
             log_level: settings.text("log.level").unwrap_or("info").to_owned(),
--- a/crates/beamwall-engine-model/src/lasting_speed.rs
+++ b/crates/beamwall-engine-model/src/lasting_speed.rs
@@ -11,9 +11,9 @@
 use beamwall_model::BackendId;
 use tokio::time::Instant;
 
-/// Half-life of a record's weight without new samples. Some exploration remains: a back end that was avoided
-/// is tried again after minutes.
-const IDLE_HALF_LIFE: Duration = Duration::from_secs(120);
+/// Half-life of a record's weight without new samples: a back end that was slow for long and is avoided since
+/// is tried again after some 100 s.
+const IDLE_HALF_LIFE: Duration = Duration::from_secs(60);
 /// Half-life of a record relative to a newer one of the same back end by another node.
 const OUTDATED_HALF_LIFE: Duration = Duration::from_secs(10);
 /// Number of samples kept.
--- a/crates/beamwall-engine-model/tests/lasting_speed.rs
+++ b/crates/beamwall-engine-model/tests/lasting_speed.rs
@@ -192,6 +192,18 @@
     assert!(after < before * 1.25, "{after:.2} 8 s after the spell, {before:.2} before");
 }
 
+/// Guards against: a back end that was slow for long is avoided for ever after it has recovered.
+#[test]
+fn a_slow_back_end_without_requests_counts_as_usual_again_after_two_minutes() {
+    let mut fleet = Fleet::new(EngineModels::learning_speeds(), 8);
+    fleet.run(8, 60_000, |number, _| if number == 7 { 4.0 } else { 1.0 });
+    assert!(fleet.models.lasting_factor(&engine(7)) > 2.5);
+    fleet.run(7, 30_000, |_, _| 1.0);
+    assert!(fleet.models.lasting_factor(&engine(7)) > 2.5, "not forgotten within seconds");
+    fleet.run(7, 90_000, |_, _| 1.0);
+    assert_eq!(fleet.models.lasting_factor(&engine(7)), 1.0);
+}
+
 /// Guards against: a back end that has changed for good is taken for what it was.
 #[test]
 fn a_lasting_change_is_followed_within_ten_seconds() {
--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -163,6 +163,8 @@
     4118 Info EngineRests "engine rests" { backend, rest_ms }
     /// An engine names a rest that can't be understood.
     4119 Warn EngineRestUnreadable "engine rest unreadable" { backend, reason }
+    /// A back end is found to differ lastingly in speed from its service, for the first time.
+    4120 Debug EngineSpeedLearnt "engine speed learnt" { backend, factor }
     /// A back end that has just started or recovered gets a growing share of requests.
     4122 Info BackendPaced "back end paced" { backend, cause }
     /// An order to move a service to another version was read or heard of, or something of it changed.
--- a/crates/beamwall-gateway/src/candidates.rs
+++ b/crates/beamwall-gateway/src/candidates.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use beamwall_clock::process_clock;
-use beamwall_engine_model::{EngineModels, PrefillWork, ServiceEstimates};
+use beamwall_engine_model::{BackendKind, EngineModels, LastingFactors, PrefillWork, ServiceEstimates};
 use beamwall_model::{BackendId, ServiceName, ZoneName};
 use beamwall_pace::PaceTracker;
 use rand::seq::SliceRandom;
@@ -86,6 +86,12 @@
 }
 
 impl BackendState {
+    /// Empty state; `learn_speeds` tells whether the lasting speed of each engine is learnt.
+    pub fn new(learn_speeds: bool) -> Self {
+        let models = if learn_speeds { EngineModels::learning_speeds() } else { EngineModels::default() };
+        Self { models, ..Self::default() }
+    }
+
     /// Removes the state of back ends that are not in the directory.
     pub fn retain_listed(&self, directory: &Directory) {
         self.health.retain(|backend| directory.get(backend).is_some());
@@ -94,6 +100,7 @@
         self.queues.retain(|backend| directory.get(backend).is_some());
         self.reports.retain(|backend| directory.get(backend).is_some());
         self.models.retain_backends(|backend| directory.get(backend).is_some());
+        self.models.set_listed(directory.known().map(|backend| (backend.id.clone(), kind_of(backend))));
     }
 
     /// The candidates for a request, in random order so that candidates of equal cost share the load. If
@@ -122,7 +129,7 @@
                 backend: backend.id.clone(),
                 same_zone: &backend.zone == search.zone,
                 slots: backend.slots,
-                load: self.load(&backend.id, search.by, &estimates, now),
+                load: self.load(&backend.id, search.by, &estimates, factors.lasting(), now),
                 prefill: search
                     .prompt
                     .map(|prompt| self.prefill_work(&backend.id, preferred_back_end, prompt, now)),
@@ -166,12 +173,14 @@
         backend: &BackendId,
         by: ChosenBy,
         estimates: &ServiceEstimates,
+        lasting: &LastingFactors,
         now: Instant,
     ) -> OpenLoad {
         let reported_load = self.loads.total(backend);
         match (by, estimates.tokens_per_ms()) {
             (ChosenBy::PlacementNode, Some(speed)) => {
-                let prompt_tokens = (self.queues.prefill_left_ms(backend, now) * speed) as u64;
+                let left_ms = self.queues.prefill_left_ms(backend, now);
+                let prompt_tokens = (left_ms * speed / lasting.for_backend(backend)) as u64;
                 OpenLoad {
                     prompt_tokens,
                     requests: reported_load.requests + self.queues.unreported_requests(backend, now),
@@ -195,3 +204,8 @@
         PrefillWork::of_uncached(cached, u64::from(prompt.prompt_tokens) - cached)
     }
 }
+
+/// The kind of back ends that one is assumed to be like while its speed is not known.
+fn kind_of(backend: &Backend) -> BackendKind {
+    BackendKind { service: backend.service.clone(), reclaimable: backend.reclaimable }
+}
--- a/crates/beamwall-gateway/src/choice.rs
+++ b/crates/beamwall-gateway/src/choice.rs
@@ -41,7 +41,7 @@
     pub load: OpenLoad,
     /// Prefill work that the request's prompt would cause there; `None` for plain calls.
     pub prefill: Option<PrefillWork>,
-    /// Factor by which it is slower than its service usually is.
+    /// Factor by which it is now slower than its service usually is, lastingly or for the moment.
     pub slowness: f64,
     /// Recent health.
     pub health: HealthView,
--- a/crates/beamwall-gateway/src/directory.rs
+++ b/crates/beamwall-gateway/src/directory.rs
@@ -132,6 +132,11 @@
         self.backends.values().map(Arc::as_ref)
     }
 
+    /// All back ends, listed or expired.
+    pub fn known(&self) -> impl Iterator<Item = &Backend> {
+        self.by_id.values().map(Arc::as_ref)
+    }
+
     /// One back end, listed or expired; `None` for a generation that has been superseded.
     pub fn get(&self, id: &BackendId) -> Option<&Backend> {
         self.by_id.get(id).map(Arc::as_ref)
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -370,7 +370,8 @@
             return Some(choice);
         }
         if let Some(prefill_ms) = estimates.prefill_ms(choice.prefill) {
-            self.backend_state.queues.add(&choice.backend, prefill_ms, now);
+            let factor = self.backend_state.models.lasting_factor(&choice.backend);
+            self.backend_state.queues.add(&choice.backend, prefill_ms * factor, now);
         }
         self.backend_state.prefixes.note_prefill(&choice.backend, &engine_query.prompt, now);
         Some(choice)
--- a/crates/beamwall-gateway/src/pacing.rs
+++ b/crates/beamwall-gateway/src/pacing.rs
@@ -52,7 +52,7 @@
 /// Records what the sender of a placement query observed.
 pub fn note_reports(state: &BackendState, query: &PlacementQuery, now: Instant) {
     for (backend, observed) in &query.observed {
-        state.pace.note_response(backend, observed.mean_ratio(), now);
+        state.pace.note_response(backend, observed.recent.mean_ratio(), now);
     }
     for backend in query.unreachable.iter().filter(|backend| state.reports.is_confirmed(backend, now)) {
         note_returned(&state.pace, backend, now);
--- a/crates/beamwall-gateway/src/placement.rs
+++ b/crates/beamwall-gateway/src/placement.rs
@@ -13,7 +13,7 @@
 
 use async_trait::async_trait;
 use beamwall_admission::{CapacityClaim, Rejection};
-use beamwall_engine_model::{FirstEventInputs, PrefillWork, SlownessObservation};
+use beamwall_engine_model::{EngineObservation, FirstEventInputs, PrefillWork};
 use beamwall_model::{BackendId, EngineVersion, NodeId, ServiceName, ZoneName};
 use tokio::time::Instant;
 
@@ -52,8 +52,8 @@
     pub stream_version: Option<EngineVersion>,
     /// Engines that the sender recently could not reach.
     pub unreachable: Vec<BackendId>,
-    /// Slowness of single engines of the group that the sender observed and has not reported yet.
-    pub observed: Vec<(BackendId, SlownessObservation)>,
+    /// Speed of single engines of the group that the sender observed and has not reported yet.
+    pub observed: Vec<(BackendId, EngineObservation)>,
     /// Longest gap between two events at which the stream meets its objective.
     pub pause_objective_ms: Option<u64>,
     /// Time left until the caller's deadline.
@@ -85,7 +85,8 @@
     /// Expected time until it starts its response, in milliseconds; `None` while the service's model is not
     /// trained.
     pub expected_ms: Option<f64>,
-    /// Factor by which it is slower than its service usually is; already included in the expected time.
+    /// Factor by which it is now slower than its service usually is, lastingly or for the moment; already
+    /// included in the expected time.
     pub slowness: f64,
     /// Prefill work of the prompt.
     pub prefill: PrefillWork,
--- a/crates/beamwall-gateway/tests/slow_engines.rs
+++ b/crates/beamwall-gateway/tests/slow_engines.rs
@@ -53,21 +53,18 @@
 }
 
 impl Fleet {
-    fn new() -> Self {
-        let placement_node = BackendState::default();
+    fn new(learn_speeds: bool) -> Self {
+        let placement_node = BackendState::new(learn_speeds);
         support::add_peer_statistics(&placement_node.models, support::statistics_with_running_ms(0.0));
         let new_gateway = |_| {
-            let models = EngineModels::default();
+            let models = BackendState::new(learn_speeds).models;
             support::add_peer_statistics(&models, support::statistics_with_running_ms(0.0));
             models
         };
-        let gateways = (0..GATEWAYS).map(new_gateway).collect();
-        Self {
-            directory: support::directory(ENGINES, SLOTS),
-            placement_node,
-            gateways,
-            in_flight: BinaryHeap::new(),
-        }
+        let gateways: Vec<EngineModels<Reporter>> = (0..GATEWAYS).map(new_gateway).collect();
+        let directory = support::directory(ENGINES, SLOTS);
+        placement_node.retain_listed(&directory);
+        Self { directory, placement_node, gateways, in_flight: BinaryHeap::new() }
     }
 
     /// Places a request of a gateway, after the gateway has reported its observations.
@@ -128,8 +125,8 @@
 }
 
 /// Percentage of each second's requests that go to slow engines.
-async fn shares() -> Vec<f64> {
-    let mut fleet = Fleet::new();
+async fn shares(learn_speeds: bool) -> Vec<f64> {
+    let mut fleet = Fleet::new(learn_speeds);
     let mut random = SmallRng::seed_from_u64(11);
     let (start, mut refreshed) = (Instant::now(), Instant::now());
     let mut counts = vec![(0_u32, 0_u32); DURATION_S];
@@ -159,7 +156,16 @@
 
 #[tokio::test(start_paused = true)]
 async fn slow_engines_are_avoided_within_two_seconds_and_used_again_after_recovery() {
-    let shares = shares().await;
+    check_shares(&shares(false).await);
+}
+
+/// Guards against: some seconds of slowness become an engine's lasting speed.
+#[tokio::test(start_paused = true)]
+async fn slow_engines_are_avoided_and_used_again_also_where_lasting_speeds_are_learnt() {
+    check_shares(&shares(true).await);
+}
+
+fn check_shares(shares: &[f64]) {
     println!("{shares:.1?}");
     let mean = |from: usize, until: usize| shares[from..until].iter().sum::<f64>() / (until - from) as f64;
     assert!(mean(0, 2) > 10.0, "a fair share would be 15%: {shares:.1?}");
--- a/crates/beamwall-gateway/tests/slow_versions.rs
+++ b/crates/beamwall-gateway/tests/slow_versions.rs
@@ -13,7 +13,7 @@
 
 use std::time::Duration;
 
-use beamwall_engine_model::{FirstEventInputs, PrefillWork};
+use beamwall_engine_model::{BackendKind, FirstEventInputs, PrefillWork};
 use beamwall_gateway::Choice;
 use beamwall_gateway::candidates::BackendState;
 use beamwall_model::BackendId;
@@ -23,6 +23,8 @@
 
 /// Engines of the new version that receive requests.
 const NEW_ENGINES: usize = 5;
+/// Engines of the old version.
+const OLD_ENGINES: usize = 60;
 /// Responses of the old version for each one of the new version.
 const OLD_ANSWERS_PER_NEW: usize = 19;
 /// Responses of the new version.
@@ -32,14 +34,23 @@
 /// Prompt tokens of each request.
 const TOKENS: u64 = 4_000;
 
+/// All engines of both versions.
+fn listed_engines() -> impl Iterator<Item = (BackendId, BackendKind)> {
+    let old = (0..OLD_ENGINES).map(|number| format!("old{number}"));
+    let new = (0..NEW_ENGINES).map(|number| format!("new{number}"));
+    let kind = BackendKind { service: "pool".into(), reclaimable: false };
+    old.chain(new).map(move |engine| (BackendId::new(engine), kind.clone()))
+}
+
 struct Observer {
     backend_state: BackendState,
     random: SmallRng,
 }
 
 impl Observer {
-    fn new(seed: u64) -> Self {
-        let backend_state = BackendState::default();
+    fn new(seed: u64, learn_speeds: bool) -> Self {
+        let backend_state = BackendState::new(learn_speeds);
+        backend_state.models.set_listed(listed_engines());
         support::add_peer_statistics(&backend_state.models, support::statistics_with_running_ms(0.0));
         Self { backend_state, random: SmallRng::seed_from_u64(seed) }
     }
@@ -76,12 +87,12 @@
 
 /// Percentages of slow responses of the new version, which takes `factor` times as long, and of the old
 /// version.
-async fn slow_shares(factor: f64) -> (f64, f64) {
-    let mut observer = Observer::new(7);
+async fn slow_shares(factor: f64, learn_speeds: bool) -> (f64, f64) {
+    let mut observer = Observer::new(7, learn_speeds);
     let (mut slow_new, mut slow_old) = (0, 0);
     for number in 0..NEW_ANSWERS {
         for _ in 0..OLD_ANSWERS_PER_NEW {
-            let engine = BackendId::new(format!("old{}", observer.random.random_range(0..60)));
+            let engine = BackendId::new(format!("old{}", observer.random.random_range(0..OLD_ENGINES)));
             slow_old += u32::from(observer.answer(&engine, 1.0).await);
         }
         let engine = BackendId::new(format!("new{}", number % NEW_ENGINES));
@@ -93,8 +104,18 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_slow_version_stays_slow_however_long_it_is_observed() {
+    check_slow_version(false).await;
+}
+
+/// Guards against: the lasting speed of a slow version's engines becomes what is expected of the version.
+#[tokio::test(start_paused = true)]
+async fn a_slow_version_stays_slow_also_where_lasting_speeds_are_learnt() {
+    check_slow_version(true).await;
+}
+
+async fn check_slow_version(learn_speeds: bool) {
     for (factor, least) in [(3.0, 70.0), (8.0, 98.0)] {
-        let (new, old) = slow_shares(factor).await;
+        let (new, old) = slow_shares(factor, learn_speeds).await;
         println!("{factor} times slower: {new:.0}% of its responses slow, {old:.1}% of the old version's");
         assert!(new >= least, "{factor} times slower: {new}% of responses count as slow");
         assert!(old <= 1.0, "{old}% of the old version's responses count as slow");
@@ -103,6 +124,8 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_version_that_is_as_fast_as_the_old_one_is_not_slow() {
-    let (new, _) = slow_shares(1.0).await;
-    assert!(new <= 1.0, "{new}% of responses count as slow");
+    for learn_speeds in [false, true] {
+        let (new, _) = slow_shares(1.0, learn_speeds).await;
+        assert!(new <= 1.0, "{new}% of responses count as slow");
+    }
 }
--- a/crates/beamwall-node/src/gateway/gauges.rs
+++ b/crates/beamwall-node/src/gateway/gauges.rs
@@ -35,6 +35,7 @@
     nodes_heard: IntGauge,
     peers_ended_abruptly: IntGauge,
     engine_model_known: GaugeVec,
+    engine_factor: GaugeVec,
     quota_level: GaugeVec,
     retries_left: GaugeVec,
     requests_held: IntGauge,
@@ -47,6 +48,17 @@
     Ok(gauge)
 }
 
+/// The gauge of the range of the engines' lasting factors: three series a service.
+fn factor_gauge(registry: &Registry) -> Result<GaugeVec, prometheus::Error> {
+    let options = Opts::new(
+        "beamwall_gateway_engine_factor",
+        "lasting time of a service's engines relative to its usual: of the fastest, the middle and the slowest",
+    );
+    let gauge = GaugeVec::new(options, &["service", "of"])?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
+
 impl GatewayGauges {
     /// Registers the gauges.
     pub fn new(registry: &Registry) -> Result<Self, prometheus::Error> {
@@ -118,6 +130,7 @@
                 "1 where enough was observed of a service's model engines to plan their number",
                 registry,
             )?,
+            engine_factor: factor_gauge(registry)?,
             quota_level: gauge_by(
                 "tenant",
                 "beamwall_gateway_quota_level",
@@ -182,6 +195,20 @@
                 .with_label_values(&[service.name.as_str()])
                 .set(f64::from(u8::from(is_known)));
         }
+        self.refresh_engine_factors(gateway);
+    }
+
+    fn refresh_engine_factors(&self, gateway: &Gateway) {
+        self.engine_factor.reset();
+        let policy = gateway.policy.load();
+        for service in policy.policy().services.iter().filter(|service| service.engine.is_some()) {
+            let models = &gateway.forwarder.backend_state.models;
+            let Some(spread) = models.factor_spread(&service.name) else { continue };
+            for (of, factor) in [("fastest", spread.min), ("middle", spread.median), ("slowest", spread.max)]
+            {
+                self.engine_factor.with_label_values(&[service.name.as_str(), of]).set(factor);
+            }
+        }
     }
 
     /// Sets the gauges of quotas and retry budgets; removed tenants and services lose their series.
--- a/crates/beamwall-node/src/gateway/heartbeat_wire.rs
+++ b/crates/beamwall-node/src/gateway/heartbeat_wire.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use beamwall_engine_limits::{DepartureReport, LimitReport, RejectionReport, RequestRate};
-use beamwall_engine_model::{ServiceStatistics, SlownessObservation, Workload};
+use beamwall_engine_model::{
+    EngineObservation, LastingObservation, ServiceStatistics, SlownessObservation, Workload,
+};
 use beamwall_gateway::load::OpenLoad;
 use beamwall_gateway::usage::{PartialSum, WindowCounts};
 use beamwall_model::{BackendId, ServiceName, TenantName};
@@ -94,22 +96,28 @@
     models.iter().filter_map(decode).collect()
 }
 
-/// Encodes slowness observations of single back ends.
-pub fn encode_slowness(observed: Vec<(BackendId, SlownessObservation)>) -> Vec<BackendSlowness> {
-    let encode = |(backend, observation): (BackendId, SlownessObservation)| BackendSlowness {
+/// Encodes observations of single back ends.
+pub fn encode_slowness(observed: Vec<(BackendId, EngineObservation)>) -> Vec<BackendSlowness> {
+    let encode = |(backend, observation): (BackendId, EngineObservation)| BackendSlowness {
         backend: backend.to_string(),
-        logarithms: observation.logarithms as f32,
-        weight: observation.weight as f32,
+        logarithms: observation.recent.logarithms as f32,
+        weight: observation.recent.weight as f32,
+        lasting_logarithms: observation.lasting.logarithms as f32,
+        lasting_weight: observation.lasting.weight as f32,
     };
     observed.into_iter().map(encode).collect()
 }
 
-/// Decodes slowness observations of single back ends.
-pub fn decode_slowness(messages: &[BackendSlowness]) -> Vec<(BackendId, SlownessObservation)> {
+/// Decodes observations of single back ends. Earlier builds tell nothing of lasting speeds.
+pub fn decode_slowness(messages: &[BackendSlowness]) -> Vec<(BackendId, EngineObservation)> {
     let decode = |one: &BackendSlowness| {
-        let observed =
+        let recent =
             SlownessObservation { logarithms: f64::from(one.logarithms), weight: f64::from(one.weight) };
-        (BackendId::new(&one.backend), observed)
+        let lasting = LastingObservation {
+            logarithms: f64::from(one.lasting_logarithms),
+            weight: f64::from(one.lasting_weight),
+        };
+        (BackendId::new(&one.backend), EngineObservation { recent, lasting })
     };
     messages.iter().map(decode).collect()
 }
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -391,7 +391,10 @@
         dialect: ports.dialect.clone(),
         pool,
         directory,
-        backend_state: BackendState { pace: assemble_pace(settings), ..BackendState::default() },
+        backend_state: BackendState {
+            pace: assemble_pace(settings),
+            ..BackendState::new(settings.learn_speeds)
+        },
         chooser: Chooser::new(settings.choice),
         placement: peers.placement,
         gate,
--- a/crates/beamwall-node/src/gateway/observations.rs
+++ b/crates/beamwall-node/src/gateway/observations.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use beamwall_events::emit;
-use beamwall_events::internal_events::EngineModelLearnt;
+use beamwall_events::internal_events::{EngineModelLearnt, EngineSpeedLearnt};
 use beamwall_gateway::Reporter;
 use beamwall_peer::gateway_message::{BackendSlowness, ServiceModel};
 use tokio::time::Instant;
@@ -37,6 +37,9 @@
                 deviation: format!("{:.2}", estimates.first_event_deviation().unwrap_or(0.0)),
             });
         }
+        for (backend, factor) in models.take_newly_notable(Instant::now()) {
+            emit(&EngineSpeedLearnt { backend: backend.to_string(), factor: format!("{factor:.2}") });
+        }
     }
 
     /// Observations of this node, for its peers; service statistics are included only periodically.
--- a/crates/beamwall-node/tests/earlier_builds.rs
+++ b/crates/beamwall-node/tests/earlier_builds.rs
@@ -9,10 +9,12 @@
 
 mod recorded_schema;
 
+use beamwall_engine_model::LastingObservation;
 use beamwall_gateway::Backend;
 use beamwall_gateway::ports::DirectorySnapshot;
 use beamwall_model::{BackendId, EngineVersion, InstanceName, ServiceName, StoreRevision, ZoneName};
 use beamwall_node::gateway::directory_wire::{self, DirectoryUpdate};
+use beamwall_node::gateway::heartbeat_wire;
 use beamwall_peer::gateway_message::{
     BackendLoad, BackendSlowness, DirectoryAnswer, DirectoryRequest, GatewayHeartbeat, GenerationUsage,
     PolicyAnswer, PolicyRequest, QuotaUse, ServiceDemand, ServiceModel, UsageAnswer, UsageCount,
@@ -84,7 +86,8 @@
 }
 
 fn slowness() -> Vec<BackendSlowness> {
-    vec![BackendSlowness { backend: "i-3".to_owned(), logarithms: 0.5, weight: 2.0 }]
+    let backend = "i-3".to_owned();
+    vec![BackendSlowness { backend, logarithms: 0.5, weight: 2.0, ..BackendSlowness::default() }]
 }
 
 fn members() -> Vec<MemberUpdate> {
@@ -274,6 +277,22 @@
     assert_eq!(reply.slowness, 0.0, "no slowness is told");
 }
 
+/// Guards against: lasting speeds hide the slowness at the moment from earlier builds, or are read from them.
+#[test]
+fn earlier_builds_pass_over_lasting_speeds_and_tell_none() {
+    let told = BackendSlowness { lasting_logarithms: -4.0, lasting_weight: 8.0, ..slowness().remove(0) };
+    let beat = GatewayHeartbeat { slowness: vec![told.clone()], ..beat() };
+    let bytes = envelope(Body::GatewayBeat(beat)).encode_to_vec();
+    let read = earlier::Envelope::decode(bytes.as_slice()).expect("new fields are passed over");
+    let Some(earlier::Body::GatewayBeat(read)) = read.body else { panic!() };
+    let slow = &read.slowness[0];
+    assert_eq!((slow.backend.as_str(), slow.logarithms, slow.weight), ("i-3", 0.5, 2.0));
+    let decoded = heartbeat_wire::decode_slowness(std::slice::from_ref(&told));
+    assert_eq!(heartbeat_wire::encode_slowness(decoded), vec![told]);
+    let from_earlier = heartbeat_wire::decode_slowness(&slowness()).remove(0).1;
+    assert_eq!(from_earlier.lasting, LastingObservation::default());
+}
+
 /// Guards against: eras of the store that earlier builds do not know hide from them which list is told.
 #[test]
 fn earlier_builds_pass_over_the_eras_of_lists() {
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -124,6 +124,12 @@
     /// Sum of the weights.
     #[prost(float, tag = "3")]
     pub weight: f32,
+    /// Weighted sum of the logarithms of the factors by which it lastingly takes longer than its service.
+    #[prost(float, tag = "4")]
+    pub lasting_logarithms: f32,
+    /// Sum of their weights; 0 if nothing is told of its lasting speed.
+    #[prost(float, tag = "5")]
+    pub lasting_weight: f32,
 }
 
 /// Summary of the gateways of one zone, computed by one of its relays for the other zones. The relay that
