Placement knows the work queued at engines by rank

Urgent requests are no longer expected to wait behind less urgent prompts that the engine prefills after them. Cause: the placing node counted all prompts that it had placed at an engine as ahead of a request, while engines prefill the most urgent prompt first. Change: PrefillQueues in its own module, with the work left by rank and the prompt that is being prefilled; Search names the rank of the request.

--- a/crates/beamwall-gateway/benches/choice.rs
+++ b/crates/beamwall-gateway/benches/choice.rs
@@ -53,6 +53,7 @@
         zone: &zone,
         prompt: Some(prompt),
         group,
+        rank: 0,
         avoided: &[],
         versions: &AllowedVersions::All,
         by,
--- a/crates/beamwall-gateway/src/candidates.rs
+++ b/crates/beamwall-gateway/src/candidates.rs
@@ -44,6 +44,8 @@
     pub group: EngineGroup,
     /// Back ends that are excluded.
     pub avoided: &'a [BackendId],
+    /// Rank of the request among those of an engine; 0 is the most urgent.
+    pub rank: u8,
     /// Versions that may serve the request.
     pub versions: &'a AllowedVersions,
     /// Who chooses, which determines how precisely the queued prompts are known.
@@ -129,7 +131,7 @@
                 backend: backend.id.clone(),
                 same_zone: &backend.zone == search.zone,
                 slots: backend.slots,
-                load: self.load(&backend.id, search.by, &estimates, factors.lasting(), now),
+                load: self.load(&backend.id, search, &estimates, factors.lasting(), now),
                 prefill: search
                     .prompt
                     .map(|prompt| self.prefill_work(&backend.id, preferred_back_end, prompt, now)),
@@ -171,16 +173,16 @@
     fn load(
         &self,
         backend: &BackendId,
-        by: ChosenBy,
+        search: Search<'_>,
         estimates: &ServiceEstimates,
         lasting: &LastingFactors,
         now: Instant,
     ) -> OpenLoad {
         let reported_load = self.loads.total(backend);
-        match (by, estimates.tokens_per_ms()) {
+        match (search.by, estimates.tokens_per_ms()) {
             (ChosenBy::PlacementNode, Some(speed)) => {
-                let left_ms = self.queues.prefill_left_ms(backend, now);
-                let prompt_tokens = (left_ms * speed / lasting.for_backend(backend)) as u64;
+                let ahead_ms = self.queues.prefill_ahead_ms(backend, search.rank, now);
+                let prompt_tokens = (ahead_ms * speed / lasting.for_backend(backend)) as u64;
                 OpenLoad {
                     prompt_tokens,
                     requests: reported_load.requests + self.queues.unreported_requests(backend, now),
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -358,6 +358,7 @@
             zone: &engine_query.zone,
             prompt: Some(&engine_query.prompt),
             group: engine_query.group,
+            rank: engine_query.claim.rank,
             avoided: &avoided,
             versions: &versions,
             by: ChosenBy::PlacementNode,
@@ -371,7 +372,12 @@
         }
         if let Some(prefill_ms) = estimates.prefill_ms(choice.prefill) {
             let factor = self.backend_state.models.lasting_factor(&choice.backend);
-            self.backend_state.queues.add(&choice.backend, prefill_ms * factor, now);
+            self.backend_state.queues.add_with_rank(
+                &choice.backend,
+                engine_query.claim.rank,
+                prefill_ms * factor,
+                now,
+            );
         }
         self.backend_state.prefixes.note_prefill(&choice.backend, &engine_query.prompt, now);
         Some(choice)
@@ -388,6 +394,7 @@
             zone: &self.zone,
             prompt: call.prompt.as_ref(),
             group: EngineGroup::WHOLE,
+            rank: MOST_URGENT_RANK,
             avoided,
             versions,
             by: if self.chooser.is_baseline() { ChosenBy::Baseline } else { ChosenBy::Sender },
--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod placement;
 pub mod placement_groups;
 pub mod ports;
+pub mod prefill_queues;
 pub mod prefix_cache;
 pub mod quarantine;
 pub mod quota;
--- a/crates/beamwall-gateway/src/placement.rs
+++ b/crates/beamwall-gateway/src/placement.rs
@@ -7,7 +7,7 @@
 //!
 //! A placement is advice: a node that receives none in time chooses by itself, based on its peers' reports.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -19,6 +19,7 @@
 
 use crate::placement_groups::EngineGroup;
 use crate::ports::Prompt;
+pub use crate::prefill_queues::PrefillQueues;
 
 /// Number of nodes that must have failed to reach an engine before all nodes avoid it. A single node may
 /// itself be disconnected.
@@ -145,60 +146,6 @@
     async fn place(&self, question: &PlacementQuery) -> PlacementOutcome;
 }
 
-/// Mean time until a node has reported the requests placed for it. Until then only the placement node knows
-/// of them.
-const REPORT_DELAY: Duration = Duration::from_millis(600);
-
-/// Prompts that this node placed at one engine.
-#[derive(Debug, Clone)]
-struct PrefillQueue {
-    /// Time at which all these prompts will be prefilled, one after another.
-    end: Instant,
-    /// Times of the most recent placements.
-    placed: VecDeque<Instant>,
-}
-
-/// Prompts that this node placed, by engine.
-#[derive(Debug, Default)]
-pub struct PrefillQueues {
-    queues: Mutex<HashMap<BackendId, PrefillQueue>>,
-}
-
-impl PrefillQueues {
-    fn lock(&self) -> MutexGuard<'_, HashMap<BackendId, PrefillQueue>> {
-        self.queues.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Requests placed at an engine that their senders have not reported yet.
-    pub fn unreported_requests(&self, backend: &BackendId, now: Instant) -> u32 {
-        let queues = self.lock();
-        let is_unreported = |placed: &&Instant| now.saturating_duration_since(**placed) < REPORT_DELAY;
-        queues.get(backend).map_or(0, |queue| queue.placed.iter().filter(is_unreported).count() as u32)
-    }
-
-    /// Time for which an engine is still busy with prefill, in milliseconds.
-    pub fn prefill_left_ms(&self, backend: &BackendId, now: Instant) -> f64 {
-        let end = self.lock().get(backend).map_or(now, |queue| queue.end);
-        end.saturating_duration_since(now).as_secs_f64() * 1_000.0
-    }
-
-    /// Records a placed prompt that takes `prefill_ms` to prefill.
-    pub fn add(&self, backend: &BackendId, prefill_ms: f64, now: Instant) {
-        let prefill_time = Duration::from_secs_f64(prefill_ms.max(0.0) / 1_000.0);
-        let mut queues = self.lock();
-        let empty_queue = || PrefillQueue { end: now, placed: VecDeque::new() };
-        let queue = queues.entry(backend.clone()).or_insert_with(empty_queue);
-        queue.end = queue.end.max(now) + prefill_time;
-        queue.placed.retain(|placed| now.saturating_duration_since(*placed) < REPORT_DELAY);
-        queue.placed.push_back(now);
-    }
-
-    /// Removes back ends that are gone.
-    pub fn retain(&self, is_known: impl Fn(&BackendId) -> bool) {
-        self.lock().retain(|backend, _| is_known(backend));
-    }
-}
-
 /// Engines that nodes could not reach. A crashed engine has an empty queue, so it would be the first choice
 /// for every node until each node had discovered the crash by itself.
 #[derive(Debug, Default)]
--- a/crates/beamwall-gateway/tests/placement.rs
+++ b/crates/beamwall-gateway/tests/placement.rs
@@ -52,6 +52,7 @@
         zone: &"a".into(),
         prompt: Some(prompt),
         group: EngineGroup::WHOLE,
+        rank: 0,
         avoided,
 
         versions: &AllowedVersions::All,
