Admission controller of a group of engines: fair shares, reservations, order of return

Callers see nothing yet: no node asks the controller. Cause: while capacity is short all requests are queued and all responses come late, whoever sends how much. Change: AdmissionController decides by the wait of a request in relation to its objective, by the weighted max-min share of its tenant, and by the reservation of a caller that returns. Tests run it against a small model of groups of engines. Measured: tests of beamwall-admission pass.

--- a/crates/beamwall-admission/src/decision.rs
+++ b/crates/beamwall-admission/src/decision.rs
@@ -31,6 +31,8 @@
 pub struct Rejection {
     /// Why.
     pub reason: RejectionReason,
+    /// Expected time until its response would have started at the best engine.
+    pub expected: Duration,
     /// Time after which there will be capacity for it.
     pub retry_after: Duration,
 }
@@ -44,5 +46,17 @@
         is_return: bool,
     },
     /// It must not be sent.
-    Rejected(Rejection),
+    Rejected {
+        /// Why, and when to retry.
+        rejection: Rejection,
+        /// Whether it is a caller's return to a reservation.
+        is_return: bool,
+    },
+}
+
+impl Decision {
+    /// Whether it may be sent.
+    pub const fn is_admitted(&self) -> bool {
+        matches!(self, Self::Admitted { .. })
+    }
 }
--- a/crates/beamwall-admission/src/lib.rs
+++ b/crates/beamwall-admission/src/lib.rs
@@ -8,7 +8,14 @@
 //! This package performs no input or output and decides nothing about single engines.
 
 pub mod claim;
+pub mod controller;
+pub mod decayed_rate;
 pub mod decision;
+pub mod fair_shares;
+pub mod request;
+pub mod reservations;
 
 pub use claim::CapacityClaim;
+pub use controller::AdmissionController;
 pub use decision::{Decision, Rejection, RejectionReason};
+pub use request::CapacityRequest;
