The placing node of a group admits requests, and callers without capacity are refused at once

Callers of tenants beyond their share get 503 with a time to return while engines are short, and their quota back; with admission.enabled = false nothing changes. Cause: all requests were queued until their deadline, whoever sends how much and however late the response would be. Change: Forwarder::place asks GroupAdmission; senders ask the second group and then refuse; messages in placement_wire; metrics, event 5118, settings key. Retries inside the system and continued streams claim an objective of zero and are always admitted, as are requests of earlier builds.

--- a/crates/beamwall-admission/src/claim.rs
+++ b/crates/beamwall-admission/src/claim.rs
@@ -14,7 +14,8 @@
     pub tenant: Option<TenantName>,
     /// Rank of the request among those of its engine; 0 is the most urgent.
     pub rank: u8,
-    /// Time within which its response should start, counted from its arrival at the sender; zero: not known.
+    /// Time within which its response should start, counted from its arrival at the sender; zero if it is
+    /// not known, or if the request is to be admitted in any case.
     pub objective: Duration,
     /// Equal for all tries of one request by its caller.
     pub fingerprint: [u8; FINGERPRINT_BYTES],
--- a/crates/beamwall-admission/src/controller.rs
+++ b/crates/beamwall-admission/src/controller.rs
@@ -33,6 +33,9 @@
 const LATE_RETURN_FRACTION: f64 = 0.8;
 /// Fraction of the group that is promised to returns which will be late.
 const LATE_RETURN_SHARE: f64 = 0.1;
+/// Fraction of the engines of the time of a reservation that must be left for it to be kept. Single engines come
+/// and go for moments, as their limits allow.
+const KEPT_ENGINES_FRACTION: f64 = 0.9;
 /// Callers honour `Retry-After` up to their remaining time divided by this.
 const RETRY_WAIT_DIVISOR: u32 = 3;
 /// Shortest `retry_after`.
@@ -119,7 +122,7 @@
         }
         self.compute_shares(request, now);
         let due = reservation.filter(|reservation| reservation.is_due(now));
-        if request.is_exempt() || request.is_idle {
+        if request.is_exempt || request.is_idle {
             return Decision::Admitted { is_return: due.is_some() };
         }
         let first_seen = reservation.map_or(now, |reservation| reservation.first_seen);
@@ -153,7 +156,8 @@
         wait: Wait,
         now: Instant,
     ) -> Decision {
-        let is_kept = request.engines >= reservation.engines && request.expected <= request.remaining;
+        let engines_expected = f64::from(reservation.engines) * KEPT_ENGINES_FRACTION;
+        let is_kept = f64::from(request.engines) >= engines_expected && request.expected <= request.remaining;
         if is_kept || wait.fraction() <= RETURN_FRACTION {
             return Decision::Admitted { is_return: true };
         }
--- a/crates/beamwall-admission/src/request.rs
+++ b/crates/beamwall-admission/src/request.rs
@@ -23,6 +23,8 @@
     pub is_idle: bool,
     /// Time left until the caller's deadline.
     pub remaining: Duration,
+    /// Whether it is admitted in any case: it continues a stream, or is a retry inside the system.
+    pub is_exempt: bool,
 }
 
 impl CapacityRequest<'_> {
@@ -30,9 +32,4 @@
     pub fn service_time(&self) -> Duration {
         self.expected.saturating_sub(self.wait)
     }
-
-    /// Whether admission does not apply: its objective is not known, as for a retry inside the system.
-    pub fn is_exempt(&self) -> bool {
-        self.claim.objective.is_zero()
-    }
 }
--- a/crates/beamwall-admission/tests/support/mod.rs
+++ b/crates/beamwall-admission/tests/support/mod.rs
@@ -265,6 +265,7 @@
             engines: usable as u32,
             is_idle: wait.is_zero(),
             remaining,
+            is_exempt: false,
         };
         match group.controller.decide(&request, self.start + at) {
             Decision::Admitted { is_return } => {
--- a/crates/beamwall-config/src/gateway.rs
+++ b/crates/beamwall-config/src/gateway.rs
@@ -109,6 +109,12 @@
         "false",
         "whether the lasting speed of each engine is learnt; otherwise all engines of a service count as equal",
     ),
+    optional(
+        "admission.enabled",
+        ValueKind::Boolean,
+        "false",
+        "whether requests are rejected at once while engines have no capacity for them",
+    ),
     optional(
         "limits.drain_s",
         seconds(0.0, 3_600.0),
@@ -185,6 +191,8 @@
     pub paces_back_ends: bool,
     /// Whether the lasting speed of each engine is learnt.
     pub learn_speeds: bool,
+    /// Whether requests are rejected at once while engines have no capacity for them.
+    pub admission: bool,
     /// Time from SIGTERM to the end of the process.
     pub drain_limit: Duration,
     /// Whether log lines are JSON.
@@ -238,6 +246,7 @@
             choice: ChoiceStrategy::from_name(settings.text("choice.strategy").unwrap_or_default()),
             paces_back_ends: flag("pace.enabled"),
             learn_speeds: flag("engines.learn_speeds"),
+            admission: flag("admission.enabled"),
             drain_limit: Duration::from_secs_f64(number("limits.drain_s")),
             log_json: settings.text("log.format") != Some("text"),
             log_level: settings.text("log.level").unwrap_or("info").to_owned(),
--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -219,6 +219,8 @@
     5116 Info StreamOriginFound "version of a resumed stream found" { request, resumes, service, version, known_from, age_ms }
     /// The versions that engines have had lately can't be written to the store or read from it.
     5117 Warn EngineVersionsNotKept "engine versions not kept" { reason }
+    /// The groups of engines that were asked have no capacity for a request.
+    5118 Info CapacityRejected "no capacity for the request" { request, tenant, rank, reason, expected_ms, objective_ms, retry_after_ms }
     /// The platform stopped answering.
     6001 Warn PlatformAway "platform away" { reason }
     /// The platform answers again.
--- a/crates/beamwall-gateway/src/admission.rs
+++ b/crates/beamwall-gateway/src/admission.rs
@@ -41,7 +41,7 @@
 
 /// Lower confidence bound of the time until the back end starts its response; `None` while the model has no
 /// estimate.
-fn confident_wait(choice: &Choice, estimates: &ServiceEstimates) -> Option<Duration> {
+pub(crate) fn confident_wait(choice: &Choice, estimates: &ServiceEstimates) -> Option<Duration> {
     let error_ms = estimates.first_event_error_ms(choice.first_event())?;
     let lower_bound_ms = choice.expected_ms? - CONFIDENCE_STANDARD_ERRORS * error_ms;
     Some(Duration::from_secs_f64(lower_bound_ms.max(0.0) / 1_000.0))
--- a/crates/beamwall-gateway/src/attempts.rs
+++ b/crates/beamwall-gateway/src/attempts.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use beamwall_admission::Rejection;
 use beamwall_clock::process_clock;
 use beamwall_events::emit;
 use beamwall_events::internal_events::AttemptFailed;
@@ -38,6 +39,8 @@
     EngineLimit,
     /// The available engines want no requests from this node for a while.
     EngineRest,
+    /// The groups of engines have no capacity for the request.
+    Capacity,
 }
 
 impl From<NoBackEnd> for RetryBlocker {
@@ -46,6 +49,7 @@
             NoBackEnd::Unavailable => Self::BackEnd,
             NoBackEnd::Blocked(Blocked::LimitReached(_)) => Self::EngineLimit,
             NoBackEnd::Blocked(Blocked::Unavailable(_)) => Self::EngineRest,
+            NoBackEnd::Rejected(_) => Self::Capacity,
         }
     }
 }
@@ -59,6 +63,7 @@
             Self::BackEnd => "back_end",
             Self::EngineLimit => "engine_limit",
             Self::EngineRest => "engine_rest",
+            Self::Capacity => "capacity",
         }
     }
 }
@@ -76,6 +81,8 @@
     pub may_have_run: bool,
     /// Set if what engines say of themselves left no back end for the last choice.
     blocked: Option<Blocked>,
+    /// Set if the groups of engines that were asked have no capacity for the request.
+    rejected: Option<Rejection>,
     /// The back end that was abandoned only because it was silent.
     abandoned: Option<Choice>,
     /// Number of tries to return to it.
@@ -229,6 +236,7 @@
             Ok(permitted) => self.tried.push(permitted.choice.backend.clone()),
             Err(NoBackEnd::Blocked(blocked)) => self.blocked = Some(*blocked),
             Err(NoBackEnd::Unavailable) => self.blocked = None,
+            Err(NoBackEnd::Rejected(rejection)) => self.rejected = Some(*rejection),
         }
         chosen
     }
@@ -271,6 +279,9 @@
     /// The refusal that is returned to the caller after the last failure.
     pub fn refusal(&self, call: &Call) -> Refusal {
         let timed_out = call.remaining().is_zero();
+        if let (Some(rejection), false) = (self.rejected, self.may_have_run) {
+            return Refusal::Rejected(rejection);
+        }
         if let (Some(blocked), false, false) = (self.blocked, self.may_have_run, timed_out) {
             match blocked {
                 Blocked::LimitReached(limit) => return Refusal::LimitReached(limit),
--- a/crates/beamwall-gateway/src/call.rs
+++ b/crates/beamwall-gateway/src/call.rs
@@ -126,6 +126,13 @@
         }
     }
 
+    /// Orders the groups of engines for this request. All tries of its caller get the same number, so that a
+    /// return asks the groups that expect it.
+    pub fn group_key(&self) -> u64 {
+        let fingerprint = u128::from_be_bytes(*self.fingerprint.as_bytes());
+        (fingerprint >> u64::BITS) as u64
+    }
+
     /// The tenant for logs and metrics.
     pub fn tenant_name(&self) -> String {
         self.tenant.as_ref().map(|tenant| tenant.name.to_string()).unwrap_or_default()
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -2,11 +2,13 @@
 
 use std::ops::Deref;
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use beamwall_engine_model::{PrefillWork, ServiceEstimates};
+use beamwall_admission::{CapacityClaim, CapacityRequest, Decision, Rejection};
+use beamwall_engine_model::{FirstEventInputs, PrefillWork, ServiceEstimates};
 use beamwall_events::emit;
-use beamwall_events::internal_events::AttemptSent;
+use beamwall_events::internal_events::{AttemptSent, CapacityRejected};
 use beamwall_http::Pool;
 use beamwall_model::{BackendId, EngineVersion, NodeId, ServiceName, ZoneName};
 use beamwall_rollout::RolloutRegistry;
@@ -22,6 +24,7 @@
 use crate::directory::Directory;
 use crate::engine_gate::{Blocked, EngineGate, SendPermit};
 use crate::fleet_clock::FleetClock;
+use crate::group_admission::GroupAdmission;
 use crate::metrics::GatewayMetrics;
 use crate::pacing;
 use crate::placement::{Choice, PlacementOutcome, PlacementPort, PlacementQuery};
@@ -69,6 +72,8 @@
     Unavailable,
     /// All that are available take none now. This one takes requests again first.
     Blocked(Blocked),
+    /// The groups of engines that were asked have no capacity for the request now.
+    Rejected(Rejection),
 }
 
 /// State that forwarding needs, shared by all requests of a node.
@@ -89,6 +94,8 @@
     pub chooser: Chooser,
     /// Queries the placement nodes.
     pub placement: Arc<dyn PlacementPort>,
+    /// Decides which requests this node places; `None`: all.
+    pub admission: Option<GroupAdmission>,
     /// Keeps the limits that engines name.
     pub gate: EngineGate,
     /// Services whose engines this node can't reach.
@@ -124,12 +131,15 @@
         stream_version: Option<&EngineVersion>,
     ) -> Result<PermittedChoice, NoBackEnd> {
         let versions = self.allowed_versions(&call.service, call.request_id.as_deref(), stream_version);
-        let rank = call.rank(self.call_prefill_ms(call));
+        let claim = self.capacity_claim(call, avoided, stream_version);
+        let rank = claim.rank;
         let mut blocked = self.blocked_engines(call, rank);
         let mut denials = 0;
         loop {
             let excluded = [avoided, &blocked].concat();
-            let Some(choice) = self.choose_among(call, &excluded, &versions).await else {
+            let chosen = self.choose_among(call, &claim, &excluded, &versions).await;
+            let chosen = chosen.map_err(|rejection| self.note_rejected(call, rank, rejection))?;
+            let Some(choice) = chosen else {
                 return Err(self.no_back_end(call, rank, avoided));
             };
             let Ok(permit) = self.admit(call, rank, &choice.backend).await else {
@@ -145,6 +155,53 @@
         }
     }
 
+    /// What a request claims of a group's capacity. A retry inside the system and the continuation of a stream
+    /// are not rejected, which is told by an objective of zero.
+    fn capacity_claim(
+        &self,
+        call: &Call,
+        tried: &[BackendId],
+        stream_version: Option<&EngineVersion>,
+    ) -> CapacityClaim {
+        let claim = call.capacity_claim(self.call_prefill_ms(call));
+        if tried.is_empty() && stream_version.is_none() {
+            return claim;
+        }
+        CapacityClaim { objective: Duration::ZERO, ..claim }
+    }
+
+    /// Logs that no group has capacity for a request, and counts its work as demand.
+    fn note_rejected(&self, call: &Call, rank: u8, rejection: Rejection) -> NoBackEnd {
+        self.demand.note_request(&call.service, &call.route.name, self.least_prefill(call));
+        emit(&CapacityRejected {
+            request: call.log_id(),
+            tenant: call.tenant_name(),
+            rank: rank.to_string(),
+            reason: rejection.reason.as_str().to_owned(),
+            expected_ms: rejection.expected.as_millis().to_string(),
+            objective_ms: call.route.objective_ms.to_string(),
+            retry_after_ms: rejection.retry_after.as_millis().to_string(),
+        });
+        NoBackEnd::Rejected(rejection)
+    }
+
+    /// Least prefill work of a call's prompt at any of a few engines, as far as this node knows their caches.
+    fn least_prefill(&self, call: &Call) -> PrefillWork {
+        let search = Search {
+            service: &call.service,
+            zone: &self.zone,
+            prompt: call.prompt.as_ref(),
+            group: EngineGroup::WHOLE,
+            rank: MOST_URGENT_RANK,
+            avoided: &[],
+            versions: &AllowedVersions::All,
+            by: ChosenBy::Sender,
+        };
+        let candidates = self.backend_state.candidates(&self.directory.load(), search);
+        let prefills = candidates.iter().filter_map(|candidate| candidate.prefill);
+        prefills.min_by_key(|prefill| prefill.tokens).unwrap_or_default()
+    }
+
     /// The versions that may serve a request: the one that began its stream, or those that a rollout allows.
     fn allowed_versions(
         &self,
@@ -198,21 +255,22 @@
     async fn choose_among(
         &self,
         call: &Call,
+        claim: &CapacityClaim,
         avoided: &[BackendId],
         versions: &AllowedVersions,
-    ) -> Option<Choice> {
+    ) -> Result<Option<Choice>, Rejection> {
         if let Some(rule) = versions.canary() {
             let chosen = self.choose_as_sender(call, avoided, versions);
             let old = AllowedVersions::Rollout(rule.without_new());
-            return chosen.or_else(|| self.choose_as_sender(call, avoided, &old));
+            return Ok(chosen.or_else(|| self.choose_as_sender(call, avoided, &old)));
         }
         let placement = match &call.prompt {
             Some(prompt) if !self.chooser.is_baseline() => {
-                self.request_placement(call, prompt, avoided, versions).await
+                self.request_placement(call, claim, prompt, avoided, versions).await?
             }
             _ => None,
         };
-        placement.or_else(|| self.choose_as_sender(call, avoided, versions))
+        Ok(placement.or_else(|| self.choose_as_sender(call, avoided, versions)))
     }
 
     fn note_sent(&self, service: &ServiceName, backend: &BackendId) {
@@ -247,22 +305,32 @@
         }
     }
 
+    /// Queries the groups for a request. `Ok(None)`: no placement node answered. An error: none of them has
+    /// capacity; it names the earliest time to retry.
     async fn request_placement(
         &self,
         call: &Call,
+        claim: &CapacityClaim,
         prompt: &Prompt,
         avoided: &[BackendId],
         versions: &AllowedVersions,
-    ) -> Option<Choice> {
-        let groups = self.directory.load().groups(&call.service)?.in_order(prompt, rand::random());
+    ) -> Result<Option<Choice>, Rejection> {
+        let Some(groups) = self.groups_in_order(call, prompt) else { return Ok(None) };
         let mut best: Option<Choice> = None;
+        let mut rejected: Option<Rejection> = None;
         for (position, group) in groups.iter().take(MAX_GROUPS_QUERIED).enumerate() {
             let is_last = position + 1 == groups.len().min(MAX_GROUPS_QUERIED);
             let enough_ms = (!is_last).then_some(call.route.objective_ms as f64 * ACCEPTABLE_DELAY_SHARE);
             let engine_query =
-                self.placement_query(call, prompt, avoided, versions.only(), *group, enough_ms);
-            let choice = self.query_group(call, &engine_query, avoided, versions).await;
-            let Some(choice) = choice else { continue };
+                self.placement_query(call, claim, prompt, avoided, versions.only(), *group, enough_ms);
+            let choice = match self.query_group(call, &engine_query, avoided, versions).await {
+                Ok(Some(choice)) => choice,
+                Ok(None) => continue,
+                Err(rejection) => {
+                    rejected = Some(earlier_retry(rejected, rejection));
+                    continue;
+                }
+            };
             let is_enough = engine_query.is_good_enough(&choice);
             let is_better = |best: &Choice| choice.cost_ms < best.cost_ms;
             if best.as_ref().is_none_or(is_better) {
@@ -272,12 +340,23 @@
                 break;
             }
         }
-        best
+        match (best, rejected) {
+            (None, Some(rejection)) => Err(rejection),
+            (best, _) => Ok(best),
+        }
+    }
+
+    /// The groups in the order in which they are queried. With admission, all tries of one request ask the same
+    /// groups, since one of them may expect its return.
+    fn groups_in_order(&self, call: &Call, prompt: &Prompt) -> Option<Vec<EngineGroup>> {
+        let key = if self.admission.is_some() { call.group_key() } else { rand::random() };
+        Some(self.directory.load().groups(&call.service)?.in_order(prompt, key))
     }
 
     fn placement_query(
         &self,
         call: &Call,
+        claim: &CapacityClaim,
         prompt: &Prompt,
         avoided: &[BackendId],
         stream_version: Option<&EngineVersion>,
@@ -300,7 +379,7 @@
             pause_objective_ms: call.route.gap_objective_ms,
             remaining: call.remaining(),
             enough_ms,
-            claim: call.capacity_claim(self.call_prefill_ms(call)),
+            claim: claim.clone(),
         }
     }
 
@@ -311,17 +390,20 @@
         engine_query: &PlacementQuery,
         avoided: &[BackendId],
         versions: &AllowedVersions,
-    ) -> Option<Choice> {
-        match self.placement.place(engine_query).await {
+    ) -> Result<Option<Choice>, Rejection> {
+        let outcome = match self.placement.place(engine_query).await {
+            PlacementOutcome::PlaceLocally => self.place(engine_query),
             PlacementOutcome::Chosen(choice)
-                if self.accepts_placement(call, &choice.backend, avoided, versions) =>
+                if !self.accepts_placement(call, &choice.backend, avoided, versions) =>
             {
-                Some(choice)
-            }
-            PlacementOutcome::PlaceLocally => self.place(engine_query),
-            PlacementOutcome::Chosen(_) | PlacementOutcome::Rejected(_) | PlacementOutcome::Unanswered => {
-                None
+                PlacementOutcome::Unanswered
             }
+            answered => answered,
+        };
+        match outcome {
+            PlacementOutcome::Chosen(choice) => Ok(Some(choice)),
+            PlacementOutcome::Rejected(rejection) => Err(rejection),
+            PlacementOutcome::PlaceLocally | PlacementOutcome::Unanswered => Ok(None),
         }
     }
 
@@ -341,9 +423,9 @@
         is_usable && !avoided.contains(backend)
     }
 
-    /// Places a request on behalf of any node. Counts its prompt as queued at the chosen engine, unless the
-    /// request will be refused or another group is queried.
-    pub fn place(&self, engine_query: &PlacementQuery) -> Option<Choice> {
+    /// Places a request on behalf of any node, unless the group has no capacity for it. Counts its prompt as
+    /// queued at the chosen engine, unless the request will be refused or another group is queried.
+    pub fn place(&self, engine_query: &PlacementQuery) -> PlacementOutcome {
         let now = Instant::now();
         self.backend_state.reports.note(&engine_query.sender, &engine_query.unreachable, now);
         pacing::note_reports(&self.backend_state, engine_query, now);
@@ -363,12 +445,21 @@
             versions: &versions,
             by: ChosenBy::PlacementNode,
         };
-        let choice = self.find(search, engine_query.pause_objective_ms)?;
+        let Some(choice) = self.find(search, engine_query.pause_objective_ms) else {
+            return PlacementOutcome::Unanswered;
+        };
         let estimates = self.estimates(&engine_query.service);
+        let capacity_request = self.capacity_request(engine_query, &choice, &estimates, &blocked);
+        if let Some(rejection) = self.rejection(engine_query, capacity_request.as_ref(), now) {
+            return PlacementOutcome::Rejected(rejection);
+        }
         let is_placed = engine_query.is_good_enough(&choice)
             && !admission::is_unservable(&choice, &estimates, engine_query.remaining);
         if !is_placed {
-            return Some(choice);
+            return PlacementOutcome::Chosen(choice);
+        }
+        if let (Some(admission), Some(request)) = (&self.admission, &capacity_request) {
+            admission.note_placed(&engine_query.service, engine_query.group, request, now);
         }
         if let Some(prefill_ms) = estimates.prefill_ms(choice.prefill) {
             let factor = self.backend_state.models.lasting_factor(&choice.backend);
@@ -380,7 +471,55 @@
             );
         }
         self.backend_state.prefixes.note_prefill(&choice.backend, &engine_query.prompt, now);
-        Some(choice)
+        PlacementOutcome::Chosen(choice)
+    }
+
+    /// Why a request is not placed; `None` if it is admitted.
+    fn rejection(
+        &self,
+        engine_query: &PlacementQuery,
+        request: Option<&CapacityRequest<'_>>,
+        now: Instant,
+    ) -> Option<Rejection> {
+        let (admission, request) = (self.admission.as_ref()?, request?);
+        match admission.decide(&engine_query.service, engine_query.group, request, now) {
+            Decision::Admitted { .. } => None,
+            Decision::Rejected { rejection, .. } => Some(rejection),
+        }
+    }
+
+    /// What admission needs to know of a request and of the group's best engine; `None` without admission or
+    /// while the service's model is not trained. `blocked` are engines that take no requests now.
+    fn capacity_request<'a>(
+        &self,
+        engine_query: &'a PlacementQuery,
+        choice: &Choice,
+        estimates: &ServiceEstimates,
+        blocked: &[BackendId],
+    ) -> Option<CapacityRequest<'a>> {
+        let admission = self.admission.as_ref()?;
+        let claim = &engine_query.claim;
+        let expected = admission::confident_wait(choice, estimates)?;
+        let directory = self.directory.load();
+        let usable = directory.usable_in_group(&engine_query.service, engine_query.group);
+        let engines = usable.filter(|engine| !blocked.contains(&engine.id)).count();
+        let has_slot =
+            directory.get(&choice.backend).is_some_and(|engine| choice.open_requests < engine.slots);
+        let of_engine =
+            |service_ms: f64| Duration::from_secs_f64((service_ms * choice.slowness).max(0.0) / 1e3);
+        let alone = FirstEventInputs { tokens_ahead: 0, ..choice.first_event() };
+        let service_time = of_engine(estimates.first_event_ms(alone)?);
+        Some(CapacityRequest {
+            claim,
+            weight: admission.weights().weight(claim.tenant.as_ref()),
+            expected,
+            wait: expected.saturating_sub(service_time),
+            work: of_engine(estimates.prefill_ms(choice.prefill)?),
+            engines: engines as u32,
+            is_idle: has_slot && choice.tokens_ahead == 0,
+            remaining: engine_query.remaining,
+            is_exempt: engine_query.stream_version.is_some() || claim.objective.is_zero(),
+        })
     }
 
     fn choose_as_sender(
@@ -421,6 +560,9 @@
         self.backend_state.retain_listed(directory);
         self.gate.retain_listed(directory);
         pacing::note_listed(&self.backend_state.pace, directory);
+        if let Some(admission) = &self.admission {
+            admission.retain(|service| directory.groups(service).is_some());
+        }
     }
 
     /// Model estimates for a service's back ends.
@@ -480,3 +622,8 @@
         }
     }
 }
+
+/// The rejection after which the caller may retry first.
+fn earlier_retry(first: Option<Rejection>, second: Rejection) -> Rejection {
+    first.filter(|first| first.retry_after <= second.retry_after).unwrap_or(second)
+}
--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! in [`usage`], and the number of back ends to order in [`scaling`].
 
 pub mod admission;
+pub mod admission_metrics;
 pub mod allowed_versions;
 pub mod attempt;
 pub mod attempts;
@@ -28,6 +29,7 @@
 pub mod failover;
 pub mod fleet_clock;
 pub mod forward;
+pub mod group_admission;
 pub mod handler;
 pub mod health;
 pub mod load;
@@ -51,6 +53,7 @@
 pub mod startup;
 pub mod stream;
 pub mod stream_origins;
+pub mod tenant_weights;
 pub mod unary;
 pub mod unreachable_zones;
 pub mod usage;
--- a/crates/beamwall-gateway/src/refusal.rs
+++ b/crates/beamwall-gateway/src/refusal.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use beamwall_admission::Rejection;
 use beamwall_http::{Body, full};
 use beamwall_model::EngineVersion;
 use beamwall_quarantine::HeldRequest;
@@ -67,6 +68,8 @@
     Held(HeldRequest),
     /// No back end would start its response within the caller's timeout; it was not sent.
     Unservable(Unservable),
+    /// The engines have no capacity for it now; it was not sent.
+    Rejected(Rejection),
     /// The limits that all available engines name are used up; it was not executed.
     LimitReached(LimitReached),
     /// All available engines want no requests from this node, the first for so long; it was not executed.
@@ -92,6 +95,7 @@
             | Self::Unreachable(_)
             | Self::TooLate
             | Self::Unservable(_)
+            | Self::Rejected(_)
             | Self::LimitReached(_)
             | Self::EnginesRest(_)
             | Self::UnknownOrigin(_)
@@ -115,6 +119,7 @@
         match self {
             Self::QuotaExceeded(exceeded) => Some(exceeded.retry_after),
             Self::Unservable(unservable) => Some(unservable.retry_after),
+            Self::Rejected(rejection) => Some(rejection.retry_after),
             Self::Held(held) => held.retry_after,
             Self::LimitReached(limit) => Some(limit.wait.min(MAX_LIMIT_WAIT) + random_spread()),
             Self::EnginesRest(left) => Some(after_rest(*left)),
@@ -134,6 +139,7 @@
                 | Self::Unreachable(_)
                 | Self::TooLate
                 | Self::Unservable(_)
+                | Self::Rejected(_)
                 | Self::LimitReached(_)
                 | Self::EnginesRest(_)
         )
@@ -172,6 +178,11 @@
             Self::VersionUnavailable(version) => {
                 format!("not run: no back end of version {version}, which began the stream, takes requests")
             }
+            Self::Rejected(rejection) => format!(
+                "not run: no capacity now ({}): the best back end would begin to answer in {} ms",
+                rejection.reason.as_str(),
+                rejection.expected.as_millis()
+            ),
             Self::Unservable(unservable) => format!(
                 "not run: the best back end would begin to answer in {} ms, after the caller's patience",
                 unservable.expected.as_millis()
--- a/crates/beamwall-gateway/tests/attempts.rs
+++ b/crates/beamwall-gateway/tests/attempts.rs
@@ -3,11 +3,12 @@
 
 mod support;
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use async_trait::async_trait;
+use beamwall_admission::{Rejection, RejectionReason};
 use beamwall_engine_limits::RestNotice;
 use beamwall_gateway::attempt::{self, AttemptFailure, Execution};
 use beamwall_gateway::attempts::{Attempts, RetryBlocker};
@@ -20,6 +21,7 @@
 use beamwall_gateway::forward::{Call, Forwarder, NoBackEnd, PermittedChoice};
 use beamwall_gateway::metrics::GatewayMetrics;
 use beamwall_gateway::quarantine::{Quarantine, TrialPort};
+use beamwall_gateway::refusal::Refusal;
 use beamwall_gateway::retries::{RetryAllowance, RetryBudgets};
 use beamwall_gateway::usage::UsageLedger;
 use beamwall_gateway::{
@@ -125,6 +127,7 @@
         backend_state: BackendState::default(),
         chooser: Chooser::new(ChoiceStrategy::ExpectedTime),
         placement: Arc::new(StubPorts),
+        admission: None,
         gate: EngineGate::new(Box::new(StubPorts), 1, Arc::default()),
         reachability: Default::default(),
         delegation: Arc::new(StubPorts),
@@ -409,3 +412,73 @@
     let retry_after = attempts.refusal(&call).retry_after().expect("a time to return");
     assert!(retry_after < SECOND, "{retry_after:?}");
 }
+
+/// A placement node that answers every query in the same way, and counts the queries.
+struct FixedPlacement {
+    outcome: PlacementOutcome,
+    queries: Mutex<Vec<PlacementQuery>>,
+}
+
+#[async_trait]
+impl PlacementPort for FixedPlacement {
+    async fn place(&self, query: &PlacementQuery) -> PlacementOutcome {
+        self.queries.lock().expect("no test panics with it").push(query.clone());
+        self.outcome.clone()
+    }
+}
+
+const REJECTION: Rejection = Rejection {
+    reason: RejectionReason::OverFairShare,
+    expected: Duration::from_millis(900),
+    retry_after: Duration::from_millis(350),
+};
+
+/// A node that has asked for a placement which was rejected, with as many engines as make two groups.
+fn forwarder_with_rejections() -> (Forwarder, Arc<FixedPlacement>) {
+    let outcome = PlacementOutcome::Rejected(REJECTION);
+    let placement = Arc::new(FixedPlacement { outcome, queries: Mutex::default() });
+    (Forwarder { placement: placement.clone(), ..forwarder(80, 5.0) }, placement)
+}
+
+/// A call with a prompt, whose engine is chosen by placement nodes.
+fn placed_call() -> Call {
+    let call = support::call(0, None, 100);
+    Call { service: "pool".into(), deadline: call.received + SECOND * 10, ..call }
+}
+
+/// Guards against: while capacity is short, a rejected request is sent to an engine of the sender's own choice,
+/// or its caller waits.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_all_groups_reject_is_refused_at_once() {
+    let (forwarder, placement) = forwarder_with_rejections();
+    let call = placed_call();
+    let (started, mut attempts) = (Instant::now(), Attempts::of(&call));
+    assert_eq!(attempts.first_choice(&forwarder, &call).await, None);
+    assert_eq!(started.elapsed(), Duration::ZERO);
+    assert_eq!(placement.queries.lock().expect("unused").len(), 2, "both groups were asked");
+    let refusal = attempts.refusal(&call);
+    assert_eq!(refusal, Refusal::Rejected(REJECTION));
+    assert_eq!(
+        (refusal.status(), refusal.retry_after()),
+        (StatusCode::SERVICE_UNAVAILABLE, Some(REJECTION.retry_after))
+    );
+    assert!(refusal.returns_quota());
+}
+
+/// Guards against: a retry inside the system, or the continuation of a stream, is rejected after its engine has
+/// gone, in the middle of a shortage.
+#[tokio::test(start_paused = true)]
+async fn retries_inside_the_system_and_continued_streams_claim_to_be_admitted() {
+    let (forwarder, placement) = forwarder_with_rejections();
+    let call = placed_call();
+    let tried: Vec<BackendId> = vec!["e0".into()];
+    let version = "v1".into();
+    let choices = [(&tried[..0], None), (&tried[..], None), (&tried[..0], Some(&version))];
+    for (tried, stream_version) in choices {
+        let chosen = forwarder.choose(&call, tried, stream_version).await;
+        assert_eq!(chosen, Err(NoBackEnd::Rejected(REJECTION)), "the stub rejects them all");
+    }
+    let queries = placement.queries.lock().expect("unused");
+    let objectives: Vec<u128> = queries.iter().map(|query| query.claim.objective.as_millis()).collect();
+    assert_eq!(objectives, [600, 600, 0, 0, 0, 0]);
+}
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 pub mod peer_restarts;
 pub mod peer_versions;
 pub mod placement_router;
+pub mod placement_wire;
 pub mod policy_sync;
 pub mod quarantine_sync;
 pub mod quarantine_wire;
@@ -53,11 +54,13 @@
 use beamwall_config::GatewaySettings;
 use beamwall_events::emit;
 use beamwall_events::internal_events::NodeStarted;
+use beamwall_gateway::admission_metrics::AdmissionMetrics;
 use beamwall_gateway::candidates::BackendState;
 use beamwall_gateway::choice::Chooser;
 use beamwall_gateway::demand::DemandTracker;
 use beamwall_gateway::fleet_clock::FleetClock;
 use beamwall_gateway::forward::Forwarder;
+use beamwall_gateway::group_admission::GroupAdmission;
 use beamwall_gateway::metrics::GatewayMetrics;
 use beamwall_gateway::ports::{RolloutStore, StoreEras};
 use beamwall_gateway::quarantine::{Quarantine, TrialPort};
@@ -74,7 +77,7 @@
 use beamwall_model::since_1970_ms;
 use beamwall_pace::PaceTracker;
 use beamwall_peer::{Envelope, Membership, MembershipTiming, PeerNetwork, TransferPacer};
-use beamwall_policy::PolicyHistory;
+use beamwall_policy::{PolicyHistory, PolicyIndex};
 use beamwall_quarantine::QuarantineRegistry;
 use beamwall_rollout::RolloutRegistry;
 use beamwall_store::VersionedObjects;
@@ -385,6 +388,11 @@
         extra: settings.retry_extra * RETRY_EXTRA_USED,
         window: settings.retry_window,
     };
+    let policy: Arc<ArcSwap<PolicyIndex>> = Arc::default();
+    let admission = match settings.admission {
+        true => Some(GroupAdmission::new(policy.clone(), AdmissionMetrics::new(registry)?)),
+        false => None,
+    };
     let forwarder = Arc::new(Forwarder {
         node: settings.node.clone(),
         zone: settings.zone.clone(),
@@ -397,6 +405,7 @@
         },
         chooser: Chooser::new(settings.choice),
         placement: peers.placement,
+        admission,
         gate,
         reachability: EngineReachability::default(),
         delegation: peers.delegation,
@@ -422,7 +431,7 @@
     let quotas = QuotaLimiter::new(settings.quota_slack * QUOTA_SLACK_USED, nodes)
         .with_tolerance(tolerance)
         .with_generation(generation);
-    Ok(Arc::new(Gateway { policy: Arc::default(), quotas, forwarder, peer_notify }))
+    Ok(Arc::new(Gateway { policy, quotas, forwarder, peer_notify }))
 }
 
 fn assemble_pace(settings: &GatewaySettings) -> PaceTracker {
--- a/crates/beamwall-node/tests/earlier_builds.rs
+++ b/crates/beamwall-node/tests/earlier_builds.rs
@@ -10,11 +10,15 @@
 mod recorded_schema;
 
 use beamwall_engine_model::LastingObservation;
-use beamwall_gateway::Backend;
+use std::time::Duration;
+
+use beamwall_admission::{Rejection, RejectionReason};
 use beamwall_gateway::ports::DirectorySnapshot;
+use beamwall_gateway::{Backend, PlacementOutcome};
 use beamwall_model::{BackendId, EngineVersion, InstanceName, ServiceName, StoreRevision, ZoneName};
 use beamwall_node::gateway::directory_wire::{self, DirectoryUpdate};
 use beamwall_node::gateway::heartbeat_wire;
+use beamwall_node::gateway::placement_wire;
 use beamwall_peer::gateway_message::{
     BackendLoad, BackendSlowness, DirectoryAnswer, DirectoryRequest, GatewayHeartbeat, GenerationUsage,
     PolicyAnswer, PolicyRequest, QuotaUse, ServiceDemand, ServiceModel, UsageAnswer, UsageCount,
@@ -293,6 +297,31 @@
     assert_eq!(from_earlier.lasting, LastingObservation::default());
 }
 
+/// Guards against: a request of an earlier build, which claims nothing, is rejected by a placing node of this one.
+#[test]
+fn a_placement_request_of_an_earlier_build_has_no_objective_to_miss() {
+    let read = read(RECORDED_WITH_SLOWNESS, "placement_request");
+    let sender = Envelope::decode(read.as_slice()).expect("it can be read");
+    let Some(Body::PlacementRequest(request)) = sender.body.clone() else { panic!("a request") };
+    let query = placement_wire::decode_request(request, &sender);
+    assert_eq!(query.claim, Default::default());
+    assert!(query.claim.objective.is_zero(), "it is admitted in any case");
+}
+
+#[test]
+fn a_rejected_placement_keeps_its_meaning() {
+    for reason in [RejectionReason::OverFairShare, RejectionReason::NoCapacity] {
+        let (expected, retry_after) = (Duration::from_millis(1_800), Duration::from_millis(420));
+        let rejected = PlacementOutcome::Rejected(Rejection { reason, expected, retry_after });
+        let bytes = placement_wire::encode_reply(rejected.clone()).encode_to_vec();
+        let reply = PlacementReply::decode(bytes.as_slice()).expect("it can be read");
+        assert!(reply.backend.is_empty(), "an earlier build reads it as a node that found no engine");
+        assert_eq!(placement_wire::decode_reply(&reply, "node-2".into()), rejected);
+    }
+    let unanswered = placement_wire::decode_reply(&PlacementReply::default(), "node-2".into());
+    assert_eq!(unanswered, PlacementOutcome::Unanswered);
+}
+
 /// Guards against: eras of the store that earlier builds do not know hide from them which list is told.
 #[test]
 fn earlier_builds_pass_over_the_eras_of_lists() {
