--- a/crates/beamwall-admission/tests/shortage.rs
+++ b/crates/beamwall-admission/tests/shortage.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use beamwall_seeds::on_seeds;
 use support::{Groups, Outcome, Policy, Source, run, served_by_one_queue, share};
 
 /// Part of what one queue that knows all would serve.
@@ -103,6 +104,38 @@
     assert!(served_in_time(&outcomes) as f64 >= best as f64 * SERVED_OF_BEST);
 }
 
+/// Failure: while two thirds of the engines are gone, two nodes place for a second and know nothing of each
+/// other's prompts. Callers get more than without admission, and a few seconds after the engines have come back
+/// all responses are in time.
+#[test]
+fn two_nodes_that_both_place_cost_callers_little() {
+    let groups =
+        Groups { two_placing_s: (4.0, 5.0), remaining: 20, loss_s: (3.0, 6.0), ..Groups::steady(1, 60) };
+    let outcomes = run(&sources(60, 0.7), groups, Policy::Controller, SEED);
+    let all = run(&sources(60, 0.7), groups, Policy::AdmitAll, SEED);
+    println!("two placing nodes: worth {:.0}, admitting all {:.0}", worth(&outcomes), worth(&all));
+    assert!(worth(&outcomes) > worth(&all));
+    let is_later = |outcome: &Outcome| outcome.arrived_s > 9.0;
+    let later: Vec<Outcome> = outcomes.into_iter().filter(is_later).collect();
+    assert_eq!(share(&later, Outcome::in_time), 1.0);
+}
+
+/// Load: any number of engines, of which any part is gone for 3 s, under any load of equal tenants. What is
+/// admitted at its first try begins within its objective.
+#[test]
+fn what_is_admitted_begins_within_its_objective_under_any_load() {
+    on_seeds(60, |random| {
+        let engines = random.int_in_range(1..=40_usize)?;
+        let remaining = random.int_in_range(1..=engines)?;
+        let utilization = f64::from(random.int_in_range(5..=300_u32)?) / 100.0;
+        let groups = Groups { remaining, loss_s: (3.0, 6.0), ..Groups::steady(1, engines) };
+        let outcomes = run(&sources(engines, utilization), groups, Policy::Controller, SEED);
+        let first: Vec<Outcome> = outcomes.into_iter().filter(|outcome| outcome.admitted_first).collect();
+        assert_eq!(share(&first, |outcome| outcome.in_time()), 1.0, "{engines} {remaining} {utilization}");
+        Ok(())
+    });
+}
+
 /// Load: long prompts of a tenant within its share, beside short ones of 16 others that together send 1.8 times
 /// what the engines can do, for 40 s.
 #[test]
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -321,8 +321,7 @@
         for (position, group) in groups.iter().take(MAX_GROUPS_QUERIED).enumerate() {
             let is_last = position + 1 == groups.len().min(MAX_GROUPS_QUERIED);
             let enough_ms = (!is_last).then_some(call.route.objective_ms as f64 * ACCEPTABLE_DELAY_SHARE);
-            let engine_query =
-                self.placement_query(call, claim, prompt, avoided, versions.only(), *group, enough_ms);
+            let engine_query = self.placement_query(call, claim, avoided, versions.only(), *group, enough_ms);
             let choice = match self.query_group(call, &engine_query, avoided, versions).await {
                 Ok(Some(choice)) => choice,
                 Ok(None) => continue,
@@ -357,7 +356,6 @@
         &self,
         call: &Call,
         claim: &CapacityClaim,
-        prompt: &Prompt,
         avoided: &[BackendId],
         stream_version: Option<&EngineVersion>,
         group: EngineGroup,
@@ -368,7 +366,7 @@
             service: call.service.clone(),
             zone: self.zone.clone(),
             group,
-            prompt: prompt.clone(),
+            prompt: call.prompt.clone().unwrap_or_default(),
             tried: avoided.to_vec(),
             stream_version: stream_version.cloned(),
             unreachable: self.backend_state.health.unreachable(Instant::now()),
