--- a/crates/beamwall-gateway/tests/back_end_restart.rs
+++ b/crates/beamwall-gateway/tests/back_end_restart.rs
@@ -32,6 +32,7 @@
         zone: &"a".into(),
         prompt: Some(&prompt()),
         group: EngineGroup::WHOLE,
+        rank: 0,
         avoided: &[],
         versions: &AllowedVersions::All,
         by: ChosenBy::PlacementNode,
--- a/crates/beamwall-gateway/tests/placement_groups.rs
+++ b/crates/beamwall-gateway/tests/placement_groups.rs
@@ -61,6 +61,7 @@
         zone: &"a".into(),
         prompt: Some(prompt),
         group,
+        rank: 0,
         avoided: &[],
         versions: &AllowedVersions::All,
         by: ChosenBy::PlacementNode,
