A request that only the first group admits is placed there

While the second group rejects, engines of the first one no longer get prompts that its placing node doesn't know. Cause: a first group that would start a request late names its engine without counting the prompt, since the second is asked; when that one rejects, the engine was used uncounted, and its queue taken for shorter than it is. Change: the sender asks the first group again, to place the request or to reject it. Measured: tests/attempts.rs of beamwall-gateway passes (20). The new test was written with the change; it was not run on the code before.

--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -318,6 +318,7 @@
         let Some(groups) = self.groups_in_order(call, prompt) else { return Ok(None) };
         let mut best: Option<Choice> = None;
         let mut rejected: Option<Rejection> = None;
+        let mut not_placed: Option<PlacementQuery> = None;
         for (position, group) in groups.iter().take(MAX_GROUPS_QUERIED).enumerate() {
             let is_last = position + 1 == groups.len().min(MAX_GROUPS_QUERIED);
             let enough_ms = (!is_last).then_some(call.route.objective_ms as f64 * ACCEPTABLE_DELAY_SHARE);
@@ -338,10 +339,17 @@
             if is_enough {
                 break;
             }
+            not_placed = Some(engine_query);
         }
-        match (best, rejected) {
-            (None, Some(rejection)) => Err(rejection),
-            (best, _) => Ok(best),
+        match (best, rejected, not_placed) {
+            (None, Some(rejection), _) => Err(rejection),
+            // The engine's queue must contain the prompt, or it would be taken for shorter than it is.
+            (Some(choice), Some(_), Some(query)) => {
+                let engine_query = PlacementQuery { enough_ms: None, ..query };
+                let placed = self.query_group(call, &engine_query, avoided, versions).await?;
+                Ok(placed.or(Some(choice)))
+            }
+            (best, ..) => Ok(best),
         }
     }
 
--- a/crates/beamwall-gateway/tests/attempts.rs
+++ b/crates/beamwall-gateway/tests/attempts.rs
@@ -28,8 +28,9 @@
 use beamwall_gateway::retries::{RetryAllowance, RetryBudgets};
 use beamwall_gateway::usage::UsageLedger;
 use beamwall_gateway::{
-    CallHead, DelegationPeer, DelegationPort, Dialect, Directory, ForwardHead, OriginPort, PeerAnswer,
-    PlacementOutcome, PlacementPort, PlacementQuery, Prompt, PromptPart, ResponseHead, StreamOrigins,
+    CallHead, Choice, DelegationPeer, DelegationPort, Dialect, Directory, ForwardHead, OriginPort,
+    PeerAnswer, PlacementOutcome, PlacementPort, PlacementQuery, Prompt, PromptPart, ResponseHead,
+    StreamOrigins,
 };
 use beamwall_http::Pool;
 use beamwall_model::{BackendId, ChoiceStrategy, NodeId, ServiceName};
@@ -416,8 +417,9 @@
     assert!(retry_after < SECOND, "{retry_after:?}");
 }
 
-/// A placement node that answers every query in the same way, and counts the queries.
+/// A placement node that answers every query in the same way, but for the first one, and records the queries.
 struct FixedPlacement {
+    first: PlacementOutcome,
     outcome: PlacementOutcome,
     queries: Mutex<Vec<PlacementQuery>>,
 }
@@ -425,8 +427,9 @@
 #[async_trait]
 impl PlacementPort for FixedPlacement {
     async fn place(&self, query: &PlacementQuery) -> PlacementOutcome {
-        self.queries.lock().expect("no test panics with it").push(query.clone());
-        self.outcome.clone()
+        let mut queries = self.queries.lock().expect("no test panics with it");
+        queries.push(query.clone());
+        if queries.len() == 1 { self.first.clone() } else { self.outcome.clone() }
     }
 }
 
@@ -439,7 +442,7 @@
 /// A node that has asked for a placement which was rejected, with as many engines as make two groups.
 fn forwarder_with_rejections() -> (Forwarder, Arc<FixedPlacement>) {
     let outcome = PlacementOutcome::Rejected(REJECTION);
-    let placement = Arc::new(FixedPlacement { outcome, queries: Mutex::default() });
+    let placement = Arc::new(FixedPlacement { first: outcome.clone(), outcome, queries: Mutex::default() });
     (Forwarder { placement: placement.clone(), ..forwarder(80, 5.0) }, placement)
 }
 
@@ -468,6 +471,33 @@
     assert!(refusal.returns_quota());
 }
 
+/// Guards against: a request goes to the engine that the first group named without placing it, since the second
+/// group has no capacity, and the queue of that engine is taken for shorter than it is.
+#[tokio::test(start_paused = true)]
+async fn a_request_is_placed_in_the_first_group_if_the_second_rejects_it() {
+    let choice = Choice {
+        backend: "e0".into(),
+        cost_ms: 500.0,
+        expected_ms: Some(500.0),
+        slowness: 1.0,
+        prefill: Default::default(),
+        tokens_ahead: 0,
+        open_requests: 0,
+        failure_share: 0.0,
+        candidates: 1,
+        chosen_by: "n2".into(),
+    };
+    let (first, outcome) = (PlacementOutcome::Chosen(choice), PlacementOutcome::Rejected(REJECTION));
+    let placement = Arc::new(FixedPlacement { first, outcome, queries: Mutex::default() });
+    let forwarder = Forwarder { placement: placement.clone(), ..forwarder(80, 5.0) };
+    let chosen = forwarder.choose(&placed_call(), &[], None).await;
+    assert_eq!(chosen, Err(NoBackEnd::Rejected(REJECTION)), "the first group has no capacity any more");
+    let queries = placement.queries.lock().expect("unused");
+    let asked: Vec<_> = queries.iter().map(|query| (query.group, query.enough_ms.is_some())).collect();
+    assert_eq!(asked, [(asked[0].0, true), (asked[1].0, false), (asked[0].0, false)]);
+    assert_ne!(asked[0].0, asked[1].0);
+}
+
 /// Guards against: a retry inside the system, or the continuation of a stream, is rejected after its engine has
 /// gone, in the middle of a shortage.
 #[tokio::test(start_paused = true)]
