Tests: a search for engines of unequal speed names its rank

Cause: two parts were joined; one adds the rank to a search, the other a test that searches. Change: the test of lasting speeds searches as the most urgent rank; its bounds are as they were.

--- a/crates/beamwall-gateway/tests/lasting_speeds.rs
+++ b/crates/beamwall-gateway/tests/lasting_speeds.rs
@@ -130,6 +130,7 @@
             zone: &"a".into(),
             prompt: Some(&prompt),
             group: EngineGroup::WHOLE,
+            rank: 0,
             avoided: &[],
             versions: &AllowedVersions::All,
             by: ChosenBy::PlacementNode,
