--- a/crates/beamwall-config/src/gateway.rs
+++ b/crates/beamwall-config/src/gateway.rs
@@ -115,6 +115,12 @@
         "false",
         "whether requests are rejected at once while engines have no capacity for them",
     ),
+    optional(
+        "streams.move_on_reclaim",
+        ValueKind::Boolean,
+        "false",
+        "whether streams of engines that are reclaimed are moved with their memory",
+    ),
     optional(
         "limits.drain_s",
         seconds(0.0, 3_600.0),
@@ -193,6 +199,8 @@
     pub learn_speeds: bool,
     /// Whether requests are rejected at once while engines have no capacity for them.
     pub admission: bool,
+    /// Whether streams of engines that are reclaimed are moved with their memory.
+    pub move_on_reclaim: bool,
     /// Time from SIGTERM to the end of the process.
     pub drain_limit: Duration,
     /// Whether log lines are JSON.
@@ -247,6 +255,7 @@
             paces_back_ends: flag("pace.enabled"),
             learn_speeds: flag("engines.learn_speeds"),
             admission: flag("admission.enabled"),
+            move_on_reclaim: flag("streams.move_on_reclaim"),
             drain_limit: Duration::from_secs_f64(number("limits.drain_s")),
             log_json: settings.text("log.format") != Some("text"),
             log_level: settings.text("log.level").unwrap_or("info").to_owned(),
--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -221,6 +221,10 @@
     5117 Warn EngineVersionsNotKept "engine versions not kept" { reason }
     /// The groups of engines that were asked have no capacity for a request.
     5118 Info CapacityRejected "no capacity for the request" { request, tenant, rank, reason, expected_ms, objective_ms, retry_after_ms }
+    /// A stream goes on at another engine, to which its memory was moved before its engine was reclaimed.
+    5120 Info StreamMoved "stream moved" { request, from, to, last_event, took_ms }
+    /// A stream of an engine that is reclaimed could not be moved.
+    5121 Warn StreamMoveFailed "stream not moved" { request, from, reason }
     /// The platform stopped answering.
     6001 Warn PlatformAway "platform away" { reason }
     /// The platform answers again.
--- a/crates/beamwall-gateway/src/attempt.rs
+++ b/crates/beamwall-gateway/src/attempt.rs
@@ -17,7 +17,7 @@
 use crate::load::OpenRequestGuard;
 use crate::pacing;
 use crate::placement::Choice;
-use crate::ports::{ForwardHead, ResponseHead};
+use crate::ports::{ForwardHead, MemorySource, ResponseHead};
 
 /// If the response is lost later than this after sending, the back end is assumed to have started the
 /// request. A back end that resets the connection sooner has not accepted anything.
@@ -117,14 +117,30 @@
     pub work: OpenRequestGuard,
 }
 
-/// Spends `permit` to send a call to the chosen back end and waits up to `limit` for the response head. `last_event` is the
-/// last event delivered, when a stream is continued. Also records the back end's health.
+/// Where an attempt takes up a stream; the default begins it.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ResumePoint<'a> {
+    /// The last event delivered, when a stream is continued.
+    pub last_event: Option<u64>,
+    /// The memory from which the same run goes on.
+    pub memory: Option<&'a MemorySource>,
+}
+
+impl ResumePoint<'_> {
+    /// After the last event delivered, by a new run.
+    pub fn after(last_event: Option<u64>) -> Self {
+        Self { last_event, memory: None }
+    }
+}
+
+/// Spends `permit` to send a call to the chosen back end and waits up to `limit` for the response head. Also
+/// records the back end's health.
 pub async fn open(
     forwarder: &Forwarder,
     call: &Call,
     choice: &Choice,
     permit: SendPermit,
-    last_event: Option<u64>,
+    resume: ResumePoint<'_>,
     limit: Duration,
 ) -> Result<OpenResponse, AttemptFailure> {
     let backend = permit.backend();
@@ -135,7 +151,7 @@
     if let Err(unavailable) = forwarder.gate.check(backend) {
         return Err(AttemptFailure::not_sent(unavailable.to_string()));
     }
-    let request = build_request(forwarder, call, &target.instance, last_event);
+    let request = build_request(forwarder, call, &target.instance, resume);
     let work = forwarder.backend_state.loads.open(backend, choice.prefill.tokens);
     let (sent_at, stall_before) = (Instant::now(), process_clock::stall_time());
     let sent = timers::timeout(limit, forwarder.pool.send(target.address, request)).await;
@@ -164,7 +180,7 @@
     if let Err(failure) = &result
         && failure.execution == Execution::MaybeExecuted
     {
-        forwarder.record_stream_response(call, backend, last_event, true);
+        forwarder.record_stream_response(call, backend, resume.last_event, true);
     }
     result
 }
@@ -189,14 +205,15 @@
     forwarder: &Forwarder,
     call: &Call,
     instance: &InstanceName,
-    last_event: Option<u64>,
+    resume: ResumePoint<'_>,
 ) -> Request<beamwall_http::Body> {
     let head = ForwardHead {
         instance,
         remaining: call.remaining(),
         tenant: call.tenant.as_ref().map(|tenant| &tenant.name),
         rank: call.rank(forwarder.call_prefill_ms(call)),
-        last_event,
+        last_event: resume.last_event,
+        memory: resume.memory,
     };
     let mut request = Request::new(full(call.body.clone()));
     *request.method_mut() = call.method.clone();
--- a/crates/beamwall-gateway/src/attempts.rs
+++ b/crates/beamwall-gateway/src/attempts.rs
@@ -68,6 +68,14 @@
     }
 }
 
+/// Which engines can take over a run that is moved.
+pub(crate) struct MoveConstraints {
+    /// Back ends that can't.
+    pub(crate) avoided: Vec<BackendId>,
+    /// The version that began the stream.
+    pub(crate) version: Option<EngineVersion>,
+}
+
 /// State of one request's attempts.
 #[derive(Debug, Default)]
 pub struct Attempts {
@@ -168,11 +176,24 @@
         is_within_limit && self.may_resend(forwarder, call)
     }
 
+    /// Which engines can take over the run; `None` if none may. Moving is no further run, so it neither needs
+    /// an idempotent request nor counts towards the route's attempt limit.
+    pub(crate) fn move_constraints(&self, forwarder: &Forwarder, call: &Call) -> Option<MoveConstraints> {
+        let may_move = !is_held(forwarder, call) && !call.remaining().is_zero();
+        let version = self.stream_version.clone();
+        may_move.then(|| MoveConstraints { avoided: self.tried.clone(), version })
+    }
+
+    /// Records that the run goes on at `backend` after it was moved.
+    pub(crate) fn note_moved(&mut self, backend: &BackendId) {
+        if !self.tried.contains(backend) {
+            self.tried.push(backend.clone());
+        }
+    }
+
     fn may_resend(&self, forwarder: &Forwarder, call: &Call) -> bool {
-        let is_held =
-            call.admission == Admission::Normal && forwarder.quarantine.is_any_held(call.suspects());
         let may_run_again = call.route.kind.is_idempotent() || !self.may_have_run;
-        !is_held && may_run_again && !call.remaining().is_zero()
+        !is_held(forwarder, call) && may_run_again && !call.remaining().is_zero()
     }
 
     /// Chooses the back end of the first attempt.
@@ -308,3 +329,8 @@
         }
     }
 }
+
+/// Whether the request or a part of its prompt is held because back ends terminated under it.
+fn is_held(forwarder: &Forwarder, call: &Call) -> bool {
+    call.admission == Admission::Normal && forwarder.quarantine.is_any_held(call.suspects())
+}
--- a/crates/beamwall-gateway/src/call.rs
+++ b/crates/beamwall-gateway/src/call.rs
@@ -6,7 +6,7 @@
 use beamwall_admission::CapacityClaim;
 use beamwall_clock::timers;
 use beamwall_model::{EngineVersion, ServiceName};
-use beamwall_policy::{Route, TenantRef};
+use beamwall_policy::{EngineTraits, Route, TenantRef};
 use beamwall_quarantine::{Admission, Fingerprint};
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Uri};
@@ -61,6 +61,8 @@
     pub resumes: Option<String>,
     /// The version that began the stream, when it resumes a stream.
     pub stream_version: Option<EngineVersion>,
+    /// Capacity of the service's model engines; `None` for plain services.
+    pub engine: Option<EngineTraits>,
     /// When it arrived.
     pub received: Instant,
     /// Total time for which the machine had been suspended when the request arrived.
--- a/crates/beamwall-gateway/src/candidates.rs
+++ b/crates/beamwall-gateway/src/candidates.rs
@@ -14,6 +14,7 @@
 use crate::choice::Candidate;
 use crate::directory::{Backend, Directory};
 use crate::directory_staleness::StalenessTracker;
+use crate::engine_reclaims::EngineReclaims;
 use crate::health::HealthTracker;
 use crate::health::HealthView;
 use crate::load::{LoadTracker, OpenLoad};
@@ -81,6 +82,8 @@
     pub reports: UnreachableReports,
     /// Zones that seem to be unreachable from this node.
     pub unreachable_zones: UnreachableZones,
+    /// Back ends that announced when they will be gone.
+    pub reclaims: EngineReclaims,
     /// Performance models of the back ends.
     pub models: EngineModels<Reporter>,
     /// Paces of back ends that have just started or recovered.
@@ -100,6 +103,7 @@
         self.staleness.retain(|backend| directory.get(backend).is_some());
         self.prefixes.retain(|backend| directory.get(backend).is_some());
         self.queues.retain(|backend| directory.get(backend).is_some());
+        self.reclaims.retain(|backend| directory.get(backend).is_some());
         self.reports.retain(|backend| directory.get(backend).is_some());
         self.models.retain_backends(|backend| directory.get(backend).is_some());
         self.models.set_listed(directory.known().map(|backend| (backend.id.clone(), kind_of(backend))));
--- a/crates/beamwall-gateway/src/demand.rs
+++ b/crates/beamwall-gateway/src/demand.rs
@@ -67,6 +67,8 @@
     fn work_of(&self, route: &str, prefill: PrefillWork) -> Workload {
         let events = self.events_by_route.get(route).copied().unwrap_or(DEFAULT_EVENTS_PER_STREAM);
         Workload { requests: 1.0, tokens: prefill.tokens as f64, pairs: prefill.pairs as f64, events }
+    fn usual_events(&self, route: &str) -> f64 {
+        self.events_by_route.get(route).copied().unwrap_or(DEFAULT_EVENTS_PER_STREAM)
     }
 }
 
@@ -109,6 +111,9 @@
         let mut state = self.lock();
         let work = state.work_of(route, prefill);
         state.own.entry(service.clone()).or_default().expected.add(work, retry_after);
+        let events = state.usual_events(route);
+        state.own.entry(service.clone()).or_default().pending +=
+            Workload { requests: 1.0, tokens: prefill.tokens as f64, pairs: prefill.pairs as f64, events };
     }
 
     /// Records the number of events of a finished stream.
@@ -118,6 +123,11 @@
         *average = *average * (1.0 - EVENTS_EWMA_WEIGHT) + events as f64 * EVENTS_EWMA_WEIGHT;
     }
 
+    /// Events of a usual stream of a route.
+    pub fn usual_events(&self, route: &str) -> f64 {
+        self.lock().usual_events(route)
+    }
+
     /// Closes a period of `length` and returns this node's demand by service.
     pub fn close_period(&self, length: Duration) -> HashMap<ServiceName, Workload> {
         let mut state = self.lock();
--- a/crates/beamwall-gateway/src/directory.rs
+++ b/crates/beamwall-gateway/src/directory.rs
@@ -54,6 +54,8 @@
     pub draining: bool,
     /// Whether it may be reclaimed at short notice.
     pub reclaimable: bool,
+    /// Time left until it is gone, in milliseconds when it was announced; `None` if it named none.
+    pub leaves_in_ms: Option<u64>,
 }
 
 impl Backend {
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -110,6 +110,8 @@
     pub origins: StreamOrigins,
     /// Requests suspected of terminating back ends.
     pub quarantine: Arc<Quarantine>,
+    /// Whether streams of engines that are reclaimed are moved with their memory.
+    pub move_on_reclaim: bool,
     /// Retry budgets.
     pub retries: RetryBudgets,
     /// Requests to be billed.
--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -203,8 +203,10 @@
         let service = route.service_for(rand::random()).ok_or(Refusal::NoRoute)?;
         let stream = ResumedStream { route: &route, service, tenant: tenant_name, head: &head };
         let origin = self.find_origin(stream).await?;
+        let service = origin.as_ref().map_or(service, |origin| &origin.service).clone();
         let call = Call {
-            service: origin.as_ref().map_or(service, |origin| &origin.service).clone(),
+            engine: policy.service(&service).and_then(|service| service.engine),
+            service,
             deadline: deadline(&route, &head, received),
             request_id: head.request_id,
             fingerprint,
--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod directory_staleness;
 pub mod engine_availability;
 pub mod engine_gate;
+pub mod engine_reclaims;
 pub mod event_stream;
 mod expected_returns;
 pub mod failover;
--- a/crates/beamwall-gateway/src/metrics.rs
+++ b/crates/beamwall-gateway/src/metrics.rs
@@ -14,6 +14,8 @@
     pub latency: HistogramVec,
     /// Streams continued at another engine.
     pub streams_continued: IntCounter,
+    /// Streams of engines that announced their end, by what became of them.
+    pub stream_moves: IntCounterVec,
     /// Streams that callers took up again, by what is known of the version that began them.
     pub streams_resumed: IntCounterVec,
     /// Streams that ended before they were complete.
@@ -45,6 +47,13 @@
             "beamwall_gateway_streams_continued_total",
             "streams continued at another engine",
         )?;
+        let stream_moves = IntCounterVec::new(
+            Opts::new(
+                "beamwall_gateway_stream_moves_total",
+                "streams of engines that are reclaimed: moved, ended there, or why they were not moved",
+            ),
+            &["outcome"],
+        )?;
         let streams_resumed = IntCounterVec::new(
             Opts::new(
                 "beamwall_gateway_streams_resumed_total",
@@ -89,12 +98,14 @@
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(latency.clone()))?;
         registry.register(Box::new(streams_continued.clone()))?;
+        registry.register(Box::new(stream_moves.clone()))?;
         registry.register(Box::new(streams_resumed.clone()))?;
         registry.register(Box::new(streams_broken.clone()))?;
         Ok(Self {
             requests,
             latency,
             streams_continued,
+            stream_moves,
             streams_resumed,
             streams_broken,
             silent_back_ends,
--- a/crates/beamwall-gateway/src/stream/event_gap.rs
+++ b/crates/beamwall-gateway/src/stream/event_gap.rs
@@ -13,13 +13,15 @@
 pub(super) struct EventGapMeter {
     sample_start: Instant,
     events: u32,
+    /// Events of all complete samples.
+    sampled_events: u32,
     first_event_at: Instant,
 }
 
 impl EventGapMeter {
     /// Starts measuring when the first events of a stream have arrived.
     pub(super) fn new(now: Instant) -> Self {
-        Self { sample_start: now, events: 0, first_event_at: now }
+        Self { sample_start: now, events: 0, sampled_events: 0, first_event_at: now }
     }
 
     /// Counts received events and returns the mean gap in milliseconds once a sample is complete.
@@ -31,6 +33,7 @@
         }
         let mean_gap_ms = milliseconds(elapsed) / f64::from(self.events);
         self.sample_start = now;
+        self.sampled_events += self.events;
         self.events = 0;
         Some(mean_gap_ms)
     }
@@ -42,6 +45,12 @@
         (self.events > 0).then(|| milliseconds(elapsed) / f64::from(self.events))
     }
 
+    /// The mean gap in milliseconds since the first events; `None` while there are no others.
+    pub(super) fn mean_gap_ms(&self, now: Instant) -> Option<f64> {
+        let events = self.sampled_events + self.events;
+        (events > 0).then(|| self.elapsed_ms(now) / f64::from(events))
+    }
+
     /// Milliseconds since the first events.
     pub(super) fn elapsed_ms(&self, now: Instant) -> f64 {
         milliseconds(now.duration_since(self.first_event_at))
--- a/crates/beamwall-gateway/src/stream/mod.rs
+++ b/crates/beamwall-gateway/src/stream/mod.rs
@@ -3,7 +3,11 @@
 
 mod event_gap;
 mod first_event_wait;
+mod memory_move;
+mod moved_stream;
 mod relay;
+pub mod relocation;
+mod relocation_watch;
 mod source;
 
 use std::sync::Arc;
@@ -17,7 +21,7 @@
 use tokio::time::Instant;
 
 use crate::admission;
-use crate::attempt::{self, AttemptFailure, OpenResponse};
+use crate::attempt::{self, AttemptFailure, OpenResponse, ResumePoint};
 use crate::attempts::Attempts;
 use crate::engine_gate::SendPermit;
 use crate::failover::{self, FailedAttempt};
@@ -44,15 +48,15 @@
                 return Err(refusal);
             }
         }
-        let failed =
-            match start_attempt(forwarder, call, &choice, permit, call.last_event, &mut attempts).await {
-                Ok(AttemptStart::Stream(started)) => {
-                    attempts.note_response_started(started.version.as_ref());
-                    return Ok(relay(forwarder, call, *started, attempts));
-                }
-                Ok(AttemptStart::Answer(response)) => return Ok(response),
-                Err(failed) => failed,
-            };
+        let first_point = ResumePoint::after(call.last_event);
+        let failed = match start_attempt(forwarder, call, &choice, permit, first_point, &mut attempts).await {
+            Ok(AttemptStart::Stream(started)) => {
+                attempts.note_response_started(started.version.as_ref());
+                return Ok(relay(forwarder, call, *started, attempts));
+            }
+            Ok(AttemptStart::Answer(response)) => return Ok(response),
+            Err(failed) => failed,
+        };
         next = attempts.continue_after_failure(forwarder, call, &choice, failed).await;
     }
     let refusal = attempts.refusal(call);
@@ -108,9 +112,10 @@
     call: &Call,
     choice: &Choice,
     permit: SendPermit,
-    last_event: Option<u64>,
+    resume: ResumePoint<'_>,
     attempts: &mut Attempts,
 ) -> Result<AttemptStart, FailedAttempt> {
+    let last_event = resume.last_event;
     let first_event_wait = FirstEventWait::new(forwarder, call, choice, attempts);
     let sent_at = process_clock::now();
     let limit = call.remaining();
@@ -121,7 +126,7 @@
     });
     let opened = tokio::select! {
         biased;
-        opened = attempt::open(forwarder, call, choice, permit, last_event, limit) => opened?,
+        opened = attempt::open(forwarder, call, choice, permit, resume, limit) => opened?,
         next = next_back_end.as_mut() => {
             return Err(attempt::abandon_silent(forwarder, call, &choice.backend, last_event, next));
         }
@@ -156,8 +161,11 @@
         forwarder.origins.note_stream(call, version);
     }
     source.work.start_response();
-    record_time_to_first_event(forwarder, call, choice, last_event, sent_at);
-    forwarder.record_usage(call);
+    if resume.memory.is_none() {
+        // A run that goes on elsewhere is billed once, and its first event there tells nothing of prefill.
+        record_time_to_first_event(forwarder, call, choice, last_event, sent_at);
+        forwarder.record_usage(call);
+    }
     if let Some(prompt) = &call.prompt {
         forwarder.backend_state.prefixes.note_prefill(&choice.backend, prompt, Instant::now());
     }
--- a/crates/beamwall-gateway/src/stream/relay.rs
+++ b/crates/beamwall-gateway/src/stream/relay.rs
@@ -11,12 +11,15 @@
 use hyper::Response;
 use tokio::time::Instant;
 
-use crate::attempt::AttemptFailure;
+use crate::attempt::{AttemptFailure, ResumePoint};
 use crate::attempts::Attempts;
 use crate::failover::{self, FailedAttempt};
 use crate::forward::{Call, Forwarder, PermittedChoice};
 use crate::placement::Choice;
 use crate::stream::event_gap::EventGapMeter;
+use crate::stream::memory_move::StoppedRun;
+use crate::stream::moved_stream::MovedStreamEnd;
+use crate::stream::relocation_watch::{RelocationEvent, RelocationWatch};
 use crate::stream::source::{Piece, Source, scan_events};
 use crate::stream::{AttemptStart, StartedStream, start_attempt};
 
@@ -40,6 +43,8 @@
         last_event: call.last_event,
         attempts,
         sender,
+        relocation: RelocationWatch::disabled(),
+        move_began: Instant::now(),
     };
     tokio::spawn(relay.run(source, first));
     let mut response = Response::new(body);
@@ -49,22 +54,28 @@
 }
 
 /// The task that relays one stream.
-struct Relay {
-    forwarder: Arc<Forwarder>,
-    call: Arc<Call>,
-    last_event: Option<u64>,
-    attempts: Attempts,
-    sender: BodySender,
+pub(super) struct Relay {
+    pub(super) forwarder: Arc<Forwarder>,
+    pub(super) call: Arc<Call>,
+    pub(super) last_event: Option<u64>,
+    pub(super) attempts: Attempts,
+    pub(super) sender: BodySender,
+    /// Watches the engine of the current source.
+    pub(super) relocation: RelocationWatch,
+    /// When the last move began.
+    pub(super) move_began: Instant,
 }
 
 /// Why a relay stopped reading an engine.
-enum Stop {
+pub(super) enum Stop {
     /// The stream ended. `proves_parts`: the engine wrote events and marked their end, which one that
     /// terminates does not.
     Finished {
         proves_parts: bool,
     },
     CallerGone,
+    /// The run was stopped and goes on elsewhere.
+    Moved(Box<StoppedRun>),
     Failed(FailedAttempt),
 }
 
@@ -74,6 +85,8 @@
     CallerGone,
     /// The engine is silent, and another one is reserved.
     FailOver(Box<PermittedChoice>),
+    /// Something is to be done about the engine's end.
+    Relocation(RelocationEvent),
 }
 
 impl Relay {
@@ -83,31 +96,41 @@
         loop {
             let stop = self.forward_pieces(&mut source, first.take()).await;
             let (choice, continued_after) = (source.choice.clone(), source.continued_after);
-            match stop {
+            // Closes the connection before another engine is contacted.
+            drop(source);
+            let failed = match stop {
                 Stop::Finished { proves_parts } => return self.finish(&choice.backend, proves_parts),
-                Stop::CallerGone => {
-                    let request = self.call.log_id();
-                    return emit(&CallerGone { request, backend: choice.backend.to_string() });
-                }
-                Stop::Failed(failed) => {
-                    // Closes the connection before another engine is contacted.
-                    drop(source);
-                    match self.resume_elsewhere(&choice, continued_after, failed).await {
-                        Some(started) => {
-                            source = started.source;
-                            first = Some(started.first);
-                        }
-                        None => return self.abort_stream(&choice.backend).await,
+                Stop::CallerGone => return self.note_caller_gone(&choice.backend),
+                Stop::Failed(failed) => failed,
+                Stop::Moved(stopped) => match self.continue_moved(&choice, *stopped).await {
+                    Ok(started) => {
+                        source = started.source;
+                        first = Some(started.first);
+                        continue;
                     }
+                    Err(MovedStreamEnd::CallerGone) => return self.note_caller_gone(&choice.backend),
+                    Err(MovedStreamEnd::Failed(failed)) => failed,
+                },
+            };
+            match self.resume_elsewhere(&choice, continued_after, failed).await {
+                Some(started) => {
+                    source = started.source;
+                    first = Some(started.first);
                 }
+                None => return self.abort_stream(&choice.backend).await,
             }
         }
     }
 
+    fn note_caller_gone(&self, backend: &BackendId) {
+        emit(&CallerGone { request: self.call.log_id(), backend: backend.to_string() });
+    }
+
     /// Forwards pieces to the caller until the engine's stream ends.
     async fn forward_pieces(&mut self, source: &mut Source, first: Option<Piece>) -> Stop {
         let mut next = first;
         let mut gap_meter: Option<EventGapMeter> = None;
+        self.relocation = self.watch_engine();
         let call = self.call.clone();
         // One timer for all events of the source.
         let mut time_is_up = std::pin::pin!(call.deadline_elapsed());
@@ -121,8 +144,22 @@
                         let failure = AttemptFailure::lost("silent for too long");
                         return Stop::Failed(FailedAttempt { failure, next: Some(*next) });
                     }
+                    WaitOutcome::Relocation(RelocationEvent::Review) => {
+                        self.review_relocation(source, gap_meter.as_ref());
+                        continue;
+                    }
+                    WaitOutcome::Relocation(RelocationEvent::Moved(result)) => {
+                        match self.take_move_result(source, result).await {
+                            Some(stop) => return stop,
+                            None => continue,
+                        }
+                    }
                 },
             };
+            let piece = match self.check_end(source, piece).await {
+                Ok(piece) => piece,
+                Err(stop) => return stop,
+            };
             match piece {
                 Piece::Events(events) => {
                     let now = process_clock::now();
@@ -149,6 +186,20 @@
         }
     }
 
+    /// Replaces the end of a stream that may have been caused by a move.
+    async fn check_end(&mut self, source: &Source, piece: Piece) -> Result<Piece, Stop> {
+        let is_certain = match &piece {
+            Piece::Events(_) => true,
+            Piece::End => source.has_marked_end(),
+            Piece::Broken(_) => false,
+        };
+        let pending = if is_certain { None } else { self.relocation.take_pending() };
+        match pending {
+            Some(pending) => self.settle_move(&source.choice.backend, pending, piece).await,
+            None => Ok(piece),
+        }
+    }
+
     fn measure_event_gap(&self, gap_meter: &mut EventGapMeter, source: &Source, events: u32, now: Instant) {
         if let Some(mean_gap_ms) = gap_meter.add_events(events, now) {
             self.record_mean_gap(source, mean_gap_ms);
@@ -174,7 +225,7 @@
     /// Waits for the next piece. A silent engine is abandoned only if another one takes the stream: late
     /// events are better than none.
     async fn wait(&mut self, source: &mut Source, time_is_up: impl Future<Output = ()>) -> WaitOutcome {
-        let Self { forwarder, call, attempts, sender, .. } = self;
+        let Self { forwarder, call, attempts, sender, relocation, .. } = self;
         let can_fail_over = call.may_fail_over(attempts.sent);
         let silent_backend = source.choice.backend.clone();
         let next_back_end = async {
@@ -190,6 +241,7 @@
             piece = source.next_piece() => WaitOutcome::Piece(piece),
             () = sender.disconnected() => WaitOutcome::CallerGone,
             () = time_is_up => WaitOutcome::Piece(Piece::Broken(AttemptFailure::lost("the time is up"))),
+            event = relocation.next() => WaitOutcome::Relocation(event),
             next = next_back_end => WaitOutcome::FailOver(Box::new(next)),
         }
     }
@@ -210,8 +262,9 @@
         let mut next = self.attempts.next_choice(&self.forwarder, &self.call, from, next).await;
         while let Some(PermittedChoice { choice, permit }) = next {
             let Self { forwarder, call, attempts, .. } = self;
+            let resume = ResumePoint::after(self.last_event);
             let resumed = tokio::select! {
-                resumed = start_attempt(forwarder, call, &choice, permit, self.last_event, attempts) => resumed,
+                resumed = start_attempt(forwarder, call, &choice, permit, resume, attempts) => resumed,
                 () = self.sender.disconnected() => return None,
             };
             let failed = match resumed {
@@ -245,6 +298,7 @@
     }
 
     fn finish(&self, backend: &BackendId, proves_parts: bool) {
+        self.note_finished_at(backend);
         self.forwarder.quarantine.note_completed(&self.call.fingerprint);
         if proves_parts {
             self.forwarder.note_parts_completed(&self.call);
--- a/crates/beamwall-gateway/src/unary.rs
+++ b/crates/beamwall-gateway/src/unary.rs
@@ -9,7 +9,7 @@
 use hyper::{Response, StatusCode, http::response::Parts};
 use tokio::time::Instant;
 
-use crate::attempt::{self, AttemptFailure, OpenResponse};
+use crate::attempt::{self, AttemptFailure, OpenResponse, ResumePoint};
 use crate::attempts::Attempts;
 use crate::engine_gate::SendPermit;
 use crate::failover::{self, FailedAttempt};
@@ -94,7 +94,7 @@
     };
     tokio::select! {
         biased;
-        opened = attempt::open(forwarder, call, choice, permit, None, call.remaining()) => Ok(opened?),
+        opened = attempt::open(forwarder, call, choice, permit, ResumePoint::default(), call.remaining()) => Ok(opened?),
         next = next_back_end => Err(attempt::abandon_silent(forwarder, call, &choice.backend, None, next)),
     }
 }
--- a/crates/beamwall-gateway/tests/attempts.rs
+++ b/crates/beamwall-gateway/tests/attempts.rs
@@ -12,6 +12,7 @@
 use beamwall_engine_limits::RestNotice;
 use beamwall_gateway::admission_metrics::AdmissionMetrics;
 use beamwall_gateway::attempt::{self, AttemptFailure, Execution};
+use beamwall_gateway::attempt::{self, AttemptFailure, Execution, ResumePoint};
 use beamwall_gateway::attempts::{Attempts, RetryBlocker};
 use beamwall_gateway::candidates::BackendState;
 use beamwall_gateway::choice::Chooser;
@@ -23,6 +24,7 @@
 use beamwall_gateway::group_admission::GroupAdmission;
 use beamwall_gateway::metrics::GatewayMetrics;
 use beamwall_gateway::placement_groups::EngineGroup;
+use beamwall_gateway::ports::{MoveReply, MoveRequest};
 use beamwall_gateway::quarantine::{Quarantine, TrialPort};
 use beamwall_gateway::refusal::Refusal;
 use beamwall_gateway::retries::{RetryAllowance, RetryBudgets};
@@ -37,7 +39,8 @@
 use beamwall_quarantine::{Fingerprint, QuarantineRegistry};
 use beamwall_rollout::{OrderId, OrderUpdate, RolloutOrder, RolloutRegistry, Verdict};
 use beamwall_stream_origin::StreamKey;
-use hyper::{HeaderMap, StatusCode};
+use bytes::Bytes;
+use hyper::{HeaderMap, Request, StatusCode};
 use tokio::time::Instant;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -64,6 +67,15 @@
     fn response_headers(&self, _: &HeaderMap) -> HeaderMap {
         HeaderMap::new()
     }
+    fn move_request(&self, _: &MoveRequest<'_>) -> Request<Bytes> {
+        Request::default()
+    }
+    fn read_move_reply(&self, _: StatusCode, _: &[u8]) -> MoveReply {
+        MoveReply::RunEnded
+    }
+    fn release_request(&self, _: &str) -> Request<Bytes> {
+        Request::default()
+    }
     fn mark_refusal(&self, _: &mut HeaderMap, _: &str) {}
 }
 
@@ -139,6 +151,7 @@
         rollouts: RolloutRegistry::default(),
         origins: StreamOrigins::new(Arc::new(StubPorts)),
         quarantine: Arc::new(quarantine),
+        move_on_reclaim: false,
         retries: RetryBudgets::new(allowance, 1),
         usage: UsageLedger::new(SECOND),
         clock,
@@ -317,7 +330,7 @@
     let PermittedChoice { choice, permit } =
         forwarder.choose(&call, &[], None).await.expect("the only engine");
     announce_departure(&forwarder, &choice.backend);
-    let opened = attempt::open(&forwarder, &call, &choice, permit, None, SECOND).await;
+    let opened = attempt::open(&forwarder, &call, &choice, permit, ResumePoint::default(), SECOND).await;
     let failure = opened.err().expect("nothing is sent");
     assert!(!failure.sent);
     assert_eq!(failure.execution, Execution::NotExecuted);
@@ -351,7 +364,7 @@
     let PermittedChoice { choice, permit } =
         forwarder.choose(&call, &[], None).await.expect("the only engine");
     ask_for_rest(&forwarder, &choice.backend, SECOND * 3);
-    let opened = attempt::open(&forwarder, &call, &choice, permit, None, SECOND).await;
+    let opened = attempt::open(&forwarder, &call, &choice, permit, ResumePoint::default(), SECOND).await;
     assert!(!opened.err().expect("nothing is sent").sent);
     forwarder.gate.note_response(&choice.backend, &ResponseHead::default(), Instant::now());
     tokio::time::advance(SECOND * 2).await;
--- a/crates/beamwall-gateway/tests/directory.rs
+++ b/crates/beamwall-gateway/tests/directory.rs
@@ -21,6 +21,7 @@
         slots: 4,
         draining,
         reclaimable: false,
+        leaves_in_ms: None,
     }
 }
 
--- a/crates/beamwall-gateway/tests/directory_staleness.rs
+++ b/crates/beamwall-gateway/tests/directory_staleness.rs
@@ -26,6 +26,7 @@
         slots: 4,
         draining: false,
         reclaimable: false,
+        leaves_in_ms: None,
     }
 }
 
--- a/crates/beamwall-gateway/tests/support/mod.rs
+++ b/crates/beamwall-gateway/tests/support/mod.rs
@@ -77,6 +77,7 @@
         slots: 8,
         draining: false,
         reclaimable: false,
+        leaves_in_ms: None,
     }
 }
 
@@ -148,6 +149,7 @@
         last_event: None,
         resumes: None,
         stream_version: None,
+        engine: None,
         received: now,
         suspended_before: beamwall_clock::suspended_time(),
         deadline: now,
--- a/crates/beamwall-gateway/tests/unreachable_zones.rs
+++ b/crates/beamwall-gateway/tests/unreachable_zones.rs
@@ -23,6 +23,7 @@
         slots: 8,
         draining: false,
         reclaimable: false,
+        leaves_in_ms: None,
     };
     let backends = [("e0", "east"), ("e1", "east"), ("w0", "west")].map(backend).to_vec();
     let mut directory = Directory::default();
--- a/crates/beamwall-node/src/gateway/directory_wire.rs
+++ b/crates/beamwall-node/src/gateway/directory_wire.rs
@@ -71,6 +71,7 @@
         reclaimable: backend.reclaimable,
         born_ms: backend.born_ms,
         version: names.position(backend.version.as_str()),
+        leaves_in_ms: backend.leaves_in_ms,
     }
 }
 
@@ -160,6 +161,7 @@
             slots: json_listed.slots,
             draining: json_listed.draining,
             reclaimable: json_listed.reclaimable,
+            leaves_in_ms: None,
         }
     };
     Ok(backends.into_iter().map(backend).collect())
@@ -207,5 +209,6 @@
         slots: listed.slots,
         draining: listed.draining,
         reclaimable: listed.reclaimable,
+        leaves_in_ms: listed.leaves_in_ms,
     })
 }
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -414,6 +414,7 @@
             .for_generation(&settings.node, generation)
             .in_zone(&settings.zone),
         origins: StreamOrigins::new(peers.origins),
+        move_on_reclaim: settings.move_on_reclaim,
         retries: RetryBudgets::new(retries, nodes),
         usage: UsageLedger::new(settings.usage_window)
             .for_generation(&settings.node, generation)
--- a/crates/beamwall-node/tests/directory_wire.rs
+++ b/crates/beamwall-node/tests/directory_wire.rs
@@ -24,6 +24,7 @@
         slots: u32::from(number),
         draining: random.arbitrary()?,
         reclaimable: random.arbitrary()?,
+        leaves_in_ms: random.arbitrary()?,
     })
 }
 
@@ -84,6 +85,7 @@
         slots: 96,
         draining: false,
         reclaimable: true,
+        leaves_in_ms: None,
     };
     let backends = (0..length).map(backend).collect();
     DirectoryUpdate::Whole(DirectorySnapshot { revision: 900.into(), backends })
--- a/crates/beamwall-node/tests/earlier_builds.rs
+++ b/crates/beamwall-node/tests/earlier_builds.rs
@@ -212,6 +212,7 @@
         slots: if is_first { 128 } else { 6 },
         draining: !is_first,
         reclaimable: is_first,
+        leaves_in_ms: None,
     }
 }
 
--- a/crates/beamwall-node/tests/forwarded_loads.rs
+++ b/crates/beamwall-node/tests/forwarded_loads.rs
@@ -21,6 +21,7 @@
         slots: 8,
         draining: false,
         reclaimable: false,
+        leaves_in_ms: None,
     }
 }
 
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -466,4 +466,7 @@
     /// Index of the version's name.
     #[prost(uint32, tag = "9")]
     pub version: u32,
+    /// Time left until the back end is gone, in milliseconds when it was announced, if it named one.
+    #[prost(uint64, optional, tag = "10")]
+    pub leaves_in_ms: Option<u64>,
 }
--- a/crates/beamwall-policy/src/lib.rs
+++ b/crates/beamwall-policy/src/lib.rs
@@ -17,7 +17,7 @@
 pub use history::PolicyHistory;
 pub use index::{PolicyIndex, TenantRef};
 pub use route::{DEFAULT_HOLD_LIMIT_MS, DEFAULT_OBJECTIVE_MS, Route, RouteKind, WeightedService};
-pub use service::{EngineTraits, ScalingLimits, Service};
+pub use service::{EngineTraits, MemoryMoves, ScalingLimits, Service};
 pub use shared::Shared;
 pub use tenant::Tenant;
 
--- a/crates/beamwall-policy/src/service.rs
+++ b/crates/beamwall-policy/src/service.rs
@@ -27,6 +27,21 @@
     pub memory_tokens: u64,
     /// Tokens in one event of a stream.
     pub tokens_per_event: u32,
+    /// How it moves the memory of running requests; `None` if it can't. Builds that know no moves neither
+    /// send nor read this.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub memory_moves: Option<MemoryMoves>,
+}
+
+/// How engines move the memory of a running request to one another.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct MemoryMoves {
+    /// Size of one token in an engine's memory, in bytes.
+    pub token_bytes: u64,
+    /// Capacity of the link over which an engine moves memory, in Mbit/s.
+    pub link_mbps: f64,
+    /// Time for which an unused copy is kept, in milliseconds.
+    pub copy_lifetime_ms: u64,
 }
 
 /// Limits for the number of back ends in a zone, and their prices.
