Streams of engines that are reclaimed are moved with their memory

Cause: a reclaimable engine announces how much time is left before it is gone. A stream that may not be resumed was cut there, and one that may be was begun again with its whole prompt, although engines can copy the memory of a run.

--- a/crates/beamwall-gateway/src/stream/moved_stream.rs
+++ b/crates/beamwall-gateway/src/stream/moved_stream.rs
@@ -9,13 +9,12 @@
 use beamwall_model::BackendId;
 use tokio::time::Instant;
 
-use crate::attempt::{AttemptFailure, Execution, ResumePoint};
+use crate::attempt::{AttemptFailure, ResumePoint};
 use crate::failover::FailedAttempt;
 use crate::forward::PermittedChoice;
 use crate::placement::Choice;
-use crate::ports::MemorySource;
 use crate::stream::event_gap::EventGapMeter;
-use crate::stream::memory_move::{MoveFailure, MoveOrder, MoveResult, StoppedRun, move_run};
+use crate::stream::memory_move::{HeldMemory, MoveFailure, MoveOrder, MoveResult, StoppedRun, move_run};
 use crate::stream::relay::{Relay, Stop};
 use crate::stream::relocation::{Relocation, RunningStream, decide};
 use crate::stream::relocation_watch::{PendingMove, RelocationWatch};
@@ -157,7 +156,8 @@
         }
     }
 
-    /// Continues a stopped run at the engine that holds its copy, or else at the one that ran it.
+    /// Continues a stopped run at the engine that holds its copy, or else at the one that ran it. Its memory
+    /// serves once, so the run can't go on at both: an engine that finds it used rejects the request.
     pub(super) async fn continue_moved(
         &mut self,
         from: &Choice,
@@ -165,45 +165,34 @@
     ) -> Result<StartedStream, MovedStreamEnd> {
         let StoppedRun { mut memory, target } = stopped;
         let mut reason = "there is no copy".to_owned();
-        if let Some(PermittedChoice { choice, permit }) = target {
-            let target = PermittedChoice { choice: choice.clone(), permit };
-            match self.open_moved(target, memory.source()).await {
-                Ok(started) => {
-                    memory.note_used();
-                    self.note_moved(&from.backend, &choice.backend);
-                    return Ok(started);
-                }
-                Err(MovedStreamEnd::Failed(failed)) if was_not_run(&failed) => {
-                    reason = failed.failure.reason;
-                }
-                Err(end) => return Err(end),
+        if let Some(target) = target {
+            match self.open_moved(from, target, &mut memory).await {
+                Err(MovedStreamEnd::Failed(failed)) => reason = failed.failure.reason,
+                opened => return opened,
             }
         }
         let rank = self.call.rank(self.forwarder.call_prefill_ms(&self.call));
         let Ok(permit) = self.forwarder.admit(&self.call, rank, &from.backend).await else {
             return Err(self.lost_run(&from.backend, &reason));
         };
-        match self.open_moved(PermittedChoice { choice: from.clone(), permit }, memory.source()).await {
-            Ok(started) => {
-                memory.note_used();
-                self.note_moved(&from.backend, &from.backend);
-                Ok(started)
-            }
+        let source = PermittedChoice { choice: from.clone(), permit };
+        match self.open_moved(from, source, &mut memory).await {
             Err(MovedStreamEnd::Failed(failed)) => {
                 Err(self.lost_run(&from.backend, &format!("{reason}; {}", failed.failure.reason)))
             }
-            Err(MovedStreamEnd::CallerGone) => Err(MovedStreamEnd::CallerGone),
+            opened => opened,
         }
     }
 
     /// Opens the stream of a stopped run where its memory is.
     async fn open_moved(
         &mut self,
+        from: &Choice,
         place: PermittedChoice,
-        memory: &MemorySource,
+        memory: &mut HeldMemory,
     ) -> Result<StartedStream, MovedStreamEnd> {
         let PermittedChoice { choice, permit } = place;
-        let resume = ResumePoint { last_event: self.last_event, memory: Some(memory) };
+        let resume = ResumePoint { last_event: self.last_event, memory: Some(memory.source()) };
         let Self { forwarder, call, attempts, sender, .. } = self;
         let opened = tokio::select! {
             biased;
@@ -211,7 +200,11 @@
             opened = start_attempt(forwarder, call, &choice, permit, resume, attempts) => opened,
         };
         match opened {
-            Ok(AttemptStart::Stream(started)) => Ok(*started),
+            Ok(AttemptStart::Stream(started)) => {
+                memory.note_used();
+                self.note_moved(&from.backend, &choice.backend);
+                Ok(*started)
+            }
             Ok(AttemptStart::Answer(response)) => {
                 let reason = format!("answered {} to a run that was moved", response.status());
                 Err(MovedStreamEnd::Failed(AttemptFailure::may_have_run(reason).into()))
@@ -261,10 +254,6 @@
     }
 }
 
-fn was_not_run(failed: &FailedAttempt) -> bool {
-    failed.failure.execution == Execution::NotExecuted
-}
-
 /// The end of a stream whose run was not moved. A stream that ends with its connection looks whole after an
 /// order to stop that may have been carried out.
 fn end_after_failed_move(end: Piece, failure: &MoveFailure) -> Piece {
