--- a/crates/beamwall-gateway/src/stream/memory_move.rs
+++ b/crates/beamwall-gateway/src/stream/memory_move.rs
@@ -3,14 +3,16 @@
 //! Most of the memory may be copied while the run goes on. The last call stops the run and copies the rest.
 //! From then on the run exists only in that memory, which the source keeps as well.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use beamwall_http::body::ReadError;
-use beamwall_http::{full, read_limited};
+use beamwall_http::{Body, full, read_limited};
 use beamwall_model::{BackendId, EngineVersion};
 use bytes::Bytes;
 use hyper::Request;
+use hyper::header::{HOST, HeaderValue};
 use quick_error::quick_error;
 use tokio::time::Instant;
 
@@ -109,8 +111,8 @@
         if self.is_used {
             return;
         }
-        let request = self.forwarder.dialect.release_request(&self.source.handle).map(full);
         let (pool, engine) = (self.forwarder.pool.clone(), self.source.engine);
+        let request = addressed(self.forwarder.dialect.release_request(&self.source.handle), engine);
         // Whatever comes of it, the engine frees the memory later by itself.
         tokio::spawn(async move { tokio::time::timeout(RELEASE_TIMEOUT, pool.send(engine, request)).await });
     }
@@ -157,8 +159,8 @@
 struct MoveCalls<'a> {
     forwarder: &'a Arc<Forwarder>,
     request_id: &'a str,
-    source: std::net::SocketAddr,
-    target: std::net::SocketAddr,
+    source: SocketAddr,
+    target: SocketAddr,
     gone_at: Instant,
 }
 
@@ -217,7 +219,7 @@
     }
 
     async fn send(&self, request: Request<Bytes>, limit: Duration) -> Result<MoveReply, MoveFailure> {
-        let sent = self.forwarder.pool.send(self.source, request.map(full)).await;
+        let sent = self.forwarder.pool.send(self.source, addressed(request, self.source)).await;
         let response = sent.map_err(|error| MoveFailure::NoReply(error.to_string()))?;
         let status = response.status();
         let unreadable = |error: ReadError| MoveFailure::NoReply(error.to_string());
@@ -226,6 +228,15 @@
     }
 }
 
+/// A request of the gateway's own to an engine. Forwarded requests bear the caller's host instead.
+fn addressed(request: Request<Bytes>, engine: SocketAddr) -> Request<Body> {
+    let mut request = request.map(full);
+    if let Ok(host) = HeaderValue::from_str(&engine.to_string()) {
+        request.headers_mut().insert(HOST, host);
+    }
+    request
+}
+
 /// The failure that a reply other than a copy means.
 fn failure_of(reply: MoveReply) -> MoveFailure {
     match reply {
