--- a/crates/beamwall-gateway/src/demand.rs
+++ b/crates/beamwall-gateway/src/demand.rs
@@ -65,8 +65,10 @@
 impl State {
     /// The work of one request.
     fn work_of(&self, route: &str, prefill: PrefillWork) -> Workload {
-        let events = self.events_by_route.get(route).copied().unwrap_or(DEFAULT_EVENTS_PER_STREAM);
+        let events = self.usual_events(route);
         Workload { requests: 1.0, tokens: prefill.tokens as f64, pairs: prefill.pairs as f64, events }
+    }
+
     fn usual_events(&self, route: &str) -> f64 {
         self.events_by_route.get(route).copied().unwrap_or(DEFAULT_EVENTS_PER_STREAM)
     }
@@ -111,9 +113,6 @@
         let mut state = self.lock();
         let work = state.work_of(route, prefill);
         state.own.entry(service.clone()).or_default().expected.add(work, retry_after);
-        let events = state.usual_events(route);
-        state.own.entry(service.clone()).or_default().pending +=
-            Workload { requests: 1.0, tokens: prefill.tokens as f64, pairs: prefill.pairs as f64, events };
     }
 
     /// Records the number of events of a finished stream.
--- a/crates/beamwall-gateway/tests/attempts.rs
+++ b/crates/beamwall-gateway/tests/attempts.rs
@@ -11,7 +11,6 @@
 use beamwall_admission::{CapacityClaim, Rejection, RejectionReason};
 use beamwall_engine_limits::RestNotice;
 use beamwall_gateway::admission_metrics::AdmissionMetrics;
-use beamwall_gateway::attempt::{self, AttemptFailure, Execution};
 use beamwall_gateway::attempt::{self, AttemptFailure, Execution, ResumePoint};
 use beamwall_gateway::attempts::{Attempts, RetryBlocker};
 use beamwall_gateway::candidates::BackendState;
