Engine models: fits of lasting factors take a bounded share of the time

Cause: a fit passes over all listed back ends; at 10,000 it would be repeated each 0.5 s on gateways of a tenth of a core. Change: the period grows with the number of back ends, 0.5 s for every 1,000. `cargo test -p beamwall-engine-model` and lasting_speeds, slow_engines, slow_versions, back_end_restart, choice, placement of beamwall-gateway pass.

--- a/crates/beamwall-engine-model/src/learnt_speeds.rs
+++ b/crates/beamwall-engine-model/src/learnt_speeds.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{HashMap, HashSet};
 use std::hash::Hash;
+use std::sync::Arc;
+use std::time::Duration;
 
 use beamwall_model::{BackendId, ServiceName};
 use tokio::time::Instant;
@@ -10,6 +12,9 @@
 use crate::lasting_reports::LastingReports;
 use crate::lasting_speed::{LastingObservation, LastingRecords, LastingSpeedTracker, merge};
 
+/// Time between two fits per 1,000 back ends: a fit to as many takes less than a millisecond on a whole core.
+const FIT_PERIOD_PER_1000: Duration = Duration::from_millis(500);
+
 /// Lasting speeds of all back ends, by the source `P` of the records.
 #[derive(Debug)]
 pub(crate) struct LearntSpeeds<P> {
@@ -27,6 +32,9 @@
     zone_reports: LastingReports,
     /// Back ends whose factor was notable before.
     noted: HashSet<BackendId>,
+    /// The factors of the last fit.
+    factors: Arc<LastingFactors>,
+    fitted_at: Option<Instant>,
 }
 
 impl<P> Default for LearntSpeeds<P> {
@@ -40,6 +48,8 @@
             node_reports: LastingReports::default(),
             zone_reports: LastingReports::default(),
             noted: HashSet::new(),
+            factors: Arc::default(),
+            fitted_at: None,
         }
     }
 }
@@ -88,8 +98,19 @@
         }
     }
 
-    /// Fits the factors to the records of all nodes.
-    pub(crate) fn fit(&self, now: Instant) -> LastingFactors {
+    /// Returns the factors, fitted again if the period has passed. The period grows with the number of back
+    /// ends, so that fits take the same share of the time.
+    pub(crate) fn fit_if_due(&mut self, now: Instant) -> Arc<LastingFactors> {
+        let period = FIT_PERIOD_PER_1000 * u32::try_from(self.listed.len() / 1_000).unwrap_or(u32::MAX);
+        let is_due = |fitted_at: Instant| now.saturating_duration_since(fitted_at) >= period;
+        if self.fitted_at.is_none_or(is_due) {
+            self.fitted_at = Some(now);
+            self.factors = Arc::new(self.fit(now));
+        }
+        self.factors.clone()
+    }
+
+    fn fit(&self, now: Instant) -> LastingFactors {
         let sources = self.peers.values().chain([self.observed.records(), &self.inherited]);
         LastingFactors::fit(&self.listed, &merge(sources, now))
     }
--- a/crates/beamwall-engine-model/src/models.rs
+++ b/crates/beamwall-engine-model/src/models.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use crate::estimates::ServiceEstimates;
-use crate::lasting_factors::{BackendKind, FactorSpread, LastingFactors};
+use crate::lasting_factors::{BackendKind, FactorSpread};
 use crate::lasting_speed::LastingObservation;
 use crate::learnt_speeds::LearntSpeeds;
 use crate::observation::EngineObservation;
@@ -198,7 +198,7 @@
         let peer_trackers = state.peer_slowness.values();
         let trackers = peer_trackers.chain([&state.own_slowness, &state.received_reports]);
         let recent = merge_slowness(trackers, now);
-        let lasting = state.speeds.as_ref().map_or_else(LastingFactors::default, |speeds| speeds.fit(now));
+        let lasting = state.speeds.as_mut().map(|speeds| speeds.fit_if_due(now)).unwrap_or_default();
         state.factors = Arc::new(SlownessFactors::new(recent, lasting));
         let sums =
             merge_statistics(state.own_statistics.iter().chain(state.peer_statistics.values().flatten()));
--- a/crates/beamwall-engine-model/src/slowness.rs
+++ b/crates/beamwall-engine-model/src/slowness.rs
@@ -11,6 +11,7 @@
 
 use std::collections::HashMap;
 use std::ops::AddAssign;
+use std::sync::Arc;
 use std::time::Duration;
 
 use beamwall_model::BackendId;
@@ -82,14 +83,14 @@
 #[derive(Debug, Default)]
 pub struct SlownessFactors {
     recent: HashMap<BackendId, f64>,
-    lasting: LastingFactors,
+    lasting: Arc<LastingFactors>,
 }
 
 impl SlownessFactors {
     /// Combines recent observations with lasting factors.
     pub(crate) fn new(
         observed: impl IntoIterator<Item = (BackendId, SlownessObservation)>,
-        lasting: LastingFactors,
+        lasting: Arc<LastingFactors>,
     ) -> Self {
         let factor = |(backend, observed): (BackendId, SlownessObservation)| {
             let factor = observed.factor(lasting.logarithm(&backend));
