Quotas: a refusal names which part of the quota was used up

Operators can tell a tenant beyond its limit from one that is within it and was held to a node's share.

--- a/crates/beamwall-ctl/src/why.rs
+++ b/crates/beamwall-ctl/src/why.rs
@@ -117,10 +117,26 @@
     match (line.number(), line.field("ran")) {
         (5_102, "no") => "the attempt gave no answer; it is proved that nothing ran".to_owned(),
         (5_102, _) => "the attempt gave no answer; the request may have run there".to_owned(),
+        (5_104, _) => refusal_meaning(line).to_owned(),
         _ => known.map_or_else(|| "not in the catalogue".to_owned(), |entry| entry.message.to_owned()),
     }
 }
 
+fn refusal_meaning(line: &Line) -> &'static str {
+    match line.field("quota_cause") {
+        "limit_used" => "refused: the work that the node knew of had used the tenant's limit up",
+        "share_used" => {
+            "refused: the tenant's limit covered it, but the node or its zone had used its share and others \
+             had not received its report yet"
+        }
+        "withheld" => {
+            "refused: the rest of the tenant's limit was reserved for nodes that could not be reached, or \
+             for work from before the node's start"
+        }
+        _ => "request refused",
+    }
+}
+
 fn outcome(last: &Line, all: &[&Line]) -> String {
     let attempts = all.iter().filter(|line| line.number() == 5_101).count();
     let failures: Vec<&str> =
--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -192,7 +192,7 @@
     /// A request got an answer of a back end; of a stream, its head and first events.
     5103 Info GatewayAnswered "request answered" { request, route, tenant, status, policy_version, elapsed_ms }
     /// A request got an answer of the gateway's own.
-    5104 Warn GatewayRefused "request refused" { request, fingerprint, route, tenant, status, reason, policy_version, elapsed_ms }
+    5104 Warn GatewayRefused "request refused" { request, fingerprint, route, tenant, status, reason, quota_cause, policy_version, elapsed_ms }
     /// A stream was continued at another engine.
     5105 Info StreamContinued "stream continued" { request, from, to, version, last_event }
     /// A stream broke off and was not continued.
--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -147,6 +147,10 @@
 
     fn log_refusal(&self, gateway: &Gateway, request_id: Option<&str>, refusal: &Refusal, received: Instant) {
         self.count(gateway, refusal.status().as_str(), received);
+        if let Refusal::QuotaExceeded(exceeded) = refusal {
+            let labels = [self.tenant_name(), exceeded.cause.name().to_owned()];
+            gateway.forwarder.metrics.quota_refusals.with_label_values(&labels).inc();
+        }
         emit(&GatewayRefused {
             request: request_id.unwrap_or_default().to_owned(),
             fingerprint: self.fingerprint.map(|known| known.to_string()).unwrap_or_default(),
@@ -154,6 +158,7 @@
             tenant: self.tenant_name(),
             status: refusal.status().as_u16().to_string(),
             reason: refusal.reason(),
+            quota_cause: refusal.quota_cause().to_owned(),
             policy_version: self.version.to_string(),
             elapsed_ms: received.elapsed().as_millis().to_string(),
         });
--- a/crates/beamwall-gateway/src/metrics.rs
+++ b/crates/beamwall-gateway/src/metrics.rs
@@ -29,6 +29,8 @@
     pub delegated: IntCounterVec,
     /// Permits that were denied because of the limits that engines name, by service.
     pub permits_denied: IntCounterVec,
+    /// Requests refused by quotas, by tenant and by which part of the quota was used up.
+    pub quota_refusals: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -84,6 +86,13 @@
             ),
             &["service"],
         )?;
+        let quota_refusals = IntCounterVec::new(
+            Opts::new(
+                "beamwall_gateway_quota_refusals_total",
+                "requests refused by quotas, by tenant and by the part of the quota that was used up",
+            ),
+            &["tenant", "cause"],
+        )?;
         let delegated = IntCounterVec::new(
             Opts::new(
                 "beamwall_gateway_delegated_total",
@@ -93,6 +102,7 @@
         )?;
         registry.register(Box::new(delegated.clone()))?;
         registry.register(Box::new(permits_denied.clone()))?;
+        registry.register(Box::new(quota_refusals.clone()))?;
         registry.register(Box::new(silent_back_ends.clone()))?;
         registry.register(Box::new(caller_connections_failed.clone()))?;
         registry.register(Box::new(requests.clone()))?;
@@ -111,6 +121,7 @@
             silent_back_ends,
             caller_connections_failed,
             permits_denied,
+            quota_refusals,
             delegated,
         })
     }
--- a/crates/beamwall-gateway/src/quota/account.rs
+++ b/crates/beamwall-gateway/src/quota/account.rs
@@ -58,6 +58,9 @@
     recent: WorkHistory,
     /// Recent work reported by other zones.
     recent_other_zones: WorkHistory,
+    created: Instant,
+    /// Part of the burst that is missing from the initial level.
+    missing_at_start: f64,
 }
 
 impl Account {
@@ -74,9 +77,18 @@
             admitted_by_nodes: 0.0,
             recent: WorkHistory::default(),
             recent_other_zones: WorkHistory::default(),
+            created: now,
+            missing_at_start: (refill.burst - level).max(0.0),
         }
     }
 
+    /// The level if nodes that this one has not heard of have admitted nothing.
+    pub(super) fn level_without_unknown_work(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.created);
+        let missing = if age < MAX_WITHHELD_TIME { self.missing_at_start } else { 0.0 };
+        self.level + self.withheld + missing
+    }
+
     /// Refills the account up to now and uses the new parameters from now on.
     pub(super) fn set_refill(&mut self, refill: Refill, now: Instant) {
         self.refill(now);
--- a/crates/beamwall-gateway/src/quota/mod.rs
+++ b/crates/beamwall-gateway/src/quota/mod.rs
@@ -19,6 +19,7 @@
 //! fraction as well.
 
 mod account;
+mod cause;
 mod reports;
 
 use std::collections::HashMap;
@@ -34,6 +35,8 @@
 use account::{Account, HISTORY_TIME, Refill};
 use reports::{NodeReports, ZoneReports};
 
+pub use cause::RefusalCause;
+
 /// Largest retry delay that is returned to a refused caller.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
 /// Smallest retry delay of a caller refused because peers have not received this node's report yet. Within
@@ -164,6 +167,8 @@
     pub membership: QuotaMembership,
     /// Whether the work would fit once peers have received this node's report.
     pub fits_after_report: bool,
+    /// What the level was lacking.
+    pub cause: RefusalCause,
 }
 
 impl QuotaLimiter {
@@ -249,12 +254,20 @@
             } else {
                 refill_time.max(MIN_REPORT_WAIT)
             };
+            let cause = if fits_level {
+                RefusalCause::ShareUsed
+            } else if account.level_without_unknown_work(now) + slack_share >= needed {
+                RefusalCause::Withheld
+            } else {
+                RefusalCause::LimitUsed
+            };
             return Err(QuotaExceeded {
                 retry_after: wait,
                 level: account.level,
                 amount,
                 membership,
                 fits_after_report: fits_level && fits_zone_share,
+                cause,
             });
         }
         account.admit_work(amount, now);
--- a/crates/beamwall-gateway/src/refusal.rs
+++ b/crates/beamwall-gateway/src/refusal.rs
@@ -12,7 +12,7 @@
 use crate::admission::Unservable;
 use crate::engine_gate::LimitReached;
 use crate::ports::Dialect;
-use crate::quota::QuotaExceeded;
+use crate::quota::{QuotaExceeded, RefusalCause};
 use crate::stream_origins::UnknownOrigin;
 
 /// `retry_after` of refusals for a temporary reason.
@@ -39,6 +39,19 @@
     LIMIT_RETURN_SPREAD.mul_f64(rand::random())
 }
 
+fn quota_reason(exceeded: &QuotaExceeded) -> String {
+    let QuotaExceeded { amount, level, membership, .. } = exceeded;
+    let refused = match exceeded.cause {
+        RefusalCause::LimitUsed => "the tenant is beyond its quota",
+        RefusalCause::ShareUsed => "the tenant is beyond the share of its quota at this node",
+        RefusalCause::Withheld => "the rest of the tenant's quota is reserved for nodes not heard",
+    };
+    format!(
+        "{refused}: {amount:.0} asked for, {level:.0} left, {} of {} nodes heard",
+        membership.reachable, membership.known
+    )
+}
+
 /// Why a request got no response from a back end.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Refusal {
@@ -153,10 +166,7 @@
             Self::UnknownKey => "the key is missing or unknown".to_owned(),
             Self::BadBody(reason) => reason.clone(),
             Self::BodyTooLarge => "the body is too large".to_owned(),
-            Self::QuotaExceeded(exceeded) => format!(
-                "the tenant is beyond its quota: {:.0} asked for, {:.0} left, {} of {} nodes heard",
-                exceeded.amount, exceeded.level, exceeded.membership.reachable, exceeded.membership.known
-            ),
+            Self::QuotaExceeded(exceeded) => quota_reason(exceeded),
             Self::NotRun(reason) | Self::Unreachable(reason) => format!("not run: {reason}"),
             Self::ResponseLost(reason) => format!("the answer is lost: {reason}"),
             Self::TimedOut => "no answer in time".to_owned(),
@@ -190,6 +200,14 @@
         }
     }
 
+    /// Which part of a quota was used up; empty for other refusals.
+    pub fn quota_cause(&self) -> &'static str {
+        match self {
+            Self::QuotaExceeded(exceeded) => exceeded.cause.name(),
+            _ => "",
+        }
+    }
+
     /// The HTTP response.
     pub fn response(&self, dialect: &dyn Dialect, request_id: Option<&str>) -> Response<Body> {
         let mut response = Response::new(full(self.reason()));
