Quotas: tenants near their limits may use part of the tolerance, with reports at short intervals

Cause: each zone may admit its part of a level before others hear of it, and counted 1.2 s of its own work against that part.

--- a/crates/beamwall-config/src/gateway.rs
+++ b/crates/beamwall-config/src/gateway.rs
@@ -78,6 +78,12 @@
         "8",
         "window in which work beyond a quota is counted, in seconds",
     ),
+    optional(
+        "quotas.overdraft",
+        ValueKind::Boolean,
+        "false",
+        "whether tenants near their limits may use part of the tolerated work, with reports at short intervals",
+    ),
     optional(
         "rollouts.exposure_share",
         seconds(0.0, 1.0),
@@ -185,6 +191,8 @@
     pub quota_overage: f64,
     /// Window in which work beyond a quota is counted.
     pub quota_window: Duration,
+    /// Whether tenants near their limits may use part of the tolerated work.
+    pub quota_overdraft: bool,
     /// Share of its service's requests that a bad version may get; 0 where rollouts are not followed.
     pub exposure_share: f64,
     /// Requests that it may get beside.
@@ -248,6 +256,7 @@
             quota_slack: number("quotas.slack"),
             quota_overage: number("quotas.overage"),
             quota_window: Duration::from_secs_f64(number("quotas.window_s")),
+            quota_overdraft: flag("quotas.overdraft"),
             exposure_share: number("rollouts.exposure_share"),
             exposure_slack: number("rollouts.exposure_slack"),
             rollback: Duration::from_millis(number("rollouts.rollback_ms") as u64),
--- a/crates/beamwall-gateway/src/quota/account.rs
+++ b/crates/beamwall-gateway/src/quota/account.rs
@@ -5,10 +5,8 @@
 
 use tokio::time::Instant;
 
-use super::QuotaMembership;
-
 /// Time within which other zones learn of work admitted in this zone.
-const ZONE_REPORT_DELAY: Duration = Duration::from_millis(1_200);
+pub(super) const ZONE_REPORT_DELAY: Duration = Duration::from_millis(1_200);
 /// Time over which the rate of a tenant is averaged. Other zones report once a second.
 const RATE_AVERAGING_TIME: Duration = Duration::from_millis(2_400);
 /// Factor by which a tenant's rate may rise before all nodes have received a report, without exceeding the
@@ -58,6 +56,8 @@
     recent: WorkHistory,
     /// Recent work reported by other zones.
     recent_other_zones: WorkHistory,
+    /// Refill that a full bucket did not take.
+    overflow: WorkHistory,
     created: Instant,
     /// Part of the burst that is missing from the initial level.
     missing_at_start: f64,
@@ -77,6 +77,7 @@
             admitted_by_nodes: 0.0,
             recent: WorkHistory::default(),
             recent_other_zones: WorkHistory::default(),
+            overflow: WorkHistory::default(),
             created: now,
             missing_at_start: (refill.burst - level).max(0.0),
         }
@@ -111,7 +112,11 @@
         let Refill { rate, fraction, burst } = self.refill;
         let gained = now.saturating_duration_since(self.last_refill).as_secs_f64() * rate;
         self.last_refill = now;
-        self.level = (self.level + gained * fraction).min(burst);
+        let refilled = self.level + gained * fraction;
+        self.level = refilled.min(burst);
+        if refilled > burst {
+            self.overflow.add(refilled - burst, now);
+        }
         self.withheld =
             (self.withheld + gained * (1.0 - fraction)).min(rate * MAX_WITHHELD_TIME.as_secs_f64());
         self.release_withheld(now);
@@ -131,6 +136,14 @@
         }
     }
 
+    /// Credits refill that was lost because work reported now, admitted within `interval`, had not been
+    /// debited. That work is taken as admitted in the middle of the interval.
+    pub(super) fn credit_overflow(&mut self, reported: f64, interval: Duration, now: Instant) {
+        let since_middle = interval.min(ZONE_REPORT_DELAY) / 2;
+        let credited = self.overflow.take(reported.max(0.0), since_middle, now);
+        self.level = (self.level + credited).min(self.refill.burst);
+    }
+
     /// Debits work that a node admitted while it was silent, first from the withheld work.
     pub(super) fn debit_after_silence(&mut self, amount: f64, now: Instant) {
         self.level += self.cover_from_withheld(amount);
@@ -151,18 +164,30 @@
         self.recent_other_zones.add(amount, now);
     }
 
-    /// Whether this work fits the level and `allowance` covers it together with the work admitted within
-    /// `window` and the work that other nodes may admit before they receive a report, estimated from the
-    /// tenant's recent rate.
-    pub(super) fn fits_allowance(&self, amount: f64, allowance: f64, window: Duration, now: Instant) -> bool {
+    /// Whether this work fits what is available and `allowance` covers it together with the work admitted
+    /// within `window` and the work that other nodes may admit before they receive a report, estimated from
+    /// the tenant's recent rate.
+    pub(super) fn fits_allowance(
+        &self,
+        amount: f64,
+        allowance: f64,
+        window: Duration,
+        share: ZoneShare,
+        now: Instant,
+    ) -> bool {
         let used = self.admitted_everywhere(window, now);
         let recent_rate =
             self.admitted_everywhere(RATE_AVERAGING_TIME, now) / RATE_AVERAGING_TIME.as_secs_f64();
         // A tenant that exceeded its level has nothing admitted for a while, although its demand has not
         // dropped.
         let typical_rate = recent_rate.max(used / window.as_secs_f64());
-        let unreported_surge = SURGE_FACTOR * typical_rate * ZONE_REPORT_DELAY.as_secs_f64();
-        self.level >= amount && used + unreported_surge + amount <= allowance
+        let unreported_surge = SURGE_FACTOR * typical_rate * share.report_delay.as_secs_f64();
+        self.level + share.overdraft >= amount && used + unreported_surge + amount <= allowance
+    }
+
+    /// Whether the level is below this fraction of the capacity.
+    pub(super) fn is_below(&self, fraction: f64) -> bool {
+        self.level < self.refill.burst * fraction
     }
 
     /// Admits work at this node.
@@ -192,17 +217,29 @@
     }
 
     /// Whether work fits the amount that this zone may admit before other zones receive its report: the
-    /// zone's fraction of the level before the recent work. All zones together then stay within the level.
-    pub(super) fn fits_direct_share(&self, amount: f64, membership: QuotaMembership, now: Instant) -> bool {
-        if membership.direct_fraction() >= 1.0 {
+    /// zone's fraction of what was available before the recent work. All zones together then stay within
+    /// what is available.
+    pub(super) fn fits_direct_share(&self, amount: f64, share: ZoneShare, now: Instant) -> bool {
+        if share.fraction >= 1.0 {
             return true;
         }
-        let recent = self.recent.sum(ZONE_REPORT_DELAY, now);
-        let available = self.level.max(0.0) + recent;
-        recent <= 0.0 || recent + amount <= membership.direct_fraction() * available
+        let recent = self.recent.sum(share.report_delay, now);
+        let available = (self.level + share.overdraft).max(0.0) + recent;
+        recent <= 0.0 || recent + amount <= share.fraction * available
     }
 }
 
+/// What a zone may admit before other zones receive its report.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ZoneShare {
+    /// The zone's fraction of what is available.
+    pub(super) fraction: f64,
+    /// Work that may be admitted beyond the level.
+    pub(super) overdraft: f64,
+    /// Time within which other zones receive a report.
+    pub(super) report_delay: Duration,
+}
+
 /// Work admitted within [`HISTORY_TIME`].
 #[derive(Debug, Default)]
 struct WorkHistory {
@@ -223,6 +260,20 @@
         }
     }
 
+    /// Removes up to `amount` of the work recorded within the time, newest first, and returns how much.
+    fn take(&mut self, amount: f64, within: Duration, now: Instant) -> f64 {
+        let mut rest = amount;
+        for (started, sum) in self.entries.iter_mut().rev() {
+            if rest <= 0.0 || now.saturating_duration_since(*started) > within {
+                break;
+            }
+            let taken = sum.min(rest);
+            *sum -= taken;
+            rest -= taken;
+        }
+        amount - rest
+    }
+
     fn sum(&self, within: Duration, now: Instant) -> f64 {
         let is_within = |(started, _): &&(Instant, f64)| now.saturating_duration_since(*started) <= within;
         self.entries.iter().rev().take_while(is_within).map(|(_, amount)| amount).sum()
--- a/crates/beamwall-gateway/src/quota/mod.rs
+++ b/crates/beamwall-gateway/src/quota/mod.rs
@@ -20,6 +20,7 @@
 
 mod account;
 mod cause;
+mod overdraft;
 mod reports;
 
 use std::collections::HashMap;
@@ -32,18 +33,14 @@
 use tokio::sync::futures::Notified;
 use tokio::time::Instant;
 
-use account::{Account, HISTORY_TIME, Refill};
+use account::{Account, HISTORY_TIME, Refill, ZoneShare};
+use overdraft::{NODE_REPORT_DELAY, Overdraft};
 use reports::{NodeReports, ZoneReports};
 
 pub use cause::RefusalCause;
 
 /// Largest retry delay that is returned to a refused caller.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
-/// Smallest retry delay of a caller refused because peers have not received this node's report yet. Within
-/// this time the report reaches all nodes of the largest zone whose nodes all report to each other.
-const MIN_REPORT_WAIT: Duration = Duration::from_millis(300);
-/// Fraction of the burst below which a node reports admitted work at once.
-const URGENT_LEVEL_FRACTION: f64 = 0.5;
 
 /// The nodes among which quotas are divided.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -134,6 +131,7 @@
 #[derive(Debug)]
 pub struct QuotaLimiter {
     tolerance: Tolerance,
+    overdraft: Overdraft,
     /// Work beyond a quota that all nodes together may admit in one window.
     slack: f64,
     /// Generation of this node's process. Generations of all nodes are ordered by their start time.
@@ -183,6 +181,7 @@
         Self {
             slack,
             tolerance: Tolerance::default(),
+            overdraft: Overdraft::default(),
             generation: u64::MAX,
             reported: Notify::new(),
             state: Mutex::new(state),
@@ -212,6 +211,12 @@
         account
     }
 
+    /// Sets whether accounts may be overdrawn within the tolerance.
+    pub fn with_overdraft(mut self, is_allowed: bool) -> Self {
+        self.overdraft = Overdraft { is_allowed };
+        self
+    }
+
     /// Sets the generation of this node.
     pub fn with_generation(mut self, generation: u64) -> Self {
         self.generation = generation;
@@ -235,28 +240,32 @@
         let mut state = self.lock();
         let membership = state.membership;
         let slack_share = self.slack / membership.known.max(1) as f64;
+        let overdraft = self.overdraft.amount(self.tolerance, self.slack, tenant, membership);
+        let report_delay = self.overdraft.report_delay(state.zones.values(), now);
+        let share = ZoneShare { fraction: membership.direct_fraction(), overdraft, report_delay };
         let account = self.account(&mut state.accounts, tenant, membership, now);
-        let level_share = account.level.max(0.0) / membership.reachable.max(1) as f64;
+        let available = account.level + overdraft;
+        let level_share = available.max(0.0) / membership.reachable.max(1) as f64;
         let needed = amount.min(self.tolerance.burst(tenant) + slack_share);
-        let fits_level = account.level + slack_share >= needed;
+        let fits_level = available + slack_share >= needed;
         let fits_node_share =
             account.unreported <= 0.0 || account.unreported + amount <= level_share + slack_share;
-        let fits_zone_share = account.fits_direct_share(amount, membership, now);
+        let fits_zone_share = account.fits_direct_share(amount, share, now);
         let allowance = self.tolerance.limit_in_window(tenant) * membership.reachable_fraction() + self.slack;
         let fits_allowance = self.tolerance.covers_window()
-            && account.fits_allowance(amount, allowance, self.tolerance.window, now);
+            && account.fits_allowance(amount, allowance, self.tolerance.window, share, now);
         if !(fits_allowance || fits_level && fits_node_share && fits_zone_share) {
-            let deficit = (needed - slack_share - account.level).max(0.0);
+            let deficit = (needed - slack_share - available).max(0.0);
             let rate = (self.tolerance.rate(tenant) * membership.reachable_fraction()).max(1.0);
             let refill_time = Duration::from_secs_f64((deficit / rate).min(MAX_RETRY_AFTER.as_secs_f64()));
             let wait = if fits_node_share && fits_zone_share {
                 refill_time
             } else {
-                refill_time.max(MIN_REPORT_WAIT)
+                refill_time.max(self.overdraft.report_wait(report_delay))
             };
             let cause = if fits_level {
                 RefusalCause::ShareUsed
-            } else if account.level_without_unknown_work(now) + slack_share >= needed {
+            } else if account.level_without_unknown_work(now) + overdraft + slack_share >= needed {
                 RefusalCause::Withheld
             } else {
                 RefusalCause::LimitUsed
@@ -266,12 +275,12 @@
                 level: account.level,
                 amount,
                 membership,
-                fits_after_report: fits_level && fits_zone_share,
+                fits_after_report: fits_level && (fits_zone_share || self.overdraft.is_allowed),
                 cause,
             });
         }
         account.admit_work(amount, now);
-        let is_urgent = account.level < tenant.burst * URGENT_LEVEL_FRACTION;
+        let is_urgent = account.is_below(self.overdraft.urgent_fraction());
         Ok(Some(Charge { tenant: tenant.name.clone(), amount, is_urgent }))
     }
 
@@ -320,18 +329,22 @@
     /// Merges the totals reported by one generation of a peer. If the peer started before this node, the work
     /// it admitted before its first report is not debited, since this node's initial level did not include
     /// it.
+    ///
+    /// Returns whether other zones should receive a summary at once, since a tenant is near its limit.
     pub fn merge_node_usage(
         &self,
         node: &NodeId,
         generation: u64,
         totals: HashMap<TenantName, f64>,
         now: Instant,
-    ) {
+    ) -> bool {
         let mut state = self.lock();
         let State { accounts, nodes, .. } = &mut *state;
         let started_later = generation > self.generation;
         let node = nodes.entry(node.clone()).or_default();
         let was_silent = node.was_silent(now);
+        let interval = node.since_last_report(now).unwrap_or_default();
+        let mut is_urgent = false;
         for (tenant, amount) in node.update_totals(generation, totals, started_later, now) {
             let Some(account) = accounts.get_mut(&tenant) else { continue };
             account.refill_before_report(now);
@@ -340,7 +353,12 @@
             } else {
                 account.debit_node(amount, now);
             }
+            if self.overdraft.is_allowed {
+                account.credit_overflow(amount, interval, now);
+                is_urgent |= amount > 0.0 && account.is_below(self.overdraft.urgent_fraction());
+            }
         }
+        is_urgent
     }
 
     /// Merges the totals that a relay reported for all nodes of its zone.
@@ -356,10 +374,14 @@
         let State { accounts, zones, .. } = &mut *state;
         let zone = zones.entry(zone.clone()).or_default();
         let was_silent = zone.was_silent(now);
+        let interval = zone.since_last_report(now).unwrap_or_default() + NODE_REPORT_DELAY;
         for (tenant, amount) in zone.update_totals(relay, generation, totals, now) {
             let Some(account) = accounts.get_mut(&tenant) else { continue };
             account.refill_before_report(now);
             account.debit_zone(amount, was_silent, now);
+            if self.overdraft.is_allowed {
+                account.credit_overflow(amount, interval, now);
+            }
         }
     }
 
--- a/crates/beamwall-gateway/src/quota/reports.rs
+++ b/crates/beamwall-gateway/src/quota/reports.rs
@@ -26,6 +26,11 @@
         is_silent(self.last_report, NODE_SILENT_AFTER, now)
     }
 
+    /// Time since the last report; `None` before the first.
+    pub(super) fn since_last_report(&self, now: Instant) -> Option<Duration> {
+        self.last_report.map(|last| now.saturating_duration_since(last))
+    }
+
     /// Stores the totals of one generation of the node and returns the increments since its previous report.
     /// Work admitted before the first report counts as an increment only if `counts_from_start`.
     pub(super) fn update_totals(
@@ -60,6 +65,8 @@
 #[derive(Debug, Default)]
 pub(super) struct ZoneReports {
     last_report: Option<Instant>,
+    /// Time between the last two reports.
+    interval: Option<Duration>,
     admitted: HashMap<TenantName, f64>,
     relays: HashMap<NodeId, RelayOffsets>,
 }
@@ -77,6 +84,21 @@
         is_silent(self.last_report, ZONE_SILENT_AFTER, now)
     }
 
+    /// Time since the last report; `None` before the first.
+    pub(super) fn since_last_report(&self, now: Instant) -> Option<Duration> {
+        self.last_report.map(|last| now.saturating_duration_since(last))
+    }
+
+    /// Time between two reports of the zone, as far as it is known: the last interval, or the current one if
+    /// it is longer already. `None` for a silent zone.
+    pub(super) fn interval(&self, now: Instant) -> Option<Duration> {
+        if self.was_silent(now) {
+            return None;
+        }
+        let current = now.saturating_duration_since(self.last_report?);
+        Some(self.interval.map_or(ZONE_SILENT_AFTER, |last| last.max(current)))
+    }
+
     /// Stores the totals reported by one generation of a relay and returns the increments of the zone's
     /// usage.
     pub(super) fn update_totals(
@@ -87,6 +109,7 @@
         now: Instant,
     ) -> Vec<(TenantName, f64)> {
         if !totals.is_empty() {
+            self.interval = self.last_report.map(|last| now.saturating_duration_since(last));
             self.last_report = Some(now);
         }
         let offsets = self.relays.entry(relay.clone()).or_default();
--- a/crates/beamwall-gateway/tests/support/quota_fleet.rs
+++ b/crates/beamwall-gateway/tests/support/quota_fleet.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use arbtest::arbitrary::Unstructured;
-use beamwall_gateway::quota::{QuotaLimiter, QuotaMembership, Tolerance};
+use beamwall_gateway::quota::{QuotaExceeded, QuotaLimiter, QuotaMembership, Tolerance};
 use beamwall_model::{NodeId, TenantName, ZoneName};
 use beamwall_policy::Tenant;
 use tokio::time::Instant;
@@ -27,6 +27,8 @@
 pub const SLACK: f64 = 72_000.0;
 /// Simulated time per step.
 pub const STEP: Duration = Duration::from_millis(100);
+/// Steps between two reports of a relay while a tenant is near its limit.
+pub const STEPS_PER_URGENT_ZONE_REPORT: usize = 2;
 /// Steps between two reports of a node or of a relay.
 pub const STEPS_PER_REPORT: usize = 10;
 
@@ -51,6 +53,12 @@
 
 /// Simulated gateways in several zones, with their pending reports.
 pub struct Fleet {
+    /// The tenant that sends all requests.
+    pub tenant: Tenant,
+    /// Creates the limiter of a node.
+    pub new_limiter: fn(usize) -> QuotaLimiter,
+    /// Generation of the gateways' processes.
+    pub generation: u64,
     pub zones: usize,
     pub limiters: Vec<QuotaLimiter>,
     pub admitted: Vec<(Instant, f64)>,
@@ -58,6 +66,10 @@
     pub unreported: Vec<bool>,
     /// Nodes that report to their zone in the next step.
     pub urgent: Vec<usize>,
+    /// Whether relays report at once when a node has reported at once.
+    pub urgent_zone_reports: bool,
+    /// Step of the last reports of the relays.
+    pub zone_report_step: usize,
     /// A partitioned zone, which neither sends nor receives reports.
     pub cut_off_zone: Option<usize>,
     pub now: Instant,
@@ -69,11 +81,16 @@
     pub fn with_limiters(limiters: Vec<QuotaLimiter>, zones: usize, now: Instant) -> Self {
         let unreported = vec![true; limiters.len()];
         Self {
+            tenant: tenant(),
+            new_limiter,
+            generation: 1,
             zones,
             limiters,
             admitted: Vec::new(),
             unreported,
             urgent: Vec::new(),
+            urgent_zone_reports: false,
+            zone_report_step: 0,
             cut_off_zone: None,
             now,
             step: 0,
@@ -82,6 +99,11 @@
 
     /// `nodes` gateways in `zones` zones whose buckets are full.
     pub fn with_full_buckets(nodes: usize, zones: usize) -> Self {
+        Self::with_full_buckets_of(new_limiter, nodes, zones)
+    }
+
+    /// `nodes` gateways with such limiters in `zones` zones whose buckets are full.
+    pub fn with_full_buckets_of(new_limiter: fn(usize) -> QuotaLimiter, nodes: usize, zones: usize) -> Self {
         let now = Instant::now();
         let direct = nodes / zones;
         let membership = QuotaMembership { reachable: nodes, known: nodes, direct };
@@ -93,6 +115,7 @@
         };
         let limiters = (0..nodes).map(new_node).collect();
         let mut fleet = Self::with_limiters(limiters, zones, now + Duration::from_secs(10));
+        fleet.new_limiter = new_limiter;
         (0..nodes).for_each(|node| fleet.report_node(node));
         fleet.report_zone_sums();
         fleet
@@ -108,13 +131,31 @@
 
     /// Sends work to a node and returns whether it was admitted.
     pub fn send(&mut self, node: usize, amount: f64) -> bool {
-        let Ok(charge) = self.limiters[node].charge(&tenant(), amount, self.now) else { return false };
+        self.charge(node, amount).is_ok()
+    }
+
+    /// Sends work to a node.
+    pub fn charge(&mut self, node: usize, amount: f64) -> Result<(), QuotaExceeded> {
+        let charge = self.limiters[node].charge(&self.tenant, amount, self.now)?;
         self.admitted.push((self.now, amount));
         self.unreported[node] = true;
         if charge.is_some_and(|charge| charge.is_urgent) {
             self.urgent.push(node);
         }
-        true
+        Ok(())
+    }
+
+    /// Restarts all gateways at once. They reach no others until the membership is updated.
+    pub fn restart_all(&mut self) {
+        let nodes = self.limiters.len();
+        self.generation += 1;
+        self.limiters = (0..nodes).map(|_| (self.new_limiter)(nodes)).collect();
+        let isolated = QuotaMembership { reachable: 1, known: nodes, direct: 1 };
+        for limiter in &self.limiters {
+            limiter.set_membership(isolated, std::slice::from_ref(&self.tenant), self.now);
+        }
+        self.unreported = vec![true; nodes];
+        self.urgent.clear();
     }
 
     /// Advances by one step. A tenth of the nodes report to their zones, and every tenth step the relays
@@ -122,7 +163,9 @@
     pub fn advance(&mut self) {
         self.now += STEP;
         self.step += 1;
-        for node in std::mem::take(&mut self.urgent) {
+        let urgent = std::mem::take(&mut self.urgent);
+        let is_urgent = !urgent.is_empty();
+        for node in urgent {
             self.report_node(node);
         }
         for node in 0..self.limiters.len() {
@@ -130,7 +173,10 @@
                 self.report_node(node);
             }
         }
-        if self.step.is_multiple_of(STEPS_PER_REPORT) {
+        let urgent_is_due =
+            self.urgent_zone_reports && self.step >= self.zone_report_step + STEPS_PER_URGENT_ZONE_REPORT;
+        if self.step.is_multiple_of(STEPS_PER_REPORT) || is_urgent && urgent_is_due {
+            self.zone_report_step = self.step;
             self.report_zone_sums();
         }
     }
@@ -143,7 +189,7 @@
         let usage: HashMap<TenantName, f64> = self.limiters[node].take_report().into_iter().collect();
         let name = NodeId::new(format!("n{node}"));
         for peer in self.nodes_in_zone(self.zone_of(node)).filter(|peer| *peer != node) {
-            self.limiters[peer].merge_node_usage(&name, 1, usage.clone(), self.now);
+            self.limiters[peer].merge_node_usage(&name, self.generation, usage.clone(), self.now);
         }
     }
 
@@ -156,7 +202,13 @@
             let is_cut = |other: usize| self.cut_off_zone.is_some_and(|cut| cut == zone || cut == other);
             for other in (0..self.zones).filter(|other| *other != zone && !is_cut(*other)) {
                 for peer in self.nodes_in_zone(other) {
-                    self.limiters[peer].merge_zone_usage(&name, &relay, 1, sum.clone(), self.now);
+                    self.limiters[peer].merge_zone_usage(
+                        &name,
+                        &relay,
+                        self.generation,
+                        sum.clone(),
+                        self.now,
+                    );
                 }
             }
         }
@@ -174,7 +226,7 @@
             };
             limiter.set_membership(
                 QuotaMembership { reachable, known: nodes, direct },
-                &[tenant()],
+                std::slice::from_ref(&self.tenant),
                 self.now,
             );
         }
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -99,6 +99,8 @@
     pub started: Instant,
     /// When demand was last measured.
     pub demand_measured_at: Mutex<Instant>,
+    /// Limits how often reports of tenants near their limits trigger a zone summary.
+    pub urgent_summary_throttle: Throttle,
     /// Limits how often service models are fitted.
     pub model_fit_throttle: Throttle,
     /// Limits how often service statistics are sent.
@@ -482,6 +484,9 @@
         }
         self.apply_observations(&reporter, &heartbeat.models, &heartbeat.slowness);
         let uses = heartbeat_wire::decode_quota_uses(&heartbeat.quota_uses);
-        self.gateway.quotas.merge_node_usage(&node, heartbeat.life, uses, Instant::now());
+        let is_urgent = self.gateway.quotas.merge_node_usage(&node, heartbeat.life, uses, Instant::now());
+        if is_urgent {
+            self.send_urgent_summary();
+        }
     }
 }
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -431,6 +431,7 @@
     };
     let quotas = QuotaLimiter::new(settings.quota_slack * QUOTA_SLACK_USED, nodes)
         .with_tolerance(tolerance)
+        .with_overdraft(settings.quota_overdraft)
         .with_generation(generation);
     Ok(Arc::new(Gateway { policy, quotas, forwarder, peer_notify }))
 }
@@ -501,6 +502,7 @@
         versions_changed,
         started: Instant::now(),
         demand_measured_at: Mutex::new(Instant::now()),
+        urgent_summary_throttle: Default::default(),
         model_fit_throttle: Default::default(),
         model_report_throttle: Default::default(),
         directory_versions: PeerVersions::default(),
--- a/crates/beamwall-node/src/gateway/zones.rs
+++ b/crates/beamwall-node/src/gateway/zones.rs
@@ -30,6 +30,8 @@
 pub(super) const SMALL_DEPLOYMENT_MAX_MEMBERS: usize = 24;
 /// Time without a summary after which the nodes of a zone count as unreachable.
 const SUMMARY_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Minimum time between two summaries sent because a tenant is near its limit.
+const URGENT_SUMMARY_PERIOD: Duration = Duration::from_millis(200);
 /// Time after which a summary is forwarded even if the link is busy, so that the zone still counts as
 /// reachable.
 const FORWARD_WITHIN: Duration = Duration::from_secs(1);
@@ -137,6 +139,14 @@
         }
     }
 
+    /// Sends the next summary at once if this node is a relay, since a tenant of this zone is near its limit.
+    pub(super) fn send_urgent_summary(&self) {
+        let is_relay = self.is_large_deployment() && self.members.load().is_relay;
+        if is_relay && self.urgent_summary_throttle.admit(URGENT_SUMMARY_PERIOD) {
+            self.heartbeat_trigger.notify_one();
+        }
+    }
+
     /// One relay per other zone, in rotation, among those that are probed anyway.
     fn receiving_relays(&self, targets: &[Target]) -> Vec<SocketAddr> {
         let rotation = self.zones.rotation.fetch_add(1, Ordering::Relaxed);
