HTTP client: a server that never completes a response head is not read on

A caller no longer waits out its patience for an engine that sends informational responses without end. Cause: the HTTP client bounds one head, but reads any number of 1xx responses before the final one. Change: connections of the pool read at most 1 MiB from a request until its response head; beyond it the connection is closed and the response counts as lost.

--- a/crates/beamwall-http/src/lib.rs
+++ b/crates/beamwall-http/src/lib.rs
@@ -7,6 +7,7 @@
 mod cause;
 pub mod channel;
 pub mod client;
+mod head_limit;
 pub mod pool;
 pub mod query;
 pub mod server;
--- a/crates/beamwall-http/src/pool.rs
+++ b/crates/beamwall-http/src/pool.rs
@@ -24,6 +24,7 @@
 
 use crate::Body;
 use crate::cause::has_io_cause;
+use crate::head_limit::{HeadLimit, HeadLimitedStream};
 
 /// Idle connections kept for one address.
 const MAX_IDLE_PER_ADDRESS: usize = 256;
@@ -79,7 +80,11 @@
     Silent,
 }
 
-type Sender = SendRequest<Body>;
+/// The sending half of a connection.
+struct Sender {
+    requests: SendRequest<Body>,
+    head_limit: Arc<HeadLimit>,
+}
 
 /// An idle connection.
 struct IdleConnection {
@@ -130,7 +135,8 @@
         let mut idle = lock(&self.idle);
         let senders = idle.get_mut(&address)?;
         while let Some(IdleConnection { sender, usable_until }) = senders.pop() {
-            if BootInstant::now() < usable_until && !sender.is_closed() && sender.is_ready() {
+            if BootInstant::now() < usable_until && !sender.requests.is_closed() && sender.requests.is_ready()
+            {
                 return Some(sender);
             }
         }
@@ -164,10 +170,12 @@
         let stream = self.connect_tcp(address).await?;
         let _ = stream.set_nodelay(true);
         let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
-        let (sender, connection) =
+        let head_limit: Arc<HeadLimit> = Arc::default();
+        let stream = HeadLimitedStream::new(stream, head_limit.clone());
+        let (requests, connection) =
             http1::handshake(TokioIo::new(stream)).await.map_err(|error| connect_error(error.to_string()))?;
         tokio::spawn(connection);
-        Ok(sender)
+        Ok(Sender { requests, head_limit })
     }
 
     async fn try_send(
@@ -176,11 +184,13 @@
         mut sender: Sender,
         request: Request<Body>,
     ) -> Result<Response<PooledBody>, (PoolError, Option<Request<Body>>)> {
-        if sender.ready().await.is_err() {
+        if sender.requests.ready().await.is_err() {
             return Err((PoolError::NotWritten(address), Some(request)));
         }
-        match sender.try_send_request(request).await {
+        sender.head_limit.begin();
+        match sender.requests.try_send_request(request).await {
             Ok(response) => {
+                sender.head_limit.finish();
                 let connection = PooledConnection {
                     idle: self.idle.clone(),
                     address,
@@ -227,7 +237,7 @@
 impl PooledConnection {
     fn return_to_pool(&mut self) {
         let Some(sender) = self.sender.take() else { return };
-        if sender.is_closed() {
+        if sender.requests.is_closed() {
             return;
         }
         let mut idle = lock(&self.idle);
