--- a/crates/beamwall-admission/src/claim.rs
+++ b/crates/beamwall-admission/src/claim.rs
@@ -20,3 +20,11 @@
     /// Equal for all tries of one request by its caller.
     pub fingerprint: [u8; FINGERPRINT_BYTES],
 }
+
+impl CapacityClaim {
+    /// The same claim of a request that is to be admitted in any case.
+    #[must_use]
+    pub fn admitted(self) -> Self {
+        Self { objective: Duration::ZERO, ..self }
+    }
+}
--- a/crates/beamwall-admission/src/controller.rs
+++ b/crates/beamwall-admission/src/controller.rs
@@ -62,11 +62,11 @@
     short_until: Instant,
     /// Longest wait since the shares were computed last, as a fraction of the tolerable one.
     longest_wait: f64,
-    /// Time from which the next return within its objective may be promised.
+    /// End of the time promised to returns within their objective.
     next_return: Instant,
-    /// Time from which the next late return of a tenant within its share may be promised.
+    /// End of the time promised to late returns of tenants within their shares.
     next_late_return_within: Instant,
-    /// Time from which the next late return of any other tenant may be promised.
+    /// End of the time promised to late returns of all other tenants.
     next_late_return_beyond: Instant,
 }
 
@@ -117,7 +117,7 @@
     pub fn decide(&mut self, request: &CapacityRequest<'_>, now: Instant) -> Decision {
         let reservation = self.reservations.get(&request.claim.fingerprint, now);
         let tenant = request.claim.tenant.as_ref();
-        if reservation.is_none() {
+        if reservation.is_none() && !request.is_exempt {
             self.shares.note_demand(tenant, request.weight, request.work, now);
         }
         self.compute_shares(request, now);
@@ -224,6 +224,9 @@
         first_seen: Instant,
         now: Instant,
     ) -> Rejection {
+        if let Some(retry_after) = self.kept_reservation(request, now) {
+            return Rejection { reason, expected: request.expected, retry_after };
+        }
         let earliest = now + wait.until_comfortable().max(MIN_RETRY_AFTER);
         let at = self
             .reserve_in_time(request, reason, wait, earliest, first_seen, now)
@@ -232,6 +235,13 @@
         Rejection { reason, expected: request.expected, retry_after }
     }
 
+    /// Time left until the reservation of a caller that returned too early, which keeps it: callers that don't wait
+    /// must not use up the capacity promised to others.
+    fn kept_reservation(&self, request: &CapacityRequest<'_>, now: Instant) -> Option<Duration> {
+        let reservation = self.reservations.get(&request.claim.fingerprint, now)?;
+        (!reservation.is_due(now)).then(|| reservation.at.saturating_duration_since(now).max(MIN_RETRY_AFTER))
+    }
+
     /// Reserves a return whose response starts within the objective, spaced from the others by its work.
     fn reserve_in_time(
         &mut self,
@@ -249,14 +259,15 @@
             }
             RejectionReason::NoCapacity => (self.next_return, return_interval(request, RETURN_SHARE)),
         };
-        let at = earliest.max(next);
+        let backlog = next.saturating_duration_since(now);
+        let at = earliest.checked_add(backlog)?;
         let latest_return = wait.tolerable.mul_f64(1.0 - COMFORTABLE_FRACTION);
         let latest = now + latest_return.min(request.remaining / RETRY_WAIT_DIVISOR);
         let reservation = Reservation { at, first_seen, engines: request.engines, is_in_time: true };
         if at > latest || !self.reservations.add(&request.claim.fingerprint, reservation, now) {
             return None;
         }
-        let until = at.checked_add(interval).unwrap_or(latest + MAX_RETRY_AFTER);
+        let until = (now + backlog).checked_add(interval).unwrap_or(latest + MAX_RETRY_AFTER);
         match reason {
             RejectionReason::OverFairShare => self.shares.promise_return(tenant, until, now),
             RejectionReason::NoCapacity => self.next_return = until,
@@ -278,10 +289,11 @@
         let next =
             if is_within { &mut self.next_late_return_within } else { &mut self.next_late_return_beyond };
         let longest = request.remaining / RETRY_WAIT_DIVISOR;
-        let at = earliest.max(*next).max(now + longest.mul_f64(LATE_RETURN_FRACTION));
+        let backlog = next.saturating_duration_since(now);
+        let at = earliest.max(now + longest.mul_f64(LATE_RETURN_FRACTION)) + backlog;
         let reservation = Reservation { at, first_seen, engines: request.engines, is_in_time: false };
         if at <= now + longest && self.reservations.add(&request.claim.fingerprint, reservation, now) {
-            *next = at + interval;
+            *next = now + backlog + interval;
         }
         at
     }
--- a/crates/beamwall-admission/src/fair_shares.rs
+++ b/crates/beamwall-admission/src/fair_shares.rs
@@ -106,12 +106,17 @@
     }
 
     fn entry(&mut self, tenant: Option<&TenantName>, now: Instant) -> &mut TenantUse {
-        let is_full = self.tenants.len() >= MAX_TENANTS;
-        let key =
-            tenant.filter(|name| !is_full || self.tenants.contains_key(&Some((*name).clone()))).cloned();
+        let key = self.key(tenant);
         self.tenants.entry(key).or_insert_with(|| TenantUse::new(now))
     }
 
+    /// The key of a tenant's share, which is that of requests without tenant once there are too many tenants.
+    fn key(&self, tenant: Option<&TenantName>) -> Option<TenantName> {
+        let key = tenant.cloned();
+        let has_share = self.tenants.len() < MAX_TENANTS || self.tenants.contains_key(&key);
+        key.filter(|_| has_share)
+    }
+
     /// Records that a tenant asked for engine time.
     pub fn note_demand(&mut self, tenant: Option<&TenantName>, weight: f64, work: Duration, now: Instant) {
         let entry = self.entry(tenant, now);
@@ -132,7 +137,7 @@
     /// Whether a tenant asks for no more than its share, besides the `own` work of the request at hand: a single
     /// long prompt exceeds a small share for the time over which demand is averaged.
     pub fn is_within(&self, tenant: Option<&TenantName>, own: Duration, now: Instant) -> bool {
-        let known = self.tenants.get(&tenant.cloned());
+        let known = self.tenants.get(&self.key(tenant));
         let own = DecayedRate::of_one(own.as_secs_f64());
         known.is_none_or(|known| known.demand.get(now) - own <= known.weight * self.water_level)
     }
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -133,7 +133,7 @@
         stream_version: Option<&EngineVersion>,
     ) -> Result<PermittedChoice, NoBackEnd> {
         let versions = self.allowed_versions(&call.service, call.request_id.as_deref(), stream_version);
-        let claim = self.capacity_claim(call, avoided, stream_version);
+        let mut claim = self.capacity_claim(call, avoided, stream_version);
         let rank = claim.rank;
         let mut blocked = self.blocked_engines(call, rank);
         let mut denials = 0;
@@ -147,6 +147,7 @@
             let Ok(permit) = self.admit(call, rank, &choice.backend).await else {
                 denials += 1;
                 blocked.push(choice.backend);
+                claim = claim.admitted();
                 if denials == MAX_DENIED_PERMITS {
                     blocked.extend(self.gate.restricted());
                 }
@@ -169,7 +170,7 @@
         if tried.is_empty() && stream_version.is_none() {
             return claim;
         }
-        CapacityClaim { objective: Duration::ZERO, ..claim }
+        claim.admitted()
     }
 
     /// Logs that no group has capacity for a request, and counts its work as demand of a caller that may return.
@@ -195,7 +196,7 @@
             service: &call.service,
             zone: &self.zone,
             prompt: call.prompt.as_ref(),
-            group: EngineGroup::WHOLE,
+            group: self.preferred_group(call),
             rank: MOST_URGENT_RANK,
             avoided: &[],
             versions: &AllowedVersions::All,
@@ -346,10 +347,14 @@
             not_placed = Some(engine_query);
         }
         match (best, rejected, not_placed) {
-            (None, Some(rejection), _) => Err(rejection),
-            // The engine's queue must contain the prompt, or it would be taken for shorter than it is.
+            (None, Some(rejection), _) => {
+                self.request_further_placement(call, claim, &groups, avoided, versions, rejection).await
+            }
+            // The engine's queue must contain the prompt, or it would be taken for shorter than it is. The first
+            // group has admitted it already.
             (Some(choice), Some(_), Some(query)) => {
-                let engine_query = PlacementQuery { enough_ms: None, ..query };
+                let claim = query.claim.admitted();
+                let engine_query = PlacementQuery { enough_ms: None, claim, ..query };
                 let placed = self.query_group(call, &engine_query, avoided, versions).await?;
                 Ok(placed.or(Some(choice)))
             }
@@ -357,6 +362,37 @@
         }
     }
 
+    /// Queries one more group after those preferred for the prompt's shared parts have rejected the request: many
+    /// requests may share these parts, while the engines of other groups are free. All tries of one request query
+    /// the same one.
+    async fn request_further_placement(
+        &self,
+        call: &Call,
+        claim: &CapacityClaim,
+        preferred: &[EngineGroup],
+        avoided: &[BackendId],
+        versions: &AllowedVersions,
+        rejection: Rejection,
+    ) -> Result<Option<Choice>, Rejection> {
+        let asked = &preferred[..preferred.len().min(MAX_GROUPS_QUERIED)];
+        let others = self.groups_in_order(call, &Prompt::default()).unwrap_or_default();
+        let Some(group) = others.into_iter().find(|group| !asked.contains(group)) else {
+            return Err(rejection);
+        };
+        let engine_query = self.placement_query(call, claim, avoided, versions.only(), group, None);
+        match self.query_group(call, &engine_query, avoided, versions).await {
+            Ok(Some(choice)) => Ok(Some(choice)),
+            Ok(None) => Err(rejection),
+            Err(further) => Err(earlier_retry(Some(rejection), further)),
+        }
+    }
+
+    /// The group that is queried first for a request.
+    fn preferred_group(&self, call: &Call) -> EngineGroup {
+        let groups = call.prompt.as_ref().and_then(|prompt| self.groups_in_order(call, prompt));
+        groups.and_then(|groups| groups.first().copied()).unwrap_or(EngineGroup::WHOLE)
+    }
+
     /// The groups in the order in which they are queried. With admission, all tries of one request ask the same
     /// groups, since one of them may expect its return.
     fn groups_in_order(&self, call: &Call, prompt: &Prompt) -> Option<Vec<EngineGroup>> {
@@ -455,11 +491,19 @@
             versions: &versions,
             by: ChosenBy::PlacementNode,
         };
-        let Some(choice) = self.find(search, engine_query.pause_objective_ms) else {
+        let Some(mut choice) = self.find(search, engine_query.pause_objective_ms) else {
             return PlacementOutcome::Unanswered;
         };
         let estimates = self.estimates(&engine_query.service);
-        let capacity_request = self.capacity_request(engine_query, &choice, &estimates, &blocked);
+        let mut capacity_request = self.capacity_request(engine_query, &choice, &estimates, &blocked);
+        if capacity_request.as_ref().is_some_and(|request| !request.is_idle)
+            && let Some(cheapest) = self.find_without_pace(search, engine_query.pause_objective_ms, now)
+        {
+            let request = self.capacity_request(engine_query, &cheapest, &estimates, &blocked);
+            if request.as_ref().is_some_and(|request| request.is_idle) {
+                (choice, capacity_request) = (cheapest, request);
+            }
+        }
         if let Some(rejection) = self.rejection(engine_query, capacity_request.as_ref(), now) {
             return PlacementOutcome::Rejected(rejection);
         }
@@ -586,11 +630,31 @@
         let estimates = self.estimates(search.service);
         let expectation = Expectation { estimates: &estimates, pause_objective_ms };
         let candidates = pacing::apply(&self.backend_state.pace, candidates, &expectation);
-        let (chosen, cost_ms) = self.chooser.choose(&candidates, &expectation)?;
+        self.find_among(&candidates, &expectation)
+    }
+
+    /// The cheapest candidate whatever the paces of back ends are, since a pace is no reason to reject a request;
+    /// `None` if there are no paces.
+    fn find_without_pace(
+        &self,
+        search: Search<'_>,
+        pause_objective_ms: Option<u64>,
+        now: Instant,
+    ) -> Option<Choice> {
+        if self.backend_state.pace.paced(now) == 0 {
+            return None;
+        }
+        let candidates = self.backend_state.candidates(&self.directory.load(), search);
+        let estimates = self.estimates(search.service);
+        self.find_among(&candidates, &Expectation { estimates: &estimates, pause_objective_ms })
+    }
+
+    fn find_among(&self, candidates: &[Candidate], expectation: &Expectation<'_>) -> Option<Choice> {
+        let (chosen, cost_ms) = self.chooser.choose(candidates, expectation)?;
         Some(Choice {
             backend: chosen.backend.clone(),
             cost_ms,
-            expected_ms: chosen.expected_ms(&expectation),
+            expected_ms: chosen.expected_ms(expectation),
             slowness: chosen.slowness,
             prefill: chosen.prefill.unwrap_or_default(),
             tokens_ahead: chosen.load.prompt_tokens,
--- a/crates/beamwall-gateway/tests/pacing.rs
+++ b/crates/beamwall-gateway/tests/pacing.rs
@@ -87,6 +87,9 @@
     let (pace, backend) = (tracker(2, 2), BackendId::from("e1"));
     pacing::note_rest(&pace, &backend, &RestNotice::Rest(Duration::from_secs(3)));
     pacing::note_rest(&pace, &"e0".into(), &RestNotice::NoRest);
+    // The attempt that was rejected has failed, and responses to earlier ones still arrive.
+    pace.note_failure(&backend, Instant::now());
+    pace.note_response(&backend, 1.0, Instant::now());
     assert_eq!(pace.paced(Instant::now()), 1);
     tokio::time::advance(Duration::from_secs(3)).await;
     assert!(pace.share(&backend, Instant::now()) < 0.2);
--- a/crates/beamwall-node/src/gateway/duties/capacity.rs
+++ b/crates/beamwall-node/src/gateway/duties/capacity.rs
@@ -24,6 +24,9 @@
 
 /// Time between two evaluations of the number of back ends.
 const SCALING_PERIOD: Duration = Duration::from_millis(500);
+/// Least and largest capacity that one back end is counted as, in standard back ends, whatever is learnt of it.
+const MIN_ROOM: f64 = 0.25;
+const MAX_ROOM: f64 = 4.0;
 /// Largest number of plans in one evaluation: the second one replaces what the first one could not get.
 const MAX_PLANS: usize = 2;
 
@@ -202,7 +205,7 @@
         for backend in reclaimable.filter(|backend| !gate.is_leaving(&backend.id)) {
             let staying = by_zone.entry(backend.zone.clone()).or_default();
             staying.count += 1;
-            staying.room += 1.0 / models.lasting_factor(&backend.id);
+            staying.room += (1.0 / models.lasting_factor(&backend.id)).clamp(MIN_ROOM, MAX_ROOM);
         }
         by_zone
     }
--- a/crates/beamwall-pace/src/ramp.rs
+++ b/crates/beamwall-pace/src/ramp.rs
@@ -57,9 +57,9 @@
         self.share = self.share.min(self.allowed_share()).max(INITIAL_SHARE);
     }
 
-    /// Records a request that failed at the server.
+    /// Records a request that failed at the server. A ramp that begins later still begins then.
     pub fn note_failure(&mut self, now: Instant) {
-        *self = Self { began: self.began, ..Self::new(now) };
+        *self = Self { began: self.began, ..Self::new(now.max(self.updated)) };
     }
 
     /// A server that takes twice as long as expected does half of an equal server's work in the same time.
@@ -73,6 +73,6 @@
         let faded = Self { ratio: 1.0 + (self.ratio - 1.0) * kept_excess, ..*self };
         let grown = self.share * 2.0_f64.powf(passed / DOUBLING_TIME.as_secs_f64());
         let share = grown.min(faded.allowed_share()).max(self.share.min(1.0));
-        Self { share, updated: now, ..faded }
+        Self { share, updated: now.max(self.updated), ..faded }
     }
 }
--- a/crates/beamwall-pace/src/selection.rs
+++ b/crates/beamwall-pace/src/selection.rs
@@ -38,8 +38,8 @@
 
 /// Selects for one request. `random` is uniform in [0, 1).
 ///
-/// Each paced candidate is chosen for its share of the requests of one of `candidates.len()` equal servers, also when
-/// it is not the cheapest. For all other requests it is passed over, unless the others are so busy that even a cold
+/// Each paced candidate is chosen for its share of the requests that a server without a pace gets, also when it is not
+/// the cheapest. For all other requests it is passed over, unless the others are so busy that even a cold
 /// server would serve the request sooner.
 pub fn select(candidates: &[PacedCandidate], random: f64) -> Selection {
     let cheapest = |is_paced: bool| {
@@ -58,9 +58,10 @@
 /// The paced candidate on whose part of [0, 1) `random` falls. One that costs more than `limit_ms`, for example since it
 /// can't be reached, is not asked on purpose.
 fn drawn(candidates: &[PacedCandidate], limit_ms: f64, random: f64) -> Option<usize> {
+    let shares: f64 = candidates.iter().map(|candidate| candidate.share).sum();
     let mut upper = 0.0;
     for (position, candidate) in candidates.iter().enumerate().filter(|(_, candidate)| candidate.is_paced()) {
-        upper += candidate.share / candidates.len() as f64;
+        upper += candidate.share / shares;
         if random < upper {
             return (candidate.cost_ms <= limit_ms).then_some(position);
         }
