Capacity: substitutes are planned for the work as it is, a forecast raises only the reclaimable back ends

Cause: on-demand back ends cost several times as much as reclaimable ones, and a forecast of half as much again ordered them in every rise. Change: the needs of substitutes and after a loss follow from the measured work, the usual ones from the forecast.

--- a/crates/beamwall-node/src/gateway/duties/demand_tracker.rs
+++ b/crates/beamwall-node/src/gateway/duties/demand_tracker.rs
@@ -65,7 +65,8 @@
         }
     }
 
-    /// Back ends that the work needs; `None` while too little is known of them.
+    /// Back ends that the work needs; `None` while too little is known of them. Substitutes are planned for the
+    /// work as it is: they cost several times as much as the reclaimable back ends that a forecast is for.
     pub(super) fn needed(
         &self,
         gateway: &Gateway,
@@ -73,7 +74,9 @@
         service: &Service,
     ) -> Option<Needed> {
         let estimates = gateway.forwarder.estimates(&service.name);
-        sizing::needed(self.planned(), &estimates, slots(gateway, service), objectives(policy, service))
+        let (slots, objectives) = (slots(gateway, service), objectives(policy, service));
+        let needed = |work| sizing::needed(work, &estimates, slots, objectives);
+        Some(Needed { usual: needed(self.planned())?.usual, ..needed(self.work)? })
     }
 
     /// Work for which back ends are planned.
