--- a/crates/beamwall-admission/src/controller.rs
+++ b/crates/beamwall-admission/src/controller.rs
@@ -33,9 +33,9 @@
 const LATE_RETURN_FRACTION: f64 = 0.8;
 /// Fraction of the group that is promised to returns which will be late.
 const LATE_RETURN_SHARE: f64 = 0.1;
-/// Fraction of the engines of the time of a reservation that must be left for it to be kept. Single engines come
-/// and go for moments, as their limits allow.
-const KEPT_ENGINES_FRACTION: f64 = 0.9;
+/// A reservation is honoured while at least this fraction of the engines counted when it was made is left. Less than
+/// 1, since engines are blocked by their limits for moments.
+const MIN_ENGINES_LEFT_FRACTION: f64 = 0.9;
 /// Callers honour `Retry-After` up to their remaining time divided by this.
 const RETRY_WAIT_DIVISOR: u32 = 3;
 /// Shortest `retry_after`.
@@ -70,7 +70,7 @@
     next_late_return_beyond: Instant,
 }
 
-/// A request's wait as a fraction of the longest tolerable one.
+/// A request's expected wait and the longest tolerable one.
 #[derive(Debug, Clone, Copy)]
 struct Wait {
     wait: Duration,
@@ -156,9 +156,10 @@
         wait: Wait,
         now: Instant,
     ) -> Decision {
-        let engines_expected = f64::from(reservation.engines) * KEPT_ENGINES_FRACTION;
-        let is_kept = f64::from(request.engines) >= engines_expected && request.expected <= request.remaining;
-        if is_kept || wait.fraction() <= RETURN_FRACTION {
+        let engines_expected = f64::from(reservation.engines) * MIN_ENGINES_LEFT_FRACTION;
+        let is_honoured =
+            f64::from(request.engines) >= engines_expected && request.expected <= request.remaining;
+        if is_honoured || wait.fraction() <= RETURN_FRACTION {
             return Decision::Admitted { is_return: true };
         }
         let rejection = self.reject(request, RejectionReason::NoCapacity, wait, reservation.first_seen, now);
@@ -224,7 +225,7 @@
         first_seen: Instant,
         now: Instant,
     ) -> Rejection {
-        if let Some(retry_after) = self.kept_reservation(request, now) {
+        if let Some(retry_after) = self.time_until_reservation(request, now) {
             return Rejection { reason, expected: request.expected, retry_after };
         }
         let earliest = now + wait.until_comfortable().max(MIN_RETRY_AFTER);
@@ -235,9 +236,9 @@
         Rejection { reason, expected: request.expected, retry_after }
     }
 
-    /// Time left until the reservation of a caller that returned too early, which keeps it: callers that don't wait
-    /// must not use up the capacity promised to others.
-    fn kept_reservation(&self, request: &CapacityRequest<'_>, now: Instant) -> Option<Duration> {
+    /// Time left until the reservation of a caller that returned too early. The reservation stays, and no second one is
+    /// made: callers that don't wait must not use up the capacity promised to others.
+    fn time_until_reservation(&self, request: &CapacityRequest<'_>, now: Instant) -> Option<Duration> {
         let reservation = self.reservations.get(&request.claim.fingerprint, now)?;
         (!reservation.is_due(now)).then(|| reservation.at.saturating_duration_since(now).max(MIN_RETRY_AFTER))
     }
--- a/crates/beamwall-admission/src/request.rs
+++ b/crates/beamwall-admission/src/request.rs
@@ -4,7 +4,7 @@
 
 use crate::claim::CapacityClaim;
 
-/// A request and what the placing node knows of the engine that would serve it first.
+/// A request and what the placement node knows of the engine that would serve it first.
 #[derive(Debug, Clone, Copy)]
 pub struct CapacityRequest<'a> {
     /// What it claims.
--- a/crates/beamwall-admission/src/reservations.rs
+++ b/crates/beamwall-admission/src/reservations.rs
@@ -1,6 +1,6 @@
 //! Times at which rejected callers may return, and which request is such a return.
 //!
-//! The state is soft: a placing node that starts anew knows no reservation and treats returns as new requests.
+//! The state is soft: a placement node that starts anew knows no reservation and treats returns as new requests.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -39,7 +39,7 @@
         now > self.at + LATE_TOLERANCE
     }
 
-    /// Whether a request that arrives now keeps it.
+    /// Whether a request that arrives now counts as the promised return.
     pub fn is_due(&self, now: Instant) -> bool {
         now + EARLY_TOLERANCE >= self.at && !self.is_expired(now)
     }
--- a/crates/beamwall-admission/tests/controller.rs
+++ b/crates/beamwall-admission/tests/controller.rs
@@ -119,7 +119,7 @@
     assert!(controller.reservations() <= MAX_RESERVATIONS, "{}", controller.reservations());
 }
 
-/// Guards against: 20,000 tenants, or as many made-up names, fill the memory of a placing node.
+/// Guards against: 20,000 tenants, or as many made-up names, fill the memory of a placement node.
 #[test]
 fn tenants_are_bounded() {
     let (mut controller, now) = (AdmissionController::new(Instant::now()), Instant::now());
--- a/crates/beamwall-admission/tests/shortage.rs
+++ b/crates/beamwall-admission/tests/shortage.rs
@@ -88,7 +88,7 @@
     assert!(rejected_twice < REJECTED_TWICE);
 }
 
-/// Failure: the placing node is replaced by one without state in the middle of the shortage. Callers lose at
+/// Failure: the placement node is replaced by one without state in the middle of the shortage. Callers lose at
 /// most what a shortage without reservations costs them.
 #[test]
 fn a_placing_node_without_state_goes_on() {
@@ -134,7 +134,7 @@
         Groups { two_placing_s: (4.0, 5.0), remaining: 20, loss_s: (3.0, 6.0), ..Groups::steady(1, 60) };
     let outcomes = run(&sources(60, 0.7), groups, Policy::Controller, SEED);
     let all = run(&sources(60, 0.7), groups, Policy::AdmitAll, SEED);
-    println!("two placing nodes: worth {:.0}, admitting all {:.0}", worth(&outcomes), worth(&all));
+    println!("two placement nodes: worth {:.0}, admitting all {:.0}", worth(&outcomes), worth(&all));
     assert!(worth(&outcomes) > worth(&all));
     let is_later = |outcome: &Outcome| outcome.arrived_s > 9.0;
     let later: Vec<Outcome> = outcomes.into_iter().filter(is_later).collect();
--- a/crates/beamwall-admission/tests/support/mod.rs
+++ b/crates/beamwall-admission/tests/support/mod.rs
@@ -11,7 +11,7 @@
 use rand::{RngExt, SeedableRng};
 use tokio::time::Instant;
 
-/// Time from a rejection or an arrival to the placing node, at most.
+/// Time from a rejection or an arrival to the placement node, at most.
 const LONGEST_DELAY_MS: u64 = 6;
 /// Callers honour `Retry-After` up to their remaining time divided by this.
 const RETRY_WAIT_DIVISOR: u32 = 3;
@@ -61,7 +61,7 @@
     pub remaining: usize,
     /// Begin and end of the loss.
     pub loss_s: (f64, f64),
-    /// Second at which the placing nodes are replaced by ones without state.
+    /// Second at which the placement nodes are replaced by ones without state.
     pub replaced_at_s: f64,
     /// Begin and end of the time in which two nodes place in each group and know nothing of each other.
     pub two_placing_s: (f64, f64),
--- a/crates/beamwall-duties/src/ahead.rs
+++ b/crates/beamwall-duties/src/ahead.rs
@@ -1,5 +1,5 @@
 //! Evaluates capacity orders ahead of need: substitutes for reclaimable back ends are ordered as soon as a
-//! loss is announced and none can be had, and are released only in a few steps.
+//! loss is announced and none can be had, and are lowered in steps while some are needed.
 //!
 //! Boot takes longer than the notice before a reclaim, and zones are often reclaimed one after another.
 //! The number of substitutes therefore follows from what stays usable, not from what still serves.
@@ -27,22 +27,24 @@
 /// Largest number of further losses that substitutes are ordered for.
 const MAX_LOSSES_AHEAD: usize = 2;
 
+/// Time after the demand became known until its trend is: until then a rise is measured too low.
+const TREND_LEARNING_TIME: Duration = Duration::from_secs(2);
+
 /// Further losses to expect before an order placed now serves: the more zones have lost their reclaimable
 /// back ends and can't get any, the more likely are the others to follow.
 pub fn losses_ahead(zones: &[ZoneSupply]) -> usize {
     zones.iter().filter(|supply| supply.is_exhausted).count().clamp(1, MAX_LOSSES_AHEAD)
 }
 
-/// Time after the demand became known until its trend is: until then a rise is measured too low.
-const TREND_UNKNOWN: Duration = Duration::from_secs(2);
-
 /// Needs to plan for: `known` ones for as long as the demand has been known, or `None` before. While nothing
 /// or no trend is known, substitutes are planned for the back ends found at the start.
 pub fn needs(known: Option<(Needed, Duration)>, found: u32) -> Needed {
     let of_found = Needed::of_found(found);
     match known {
         None => of_found,
-        Some((needed, age)) if age < TREND_UNKNOWN => Needed { usual: needed.usual, ..needed.max(of_found) },
+        Some((needed, age)) if age < TREND_LEARNING_TIME => {
+            Needed { usual: needed.usual, ..needed.max(of_found) }
+        }
         Some((needed, _)) => needed,
     }
 }
--- a/crates/beamwall-engine-model/src/learnt_speeds.rs
+++ b/crates/beamwall-engine-model/src/learnt_speeds.rs
@@ -12,7 +12,8 @@
 use crate::lasting_reports::LastingReports;
 use crate::lasting_speed::{LastingObservation, LastingRecords, LastingSpeedTracker, merge};
 
-/// Time between two fits per 1,000 back ends: a fit to as many takes less than a millisecond on a whole core.
+/// Minimum time between two fits for each full 1,000 back ends, which bounds their share of processor time. Smaller
+/// deployments fit at every call.
 const FIT_PERIOD_PER_1000: Duration = Duration::from_millis(500);
 
 /// Lasting speeds of all back ends, by the source `P` of the records.
@@ -98,8 +99,7 @@
         }
     }
 
-    /// Returns the factors, fitted again if the period has passed. The period grows with the number of back
-    /// ends, so that fits take the same share of the time.
+    /// Returns the factors, fitted again if the period has passed.
     pub(crate) fn fit_if_due(&mut self, now: Instant) -> Arc<LastingFactors> {
         let period = FIT_PERIOD_PER_1000 * u32::try_from(self.listed.len() / 1_000).unwrap_or(u32::MAX);
         let is_due = |fitted_at: Instant| now.saturating_duration_since(fitted_at) >= period;
--- a/crates/beamwall-gateway/src/admission_metrics.rs
+++ b/crates/beamwall-gateway/src/admission_metrics.rs
@@ -9,10 +9,11 @@
 
 /// Metrics of the admission to the groups whose requests a node places, by service.
 pub struct AdmissionMetrics {
-    /// First tries by decision: admitted, or the reason of the rejection.
-    first_tries: IntCounterVec,
+    /// Decisions, one for each group queried, returns to a reservation excepted: admitted, or the reason of the
+    /// rejection.
+    decisions: IntCounterVec,
     /// Returns to a reservation by decision.
-    returns: IntCounterVec,
+    return_decisions: IntCounterVec,
     /// Engines per unit of weight that a tenant may use, in the group asked last; 0 while all demand is served.
     water_level: GaugeVec,
     /// Tenants that share the group asked last.
@@ -27,11 +28,11 @@
         let counter =
             |name: &str, help: &str| IntCounterVec::new(Opts::new(name, help), &["service", "decision"]);
         let gauge = |name: &str, help: &str| IntGaugeVec::new(Opts::new(name, help), &["service"]);
-        let first_tries = counter(
+        let decisions = counter(
             "beamwall_gateway_admissions_total",
-            "requests that this node decided about as the placing node of a group, by service and decision",
+            "admission decisions as placement node, one per group queried, returns to a reservation excepted",
         )?;
-        let returns = counter(
+        let return_decisions = counter(
             "beamwall_gateway_admission_returns_total",
             "returns of rejected requests at their time, by service and decision",
         )?;
@@ -47,12 +48,12 @@
             "beamwall_gateway_admission_reservations",
             "rejected requests that were promised capacity",
         )?;
-        registry.register(Box::new(first_tries.clone()))?;
-        registry.register(Box::new(returns.clone()))?;
+        registry.register(Box::new(decisions.clone()))?;
+        registry.register(Box::new(return_decisions.clone()))?;
         registry.register(Box::new(water_level.clone()))?;
         registry.register(Box::new(tenants.clone()))?;
         registry.register(Box::new(reservations.clone()))?;
-        Ok(Self { first_tries, returns, water_level, tenants, reservations })
+        Ok(Self { decisions, return_decisions, water_level, tenants, reservations })
     }
 
     /// Records a decision and the state of the group.
@@ -61,7 +62,7 @@
             Decision::Admitted { is_return } => (ADMITTED, *is_return),
             Decision::Rejected { rejection, is_return } => (rejection.reason.as_str(), *is_return),
         };
-        let counter = if is_return { &self.returns } else { &self.first_tries };
+        let counter = if is_return { &self.return_decisions } else { &self.decisions };
         let service = service.as_str();
         counter.with_label_values(&[service, label]).inc();
         let level = Some(controller.shares().water_level()).filter(|level| level.is_finite());
--- a/crates/beamwall-gateway/src/engine_reclaims.rs
+++ b/crates/beamwall-gateway/src/engine_reclaims.rs
@@ -55,7 +55,7 @@
         self.lock().get(backend).copied()
     }
 
-    /// Changes with every announcement.
+    /// Changes when an engine is announced for the first time.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.announcements.subscribe()
     }
--- a/crates/beamwall-gateway/src/expected_returns.rs
+++ b/crates/beamwall-gateway/src/expected_returns.rs
@@ -5,10 +5,10 @@
 
 use beamwall_engine_model::Workload;
 
-/// Length of one slot.
-const SLOT: Duration = Duration::from_millis(250);
-/// Maximum number of slots. A caller that is due back later counts for the last one.
-const MAX_SLOTS: usize = 64;
+/// Length of one bucket.
+const BUCKET: Duration = Duration::from_millis(250);
+/// Maximum number of buckets. A caller that is due back later counts for the last one.
+const MAX_BUCKETS: usize = 64;
 
 /// Work that is due back, in slots of time from now on.
 #[derive(Debug, Default)]
@@ -21,8 +21,8 @@
 impl ExpectedReturns {
     /// Adds the work of a caller that is due back after `delay`.
     pub(crate) fn add(&mut self, work: Workload, delay: Duration) {
-        let slot = ((self.elapsed + delay).as_millis() / SLOT.as_millis()) as usize;
-        let slot = slot.min(MAX_SLOTS - 1);
+        let slot = ((self.elapsed + delay).as_millis() / BUCKET.as_millis()) as usize;
+        let slot = slot.min(MAX_BUCKETS - 1);
         if self.slots.len() <= slot {
             self.slots.resize(slot + 1, Workload::default());
         }
@@ -32,8 +32,8 @@
     /// Advances the time by `length` and removes the work that became due.
     pub(crate) fn take_due(&mut self, length: Duration) -> Workload {
         self.elapsed += length;
-        let passed = (self.elapsed.as_millis() / SLOT.as_millis()) as usize;
-        self.elapsed -= SLOT * u32::try_from(passed).unwrap_or(u32::MAX);
+        let passed = (self.elapsed.as_millis() / BUCKET.as_millis()) as usize;
+        self.elapsed -= BUCKET * u32::try_from(passed).unwrap_or(u32::MAX);
         let passed = passed.min(self.slots.len());
         self.slots.drain(..passed).fold(Workload::default(), |sum, work| sum + work)
     }
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -36,13 +36,14 @@
 use crate::stream_origins::StreamOrigins;
 use crate::usage::UsageLedger;
 
-/// Groups of engines queried for one request: the second one if the first can't start the request soon or
-/// does not respond.
+/// Groups preferred for a prompt that are queried: the second one if the first can't start the request soon, rejects
+/// it or does not respond. If both reject it, one more group is queried.
 const MAX_GROUPS_QUERIED: usize = 2;
 /// Fraction of the route's objective within which a start in the first group is acceptable.
 const ACCEPTABLE_DELAY_SHARE: f64 = 0.5;
 
-/// Rank of the most urgent requests. The rank of a request that is placed for a peer is not known.
+/// Rank of the most urgent requests, for choices that don't depend on the rank and for engines blocked for a peer's
+/// request.
 const MOST_URGENT_RANK: u8 = 0;
 
 /// Permits that are requested and denied for one choice, before all engines with a limit are left out.
--- a/crates/beamwall-gateway/src/refusal.rs
+++ b/crates/beamwall-gateway/src/refusal.rs
@@ -41,8 +41,7 @@
 /// The retry delay of a caller refused by a quota. It is only extended, so that it is never shorter than the
 /// time that is known.
 fn after_refill(delay: Duration) -> Duration {
-    let spread = delay.mul_f64(1.0 + QUOTA_RETURN_SPREAD_FRACTION * rand::random::<f64>());
-    spread.min(MAX_LIMIT_WAIT)
+    delay.mul_f64(1.0 + QUOTA_RETURN_SPREAD_FRACTION * rand::random::<f64>())
 }
 
 fn random_spread() -> Duration {
--- a/crates/beamwall-gateway/tests/attempts.rs
+++ b/crates/beamwall-gateway/tests/attempts.rs
@@ -591,7 +591,7 @@
     assert!(place_all(Duration::ZERO).iter().all(is_chosen), "an earlier build names no objective");
 }
 
-/// Guards against: a placing node that has just started rejects requests by estimates that it does not have.
+/// Guards against: a placement node that has just started rejects requests by estimates that it does not have.
 #[tokio::test(start_paused = true)]
 async fn a_placing_node_without_a_trained_model_admits_all() {
     let forwarder = Forwarder { backend_state: BackendState::default(), ..placing_node(1) };
--- a/crates/beamwall-node/src/gateway/duties/capacity.rs
+++ b/crates/beamwall-node/src/gateway/duties/capacity.rs
@@ -24,8 +24,9 @@
 
 /// Time between two evaluations of the number of back ends.
 const SCALING_PERIOD: Duration = Duration::from_millis(500);
-/// Least and largest capacity that one back end is counted as, in standard back ends, whatever is learnt of it.
+/// Least capacity that one back end counts as, in standard back ends.
 const MIN_ROOM: f64 = 0.25;
+/// Largest capacity that one back end counts as, in standard back ends.
 const MAX_ROOM: f64 = 4.0;
 /// Largest number of plans in one evaluation: the second one replaces what the first one could not get.
 const MAX_PLANS: usize = 2;
--- a/crates/beamwall-node/tests/earlier_builds.rs
+++ b/crates/beamwall-node/tests/earlier_builds.rs
@@ -298,7 +298,7 @@
     assert_eq!(from_earlier.lasting, LastingObservation::default());
 }
 
-/// Guards against: a request of an earlier build, which claims nothing, is rejected by a placing node of this one.
+/// Guards against: a request of an earlier build, which claims nothing, is rejected by a placement node of this one.
 #[test]
 fn a_placement_request_of_an_earlier_build_has_no_objective_to_miss() {
     let read = read(RECORDED_WITH_SLOWNESS, "placement_request");
--- a/crates/beamwall-pace/src/ramp.rs
+++ b/crates/beamwall-pace/src/ramp.rs
@@ -57,7 +57,8 @@
         self.share = self.share.min(self.allowed_share()).max(INITIAL_SHARE);
     }
 
-    /// Records a request that failed at the server. A ramp that begins later still begins then.
+    /// Records a request that failed at the server. If the server is still resting, the ramp keeps its later
+    /// start.
     pub fn note_failure(&mut self, now: Instant) {
         *self = Self { began: self.began, ..Self::new(now.max(self.updated)) };
     }
--- a/crates/beamwall-pace/src/selection.rs
+++ b/crates/beamwall-pace/src/selection.rs
@@ -3,11 +3,13 @@
 /// Factor by which the best server without a pace must cost more than a paced one before the pace gives way. Twice as
 /// much covers a server that is cold.
 const YIELD_FACTOR: f64 = 2.0;
-/// Cost, in milliseconds, that is too small to let a pace give way: the choice between idle servers.
+/// Cost difference in milliseconds, beyond the factor, below which the pace still holds, so that it also applies among
+/// idle servers.
 const YIELD_MARGIN_MS: f64 = 50.0;
-/// Factor, and milliseconds beside it, by which a paced server may cost more than the best other one and still be asked
-/// on purpose. The caller that finds out its response times should not be late for it.
+/// Factor by which a paced server may cost more than the best other one and still be asked on purpose. The caller whose
+/// request shows its response time should not be late for it.
 const TRIAL_FACTOR: f64 = 1.5;
+/// Cost difference in milliseconds that is tolerated beside that factor.
 const TRIAL_MARGIN_MS: f64 = 5.0;
 
 /// What a selection needs to know of a candidate.
