--- a/crates/beamwall-admission/src/claim.rs
+++ b/crates/beamwall-admission/src/claim.rs
@@ -14,8 +14,17 @@
     pub tenant: Option<TenantName>,
     /// Rank of the request among those of its engine; 0 is the most urgent.
     pub rank: u8,
-    /// Time within which its response should start, counted from its arrival at the sender; zero: not known.
+    /// Time within which its response should start, counted from its arrival at the sender; zero if it is
+    /// not known, or if the request is to be admitted in any case.
     pub objective: Duration,
     /// Equal for all tries of one request by its caller.
     pub fingerprint: [u8; FINGERPRINT_BYTES],
 }
+
+impl CapacityClaim {
+    /// The same claim of a request that is to be admitted in any case.
+    #[must_use]
+    pub fn admitted(self) -> Self {
+        Self { objective: Duration::ZERO, ..self }
+    }
+}
--- a/crates/beamwall-config/src/gateway.rs
+++ b/crates/beamwall-config/src/gateway.rs
@@ -45,6 +45,12 @@
     ),
     optional("duties.report_usage", ValueKind::Boolean, "false", "whether usage is reported"),
     optional("duties.order_capacity", ValueKind::Boolean, "false", "whether back ends are ordered"),
+    optional(
+        "capacity.ahead",
+        ValueKind::Boolean,
+        "false",
+        "whether back ends are ordered ahead of need: by the demand's trend and at announced losses",
+    ),
     optional("usage.window_s", seconds(0.1, 86_400.0), "5", "length of one usage window in seconds"),
     optional("retries.ratio", seconds(0.0, 1.0), "0.2", "retries allowed for each request to a service"),
     optional("retries.extra", seconds(0.0, 1e6), "50", "retries allowed beside, over all nodes"),
@@ -72,6 +78,12 @@
         "8",
         "window in which work beyond a quota is counted, in seconds",
     ),
+    optional(
+        "quotas.overdraft",
+        ValueKind::Boolean,
+        "false",
+        "whether tenants near their limits may use part of the tolerated work, with reports at short intervals",
+    ),
     optional(
         "rollouts.exposure_share",
         seconds(0.0, 1.0),
@@ -97,6 +109,24 @@
         "false",
         "whether back ends that have just started or recovered get a growing share of requests",
     ),
+    optional(
+        "engines.learn_speeds",
+        ValueKind::Boolean,
+        "false",
+        "whether the lasting speed of each engine is learnt; otherwise all engines of a service count as equal",
+    ),
+    optional(
+        "admission.enabled",
+        ValueKind::Boolean,
+        "false",
+        "whether requests are rejected at once while engines have no capacity for them",
+    ),
+    optional(
+        "streams.move_on_reclaim",
+        ValueKind::Boolean,
+        "false",
+        "whether streams of engines that are reclaimed are moved with their memory",
+    ),
     optional(
         "limits.drain_s",
         seconds(0.0, 3_600.0),
@@ -145,6 +175,8 @@
     pub report_usage: bool,
     /// Whether back ends are ordered.
     pub order_capacity: bool,
+    /// Whether back ends are ordered ahead of need.
+    pub capacity_ahead: bool,
     /// Length of one usage window.
     pub usage_window: Duration,
     /// Retries allowed for each request to a service.
@@ -159,6 +191,8 @@
     pub quota_overage: f64,
     /// Window in which work beyond a quota is counted.
     pub quota_window: Duration,
+    /// Whether tenants near their limits may use part of the tolerated work.
+    pub quota_overdraft: bool,
     /// Share of its service's requests that a bad version may get; 0 where rollouts are not followed.
     pub exposure_share: f64,
     /// Requests that it may get beside.
@@ -169,6 +203,12 @@
     pub choice: ChoiceStrategy,
     /// Whether back ends that have just started or recovered get a growing share of requests.
     pub paces_back_ends: bool,
+    /// Whether the lasting speed of each engine is learnt.
+    pub learn_speeds: bool,
+    /// Whether requests are rejected at once while engines have no capacity for them.
+    pub admission: bool,
+    /// Whether streams of engines that are reclaimed are moved with their memory.
+    pub move_on_reclaim: bool,
     /// Time from SIGTERM to the end of the process.
     pub drain_limit: Duration,
     /// Whether log lines are JSON.
@@ -208,6 +248,7 @@
             duties: (duties.port() != 0).then_some(duties),
             report_usage: flag("duties.report_usage"),
             order_capacity: flag("duties.order_capacity"),
+            capacity_ahead: flag("capacity.ahead"),
             usage_window: Duration::from_secs_f64(number("usage.window_s")),
             retry_ratio: number("retries.ratio"),
             retry_extra: number("retries.extra"),
@@ -215,11 +256,15 @@
             quota_slack: number("quotas.slack"),
             quota_overage: number("quotas.overage"),
             quota_window: Duration::from_secs_f64(number("quotas.window_s")),
+            quota_overdraft: flag("quotas.overdraft"),
             exposure_share: number("rollouts.exposure_share"),
             exposure_slack: number("rollouts.exposure_slack"),
             rollback: Duration::from_millis(number("rollouts.rollback_ms") as u64),
             choice: ChoiceStrategy::from_name(settings.text("choice.strategy").unwrap_or_default()),
             paces_back_ends: flag("pace.enabled"),
+            learn_speeds: flag("engines.learn_speeds"),
+            admission: flag("admission.enabled"),
+            move_on_reclaim: flag("streams.move_on_reclaim"),
             drain_limit: Duration::from_secs_f64(number("limits.drain_s")),
             log_json: settings.text("log.format") != Some("text"),
             log_level: settings.text("log.level").unwrap_or("info").to_owned(),
--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -163,6 +163,8 @@
     4118 Info EngineRests "engine rests" { backend, rest_ms }
     /// An engine names a rest that can't be understood.
     4119 Warn EngineRestUnreadable "engine rest unreadable" { backend, reason }
+    /// A back end is found to differ lastingly in speed from its service, for the first time.
+    4120 Debug EngineSpeedLearnt "engine speed learnt" { backend, factor }
     /// A back end that has just started or recovered gets a growing share of requests.
     4122 Info BackendPaced "back end paced" { backend, cause }
     /// An order to move a service to another version was read or heard of, or something of it changed.
@@ -190,7 +192,7 @@
     /// A request got an answer of a back end; of a stream, its head and first events.
     5103 Info GatewayAnswered "request answered" { request, route, tenant, status, policy_version, elapsed_ms }
     /// A request got an answer of the gateway's own.
-    5104 Warn GatewayRefused "request refused" { request, fingerprint, route, tenant, status, reason, policy_version, elapsed_ms }
+    5104 Warn GatewayRefused "request refused" { request, fingerprint, route, tenant, status, reason, quota_cause, policy_version, elapsed_ms }
     /// A stream was continued at another engine.
     5105 Info StreamContinued "stream continued" { request, from, to, version, last_event }
     /// A stream broke off and was not continued.
@@ -217,6 +219,12 @@
     5116 Info StreamOriginFound "version of a resumed stream found" { request, resumes, service, version, known_from, age_ms }
     /// The versions that engines have had lately can't be written to the store or read from it.
     5117 Warn EngineVersionsNotKept "engine versions not kept" { reason }
+    /// The groups of engines that were asked have no capacity for a request.
+    5118 Info CapacityRejected "no capacity for the request" { request, tenant, rank, reason, expected_ms, objective_ms, retry_after_ms }
+    /// A stream goes on at another engine, to which its memory was moved before its engine was reclaimed.
+    5120 Info StreamMoved "stream moved" { request, from, to, last_event, took_ms }
+    /// A stream of an engine that is reclaimed could not be moved.
+    5121 Warn StreamMoveFailed "stream not moved" { request, from, reason }
     /// The platform stopped answering.
     6001 Warn PlatformAway "platform away" { reason }
     /// The platform answers again.
@@ -255,6 +263,8 @@
     6111 Warn StoreEraBegan "store era began" { from, to, source }
     /// The store of decisions names an era that is no number, or an earlier one than before.
     6112 Warn StoreEraUnusable "store era unusable" { reason }
+    /// On-demand substitutes were ordered while reclaimable back ends are scarce.
+    6113 Info SubstitutesOrdered "substitutes ordered" { service, zone, count, reason }
     /// An invariant was broken: a fault in the program, to be reported.
     9001 Error InvariantBroken "invariant broken" { invariant, detail }
 }
--- a/crates/beamwall-gateway/src/attempts.rs
+++ b/crates/beamwall-gateway/src/attempts.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use beamwall_admission::Rejection;
 use beamwall_clock::process_clock;
 use beamwall_events::emit;
 use beamwall_events::internal_events::AttemptFailed;
@@ -38,6 +39,8 @@
     EngineLimit,
     /// The available engines want no requests from this node for a while.
     EngineRest,
+    /// The groups of engines have no capacity for the request.
+    Capacity,
 }
 
 impl From<NoBackEnd> for RetryBlocker {
@@ -46,6 +49,7 @@
             NoBackEnd::Unavailable => Self::BackEnd,
             NoBackEnd::Blocked(Blocked::LimitReached(_)) => Self::EngineLimit,
             NoBackEnd::Blocked(Blocked::Unavailable(_)) => Self::EngineRest,
+            NoBackEnd::Rejected(_) => Self::Capacity,
         }
     }
 }
@@ -59,10 +63,19 @@
             Self::BackEnd => "back_end",
             Self::EngineLimit => "engine_limit",
             Self::EngineRest => "engine_rest",
+            Self::Capacity => "capacity",
         }
     }
 }
 
+/// Which engines can take over a run that is moved.
+pub(crate) struct MoveConstraints {
+    /// Back ends that can't.
+    pub(crate) avoided: Vec<BackendId>,
+    /// The version that began the stream.
+    pub(crate) version: Option<EngineVersion>,
+}
+
 /// State of one request's attempts.
 #[derive(Debug, Default)]
 pub struct Attempts {
@@ -76,6 +89,8 @@
     pub may_have_run: bool,
     /// Set if what engines say of themselves left no back end for the last choice.
     blocked: Option<Blocked>,
+    /// Set if the groups of engines that were asked have no capacity for the request.
+    rejected: Option<Rejection>,
     /// The back end that was abandoned only because it was silent.
     abandoned: Option<Choice>,
     /// Number of tries to return to it.
@@ -161,11 +176,24 @@
         is_within_limit && self.may_resend(forwarder, call)
     }
 
+    /// Which engines can take over the run; `None` if none may. Moving is no further run, so it neither needs
+    /// an idempotent request nor counts towards the route's attempt limit.
+    pub(crate) fn move_constraints(&self, forwarder: &Forwarder, call: &Call) -> Option<MoveConstraints> {
+        let may_move = !is_held(forwarder, call) && !call.remaining().is_zero();
+        let version = self.stream_version.clone();
+        may_move.then(|| MoveConstraints { avoided: self.tried.clone(), version })
+    }
+
+    /// Records that the run goes on at `backend` after it was moved.
+    pub(crate) fn note_moved(&mut self, backend: &BackendId) {
+        if !self.tried.contains(backend) {
+            self.tried.push(backend.clone());
+        }
+    }
+
     fn may_resend(&self, forwarder: &Forwarder, call: &Call) -> bool {
-        let is_held =
-            call.admission == Admission::Normal && forwarder.quarantine.is_any_held(call.suspects());
         let may_run_again = call.route.kind.is_idempotent() || !self.may_have_run;
-        !is_held && may_run_again && !call.remaining().is_zero()
+        !is_held(forwarder, call) && may_run_again && !call.remaining().is_zero()
     }
 
     /// Chooses the back end of the first attempt.
@@ -229,6 +257,7 @@
             Ok(permitted) => self.tried.push(permitted.choice.backend.clone()),
             Err(NoBackEnd::Blocked(blocked)) => self.blocked = Some(*blocked),
             Err(NoBackEnd::Unavailable) => self.blocked = None,
+            Err(NoBackEnd::Rejected(rejection)) => self.rejected = Some(*rejection),
         }
         chosen
     }
@@ -271,6 +300,9 @@
     /// The refusal that is returned to the caller after the last failure.
     pub fn refusal(&self, call: &Call) -> Refusal {
         let timed_out = call.remaining().is_zero();
+        if let (Some(rejection), false) = (self.rejected, self.may_have_run) {
+            return Refusal::Rejected(rejection);
+        }
         if let (Some(blocked), false, false) = (self.blocked, self.may_have_run, timed_out) {
             match blocked {
                 Blocked::LimitReached(limit) => return Refusal::LimitReached(limit),
@@ -297,3 +329,8 @@
         }
     }
 }
+
+/// Whether the request or a part of its prompt is held because back ends terminated under it.
+fn is_held(forwarder: &Forwarder, call: &Call) -> bool {
+    call.admission == Admission::Normal && forwarder.quarantine.is_any_held(call.suspects())
+}
--- a/crates/beamwall-gateway/src/directory.rs
+++ b/crates/beamwall-gateway/src/directory.rs
@@ -54,6 +54,8 @@
     pub draining: bool,
     /// Whether it may be reclaimed at short notice.
     pub reclaimable: bool,
+    /// Time left until it is gone, in milliseconds when it was announced; `None` if it named none.
+    pub leaves_in_ms: Option<u64>,
 }
 
 impl Backend {
@@ -132,6 +134,11 @@
         self.backends.values().map(Arc::as_ref)
     }
 
+    /// All back ends, listed or expired.
+    pub fn known(&self) -> impl Iterator<Item = &Backend> {
+        self.by_id.values().map(Arc::as_ref)
+    }
+
     /// One back end, listed or expired; `None` for a generation that has been superseded.
     pub fn get(&self, id: &BackendId) -> Option<&Backend> {
         self.by_id.get(id).map(Arc::as_ref)
--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! in [`usage`], and the number of back ends to order in [`scaling`].
 
 pub mod admission;
+pub mod admission_metrics;
 pub mod allowed_versions;
 pub mod attempt;
 pub mod attempts;
@@ -23,10 +24,13 @@
 pub mod directory_staleness;
 pub mod engine_availability;
 pub mod engine_gate;
+pub mod engine_reclaims;
 pub mod event_stream;
+mod expected_returns;
 pub mod failover;
 pub mod fleet_clock;
 pub mod forward;
+pub mod group_admission;
 pub mod handler;
 pub mod health;
 pub mod load;
@@ -36,6 +40,7 @@
 pub mod placement;
 pub mod placement_groups;
 pub mod ports;
+pub mod prefill_queues;
 pub mod prefix_cache;
 pub mod quarantine;
 pub mod quota;
@@ -49,6 +54,7 @@
 pub mod startup;
 pub mod stream;
 pub mod stream_origins;
+pub mod tenant_weights;
 pub mod unary;
 pub mod unreachable_zones;
 pub mod usage;
--- a/crates/beamwall-gateway/src/metrics.rs
+++ b/crates/beamwall-gateway/src/metrics.rs
@@ -14,6 +14,8 @@
     pub latency: HistogramVec,
     /// Streams continued at another engine.
     pub streams_continued: IntCounter,
+    /// Streams of engines that announced their end, by what became of them.
+    pub stream_moves: IntCounterVec,
     /// Streams that callers took up again, by what is known of the version that began them.
     pub streams_resumed: IntCounterVec,
     /// Streams that ended before they were complete.
@@ -27,6 +29,8 @@
     pub delegated: IntCounterVec,
     /// Permits that were denied because of the limits that engines name, by service.
     pub permits_denied: IntCounterVec,
+    /// Requests refused by quotas, by tenant and by which part of the quota was used up.
+    pub quota_refusals: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -45,6 +49,13 @@
             "beamwall_gateway_streams_continued_total",
             "streams continued at another engine",
         )?;
+        let stream_moves = IntCounterVec::new(
+            Opts::new(
+                "beamwall_gateway_stream_moves_total",
+                "streams of engines that are reclaimed: moved, ended there, or why they were not moved",
+            ),
+            &["outcome"],
+        )?;
         let streams_resumed = IntCounterVec::new(
             Opts::new(
                 "beamwall_gateway_streams_resumed_total",
@@ -75,6 +86,13 @@
             ),
             &["service"],
         )?;
+        let quota_refusals = IntCounterVec::new(
+            Opts::new(
+                "beamwall_gateway_quota_refusals_total",
+                "requests refused by quotas, by tenant and by the part of the quota that was used up",
+            ),
+            &["tenant", "cause"],
+        )?;
         let delegated = IntCounterVec::new(
             Opts::new(
                 "beamwall_gateway_delegated_total",
@@ -84,22 +102,26 @@
         )?;
         registry.register(Box::new(delegated.clone()))?;
         registry.register(Box::new(permits_denied.clone()))?;
+        registry.register(Box::new(quota_refusals.clone()))?;
         registry.register(Box::new(silent_back_ends.clone()))?;
         registry.register(Box::new(caller_connections_failed.clone()))?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(latency.clone()))?;
         registry.register(Box::new(streams_continued.clone()))?;
+        registry.register(Box::new(stream_moves.clone()))?;
         registry.register(Box::new(streams_resumed.clone()))?;
         registry.register(Box::new(streams_broken.clone()))?;
         Ok(Self {
             requests,
             latency,
             streams_continued,
+            stream_moves,
             streams_resumed,
             streams_broken,
             silent_back_ends,
             caller_connections_failed,
             permits_denied,
+            quota_refusals,
             delegated,
         })
     }
--- a/crates/beamwall-gateway/src/refusal.rs
+++ b/crates/beamwall-gateway/src/refusal.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use beamwall_admission::Rejection;
 use beamwall_http::{Body, full};
 use beamwall_model::EngineVersion;
 use beamwall_quarantine::HeldRequest;
@@ -11,7 +12,7 @@
 use crate::admission::Unservable;
 use crate::engine_gate::LimitReached;
 use crate::ports::Dialect;
-use crate::quota::QuotaExceeded;
+use crate::quota::{QuotaExceeded, RefusalCause};
 use crate::stream_origins::UnknownOrigin;
 
 /// `retry_after` of refusals for a temporary reason.
@@ -29,15 +30,37 @@
 /// Part of an engine's rest over which the callers that it kept out return.
 const REST_RETURN_SPREAD_FRACTION: f64 = 0.25;
 
+/// Part of a quota's retry delay over which the refused callers return.
+const QUOTA_RETURN_SPREAD_FRACTION: f64 = 0.25;
+
 fn after_rest(left: Duration) -> Duration {
     let left = left.min(MAX_LIMIT_WAIT);
     left + left.mul_f64(REST_RETURN_SPREAD_FRACTION * rand::random::<f64>())
 }
 
+/// The retry delay of a caller refused by a quota. It is only extended, so that it is never shorter than the
+/// time that is known.
+fn after_refill(delay: Duration) -> Duration {
+    delay.mul_f64(1.0 + QUOTA_RETURN_SPREAD_FRACTION * rand::random::<f64>())
+}
+
 fn random_spread() -> Duration {
     LIMIT_RETURN_SPREAD.mul_f64(rand::random())
 }
 
+fn quota_reason(exceeded: &QuotaExceeded) -> String {
+    let QuotaExceeded { amount, level, membership, .. } = exceeded;
+    let refused = match exceeded.cause {
+        RefusalCause::LimitUsed => "the tenant is beyond its quota",
+        RefusalCause::ShareUsed => "the tenant is beyond the share of its quota at this node",
+        RefusalCause::Withheld => "the rest of the tenant's quota is reserved for nodes not heard",
+    };
+    format!(
+        "{refused}: {amount:.0} asked for, {level:.0} left, {} of {} nodes heard",
+        membership.reachable, membership.known
+    )
+}
+
 /// Why a request got no response from a back end.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Refusal {
@@ -67,6 +90,8 @@
     Held(HeldRequest),
     /// No back end would start its response within the caller's timeout; it was not sent.
     Unservable(Unservable),
+    /// The engines have no capacity for it now; it was not sent.
+    Rejected(Rejection),
     /// The limits that all available engines name are used up; it was not executed.
     LimitReached(LimitReached),
     /// All available engines want no requests from this node, the first for so long; it was not executed.
@@ -92,6 +117,7 @@
             | Self::Unreachable(_)
             | Self::TooLate
             | Self::Unservable(_)
+            | Self::Rejected(_)
             | Self::LimitReached(_)
             | Self::EnginesRest(_)
             | Self::UnknownOrigin(_)
@@ -113,8 +139,9 @@
     /// Time after which the caller may retry, if the request was not executed.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::QuotaExceeded(exceeded) => Some(exceeded.retry_after),
+            Self::QuotaExceeded(exceeded) => Some(after_refill(exceeded.retry_after)),
             Self::Unservable(unservable) => Some(unservable.retry_after),
+            Self::Rejected(rejection) => Some(rejection.retry_after),
             Self::Held(held) => held.retry_after,
             Self::LimitReached(limit) => Some(limit.wait.min(MAX_LIMIT_WAIT) + random_spread()),
             Self::EnginesRest(left) => Some(after_rest(*left)),
@@ -134,6 +161,7 @@
                 | Self::Unreachable(_)
                 | Self::TooLate
                 | Self::Unservable(_)
+                | Self::Rejected(_)
                 | Self::LimitReached(_)
                 | Self::EnginesRest(_)
         )
@@ -147,10 +175,7 @@
             Self::UnknownKey => "the key is missing or unknown".to_owned(),
             Self::BadBody(reason) => reason.clone(),
             Self::BodyTooLarge => "the body is too large".to_owned(),
-            Self::QuotaExceeded(exceeded) => format!(
-                "the tenant is beyond its quota: {:.0} asked for, {:.0} left, {} of {} nodes heard",
-                exceeded.amount, exceeded.level, exceeded.membership.reachable, exceeded.membership.known
-            ),
+            Self::QuotaExceeded(exceeded) => quota_reason(exceeded),
             Self::NotRun(reason) | Self::Unreachable(reason) => format!("not run: {reason}"),
             Self::ResponseLost(reason) => format!("the answer is lost: {reason}"),
             Self::TimedOut => "no answer in time".to_owned(),
@@ -172,6 +197,11 @@
             Self::VersionUnavailable(version) => {
                 format!("not run: no back end of version {version}, which began the stream, takes requests")
             }
+            Self::Rejected(rejection) => format!(
+                "not run: no capacity now ({}): the best back end would begin to answer in {} ms",
+                rejection.reason.as_str(),
+                rejection.expected.as_millis()
+            ),
             Self::Unservable(unservable) => format!(
                 "not run: the best back end would begin to answer in {} ms, after the caller's patience",
                 unservable.expected.as_millis()
@@ -179,6 +209,14 @@
         }
     }
 
+    /// Which part of a quota was used up; empty for other refusals.
+    pub fn quota_cause(&self) -> &'static str {
+        match self {
+            Self::QuotaExceeded(exceeded) => exceeded.cause.name(),
+            _ => "",
+        }
+    }
+
     /// The HTTP response.
     pub fn response(&self, dialect: &dyn Dialect, request_id: Option<&str>) -> Response<Body> {
         let mut response = Response::new(full(self.reason()));
--- a/crates/beamwall-gateway/src/stream/mod.rs
+++ b/crates/beamwall-gateway/src/stream/mod.rs
@@ -3,20 +3,25 @@
 
 mod event_gap;
 mod first_event_wait;
+mod memory_move;
+mod moved_stream;
 mod relay;
+pub mod relocation;
+mod relocation_watch;
 mod source;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use beamwall_clock::process_clock;
+use beamwall_engine_model::PrefillWork;
 use beamwall_http::Body;
 use beamwall_model::EngineVersion;
 use hyper::{HeaderMap, Response, StatusCode};
 use tokio::time::Instant;
 
 use crate::admission;
-use crate::attempt::{self, AttemptFailure, OpenResponse};
+use crate::attempt::{self, AttemptFailure, OpenResponse, ResumePoint};
 use crate::attempts::Attempts;
 use crate::engine_gate::SendPermit;
 use crate::failover::{self, FailedAttempt};
@@ -33,23 +38,37 @@
 pub async fn forward(forwarder: &Arc<Forwarder>, call: &Arc<Call>) -> Result<Response<Body>, Refusal> {
     let mut attempts = Attempts::of(call);
     let mut next = attempts.first_choice(forwarder, call).await;
+    let mut counted = None;
     while let Some(PermittedChoice { choice, permit }) = next {
         if attempts.tried.len() == 1 {
             forwarder.demand.note_request(&call.service, &call.route.name, choice.prefill);
-            check_servable(forwarder, call, &choice)?;
+            counted = Some(choice.prefill);
+            if let Err(refusal) = check_servable(forwarder, call, &choice) {
+                note_refusal(forwarder, call, counted, &refusal);
+                return Err(refusal);
+            }
         }
-        let failed =
-            match start_attempt(forwarder, call, &choice, permit, call.last_event, &mut attempts).await {
-                Ok(AttemptStart::Stream(started)) => {
-                    attempts.note_response_started(started.version.as_ref());
-                    return Ok(relay(forwarder, call, *started, attempts));
-                }
-                Ok(AttemptStart::Answer(response)) => return Ok(response),
-                Err(failed) => failed,
-            };
+        let first_point = ResumePoint::after(call.last_event);
+        let failed = match start_attempt(forwarder, call, &choice, permit, first_point, &mut attempts).await {
+            Ok(AttemptStart::Stream(started)) => {
+                attempts.note_response_started(started.version.as_ref());
+                return Ok(relay(forwarder, call, *started, attempts));
+            }
+            Ok(AttemptStart::Answer(response)) => return Ok(response),
+            Err(failed) => failed,
+        };
         next = attempts.continue_after_failure(forwarder, call, &choice, failed).await;
     }
-    Err(attempts.refusal(call))
+    let refusal = attempts.refusal(call);
+    note_refusal(forwarder, call, counted, &refusal);
+    Err(refusal)
+}
+
+/// Records for the demand that a caller whose work was counted may return.
+fn note_refusal(forwarder: &Forwarder, call: &Call, counted: Option<PrefillWork>, refusal: &Refusal) {
+    if let (Some(prefill), Some(retry_after)) = (counted, refusal.retry_after()) {
+        forwarder.demand.note_refusal(&call.service, &call.route.name, prefill, retry_after);
+    }
 }
 
 /// Refuses a call that is not expected to be served before its deadline.
@@ -93,9 +112,10 @@
     call: &Call,
     choice: &Choice,
     permit: SendPermit,
-    last_event: Option<u64>,
+    resume: ResumePoint<'_>,
     attempts: &mut Attempts,
 ) -> Result<AttemptStart, FailedAttempt> {
+    let last_event = resume.last_event;
     let first_event_wait = FirstEventWait::new(forwarder, call, choice, attempts);
     let sent_at = process_clock::now();
     let limit = call.remaining();
@@ -106,7 +126,7 @@
     });
     let opened = tokio::select! {
         biased;
-        opened = attempt::open(forwarder, call, choice, permit, last_event, limit) => opened?,
+        opened = attempt::open(forwarder, call, choice, permit, resume, limit) => opened?,
         next = next_back_end.as_mut() => {
             return Err(attempt::abandon_silent(forwarder, call, &choice.backend, last_event, next));
         }
@@ -141,8 +161,11 @@
         forwarder.origins.note_stream(call, version);
     }
     source.work.start_response();
-    record_time_to_first_event(forwarder, call, choice, last_event, sent_at);
-    forwarder.record_usage(call);
+    if resume.memory.is_none() {
+        // A run that goes on elsewhere is billed once, and its first event there tells nothing of prefill.
+        record_time_to_first_event(forwarder, call, choice, last_event, sent_at);
+        forwarder.record_usage(call);
+    }
     if let Some(prompt) = &call.prompt {
         forwarder.backend_state.prefixes.note_prefill(&choice.backend, prompt, Instant::now());
     }
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 pub mod peer_restarts;
 pub mod peer_versions;
 pub mod placement_router;
+pub mod placement_wire;
 pub mod policy_sync;
 pub mod quarantine_sync;
 pub mod quarantine_wire;
@@ -53,11 +54,13 @@
 use beamwall_config::GatewaySettings;
 use beamwall_events::emit;
 use beamwall_events::internal_events::NodeStarted;
+use beamwall_gateway::admission_metrics::AdmissionMetrics;
 use beamwall_gateway::candidates::BackendState;
 use beamwall_gateway::choice::Chooser;
 use beamwall_gateway::demand::DemandTracker;
 use beamwall_gateway::fleet_clock::FleetClock;
 use beamwall_gateway::forward::Forwarder;
+use beamwall_gateway::group_admission::GroupAdmission;
 use beamwall_gateway::metrics::GatewayMetrics;
 use beamwall_gateway::ports::{RolloutStore, StoreEras};
 use beamwall_gateway::quarantine::{Quarantine, TrialPort};
@@ -74,7 +77,7 @@
 use beamwall_model::since_1970_ms;
 use beamwall_pace::PaceTracker;
 use beamwall_peer::{Envelope, Membership, MembershipTiming, PeerNetwork, TransferPacer};
-use beamwall_policy::PolicyHistory;
+use beamwall_policy::{PolicyHistory, PolicyIndex};
 use beamwall_quarantine::QuarantineRegistry;
 use beamwall_rollout::RolloutRegistry;
 use beamwall_store::VersionedObjects;
@@ -89,7 +92,7 @@
 use crate::actors::membership::MembershipActor;
 use crate::actors::policy::PolicyActor;
 use crate::error::NodeError;
-use crate::gateway::duties::{Duties, DutyPorts, StoredKnowledge};
+use crate::gateway::duties::{CapacityMetrics, Duties, DutyMetrics, DutyPorts, StoredKnowledge};
 use crate::gateway::exchange::PeerExchange;
 use crate::gateway::gauges::GatewayGauges;
 use crate::gateway::listing::DirectoryReader;
@@ -196,6 +199,7 @@
         let stopping = watch::channel(false).0;
         let callers =
             tokio::spawn(serve(callers, GatewayHandler::new(gateway.clone()), stopping.subscribe()));
+        let capacity_metrics = CapacityMetrics::new(&registry)?;
         let lease_epoch = metrics::gauge(
             "beamwall_gateway_lease_epoch",
             "epoch of the lease on duties while this node holds it, else 0",
@@ -268,7 +272,7 @@
                 duty_ports,
                 &exchange,
                 selector,
-                lease_epoch,
+                DutyMetrics { lease_epoch, capacity: capacity_metrics },
                 StoredKnowledge { held_requests: stored_quarantine, versions: version_storage },
             );
             tasks.push(tokio::spawn(duties.run()));
@@ -384,23 +388,33 @@
         extra: settings.retry_extra * RETRY_EXTRA_USED,
         window: settings.retry_window,
     };
+    let policy: Arc<ArcSwap<PolicyIndex>> = Arc::default();
+    let admission = match settings.admission {
+        true => Some(GroupAdmission::new(policy.clone(), AdmissionMetrics::new(registry)?)),
+        false => None,
+    };
     let forwarder = Arc::new(Forwarder {
         node: settings.node.clone(),
         zone: settings.zone.clone(),
         dialect: ports.dialect.clone(),
         pool,
         directory,
-        backend_state: BackendState { pace: assemble_pace(settings), ..BackendState::default() },
+        backend_state: BackendState {
+            pace: assemble_pace(settings),
+            ..BackendState::new(settings.learn_speeds)
+        },
         chooser: Chooser::new(settings.choice),
         placement: peers.placement,
+        admission,
         gate,
         reachability: EngineReachability::default(),
         delegation: peers.delegation,
-        demand: DemandTracker::default(),
+        demand: DemandTracker::new(settings.capacity_ahead),
         rollouts: RolloutRegistry::default()
             .for_generation(&settings.node, generation)
             .in_zone(&settings.zone),
         origins: StreamOrigins::new(peers.origins),
+        move_on_reclaim: settings.move_on_reclaim,
         retries: RetryBudgets::new(retries, nodes),
         usage: UsageLedger::new(settings.usage_window)
             .for_generation(&settings.node, generation)
@@ -417,8 +431,9 @@
     };
     let quotas = QuotaLimiter::new(settings.quota_slack * QUOTA_SLACK_USED, nodes)
         .with_tolerance(tolerance)
+        .with_overdraft(settings.quota_overdraft)
         .with_generation(generation);
-    Ok(Arc::new(Gateway { policy: Arc::default(), quotas, forwarder, peer_notify }))
+    Ok(Arc::new(Gateway { policy, quotas, forwarder, peer_notify }))
 }
 
 fn assemble_pace(settings: &GatewaySettings) -> PaceTracker {
@@ -487,6 +502,7 @@
         versions_changed,
         started: Instant::now(),
         demand_measured_at: Mutex::new(Instant::now()),
+        urgent_summary_throttle: Default::default(),
         model_fit_throttle: Default::default(),
         model_report_throttle: Default::default(),
         directory_versions: PeerVersions::default(),
--- a/crates/beamwall-node/tests/earlier_builds.rs
+++ b/crates/beamwall-node/tests/earlier_builds.rs
@@ -9,10 +9,16 @@
 
 mod recorded_schema;
 
-use beamwall_gateway::Backend;
+use beamwall_engine_model::LastingObservation;
+use std::time::Duration;
+
+use beamwall_admission::{Rejection, RejectionReason};
 use beamwall_gateway::ports::DirectorySnapshot;
+use beamwall_gateway::{Backend, PlacementOutcome};
 use beamwall_model::{BackendId, EngineVersion, InstanceName, ServiceName, StoreRevision, ZoneName};
 use beamwall_node::gateway::directory_wire::{self, DirectoryUpdate};
+use beamwall_node::gateway::heartbeat_wire;
+use beamwall_node::gateway::placement_wire;
 use beamwall_peer::gateway_message::{
     BackendLoad, BackendSlowness, DirectoryAnswer, DirectoryRequest, GatewayHeartbeat, GenerationUsage,
     PolicyAnswer, PolicyRequest, QuotaUse, ServiceDemand, ServiceModel, UsageAnswer, UsageCount,
@@ -84,7 +90,8 @@
 }
 
 fn slowness() -> Vec<BackendSlowness> {
-    vec![BackendSlowness { backend: "i-3".to_owned(), logarithms: 0.5, weight: 2.0 }]
+    let backend = "i-3".to_owned();
+    vec![BackendSlowness { backend, logarithms: 0.5, weight: 2.0, ..BackendSlowness::default() }]
 }
 
 fn members() -> Vec<MemberUpdate> {
@@ -205,6 +212,7 @@
         slots: if is_first { 128 } else { 6 },
         draining: !is_first,
         reclaimable: is_first,
+        leaves_in_ms: None,
     }
 }
 
@@ -274,6 +282,47 @@
     assert_eq!(reply.slowness, 0.0, "no slowness is told");
 }
 
+/// Guards against: lasting speeds hide the slowness at the moment from earlier builds, or are read from them.
+#[test]
+fn earlier_builds_pass_over_lasting_speeds_and_tell_none() {
+    let told = BackendSlowness { lasting_logarithms: -4.0, lasting_weight: 8.0, ..slowness().remove(0) };
+    let beat = GatewayHeartbeat { slowness: vec![told.clone()], ..beat() };
+    let bytes = envelope(Body::GatewayBeat(beat)).encode_to_vec();
+    let read = earlier::Envelope::decode(bytes.as_slice()).expect("new fields are passed over");
+    let Some(earlier::Body::GatewayBeat(read)) = read.body else { panic!() };
+    let slow = &read.slowness[0];
+    assert_eq!((slow.backend.as_str(), slow.logarithms, slow.weight), ("i-3", 0.5, 2.0));
+    let decoded = heartbeat_wire::decode_slowness(std::slice::from_ref(&told));
+    assert_eq!(heartbeat_wire::encode_slowness(decoded), vec![told]);
+    let from_earlier = heartbeat_wire::decode_slowness(&slowness()).remove(0).1;
+    assert_eq!(from_earlier.lasting, LastingObservation::default());
+}
+
+/// Guards against: a request of an earlier build, which claims nothing, is rejected by a placement node of this one.
+#[test]
+fn a_placement_request_of_an_earlier_build_has_no_objective_to_miss() {
+    let read = read(RECORDED_WITH_SLOWNESS, "placement_request");
+    let sender = Envelope::decode(read.as_slice()).expect("it can be read");
+    let Some(Body::PlacementRequest(request)) = sender.body.clone() else { panic!("a request") };
+    let query = placement_wire::decode_request(request, &sender);
+    assert_eq!(query.claim, Default::default());
+    assert!(query.claim.objective.is_zero(), "it is admitted in any case");
+}
+
+#[test]
+fn a_rejected_placement_keeps_its_meaning() {
+    for reason in [RejectionReason::OverFairShare, RejectionReason::NoCapacity] {
+        let (expected, retry_after) = (Duration::from_millis(1_800), Duration::from_millis(420));
+        let rejected = PlacementOutcome::Rejected(Rejection { reason, expected, retry_after });
+        let bytes = placement_wire::encode_reply(rejected.clone()).encode_to_vec();
+        let reply = PlacementReply::decode(bytes.as_slice()).expect("it can be read");
+        assert!(reply.backend.is_empty(), "an earlier build reads it as a node that found no engine");
+        assert_eq!(placement_wire::decode_reply(&reply, "node-2".into()), rejected);
+    }
+    let unanswered = placement_wire::decode_reply(&PlacementReply::default(), "node-2".into());
+    assert_eq!(unanswered, PlacementOutcome::Unanswered);
+}
+
 /// Guards against: eras of the store that earlier builds do not know hide from them which list is told.
 #[test]
 fn earlier_builds_pass_over_the_eras_of_lists() {
--- a/crates/beamwall-pace/src/selection.rs
+++ b/crates/beamwall-pace/src/selection.rs
@@ -3,11 +3,13 @@
 /// Factor by which the best server without a pace must cost more than a paced one before the pace gives way. Twice as
 /// much covers a server that is cold.
 const YIELD_FACTOR: f64 = 2.0;
-/// Cost, in milliseconds, that is too small to let a pace give way: the choice between idle servers.
+/// Cost difference in milliseconds, beyond the factor, below which the pace still holds, so that it also applies among
+/// idle servers.
 const YIELD_MARGIN_MS: f64 = 50.0;
-/// Factor, and milliseconds beside it, by which a paced server may cost more than the best other one and still be asked
-/// on purpose. The caller that finds out its response times should not be late for it.
+/// Factor by which a paced server may cost more than the best other one and still be asked on purpose. The caller whose
+/// request shows its response time should not be late for it.
 const TRIAL_FACTOR: f64 = 1.5;
+/// Cost difference in milliseconds that is tolerated beside that factor.
 const TRIAL_MARGIN_MS: f64 = 5.0;
 
 /// What a selection needs to know of a candidate.
@@ -38,8 +40,8 @@
 
 /// Selects for one request. `random` is uniform in [0, 1).
 ///
-/// Each paced candidate is chosen for its share of the requests of one of `candidates.len()` equal servers, also when
-/// it is not the cheapest. For all other requests it is passed over, unless the others are so busy that even a cold
+/// Each paced candidate is chosen for its share of the requests that a server without a pace gets, also when it is not
+/// the cheapest. For all other requests it is passed over, unless the others are so busy that even a cold
 /// server would serve the request sooner.
 pub fn select(candidates: &[PacedCandidate], random: f64) -> Selection {
     let cheapest = |is_paced: bool| {
@@ -58,9 +60,10 @@
 /// The paced candidate on whose part of [0, 1) `random` falls. One that costs more than `limit_ms`, for example since it
 /// can't be reached, is not asked on purpose.
 fn drawn(candidates: &[PacedCandidate], limit_ms: f64, random: f64) -> Option<usize> {
+    let shares: f64 = candidates.iter().map(|candidate| candidate.share).sum();
     let mut upper = 0.0;
     for (position, candidate) in candidates.iter().enumerate().filter(|(_, candidate)| candidate.is_paced()) {
-        upper += candidate.share / candidates.len() as f64;
+        upper += candidate.share / shares;
         if random < upper {
             return (candidate.cost_ms <= limit_ms).then_some(position);
         }
