--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -17,6 +17,7 @@
 use crate::admission;
 use crate::allowed_versions::AllowedVersions;
 pub use crate::call::Call;
+use crate::call::LOWEST_PRIORITY_RANK;
 use crate::candidates::{BackendState, ChosenBy, Search};
 use crate::choice::{Candidate, Chooser, Expectation};
 use crate::delegation::DelegationPort;
@@ -487,7 +488,7 @@
             zone: &engine_query.zone,
             prompt: Some(&engine_query.prompt),
             group: engine_query.group,
-            rank: engine_query.claim.rank,
+            rank: self.queue_rank(engine_query),
             avoided: &avoided,
             versions: &versions,
             by: ChosenBy::PlacementNode,
@@ -529,6 +530,11 @@
         PlacementOutcome::Chosen(choice)
     }
 
+    /// Rank by which the prompts ahead of a request are counted: all of them where no admission depends on it.
+    fn queue_rank(&self, engine_query: &PlacementQuery) -> u8 {
+        if self.admission.is_some() { engine_query.claim.rank } else { LOWEST_PRIORITY_RANK }
+    }
+
     /// Why a request is not placed; `None` if it is admitted.
     fn rejection(
         &self,
