--- a/crates/beamwall-gateway/src/refusal.rs
+++ b/crates/beamwall-gateway/src/refusal.rs
@@ -50,13 +50,15 @@
 
 fn quota_reason(exceeded: &QuotaExceeded) -> String {
     let QuotaExceeded { amount, level, membership, .. } = exceeded;
-    let refused = match exceeded.cause {
-        RefusalCause::LimitUsed => "the tenant is beyond its quota",
-        RefusalCause::ShareUsed => "the tenant is beyond the share of its quota at this node",
-        RefusalCause::Withheld => "the rest of the tenant's quota is reserved for nodes not heard",
+    let withheld = match exceeded.cause {
+        RefusalCause::LimitUsed => "",
+        RefusalCause::ShareUsed => "; this node's share is used up",
+        RefusalCause::Withheld => {
+            "; the rest is reserved for nodes not heard or for work from before this node's start"
+        }
     };
     format!(
-        "{refused}: {amount:.0} asked for, {level:.0} left, {} of {} nodes heard",
+        "the tenant is beyond its quota: {amount:.0} asked for, {level:.0} left, {} of {} nodes heard{withheld}",
         membership.reachable, membership.known
     )
 }
