Work is urgent again below half of a quota's own burst

Cause: the new is_below compares with the account's capacity, which contains the tolerance; the check that it replaced had the tenant's burst. Evidence: the test fails with is_below (600 of 1,500 are left) and passes with the check as it was on.

--- a/crates/beamwall-gateway/src/quota/mod.rs
+++ b/crates/beamwall-gateway/src/quota/mod.rs
@@ -280,7 +280,7 @@
             });
         }
         account.admit_work(amount, now);
-        let is_urgent = account.is_below(self.overdraft.urgent_fraction());
+        let is_urgent = account.level < tenant.burst * self.overdraft.urgent_fraction();
         Ok(Some(Charge { tenant: tenant.name.clone(), amount, is_urgent }))
     }
 
--- a/crates/beamwall-gateway/tests/quotas.rs
+++ b/crates/beamwall-gateway/tests/quotas.rs
@@ -325,6 +325,23 @@
     });
 }
 
+/// Guards against: a tolerance makes nodes report at once while the tenant has more than half of its burst left.
+#[test]
+fn work_is_urgent_below_half_of_the_burst_whatever_the_tolerance() {
+    let is_urgent = |amount: f64| {
+        let start = Instant::now();
+        let tolerance = Tolerance { sustained: 0.5, ..Tolerance::default() };
+        let limiter = QuotaLimiter::new(0.0, 1).with_tolerance(tolerance);
+        let membership = QuotaMembership::full_mesh(1, 1);
+        limiter.set_membership(membership, &[tenant()], start);
+        let now = start + Duration::from_secs(10);
+        limiter.set_membership(membership, &[tenant()], now);
+        limiter.charge(&tenant(), amount, now).expect("covered").expect("charged").is_urgent
+    };
+    assert!(!is_urgent(900.0), "600 of 1,500 are left");
+    assert!(is_urgent(1_100.0), "400 are left");
+}
+
 #[test]
 fn a_starting_node_has_its_share_of_the_startup_tolerance() {
     let start = Instant::now();
