One piece for what stood twice, and no work for parts that are off

Nothing changes for callers. With pace and moves off, each attempt still looked at the health of its back end for the pace, and each list of back ends was searched for announcements; the capacity plan took the models' lock once a back end. Evidence: reading the whole change once more. Change: claims carry the Fingerprint of requests; ranks are counted in one place, of which the gateway's constant is a re-export; spread_return serves rests and quotas; remaining_weight serves both trackers of speed; reclaims take their lock once and only where streams are moved; pacing returns at once where it is off; the plan loads the factors once. Tests build the Fingerprint from the same bytes.

--- a/crates/beamwall-admission/src/claim.rs
+++ b/crates/beamwall-admission/src/claim.rs
@@ -3,9 +3,12 @@
 use std::time::Duration;
 
 use beamwall_model::TenantName;
+use beamwall_quarantine::Fingerprint;
 
-/// Length of a request's fingerprint in bytes.
-pub const FINGERPRINT_BYTES: usize = 16;
+/// Highest rank sent to back ends; the least urgent. Ranks beyond it count as this one.
+pub const LOWEST_PRIORITY_RANK: u8 = 9;
+/// Number of ranks.
+pub const RANKS: usize = LOWEST_PRIORITY_RANK as usize + 1;
 
 /// Who asks for capacity, how urgently, and whether it is the same request as an earlier one.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -17,8 +20,8 @@
     /// Time within which its response should start, counted from its arrival at the sender; zero if it is
     /// not known, or if the request is to be admitted in any case.
     pub objective: Duration,
-    /// Equal for all tries of one request by its caller.
-    pub fingerprint: [u8; FINGERPRINT_BYTES],
+    /// Equal for all tries of one request by its caller; the default if it is not known.
+    pub fingerprint: Fingerprint,
 }
 
 impl CapacityClaim {
--- a/crates/beamwall-admission/src/controller.rs
+++ b/crates/beamwall-admission/src/controller.rs
@@ -4,14 +4,13 @@
 
 use tokio::time::Instant;
 
+use crate::claim::RANKS;
 use crate::decayed_rate::DecayedRate;
 use crate::decision::{Decision, Rejection, RejectionReason};
 use crate::fair_shares::FairShares;
 use crate::request::CapacityRequest;
 use crate::reservations::{Reservation, Reservations};
 
-/// Ranks that are told apart.
-const RANKS: usize = 10;
 /// Fraction of the tolerable wait up to which capacity is not short.
 const COMFORTABLE_FRACTION: f64 = 0.5;
 /// Fraction of the tolerable wait up to which new requests are admitted. The rest is left to returns.
--- a/crates/beamwall-admission/src/lib.rs
+++ b/crates/beamwall-admission/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod request;
 pub mod reservations;
 
-pub use claim::CapacityClaim;
+pub use claim::{CapacityClaim, LOWEST_PRIORITY_RANK, RANKS};
 pub use controller::AdmissionController;
 pub use decision::{Decision, Rejection, RejectionReason};
 pub use request::CapacityRequest;
--- a/crates/beamwall-admission/src/reservations.rs
+++ b/crates/beamwall-admission/src/reservations.rs
@@ -5,10 +5,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use beamwall_quarantine::Fingerprint;
 use tokio::time::Instant;
 
-use crate::claim::FINGERPRINT_BYTES;
-
 /// Largest number of reservations of a group.
 pub const MAX_RESERVATIONS: usize = 4_096;
 /// Time before a reservation from which its caller counts as returned: differences between timers.
@@ -18,9 +17,6 @@
 /// Shortest interval between two removals of expired reservations.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Identifies a request across its caller's tries.
-pub type RequestKey = [u8; FINGERPRINT_BYTES];
-
 /// A promise of capacity.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Reservation {
@@ -48,7 +44,7 @@
 /// The reservations of a group.
 #[derive(Debug)]
 pub struct Reservations {
-    by_request: HashMap<RequestKey, Reservation>,
+    by_request: HashMap<Fingerprint, Reservation>,
     swept: Instant,
 }
 
@@ -69,14 +65,14 @@
     }
 
     /// The reservation of a request.
-    pub fn get(&self, request: &RequestKey, now: Instant) -> Option<Reservation> {
+    pub fn get(&self, request: &Fingerprint, now: Instant) -> Option<Reservation> {
         self.by_request.get(request).copied().filter(|reservation| !reservation.is_expired(now))
     }
 
     /// Adds a reservation; `false` if there are too many or the request can't be recognized.
-    pub fn add(&mut self, request: &RequestKey, reservation: Reservation, now: Instant) -> bool {
+    pub fn add(&mut self, request: &Fingerprint, reservation: Reservation, now: Instant) -> bool {
         self.sweep(now);
-        let is_known = *request != RequestKey::default();
+        let is_known = *request != Fingerprint::default();
         if !is_known || self.by_request.len() >= MAX_RESERVATIONS {
             return false;
         }
@@ -85,7 +81,7 @@
     }
 
     /// Removes the reservation of a request.
-    pub fn remove(&mut self, request: &RequestKey) {
+    pub fn remove(&mut self, request: &Fingerprint) {
         self.by_request.remove(request);
     }
 
--- a/crates/beamwall-admission/tests/controller.rs
+++ b/crates/beamwall-admission/tests/controller.rs
@@ -5,6 +5,7 @@
 use beamwall_admission::controller::AdmissionController;
 use beamwall_admission::reservations::MAX_RESERVATIONS;
 use beamwall_admission::{CapacityClaim, CapacityRequest, Decision, RejectionReason};
+use beamwall_quarantine::Fingerprint;
 use beamwall_seeds::on_seeds;
 use tokio::time::Instant;
 
@@ -15,7 +16,12 @@
 fn claim(tenant: &str, number: u64) -> CapacityClaim {
     let mut fingerprint = [0; 16];
     fingerprint[..8].copy_from_slice(&number.to_be_bytes());
-    CapacityClaim { tenant: Some(tenant.into()), rank: 0, objective: OBJECTIVE, fingerprint }
+    CapacityClaim {
+        tenant: Some(tenant.into()),
+        rank: 0,
+        objective: OBJECTIVE,
+        fingerprint: Fingerprint::new(fingerprint),
+    }
 }
 
 /// A request that waits so long at the best of 10 engines.
--- a/crates/beamwall-admission/tests/support/mod.rs
+++ b/crates/beamwall-admission/tests/support/mod.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use beamwall_admission::{AdmissionController, CapacityClaim, CapacityRequest, Decision};
+use beamwall_quarantine::Fingerprint;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use tokio::time::Instant;
@@ -276,7 +277,7 @@
             tenant: Some(format!("t{}", call.source.tenant).as_str().into()),
             rank: 0,
             objective: call.source.objective,
-            fingerprint,
+            fingerprint: Fingerprint::new(fingerprint),
         };
         let request = CapacityRequest {
             claim: &claim,
--- a/crates/beamwall-engine-model/src/lasting_speed.rs
+++ b/crates/beamwall-engine-model/src/lasting_speed.rs
@@ -11,6 +11,8 @@
 use beamwall_model::BackendId;
 use tokio::time::Instant;
 
+use crate::slowness::remaining_weight;
+
 /// Half-life of a record's weight without new samples: a back end that was slow for long and is avoided since
 /// is tried again after some 100 s.
 const IDLE_HALF_LIFE: Duration = Duration::from_secs(60);
@@ -114,7 +116,7 @@
 
     /// Returns the weight after the time without samples.
     fn weight_at(&self, now: Instant) -> f64 {
-        self.weight * half_lives(now.saturating_duration_since(self.updated_at), IDLE_HALF_LIFE)
+        self.weight * remaining_weight(now.saturating_duration_since(self.updated_at), IDLE_HALF_LIFE)
     }
 
     /// Returns the record as it is told to peers, or `None` if it rests on few samples.
@@ -124,10 +126,6 @@
     }
 }
 
-fn half_lives(age: Duration, half_life: Duration) -> f64 {
-    0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
-}
-
 /// Samples of the lasting speeds of back ends at one node.
 #[derive(Debug, Default)]
 pub struct LastingSpeedTracker {
@@ -226,7 +224,7 @@
 
     fn add(&mut self, record: &LastingRecord, now: Instant) {
         let outdated = |newest: Instant, updated_at: Instant| {
-            half_lives(newest.saturating_duration_since(updated_at), OUTDATED_HALF_LIFE)
+            remaining_weight(newest.saturating_duration_since(updated_at), OUTDATED_HALF_LIFE)
         };
         let newest = self.newest.max(record.updated_at);
         let known = self.weight * outdated(newest, self.newest);
--- a/crates/beamwall-engine-model/src/slowness.rs
+++ b/crates/beamwall-engine-model/src/slowness.rs
@@ -110,6 +110,11 @@
     }
 }
 
+/// Returns the part of a weight that remains after some time.
+pub(crate) fn remaining_weight(age: Duration, half_life: Duration) -> f64 {
+    0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Record {
     observed: SlownessObservation,
@@ -118,9 +123,7 @@
 
 impl Record {
     fn decayed_at(&self, now: Instant) -> SlownessObservation {
-        let half_lives =
-            now.saturating_duration_since(self.updated_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        let remaining = 0.5_f64.powf(half_lives);
+        let remaining = remaining_weight(now.saturating_duration_since(self.updated_at), HALF_LIFE);
         SlownessObservation {
             logarithms: self.observed.logarithms * remaining,
             weight: self.observed.weight * remaining,
--- a/crates/beamwall-gateway/src/call.rs
+++ b/crates/beamwall-gateway/src/call.rs
@@ -14,8 +14,8 @@
 
 use crate::ports::Prompt;
 
-/// Highest rank sent to back ends; the least urgent.
-pub const LOWEST_PRIORITY_RANK: u8 = 9;
+pub use beamwall_admission::LOWEST_PRIORITY_RANK;
+
 /// Number of route ranks within one tenant rank.
 const RANKS_PER_TENANT_RANK: u8 = 3;
 
@@ -124,7 +124,7 @@
             tenant: self.tenant.as_ref().map(|tenant| tenant.name.clone()),
             rank: self.rank(prefill_ms),
             objective: Duration::from_millis(self.route.objective_ms),
-            fingerprint: *self.fingerprint.as_bytes(),
+            fingerprint: self.fingerprint,
         }
     }
 
--- a/crates/beamwall-gateway/src/engine_reclaims.rs
+++ b/crates/beamwall-gateway/src/engine_reclaims.rs
@@ -37,25 +37,20 @@
 
     /// Takes over the announcements of the listed engines, and wakes the subscribers if there are new ones.
     pub fn note_directory(&self, directory: &Directory, now: Instant) {
-        self.forget_cancelled(directory);
-        let known_before = self.lock().len();
-        let announced = directory.backends().filter_map(announced_time_left);
-        for (backend, time_left) in announced {
+        let mut known = self.lock();
+        // Listed engines that no longer drain. Those that are not listed are removed by `retain`.
+        known.retain(|backend, _| directory.get(backend).is_none_or(|listed| listed.draining));
+        let known_before = known.len();
+        for (backend, time_left) in directory.backends().filter_map(announced_time_left) {
             let gone_at = now + time_left.saturating_sub(ANNOUNCEMENT_AGE);
-            let mut known = self.lock();
             let earliest = known.entry(backend.clone()).or_insert(gone_at);
             *earliest = gone_at.min(*earliest);
         }
-        if self.lock().len() > known_before {
+        if known.len() > known_before {
             self.announcements.send_modify(|number| *number += 1);
         }
     }
 
-    /// Removes listed engines that no longer drain. Those that are not listed are removed by `retain`.
-    fn forget_cancelled(&self, directory: &Directory) {
-        self.lock().retain(|backend, _| directory.get(backend).is_none_or(|listed| listed.draining));
-    }
-
     /// When an engine is gone, if it announced that.
     pub fn gone_at(&self, backend: &BackendId) -> Option<Instant> {
         self.lock().get(backend).copied()
--- a/crates/beamwall-gateway/src/pacing.rs
+++ b/crates/beamwall-gateway/src/pacing.rs
@@ -51,6 +51,9 @@
 
 /// Records what the sender of a placement query observed.
 pub fn note_reports(state: &BackendState, query: &PlacementQuery, now: Instant) {
+    if !state.pace.is_enabled() {
+        return;
+    }
     for (backend, observed) in &query.observed {
         state.pace.note_response(backend, observed.recent.mean_ratio(), now);
     }
@@ -68,6 +71,9 @@
 
 /// Records the result of an attempt, before it is recorded in the back end's health.
 pub fn note_attempt(state: &BackendState, backend: &BackendId, failure: Option<&AttemptFailure>) {
+    if !state.pace.is_enabled() {
+        return;
+    }
     let now = Instant::now();
     match failure {
         Some(_) => state.pace.note_failure(backend, now),
--- a/crates/beamwall-gateway/src/prefill_queues.rs
+++ b/crates/beamwall-gateway/src/prefill_queues.rs
@@ -7,13 +7,10 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use beamwall_admission::{LOWEST_PRIORITY_RANK, RANKS};
 use beamwall_model::BackendId;
 use tokio::time::Instant;
 
-use crate::call::LOWEST_PRIORITY_RANK;
-
-/// Number of ranks.
-const RANKS: usize = LOWEST_PRIORITY_RANK as usize + 1;
 /// Mean time until a node has reported the requests placed for it. Until then only the placement node knows
 /// of them.
 const REPORT_DELAY: Duration = Duration::from_millis(600);
--- a/crates/beamwall-gateway/src/quota/reports.rs
+++ b/crates/beamwall-gateway/src/quota/reports.rs
@@ -95,7 +95,7 @@
         if self.was_silent(now) {
             return None;
         }
-        let current = now.saturating_duration_since(self.last_report?);
+        let current = self.since_last_report(now)?;
         Some(self.interval.map_or(ZONE_SILENT_AFTER, |last| last.max(current)))
     }
 
@@ -109,7 +109,7 @@
         now: Instant,
     ) -> Vec<(TenantName, f64)> {
         if !totals.is_empty() {
-            self.interval = self.last_report.map(|last| now.saturating_duration_since(last));
+            self.interval = self.since_last_report(now);
             self.last_report = Some(now);
         }
         let offsets = self.relays.entry(relay.clone()).or_default();
--- a/crates/beamwall-gateway/src/refusal.rs
+++ b/crates/beamwall-gateway/src/refusal.rs
@@ -27,21 +27,12 @@
 /// Time over which the callers refused by engines in need return.
 const LIMIT_RETURN_SPREAD: Duration = Duration::from_secs(1);
 
-/// Part of an engine's rest over which the callers that it kept out return.
-const REST_RETURN_SPREAD_FRACTION: f64 = 0.25;
+/// Part of a retry delay over which the callers return that an engine's rest or a quota kept out.
+const RETURN_SPREAD_FRACTION: f64 = 0.25;
 
-/// Part of a quota's retry delay over which the refused callers return.
-const QUOTA_RETURN_SPREAD_FRACTION: f64 = 0.25;
-
-fn after_rest(left: Duration) -> Duration {
-    let left = left.min(MAX_LIMIT_WAIT);
-    left + left.mul_f64(REST_RETURN_SPREAD_FRACTION * rand::random::<f64>())
-}
-
-/// The retry delay of a caller refused by a quota. It is only extended, so that it is never shorter than the
-/// time that is known.
-fn after_refill(delay: Duration) -> Duration {
-    delay.mul_f64(1.0 + QUOTA_RETURN_SPREAD_FRACTION * rand::random::<f64>())
+/// Extends a retry delay at random. It is never shortened, so that nobody returns before the time that is known.
+fn spread_return(delay: Duration) -> Duration {
+    delay + delay.mul_f64(RETURN_SPREAD_FRACTION * rand::random::<f64>())
 }
 
 fn random_spread() -> Duration {
@@ -141,12 +132,12 @@
     /// Time after which the caller may retry, if the request was not executed.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::QuotaExceeded(exceeded) => Some(after_refill(exceeded.retry_after)),
+            Self::QuotaExceeded(exceeded) => Some(spread_return(exceeded.retry_after)),
             Self::Unservable(unservable) => Some(unservable.retry_after),
             Self::Rejected(rejection) => Some(rejection.retry_after),
             Self::Held(held) => held.retry_after,
             Self::LimitReached(limit) => Some(limit.wait.min(MAX_LIMIT_WAIT) + random_spread()),
-            Self::EnginesRest(left) => Some(after_rest(*left)),
+            Self::EnginesRest(left) => Some(spread_return((*left).min(MAX_LIMIT_WAIT))),
             Self::VersionUnavailable(_) => Some(VERSION_RETRY_AFTER),
             Self::NotReady | Self::NotRun(_) | Self::Unreachable(_) | Self::UnknownOrigin(_) => {
                 Some(TRANSIENT_RETRY_AFTER)
--- a/crates/beamwall-gateway/src/scaling.rs
+++ b/crates/beamwall-gateway/src/scaling.rs
@@ -105,7 +105,7 @@
         return zones.iter().zip(parts).map(on_demand).collect();
     }
     let bases = on_demand_bases(zones.len());
-    let base = on_demand_base(zones.len());
+    let base = bases.iter().sum();
     let are_scarce = are_scarce(&zones, &bases);
     let missing = if are_scarce { substitutes(missing_substitutes(inputs, outlook).total()) } else { 0 };
     let substitutes = divide_substitutes(&zones, &bases, missing, lowest);
--- a/crates/beamwall-gateway/tests/attempts.rs
+++ b/crates/beamwall-gateway/tests/attempts.rs
@@ -561,7 +561,12 @@
         pause_objective_ms: None,
         remaining: SECOND * 10,
         enough_ms: None,
-        claim: CapacityClaim { tenant: Some(tenant.into()), rank: 0, objective, fingerprint },
+        claim: CapacityClaim {
+            tenant: Some(tenant.into()),
+            rank: 0,
+            objective,
+            fingerprint: Fingerprint::new(fingerprint),
+        },
     }
 }
 
--- a/crates/beamwall-node/src/actors/directory.rs
+++ b/crates/beamwall-node/src/actors/directory.rs
@@ -105,8 +105,10 @@
     fn publish(&mut self, source: String, digest_before: u64) {
         let before = self.view.swap(Arc::new(self.directory.clone()));
         self.gateway.forwarder.origins.note_directory(&self.directory);
-        let reclaims = &self.gateway.forwarder.backend_state.reclaims;
-        reclaims.note_directory(&self.directory, Instant::now());
+        if self.gateway.forwarder.move_on_reclaim {
+            let reclaims = &self.gateway.forwarder.backend_state.reclaims;
+            reclaims.note_directory(&self.directory, Instant::now());
+        }
         if self.directory.digest() == digest_before {
             return;
         }
--- a/crates/beamwall-node/src/gateway/duties/capacity.rs
+++ b/crates/beamwall-node/src/gateway/duties/capacity.rs
@@ -200,13 +200,13 @@
     fn staying_by_zone(&self, service: &ServiceName) -> BTreeMap<ZoneName, Staying> {
         let directory = self.gateway.forwarder.directory.load();
         let gate = &self.gateway.forwarder.gate;
-        let models = &self.gateway.forwarder.backend_state.models;
+        let factors = self.gateway.forwarder.backend_state.models.factors();
         let mut by_zone: BTreeMap<ZoneName, Staying> = BTreeMap::new();
         let reclaimable = directory.usable(service).filter(|backend| backend.reclaimable);
         for backend in reclaimable.filter(|backend| !gate.is_leaving(&backend.id)) {
             let staying = by_zone.entry(backend.zone.clone()).or_default();
             staying.count += 1;
-            staying.room += (1.0 / models.lasting_factor(&backend.id)).clamp(MIN_ROOM, MAX_ROOM);
+            staying.room += (1.0 / factors.lasting().for_backend(&backend.id)).clamp(MIN_ROOM, MAX_ROOM);
         }
         by_zone
     }
--- a/crates/beamwall-node/src/gateway/placement_wire.rs
+++ b/crates/beamwall-node/src/gateway/placement_wire.rs
@@ -11,6 +11,7 @@
 use beamwall_peer::placement_message::{PlacementPart, PlacementReply, PlacementRequest};
 
 use crate::gateway::heartbeat_wire;
+use crate::gateway::quarantine_wire::fingerprint;
 
 /// Encodes a query.
 pub fn encode_request(question: &PlacementQuery) -> PlacementRequest {
@@ -32,7 +33,7 @@
         tenant: question.claim.tenant.as_ref().map(TenantName::to_string).unwrap_or_default(),
         rank: u32::from(question.claim.rank),
         objective_ms: question.claim.objective.as_millis() as u64,
-        fingerprint: question.claim.fingerprint.to_vec(),
+        fingerprint: question.claim.fingerprint.as_bytes().to_vec(),
     }
 }
 
@@ -57,7 +58,7 @@
             tenant: (!request.tenant.is_empty()).then(|| TenantName::new(&request.tenant)),
             rank: u8::try_from(request.rank).unwrap_or(u8::MAX),
             objective: Duration::from_millis(request.objective_ms),
-            fingerprint: request.fingerprint.try_into().unwrap_or_default(),
+            fingerprint: fingerprint(&request.fingerprint).unwrap_or_default(),
         },
     }
 }
--- a/crates/beamwall-node/src/gateway/quarantine_wire.rs
+++ b/crates/beamwall-node/src/gateway/quarantine_wire.rs
@@ -54,6 +54,7 @@
     }
 }
 
-fn fingerprint(bytes: &[u8]) -> Option<Fingerprint> {
+/// Reads a fingerprint; `None` if its length is wrong.
+pub(super) fn fingerprint(bytes: &[u8]) -> Option<Fingerprint> {
     bytes.try_into().ok().map(Fingerprint::new)
 }
--- a/crates/beamwall-pace/src/tracker.rs
+++ b/crates/beamwall-pace/src/tracker.rs
@@ -47,6 +47,11 @@
         Self { is_enabled: true, ..Self::default() }
     }
 
+    /// Whether it sets paces.
+    pub const fn is_enabled(&self) -> bool {
+        self.is_enabled
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
