Queries of groups and the placement node's part stand in files of their own

Nothing changes for callers. Change: group_queries.rs asks the groups of engines for one request, placement_node.rs places on behalf of any node; forward.rs keeps the choice and the state. The functions are as they were; some are visible inside the package now.

--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -2,22 +2,18 @@
 
 use std::ops::Deref;
 use std::sync::Arc;
-use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use beamwall_admission::{CapacityClaim, CapacityRequest, Decision, Rejection};
-use beamwall_engine_model::{FirstEventInputs, PrefillWork, ServiceEstimates};
+use beamwall_admission::{CapacityClaim, Rejection};
+use beamwall_engine_model::{PrefillWork, ServiceEstimates};
 use beamwall_events::emit;
 use beamwall_events::internal_events::{AttemptSent, CapacityRejected};
 use beamwall_http::Pool;
 use beamwall_model::{BackendId, EngineVersion, NodeId, ServiceName, ZoneName};
 use beamwall_rollout::RolloutRegistry;
-use tokio::time::Instant;
 
-use crate::admission;
 use crate::allowed_versions::AllowedVersions;
 pub use crate::call::Call;
-use crate::call::LOWEST_PRIORITY_RANK;
 use crate::candidates::{BackendState, ChosenBy, Search};
 use crate::choice::{Candidate, Chooser, Expectation};
 use crate::delegation::DelegationPort;
@@ -28,24 +24,18 @@
 use crate::group_admission::GroupAdmission;
 use crate::metrics::GatewayMetrics;
 use crate::pacing;
-use crate::placement::{Choice, PlacementOutcome, PlacementPort, PlacementQuery};
+use crate::placement::{Choice, PlacementPort};
 use crate::placement_groups::{EngineGroup, EngineGroups};
-use crate::ports::{Dialect, MAX_SHARED_PARTS, Prompt};
+use crate::ports::{Dialect, MAX_SHARED_PARTS};
 use crate::quarantine::Quarantine;
 use crate::reachability::EngineReachability;
 use crate::retries::RetryBudgets;
 use crate::stream_origins::StreamOrigins;
 use crate::usage::UsageLedger;
 
-/// Groups preferred for a prompt that are queried: the second one if the first can't start the request soon, rejects
-/// it or does not respond. If both reject it, one more group is queried.
-const MAX_GROUPS_QUERIED: usize = 2;
-/// Fraction of the route's objective within which a start in the first group is acceptable.
-const ACCEPTABLE_DELAY_SHARE: f64 = 0.5;
-
 /// Rank of the most urgent requests, for choices that don't depend on the rank and for engines blocked for a peer's
 /// request.
-const MOST_URGENT_RANK: u8 = 0;
+pub(crate) const MOST_URGENT_RANK: u8 = 0;
 
 /// Permits that are requested and denied for one choice, before all engines with a limit are left out.
 const MAX_DENIED_PERMITS: usize = 3;
@@ -210,7 +200,7 @@
     }
 
     /// The versions that may serve a request: the one that began its stream, or those that a rollout allows.
-    fn allowed_versions(
+    pub(crate) fn allowed_versions(
         &self,
         service: &ServiceName,
         request: Option<&str>,
@@ -312,277 +302,6 @@
         }
     }
 
-    /// Queries the groups for a request. `Ok(None)`: no placement node answered. An error: none of them has
-    /// capacity; it names the earliest time to retry.
-    async fn request_placement(
-        &self,
-        call: &Call,
-        claim: &CapacityClaim,
-        prompt: &Prompt,
-        avoided: &[BackendId],
-        versions: &AllowedVersions,
-    ) -> Result<Option<Choice>, Rejection> {
-        let Some(groups) = self.groups_in_order(call, prompt) else { return Ok(None) };
-        let mut best: Option<Choice> = None;
-        let mut rejected: Option<Rejection> = None;
-        let mut not_placed: Option<PlacementQuery> = None;
-        for (position, group) in groups.iter().take(MAX_GROUPS_QUERIED).enumerate() {
-            let is_last = position + 1 == groups.len().min(MAX_GROUPS_QUERIED);
-            let enough_ms = (!is_last).then_some(call.route.objective_ms as f64 * ACCEPTABLE_DELAY_SHARE);
-            let engine_query = self.placement_query(call, claim, avoided, versions.only(), *group, enough_ms);
-            let choice = match self.query_group(call, &engine_query, avoided, versions).await {
-                Ok(Some(choice)) => choice,
-                Ok(None) => continue,
-                Err(rejection) => {
-                    rejected = Some(earlier_retry(rejected, rejection));
-                    continue;
-                }
-            };
-            let is_enough = engine_query.is_good_enough(&choice);
-            let is_better = |best: &Choice| choice.cost_ms < best.cost_ms;
-            if best.as_ref().is_none_or(is_better) {
-                best = Some(choice);
-            }
-            if is_enough {
-                break;
-            }
-            not_placed = Some(engine_query);
-        }
-        match (best, rejected, not_placed) {
-            (None, Some(rejection), _) => {
-                self.request_further_placement(call, claim, &groups, avoided, versions, rejection).await
-            }
-            // The engine's queue must contain the prompt, or it would be taken for shorter than it is. The first
-            // group has admitted it already.
-            (Some(choice), Some(_), Some(query)) => {
-                let claim = query.claim.admitted();
-                let engine_query = PlacementQuery { enough_ms: None, claim, ..query };
-                let placed = self.query_group(call, &engine_query, avoided, versions).await?;
-                Ok(placed.or(Some(choice)))
-            }
-            (best, ..) => Ok(best),
-        }
-    }
-
-    /// Queries one more group after those preferred for the prompt's shared parts have rejected the request: many
-    /// requests may share these parts, while the engines of other groups are free. All tries of one request query
-    /// the same one.
-    async fn request_further_placement(
-        &self,
-        call: &Call,
-        claim: &CapacityClaim,
-        preferred: &[EngineGroup],
-        avoided: &[BackendId],
-        versions: &AllowedVersions,
-        rejection: Rejection,
-    ) -> Result<Option<Choice>, Rejection> {
-        let asked = &preferred[..preferred.len().min(MAX_GROUPS_QUERIED)];
-        let others = self.groups_in_order(call, &Prompt::default()).unwrap_or_default();
-        let Some(group) = others.into_iter().find(|group| !asked.contains(group)) else {
-            return Err(rejection);
-        };
-        let engine_query = self.placement_query(call, claim, avoided, versions.only(), group, None);
-        match self.query_group(call, &engine_query, avoided, versions).await {
-            Ok(Some(choice)) => Ok(Some(choice)),
-            Ok(None) => Err(rejection),
-            Err(further) => Err(earlier_retry(Some(rejection), further)),
-        }
-    }
-
-    /// The group that is queried first for a request.
-    fn preferred_group(&self, call: &Call) -> EngineGroup {
-        let groups = call.prompt.as_ref().and_then(|prompt| self.groups_in_order(call, prompt));
-        groups.and_then(|groups| groups.first().copied()).unwrap_or(EngineGroup::WHOLE)
-    }
-
-    /// The groups in the order in which they are queried. With admission, all tries of one request ask the same
-    /// groups, since one of them may expect its return.
-    fn groups_in_order(&self, call: &Call, prompt: &Prompt) -> Option<Vec<EngineGroup>> {
-        let key = if self.admission.is_some() { call.group_key() } else { rand::random() };
-        Some(self.directory.load().groups(&call.service)?.in_order(prompt, key))
-    }
-
-    fn placement_query(
-        &self,
-        call: &Call,
-        claim: &CapacityClaim,
-        avoided: &[BackendId],
-        stream_version: Option<&EngineVersion>,
-        group: EngineGroup,
-        enough_ms: Option<f64>,
-    ) -> PlacementQuery {
-        PlacementQuery {
-            sender: self.node.clone(),
-            service: call.service.clone(),
-            zone: self.zone.clone(),
-            group,
-            prompt: call.prompt.clone().unwrap_or_default(),
-            tried: avoided.to_vec(),
-            stream_version: stream_version.cloned(),
-            unreachable: self.backend_state.health.unreachable(Instant::now()),
-            observed: self
-                .backend_state
-                .models
-                .take_unreported(|backend| group.contains_engine(backend), Instant::now()),
-            pause_objective_ms: call.route.gap_objective_ms,
-            remaining: call.remaining(),
-            enough_ms,
-            claim: claim.clone(),
-        }
-    }
-
-    /// Queries the placement node of one group of engines.
-    async fn query_group(
-        &self,
-        call: &Call,
-        engine_query: &PlacementQuery,
-        avoided: &[BackendId],
-        versions: &AllowedVersions,
-    ) -> Result<Option<Choice>, Rejection> {
-        let outcome = match self.placement.place(engine_query).await {
-            PlacementOutcome::PlaceLocally => self.place(engine_query),
-            PlacementOutcome::Chosen(choice)
-                if !self.accepts_placement(call, &choice.backend, avoided, versions) =>
-            {
-                PlacementOutcome::Unanswered
-            }
-            answered => answered,
-        };
-        match outcome {
-            PlacementOutcome::Chosen(choice) => Ok(Some(choice)),
-            PlacementOutcome::Rejected(rejection) => Err(rejection),
-            PlacementOutcome::PlaceLocally | PlacementOutcome::Unanswered => Ok(None),
-        }
-    }
-
-    /// Whether a placed request may be sent there. This node may have newer information than the placement
-    /// node.
-    fn accepts_placement(
-        &self,
-        call: &Call,
-        backend: &BackendId,
-        avoided: &[BackendId],
-        versions: &AllowedVersions,
-    ) -> bool {
-        let directory = self.directory.load();
-        let is_usable = directory.get(backend).is_some_and(|listed| {
-            !listed.draining && listed.service == call.service && versions.allows(&listed.version)
-        });
-        is_usable && !avoided.contains(backend)
-    }
-
-    /// Places a request on behalf of any node, unless the group has no capacity for it. Counts its prompt as
-    /// queued at the chosen engine, unless the request will be refused or another group is queried.
-    pub fn place(&self, engine_query: &PlacementQuery) -> PlacementOutcome {
-        let now = Instant::now();
-        self.backend_state.reports.note(&engine_query.sender, &engine_query.unreachable, now);
-        pacing::note_reports(&self.backend_state, engine_query, now);
-        self.backend_state.models.add_report(engine_query.observed.clone(), now);
-        let blocked = self.gate.blocked_for_peers(MOST_URGENT_RANK);
-        let avoided = [engine_query.tried.as_slice(), &engine_query.unreachable, &blocked].concat();
-        // Senders choose canary back ends themselves, so this applies to all other requests.
-        let versions =
-            self.allowed_versions(&engine_query.service, None, engine_query.stream_version.as_ref());
-        let search = Search {
-            service: &engine_query.service,
-            zone: &engine_query.zone,
-            prompt: Some(&engine_query.prompt),
-            group: engine_query.group,
-            rank: self.queue_rank(engine_query),
-            avoided: &avoided,
-            versions: &versions,
-            by: ChosenBy::PlacementNode,
-        };
-        let Some(mut choice) = self.find(search, engine_query.pause_objective_ms) else {
-            return PlacementOutcome::Unanswered;
-        };
-        let estimates = self.estimates(&engine_query.service);
-        let mut capacity_request = self.capacity_request(engine_query, &choice, &estimates, &blocked);
-        if capacity_request.as_ref().is_some_and(|request| !request.is_idle)
-            && let Some(cheapest) = self.find_without_pace(search, engine_query.pause_objective_ms, now)
-        {
-            let request = self.capacity_request(engine_query, &cheapest, &estimates, &blocked);
-            if request.as_ref().is_some_and(|request| request.is_idle) {
-                (choice, capacity_request) = (cheapest, request);
-            }
-        }
-        if let Some(rejection) = self.rejection(engine_query, capacity_request.as_ref(), now) {
-            return PlacementOutcome::Rejected(rejection);
-        }
-        let is_placed = engine_query.is_good_enough(&choice)
-            && !admission::is_unservable(&choice, &estimates, engine_query.remaining);
-        if !is_placed {
-            return PlacementOutcome::Chosen(choice);
-        }
-        if let (Some(admission), Some(request)) = (&self.admission, &capacity_request) {
-            admission.note_placed(&engine_query.service, engine_query.group, request, now);
-        }
-        if let Some(prefill_ms) = estimates.prefill_ms(choice.prefill) {
-            let factor = self.backend_state.models.lasting_factor(&choice.backend);
-            self.backend_state.queues.add_with_rank(
-                &choice.backend,
-                engine_query.claim.rank,
-                prefill_ms * factor,
-                now,
-            );
-        }
-        self.backend_state.prefixes.note_prefill(&choice.backend, &engine_query.prompt, now);
-        PlacementOutcome::Chosen(choice)
-    }
-
-    /// Rank by which the prompts ahead of a request are counted: all of them where no admission depends on it.
-    fn queue_rank(&self, engine_query: &PlacementQuery) -> u8 {
-        if self.admission.is_some() { engine_query.claim.rank } else { LOWEST_PRIORITY_RANK }
-    }
-
-    /// Why a request is not placed; `None` if it is admitted.
-    fn rejection(
-        &self,
-        engine_query: &PlacementQuery,
-        request: Option<&CapacityRequest<'_>>,
-        now: Instant,
-    ) -> Option<Rejection> {
-        let (admission, request) = (self.admission.as_ref()?, request?);
-        match admission.decide(&engine_query.service, engine_query.group, request, now) {
-            Decision::Admitted { .. } => None,
-            Decision::Rejected { rejection, .. } => Some(rejection),
-        }
-    }
-
-    /// What admission needs to know of a request and of the group's best engine; `None` without admission or
-    /// while the service's model is not trained. `blocked` are engines that take no requests now.
-    fn capacity_request<'a>(
-        &self,
-        engine_query: &'a PlacementQuery,
-        choice: &Choice,
-        estimates: &ServiceEstimates,
-        blocked: &[BackendId],
-    ) -> Option<CapacityRequest<'a>> {
-        let admission = self.admission.as_ref()?;
-        let claim = &engine_query.claim;
-        let expected = admission::confident_wait(choice, estimates)?;
-        let directory = self.directory.load();
-        let usable = directory.usable_in_group(&engine_query.service, engine_query.group);
-        let engines = usable.filter(|engine| !blocked.contains(&engine.id)).count();
-        let has_slot =
-            directory.get(&choice.backend).is_some_and(|engine| choice.open_requests < engine.slots);
-        let of_engine =
-            |service_ms: f64| Duration::from_secs_f64((service_ms * choice.slowness).max(0.0) / 1e3);
-        let alone = FirstEventInputs { tokens_ahead: 0, ..choice.first_event() };
-        let service_time = of_engine(estimates.first_event_ms(alone)?);
-        Some(CapacityRequest {
-            claim,
-            weight: admission.weights().weight(claim.tenant.as_ref()),
-            expected,
-            wait: expected.saturating_sub(service_time),
-            work: of_engine(estimates.prefill_ms(choice.prefill)?),
-            engines: engines as u32,
-            is_idle: has_slot && choice.tokens_ahead == 0,
-            remaining: engine_query.remaining,
-            is_exempt: engine_query.stream_version.is_some() || claim.objective.is_zero(),
-        })
-    }
-
     fn choose_as_sender(
         &self,
         call: &Call,
@@ -631,7 +350,7 @@
         self.backend_state.models.estimates(service)
     }
 
-    fn find(&self, search: Search<'_>, pause_objective_ms: Option<u64>) -> Option<Choice> {
+    pub(crate) fn find(&self, search: Search<'_>, pause_objective_ms: Option<u64>) -> Option<Choice> {
         let mut candidates = self.backend_state.candidates(&self.directory.load(), search);
         self.prefer_unconfirmed(&mut candidates);
         let estimates = self.estimates(search.service);
@@ -640,23 +359,11 @@
         self.find_among(&candidates, &expectation)
     }
 
-    /// The cheapest candidate whatever the paces of back ends are, since a pace is no reason to reject a request;
-    /// `None` if there are no paces.
-    fn find_without_pace(
+    pub(crate) fn find_among(
         &self,
-        search: Search<'_>,
-        pause_objective_ms: Option<u64>,
-        now: Instant,
+        candidates: &[Candidate],
+        expectation: &Expectation<'_>,
     ) -> Option<Choice> {
-        if self.backend_state.pace.paced(now) == 0 {
-            return None;
-        }
-        let candidates = self.backend_state.candidates(&self.directory.load(), search);
-        let estimates = self.estimates(search.service);
-        self.find_among(&candidates, &Expectation { estimates: &estimates, pause_objective_ms })
-    }
-
-    fn find_among(&self, candidates: &[Candidate], expectation: &Expectation<'_>) -> Option<Choice> {
         let (chosen, cost_ms) = self.chooser.choose(candidates, expectation)?;
         Some(Choice {
             backend: chosen.backend.clone(),
@@ -703,8 +410,3 @@
         }
     }
 }
-
-/// The rejection after which the caller may retry first.
-fn earlier_retry(first: Option<Rejection>, second: Rejection) -> Rejection {
-    first.filter(|first| first.retry_after <= second.retry_after).unwrap_or(second)
-}
