Tests of the gateway share their fixtures; tests of admission stand in a file of their own

Nothing changes for callers. Change: support/forwarder.rs is the node without a network that attempts.rs built, group_admission.rs has the tests of rejections as they were, and support has the tenant, the prompt and the candidates of a placement node. No assertion is changed.

--- a/crates/beamwall-gateway/tests/lasting_speeds.rs
+++ b/crates/beamwall-gateway/tests/lasting_speeds.rs
@@ -11,11 +11,9 @@
 use std::time::Duration;
 
 use beamwall_engine_model::{EngineModels, FirstEventInputs, PrefillWork};
-use beamwall_gateway::allowed_versions::AllowedVersions;
-use beamwall_gateway::candidates::{BackendState, ChosenBy, Search};
+use beamwall_gateway::Directory;
+use beamwall_gateway::candidates::BackendState;
 use beamwall_gateway::choice::{Candidate, Expectation, choose};
-use beamwall_gateway::placement_groups::EngineGroup;
-use beamwall_gateway::{Directory, Prompt, PromptPart};
 use beamwall_model::BackendId;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -123,24 +121,13 @@
     /// Places a prompt and returns its wait until the first event, in milliseconds.
     fn send(&mut self, tokens: u64) -> f64 {
         let now = Instant::now();
-        let parts = vec![PromptPart { id: now.elapsed().as_nanos() as u64, tokens: tokens as u32 }];
-        let prompt = Prompt { prompt_tokens: tokens as u32, output_tokens: 10, parts };
-        let search = Search {
-            service: &"pool".into(),
-            zone: &"a".into(),
-            prompt: Some(&prompt),
-            group: EngineGroup::WHOLE,
-            rank: 0,
-            avoided: &[],
-            versions: &AllowedVersions::All,
-            by: ChosenBy::PlacementNode,
-        };
-        let mut candidates = self.placement_node.candidates(&self.directory, search);
+        let prompt = support::prompt(now.elapsed().as_nanos() as u64, tokens as u32);
+        let mut candidates = support::placement_candidates(&self.placement_node, &self.directory, &prompt);
         if self.knowledge == Knowledge::Told {
             self.correct(&mut candidates);
         }
         let models = &self.placement_node.models;
-        let estimates = models.estimates(search.service);
+        let estimates = models.estimates(&"pool".into());
         let expectation = Expectation { estimates: &estimates, pause_objective_ms: None };
         let chosen = choose(&candidates, &expectation).expect("an engine").0;
         let engine = chosen.backend.clone();
--- a/crates/beamwall-gateway/tests/quota_causes.rs
+++ b/crates/beamwall-gateway/tests/quota_causes.rs
@@ -3,6 +3,8 @@
 //! Guards against: an operator cannot tell refusals of a tenant beyond its limit from refusals of work that
 //! its limit covers.
 
+mod support;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -16,15 +18,7 @@
 const IDLE: Duration = Duration::from_secs(30);
 
 fn tenant() -> Tenant {
-    Tenant {
-        name: "alder".into(),
-        keys: Vec::new(),
-        rank: None,
-        rate_per_second: RATE,
-        burst: RATE,
-        counts_tokens: true,
-        plain_tokens: 200,
-    }
+    support::tenant(RATE)
 }
 
 /// A limiter whose bucket is full, and the time.
--- a/crates/beamwall-gateway/tests/quotas.rs
+++ b/crates/beamwall-gateway/tests/quotas.rs
@@ -1,5 +1,7 @@
 //! One token bucket replicated at all nodes: bounds, reports, restarts and partitions.
 
+mod support;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -12,15 +14,7 @@
 const RATE: f64 = 1_000.0;
 
 fn tenant() -> Tenant {
-    Tenant {
-        name: "alder".into(),
-        keys: Vec::new(),
-        rank: None,
-        rate_per_second: RATE,
-        burst: RATE,
-        counts_tokens: true,
-        plain_tokens: 200,
-    }
+    support::tenant(RATE)
 }
 
 fn node(number: usize) -> NodeId {
--- a/crates/beamwall-gateway/tests/slow_engines.rs
+++ b/crates/beamwall-gateway/tests/slow_engines.rs
@@ -10,11 +10,9 @@
 use std::time::Duration;
 
 use beamwall_engine_model::{EngineModels, FirstEventInputs, PrefillWork};
-use beamwall_gateway::allowed_versions::AllowedVersions;
-use beamwall_gateway::candidates::{BackendState, ChosenBy, Search};
+use beamwall_gateway::candidates::BackendState;
 use beamwall_gateway::choice::{Expectation, choose};
-use beamwall_gateway::placement_groups::EngineGroup;
-use beamwall_gateway::{Directory, Prompt, PromptPart, Reporter};
+use beamwall_gateway::{Directory, Reporter};
 use beamwall_model::BackendId;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -76,20 +74,9 @@
     ) -> BackendId {
         let now = Instant::now();
         self.placement_node.models.add_report(self.gateways[gateway].take_unreported(|_| true, now), now);
-        let parts = vec![PromptPart { id: now.elapsed().as_nanos() as u64, tokens: tokens as u32 }];
-        let prompt = Prompt { prompt_tokens: tokens as u32, output_tokens: 10, parts };
-        let search = Search {
-            service: &"pool".into(),
-            zone: &"a".into(),
-            prompt: Some(&prompt),
-            group: EngineGroup::WHOLE,
-            rank: 0,
-            avoided: &[],
-            versions: &AllowedVersions::All,
-            by: ChosenBy::PlacementNode,
-        };
-        let candidates = self.placement_node.candidates(&self.directory, search);
-        let estimates = self.placement_node.models.estimates(search.service);
+        let prompt = support::prompt(now.elapsed().as_nanos() as u64, tokens as u32);
+        let candidates = support::placement_candidates(&self.placement_node, &self.directory, &prompt);
+        let estimates = self.placement_node.models.estimates(&"pool".into());
         let expectation = Expectation { estimates: &estimates, pause_objective_ms: None };
         let engine = choose(&candidates, &expectation).expect("an engine").0.backend.clone();
         let prefill_ms = support::prefill_ms(PrefillWork::of_uncached(0, tokens));
--- a/crates/beamwall-gateway/tests/support/mod.rs
+++ b/crates/beamwall-gateway/tests/support/mod.rs
@@ -2,14 +2,20 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod forwarder;
+
 use std::sync::Arc;
 
 use beamwall_engine_model::{
     EngineModels, FirstEventInputs, PrefillWork, ServiceEstimates, ServiceStatistics,
 };
+use beamwall_gateway::allowed_versions::AllowedVersions;
+use beamwall_gateway::candidates::{BackendState, ChosenBy, Search};
+use beamwall_gateway::choice::Candidate;
 use beamwall_gateway::forward::Call;
+use beamwall_gateway::placement_groups::EngineGroup;
 use beamwall_gateway::ports::DirectorySnapshot;
-use beamwall_gateway::{Backend, Directory, Prompt, RemovalCause, Reporter};
+use beamwall_gateway::{Backend, Directory, Prompt, PromptPart, RemovalCause, Reporter};
 use beamwall_model::BackendId;
 use beamwall_policy::{Route, RouteKind, Tenant, TenantRef};
 use beamwall_quarantine::Admission;
@@ -108,18 +114,43 @@
     directory
 }
 
-/// A call on a route and of a tenant with these ranks.
-pub fn call(route_rank: u8, tenant_rank: Option<u8>, prompt_tokens: u32) -> Call {
-    let now = Instant::now();
-    let tenant = Tenant {
+/// A tenant with a quota of this rate and burst; 0 for none.
+pub fn tenant(rate_per_second: f64) -> Tenant {
+    Tenant {
         name: "alder".into(),
         keys: Vec::new(),
-        rank: tenant_rank,
-        rate_per_second: 0.0,
-        burst: 0.0,
+        rank: None,
+        rate_per_second,
+        burst: rate_per_second,
         counts_tokens: true,
         plain_tokens: 200,
+    }
+}
+
+/// A prompt of one part.
+pub fn prompt(part: u64, tokens: u32) -> Prompt {
+    Prompt { prompt_tokens: tokens, output_tokens: 10, parts: vec![PromptPart { id: part, tokens }] }
+}
+
+/// The engines of the service `pool` for a prompt, as its placement node knows them.
+pub fn placement_candidates(state: &BackendState, directory: &Directory, prompt: &Prompt) -> Vec<Candidate> {
+    let search = Search {
+        service: &"pool".into(),
+        zone: &"a".into(),
+        prompt: Some(prompt),
+        group: EngineGroup::WHOLE,
+        rank: 0,
+        avoided: &[],
+        versions: &AllowedVersions::All,
+        by: ChosenBy::PlacementNode,
     };
+    state.candidates(directory, search)
+}
+
+/// A call on a route and of a tenant with these ranks.
+pub fn call(route_rank: u8, tenant_rank: Option<u8>, prompt_tokens: u32) -> Call {
+    let now = Instant::now();
+    let tenant = Tenant { rank: tenant_rank, ..tenant(0.0) };
     let route = Route {
         name: "chat".to_owned(),
         host: "h".to_owned(),
