--- /dev/null
+++ b/review/stand-ins/main.rs
@@ -0,0 +1,55 @@
+//! Stand-ins of the users' platform for the cases of the review, and the cases themselves.
+//!
+//! `stand-ins CASE FOLDER` plays a case and writes its record to the folder. It ends with 1 if the rule was broken,
+//! with 0 if it held, and with 2 if the case could not run. With `TROUBLE=0` nothing is disturbed.
+
+mod deployment;
+mod engine;
+mod held;
+mod http;
+mod json;
+mod memory;
+mod platform;
+mod quota;
+mod record;
+mod store;
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use record::Record;
+
+/// A free port of the loopback address.
+pub fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let played = match arguments.first().map(String::as_str) {
+        Some("engine") => engine::run(&arguments[1..]).map(|()| false),
+        Some(case) if arguments.len() == 2 => play(case, &arguments[1], has_trouble),
+        _ => Err(std::io::ErrorKind::InvalidInput.into()),
+    };
+    match played {
+        Ok(true) => ExitCode::from(1),
+        Ok(false) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("the case could not run: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Plays a case; returns whether the rule was broken.
+fn play(case: &str, folder: &str, has_trouble: bool) -> std::io::Result<bool> {
+    let record = Record::begin(folder)?;
+    record.tell(if has_trouble { "with the disruption" } else { "without the disruption" });
+    match case {
+        "held" => held::play(record, has_trouble),
+        "memory" => memory::play(record, has_trouble),
+        "quota" => quota::play(record, has_trouble),
+        _ => Err(std::io::ErrorKind::InvalidInput.into()),
+    }
+}
