--- a/review/stand-ins/deployment.rs
+++ b/review/stand-ins/deployment.rs
@@ -24,6 +24,9 @@
     pub setup: GatewaySetup<'static>,
 }
 
+/// Zones of the entry machines, as the first site has them.
+pub const SITE_ZONES: [&str; 6] = ["a", "b", "c", "a", "b", "a"];
+
 impl Deployment {
     /// Starts the platform with a configuration.
     pub fn start(config: &str) -> io::Result<Self> {
@@ -36,7 +39,13 @@
     }
 
     /// Starts engines of a service, spread over the zones.
-    pub fn add_engines(&mut self, service: &str, slots: u32, count: usize, options: &[&str]) -> io::Result<()> {
+    pub fn add_engines(
+        &mut self,
+        service: &str,
+        slots: u32,
+        count: usize,
+        options: &[&str],
+    ) -> io::Result<()> {
         for address in platform::free_addresses(count)? {
             let number = self.engines.len();
             let id = format!("i-{number:04x}");
@@ -61,8 +70,17 @@
 
     /// Starts one gateway with seeds of its own.
     pub fn add_gateway(&mut self, listen: [SocketAddr; 4], seeds: &[SocketAddr]) -> io::Result<()> {
-        let number = self.gateways.len();
-        let (name, zone) = (format!("front-{number}"), ZONES[number % 3]);
+        self.add_gateway_in(ZONES[self.gateways.len() % 3], listen, seeds)
+    }
+
+    /// The same in a zone.
+    pub fn add_gateway_in(
+        &mut self,
+        zone: &str,
+        listen: [SocketAddr; 4],
+        seeds: &[SocketAddr],
+    ) -> io::Result<()> {
+        let name = format!("front-{}", self.gateways.len());
         self.gateways.push(Gateway::start(&self.setup, &name, zone, listen, seeds)?);
         Ok(())
     }
--- a/review/stand-ins/engine.rs
+++ b/review/stand-ins/engine.rs
@@ -1,6 +1,6 @@
 //! An engine of the platform: signed answers and event streams. It prints what it ran.
 
-use std::io::{self, Write};
+use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -29,7 +29,7 @@
 /// Pieces a second of an answer without end.
 const PIECES_PER_S: usize = 50;
 
-/// Serves as an engine until the process is ended.
+/// Serves as an engine until the process is ended or its input ends.
 pub fn run(arguments: &[String]) -> io::Result<()> {
     let number = |name: &str, usual: u64| {
         let value = arguments.iter().find_map(|argument| argument.strip_prefix(name));
@@ -45,9 +45,8 @@
     };
     let address: SocketAddr = arguments[1].parse().map_err(|_| io::ErrorKind::InvalidInput)?;
     http::listen(address, move |connection| engine.serve(connection))?;
-    loop {
-        thread::park();
-    }
+    // Whoever started the engine holds its input open; at its end the engine ends, too.
+    io::stdin().read_to_end(&mut Vec::new()).map(drop)
 }
 
 impl Engine {
@@ -72,7 +71,12 @@
             let text = format!("HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
             return connection.get_mut().write_all(text.as_bytes());
         }
-        println!("{id} {} tenant={} tokens={}", request.path, request.header("x-tenant"), request.header("x-token-counts"));
+        println!(
+            "{id} {} tenant={} tokens={}",
+            request.path,
+            request.header("x-tenant"),
+            request.header("x-token-counts")
+        );
         thread::sleep(self.first);
         if self.endless_rate > 0 {
             return self.write_without_end(connection, id);
--- a/review/stand-ins/held.rs
+++ b/review/stand-ins/held.rs
@@ -143,7 +143,9 @@
     let (sent, denied) = (counts.sent.load(Ordering::Relaxed), counts.denied.load(Ordering::Relaxed));
     scene.record.tell(&format!("answers: {:?}", counts.statuses.lock().unwrap()));
     let allowed = DENIED_ALLOWED + sent / DENIED_ALLOWED_OF;
-    scene.record.tell(&format!("{denied} of {sent} proper requests got a 4xx of the system; allowed: {allowed}"));
+    scene
+        .record
+        .tell(&format!("{denied} of {sent} proper requests got a 4xx of the system; allowed: {allowed}"));
     Ok(denied > allowed)
 }
 
@@ -154,7 +156,9 @@
 
 /// The engines that ran most of the requests with the new part.
 fn busiest(deployment: &Deployment) -> Vec<usize> {
-    let ran = |engine: &EngineProcess| engine.ran.lock().unwrap().iter().filter(|run| run.starts_with("new")).count();
+    let ran = |engine: &EngineProcess| {
+        engine.ran.lock().unwrap().iter().filter(|run| run.starts_with("new")).count()
+    };
     let mut numbers: Vec<usize> = (0..deployment.engines.len()).collect();
     numbers.sort_by_key(|number| Reverse(ran(&deployment.engines[*number])));
     numbers.truncate(CRASHED);
--- a/review/stand-ins/http.rs
+++ b/review/stand-ins/http.rs
@@ -136,7 +136,8 @@
     let status = line.split_whitespace().nth(1).and_then(|status| status.parse().ok());
     let headers = read_headers(&mut connection)?;
     answer.status = status.unwrap_or(0);
-    let header = |name: &str| headers.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str());
+    let header =
+        |name: &str| headers.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str());
     answer.is_signed = header("x-server-stamp").is_some();
     answer.retry_after_s = header("retry-after").and_then(|seconds| seconds.parse().ok());
     if let Some(length) = header("content-length").and_then(|length| length.parse::<usize>().ok()) {
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -10,18 +10,20 @@
 mod json;
 mod memory;
 mod platform;
-mod quota;
 mod record;
 mod store;
+mod watchers;
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
 use record::Record;
 
-/// A free port of the loopback address.
+/// A free port of a loopback address that this run has for itself, so that no other process takes a port that a
+/// gateway is about to use.
 pub fn loopback() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    SocketAddr::from(([127, 1 + high % 200, low, 1], 0))
 }
 
 fn main() -> ExitCode {
@@ -49,7 +51,7 @@
     match case {
         "held" => held::play(record, has_trouble),
         "memory" => memory::play(record, has_trouble),
-        "quota" => quota::play(record, has_trouble),
+        "watchers" => watchers::play(record, has_trouble),
         _ => Err(std::io::ErrorKind::InvalidInput.into()),
     }
 }
--- a/review/stand-ins/memory.rs
+++ b/review/stand-ins/memory.rs
@@ -94,7 +94,8 @@
             }
             gateway.kill();
             kills += 1;
-            self.record.tell(&format!("{} was killed over its memory: {memory} MB of {MEMORY_MB}", gateway.name));
+            self.record
+                .tell(&format!("{} was killed over its memory: {memory} MB of {MEMORY_MB}", gateway.name));
             thread::sleep(RESTART_DELAY);
             if gateway.start_again(PROGRAM).is_err() {
                 break;
@@ -159,7 +160,9 @@
     }
     scene.record.tell(&format!("answers: {:?}", scene.answers.lock().unwrap()));
     let machines = ends.iter().filter(|ends| **ends > ENDS_ALLOWED).count();
-    scene.record.tell(&format!("ends by machine: {ends:?}; {machines} of {GATEWAYS} machines ended three times or more"));
+    scene.record.tell(&format!(
+        "ends by machine: {ends:?}; {machines} of {GATEWAYS} machines ended three times or more"
+    ));
     Ok(machines > MACHINES_ALLOWED)
 }
 
--- a/review/stand-ins/platform.rs
+++ b/review/stand-ins/platform.rs
@@ -23,7 +23,12 @@
     http::listen(crate::loopback(), move |mut connection| {
         while let Ok(Some(request)) = http::read_request(&mut connection) {
             let fence: u64 = request.header("x-fencing-token").parse().unwrap_or(0);
-            let highest = *fences.lock().unwrap().entry(request.path.clone()).and_modify(|known| *known = fence.max(*known)).or_insert(fence);
+            let highest = *fences
+                .lock()
+                .unwrap()
+                .entry(request.path.clone())
+                .and_modify(|known| *known = fence.max(*known))
+                .or_insert(fence);
             let status = if fence < highest { "409 Conflict" } else { "200 OK" };
             let body = if fence < highest { "{\"error\":\"a higher fence was seen\"}" } else { "{}" };
             if http::answer_json(&mut connection, status, body).is_err() {
@@ -175,7 +180,7 @@
         let mut process = Command::new(program)
             .args(["engine", id, &address.to_string()])
             .args(options)
-            .stdin(Stdio::null())
+            .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()?;
         let ran: Arc<Mutex<Vec<String>>> = Arc::default();
--- a/review/stand-ins/store.rs
+++ b/review/stand-ins/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -40,6 +41,43 @@
     changed: Condvar,
 }
 
+/// An address of the store, used by one machine or by all.
+pub struct Door {
+    pub address: SocketAddr,
+    /// Whether who comes here is turned away: each call gets 429, also a watch that waits.
+    turns_away: AtomicBool,
+    /// Watches of the configuration that were begun here.
+    config_watches: AtomicUsize,
+}
+
+impl Door {
+    /// Opens an address of a store on a free port.
+    pub fn open(store: &Arc<Store>) -> io::Result<Arc<Self>> {
+        let [address] = crate::platform::free_addresses(1)?[..] else {
+            return Err(io::ErrorKind::AddrInUse.into());
+        };
+        let door = Arc::new(Self {
+            address,
+            turns_away: AtomicBool::default(),
+            config_watches: AtomicUsize::default(),
+        });
+        let (store, served) = (store.clone(), door.clone());
+        http::listen(address, move |connection| store.serve(connection, &served))?;
+        Ok(door)
+    }
+
+    /// Turns away who comes here, or serves again.
+    pub fn turn_away(&self, store: &Store, turns_away: bool) {
+        self.turns_away.store(turns_away, Ordering::Relaxed);
+        store.changed.notify_all();
+    }
+
+    /// Watches of the configuration that were begun here.
+    pub fn config_watches(&self) -> usize {
+        self.config_watches.load(Ordering::Relaxed)
+    }
+}
+
 fn to_json(name: &str, object: &Object) -> String {
     format!(
         "{{\"metadata\":{{\"name\":{},\"revision\":{},\"made\":{},\"finalizers\":[],\"deleting\":false}},\
@@ -86,9 +124,8 @@
     pub fn start() -> io::Result<(Arc<Self>, SocketAddr)> {
         let store = Arc::new(Self::default());
         store.state.lock().unwrap().revision = 100;
-        let served = store.clone();
-        let address = http::listen(crate::loopback(), move |connection| served.serve(connection))?;
-        Ok((store, address))
+        let door = Door::open(&store)?;
+        Ok((store, door.address))
     }
 
     /// Writes an object as its owner.
@@ -109,21 +146,24 @@
         self.changed.notify_all();
     }
 
-    fn serve(&self, mut connection: Connection) {
+    fn serve(&self, mut connection: Connection, door: &Door) {
         while let Ok(Some(request)) = http::read_request(&mut connection) {
-            let (status, body) = self.answer(&request);
+            let (status, body) = match door.turns_away.load(Ordering::Relaxed) {
+                true => turned_away(),
+                false => self.answer(&request, door),
+            };
             if http::answer_json(&mut connection, status, &body).is_err() {
                 return;
             }
         }
     }
 
-    fn answer(&self, request: &Request) -> (&'static str, String) {
+    fn answer(&self, request: &Request, door: &Door) -> (&'static str, String) {
         let path = request.path.strip_prefix("/v1/objects/").unwrap_or_default();
         let (kind, name) = path.split_once('/').unwrap_or((path, ""));
         match (request.method.as_str(), name) {
             ("GET", "") => match request.parameter("watch").and_then(|revision| revision.parse().ok()) {
-                Some(revision) => self.watch(kind, revision, request),
+                Some(revision) => self.watch(kind, revision, request, door),
                 None => self.list(kind, request.parameter("after_rev").unwrap_or_default()),
             },
             ("GET", name) => self.get(kind, name),
@@ -141,21 +181,26 @@
 
     fn list(&self, kind: &str, after: &str) -> (&'static str, String) {
         let state = self.state.lock().unwrap();
-        let of_kind = state.objects.iter().filter(|((known, name), _)| known == kind && name.as_str() > after);
+        let of_kind =
+            state.objects.iter().filter(|((known, name), _)| known == kind && name.as_str() > after);
         let mut items: Vec<String> = of_kind.map(|((_, name), object)| to_json(name, object)).collect();
         let more = items.len() > PAGE_ITEMS;
         items.truncate(PAGE_ITEMS);
-        let body =
-            format!("{{\"items\":[{}],\"more\":{more},\"at\":{}}}", items.join(","), state.revision);
+        let body = format!("{{\"items\":[{}],\"more\":{more},\"at\":{}}}", items.join(","), state.revision);
         ("200 OK", body)
     }
 
-    fn watch(&self, kind: &str, revision: u64, request: &Request) -> (&'static str, String) {
+    fn watch(&self, kind: &str, revision: u64, request: &Request, door: &Door) -> (&'static str, String) {
+        door.config_watches.fetch_add(usize::from(kind == "config"), Ordering::Relaxed);
         let wait_ms = request.parameter("wait_ms").and_then(|wait| wait.parse().ok()).unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(wait_ms);
         let mut state = self.state.lock().unwrap();
         loop {
-            let newer = state.history.iter().filter(|change| change.kind == kind && change.revision > revision);
+            if door.turns_away.load(Ordering::Relaxed) {
+                return turned_away();
+            }
+            let newer =
+                state.history.iter().filter(|change| change.kind == kind && change.revision > revision);
             let events: Vec<&str> = newer.map(|change| change.event.as_str()).collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
@@ -200,3 +245,7 @@
         answer
     }
 }
+
+fn turned_away() -> (&'static str, String) {
+    ("429 Too Many Requests", "{}".to_owned())
+}
