--- a/review/stand-ins/deployment.rs
+++ b/review/stand-ins/deployment.rs
@@ -8,13 +8,14 @@
 
 use crate::http::{self, Answer};
 use crate::platform::{self, EngineProcess, Gateway, GatewaySetup};
+use crate::record::Record;
 use crate::store::Store;
 
 /// The program as the deploy file builds it.
 pub const PROGRAM: &str = "target/release/beamwall";
 /// Host of all routes.
 pub const HOST: &str = "desk.example";
-const ZONES: [&str; 3] = ["a", "b", "c"];
+const ZONES: [&str; 4] = ["a", "b", "c", "d"];
 
 /// A running deployment; its processes end when it is dropped.
 pub struct Deployment {
@@ -22,6 +23,8 @@
     pub engines: Vec<EngineProcess>,
     pub store: Arc<Store>,
     pub setup: GatewaySetup<'static>,
+    /// Zones over which engines and gateways are spread.
+    pub zones: usize,
 }
 
 /// Zones of the entry machines, as the first site has them.
@@ -35,7 +38,7 @@
         store.write("config", "main", config);
         let duties = platform::start_duties()?;
         let setup = GatewaySetup { program: PROGRAM, folder, store: address, duties };
-        Ok(Self { gateways: Vec::new(), engines: Vec::new(), store, setup })
+        Ok(Self { gateways: Vec::new(), engines: Vec::new(), store, setup, zones: 3 })
     }
 
     /// Starts engines of a service, spread over the zones.
@@ -49,7 +52,7 @@
         for address in platform::free_addresses(count)? {
             let number = self.engines.len();
             let id = format!("i-{number:04x}");
-            let engine = EngineProcess::start(&id, ZONES[number % 3], address, options)?;
+            let engine = EngineProcess::start(&id, ZONES[number % self.zones], address, options)?;
             self.store.write("servers", &id, &engine.entry(service, slots));
             self.engines.push(engine);
         }
@@ -70,7 +73,7 @@
 
     /// Starts one gateway with seeds of its own.
     pub fn add_gateway(&mut self, listen: [SocketAddr; 4], seeds: &[SocketAddr]) -> io::Result<()> {
-        self.add_gateway_in(ZONES[self.gateways.len() % 3], listen, seeds)
+        self.add_gateway_in(ZONES[self.gateways.len() % self.zones], listen, seeds)
     }
 
     /// The same in a zone.
@@ -86,6 +89,17 @@
     }
 }
 
+impl Deployment {
+    /// Records what the gateways logged last, for a case that could not run.
+    pub fn record_logs(&self, record: &Record) {
+        for gateway in &self.gateways {
+            let lines = gateway.log_lines("");
+            let last = &lines[lines.len().saturating_sub(5)..];
+            record.add(&format!("{} is ready: {}; logged last: {last:?}", gateway.name, gateway.is_ready()));
+        }
+    }
+}
+
 impl Drop for Deployment {
     fn drop(&mut self) {
         self.gateways.clear();
--- a/review/stand-ins/held.rs
+++ b/review/stand-ins/held.rs
@@ -98,6 +98,7 @@
     let mut deployment = Deployment::start(&config())?;
     deployment.add_engines("pool", 128, ENGINES, &["events=78", "first_ms=600", "gap_ms=140"])?;
     if !deployment.add_gateways(GATEWAYS)? {
+        deployment.record_logs(&record);
         return Err(io::Error::other("the gateways did not become ready"));
     }
     let gateways = deployment.gateways.iter().map(|gateway| gateway.callers).collect();
--- a/review/stand-ins/memory.rs
+++ b/review/stand-ins/memory.rs
@@ -11,14 +11,14 @@
 use crate::platform::Gateway;
 use crate::record::Record;
 
-/// Entry machines, one in each zone, and engines of the application; half of the engines are in trouble.
-const GATEWAYS: usize = 3;
+/// Entry machines and engines of the application, one of each in each zone; half of the engines are in trouble.
+const GATEWAYS: usize = 4;
 const ENGINES: usize = 4;
 const IN_TROUBLE: usize = 2;
 /// Bytes a second of one answer without end.
 const ENDLESS: &str = "endless=4000000";
 /// Calls a second: 8 for each machine, as on the sheet.
-const CALLS_PER_S: f64 = 24.0;
+const CALLS_PER_S: f64 = 32.0;
 /// How long the clients wait, in milliseconds.
 const DEADLINE_MS: u64 = 4_000;
 /// Memory of a machine: a process that goes over it is killed, and started again after a short delay.
@@ -130,11 +130,13 @@
 /// Plays the case.
 pub fn play(record: Record, has_trouble: bool) -> io::Result<bool> {
     let mut deployment = Deployment::start(&config())?;
+    deployment.zones = GATEWAYS;
     let sound = ["first_ms=60"];
     let endless = ["first_ms=60", ENDLESS];
     deployment.add_engines("app", 6, IN_TROUBLE, if has_trouble { &endless } else { &sound })?;
     deployment.add_engines("app", 6, ENGINES - IN_TROUBLE, &sound)?;
     if !deployment.add_gateways(GATEWAYS)? {
+        deployment.record_logs(&record);
         return Err(io::Error::other("the gateways did not become ready"));
     }
     let is_in = (0..GATEWAYS).map(|_| AtomicBool::new(true)).collect();
--- a/review/stand-ins/watchers.rs
+++ b/review/stand-ins/watchers.rs
@@ -70,6 +70,7 @@
         doors.push(door);
     }
     if !deployment.gateways.iter().all(Gateway::wait_ready) {
+        deployment.record_logs(&record);
         return Err(io::Error::other("the gateways did not become ready"));
     }
     thread::sleep(Duration::from_secs(4));
