--- a/review/stand-ins/deployment.rs
+++ b/review/stand-ins/deployment.rs
@@ -49,7 +49,7 @@
         count: usize,
         options: &[&str],
     ) -> io::Result<()> {
-        for address in platform::free_addresses(count)? {
+        for address in platform::free_addresses(count) {
             let number = self.engines.len();
             let id = format!("i-{number:04x}");
             let engine = EngineProcess::start(&id, ZONES[number % self.zones], address, options)?;
@@ -61,7 +61,7 @@
 
     /// Starts gateways that know each other by the first three; returns whether all became ready.
     pub fn add_gateways(&mut self, count: usize) -> io::Result<bool> {
-        let listen = platform::free_addresses(count * 4)?;
+        let listen = platform::free_addresses(count * 4);
         let listen: Vec<[SocketAddr; 4]> =
             listen.chunks(4).map(|four| [four[0], four[1], four[2], four[3]]).collect();
         let seeds: Vec<SocketAddr> = listen.iter().take(3).map(|four| four[2]).collect();
--- a/review/stand-ins/engine.rs
+++ b/review/stand-ins/engine.rs
@@ -18,14 +18,12 @@
     /// Time to the first event, and between two events.
     first: Duration,
     gap: Duration,
-    /// Bytes a second of an answer that never ends; 0: answers are sound.
+    /// Bytes a second of all answers that never end together; 0: answers are sound.
     endless_rate: usize,
     /// Answers without end that are being sent.
     endless: Arc<AtomicUsize>,
 }
 
-/// Bytes a second that the link of a gateway carries (1,000 Mbit/s), less some for all else.
-const LINK_RATE: usize = 115_000_000;
 /// Pieces a second of an answer without end.
 const PIECES_PER_S: usize = 50;
 
@@ -106,9 +104,13 @@
         connection.get_mut().write_all(b"0\r\n\r\n")
     }
 
-    /// Bytes that are no answer, until the caller closes. All of them together take no more than a link carries.
+    /// A failure whose body are bytes that are no answer, until the caller closes.
     fn write_without_end(&self, connection: &mut Connection, id: &str) -> io::Result<()> {
-        let head = self.head(id, "Transfer-Encoding: chunked");
+        let head = format!(
+            "HTTP/1.1 500 Internal Server Error\r\nX-Request-Id: {id}\r\nX-Server-Stamp: {}\r\n\
+             Transfer-Encoding: chunked\r\n\r\n",
+            self.id
+        );
         connection.get_mut().write_all(head.as_bytes())?;
         self.endless.fetch_add(1, Ordering::Relaxed);
         let ended = self.write_pieces(connection);
@@ -118,8 +120,8 @@
 
     fn write_pieces(&self, connection: &mut Connection) -> io::Result<()> {
         loop {
-            let share = LINK_RATE / self.endless.load(Ordering::Relaxed).max(1);
-            let piece = vec![b'x'; self.endless_rate.min(share) / PIECES_PER_S];
+            let share = self.endless_rate / self.endless.load(Ordering::Relaxed).max(1);
+            let piece = vec![b'x'; share / PIECES_PER_S];
             http::write_chunk(connection, &piece)?;
             thread::sleep(Duration::from_millis(1_000 / PIECES_PER_S as u64));
         }
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -11,19 +11,32 @@
 mod memory;
 mod platform;
 mod record;
+mod seeds;
 mod store;
 mod watchers;
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicU16, Ordering};
 
 use record::Record;
 
-/// A free port of a loopback address that this run has for itself, so that no other process takes a port that a
-/// gateway is about to use.
+/// First port that a run gives out; below those that the system gives to outgoing connections.
+const FIRST_PORT: u16 = 20_000;
+/// The next port that this run gives out.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+
+/// A free address. Each run has a loopback address of its own and gives out each port once, so that no other process
+/// takes a port between this moment and the start of the process that it is for.
 pub fn loopback() -> SocketAddr {
     let [_, _, high, low] = std::process::id().to_be_bytes();
-    SocketAddr::from(([127, 1 + high % 200, low, 1], 0))
+    loop {
+        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let address = SocketAddr::from(([127, 1 + high % 200, low, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 fn main() -> ExitCode {
@@ -51,6 +64,7 @@
     match case {
         "held" => held::play(record, has_trouble),
         "memory" => memory::play(record, has_trouble),
+        "seeds" => seeds::play(record, has_trouble),
         "watchers" => watchers::play(record, has_trouble),
         _ => Err(std::io::ErrorKind::InvalidInput.into()),
     }
--- a/review/stand-ins/memory.rs
+++ b/review/stand-ins/memory.rs
@@ -11,42 +11,40 @@
 use crate::platform::Gateway;
 use crate::record::Record;
 
-/// Entry machines and engines of the application, one of each in each zone; half of the engines are in trouble.
+/// Entry machines, one in each zone, and model engines; a third of the engines is in trouble.
 const GATEWAYS: usize = 4;
-const ENGINES: usize = 4;
-const IN_TROUBLE: usize = 2;
-/// Bytes a second of one answer without end.
-const ENDLESS: &str = "endless=4000000";
-/// Calls a second: 8 for each machine, as on the sheet.
-const CALLS_PER_S: f64 = 32.0;
+const ENGINES: usize = 18;
+const IN_TROUBLE: usize = 6;
+const SLOTS: u32 = 24;
+/// How sound engines answer: 55 events in 1.75 s.
+const SOUND: [&str; 3] = ["first_ms=100", "events=55", "gap_ms=30"];
+/// How the others do: bytes without end, so many a second from one engine. All of them together send the gateways
+/// 300 MB/s, 75 to each on average; the link of a gateway carries 125.
+const ENDLESS: [&str; 2] = ["first_ms=100", "endless=50000000"];
+/// Requests a second: 5.6 for each machine, as on the sheet.
+const REQUESTS_PER_S: f64 = 22.4;
 /// How long the clients wait, in milliseconds.
-const DEADLINE_MS: u64 = 4_000;
+const DEADLINE_MS: u64 = 12_000;
 /// Memory of a machine: a process that goes over it is killed, and started again after a short delay.
 const MEMORY_MB: u64 = 260;
 const RESTART_DELAY: Duration = Duration::from_secs(1);
-/// How long clients call.
-const LENGTH: Duration = Duration::from_secs(102);
+/// How long clients send requests.
+const LENGTH: Duration = Duration::from_secs(95);
 /// Ends of one machine's processes, and machines with so many, at which the rule is broken.
 const ENDS_ALLOWED: usize = 2;
 const MACHINES_ALLOWED: usize = 1;
 
 fn config() -> String {
-    let route = |prefix: &str, kind: &str, attempts: u32| {
-        format!(
-            "{{\"name\":\"{prefix}\",\"host\":\"{HOST}\",\"path_prefix\":\"{prefix}\",\"kind\":\"{kind}\",\
-             \"timeout_ms\":4000,\"slo_ms\":300,\"priority\":1,\"service\":\"app\",\"max_attempts\":{attempts},\
-             \"public\":false}}"
-        )
-    };
     format!(
-        "{{\"version\":7,\"routes\":[{},{}],\
-         \"services\":[{{\"name\":\"app\",\"health_path\":\"/health\",\"max_conns\":100}}],\
+        "{{\"version\":7,\"routes\":[{{\"name\":\"quote\",\"host\":\"{HOST}\",\"path_prefix\":\"/stream/\",\
+         \"kind\":\"streaming\",\"resumable\":true,\"timeout_ms\":12000,\"slo_ms\":500,\"gap_target_ms\":250,\
+         \"priority\":1,\"service\":\"pool\",\"max_attempts\":2,\"public\":false,\"sticky_sessions\":true}}],\
+         \"services\":[{{\"name\":\"pool\",\"health_path\":\"/health\",\"max_conns\":200,\
+         \"engine\":{{\"slots\":{SLOTS},\"kv_capacity_tokens\":731070,\"stride\":7}}}}],\
          \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\
          \"idle_timeout_ms\":15000}},\
          \"tenants\":[{{\"name\":\"dealer\",\"api_keys\":[\"key-of-dealer\"],\"unit\":\"token_count\",\
-         \"plain_tokens\":200}}]}}",
-        route("/lookup/", "unsafe", 1),
-        route("/card/", "safe", 2)
+         \"plain_tokens\":200}}]}}"
     )
 }
 
@@ -105,21 +103,21 @@
         kills
     }
 
-    /// One call; the record tells what became of it.
-    fn call(&self, number: usize) {
+    /// One request; the record tells what became of it.
+    fn ask(&self, number: usize) {
         let id = format!("r{number:05}");
-        let path = if number % 7 < 5 { "/lookup/1" } else { "/card/1" };
+        let parts = format!("c0ffee:2520,{:x}:2862,{:x}:6610", 0xaa00 + number % 40, 0x200000 + number);
         let question = Question {
             method: "POST",
-            path,
+            path: "/stream/quote",
             id: &id,
             key: "key-of-dealer",
             deadline_ms: DEADLINE_MS,
-            headers: String::new(),
-            body: b"an account",
+            headers: format!("X-Model: m\r\nX-Token-Counts: 11992,385\r\nX-Prefix-Hash: {parts}\r\n"),
+            body: b"a lease",
         };
         let gateway = self.gateway(number);
-        self.record.add(&format!("sent {id} {path} to front-{gateway}"));
+        self.record.add(&format!("sent {id} to front-{gateway}"));
         let answer = question.ask(self.deployment.gateways[gateway].callers);
         self.record.add(&format!("answered {id}: {} whole={}", answer.status, answer.is_whole));
         let name = if answer.status == 0 { "no answer".to_owned() } else { answer.status.to_string() };
@@ -131,10 +129,9 @@
 pub fn play(record: Record, has_trouble: bool) -> io::Result<bool> {
     let mut deployment = Deployment::start(&config())?;
     deployment.zones = GATEWAYS;
-    let sound = ["first_ms=60"];
-    let endless = ["first_ms=60", ENDLESS];
-    deployment.add_engines("app", 6, IN_TROUBLE, if has_trouble { &endless } else { &sound })?;
-    deployment.add_engines("app", 6, ENGINES - IN_TROUBLE, &sound)?;
+    let troubled: &[&str] = if has_trouble { &ENDLESS } else { &SOUND };
+    deployment.add_engines("pool", SLOTS, IN_TROUBLE, troubled)?;
+    deployment.add_engines("pool", SLOTS, ENGINES - IN_TROUBLE, &SOUND)?;
     if !deployment.add_gateways(GATEWAYS)? {
         deployment.record_logs(&record);
         return Err(io::Error::other("the gateways did not become ready"));
@@ -151,7 +148,7 @@
         scope.spawn(|| scene.balance());
         let watchers: Vec<_> =
             scene.deployment.gateways.iter().map(|gateway| scope.spawn(|| scene.watch(gateway))).collect();
-        send_calls(&scene);
+        send_requests(&scene);
         scene.is_over.store(true, Ordering::Relaxed);
         watchers.into_iter().map(|watcher| watcher.join().unwrap_or(0)).collect::<Vec<usize>>()
     });
@@ -168,18 +165,18 @@
     Ok(machines > MACHINES_ALLOWED)
 }
 
-/// Sends calls at an even rate, and waits for the last ones.
-fn send_calls(scene: &Arc<Scene>) {
+/// Sends requests at an even rate, and waits for the last ones.
+fn send_requests(scene: &Arc<Scene>) {
     let started = Instant::now();
     let open = Arc::new(AtomicUsize::new(0));
     let mut sent = 0;
     while started.elapsed() < LENGTH {
-        if started.elapsed().as_secs_f64() * CALLS_PER_S >= sent as f64 {
+        if started.elapsed().as_secs_f64() * REQUESTS_PER_S >= sent as f64 {
             sent += 1;
             let (scene, open, number) = (scene.clone(), open.clone(), sent);
             open.fetch_add(1, Ordering::Relaxed);
             thread::spawn(move || {
-                scene.call(number);
+                scene.ask(number);
                 open.fetch_sub(1, Ordering::Relaxed);
             });
         }
--- a/review/stand-ins/platform.rs
+++ b/review/stand-ins/platform.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -39,10 +39,8 @@
 }
 
 /// Free loopback addresses.
-pub fn free_addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
-    let listeners: io::Result<Vec<TcpListener>> =
-        (0..count).map(|_| TcpListener::bind(crate::loopback())).collect();
-    listeners?.iter().map(TcpListener::local_addr).collect()
+pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    (0..count).map(|_| crate::loopback()).collect()
 }
 
 /// One entry machine.
@@ -50,6 +48,7 @@
     pub name: String,
     pub zone: String,
     pub callers: SocketAddr,
+    pub peers: SocketAddr,
     readiness: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
@@ -92,7 +91,16 @@
         fs::write(&settings, text)?;
         let log = setup.folder.join(format!("{name}.log"));
         let process = Mutex::new(run_gateway(setup.program, &settings, &log)?);
-        Ok(Self { name: name.to_owned(), zone: zone.to_owned(), callers, readiness, settings, log, process })
+        Ok(Self {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            callers,
+            peers,
+            readiness,
+            settings,
+            log,
+            process,
+        })
     }
 
     /// Whether the gateway tells the balancer that it takes callers.
--- a/review/stand-ins/store.rs
+++ b/review/stand-ins/store.rs
@@ -53,9 +53,7 @@
 impl Door {
     /// Opens an address of a store on a free port.
     pub fn open(store: &Arc<Store>) -> io::Result<Arc<Self>> {
-        let [address] = crate::platform::free_addresses(1)?[..] else {
-            return Err(io::ErrorKind::AddrInUse.into());
-        };
+        let address = crate::loopback();
         let door = Arc::new(Self {
             address,
             turns_away: AtomicBool::default(),
--- a/review/stand-ins/watchers.rs
+++ b/review/stand-ins/watchers.rs
@@ -58,7 +58,7 @@
 pub fn play(record: Record, has_trouble: bool) -> io::Result<bool> {
     let mut deployment = Deployment::start(&config(7, "\"key-one\",\"key-two\""))?;
     deployment.add_engines("app", 6, 3, &["first_ms=15"])?;
-    let listen = platform::free_addresses(SITE_ZONES.len() * 4)?;
+    let listen = platform::free_addresses(SITE_ZONES.len() * 4);
     let listen: Vec<[SocketAddr; 4]> =
         listen.chunks(4).map(|four| [four[0], four[1], four[2], four[3]]).collect();
     let seeds: Vec<SocketAddr> = listen.iter().take(3).map(|four| four[2]).collect();
