--- a/review/stand-ins/memory.rs
+++ b/review/stand-ins/memory.rs
@@ -180,6 +180,8 @@
             open.fetch_add(1, Ordering::Relaxed);
             thread::spawn(move || {
                 scene.ask(number);
+                // Whoever drops the scene last ends its processes, and that must be the main thread.
+                drop(scene);
                 open.fetch_sub(1, Ordering::Relaxed);
             });
         }
