--- a/review/stand-ins/held.rs
+++ b/review/stand-ins/held.rs
@@ -21,6 +21,10 @@
 const NEW_AT: Duration = Duration::from_secs(15);
 const CRASH_AT: Duration = Duration::from_secs(23);
 const END_AT: Duration = Duration::from_secs(40);
+/// How the engines answer: 78 events in 11.5 s.
+const ANSWERS: [&str; 3] = ["events=78", "first_ms=600", "gap_ms=140"];
+/// Time for which the crashed engines are down, as on the site; then they start again, each under a new id.
+const DOWN_FOR: Duration = Duration::from_secs(2);
 /// Time after the crash until the platform takes the engines' entries away: three heartbeats.
 const ENTRY_LAPSE: Duration = Duration::from_millis(3_600);
 /// What the rule allows: five, and one in 500 of all requests.
@@ -96,7 +100,7 @@
 /// Plays the case.
 pub fn play(record: Record, has_trouble: bool) -> io::Result<bool> {
     let mut deployment = Deployment::start(&config())?;
-    deployment.add_engines("pool", 128, ENGINES, &["events=78", "first_ms=600", "gap_ms=140"])?;
+    deployment.add_engines("pool", 128, ENGINES, &ANSWERS)?;
     if !deployment.add_gateways(GATEWAYS)? {
         deployment.record_logs(&record);
         return Err(io::Error::other("the gateways did not become ready"));
@@ -106,7 +110,7 @@
     let started = Instant::now();
     let mut sent = 0;
     let mut crashed = Vec::new();
-    let (mut has_crashed, mut has_lapsed) = (!has_trouble, !has_trouble);
+    let (mut has_crashed, mut has_returned, mut has_lapsed) = (!has_trouble, !has_trouble, !has_trouble);
     let mut clients = Vec::new();
     while started.elapsed() < END_AT {
         let now = started.elapsed();
@@ -118,6 +122,11 @@
                 scene.record.tell(&format!("engine {} was killed", engine.id));
             }
         }
+        if !has_returned && now >= CRASH_AT + DOWN_FOR {
+            has_returned = true;
+            deployment.add_engines("pool", 128, CRASHED, &ANSWERS)?;
+            scene.record.tell("as many engines have started again");
+        }
         if !has_lapsed && now >= CRASH_AT + ENTRY_LAPSE {
             has_lapsed = true;
             let crashed = crashed.iter().map(|number| &deployment.engines[*number]);
