How recently the store confirmed what a node holds is known, told and shown

Cause: not established yet. A gateway that doesn't know that it is behind looked like one that is in force: policy_behind_ms counts from the moment at which a peer names a newer version, and nothing told whether a peer's calls to the store are answered.

Change: a node that the store answers reports that to its peers, with the version that it holds; a peer that holds the same or a newer one takes it over. Gauges confirmed_age_ms and members_without_store, events 6114 and 6115, a word in each message that the sender's calls to the store fail. Nothing is decided by it yet. Watches that end without a change are told to the zone as well, in the short message of versions.

--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -265,6 +265,10 @@
     6112 Warn StoreEraUnusable "store era unusable" { reason }
     /// On-demand substitutes were ordered while reclaimable back ends are scarce.
     6113 Info SubstitutesOrdered "substitutes ordered" { service, zone, count, reason }
+    /// Neither the store nor a peer has confirmed for `age_ms` that this node holds the newest state.
+    6114 Warn ConfirmationOverdue "confirmation by the store overdue" { what, age_ms }
+    /// The store has confirmed again, to this node or a peer, that this node holds the newest state.
+    6115 Info ConfirmationResumed "confirmation by the store resumed" { what, overdue_ms }
     /// An invariant was broken: a fault in the program, to be reported.
     9001 Error InvariantBroken "invariant broken" { invariant, detail }
 }
--- a/crates/beamwall-node/src/actors/membership.rs
+++ b/crates/beamwall-node/src/actors/membership.rs
@@ -80,8 +80,9 @@
 }
 
 /// What others decide by; the time of the last message is not part of it.
-fn standing(member: &Member) -> (MemberState, u64, u64, bool, bool) {
-    (member.state, member.incarnation, member.revision, member.ready, member.draining)
+fn standing(member: &Member) -> (MemberState, u64, u64, bool, bool, bool) {
+    let Member { state, incarnation, revision, ready, draining, store_lost, .. } = *member;
+    (state, incarnation, revision, ready, draining, store_lost)
 }
 
 /// A message came from a peer, with what it tells of others.
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -37,6 +37,9 @@
 use crate::gateway::policy_sync::PolicyDistribution;
 use crate::gateway::readiness::Readiness;
 use crate::gateway::reported_usage::ReportedUsage;
+use crate::gateway::store_freshness::StoreFreshness;
+use crate::gateway::store_status::StoreStatus;
+use crate::gateway::watches::{BACKENDS, POLICY, ROLLOUT_ORDERS};
 use crate::gateway::zones::RemoteZones;
 use crate::shared::MembershipView;
 
@@ -95,6 +98,10 @@
     pub heartbeat_trigger: Arc<Notify>,
     /// Notified when this node holds a newer policy or list of back ends.
     pub versions_changed: Arc<Notify>,
+    /// How recently the store confirmed what this node holds.
+    pub freshness: Arc<StoreFreshness>,
+    /// Whether this node's calls to the store are answered.
+    pub store_status: Arc<StoreStatus>,
     /// When this process started.
     pub started: Instant,
     /// When demand was last measured.
@@ -158,6 +165,11 @@
                 () = tokio::time::sleep_until(last_heartbeat + period) => {}
                 () = self.heartbeat_trigger.notified() => {}
                 () = self.versions_changed.notified() => {
+                    self.announce_new_versions();
+                    tokio::time::sleep(pause).await;
+                    continue;
+                }
+                () = self.freshness.has_news.notified() => {
                     self.announce_versions();
                     tokio::time::sleep(pause).await;
                     continue;
@@ -297,6 +309,9 @@
                 &forwarder.gate.availability.departure_reports(),
             ),
             sent_window: heartbeat_wire::encode_sent_window(self.reported_usage.newest()),
+            policy_confirmed: self.confirmation_of(POLICY),
+            directory_confirmed: self.confirmation_of(BACKENDS),
+            orders_confirmed: self.confirmation_of(ROLLOUT_ORDERS),
         }
     }
 
@@ -313,6 +328,7 @@
             question: 0,
             answers: 0,
             link_mbps: self.link_mbps,
+            store_lost: self.store_status.is_lost(),
             body: Some(body),
         }
     }
@@ -405,6 +421,7 @@
         self.note_policy_version(address, versions.policy_version);
         let directory_revision = StoreRevision::new(versions.directory_era, versions.directory_revision);
         self.note_directory_revision(address, directory_revision, versions.directory_digest);
+        self.merge_confirmations(&versions);
     }
 
     fn handle_heartbeat(self: &Arc<Self>, envelope: &Envelope, incoming_heartbeat: GatewayHeartbeat) {
@@ -425,6 +442,8 @@
             directory_era: incoming_heartbeat.directory_era,
             directory_digest: incoming_heartbeat.directory_digest,
             life: incoming_heartbeat.life,
+            policy_confirmed: incoming_heartbeat.policy_confirmed,
+            directory_confirmed: incoming_heartbeat.directory_confirmed,
         };
         self.handle_versions(envelope, versions);
         self.compare_quarantine_digest(envelope, incoming_heartbeat.quarantine_digest);
@@ -475,6 +494,7 @@
         if let Some(update) = &heartbeat.rollouts {
             self.apply_node_rollouts(&ZoneName::new(&envelope.zone), &node, heartbeat.life, update);
         }
+        self.merge_orders_confirmation(heartbeat.orders_confirmed);
         let reporter = Reporter::Node(node.clone());
         let forwarder = &self.gateway.forwarder;
         forwarder.backend_state.loads.set_peer(&reporter, heartbeat_wire::decode_loads(heartbeat.loads));
--- a/crates/beamwall-node/src/gateway/gauges.rs
+++ b/crates/beamwall-node/src/gateway/gauges.rs
@@ -17,6 +17,8 @@
     policy_version: IntGauge,
     policy_version_told: IntGauge,
     policy_behind_ms: IntGauge,
+    confirmed_age_ms: GaugeVec,
+    members_without_store: IntGauge,
     peer_sent_bytes: IntGauge,
     peer_sent_bytes_by_kind: GaugeVec,
     directory_revision: IntGauge,
@@ -73,6 +75,16 @@
                 "beamwall_gateway_policy_behind_ms",
                 "time for which this node has lacked a version that a peer told",
             )?,
+            confirmed_age_ms: gauge_by(
+                "resource",
+                "beamwall_gateway_confirmed_age_ms",
+                "time since the store confirmed, to this node or a peer, that this node holds the newest state",
+                registry,
+            )?,
+            members_without_store: add(
+                "beamwall_gateway_members_without_store",
+                "nodes whose calls to the store fail, this one included",
+            )?,
             peer_sent_bytes: add("beamwall_gateway_peer_sent_bytes", "bytes sent to peers since start")?,
             peer_sent_bytes_by_kind: gauge_by(
                 "kind",
@@ -156,6 +168,13 @@
         let (newest, behind) = exchange.policies.newest_reported();
         self.policy_version_told.set(newest as i64);
         self.policy_behind_ms.set(behind.as_millis() as i64);
+        for (resource, confirmation) in exchange.freshness.all() {
+            let age_ms = confirmation.age().as_millis() as f64;
+            self.confirmed_age_ms.with_label_values(&[resource]).set(age_ms);
+        }
+        let lost_elsewhere = view.members.iter().filter(|member| member.store_lost).count();
+        let lost_here = usize::from(exchange.store_status.is_lost());
+        self.members_without_store.set((lost_elsewhere + lost_here) as i64);
         self.directory_revision.set(directory.revision().number as i64);
         self.store_era.set(directory.revision().era as i64);
         self.backends_usable.set((directory.backends().count() - draining) as i64);
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! here to peers and fetches from them what the store did not deliver; callers are served from snapshots;
 //! duties that one node performs for all run under a lease.
 
+mod confirmation_sync;
 pub mod counter_deltas;
 pub mod directory_sync;
 pub mod directory_wire;
@@ -34,6 +35,7 @@
 pub mod rollouts;
 mod sharing;
 pub mod stall_monitor;
+pub mod store_freshness;
 pub mod store_status;
 mod stored_models;
 mod stored_objects;
@@ -107,6 +109,7 @@
 use crate::gateway::readiness::{Readiness, StatusHandler};
 use crate::gateway::rollouts::WatchedOrders;
 use crate::gateway::stall_monitor::StallMonitor;
+use crate::gateway::store_freshness::StoreFreshness;
 use crate::gateway::store_status::StoreStatus;
 use crate::gateway::stored_quarantine::StoredQuarantine;
 use crate::gateway::stored_versions::VersionStorage;
@@ -177,6 +180,7 @@
         let registry = Registry::new();
         let status = Arc::new(StoreStatus::new(&registry)?);
         let unreadable = Arc::new(UnreadableEntries::new(&registry)?);
+        let freshness: Arc<StoreFreshness> = Arc::default();
         let stall_monitor = StallMonitor::new(&registry)?;
         let generation = new_generation();
         let members = Arc::new(ArcSwap::default());
@@ -193,7 +197,13 @@
         let gateway = assemble_gateway(&settings, &ports, &registry, generation, peers, quarantine)?;
         let directory = gateway.forwarder.directory.clone();
         let readiness = Arc::new(Readiness::new(gateway.policy.clone(), directory, status.clone()));
-        let links = PeerLinks { network, members, delegation, store_eras: ports.store.clone() };
+        let links = PeerLinks {
+            network,
+            members,
+            delegation,
+            store_eras: ports.store.clone(),
+            freshness: freshness.clone(),
+        };
         let exchange =
             Arc::new(assemble_exchange(&settings, links, &gateway, &readiness, &status, generation));
         let stopping = watch::channel(false).0;
@@ -236,13 +246,24 @@
         let mut tasks = vec![
             tokio::spawn(serve_forever(readiness_listener, status_handler.clone())),
             tokio::spawn(serve_forever(metrics_listener, status_handler)),
-            tokio::spawn(watches::watch_resource(watched_policy.clone(), status.clone(), selector.clone())),
+            tokio::spawn(watches::watch_resource(
+                watched_policy.clone(),
+                status.clone(),
+                freshness.clone(),
+                selector.clone(),
+            )),
             tokio::spawn(watches::verify_resource(watched_policy, selector.clone())),
-            tokio::spawn(watches::watch_resource(watched_backends.clone(), status.clone(), selector.clone())),
+            tokio::spawn(watches::watch_resource(
+                watched_backends.clone(),
+                status.clone(),
+                freshness.clone(),
+                selector.clone(),
+            )),
             tokio::spawn(watches::verify_resource(watched_backends, selector.clone())),
             tokio::spawn(exchange.clone().send_heartbeats()),
             tokio::spawn(exchange.clone().receive(inbox)),
         ];
+        tasks.push(tokio::spawn(store_freshness::log_overdue(freshness.clone())));
         tasks.push(tokio::spawn(probe_unreachable_engines(gateway.clone())));
         tasks.push(tokio::spawn(exchange.clone().recover_usage()));
         tasks.push(tokio::spawn(stored_models::restore(gateway.clone(), ports.objects.clone())));
@@ -260,6 +281,7 @@
             tasks.push(tokio::spawn(watches::watch_resource(
                 watched_orders.clone(),
                 status,
+                freshness.clone(),
                 selector.clone(),
             )));
             tasks.push(tokio::spawn(watches::verify_resource(watched_orders, selector.clone())));
@@ -327,6 +349,7 @@
     members: Arc<ArcSwap<MembershipView>>,
     delegation: Arc<PeerDelegation>,
     store_eras: Arc<dyn StoreEras>,
+    freshness: Arc<StoreFreshness>,
 }
 
 /// The envelope of this node's questions to peers.
@@ -453,7 +476,7 @@
     status: &Arc<StoreStatus>,
     generation: u64,
 ) -> PeerExchange {
-    let PeerLinks { network, members, delegation, store_eras } = links;
+    let PeerLinks { network, members, delegation, store_eras, freshness } = links;
     let membership = Membership::new(
         settings.node.clone(),
         settings.zone.clone(),
@@ -500,6 +523,8 @@
         readiness: readiness.clone(),
         heartbeat_trigger: gateway.peer_notify.clone(),
         versions_changed,
+        freshness,
+        store_status: status.clone(),
         started: Instant::now(),
         demand_measured_at: Mutex::new(Instant::now()),
         urgent_summary_throttle: Default::default(),
--- a/crates/beamwall-node/src/gateway/rollouts.rs
+++ b/crates/beamwall-node/src/gateway/rollouts.rs
@@ -19,7 +19,7 @@
 
 use crate::gateway::exchange::PeerExchange;
 use crate::gateway::rollout_wire;
-use crate::gateway::watches::WatchedResource;
+use crate::gateway::watches::{ROLLOUT_ORDERS, WatchedResource};
 
 /// Longest wait of one watch call: orders are rare, and each call to the store has a cost.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
@@ -55,7 +55,7 @@
 }
 
 impl WatchedResource for WatchedOrders {
-    const SUBJECT: &'static str = "rollouts";
+    const SUBJECT: &'static str = ROLLOUT_ORDERS;
     const WATCH_WAIT: Duration = WATCH_WAIT;
     const BATCH_DELAY: Duration = Duration::ZERO;
     const VERIFY_PERIOD: Duration = VERIFY_PERIOD;
--- a/crates/beamwall-node/src/gateway/store_status.rs
+++ b/crates/beamwall-node/src/gateway/store_status.rs
@@ -60,6 +60,11 @@
         self.subjects.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether the store is lost for any subject.
+    pub fn is_lost(&self) -> bool {
+        self.lock().values().any(Subject::is_lost)
+    }
+
     /// Records a successful call for `subject_name`.
     pub fn note_answer(&self, subject_name: &str) {
         self.calls.with_label_values(&[subject_name, "answered"]).inc();
--- a/crates/beamwall-node/src/gateway/watches.rs
+++ b/crates/beamwall-node/src/gateway/watches.rs
@@ -39,6 +39,7 @@
 use crate::actors::policy::{OfferPolicy, PolicyActor};
 use crate::gateway::listing::{DirectoryReader, ListRead, ReadPurpose};
 use crate::gateway::node_selector::NodeSelector;
+use crate::gateway::store_freshness::StoreFreshness;
 use crate::gateway::store_status::StoreStatus;
 
 /// Longest wait of one watch call.
@@ -72,6 +73,8 @@
 pub const POLICY: &str = "policy";
 /// Name of the back ends resource.
 pub const BACKENDS: &str = "back ends";
+/// Name of the rollout orders resource.
+pub const ROLLOUT_ORDERS: &str = "rollouts";
 
 /// Exponential delay between failed calls.
 struct Backoff(Duration);
@@ -132,6 +135,7 @@
 pub async fn watch_resource<F: WatchedResource>(
     resource: Arc<F>,
     status: Arc<StoreStatus>,
+    freshness: Arc<StoreFreshness>,
     selector: NodeSelector,
 ) {
     let mut backoff = Backoff::new();
@@ -166,6 +170,7 @@
         match answer {
             Ok(revision) => {
                 status.note_answer(F::SUBJECT);
+                freshness.note_answer(F::SUBJECT, revision);
                 backoff.reset();
                 if last_revision.is_some_and(|before| before < revision) {
                     tokio::time::sleep(F::BATCH_DELAY).await;
@@ -175,6 +180,9 @@
             Err(error) => {
                 last_revision = last_revision.filter(|_| may_resume(&error));
                 status.note_failure(F::SUBJECT, &error.to_string(), started.elapsed());
+                if status.is_lost() {
+                    freshness.has_news.notify_one();
+                }
                 backoff.pause(started.elapsed()).await;
             }
         }
--- a/crates/beamwall-node/src/shared.rs
+++ b/crates/beamwall-node/src/shared.rs
@@ -224,6 +224,7 @@
             answers: 0,
             // Only gateways choose by it.
             link_mbps: 0,
+            store_lost: false,
             body: Some(body),
         }
     }
--- a/crates/beamwall-node/tests/placement_router.rs
+++ b/crates/beamwall-node/tests/placement_router.rs
@@ -47,6 +47,7 @@
         ready: zone(number) == zone(own),
         draining: false,
         link_mbps: link_mbps(number),
+        store_lost: false,
     };
     let members = (0..NODES).filter(|number| *number != own).map(member).collect();
     Arc::new(MembershipView { members, ..MembershipView::default() })
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -76,6 +76,29 @@
     /// The newest usage window that the sender knows to be sent to the platform.
     #[prost(message, optional, tag = "21")]
     pub sent_window: Option<SentUsageWindow>,
+    /// When the store confirmed that the sender's policy is the newest.
+    #[prost(message, optional, tag = "22")]
+    pub policy_confirmed: Option<StoreConfirmation>,
+    /// When the store confirmed that the sender's list of back ends is the newest.
+    #[prost(message, optional, tag = "23")]
+    pub directory_confirmed: Option<StoreConfirmation>,
+    /// When the store confirmed that the sender's rollout orders are the newest.
+    #[prost(message, optional, tag = "24")]
+    pub orders_confirmed: Option<StoreConfirmation>,
+}
+
+/// When the store confirmed that what a node holds of a resource is the newest.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct StoreConfirmation {
+    /// Era of the store; 0 if it names none.
+    #[prost(uint64, tag = "1")]
+    pub era: u64,
+    /// Revision of the store within the era.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Time since then in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
 }
 
 /// Versions that the sender holds, sent immediately when they are newer than before. With names of usual
@@ -99,6 +122,12 @@
     /// Era of the store in which it counts `directory_revision`; 0 if not known.
     #[prost(uint64, tag = "5")]
     pub directory_era: u64,
+    /// When the store confirmed that the sender's policy is the newest.
+    #[prost(message, optional, tag = "6")]
+    pub policy_confirmed: Option<StoreConfirmation>,
+    /// When the store confirmed that the sender's list of back ends is the newest.
+    #[prost(message, optional, tag = "7")]
+    pub directory_confirmed: Option<StoreConfirmation>,
 }
 
 /// Sums of the observations of a service's back ends by the sender.
--- a/crates/beamwall-peer/src/member.rs
+++ b/crates/beamwall-peer/src/member.rs
@@ -72,6 +72,8 @@
     pub draining: bool,
     /// Capacity of the node's network link in Mbit/s; 0 if unknown.
     pub link_mbps: u32,
+    /// Whether the node has reported that its calls to the store fail.
+    pub store_lost: bool,
 }
 
 /// Returns the weight with which a node is selected to carry traffic for others over its link: the fourth
--- a/crates/beamwall-peer/src/membership.rs
+++ b/crates/beamwall-peer/src/membership.rs
@@ -229,6 +229,7 @@
             ready: envelope.ready,
             draining: envelope.draining,
             link_mbps: envelope.link_mbps,
+            store_lost: envelope.store_lost,
         };
         self.members.insert(node.clone(), member);
         is_new_incarnation.then(|| self.record_change(&node)).flatten()
@@ -579,6 +580,7 @@
         ready: false,
         draining: false,
         link_mbps: update.link_mbps,
+        store_lost: false,
     }
 }
 
--- a/crates/beamwall-peer/src/message.rs
+++ b/crates/beamwall-peer/src/message.rs
@@ -50,6 +50,9 @@
     /// Capacity of the sender's network link in Mbit/s; 0 if unknown.
     #[prost(uint32, tag = "11")]
     pub link_mbps: u32,
+    /// Whether the sender's calls to the store fail.
+    #[prost(bool, tag = "12")]
+    pub store_lost: bool,
     /// Body of the message.
     #[prost(
         oneof = "Body",
