Nodes that the store turns away give up fetching for others, and who is unconfirmed asks for itself

Cause: whoever watches the store for a zone, verifies a list or contends for the lease was selected among the nodes alive, whether or not the store serves it; and a node that heard nothing took that for nothing new.

Change: a node whose calls fail says so in its messages and isn't selected by the others, while it goes on trying in its own place. A node that begins to watch goes on from the revision that its peers confirmed, not from its own first reading. Watches wait 0.6 to 1 of the longest time, so that they don't stay in step. Calls for the lease count as calls to the store.

--- a/crates/beamwall-node/src/gateway/duties/mod.rs
+++ b/crates/beamwall-node/src/gateway/duties/mod.rs
@@ -25,9 +25,10 @@
 use beamwall_gateway::{Directory, DutyError, DutyPort, Gateway};
 use beamwall_model::NodeId;
 use beamwall_rollout::Bounds;
-use beamwall_store::{Lease, LeaseState, VersionedObjects};
+use beamwall_store::{Lease, LeaseState, ObjectError, VersionedObjects};
 use prometheus::IntGauge;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::gateway::duties::capacity::{CapacityDuty, OrderTerm};
 pub use crate::gateway::duties::capacity_metrics::CapacityMetrics;
@@ -36,6 +37,7 @@
 use crate::gateway::duties::usage::{UsageDuty, UsageProgress};
 use crate::gateway::exchange::PeerExchange;
 use crate::gateway::node_selector::NodeSelector;
+use crate::gateway::store_status::StoreStatus;
 use crate::gateway::stored_models::ModelStorage;
 use crate::gateway::stored_quarantine::StoredQuarantine;
 use crate::gateway::stored_versions::VersionStorage;
@@ -104,6 +106,7 @@
     objects: Arc<dyn VersionedObjects>,
     checkpointer: Arc<DutyCheckpointer>,
     selector: NodeSelector,
+    store_status: Arc<StoreStatus>,
     /// Metric of the current lease epoch; 0 while this node does not hold the lease.
     lease_epoch: IntGauge,
     usage: Option<UsageDuty>,
@@ -164,6 +167,7 @@
             objects,
             checkpointer,
             selector,
+            store_status: exchange.store_status.clone(),
             lease_epoch: metrics.lease_epoch,
         }
     }
@@ -173,7 +177,12 @@
     pub async fn run(mut self) {
         let (lease, state) = Lease::with_store(LEASE_NAME, self.node.clone(), self.objects.clone());
         let lease = lease.with_address(self.address).with_checkpoint(self.checkpointer.clone());
-        let _contending = AbortOnDrop(tokio::spawn(contend(lease, state.clone(), self.selector.clone())));
+        let _contending = AbortOnDrop(tokio::spawn(contend(
+            lease,
+            state.clone(),
+            self.selector.clone(),
+            self.store_status.clone(),
+        )));
         let mut term: Option<LeaseTerm> = None;
         loop {
             tokio::time::sleep(DUTY_POLL_PERIOD).await;
@@ -228,11 +237,20 @@
 }
 
 /// Renews the lease while this node holds it, and contends for it while this node is selected to.
-async fn contend(mut lease: Lease, state: watch::Receiver<LeaseState>, selector: NodeSelector) {
+async fn contend(
+    mut lease: Lease,
+    state: watch::Receiver<LeaseState>,
+    selector: NodeSelector,
+    status: Arc<StoreStatus>,
+) {
     loop {
         let holds = state.borrow().held_epoch().is_some();
         if holds || selector.is_selected(LEASE_NAME, CONTENDERS_PER_ZONE) {
-            let _ = lease.step().await;
+            let started = Instant::now();
+            match lease.step().await {
+                Ok(()) | Err(ObjectError::Conflict(_)) => status.note_answer(LEASE_NAME),
+                Err(error) => status.note_failure(LEASE_NAME, &error.to_string(), started.elapsed()),
+            }
         }
         lease.pause().await;
     }
--- a/crates/beamwall-node/src/gateway/exchange.rs
+++ b/crates/beamwall-node/src/gateway/exchange.rs
@@ -54,12 +54,18 @@
 /// Minimum time between two heartbeats per member.
 const MIN_PERIOD_PER_MEMBER: Duration = Duration::from_micros(2_500);
 /// Up to this number of nodes heartbeats keep the normal period.
-const NORMAL_PERIOD_MAX_NODES: u32 = 12;
+const NORMAL_PERIOD_MAX_NODES: usize = 12;
 /// Capacity of the queue of messages to be handled; the queue of messages to be dispatched is separate.
 const INBOX_CAPACITY: usize = 4_096;
 /// Timeout for a peer's answer.
 pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Maximum time between two heartbeats of a node that sends them to so many recipients.
+pub(super) fn heartbeat_period(recipients: usize) -> Duration {
+    let usual = MembershipTiming::default().period;
+    if recipients > NORMAL_PERIOD_MAX_NODES { usual * 2 } else { usual }
+}
+
 /// Message exchange of one gateway with its peers.
 pub struct PeerExchange {
     /// This node.
@@ -186,10 +192,8 @@
     pub(super) fn heartbeat_timing(&self) -> (Duration, Duration) {
         let view = self.members.load();
         let recipients = if self.is_large_deployment() { view.zone_size } else { view.members.len() };
-        let recipients = u32::try_from(recipients).unwrap_or(u32::MAX);
-        let usual = MembershipTiming::default().period;
-        let period = if recipients > NORMAL_PERIOD_MAX_NODES { usual * 2 } else { usual };
-        (period, MIN_PERIOD.max(MIN_PERIOD_PER_MEMBER * recipients))
+        let shortest = MIN_PERIOD_PER_MEMBER * u32::try_from(recipients).unwrap_or(u32::MAX);
+        (heartbeat_period(recipients), MIN_PERIOD.max(shortest))
     }
 
     /// Sends one heartbeat to every target.
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -45,6 +45,7 @@
 pub mod suspension;
 pub mod unreadable_entries;
 mod version_announcements;
+pub mod watch_turns;
 pub mod watches;
 pub mod zones;
 
@@ -505,6 +506,7 @@
             settings.zone.clone(),
             settings.link_mbps,
             members.clone(),
+            status.clone(),
         ),
         members,
         gateway: gateway.clone(),
--- a/crates/beamwall-node/src/gateway/rollouts.rs
+++ b/crates/beamwall-node/src/gateway/rollouts.rs
@@ -59,6 +59,7 @@
     const WATCH_WAIT: Duration = WATCH_WAIT;
     const BATCH_DELAY: Duration = Duration::ZERO;
     const VERIFY_PERIOD: Duration = VERIFY_PERIOD;
+    const MAX_CONFIRMATION_AGE: Duration = WATCH_WAIT;
 
     async fn read_or_watch(
         &self,
--- a/crates/beamwall-node/src/gateway/store_status.rs
+++ b/crates/beamwall-node/src/gateway/store_status.rs
@@ -14,12 +14,17 @@
 /// Consecutive failed calls after which the store counts as lost: a single watch may be cut.
 const LOST_AFTER_FAILURES: u32 = 2;
 
+/// Time after its last failed call from which a node counts as one that the store answers, unless it has failed
+/// again: it may have made no call since.
+const LOSS_REMEMBERED_FOR: Duration = Duration::from_secs(15);
+
 /// Outcome of the calls for one subject.
 #[derive(Debug, Default)]
 struct Subject {
     has_answered: bool,
     failures_in_a_row: u32,
     failing_since: Option<Instant>,
+    last_failure: Option<Instant>,
     /// When the store answered again after it had been lost.
     regained: Option<Instant>,
 }
@@ -38,6 +43,8 @@
     /// Whether the last call for any subject was answered.
     is_answering: watch::Sender<bool>,
     subjects: Mutex<HashMap<String, Subject>>,
+    /// When a call for any subject was last answered.
+    last_answer: Mutex<Option<Instant>>,
 }
 
 impl StoreStatus {
@@ -48,7 +55,13 @@
         let calls = IntCounterVec::new(name, &["subject", "outcome"])?;
         registry.register(Box::new(calls.clone()))?;
         let (has_failed, is_answering) = (AtomicBool::default(), watch::Sender::new(true));
-        Ok(Self { calls, has_failed, is_answering, subjects: Mutex::default() })
+        Ok(Self {
+            calls,
+            has_failed,
+            is_answering,
+            subjects: Mutex::default(),
+            last_answer: Mutex::default(),
+        })
     }
 
     /// Whether the last call for any subject was answered, and its changes.
@@ -60,15 +73,20 @@
         self.subjects.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Whether the store is lost for any subject.
+    /// Whether calls have failed lately, several of one subject in a row, and none has been answered since.
     pub fn is_lost(&self) -> bool {
-        self.lock().values().any(Subject::is_lost)
+        let last_answer = *self.last_answer.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_recent = |at: &Instant| Some(*at) > last_answer && at.elapsed() < LOSS_REMEMBERED_FOR;
+        self.lock()
+            .values()
+            .any(|subject| subject.is_lost() && subject.last_failure.as_ref().is_some_and(is_recent))
     }
 
     /// Records a successful call for `subject_name`.
     pub fn note_answer(&self, subject_name: &str) {
         self.calls.with_label_values(&[subject_name, "answered"]).inc();
         self.note_answering(true);
+        *self.last_answer.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
         let mut subjects = self.lock();
         let subject = subjects.entry(subject_name.to_owned()).or_default();
         let was_lost = subject.is_lost();
@@ -99,6 +117,7 @@
         let mut subjects = self.lock();
         let subject = subjects.entry(subject_name.to_owned()).or_default();
         subject.failures_in_a_row += 1;
+        subject.last_failure = Some(Instant::now());
         subject.failing_since.get_or_insert_with(Instant::now);
         if subject.failures_in_a_row == LOST_AFTER_FAILURES {
             emit(&ControlStoreLost { what: subject_name.to_owned(), reason: reason.to_owned() });
--- a/crates/beamwall-node/src/gateway/watches.rs
+++ b/crates/beamwall-node/src/gateway/watches.rs
@@ -1,8 +1,9 @@
 //! Watches the control store: one watch for the policy and one for the back ends.
 //!
 //! In a large zone a few nodes watch and update the others. They are selected by rendezvous hash among the
-//! live nodes, so another node takes over as soon as one is found missing. Every node reads once at its
-//! start.
+//! live nodes that reach the store, so another node takes over as soon as one is found missing or reports that
+//! its calls fail. A node that nobody has confirmed for some time to hold the newest state asks the store itself
+//! (`watch_turns`). Every node reads once at its start.
 //!
 //! A watch that fails is resumed at the last revision, so no change is missed; if the store no longer has
 //! that history, everything is read again.
@@ -41,11 +42,22 @@
 use crate::gateway::node_selector::NodeSelector;
 use crate::gateway::store_freshness::StoreFreshness;
 use crate::gateway::store_status::StoreStatus;
+use crate::gateway::watch_turns::{Turn, WatchTurns};
 
 /// Longest wait of one watch call.
 const WATCH_WAIT: Duration = Duration::from_millis(2_200);
-/// Wait of one watch call while the store does not answer.
+/// Shortest wait of a watch call, as a share of the longest. Waits are random, so that watches that a change has
+/// ended together do not go on in step: of several watching nodes, one then confirms what the others hold soon
+/// after another.
+const SHORTEST_WATCH_WAIT_SHARE: f64 = 0.6;
+/// Age of the newest confirmation, apart from a heartbeat period, after which nodes that do not watch for their
+/// zone ask the store for the policy or the back ends.
+const MAX_CONFIRMATION_AGE: Duration = Duration::from_secs(1);
+/// Wait of one watch call while the store does not answer, or of a node that does not watch for its zone.
 const SHORT_WATCH_WAIT: Duration = Duration::from_millis(200);
+/// Time after its last answer within which a node goes on from the revision of that answer. Later, the store may
+/// have forgotten the changes since, and the node goes on from the newer revision that its peers have reported.
+const CONTINUED_WITHIN: Duration = Duration::from_secs(8);
 /// Number of nodes of a zone that watch each resource.
 pub(super) const WATCHERS_PER_ZONE: usize = 2;
 /// Time from the start of a failed call to the next call, after the first failure; it doubles with each further
@@ -106,6 +118,9 @@
     const BATCH_DELAY: Duration;
     /// Time between two verifications.
     const VERIFY_PERIOD: Duration;
+    /// Age of the newest confirmation, apart from a heartbeat period, after which nodes that do not watch for
+    /// their zone ask the store.
+    const MAX_CONFIRMATION_AGE: Duration;
 
     /// Reads the whole resource, or waits up to `wait` for changes after `last_revision`; returns the new
     /// revision.
@@ -119,6 +134,11 @@
     /// `None` if nothing was missed.
     fn verify(&self) -> impl Future<Output = Result<Option<StoreRevision>, ControlStoreError>> + Send;
 
+    /// A revision of the store whose state this node holds by what peers have reported, if any.
+    fn held_revision(&self, freshness: &StoreFreshness) -> Option<StoreRevision> {
+        freshness.newest(Self::SUBJECT).map(|confirmation| confirmation.revision)
+    }
+
     /// The newest era of the store that is known, and its changes.
     fn era(&self) -> watch::Receiver<u64>;
 
@@ -140,21 +160,31 @@
 ) {
     let mut backoff = Backoff::new();
     let mut last_revision: Option<StoreRevision> = None;
+    let mut last_answer = Instant::now();
     // The first reading, and that of a resource that may be stale, are not left to the watching nodes.
     let mut reads_itself = true;
     let mut suspected_stale = pin!(resource.suspected_stale());
     let mut is_answering = status.is_answering();
     let mut era = resource.era();
+    let mut turns =
+        WatchTurns::new(F::SUBJECT, WATCHERS_PER_ZONE, F::MAX_CONFIRMATION_AGE, selector, freshness.clone());
     loop {
-        let wait = if *is_answering.borrow_and_update() { F::WATCH_WAIT } else { SHORT_WATCH_WAIT };
+        let is_answering_now = *is_answering.borrow_and_update();
         let step_future = async {
-            if !reads_itself {
-                selector.wait_until_watcher(F::SUBJECT, WATCHERS_PER_ZONE).await;
-            }
+            let turn = if reads_itself { Turn::Watch } else { turns.next().await };
+            let wait = if is_answering_now && turn == Turn::Watch {
+                F::WATCH_WAIT.mul_f64(rand::rng().random_range(SHORTEST_WATCH_WAIT_SHARE..1.0))
+            } else {
+                SHORT_WATCH_WAIT
+            };
+            let from = last_revision.map(|last| match last_answer.elapsed() < CONTINUED_WITHIN {
+                true => last,
+                false => latest_held(last, resource.held_revision(&freshness)),
+            });
             let started = Instant::now();
-            (started, resource.read_or_watch(last_revision, wait).await)
+            (turn, started, resource.read_or_watch(from, wait).await)
         };
-        let (started, answer) = tokio::select! {
+        let (turn, started, answer) = tokio::select! {
             timed_answer = step_future => timed_answer,
             () = &mut suspected_stale, if !reads_itself => {
                 suspected_stale.set(resource.suspected_stale());
@@ -171,6 +201,8 @@
             Ok(revision) => {
                 status.note_answer(F::SUBJECT);
                 freshness.note_answer(F::SUBJECT, revision);
+                turns.note_answer(turn);
+                last_answer = Instant::now();
                 backoff.reset();
                 if last_revision.is_some_and(|before| before < revision) {
                     tokio::time::sleep(F::BATCH_DELAY).await;
@@ -183,12 +215,20 @@
                 if status.is_lost() {
                     freshness.has_news.notify_one();
                 }
+                if may_resume(&error) {
+                    turns.note_failure();
+                }
                 backoff.pause(started.elapsed()).await;
             }
         }
     }
 }
 
+/// The later of two revisions that a node may watch from; a revision of another era is not comparable.
+fn latest_held(last: StoreRevision, held: Option<StoreRevision>) -> StoreRevision {
+    held.filter(|held| held.era == last.era).map_or(last, |held| held.max(last))
+}
+
 /// Returns when the era in which a resource was last read has ended.
 async fn era_ends(era: &mut watch::Receiver<u64>, last_revision: Option<StoreRevision>) {
     if let Some(last) = last_revision
@@ -241,6 +281,7 @@
     const WATCH_WAIT: Duration = WATCH_WAIT;
     const BATCH_DELAY: Duration = Duration::ZERO;
     const VERIFY_PERIOD: Duration = VERIFY_PERIOD;
+    const MAX_CONFIRMATION_AGE: Duration = MAX_CONFIRMATION_AGE;
 
     async fn read_or_watch(
         &self,
@@ -299,6 +340,7 @@
     const WATCH_WAIT: Duration = WATCH_WAIT;
     const BATCH_DELAY: Duration = Duration::from_millis(60);
     const VERIFY_PERIOD: Duration = VERIFY_PERIOD;
+    const MAX_CONFIRMATION_AGE: Duration = MAX_CONFIRMATION_AGE;
 
     async fn read_or_watch(
         &self,
@@ -333,6 +375,11 @@
         self.store.era()
     }
 
+    fn held_revision(&self, _: &StoreFreshness) -> Option<StoreRevision> {
+        let list = self.reader.current.load();
+        list.is_fully_loaded().then(|| list.revision())
+    }
+
     fn entries(&self) -> usize {
         self.reader.current.load().backends().count()
     }
--- a/crates/beamwall-node/tests/earlier_builds.rs
+++ b/crates/beamwall-node/tests/earlier_builds.rs
@@ -21,8 +21,8 @@
 use beamwall_node::gateway::placement_wire;
 use beamwall_peer::gateway_message::{
     BackendLoad, BackendSlowness, DirectoryAnswer, DirectoryRequest, GatewayHeartbeat, GenerationUsage,
-    PolicyAnswer, PolicyRequest, QuotaUse, ServiceDemand, ServiceModel, UsageAnswer, UsageCount,
-    UsageRequest, UsageWindow, VersionUpdate, ZoneSummary, ZoneUsage,
+    PolicyAnswer, PolicyRequest, QuotaUse, ServiceDemand, ServiceModel, StoreConfirmation, UsageAnswer,
+    UsageCount, UsageRequest, UsageWindow, VersionUpdate, ZoneSummary, ZoneUsage,
 };
 use beamwall_peer::message::{MemberUpdate, ProbeRequest};
 use beamwall_peer::placement_message::{PlacementPart, PlacementReply, PlacementRequest};
@@ -63,6 +63,7 @@
         question: 5,
         answers: 0,
         link_mbps: 100,
+        store_lost: false,
         body: Some(body),
     }
 }
@@ -180,6 +181,8 @@
         directory_digest: 0x0123_4567_89ab_cdef,
         life: 0,
         directory_era: 0,
+        policy_confirmed: None,
+        directory_confirmed: None,
     };
     let policy_request = PolicyRequest { held_version: 12, held_digest: 0x0123_4567_89ab_cdef };
     let life = GenerationUsage { node: "node-2".to_owned(), life: 1_700_000_000_002, usage: usage() };
@@ -338,6 +341,24 @@
     assert_eq!(directory_wire::decode(&answer), Ok(DirectoryUpdate::Whole(snapshot)));
 }
 
+/// Guards against: confirmations by the store, and the loss of it, hide from earlier builds what else is told.
+#[test]
+fn earlier_builds_pass_over_what_the_store_confirmed() {
+    let confirmed = Some(StoreConfirmation { era: 3, revision: 41, age_ms: 900 });
+    let told = GatewayHeartbeat {
+        policy_confirmed: confirmed,
+        directory_confirmed: confirmed,
+        orders_confirmed: confirmed,
+        ..beat()
+    };
+    let message = Envelope { store_lost: true, ..envelope(Body::GatewayBeat(told)) };
+    let bytes = message.encode_to_vec();
+    assert_eq!(Envelope::decode(bytes.as_slice()).as_ref(), Ok(&message));
+    let read = earlier::Envelope::decode(bytes.as_slice()).expect("new fields are passed over");
+    let Some(earlier::Body::GatewayBeat(read)) = read.body else { panic!() };
+    assert_eq!((read.policy_version, read.directory_revision, read.loads.len()), (12, 40, 1));
+}
+
 #[test]
 fn a_list_with_names_keeps_its_meaning() {
     let backends = vec![backend("i-3", Some(1_700_000_000_003), "v1"), backend("i-4", None, "v1")];
