A stream whose caller names no first try goes on only at the one version that the store or a long life tells

Cause: a caller that doesn't name its first try was served by the versions that its gateway had seen since its own start, however short that was. Class: what a process has seen since its start, taken for all that there was.

Change: such a stream goes on by VersionHistory::within, as one that is named; VersionHistory::seen is gone, its assertion is made of within, with the same values. While a list is being read, no version counts as the only one. A deployment that starts for the first time (no stored versions and no lease) knows that nothing began before, so its streams aren't refused for their lifetime after each restart.

--- a/crates/beamwall-gateway/src/stream_origins.rs
+++ b/crates/beamwall-gateway/src/stream_origins.rs
@@ -185,8 +185,7 @@
         let own = self.history.within(stream.service, lifetime, Instant::now());
         let Some(first_try) = &stream.head.resumes else {
             // Nothing can be looked up for a caller that does not name its first try.
-            let seen = self.history.seen(stream.service, lifetime, Instant::now());
-            return self.found_by_versions(stream.service, seen);
+            return self.found_by_versions(stream.service, own);
         };
         let key = StreamKey::of_stream(stream.tenant, first_try);
         match self.registry.find(&key, Instant::now()) {
--- a/crates/beamwall-node/src/gateway/duties/mod.rs
+++ b/crates/beamwall-node/src/gateway/duties/mod.rs
@@ -47,7 +47,7 @@
 /// Nodes of a zone that contend for the lease.
 const CONTENDERS_PER_ZONE: usize = 1;
 /// Name of the lease for all duties.
-const LEASE_NAME: &str = "gateway-duties";
+pub(super) const LEASE_NAME: &str = "gateway-duties";
 
 /// The right to act during one lease term; it ends with the lease.
 pub(crate) struct LeaseHold {
--- a/crates/beamwall-node/src/gateway/stored_models.rs
+++ b/crates/beamwall-node/src/gateway/stored_models.rs
@@ -81,7 +81,7 @@
 /// Restores the stored statistics at the start. Without them the node learns them again.
 pub(super) async fn restore(gateway: Arc<Gateway>, objects: Arc<dyn VersionedObjects>) {
     let on_error = |reason| emit(&EngineModelsNotKept { reason });
-    if let Some(object) = read_at_start(objects.as_ref(), KEY, on_error).await {
+    if let Some(object) = read_at_start(objects.as_ref(), KEY, on_error).await.found() {
         apply_stored_models(&gateway, &object);
     }
 }
--- a/crates/beamwall-node/src/gateway/stored_objects.rs
+++ b/crates/beamwall-node/src/gateway/stored_objects.rs
@@ -9,19 +9,39 @@
 const MAX_ATTEMPTS: u32 = 5;
 const READ_RETRY_PAUSE: Duration = Duration::from_secs(1);
 
-/// Reads an object, with several attempts; `on_error` receives the reason of each failed one. Returns `None`
-/// if the object does not exist or the store did not answer.
+/// What a node that starts has read of an object.
+pub(super) enum ReadAtStart {
+    /// The object.
+    Found(Object),
+    /// The store has no such object.
+    Absent,
+    /// The store did not answer.
+    Unanswered,
+}
+
+impl ReadAtStart {
+    /// The object, if there is one and the store answered.
+    pub(super) fn found(self) -> Option<Object> {
+        match self {
+            Self::Found(object) => Some(object),
+            Self::Absent | Self::Unanswered => None,
+        }
+    }
+}
+
+/// Reads an object, with several attempts; `on_error` receives the reason of each failed one.
 pub(super) async fn read_at_start(
     objects: &dyn VersionedObjects,
     key: &str,
     on_error: impl Fn(String),
-) -> Option<Object> {
+) -> ReadAtStart {
     for _ in 0..MAX_ATTEMPTS {
         match objects.get(key).await {
-            Ok(object) => return object,
+            Ok(Some(object)) => return ReadAtStart::Found(object),
+            Ok(None) => return ReadAtStart::Absent,
             Err(error) => on_error(error.to_string()),
         }
         tokio::time::sleep(READ_RETRY_PAUSE).await;
     }
-    None
+    ReadAtStart::Unanswered
 }
--- a/crates/beamwall-node/src/gateway/stored_quarantine.rs
+++ b/crates/beamwall-node/src/gateway/stored_quarantine.rs
@@ -82,7 +82,7 @@
     /// Restores the stored requests at the start. Without them the node receives the held requests from its
     /// peers.
     pub async fn restore(&self) {
-        if let Some(object) = read_at_start(self.objects.as_ref(), KEY, log_not_stored).await {
+        if let Some(object) = read_at_start(self.objects.as_ref(), KEY, log_not_stored).await.found() {
             self.registry.merge_evidence(decode(&parse_object(&object)), self.clock.now_ms());
         }
     }
--- a/crates/beamwall-node/src/gateway/stored_versions.rs
+++ b/crates/beamwall-node/src/gateway/stored_versions.rs
@@ -10,13 +10,15 @@
 use beamwall_events::internal_events::EngineVersionsNotKept;
 use beamwall_gateway::Gateway;
 use beamwall_model::{EngineVersion, ServiceName, to_ms};
+use beamwall_store::lease;
 use beamwall_store::object::{ABSENT, Object, ObjectError, VersionedObjects};
 use beamwall_stream_origin::VersionAge;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::gateway::stored_objects::read_at_start;
+use crate::gateway::duties::LEASE_NAME;
+use crate::gateway::stored_objects::{ReadAtStart, read_at_start};
 
 /// Key of the object.
 const KEY: &str = "reports/engine-versions";
@@ -64,11 +66,21 @@
     /// Restores the stored versions at the start. Without them, a stream that no peer knows is refused for as
     /// long as a stream may last.
     pub async fn restore(&self) {
-        if let Some(object) = read_at_start(self.objects.as_ref(), KEY, log_not_stored).await {
-            self.merge(&parse(&object));
+        match read_at_start(self.objects.as_ref(), KEY, log_not_stored).await {
+            ReadAtStart::Found(object) => self.merge(&parse(&object)),
+            ReadAtStart::Absent if self.is_first_start().await => {
+                self.gateway.forwarder.origins.history.note_first_start(Instant::now());
+            }
+            ReadAtStart::Absent | ReadAtStart::Unanswered => {}
         }
     }
 
+    /// Whether no node has held the lease on duties yet: then none has listed engines, and no stream has begun.
+    async fn is_first_start(&self) -> bool {
+        let lease = read_at_start(self.objects.as_ref(), &lease::key_of(LEASE_NAME), log_not_stored).await;
+        matches!(lease, ReadAtStart::Absent)
+    }
+
     /// Writes the versions if others are listed than were written; used by the node that holds the duties
     /// lease. A failure is logged and retried a period later.
     pub async fn write_if_due(&self) {
--- a/crates/beamwall-store/src/lease.rs
+++ b/crates/beamwall-store/src/lease.rs
@@ -51,6 +51,11 @@
 /// A holder stops acting this long before its term expires.
 const SAFETY_MARGIN: Duration = Duration::from_millis(300);
 
+/// The key of the object that holds the lease of this name.
+pub fn key_of(name: &str) -> String {
+    format!("leases/{name}")
+}
+
 #[derive(Debug, Clone, Serialize, Deserialize)]
 struct LeaseRecord {
     holder: String,
@@ -147,7 +152,7 @@
     ) -> (Self, watch::Receiver<LeaseState>) {
         let (state, receiver) = watch::channel(LeaseState::default());
         let renewal = rand::random::<u32>().into();
-        let key = format!("leases/{name}");
+        let key = key_of(name);
         let lease = Self {
             key,
             node,
--- a/crates/beamwall-stream-origin/src/history.rs
+++ b/crates/beamwall-stream-origin/src/history.rs
@@ -55,8 +55,10 @@
 
 #[derive(Debug, Default)]
 struct State {
-    /// Since when all versions are known; `None` while the engines are not listed completely.
+    /// Since when all versions are known; `None` before the engines were listed completely.
     complete_since: Option<Instant>,
+    /// Whether all engines are listed now. While a list is being read, a version on its last page is missing.
+    is_complete: bool,
     versions: BTreeMap<ServiceName, BTreeMap<EngineVersion, LastListed>>,
 }
 
@@ -90,6 +92,7 @@
         now: Instant,
     ) {
         let mut state = self.lock();
+        state.is_complete = is_complete;
         if is_complete && state.complete_since.is_none() {
             state.complete_since = Some(now);
         }
@@ -119,18 +122,17 @@
     /// The versions that a service's engines have had within `span`.
     pub fn within(&self, service: &ServiceName, span: Duration, now: Instant) -> ServiceVersions {
         let state = self.lock();
-        let is_known_for_long =
-            state.complete_since.is_some_and(|since| now.saturating_duration_since(since) >= span);
+        let is_known_for_long = state.is_complete
+            && state.complete_since.is_some_and(|since| now.saturating_duration_since(since) >= span);
         match state.seen(service, span, now) {
             ServiceVersions::One(_) if !is_known_for_long => ServiceVersions::Unknown,
             versions => versions,
         }
     }
 
-    /// The versions that a service's engines have had within `span` as far as this node has seen, which may
-    /// have known the engines for a shorter time.
-    pub fn seen(&self, service: &ServiceName, span: Duration, now: Instant) -> ServiceVersions {
-        self.lock().seen(service, span, now)
+    /// Records that no engine was ever listed before: no stream can be of a version that was.
+    pub fn note_first_start(&self, now: Instant) {
+        self.merge(std::iter::empty(), RETENTION, now);
     }
 
     /// All remembered versions, and the time for which they are all that there were; `None` while the
--- a/crates/beamwall-stream-origin/tests/history.rs
+++ b/crates/beamwall-stream-origin/tests/history.rs
@@ -47,8 +47,20 @@
     assert_eq!(within(&history, now + 161 * SECOND), ServiceVersions::Several);
     let now = now + SECOND;
     assert_eq!(within(&history, now + 161 * SECOND), one("v2"));
-    let seen = |span| history.seen(&"pool".into(), span, now + 161 * SECOND);
-    assert_eq!((seen(SPAN), seen(2 * SPAN)), (one("v2"), ServiceVersions::Several));
+    let within = |span| history.within(&"pool".into(), span, now + 161 * SECOND);
+    assert_eq!((within(SPAN), within(2 * SPAN)), (one("v2"), ServiceVersions::Several));
+}
+
+/// Guards against: while a list is read page by page, the version on its first page counts as the only one.
+#[test]
+fn a_version_is_not_the_only_one_while_the_list_is_incomplete() {
+    let (history, now) = (VersionHistory::default(), Instant::now());
+    history.note_first_start(now);
+    let (service, version) = (ServiceName::new("pool"), EngineVersion::new("v1"));
+    history.note_listed([(&service, &version)].into_iter(), false, now);
+    assert_eq!(within(&history, now), ServiceVersions::Unknown);
+    list(&history, &["v1"], now);
+    assert_eq!(within(&history, now), one("v1"));
 }
 
 #[test]
