Confirmations are announced twice a second at most

Callers saw: nothing.

Cause: each answer of a watch was announced, also those with changes, which are announced by themselves: on a list with many changes a second every announcement would have gone out twice.

Evidence: by reading.

Change: StoreFreshness limits its announcements to one in 0.5 s; heartbeats carry what is left out.

Not measured: bytes.

--- a/crates/beamwall-node/src/gateway/store_freshness.rs
+++ b/crates/beamwall-node/src/gateway/store_freshness.rs
@@ -10,12 +10,16 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use beamwall_clock::Throttle;
 use beamwall_events::emit;
 use beamwall_events::internal_events::{ConfirmationOverdue, ConfirmationResumed};
 use beamwall_model::StoreRevision;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+/// Minimum time between two announcements of confirmations. Changes of the list of back ends, of which there can
+/// be many a second, are announced by themselves.
+const ANNOUNCEMENT_PERIOD: Duration = Duration::from_millis(500);
 /// Age from which a confirmation is logged as overdue.
 const OVERDUE_AFTER: Duration = Duration::from_secs(4);
 /// Time between two checks for overdue confirmations.
@@ -46,6 +50,8 @@
 #[derive(Debug, Default)]
 pub struct StoreFreshness {
     confirmed: Mutex<BTreeMap<&'static str, Confirmation>>,
+    /// Limits how often confirmations are announced.
+    announcements: Throttle,
     /// Notified when this node has a confirmation of its own for its peers, or has lost the store.
     pub has_news: Notify,
 }
@@ -58,7 +64,9 @@
     /// Records that the store has confirmed to this node what it holds of a resource.
     pub fn note_answer(&self, resource: &'static str, revision: StoreRevision) {
         self.merge(resource, Confirmation::now(revision));
-        self.has_news.notify_one();
+        if self.announcements.admit(ANNOUNCEMENT_PERIOD) {
+            self.has_news.notify_one();
+        }
     }
 
     /// Takes over a peer's confirmation of a state that this node holds, too.
