A back end's end tells how long it had been writing on what was open there

Change: the source of a stream knows when its first and last events were read; a lost response, and the line of the end, tell that time for each request and part (written_ms). Nothing is decided by it yet. The test of lost responses compares the new type, with nothing written, in place of the bare fingerprint.

--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -142,7 +142,7 @@
     /// An entry of the list of back ends can't be read.
     4108 Warn EntryUnreadable "entry of a back end unreadable" { entry, reason }
     /// A back end ended without having announced it.
-    4109 Warn BackendEnded "back end ended" { backend, open }
+    4109 Warn BackendEnded "back end ended" { backend, open, written_ms }
     /// Something speaks against the list of back ends that is held here, so it is read anew.
     4110 Warn DirectoryDoubted "list of back ends doubted" { reason, revision }
     /// The list of back ends was read anew: it agrees with the one held, differs from it, or is of an earlier revision.
--- a/crates/beamwall-gateway/src/attempt.rs
+++ b/crates/beamwall-gateway/src/attempt.rs
@@ -62,6 +62,8 @@
     pub response_lost: bool,
     /// Whether no connection could be opened or used.
     pub is_connect_failure: bool,
+    /// Time from the first to the last event that the back end wrote of the response; zero if it wrote none.
+    pub written_for: Duration,
     /// Description of the failure.
     pub reason: String,
 }
@@ -77,6 +79,7 @@
             timed_out: false,
             response_lost: false,
             is_connect_failure: false,
+            written_for: Duration::ZERO,
             reason,
         }
     }
--- a/crates/beamwall-gateway/src/attempts.rs
+++ b/crates/beamwall-gateway/src/attempts.rs
@@ -154,7 +154,8 @@
         failure: AttemptFailure,
     ) {
         if failure.response_lost {
-            forwarder.quarantine.note_lost(&call.suspects().collect::<Vec<_>>(), backend);
+            let suspects: Vec<_> = call.suspects().collect();
+            forwarder.quarantine.note_lost_after(failure.written_for, &suspects, backend);
         }
         emit(&AttemptFailed {
             request: call.log_id(),
--- a/crates/beamwall-gateway/src/lost_responses.rs
+++ b/crates/beamwall-gateway/src/lost_responses.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use beamwall_model::BackendId;
-use beamwall_quarantine::Fingerprint;
+use beamwall_quarantine::OpenSuspect;
 use tokio::time::Instant;
 
 /// Time for which a lost response is kept. A machine that goes silent is detected as dead and restarted
@@ -41,21 +41,23 @@
 
 #[derive(Debug)]
 struct BackendLosses {
-    requests: Vec<Fingerprint>,
-    parts: Vec<Fingerprint>,
+    requests: Vec<OpenSuspect>,
+    parts: Vec<OpenSuspect>,
     last: Instant,
     is_probed: bool,
     has_terminated: bool,
 }
 
 impl BackendLosses {
-    fn add(&mut self, suspect: Fingerprint) {
-        let (kept, limit) = match suspect.part() {
+    fn add(&mut self, open: OpenSuspect) {
+        let (kept, limit) = match open.suspect.part() {
             None => (&mut self.requests, MAX_REQUESTS_PER_BACK_END),
             Some(_) => (&mut self.parts, MAX_PARTS_PER_BACK_END),
         };
-        if kept.len() < limit && !kept.contains(&suspect) {
-            kept.push(suspect);
+        if let Some(known) = kept.iter_mut().find(|other| other.suspect == open.suspect) {
+            known.written_ms = known.written_ms.max(open.written_ms);
+        } else if kept.len() < limit {
+            kept.push(open);
         }
     }
 }
@@ -66,7 +68,7 @@
     }
 
     /// Records that a back end's response was lost. `suspects`: the request and the shared parts of its prompt.
-    pub fn note(&self, backend: &BackendId, suspects: &[Fingerprint], now: Instant) -> ProbeAction {
+    pub fn note(&self, backend: &BackendId, suspects: &[OpenSuspect], now: Instant) -> ProbeAction {
         let mut back_ends = self.lock();
         back_ends.retain(|_, lost| now.saturating_duration_since(lost.last) < LOSS_TTL);
         if back_ends.len() >= MAX_BACK_ENDS && !back_ends.contains_key(backend) {
@@ -101,7 +103,7 @@
 
     /// Records that a back end terminated; returns the suspects of the responses that were lost there. Nothing is
     /// recorded for a back end without lost responses.
-    pub fn mark_terminated(&self, backend: &BackendId) -> Vec<Fingerprint> {
+    pub fn mark_terminated(&self, backend: &BackendId) -> Vec<OpenSuspect> {
         let mut back_ends = self.lock();
         let Some(lost) = back_ends.get_mut(backend) else { return Vec::new() };
         lost.has_terminated = true;
--- a/crates/beamwall-gateway/src/quarantine.rs
+++ b/crates/beamwall-gateway/src/quarantine.rs
@@ -15,9 +15,9 @@
 use beamwall_events::emit;
 use beamwall_events::internal_events::{BackendEnded, RequestFreed, RequestHeld, TrialGranted};
 use beamwall_http::{Pool, Reachability};
-use beamwall_model::BackendId;
+use beamwall_model::{BackendId, to_ms};
 use beamwall_quarantine::{
-    Admission, Evidence, Fingerprint, HeldRequest, QuarantineRegistry, RequestStatus, SoundParts,
+    Admission, Evidence, Fingerprint, HeldRequest, OpenSuspect, QuarantineRegistry, RequestStatus, SoundParts,
 };
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -214,15 +214,29 @@
     }
 
     /// Records that the response of a back end to a request was lost because the connection closed or went
-    /// silent. `suspects`: the request and the shared parts of its prompt.
+    /// silent before the back end wrote any of it. `suspects`: the request and the shared parts of its prompt.
     pub fn note_lost(self: &Arc<Self>, suspects: &[Fingerprint], backend: &BackendId) {
+        self.note_lost_after(Duration::ZERO, suspects, backend);
+    }
+
+    /// Records a lost response like [`Self::note_lost`], of which the back end had written events for
+    /// `written_for`.
+    pub fn note_lost_after(
+        self: &Arc<Self>,
+        written_for: Duration,
+        suspects: &[Fingerprint],
+        backend: &BackendId,
+    ) {
         if self.has_announced_departure(backend) {
             return;
         }
         // A back end that is no longer listed terminates for reasons of its own as well.
         let Some(listed) = self.backends.find(backend) else { return };
-        match self.lost_responses.note(backend, suspects, Instant::now()) {
-            ProbeAction::Count => self.record_termination(backend, suspects.to_vec()),
+        let written_ms = to_ms(written_for);
+        let open: Vec<OpenSuspect> =
+            suspects.iter().map(|suspect| OpenSuspect { suspect: *suspect, written_ms }).collect();
+        match self.lost_responses.note(backend, &open, Instant::now()) {
+            ProbeAction::Count => self.record_termination(backend, open),
             ProbeAction::Probe => {
                 tokio::spawn(self.clone().probe(listed));
             }
@@ -310,12 +324,18 @@
         self.log_changes();
     }
 
-    fn record_termination(&self, backend: &BackendId, mut open: Vec<Fingerprint>) {
+    fn record_termination(&self, backend: &BackendId, mut open: Vec<OpenSuspect>) {
         let now_ms = self.now_ms();
-        open.retain(|suspect| suspect.part().is_none_or(|part| !self.sound_parts.is_sound(part, now_ms)));
-        let requests: Vec<String> = open.iter().map(Fingerprint::to_string).collect();
-        emit(&BackendEnded { backend: backend.to_string(), open: requests.join(",") });
-        self.registry.note_termination(backend, open, now_ms);
+        let is_sound = |part: u64| self.sound_parts.is_sound(part, now_ms);
+        open.retain(|open| !open.suspect.part().is_some_and(is_sound));
+        let join = |field: fn(&OpenSuspect) -> String| open.iter().map(field).collect::<Vec<_>>().join(",");
+        emit(&BackendEnded {
+            backend: backend.to_string(),
+            open: join(|open| open.suspect.to_string()),
+            written_ms: join(|open| open.written_ms.to_string()),
+        });
+        let suspects = open.iter().map(|open| open.suspect).collect();
+        self.registry.note_termination(backend, suspects, now_ms);
         self.publish_changes();
     }
 
--- a/crates/beamwall-gateway/src/stream/relay.rs
+++ b/crates/beamwall-gateway/src/stream/relay.rs
@@ -102,9 +102,10 @@
         loop {
             let stop = self.forward_pieces(&mut source, first.take()).await;
             let (choice, continued_after) = (source.choice.clone(), source.continued_after);
+            let written_for = source.written_for();
             // Closes the connection before another engine is contacted.
             drop(source);
-            let failed = match stop {
+            let mut failed = match stop {
                 Stop::Finished { proves_parts } => return self.finish(&choice.backend, proves_parts),
                 Stop::CallerGone => return self.note_caller_gone(&choice.backend),
                 Stop::Failed(failed) => failed,
@@ -119,6 +120,7 @@
                     Err(MovedStreamEnd::Failed(failed)) => failed,
                 },
             };
+            failed.failure.written_for = written_for;
             match self.resume_elsewhere(&choice, continued_after, failed).await {
                 Some(started) => {
                     self.returned = false;
--- a/crates/beamwall-gateway/src/stream/source.rs
+++ b/crates/beamwall-gateway/src/stream/source.rs
@@ -1,8 +1,12 @@
 //! Reads the event stream of one engine: splits its bytes into whole events and detects how it ends.
 
+use std::time::Duration;
+
+use beamwall_clock::process_clock;
 use beamwall_http::PooledBody;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
+use tokio::time::Instant;
 
 use crate::attempt::AttemptFailure;
 use crate::event_stream::EventSplitter;
@@ -30,6 +34,16 @@
     is_framed: bool,
     /// The event after which it continues a stream; `None` if it began the stream.
     pub(super) continued_after: Option<u64>,
+    /// When the first and the last events were read.
+    written: Option<WritingTimes>,
+}
+
+/// When the first and the last events of an engine were read, by the clock that counts only while this process
+/// runs.
+#[derive(Debug, Clone, Copy)]
+struct WritingTimes {
+    first: Instant,
+    last: Instant,
 }
 
 impl Source {
@@ -43,7 +57,17 @@
         continued_after: Option<u64>,
     ) -> Self {
         let splitter = EventSplitter::default();
-        Self { choice: choice.clone(), body, work, splitter, is_framed, continued_after }
+        Self { choice: choice.clone(), body, work, splitter, is_framed, continued_after, written: None }
+    }
+
+    /// Time from the first to the last events that the engine wrote; zero if it wrote none.
+    pub(super) fn written_for(&self) -> Duration {
+        self.written.map(|times| times.last.duration_since(times.first)).unwrap_or_default()
+    }
+
+    fn note_written(&mut self) {
+        let now = process_clock::now();
+        self.written.get_or_insert(WritingTimes { first: now, last: now }).last = now;
     }
 
     /// Whether the end of the stream is told from a broken connection.
@@ -55,6 +79,7 @@
     pub(super) async fn next_piece(&mut self) -> Piece {
         loop {
             if let Some(events) = self.take_events() {
+                self.note_written();
                 return Piece::Events(events);
             }
             if self.splitter.exceeds_limit() {
--- a/crates/beamwall-gateway/tests/lost_responses.rs
+++ b/crates/beamwall-gateway/tests/lost_responses.rs
@@ -6,12 +6,12 @@
 
 use beamwall_gateway::lost_responses::{LostResponses, ProbeAction};
 use beamwall_model::BackendId;
-use beamwall_quarantine::{Fingerprint, FingerprintHasher};
+use beamwall_quarantine::{FingerprintHasher, OpenSuspect};
 use support::backend;
 use tokio::time::Instant;
 
-fn request(name: &str) -> Fingerprint {
-    FingerprintHasher::new(None, "a.example", name).finish()
+fn request(name: &str) -> OpenSuspect {
+    OpenSuspect::unwritten(FingerprintHasher::new(None, "a.example", name).finish())
 }
 
 #[test]
--- a/crates/beamwall-quarantine/src/evidence.rs
+++ b/crates/beamwall-quarantine/src/evidence.rs
@@ -22,6 +22,23 @@
     pub open: Vec<Fingerprint>,
 }
 
+/// A suspect whose response from a back end was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OpenSuspect {
+    /// The request, or a part of its prompt.
+    pub suspect: Fingerprint,
+    /// Exposure: time in milliseconds from the first to the last event that the back end wrote of the response;
+    /// 0 if it wrote none. Of several responses, the longest counts.
+    pub written_ms: u64,
+}
+
+impl OpenSuspect {
+    /// A suspect of which the back end wrote nothing.
+    pub fn unwritten(suspect: Fingerprint) -> Self {
+        Self { suspect, written_ms: 0 }
+    }
+}
+
 /// A request that a back end completed without terminating.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Completion {
--- a/crates/beamwall-quarantine/src/lib.rs
+++ b/crates/beamwall-quarantine/src/lib.rs
@@ -30,7 +30,7 @@
 pub mod suspect;
 
 pub use admission::{Admission, HeldRequest};
-pub use evidence::{Completion, Evidence, Termination, Trial};
+pub use evidence::{Completion, Evidence, OpenSuspect, Termination, Trial};
 pub use fingerprint::{Fingerprint, FingerprintHasher};
 pub use limits::TERMINATIONS_UNTIL_HELD;
 pub use registry::{QuarantineRegistry, RequestStatus};
