--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -142,7 +142,7 @@
     /// An entry of the list of back ends can't be read.
     4108 Warn EntryUnreadable "entry of a back end unreadable" { entry, reason }
     /// A back end ended without having announced it.
-    4109 Warn BackendEnded "back end ended" { backend, open, written_ms }
+    4109 Warn BackendEnded "back end ended" { backend, open, exposure_ms }
     /// Something speaks against the list of back ends that is held here, so it is read anew.
     4110 Warn DirectoryDoubted "list of back ends doubted" { reason, revision }
     /// The list of back ends was read anew: it agrees with the one held, differs from it, or is of an earlier revision.
@@ -202,7 +202,7 @@
     /// The caller of a stream has gone; the engine's connection was closed.
     5108 Info CallerGone "caller gone" { request, backend }
     /// A request is not sent any more, since back ends ended under it.
-    5109 Warn RequestHeld "request held" { fingerprint, endings, in_doubt, trials }
+    5109 Warn RequestHeld "request held" { fingerprint, endings, independent, exposures_ms, in_doubt, trials }
     /// A request that was held may be sent again.
     5110 Info RequestFreed "request freed" { fingerprint }
     /// A held request is sent to one back end, to see whether it ends under it.
@@ -225,6 +225,8 @@
     5120 Info StreamMoved "stream moved" { request, from, to, last_event, took_ms }
     /// A stream of an engine that is reclaimed could not be moved.
     5121 Warn StreamMoveFailed "stream not moved" { request, from, reason }
+    /// A back end has run a request for longer than back ends did that ended, so that it did not end these.
+    5122 Info EndsDisproved "ends disproved" { fingerprint, survived_ms, writes }
     /// The platform stopped answering.
     6001 Warn PlatformAway "platform away" { reason }
     /// The platform answers again.
--- a/crates/beamwall-gateway/src/attempt.rs
+++ b/crates/beamwall-gateway/src/attempt.rs
@@ -62,8 +62,8 @@
     pub response_lost: bool,
     /// Whether no connection could be opened or used.
     pub is_connect_failure: bool,
-    /// Time from the first to the last event that the back end wrote of the response; zero if it wrote none.
-    pub written_for: Duration,
+    /// Time from sending the request until the attempt failed; zero if unknown.
+    pub exposure: Duration,
     /// Description of the failure.
     pub reason: String,
 }
@@ -79,7 +79,7 @@
             timed_out: false,
             response_lost: false,
             is_connect_failure: false,
-            written_for: Duration::ZERO,
+            exposure: Duration::ZERO,
             reason,
         }
     }
--- a/crates/beamwall-gateway/src/attempts.rs
+++ b/crates/beamwall-gateway/src/attempts.rs
@@ -155,7 +155,7 @@
     ) {
         if failure.response_lost {
             let suspects: Vec<_> = call.suspects().collect();
-            forwarder.quarantine.note_lost_after(failure.written_for, &suspects, backend);
+            forwarder.quarantine.note_lost_after(failure.exposure, &suspects, backend);
         }
         emit(&AttemptFailed {
             request: call.log_id(),
--- a/crates/beamwall-gateway/src/call.rs
+++ b/crates/beamwall-gateway/src/call.rs
@@ -12,7 +12,7 @@
 use hyper::{HeaderMap, Method, Uri};
 use tokio::time::Instant;
 
-use crate::ports::Prompt;
+use crate::ports::{MAX_SHARED_PARTS, Prompt};
 
 pub use beamwall_admission::LOWEST_PRIORITY_RANK;
 
@@ -79,6 +79,12 @@
         suspects(self.fingerprint, self.prompt.as_ref())
     }
 
+    /// The parts of its prompt that may be known for sound, the last one included: it may be shared in other prompts.
+    pub(crate) fn known_parts(&self) -> impl Iterator<Item = u64> + Clone {
+        let parts = self.prompt.iter().flat_map(|prompt| prompt.parts.iter().take(MAX_SHARED_PARTS + 1));
+        parts.map(|part| part.id)
+    }
+
     /// The parts of its prompt that other requests may share, for logs: identifiers separated by commas.
     pub fn shared_part_names(&self) -> String {
         let parts = self.prompt.iter().flat_map(Prompt::shared_parts);
--- a/crates/beamwall-gateway/src/failover.rs
+++ b/crates/beamwall-gateway/src/failover.rs
@@ -8,6 +8,7 @@
 use beamwall_events::emit;
 use beamwall_events::internal_events::SilentBackendKept;
 use beamwall_model::BackendId;
+use tokio::time::Instant;
 
 use crate::attempt::AttemptFailure;
 use crate::attempts::{Attempts, RetryBlocker};
@@ -24,6 +25,14 @@
     pub next: Option<PermittedChoice>,
 }
 
+impl FailedAttempt {
+    /// The same, of a request that was sent at this time, by the process clock.
+    pub(crate) fn sent_at(mut self, sent_at: Instant) -> Self {
+        self.failure.exposure = process_clock::now().duration_since(sent_at);
+        self
+    }
+}
+
 impl From<AttemptFailure> for FailedAttempt {
     fn from(failure: AttemptFailure) -> Self {
         Self { failure, next: None }
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -2,6 +2,7 @@
 
 use std::ops::Deref;
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use beamwall_admission::{CapacityClaim, Rejection};
@@ -9,7 +10,8 @@
 use beamwall_events::emit;
 use beamwall_events::internal_events::{AttemptSent, CapacityRejected};
 use beamwall_http::Pool;
-use beamwall_model::{BackendId, EngineVersion, NodeId, ServiceName, ZoneName};
+use beamwall_model::{BackendId, EngineVersion, NodeId, ServiceName, ZoneName, to_ms};
+use beamwall_quarantine::Survival;
 use beamwall_rollout::RolloutRegistry;
 
 use crate::allowed_versions::AllowedVersions;
@@ -26,7 +28,7 @@
 use crate::pacing;
 use crate::placement::{Choice, PlacementPort};
 use crate::placement_groups::{EngineGroup, EngineGroups};
-use crate::ports::{Dialect, MAX_SHARED_PARTS};
+use crate::ports::Dialect;
 use crate::quarantine::Quarantine;
 use crate::reachability::EngineReachability;
 use crate::retries::RetryBudgets;
@@ -397,10 +399,19 @@
 
     /// Records that a back end wrote a whole answer on a call's prompt.
     pub(crate) fn note_parts_completed(&self, call: &Call) {
-        if let Some(prompt) = &call.prompt {
-            let parts = prompt.parts.iter().take(MAX_SHARED_PARTS + 1);
-            self.quarantine.note_parts_completed(parts.map(|part| part.id));
-        }
+        self.quarantine.note_parts_completed(call.known_parts());
+    }
+
+    /// Records that a back end has been writing a call's answer for a time and writes on.
+    pub(crate) fn note_writing(&self, call: &Call, written_for: Duration) {
+        let survival = Survival::Writing(to_ms(written_for));
+        self.quarantine.note_survival(&call.fingerprint, call.known_parts(), survival);
+    }
+
+    /// Records that a back end has been running a call for a time and has not terminated.
+    pub(crate) fn note_running(&self, call: &Call, ran_for: Duration) {
+        let survival = Survival::Running(to_ms(ran_for));
+        self.quarantine.note_survival(&call.fingerprint, call.known_parts(), survival);
     }
 
     /// Counts a request that a back end started to execute.
--- a/crates/beamwall-gateway/src/lost_responses.rs
+++ b/crates/beamwall-gateway/src/lost_responses.rs
@@ -15,6 +15,8 @@
 /// Time for which a lost response is kept. A machine that goes silent is detected as dead and restarted
 /// within this time.
 const LOSS_TTL: Duration = Duration::from_secs(10);
+/// Longest pause between responses that are lost together.
+const LOST_TOGETHER_WITHIN: Duration = Duration::from_secs(1);
 /// Maximum number of back ends for which lost responses are kept.
 const MAX_BACK_ENDS: usize = 512;
 /// Maximum number of lost responses kept per back end.
@@ -43,6 +45,8 @@
 struct BackendLosses {
     requests: Vec<OpenSuspect>,
     parts: Vec<OpenSuspect>,
+    /// When the first of the responses was lost that were lost together last.
+    since: Instant,
     last: Instant,
     is_probed: bool,
     has_terminated: bool,
@@ -55,7 +59,7 @@
             Some(_) => (&mut self.parts, MAX_PARTS_PER_BACK_END),
         };
         if let Some(known) = kept.iter_mut().find(|other| other.suspect == open.suspect) {
-            known.written_ms = known.written_ms.max(open.written_ms);
+            known.exposure_ms = known.exposure_ms.max(open.exposure_ms);
         } else if kept.len() < limit {
             kept.push(open);
         }
@@ -77,10 +81,14 @@
         let lost = back_ends.entry(backend.clone()).or_insert_with(|| BackendLosses {
             requests: Vec::new(),
             parts: Vec::new(),
+            since: now,
             last: now,
             is_probed: false,
             has_terminated: false,
         });
+        if now.saturating_duration_since(lost.last) > LOST_TOGETHER_WITHIN {
+            lost.since = now;
+        }
         lost.last = now;
         if lost.has_terminated {
             return ProbeAction::Count;
@@ -89,6 +97,13 @@
         if std::mem::replace(&mut lost.is_probed, true) { ProbeAction::Wait } else { ProbeAction::Probe }
     }
 
+    /// Time for which a back end's responses have been lost: it is known to have terminated some time after it did. Zero
+    /// for a back end without lost responses.
+    pub fn lost_for(&self, backend: &BackendId, now: Instant) -> Duration {
+        let back_ends = self.lock();
+        back_ends.get(backend).map(|lost| now.saturating_duration_since(lost.since)).unwrap_or_default()
+    }
+
     /// Whether a back end is currently probed.
     pub fn is_probed(&self, backend: &BackendId) -> bool {
         self.lock().get(backend).is_some_and(|lost| lost.is_probed)
--- a/crates/beamwall-gateway/src/quarantine.rs
+++ b/crates/beamwall-gateway/src/quarantine.rs
@@ -13,11 +13,15 @@
 use beamwall_clock::Throttle;
 use beamwall_engine_limits::KnownDepartures;
 use beamwall_events::emit;
-use beamwall_events::internal_events::{BackendEnded, RequestFreed, RequestHeld, TrialGranted};
+use beamwall_events::internal_events::{
+    BackendEnded, EndsDisproved, RequestFreed, RequestHeld, TrialGranted,
+};
 use beamwall_http::{Pool, Reachability};
 use beamwall_model::{BackendId, to_ms};
+use beamwall_quarantine::limits::SURVIVAL_MARGIN;
 use beamwall_quarantine::{
-    Admission, Evidence, Fingerprint, HeldRequest, OpenSuspect, QuarantineRegistry, RequestStatus, SoundParts,
+    Admission, Evidence, Fingerprint, HeldRequest, OpenSuspect, QuarantineRegistry, RequestStatus,
+    SoundParts, Survival,
 };
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -206,6 +210,36 @@
         }
     }
 
+    /// Records that a back end has survived a request so far. `parts`: those of its prompt, the last one included. It
+    /// has survived what the request or a part of its prompt may be suspected of.
+    pub fn note_survival(
+        &self,
+        request: &Fingerprint,
+        parts: impl Iterator<Item = u64> + Clone,
+        survival: Survival,
+    ) {
+        if let Survival::Writing(written_ms) = survival
+            && written_ms >= to_ms(SURVIVAL_MARGIN)
+        {
+            self.sound_parts.note_written(parts.clone(), written_ms, self.now_ms());
+        }
+        if self.registry.suspects() == 0 {
+            return;
+        }
+        let now_ms = self.now_ms();
+        let survived = std::iter::once(*request).chain(parts.map(Fingerprint::of_part));
+        for suspect in survived {
+            if self.registry.note_survival(&suspect, survival, now_ms) {
+                emit(&EndsDisproved {
+                    fingerprint: suspect.to_string(),
+                    survived_ms: survival.time_ms().to_string(),
+                    writes: matches!(survival, Survival::Writing(_)).to_string(),
+                });
+                self.publish_changes();
+            }
+        }
+    }
+
     /// Records that a back end completed a request and is therefore alive.
     pub fn note_completed(&self, request: &Fingerprint) {
         if self.registry.is_suspected(request) && self.registry.note_completion(request, self.now_ms()) {
@@ -214,16 +248,15 @@
     }
 
     /// Records that the response of a back end to a request was lost because the connection closed or went
-    /// silent before the back end wrote any of it. `suspects`: the request and the shared parts of its prompt.
+    /// silent, an unknown time after it was sent. `suspects`: the request and the shared parts of its prompt.
     pub fn note_lost(self: &Arc<Self>, suspects: &[Fingerprint], backend: &BackendId) {
         self.note_lost_after(Duration::ZERO, suspects, backend);
     }
 
-    /// Records a lost response like [`Self::note_lost`], of which the back end had written events for
-    /// `written_for`.
+    /// Records a lost response like [`Self::note_lost`], of a request that was sent `exposure` ago.
     pub fn note_lost_after(
         self: &Arc<Self>,
-        written_for: Duration,
+        exposure: Duration,
         suspects: &[Fingerprint],
         backend: &BackendId,
     ) {
@@ -232,11 +265,11 @@
         }
         // A back end that is no longer listed terminates for reasons of its own as well.
         let Some(listed) = self.backends.find(backend) else { return };
-        let written_ms = to_ms(written_for);
+        let exposure_ms = to_ms(exposure);
         let open: Vec<OpenSuspect> =
-            suspects.iter().map(|suspect| OpenSuspect { suspect: *suspect, written_ms }).collect();
+            suspects.iter().map(|suspect| OpenSuspect { suspect: *suspect, exposure_ms }).collect();
         match self.lost_responses.note(backend, &open, Instant::now()) {
-            ProbeAction::Count => self.record_termination(backend, open),
+            ProbeAction::Count => self.record_termination(backend, open, self.now_ms()),
             ProbeAction::Probe => {
                 tokio::spawn(self.clone().probe(listed));
             }
@@ -277,7 +310,8 @@
         if open.is_empty() {
             self.registry.note_unattributed_termination(backend, self.now_ms());
         } else {
-            self.record_termination(backend, open);
+            let lost_ms = to_ms(self.lost_responses.lost_for(backend, Instant::now()));
+            self.record_termination(backend, open, self.now_ms().saturating_sub(lost_ms));
         }
     }
 
@@ -324,18 +358,18 @@
         self.log_changes();
     }
 
-    fn record_termination(&self, backend: &BackendId, mut open: Vec<OpenSuspect>) {
-        let now_ms = self.now_ms();
-        let is_sound = |part: u64| self.sound_parts.is_sound(part, now_ms);
-        open.retain(|open| !open.suspect.part().is_some_and(is_sound));
+    fn record_termination(&self, backend: &BackendId, mut open: Vec<OpenSuspect>, at_ms: u64) {
+        open.retain(|open| {
+            let outlives = |part| self.sound_parts.outlives(part, open.exposure_ms, at_ms);
+            !open.suspect.part().is_some_and(outlives)
+        });
         let join = |field: fn(&OpenSuspect) -> String| open.iter().map(field).collect::<Vec<_>>().join(",");
         emit(&BackendEnded {
             backend: backend.to_string(),
             open: join(|open| open.suspect.to_string()),
-            written_ms: join(|open| open.written_ms.to_string()),
+            exposure_ms: join(|open| open.exposure_ms.to_string()),
         });
-        let suspects = open.iter().map(|open| open.suspect).collect();
-        self.registry.note_termination(backend, suspects, now_ms);
+        self.registry.note_termination_after(backend, &open, at_ms);
         self.publish_changes();
     }
 
@@ -351,6 +385,8 @@
             emit(&RequestHeld {
                 fingerprint: request.to_string(),
                 endings: held.endings.to_string(),
+                independent: held.independent_endings.to_string(),
+                exposures_ms: format!("{}-{}", held.exposures_ms.0, held.exposures_ms.1),
                 in_doubt: held.is_in_doubt.to_string(),
                 trials: held.trials.to_string(),
             });
--- a/crates/beamwall-gateway/src/stream/mod.rs
+++ b/crates/beamwall-gateway/src/stream/mod.rs
@@ -114,10 +114,23 @@
     permit: SendPermit,
     resume: ResumePoint<'_>,
     attempts: &mut Attempts,
+) -> Result<AttemptStart, FailedAttempt> {
+    let sent_at = process_clock::now();
+    let started = open_and_wait(forwarder, call, choice, permit, resume, attempts, sent_at).await;
+    started.map_err(|failed| failed.sent_at(sent_at))
+}
+
+async fn open_and_wait(
+    forwarder: &Arc<Forwarder>,
+    call: &Call,
+    choice: &Choice,
+    permit: SendPermit,
+    resume: ResumePoint<'_>,
+    attempts: &mut Attempts,
+    sent_at: Instant,
 ) -> Result<AttemptStart, FailedAttempt> {
     let last_event = resume.last_event;
     let first_event_wait = FirstEventWait::new(forwarder, call, choice, attempts);
-    let sent_at = process_clock::now();
     let limit = call.remaining();
     let sent = attempts.sent + 1;
     let mut next_back_end = std::pin::pin!(async {
@@ -139,7 +152,7 @@
     let OpenResponse { response, work, version, .. } = opened;
     let (parts, body) = response.into_parts();
     let is_framed = attempt::is_framed(&parts.headers);
-    let mut source = Source::new(choice, body, work, is_framed, last_event);
+    let mut source = Source::new(choice, body, work, is_framed, last_event, sent_at);
     let first = tokio::select! {
         biased;
         piece = source.next_piece() => piece,
--- a/crates/beamwall-gateway/src/stream/relay.rs
+++ b/crates/beamwall-gateway/src/stream/relay.rs
@@ -102,10 +102,10 @@
         loop {
             let stop = self.forward_pieces(&mut source, first.take()).await;
             let (choice, continued_after) = (source.choice.clone(), source.continued_after);
-            let written_for = source.written_for();
+            let sent_at = source.sent_at;
             // Closes the connection before another engine is contacted.
             drop(source);
-            let mut failed = match stop {
+            let failed = match stop {
                 Stop::Finished { proves_parts } => return self.finish(&choice.backend, proves_parts),
                 Stop::CallerGone => return self.note_caller_gone(&choice.backend),
                 Stop::Failed(failed) => failed,
@@ -120,8 +120,7 @@
                     Err(MovedStreamEnd::Failed(failed)) => failed,
                 },
             };
-            failed.failure.written_for = written_for;
-            match self.resume_elsewhere(&choice, continued_after, failed).await {
+            match self.resume_elsewhere(&choice, continued_after, failed.sent_at(sent_at)).await {
                 Some(started) => {
                     self.returned = false;
                     source = started.source;
@@ -175,6 +174,9 @@
                 Piece::Events(events) => {
                     let now = process_clock::now();
                     self.forwarder.backend_state.health.note_activity(&source.choice.backend, now);
+                    if let Some(written_for) = source.take_writing_report() {
+                        self.forwarder.note_writing(&call, written_for);
+                    }
                     let batch = scan_events(&events);
                     match &mut gap_meter {
                         None => gap_meter = Some(EventGapMeter::new(now)),
--- a/crates/beamwall-gateway/src/stream/source.rs
+++ b/crates/beamwall-gateway/src/stream/source.rs
@@ -34,6 +34,8 @@
     is_framed: bool,
     /// The event after which it continues a stream; `None` if it began the stream.
     pub(super) continued_after: Option<u64>,
+    /// When the request was sent, by the process clock.
+    pub(super) sent_at: Instant,
     /// When the first and the last events were read.
     written: Option<WritingTimes>,
 }
@@ -44,30 +46,50 @@
 struct WritingTimes {
     first: Instant,
     last: Instant,
+    /// When [`Source::take_writing_report`] gave a report last.
+    reported: Instant,
 }
 
+/// Minimum time between two reports that an engine writes on. A stream's events are much closer to each other.
+const WRITING_REPORT_INTERVAL: Duration = Duration::from_millis(250);
+
 impl Source {
     /// Creates the source for a response whose head was received. `is_framed`: its HTTP framing marks its
-    /// end.
+    /// end. `sent_at`: when the request was sent, by the process clock.
     pub(super) fn new(
         choice: &Choice,
         body: PooledBody,
         work: OpenRequestGuard,
         is_framed: bool,
         continued_after: Option<u64>,
+        sent_at: Instant,
     ) -> Self {
         let splitter = EventSplitter::default();
-        Self { choice: choice.clone(), body, work, splitter, is_framed, continued_after, written: None }
-    }
-
-    /// Time from the first to the last events that the engine wrote; zero if it wrote none.
-    pub(super) fn written_for(&self) -> Duration {
-        self.written.map(|times| times.last.duration_since(times.first)).unwrap_or_default()
+        Self {
+            choice: choice.clone(),
+            body,
+            work,
+            splitter,
+            is_framed,
+            continued_after,
+            sent_at,
+            written: None,
+        }
     }
 
     fn note_written(&mut self) {
         let now = process_clock::now();
-        self.written.get_or_insert(WritingTimes { first: now, last: now }).last = now;
+        self.written.get_or_insert(WritingTimes { first: now, last: now, reported: now }).last = now;
+    }
+
+    /// Time for which the engine has been writing, if it is due to be reported.
+    pub(super) fn take_writing_report(&mut self) -> Option<Duration> {
+        let times = self.written.as_mut()?;
+        if times.last.duration_since(times.reported) < WRITING_REPORT_INTERVAL {
+            return None;
+        }
+        times.reported = times.last;
+        Some(times.last.duration_since(times.first))
     }
 
     /// Whether the end of the stream is told from a broken connection.
--- a/crates/beamwall-gateway/src/unary.rs
+++ b/crates/beamwall-gateway/src/unary.rs
@@ -25,6 +25,9 @@
 /// Failover starts at the latest after the remaining time divided by this.
 const REMAINING_TIME_DIVISOR: u32 = 2;
 
+/// Time between two reports that a back end has survived a call so far.
+const RUNNING_REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
 /// A complete response of a back end.
 struct BufferedResponse {
     parts: Parts,
@@ -57,6 +60,7 @@
             },
             Err(failed) => failed,
         };
+        let failed = failed.sent_at(sent_at);
         next = attempts.continue_after_failure(forwarder, call, &choice, failed).await;
     }
     match failed_response {
@@ -92,13 +96,30 @@
         }
         failover::reserve_next_back_end(forwarder, call, attempts, sent, &choice.backend).await
     };
+    let opened = attempt::open(forwarder, call, choice, permit, ResumePoint::default(), call.remaining());
     tokio::select! {
         biased;
-        opened = attempt::open(forwarder, call, choice, permit, ResumePoint::default(), call.remaining()) => Ok(opened?),
+        opened = report_running(forwarder, call, opened) => Ok(opened?),
         next = next_back_end => Err(attempt::abandon_silent(forwarder, call, &choice.backend, None, next)),
     }
 }
 
+/// Waits for an attempt. Nothing of a single response can be seen before its end, so the time for which its back end
+/// has survived it is reported meanwhile.
+async fn report_running<T>(forwarder: &Forwarder, call: &Call, attempt: impl Future<Output = T>) -> T {
+    let sent_at = process_clock::now();
+    let mut attempt = std::pin::pin!(attempt);
+    loop {
+        tokio::select! {
+            biased;
+            result = attempt.as_mut() => return result,
+            () = process_clock::sleep(RUNNING_REPORT_INTERVAL) => {
+                forwarder.note_running(call, process_clock::now().duration_since(sent_at));
+            }
+        }
+    }
+}
+
 /// How long a repeatable call waits before failover starts, leaving time for another attempt. `None` for any
 /// other call, which waits until its deadline.
 fn failover_delay(call: &Call, attempts: &Attempts) -> Option<Duration> {
--- a/crates/beamwall-gateway/tests/lost_responses.rs
+++ b/crates/beamwall-gateway/tests/lost_responses.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 fn request(name: &str) -> OpenSuspect {
-    OpenSuspect::unwritten(FingerprintHasher::new(None, "a.example", name).finish())
+    OpenSuspect::of_unknown_exposure(FingerprintHasher::new(None, "a.example", name).finish())
 }
 
 #[test]
--- a/crates/beamwall-lab/src/ending.rs
+++ b/crates/beamwall-lab/src/ending.rs
@@ -1,5 +1,6 @@
 //! Requests under which a stand-in ends.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
@@ -13,6 +14,8 @@
 pub struct Ending {
     /// Bytes in a request under each of which it ends.
     markers: Mutex<Vec<Vec<u8>>>,
+    /// Milliseconds for which it writes a stream under which it ends.
+    written_ms: AtomicU64,
     due: Notify,
 }
 
@@ -37,6 +40,16 @@
         tokio::time::sleep(RUN_BEFORE_END).await;
     }
 
+    /// Writes a stream under which it ends for a while before it does.
+    pub fn write_before_end(&self, time: Duration) {
+        self.written_ms.store(u64::try_from(time.as_millis()).unwrap_or(u64::MAX), Ordering::Relaxed);
+    }
+
+    /// For how long it writes a stream under which it ends; zero if it writes none of it.
+    pub fn written_before_end(&self) -> Duration {
+        Duration::from_millis(self.written_ms.load(Ordering::Relaxed))
+    }
+
     /// Ends now, whatever it runs.
     pub fn end_now(&self) {
         self.due.notify_one();
--- a/crates/beamwall-node/src/gateway/quarantine_wire.rs
+++ b/crates/beamwall-node/src/gateway/quarantine_wire.rs
@@ -2,10 +2,12 @@
 
 use beamwall_model::BackendId;
 use beamwall_peer::quarantine_message::{
-    CompletionMessage, QuarantineUpdate, TerminationMessage, TrialMessage,
+    CompletionMessage, ExposuresMessage, QuarantineUpdate, TerminationMessage, TrialMessage,
 };
 use beamwall_quarantine::fingerprint::FINGERPRINT_BYTES;
-use beamwall_quarantine::{Completion, Evidence, Fingerprint, Termination, Trial};
+use beamwall_quarantine::{
+    BackEndExposures, Completion, Evidence, Fingerprint, OpenSuspect, Termination, Trial,
+};
 
 /// Encodes evidence.
 pub fn encode(evidence: &Evidence) -> QuarantineUpdate {
@@ -23,10 +25,16 @@
         number: trial.number,
         at_ms: trial.at_ms,
     };
+    let exposures = |exposures: &BackEndExposures| ExposuresMessage {
+        backend: exposures.backend.to_string(),
+        requests: exposures.suspects.iter().flat_map(|exposed| *exposed.suspect.as_bytes()).collect(),
+        exposure_ms: exposures.suspects.iter().map(|exposed| exposed.exposure_ms).collect(),
+    };
     QuarantineUpdate {
         endings: evidence.endings.iter().map(termination).collect(),
         completions: evidence.completions.iter().map(completion).collect(),
         trials: evidence.trials.iter().map(trial).collect(),
+        exposures: evidence.exposures.iter().map(exposures).collect(),
     }
 }
 
@@ -47,10 +55,19 @@
             at_ms: wire_entry.at_ms,
         })
     };
+    let exposures = |wire_entry: &ExposuresMessage| {
+        let requests = wire_entry.requests.chunks(FINGERPRINT_BYTES).map(fingerprint);
+        let exposed = requests.zip(&wire_entry.exposure_ms);
+        let suspects = exposed.filter_map(|(suspect, exposure_ms)| {
+            Some(OpenSuspect { suspect: suspect?, exposure_ms: *exposure_ms })
+        });
+        BackEndExposures { backend: BackendId::new(&wire_entry.backend), suspects: suspects.collect() }
+    };
     Evidence {
         endings: update.endings.iter().map(termination).collect(),
         completions: update.completions.iter().filter_map(completion).collect(),
         trials: update.trials.iter().filter_map(trial).collect(),
+        exposures: update.exposures.iter().map(exposures).collect(),
     }
 }
 
--- a/crates/beamwall-node/tests/earlier_builds.rs
+++ b/crates/beamwall-node/tests/earlier_builds.rs
@@ -254,6 +254,7 @@
         }],
         completions: vec![CompletionMessage { request: (0..16).collect(), at_ms: 1_700_000_000_004 }],
         trials: vec![TrialMessage { request: (16..32).collect(), number: 2, at_ms: 1_700_000_000_005 }],
+        exposures: Vec::new(),
     };
     assert_eq!(read("quarantine_news"), envelope(Body::QuarantineNews(news)));
     assert_eq!(read("quarantine_request"), envelope(Body::QuarantineRequest(QuarantineRequest {})));
--- a/crates/beamwall-peer/src/quarantine_message.rs
+++ b/crates/beamwall-peer/src/quarantine_message.rs
@@ -14,6 +14,9 @@
     /// Trials granted to held requests.
     #[prost(message, repeated, tag = "3")]
     pub trials: Vec<TrialMessage>,
+    /// How long the back ends that terminated had been running the requests.
+    #[prost(message, repeated, tag = "4")]
+    pub exposures: Vec<ExposuresMessage>,
 }
 
 /// Requests all evidence that the receiver holds.
@@ -34,6 +37,20 @@
     pub open: Vec<u8>,
 }
 
+/// How long a back end that terminated had been running requests.
+#[derive(Clone, PartialEq, Message)]
+pub struct ExposuresMessage {
+    /// The back end.
+    #[prost(string, tag = "1")]
+    pub backend: String,
+    /// Fingerprints of the requests, 16 bytes each, concatenated.
+    #[prost(bytes = "vec", tag = "2")]
+    pub requests: Vec<u8>,
+    /// Its exposure to each of them, in milliseconds.
+    #[prost(uint64, repeated, tag = "3")]
+    pub exposure_ms: Vec<u64>,
+}
+
 /// The completion of a request.
 #[derive(Clone, PartialEq, Message)]
 pub struct CompletionMessage {
--- /dev/null
+++ b/crates/beamwall-quarantine/src/common_cause.rs
@@ -0,0 +1,63 @@
+//! Which terminations are evidence against a suspect independently of one another.
+//!
+//! Back ends also terminate for reasons that no request has to do with, and then often several at once: a rack loses
+//! its power. A suspect that terminates back ends does so when they begin to respond to it. A back end that ran it
+//! for [`LATE_EXPOSURE`] had probably survived that beginning; if others terminate beside it at about the same time,
+//! they probably have one cause, so such terminations count once.
+
+use beamwall_model::to_ms;
+
+use crate::evidence::Survival;
+use crate::limits::{LATE_EXPOSURE, LATE_TERMINATIONS_MERGED_WITHIN, SIMULTANEOUS_WITHIN, SURVIVAL_MARGIN};
+
+/// A termination that counts against a suspect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CountedTermination {
+    /// When the back end terminated, in milliseconds since 1970.
+    pub at_ms: u64,
+    /// Its exposure to the suspect, in milliseconds; 0 if unknown.
+    pub exposure_ms: u64,
+}
+
+impl CountedTermination {
+    fn is_late(&self) -> bool {
+        self.exposure_ms >= to_ms(LATE_EXPOSURE)
+    }
+
+    /// Whether another back end has survived the suspect for so much longer that the suspect was not the cause. One
+    /// that may not have begun to run it proves that only of a late termination.
+    pub fn is_disproved_by(&self, survival: Survival) -> bool {
+        let has_begun = matches!(survival, Survival::Writing(_));
+        (has_begun || self.is_late())
+            && survival.time_ms() >= self.exposure_ms.saturating_add(to_ms(SURVIVAL_MARGIN))
+    }
+}
+
+/// Returns the times, in ascending order, of the terminations that have no cause in common.
+pub fn independent_times(terminations: impl Iterator<Item = CountedTermination>) -> Vec<u64> {
+    let mut terminations: Vec<CountedTermination> = terminations.collect();
+    terminations.sort_unstable_by_key(|one| one.at_ms);
+    let mut merged_until_ms = None;
+    let is_independent = |one: &CountedTermination| {
+        if !one.is_late() {
+            return true;
+        }
+        let is_merged = merged_until_ms.is_some_and(|until_ms| one.at_ms <= until_ms);
+        if !is_merged {
+            merged_until_ms = Some(one.at_ms.saturating_add(to_ms(LATE_TERMINATIONS_MERGED_WITHIN)));
+        }
+        !is_merged
+    };
+    let independent: Vec<CountedTermination> = terminations.into_iter().filter(is_independent).collect();
+    independent.iter().map(|one| one.at_ms).collect()
+}
+
+/// Whether all terminations occurred at one moment, so that one cause outside may explain them all.
+pub fn are_simultaneous(terminations: impl Iterator<Item = CountedTermination> + Clone) -> bool {
+    let first_ms = terminations.clone().map(|one| one.at_ms).min();
+    let last_ms = terminations.map(|one| one.at_ms).max();
+    match (first_ms, last_ms) {
+        (Some(first_ms), Some(last_ms)) => last_ms - first_ms <= to_ms(SIMULTANEOUS_WITHIN),
+        _ => false,
+    }
+}
--- a/crates/beamwall-quarantine/src/evidence.rs
+++ b/crates/beamwall-quarantine/src/evidence.rs
@@ -27,24 +27,52 @@
 pub struct OpenSuspect {
     /// The request, or a part of its prompt.
     pub suspect: Fingerprint,
-    /// Exposure: time in milliseconds from the first to the last event that the back end wrote of the response;
-    /// 0 if it wrote none. Of several responses, the longest counts.
-    pub written_ms: u64,
+    /// Exposure of the back end to it: time in milliseconds from sending the request until its response was lost; 0 if
+    /// unknown. Of several requests, the longest counts.
+    pub exposure_ms: u64,
 }
 
 impl OpenSuspect {
-    /// A suspect of which the back end wrote nothing.
-    pub fn unwritten(suspect: Fingerprint) -> Self {
-        Self { suspect, written_ms: 0 }
+    /// A suspect of which nobody tells how long the back end ran it.
+    pub fn of_unknown_exposure(suspect: Fingerprint) -> Self {
+        Self { suspect, exposure_ms: 0 }
     }
 }
 
-/// A request that a back end completed without terminating.
+/// A back end that has run a suspect for some time and runs on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Survival {
+    /// It has been writing the response for this time, in milliseconds, so it has begun to run the suspect.
+    Writing(u64),
+    /// The request was sent to it this time ago, in milliseconds, and nothing shows whether it has begun.
+    Running(u64),
+}
+
+impl Survival {
+    /// The time for which the back end has survived the suspect, in milliseconds.
+    pub fn time_ms(self) -> u64 {
+        match self {
+            Self::Writing(time_ms) | Self::Running(time_ms) => time_ms,
+        }
+    }
+}
+
+/// How long a back end that terminated had been running suspects.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BackEndExposures {
+    /// The back end.
+    pub backend: BackendId,
+    /// The suspects with a known exposure.
+    pub suspects: Vec<OpenSuspect>,
+}
+
+/// A request that a back end completed without terminating, or that one has survived for so long that terminations have
+/// another cause.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Completion {
     /// The request.
     pub request: Fingerprint,
-    /// When the request was completely answered.
+    /// The terminations up to this time do not count.
     pub at_ms: u64,
 }
 
@@ -68,17 +96,24 @@
     pub completions: Vec<Completion>,
     /// Trials of held requests.
     pub trials: Vec<Trial>,
+    /// Exposures of the back ends in `endings` to the suspects, as far as they are known.
+    pub exposures: Vec<BackEndExposures>,
 }
 
 impl Evidence {
     /// Collects the evidence about the given suspects.
     pub fn from_suspects<'a>(suspects: impl Iterator<Item = (&'a Fingerprint, &'a Suspect)>) -> Self {
         let mut terminations: BTreeMap<(&BackendId, u64), Vec<Fingerprint>> = BTreeMap::new();
+        let mut exposures: BTreeMap<&BackendId, Vec<OpenSuspect>> = BTreeMap::new();
         let mut evidence = Self::default();
         for (request, suspect) in suspects {
             for (backend, at_ms) in &suspect.endings {
                 terminations.entry((backend, *at_ms)).or_default().push(*request);
             }
+            for (backend, exposure_ms) in &suspect.exposures_ms {
+                let exposed = OpenSuspect { suspect: *request, exposure_ms: *exposure_ms };
+                exposures.entry(backend).or_default().push(exposed);
+            }
             if suspect.completed_ms > 0 {
                 evidence.completions.push(Completion { request: *request, at_ms: suspect.completed_ms });
             }
@@ -93,12 +128,18 @@
             open,
         };
         evidence.endings = terminations.into_iter().map(to_termination).collect();
+        let to_exposures =
+            |(backend, suspects): (&BackendId, _)| BackEndExposures { backend: backend.clone(), suspects };
+        evidence.exposures = exposures.into_iter().map(to_exposures).collect();
         evidence
     }
 
     /// Whether there is no evidence.
     pub fn is_empty(&self) -> bool {
-        self.endings.is_empty() && self.completions.is_empty() && self.trials.is_empty()
+        self.endings.is_empty()
+            && self.completions.is_empty()
+            && self.trials.is_empty()
+            && self.exposures.is_empty()
     }
 
     /// Appends further evidence.
@@ -106,5 +147,6 @@
         self.endings.extend(other.endings);
         self.completions.extend(other.completions);
         self.trials.extend(other.trials);
+        self.exposures.extend(other.exposures);
     }
 }
--- a/crates/beamwall-quarantine/src/hold_decision.rs
+++ b/crates/beamwall-quarantine/src/hold_decision.rs
@@ -7,8 +7,10 @@
 //! - a termination is explained by a request that was open at as many terminations and reached three of
 //!   them earlier, or was open at more of them and reached three no later; it does not count against the
 //!   other requests;
+//! - terminations after which other back ends wrote on, or that probably have one cause, are no evidence of their
+//!   own ([`crate::common_cause`]);
 //! - a request that shares all its terminations with another held request is held in doubt and retried
-//!   soon. All held requests are in doubt while most terminations are explained by no held request, for
+//!   soon, and so is one whose terminations all occurred at one moment. All held requests are in doubt while most terminations are explained by no held request, for
 //!   example when machines are reclaimed one after another.
 //!
 //! A held request is not exposed to further terminations, while an innocent request that is resent is
@@ -20,11 +22,16 @@
 
 use std::cmp::{Ordering, Reverse};
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::Duration;
 
 use beamwall_model::{BackendId, to_ms};
 
+use crate::common_cause::{CountedTermination, are_simultaneous, independent_times};
 use crate::fingerprint::Fingerprint;
-use crate::limits::{TERMINATIONS_UNTIL_CLEAR, TERMINATIONS_UNTIL_HELD, TRIAL_DELAYS, TRIAL_DELAYS_IN_DOUBT};
+use crate::limits::{
+    TERMINATIONS_UNTIL_CLEAR, TERMINATIONS_UNTIL_HELD, TRIAL_DELAYS, TRIAL_DELAYS_IN_DOUBT,
+    TRIAL_DELAYS_SIMULTANEOUS,
+};
 use crate::suspect::Suspect;
 
 /// Why and for how long a request is held.
@@ -32,6 +39,10 @@
 pub struct HoldState {
     /// Number of terminations that count against the request.
     pub endings: usize,
+    /// Number of them that have no cause in common.
+    pub independent_endings: usize,
+    /// The shortest and the longest time for which these back ends ran the request, in milliseconds; 0 if unknown.
+    pub exposures_ms: (u64, u64),
     /// Whether another request, or another cause, may explain all of them.
     pub is_in_doubt: bool,
     /// Number of trials granted.
@@ -44,10 +55,31 @@
 struct Candidate<'a> {
     request: Fingerprint,
     suspect: &'a Suspect,
-    terminations: HashSet<&'a BackendId>,
+    terminations: HashMap<&'a BackendId, CountedTermination>,
     threshold_reached_ms: u64,
 }
 
+/// Whether and why a held request may be innocent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Doubt {
+    /// It is the clear cause.
+    None,
+    /// Another held request was open at all of its terminations, or most terminations have other causes.
+    OtherCause,
+    /// All of its terminations occurred at one moment.
+    Simultaneous,
+}
+
+impl Doubt {
+    fn trial_delays(self) -> &'static [Duration] {
+        match self {
+            Self::None => &TRIAL_DELAYS,
+            Self::OtherCause => &TRIAL_DELAYS_IN_DOUBT,
+            Self::Simultaneous => &TRIAL_DELAYS_SIMULTANEOUS,
+        }
+    }
+}
+
 impl Candidate<'_> {
     /// Whether this request explains terminations at which `other` was open, too.
     fn takes_precedence_over(&self, other: &Candidate<'_>) -> bool {
@@ -61,14 +93,36 @@
     /// Number of its terminations at which none of `others` was open.
     fn unshared_terminations(&self, others: &[&Candidate<'_>]) -> usize {
         let is_shared = |backend: &BackendId| {
-            others.iter().any(|other| other.request != self.request && other.terminations.contains(backend))
+            others
+                .iter()
+                .any(|other| other.request != self.request && other.terminations.contains_key(backend))
         };
-        self.terminations.iter().filter(|backend| !is_shared(backend)).count()
+        self.terminations.keys().filter(|backend| !is_shared(backend)).count()
+    }
+
+    /// Number of its terminations that are evidence independently of one another, of those that `selects`.
+    fn independent_terminations(&self, selects: impl Fn(&BackendId) -> bool) -> usize {
+        let selected = self.terminations.iter().filter(|(backend, _)| selects(backend));
+        independent_times(selected.map(|(_, termination)| *termination)).len()
+    }
+
+    fn exposure_range_ms(&self) -> (u64, u64) {
+        let exposures_ms = || self.terminations.values().map(|one| one.exposure_ms);
+        (exposures_ms().min().unwrap_or(0), exposures_ms().max().unwrap_or(0))
+    }
+
+    fn doubt(&self, confirmed: &[&Candidate<'_>], has_other_causes: bool) -> Doubt {
+        if has_other_causes || self.unshared_terminations(confirmed) == 0 {
+            Doubt::OtherCause
+        } else if are_simultaneous(self.terminations.values().copied()) {
+            Doubt::Simultaneous
+        } else {
+            Doubt::None
+        }
     }
 
-    fn next_trial_ms(&self, is_in_doubt: bool) -> Option<u64> {
-        let delays = if is_in_doubt { TRIAL_DELAYS_IN_DOUBT } else { TRIAL_DELAYS };
-        let delay = delays.get(self.suspect.trials as usize)?;
+    fn next_trial_ms(&self, doubt: Doubt) -> Option<u64> {
+        let delay = doubt.trial_delays().get(self.suspect.trials as usize)?;
         Some(self.suspect.last_activity_ms().saturating_add(to_ms(*delay)))
     }
 }
@@ -88,10 +142,10 @@
     let mut confirmed: Vec<&Candidate<'_>> = Vec::new();
     for candidate in &candidates {
         let explains = |backend: &BackendId, other: &&Candidate<'_>| {
-            other.takes_precedence_over(candidate) && other.terminations.contains(backend)
+            other.takes_precedence_over(candidate) && other.terminations.contains_key(backend)
         };
-        let is_unexplained = |backend: &&&BackendId| !confirmed.iter().any(|other| explains(backend, other));
-        if candidate.terminations.iter().filter(is_unexplained).count() >= TERMINATIONS_UNTIL_HELD {
+        let is_unexplained = |backend: &BackendId| !confirmed.iter().any(|other| explains(backend, other));
+        if candidate.independent_terminations(is_unexplained) >= TERMINATIONS_UNTIL_HELD {
             confirmed.push(candidate);
         }
     }
@@ -107,7 +161,9 @@
     let clear: Vec<&&Candidate<'_>> = confirmed.iter().filter(is_clear).collect();
     let is_explained = |one: &Candidate<'_>| {
         let stronger = || clear.iter().filter(|other| other.terminations.len() > one.terminations.len());
-        one.terminations.iter().all(|backend| stronger().any(|other| other.terminations.contains(backend)))
+        one.terminations
+            .keys()
+            .all(|backend| stronger().any(|other| other.terminations.contains_key(backend)))
     };
     confirmed.iter().copied().filter(|one| !is_explained(one)).collect()
 }
@@ -125,7 +181,7 @@
     let under_suspects = suspects.values().flat_map(|suspect| suspect.endings.keys());
     let all_terminated: HashSet<&BackendId> = under_suspects.chain(unattributed.keys()).collect();
     let is_explained =
-        |backend: &&&BackendId| confirmed.iter().any(|one| one.terminations.contains(**backend));
+        |backend: &&&BackendId| confirmed.iter().any(|one| one.terminations.contains_key(**backend));
     let explained = all_terminated.iter().filter(is_explained).count();
     all_terminated.len() - explained > explained
 }
@@ -146,21 +202,23 @@
     suspect: &'a Suspect,
     times: &HashMap<&BackendId, u64>,
 ) -> Option<Candidate<'a>> {
-    let terminations: HashSet<&BackendId> =
-        suspect.counted_terminations().map(|(backend, _)| backend).collect();
-    let mut terminated_at_ms: Vec<u64> =
-        terminations.iter().filter_map(|backend| times.get(backend)).copied().collect();
-    terminated_at_ms.sort_unstable();
-    let threshold_reached_ms = *terminated_at_ms.get(TERMINATIONS_UNTIL_HELD - 1)?;
+    let counted = suspect.counted_terminations().map(|(backend, one)| {
+        (backend, CountedTermination { at_ms: times.get(backend).copied().unwrap_or(one.at_ms), ..one })
+    });
+    let terminations: HashMap<&BackendId, CountedTermination> = counted.collect();
+    let independent_ms = independent_times(terminations.values().copied());
+    let threshold_reached_ms = *independent_ms.get(TERMINATIONS_UNTIL_HELD - 1)?;
     Some(Candidate { request: *request, suspect, terminations, threshold_reached_ms })
 }
 
 fn hold_state(one: &Candidate<'_>, confirmed: &[&Candidate<'_>], has_other_causes: bool) -> HoldState {
-    let is_in_doubt = has_other_causes || one.unshared_terminations(confirmed) == 0;
+    let doubt = one.doubt(confirmed, has_other_causes);
     HoldState {
         endings: one.terminations.len(),
-        is_in_doubt,
+        independent_endings: one.independent_terminations(|_| true),
+        exposures_ms: one.exposure_range_ms(),
+        is_in_doubt: doubt != Doubt::None,
         trials: one.suspect.trials,
-        next_trial_ms: one.next_trial_ms(is_in_doubt),
+        next_trial_ms: one.next_trial_ms(doubt),
     }
 }
--- a/crates/beamwall-quarantine/src/lib.rs
+++ b/crates/beamwall-quarantine/src/lib.rs
@@ -13,6 +13,9 @@
 //! - a request that was open at the termination of [`TERMINATIONS_UNTIL_HELD`] back ends is held
 //!   ([`hold_decision`]), unless another request explains these terminations better or the request has
 //!   completed since;
+//! - a termination does not count against a suspect which another back end has survived for longer than the
+//!   terminated one ran it: it survived what the suspect is suspected of. Terminations that may have one cause outside
+//!   count once, or leave the suspect in doubt ([`common_cause`]);
 //! - a held request is refused immediately, except for a few trials at long intervals ([`limits`]), so
 //!   that a request that only ran alongside the culprit is not refused permanently;
 //! - a [`QuarantineRegistry`] holds all of this state. Its memory is bounded, and nodes that received
@@ -21,6 +24,7 @@
 //! This package performs no input or output.
 
 pub mod admission;
+pub mod common_cause;
 pub mod evidence;
 pub mod fingerprint;
 pub mod hold_decision;
@@ -30,7 +34,7 @@
 pub mod suspect;
 
 pub use admission::{Admission, HeldRequest};
-pub use evidence::{Completion, Evidence, OpenSuspect, Termination, Trial};
+pub use evidence::{BackEndExposures, Completion, Evidence, OpenSuspect, Survival, Termination, Trial};
 pub use fingerprint::{Fingerprint, FingerprintHasher};
 pub use limits::TERMINATIONS_UNTIL_HELD;
 pub use registry::{QuarantineRegistry, RequestStatus};
--- a/crates/beamwall-quarantine/src/limits.rs
+++ b/crates/beamwall-quarantine/src/limits.rs
@@ -31,6 +31,30 @@
 /// is served again.
 pub const TRIAL_DELAYS_IN_DOUBT: [Duration; 2] = [Duration::from_secs(10), Duration::from_secs(10 * 60)];
 
+/// Trial delays of a request in doubt whose terminations all occurred at one moment. The first trial follows
+/// soon: back ends that lose their power at once are back after some seconds, and all callers of a shared part of
+/// prompts wait for it.
+pub const TRIAL_DELAYS_SIMULTANEOUS: [Duration; 3] =
+    [Duration::from_secs(2), Duration::from_secs(10), Duration::from_secs(10 * 60)];
+
+/// Terminations within this time of each other are simultaneous: nodes observe the loss of one rack's power some
+/// milliseconds apart. Back ends that one caller's retries terminate one after another are further apart.
+pub const SIMULTANEOUS_WITHIN: Duration = Duration::from_millis(100);
+
+/// Exposure from which on a back end has probably survived the beginning of its response, so that its termination is
+/// weak evidence.
+pub const LATE_EXPOSURE: Duration = Duration::from_secs(2);
+
+/// Time within which terminations after a late exposure count as one.
+pub const LATE_TERMINATIONS_MERGED_WITHIN: Duration = Duration::from_secs(1);
+
+/// How much longer than a terminated back end another one must survive a suspect to prove that the suspect did not
+/// terminate the first: back ends do not take equally long to terminate.
+pub const SURVIVAL_MARGIN: Duration = Duration::from_secs(1);
+
+/// Time after a termination from which on the exposures observed by all nodes are known.
+pub const EXPOSURES_KNOWN_AFTER: Duration = Duration::from_millis(500);
+
 /// Suspects in the registry. One takes about 300 bytes, so the registry stays below 2 MB. Beyond this
 /// limit, the suspects with the fewest terminations are evicted first, and among these the one whose
 /// last termination is oldest.
--- a/crates/beamwall-quarantine/src/registry.rs
+++ b/crates/beamwall-quarantine/src/registry.rs
@@ -8,7 +8,7 @@
 use beamwall_model::{BackendId, to_ms};
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::evidence::{Completion, Evidence, Termination, Trial};
+use crate::evidence::{BackEndExposures, Completion, Evidence, OpenSuspect, Survival, Termination, Trial};
 use crate::fingerprint::Fingerprint;
 use crate::hold_decision::{self, HoldState};
 use crate::limits::{MAX_SUSPECTS, MAX_UNATTRIBUTED_TERMINATIONS, SUSPECT_RETENTION};
@@ -146,8 +146,34 @@
     /// Records a back end termination that this node observed, with the requests that this node had open
     /// there.
     pub fn note_termination(&self, backend: &BackendId, open: Vec<Fingerprint>, now_ms: u64) {
-        let termination = Termination { backend: backend.clone(), at_ms: now_ms, open };
-        self.note(Evidence { endings: vec![termination], ..Evidence::default() }, now_ms);
+        let open: Vec<OpenSuspect> = open.into_iter().map(OpenSuspect::of_unknown_exposure).collect();
+        self.note_termination_after(backend, &open, now_ms);
+    }
+
+    /// Records a termination like [`Self::note_termination`], of a back end whose exposures to these suspects are known.
+    pub fn note_termination_after(&self, backend: &BackendId, open: &[OpenSuspect], now_ms: u64) {
+        let suspects = open.iter().map(|open| open.suspect).collect();
+        let termination = Termination { backend: backend.clone(), at_ms: now_ms, open: suspects };
+        let mut evidence = Evidence { endings: vec![termination], ..Evidence::default() };
+        let exposed: Vec<OpenSuspect> = open.iter().filter(|open| open.exposure_ms > 0).copied().collect();
+        if !exposed.is_empty() {
+            evidence.exposures.push(BackEndExposures { backend: backend.clone(), suspects: exposed });
+        }
+        self.note(evidence, now_ms);
+    }
+
+    /// Records that a back end has survived a suspect so far; returns whether that disproves terminations that counted
+    /// against it.
+    pub fn note_survival(&self, suspect: &Fingerprint, survival: Survival, now_ms: u64) -> bool {
+        if !self.view.load().suspects.contains_key(suspect) {
+            return false;
+        }
+        let known = self.lock().suspects.get(suspect).cloned();
+        let Some(until_ms) = known.and_then(|known| known.disproved_until_ms(survival, now_ms)) else {
+            return false;
+        };
+        let disproof = Completion { request: *suspect, at_ms: until_ms };
+        self.note(Evidence { completions: vec![disproof], ..Evidence::default() }, now_ms)
     }
 
     /// Records a termination without an open request of this node. These show how often back ends
@@ -282,6 +308,16 @@
                 new.endings.push(Termination { backend, at_ms, open });
             }
         }
+        for BackEndExposures { backend, suspects } in evidence.exposures {
+            let is_new = |exposed: &OpenSuspect| {
+                let known = self.suspects.get_mut(&exposed.suspect);
+                known.is_some_and(|known| known.note_exposure(&backend, exposed.exposure_ms))
+            };
+            let suspects: Vec<OpenSuspect> = suspects.into_iter().filter(is_new).collect();
+            if !suspects.is_empty() {
+                new.exposures.push(BackEndExposures { backend, suspects });
+            }
+        }
         // Completions and trials of unknown requests are ignored: a suspect without terminations would
         // be stored without need.
         for completion in evidence.completions {
@@ -341,6 +377,10 @@
         hasher.update(backend.as_str().as_bytes());
         hasher.update(&at_ms.to_le_bytes());
     }
+    for (backend, exposure_ms) in &suspect.exposures_ms {
+        hasher.update(backend.as_str().as_bytes());
+        hasher.update(&exposure_ms.to_le_bytes());
+    }
     hasher.update(&suspect.completed_ms.to_le_bytes());
     hasher.update(&suspect.trials.to_le_bytes());
     hasher.update(&suspect.trial_ms.to_le_bytes());
--- a/crates/beamwall-quarantine/src/sound_parts.rs
+++ b/crates/beamwall-quarantine/src/sound_parts.rs
@@ -1,4 +1,4 @@
-//! Parts of prompts on which back ends wrote whole answers lately.
+//! Parts of prompts on which back ends wrote whole answers lately, or wrote for some time without terminating.
 //!
 //! A part that terminates each back end which begins to write an answer on it is never among them, while the
 //! parts that a tenant's requests share are.
@@ -8,6 +8,7 @@
 
 use beamwall_model::to_ms;
 
+use crate::limits::SURVIVAL_MARGIN;
 /// Number of parts that are remembered. A part may displace another one, which is then known again at its
 /// next completion.
 const SLOTS: usize = 1 << SLOT_BITS;
@@ -18,7 +19,7 @@
 /// version of the back ends is suspected after this time.
 const SOUND_FOR: Duration = Duration::from_secs(60);
 
-/// The remembered parts. They take 256 KB.
+/// The remembered parts. They take 384 KB.
 pub struct SoundParts {
     slots: Mutex<Box<[Slot]>>,
 }
@@ -26,8 +27,19 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Slot {
     part: u64,
-    /// When an answer on it was completed last, in milliseconds since 1970; 0 if never.
-    completed_ms: u64,
+    /// When that was observed, in milliseconds since 1970; 0 if never.
+    at_ms: u64,
+    /// How long a back end wrote on it without terminating, in milliseconds; [`COMPLETED`] after a whole answer.
+    written_ms: u64,
+}
+
+/// Written time that stands for a whole answer: it proves more than any part of one.
+const COMPLETED: u64 = u64::MAX;
+
+impl Slot {
+    fn is_fresh(&self, part: u64, now_ms: u64) -> bool {
+        self.part == part && now_ms <= self.at_ms.saturating_add(to_ms(SOUND_FOR))
+    }
 }
 
 impl Default for SoundParts {
@@ -43,16 +55,31 @@
 
     /// Records that answers on these parts were completed.
     pub fn note_completed(&self, parts: impl Iterator<Item = u64>, now_ms: u64) {
+        self.note_written(parts, COMPLETED, now_ms);
+    }
+
+    /// Records that a back end has been writing on these parts for `written_ms` and writes on.
+    pub fn note_written(&self, parts: impl Iterator<Item = u64>, written_ms: u64, now_ms: u64) {
         let mut slots = self.lock();
         for part in parts {
-            slots[slot_of(part)] = Slot { part, completed_ms: now_ms };
+            let slot = &mut slots[slot_of(part)];
+            if written_ms >= slot.written_ms || !slot.is_fresh(part, now_ms) {
+                *slot = Slot { part, at_ms: now_ms, written_ms };
+            }
         }
     }
 
     /// Whether an answer on a part was completed lately.
     pub fn is_sound(&self, part: u64, now_ms: u64) -> bool {
         let slot = self.lock()[slot_of(part)];
-        slot.part == part && now_ms <= slot.completed_ms.saturating_add(to_ms(SOUND_FOR))
+        slot.is_fresh(part, now_ms) && slot.written_ms == COMPLETED
+    }
+
+    /// Whether the termination of a back end that had been running a part for `exposure_ms` proves nothing against the
+    /// part, since a back end wrote on it for longer lately, or a whole answer.
+    pub fn outlives(&self, part: u64, exposure_ms: u64, now_ms: u64) -> bool {
+        let slot = self.lock()[slot_of(part)];
+        slot.is_fresh(part, now_ms) && slot.written_ms >= exposure_ms.saturating_add(to_ms(SURVIVAL_MARGIN))
     }
 }
 
--- a/crates/beamwall-quarantine/src/suspect.rs
+++ b/crates/beamwall-quarantine/src/suspect.rs
@@ -5,8 +5,11 @@
 use beamwall_model::{BackendId, to_ms};
 use serde::{Deserialize, Serialize};
 
+use crate::common_cause::{CountedTermination, independent_times};
+use crate::evidence::Survival;
 use crate::limits::{
-    HOLD_RETENTION, MAX_TERMINATIONS_PER_REQUEST, SUSPECT_RETENTION, TERMINATIONS_UNTIL_HELD,
+    EXPOSURES_KNOWN_AFTER, HOLD_RETENTION, MAX_TERMINATIONS_PER_REQUEST, SUSPECT_RETENTION,
+    TERMINATIONS_UNTIL_HELD,
 };
 
 /// A request that was open at the termination of a back end.
@@ -15,7 +18,12 @@
 pub struct Suspect {
     /// The back ends that terminated, with the time of termination.
     pub endings: BTreeMap<BackendId, u64>,
-    /// When the request last completed; 0 if never. Terminations up to then do not count.
+    /// Exposures of these back ends to it, in milliseconds; absent if unknown, for example where a node of an earlier
+    /// release observed the termination.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub exposures_ms: BTreeMap<BackendId, u64>,
+    /// When the request last completed, or a back end had survived it for long enough; 0 if never. Terminations up
+    /// to then do not count.
     pub completed_ms: u64,
     /// Number of trials granted.
     pub trials: u32,
@@ -42,10 +50,38 @@
             let earliest = self.endings.iter().min_by_key(|(backend, at)| (**at, (*backend).clone()));
             let Some(earliest) = earliest.map(|(backend, _)| backend.clone()) else { break };
             self.endings.remove(&earliest);
+            self.exposures_ms.remove(&earliest);
         }
         is_new
     }
 
+    /// Records the exposure of a back end that terminated; returns whether that was new.
+    pub fn note_exposure(&mut self, backend: &BackendId, exposure_ms: u64) -> bool {
+        let is_new = exposure_ms > self.exposure_ms(backend) && self.endings.contains_key(backend);
+        if is_new {
+            self.exposures_ms.insert(backend.clone(), exposure_ms);
+        }
+        is_new
+    }
+
+    fn exposure_ms(&self, backend: &BackendId) -> u64 {
+        self.exposures_ms.get(backend).copied().unwrap_or(0)
+    }
+
+    /// Returns the time of the last of the terminations that a survival disproves, all earlier ones included; `None` if
+    /// there is none.
+    pub fn disproved_until_ms(&self, survival: Survival, now_ms: u64) -> Option<u64> {
+        let mut counted: Vec<CountedTermination> = self.counted_terminations().map(|(_, one)| one).collect();
+        counted.sort_unstable_by_key(|one| one.at_ms);
+        let is_known =
+            |one: &CountedTermination| now_ms >= one.at_ms.saturating_add(to_ms(EXPOSURES_KNOWN_AFTER));
+        counted
+            .iter()
+            .take_while(|one| is_known(one) && one.is_disproved_by(survival))
+            .last()
+            .map(|one| one.at_ms)
+    }
+
     /// Records that the request completed; returns whether that was new.
     pub fn note_completion(&mut self, at_ms: u64) -> bool {
         let is_new = at_ms > self.completed_ms;
@@ -63,14 +99,16 @@
     }
 
     /// Terminations that count towards the hold threshold: those after the last completion.
-    pub fn counted_terminations(&self) -> impl Iterator<Item = (&BackendId, u64)> {
-        let times_ms = self.endings.iter().map(|(backend, at_ms)| (backend, *at_ms));
-        times_ms.filter(|(_, at_ms)| *at_ms > self.completed_ms)
+    pub fn counted_terminations(&self) -> impl Iterator<Item = (&BackendId, CountedTermination)> {
+        let counted = self.endings.iter().filter(|(_, at_ms)| **at_ms > self.completed_ms);
+        counted.map(|(backend, at_ms)| {
+            (backend, CountedTermination { at_ms: *at_ms, exposure_ms: self.exposure_ms(backend) })
+        })
     }
 
     /// Whether enough terminations count for the request to be held.
     pub fn reaches_hold_threshold(&self) -> bool {
-        self.counted_terminations().count() >= TERMINATIONS_UNTIL_HELD
+        independent_times(self.counted_terminations().map(|(_, one)| one)).len() >= TERMINATIONS_UNTIL_HELD
     }
 
     /// The time from which the retention period is measured.
--- /dev/null
+++ b/crates/beamwall-quarantine/tests/survivals.rs
@@ -0,0 +1,188 @@
+//! What back ends that live tell of suspects: which terminations count no more, and which never did by themselves.
+
+use std::time::Duration;
+
+use arbtest::arbitrary::Unstructured;
+use beamwall_model::BackendId;
+use beamwall_quarantine::limits::{
+    EXPOSURES_KNOWN_AFTER, LATE_EXPOSURE, SURVIVAL_MARGIN, TRIAL_DELAYS_SIMULTANEOUS,
+};
+use beamwall_quarantine::{
+    BackEndExposures, Completion, Evidence, Fingerprint, OpenSuspect, QuarantineRegistry, RequestStatus,
+    SoundParts, Survival, Termination,
+};
+use beamwall_seeds::on_seeds;
+
+const START_MS: u64 = 1_700_000_000_000;
+const SUSPECT: Fingerprint = Fingerprint::new([7; 16]);
+
+fn ms(duration: Duration) -> u64 {
+    duration.as_millis() as u64
+}
+
+fn engine(number: usize) -> BackendId {
+    BackendId::new(format!("i-{number}"))
+}
+
+/// Records terminations at these times after the start, each with the exposure.
+fn note_terminations(registry: &QuarantineRegistry, terminations: &[(u64, u64)]) {
+    for (number, (after_ms, exposure_ms)) in terminations.iter().enumerate() {
+        let open = [OpenSuspect { suspect: SUSPECT, exposure_ms: *exposure_ms }];
+        registry.note_termination_after(&engine(number), &open, START_MS + after_ms);
+    }
+}
+
+/// Guards against: engines that write on go unheard until an answer is whole.
+#[test]
+fn an_engine_that_writes_for_longer_frees_a_suspect() {
+    let registry = QuarantineRegistry::default();
+    note_terminations(&registry, &[(0, 400), (1_500, 700), (3_000, 300)]);
+    assert!(registry.is_held(&SUSPECT));
+    let later_ms = START_MS + 3_000 + ms(EXPOSURES_KNOWN_AFTER);
+    let enough_ms = 700 + ms(SURVIVAL_MARGIN);
+    assert!(!registry.note_survival(&SUSPECT, Survival::Writing(300), later_ms));
+    assert!(registry.is_held(&SUSPECT));
+    assert!(registry.note_survival(&SUSPECT, Survival::Writing(enough_ms), later_ms));
+    assert!(!registry.is_held(&SUSPECT));
+    assert!(!registry.note_survival(&SUSPECT, Survival::Writing(enough_ms), later_ms), "nothing is left");
+}
+
+/// Guards against: an engine frees a suspect before all nodes have told for how long the ended ones had run it.
+#[test]
+fn nothing_is_disproved_before_the_exposures_are_known() {
+    let registry = QuarantineRegistry::default();
+    note_terminations(&registry, &[(0, 10), (1_000, 10), (2_000, 10)]);
+    let too_early_ms = START_MS + 2_000 + ms(EXPOSURES_KNOWN_AFTER) - 1;
+    registry.note_survival(&SUSPECT, Survival::Writing(60_000), too_early_ms);
+    let exposed = OpenSuspect { suspect: SUSPECT, exposure_ms: 90_000 };
+    let late_word = BackEndExposures { backend: engine(2), suspects: vec![exposed] };
+    let evidence = Evidence { exposures: vec![late_word], ..Evidence::default() };
+    registry.merge_evidence(evidence, too_early_ms);
+    assert!(!registry.note_survival(&SUSPECT, Survival::Writing(60_000), too_early_ms + 1));
+    assert!(registry.is_suspected(&SUSPECT));
+}
+
+/// Guards against: a request that waits in an engine's queue vouches for one that ends engines as it begins.
+#[test]
+fn an_engine_that_may_not_have_begun_disproves_late_terminations_only() {
+    let (early_ms, late_ms) = (100, ms(LATE_EXPOSURE));
+    for (exposure_ms, is_freed) in [(early_ms, false), (late_ms, true)] {
+        let registry = QuarantineRegistry::default();
+        note_terminations(&registry, &[(0, exposure_ms), (2_000, exposure_ms), (4_000, exposure_ms)]);
+        assert!(registry.is_held(&SUSPECT));
+        let survival = Survival::Running(late_ms + ms(SURVIVAL_MARGIN));
+        registry.note_survival(&SUSPECT, survival, START_MS + 5_000);
+        assert_eq!(!registry.is_held(&SUSPECT), is_freed, "{exposure_ms} ms");
+    }
+}
+
+/// Guards against: a suspect that ends engines some seconds after they begin is never held.
+#[test]
+fn late_terminations_at_three_moments_hold_a_suspect_that_no_engine_survives() {
+    let registry = QuarantineRegistry::default();
+    let exposure_ms = 5_000;
+    let moments = [(0, exposure_ms), (300, exposure_ms), (2_000, exposure_ms), (2_100, exposure_ms)];
+    note_terminations(&registry, &moments);
+    assert!(!registry.is_held(&SUSPECT), "two moments");
+    registry.note_survival(&SUSPECT, Survival::Writing(exposure_ms), START_MS + 3_000);
+    note_terminations(&registry, &[moments.as_slice(), &[(4_000, exposure_ms)]].concat());
+    assert!(registry.is_held(&SUSPECT));
+}
+
+/// Guards against: engines that lose their power together hold a suspect, for good, on which they had worked for seconds.
+#[test]
+fn late_terminations_at_one_moment_count_once() {
+    let registry = QuarantineRegistry::default();
+    let together: Vec<(u64, u64)> = (0..12).map(|number| (number * 20, 2_500 + number * 500)).collect();
+    note_terminations(&registry, &together);
+    assert!(!registry.is_held(&SUSPECT));
+}
+
+/// Guards against: a caller is told for good not to send a request again, although one loss of power explains all.
+#[test]
+fn early_terminations_at_one_moment_hold_in_doubt_until_a_trial_soon_after() {
+    let registry = QuarantineRegistry::default();
+    note_terminations(&registry, &[(0, 50), (20, 90), (40, 0)]);
+    let now_ms = START_MS + 40;
+    let held = RequestStatus::Held { endings: 3, retry_after: Some(TRIAL_DELAYS_SIMULTANEOUS[0]) };
+    assert_eq!(registry.request_status(&SUSPECT, now_ms), held);
+    let due_ms = now_ms + ms(TRIAL_DELAYS_SIMULTANEOUS[0]);
+    let status = registry.request_status(&SUSPECT, due_ms);
+    assert!(matches!(status, RequestStatus::TrialDue { number: 1, is_in_doubt: true, .. }), "{status:?}");
+    // The trial ends another engine, so the case is clear.
+    registry.note_trial(&SUSPECT, 1, due_ms);
+    registry.note_termination(&engine(9), vec![SUSPECT], due_ms + 60);
+    let held = RequestStatus::Held { endings: 4, retry_after: None };
+    assert_eq!(registry.request_status(&SUSPECT, due_ms + 60), held);
+}
+
+/// Guards against: what was told of exposures is lost where a node starts with what the store or a peer keeps.
+#[test]
+fn exposures_are_kept_and_passed_on() {
+    let registry = QuarantineRegistry::default();
+    note_terminations(&registry, &[(0, 3_000), (2_000, 3_100), (4_000, 3_200)]);
+    let now_ms = START_MS + 5_000;
+    for evidence in [registry.all_evidence(), Evidence::from_suspects(registry.persistent_suspects().iter())]
+    {
+        let next = QuarantineRegistry::default();
+        next.merge_evidence(evidence, now_ms);
+        assert_eq!((next.held(), next.digest()), (registry.held(), registry.digest()));
+    }
+}
+
+/// Guards against: a part is suspected although an engine wrote on it for longer a moment ago.
+#[test]
+fn a_part_outlives_shorter_exposures_for_a_minute() {
+    let parts = SoundParts::default();
+    parts.note_written([5].into_iter(), 4_000, START_MS);
+    assert!(parts.outlives(5, 4_000 - ms(SURVIVAL_MARGIN), START_MS + 60_000));
+    assert!(!parts.outlives(5, 4_001 - ms(SURVIVAL_MARGIN), START_MS));
+    assert!(!parts.outlives(5, 0, START_MS + 60_001));
+    assert!(!parts.is_sound(5, START_MS), "no answer was whole");
+    parts.note_written([5].into_iter(), 1_000, START_MS + 1);
+    assert!(parts.outlives(5, 3_000, START_MS + 2), "the longest time counts");
+    parts.note_completed([5].into_iter(), START_MS + 3);
+    assert!(parts.outlives(5, 1_000_000, START_MS + 4));
+}
+
+fn arbitrary_evidence(input: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<Evidence> {
+    let suspect = Fingerprint::new([input.int_in_range(0..=2)?; 16]);
+    let backend = engine(input.int_in_range(0..=5)?);
+    let at_ms = START_MS + u64::from(input.int_in_range(0..=8_000_u32)?);
+    let mut evidence = Evidence::default();
+    match input.int_in_range(0..=4)? {
+        0 => evidence.completions.push(Completion { request: suspect, at_ms }),
+        1 => {
+            let exposure_ms = input.int_in_range(1..=6_000)?;
+            let suspects = vec![OpenSuspect { suspect, exposure_ms }];
+            evidence.exposures.push(BackEndExposures { backend, suspects });
+        }
+        _ => evidence.endings.push(Termination { backend, at_ms, open: vec![suspect] }),
+    }
+    Ok(evidence)
+}
+
+/// Guards against: nodes that heard the same in another order hold other requests.
+#[test]
+fn nodes_that_exchange_exposures_agree() {
+    on_seeds(2_000, |input| {
+        let nodes = [QuarantineRegistry::default(), QuarantineRegistry::default()];
+        for _ in 0..input.int_in_range(0..=30)? {
+            let receiver = usize::from(input.arbitrary::<bool>()?);
+            nodes[receiver].merge_evidence(arbitrary_evidence(input)?, START_MS);
+        }
+        // Two rounds: completions and exposures of what a node does not know yet are ignored.
+        for _ in 0..2 {
+            nodes[0].merge_evidence(nodes[1].all_evidence(), START_MS);
+            nodes[1].merge_evidence(nodes[0].all_evidence(), START_MS);
+        }
+        let sorted = |registry: &QuarantineRegistry| {
+            let mut held = registry.held();
+            held.sort_by_key(|(request, _)| *request);
+            held
+        };
+        assert_eq!(nodes[0].digest(), nodes[1].digest());
+        assert_eq!(sorted(&nodes[0]), sorted(&nodes[1]));
+        Ok(())
+    });
+}
