At the own interface, engines that write on a request speak for it, too

What callers saw: nothing reported; the same cause on a related path. A request that many callers of a tenant send was held when three engines that had written on it for seconds were lost at one moment. Single answers of plain calls tell nothing before their end here.

--- a/crates/beamwall-gateway/src/quarantine.rs
+++ b/crates/beamwall-gateway/src/quarantine.rs
@@ -277,12 +277,17 @@
         }
     }
 
-    /// Records a lost response like [`Self::note_lost`]. If the request is already suspected of a
+    /// Records a lost response like [`Self::note_lost_after`]. If the request is already suspected of a
     /// termination, also waits until the probe of this back end has ended; otherwise the next back end would
     /// be sent the request in the meantime.
-    pub async fn note_lost_and_wait(self: &Arc<Self>, request: Fingerprint, backend: &BackendId) {
+    pub async fn note_lost_and_wait(
+        self: &Arc<Self>,
+        request: Fingerprint,
+        backend: &BackendId,
+        exposure: Duration,
+    ) {
         let was_suspected = self.registry.is_suspected(&request);
-        self.note_lost(&[request], backend);
+        self.note_lost_after(exposure, &[request], backend);
         while was_suspected && self.lost_responses.is_probed(backend) && !self.is_held(&request) {
             tokio::time::sleep(PROBE_POLL_INTERVAL).await;
         }
--- a/crates/beamwall-node/src/tasks/quarantine.rs
+++ b/crates/beamwall-node/src/tasks/quarantine.rs
@@ -7,10 +7,10 @@
 use async_trait::async_trait;
 use beamwall_fleet::FleetView;
 use beamwall_gateway::quarantine::{BackendLookup, ListedBackend, Quarantine};
-use beamwall_model::BackendId;
+use beamwall_model::{BackendId, to_ms};
 use beamwall_peer::quarantine_message::QuarantineUpdate;
 use beamwall_peer::{Body, Envelope, MemberState};
-use beamwall_quarantine::{Admission, Evidence, Fingerprint, HeldRequest};
+use beamwall_quarantine::{Admission, Evidence, Fingerprint, HeldRequest, Survival};
 use beamwall_request::RequestGuard;
 
 use crate::gateway::quarantine_wire;
@@ -54,8 +54,12 @@
         self.quarantine.is_held(request)
     }
 
-    async fn note_lost(&self, request: &Fingerprint, backend: &BackendId) {
-        self.quarantine.note_lost_and_wait(*request, backend).await;
+    async fn note_lost(&self, request: &Fingerprint, backend: &BackendId, exposure: Duration) {
+        self.quarantine.note_lost_and_wait(*request, backend, exposure).await;
+    }
+
+    fn note_writing(&self, request: &Fingerprint, written_for: Duration) {
+        self.quarantine.note_survival(request, std::iter::empty(), Survival::Writing(to_ms(written_for)));
     }
 
     fn note_refused(&self, backend: &BackendId) {
--- a/crates/beamwall-node/tests/ending_requests.rs
+++ b/crates/beamwall-node/tests/ending_requests.rs
@@ -13,7 +13,8 @@
 use beamwall_lab::caller::StreamEnd;
 use beamwall_request::async_record::{AsyncRecord, AsyncWork};
 use serde_json::json;
-use support::{ALDER_KEY, BIRCH_KEY, Cluster, Plan, question, wait_until};
+use support::{ALDER_KEY, BIRCH_KEY, Cluster, Plan, TestEngine, question, wait_until};
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 
 /// Text under which back ends end.
@@ -24,6 +25,8 @@
 const PAUSE: Duration = Duration::from_millis(500);
 /// Ends of back ends after which a request is known for what it is.
 const ENDS_UNTIL_KNOWN: usize = 3;
+/// Callers that send one request.
+const CALLERS_OF_ONE_REQUEST: usize = 18;
 /// Times that a request may be taken over from nodes that died with it, plus one.
 const MOST_HOLDERS: u32 = 4;
 
@@ -77,6 +80,33 @@
     assert_eq!(answer.status, 200);
 }
 
+/// Guards against: a request that many callers send is refused, since engines that had written on it for seconds lost their power.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_engines_wrote_on_for_seconds_is_not_held_when_three_lose_power_at_once() {
+    let (cluster, _) = start().await;
+    // Far more tokens than an engine makes before the test ends.
+    let same = question(0, 2_000);
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS_OF_ONE_REQUEST {
+        let caller = cluster.nodes[number % 3].caller(ALDER_KEY);
+        let same = same.clone();
+        callers.spawn(async move { caller.stream(&same).await });
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let is_busy = |engine: &&TestEngine| !engine.engine.ran().is_empty();
+    let busy: Vec<&TestEngine> = cluster.engines.iter().filter(is_busy).take(ENDS_UNTIL_KNOWN).collect();
+    assert_eq!(busy.len(), ENDS_UNTIL_KNOWN, "the request runs at several engines");
+    busy.iter().for_each(|engine| engine.engine.ending().end_now());
+    let until = Instant::now() + Duration::from_secs(2);
+    while Instant::now() < until {
+        for node in &cluster.nodes {
+            let held = node.shared().quarantine.quarantine.registry.held();
+            assert!(held.is_empty(), "{held:?}");
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// An asynchronous request that ends the nodes that hold it was taken over by one after the other.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_asynchronous_request_is_not_taken_over_for_ever() {
--- a/crates/beamwall-request/src/dispatcher.rs
+++ b/crates/beamwall-request/src/dispatcher.rs
@@ -187,7 +187,9 @@
                 },
             };
             let before = state.token_count();
-            let input = AttemptInput { request, state, route: &route, blocks: &blocks, metrics };
+            let fingerprint = &guarded.fingerprint;
+            let input = AttemptInput { request, fingerprint, state, route: &route, blocks: &blocks, metrics };
+            let sent_at = Instant::now();
             let result = self.attempt(&input).await;
             let progressed = state.token_count() > before;
             match result {
@@ -205,7 +207,8 @@
                 AttemptEnd::Refused => self.guard.note_refused(&route.backend.backend.id),
                 AttemptEnd::Broken => {
                     may_have_run = true;
-                    self.guard.note_lost(&guarded.fingerprint, &route.backend.backend.id).await;
+                    let backend = &route.backend.backend.id;
+                    self.guard.note_lost(fingerprint, backend, sent_at.elapsed()).await;
                     if !guarded.may_go_on(self.guard.as_ref()) {
                         return End::unknown("back ends end under this request");
                     }
--- a/crates/beamwall-request/src/plain_call.rs
+++ b/crates/beamwall-request/src/plain_call.rs
@@ -202,13 +202,15 @@
             let route =
                 self.route_call(call, &excluded).map_err(|error| not_run(&error.to_string(), RETRY_AFTER))?;
             let backend = route.backend.clone();
+            let sent_at = Instant::now();
             match self.send_to(call, &backend, attempt).await {
                 Ok(response) if refused_before_running(&response) => {}
                 Ok(response) => return Ok((response, route)),
                 Err(SendFailure::Pool(PoolError::Refused(_))) => self.guard.note_refused(&backend.backend.id),
                 Err(SendFailure::Pool(error)) if error.nothing_sent() => {}
                 Err(failure) => {
-                    self.guard.note_lost(&call.fingerprint(), &backend.backend.id).await;
+                    let exposure = sent_at.elapsed();
+                    self.guard.note_lost(&call.fingerprint(), &backend.backend.id, exposure).await;
                     return Err(CallError::Unknown(failure.reason()));
                 }
             }
