Names and shapes of exposures, as a newcomer reads them

What callers saw: nothing; behaviour stays. Cause: the read-through of the change: a tuple for the range of exposures, a filter that changed what it closes over, a method named like the field that it sets, a comment line beyond the width. Change: two named fields, a plain loop, with_exposure_since, the line broken.

--- a/crates/beamwall-gateway/src/failover.rs
+++ b/crates/beamwall-gateway/src/failover.rs
@@ -26,8 +26,8 @@
 }
 
 impl FailedAttempt {
-    /// The same, of a request that was sent at this time, by the process clock.
-    pub(crate) fn sent_at(mut self, sent_at: Instant) -> Self {
+    /// The same, with the exposure of the back end to a request that was sent at this time, by the process clock.
+    pub(crate) fn with_exposure_since(mut self, sent_at: Instant) -> Self {
         self.failure.exposure = process_clock::now().duration_since(sent_at);
         self
     }
--- a/crates/beamwall-gateway/src/quarantine.rs
+++ b/crates/beamwall-gateway/src/quarantine.rs
@@ -391,7 +391,7 @@
                 fingerprint: request.to_string(),
                 endings: held.endings.to_string(),
                 independent: held.independent_endings.to_string(),
-                exposures_ms: format!("{}-{}", held.exposures_ms.0, held.exposures_ms.1),
+                exposures_ms: format!("{}-{}", held.shortest_exposure_ms, held.longest_exposure_ms),
                 in_doubt: held.is_in_doubt.to_string(),
                 trials: held.trials.to_string(),
             });
--- a/crates/beamwall-gateway/src/stream/mod.rs
+++ b/crates/beamwall-gateway/src/stream/mod.rs
@@ -117,9 +117,10 @@
 ) -> Result<AttemptStart, FailedAttempt> {
     let sent_at = process_clock::now();
     let started = open_and_wait(forwarder, call, choice, permit, resume, attempts, sent_at).await;
-    started.map_err(|failed| failed.sent_at(sent_at))
+    started.map_err(|failed| failed.with_exposure_since(sent_at))
 }
 
+/// The attempt itself; `sent_at`: when it began, by the process clock.
 async fn open_and_wait(
     forwarder: &Arc<Forwarder>,
     call: &Call,
--- a/crates/beamwall-gateway/src/stream/relay.rs
+++ b/crates/beamwall-gateway/src/stream/relay.rs
@@ -120,7 +120,7 @@
                     Err(MovedStreamEnd::Failed(failed)) => failed,
                 },
             };
-            match self.resume_elsewhere(&choice, continued_after, failed.sent_at(sent_at)).await {
+            match self.resume_elsewhere(&choice, continued_after, failed.with_exposure_since(sent_at)).await {
                 Some(started) => {
                     self.returned = false;
                     source = started.source;
--- a/crates/beamwall-gateway/src/unary.rs
+++ b/crates/beamwall-gateway/src/unary.rs
@@ -60,7 +60,7 @@
             },
             Err(failed) => failed,
         };
-        let failed = failed.sent_at(sent_at);
+        let failed = failed.with_exposure_since(sent_at);
         next = attempts.continue_after_failure(forwarder, call, &choice, failed).await;
     }
     match failed_response {
--- a/crates/beamwall-quarantine/src/common_cause.rs
+++ b/crates/beamwall-quarantine/src/common_cause.rs
@@ -33,23 +33,23 @@
     }
 }
 
-/// Returns the times, in ascending order, of the terminations that have no cause in common.
+/// Returns the times, in ascending order, of the terminations that have no cause in common. Of late terminations
+/// that occurred at about the same time, the first one stands for all.
 pub fn independent_times(terminations: impl Iterator<Item = CountedTermination>) -> Vec<u64> {
     let mut terminations: Vec<CountedTermination> = terminations.collect();
     terminations.sort_unstable_by_key(|one| one.at_ms);
-    let mut merged_until_ms = None;
-    let is_independent = |one: &CountedTermination| {
-        if !one.is_late() {
-            return true;
+    let mut times_ms = Vec::new();
+    let mut late_merged_until_ms = 0;
+    for one in terminations {
+        if one.is_late() {
+            if one.at_ms <= late_merged_until_ms {
+                continue;
+            }
+            late_merged_until_ms = one.at_ms.saturating_add(to_ms(LATE_TERMINATIONS_MERGED_WITHIN));
         }
-        let is_merged = merged_until_ms.is_some_and(|until_ms| one.at_ms <= until_ms);
-        if !is_merged {
-            merged_until_ms = Some(one.at_ms.saturating_add(to_ms(LATE_TERMINATIONS_MERGED_WITHIN)));
-        }
-        !is_merged
-    };
-    let independent: Vec<CountedTermination> = terminations.into_iter().filter(is_independent).collect();
-    independent.iter().map(|one| one.at_ms).collect()
+        times_ms.push(one.at_ms);
+    }
+    times_ms
 }
 
 /// Whether all terminations occurred at one moment, so that one cause outside may explain them all.
--- a/crates/beamwall-quarantine/src/hold_decision.rs
+++ b/crates/beamwall-quarantine/src/hold_decision.rs
@@ -9,9 +9,9 @@
 //!   other requests;
 //! - terminations after which other back ends wrote on, or that probably have one cause, are no evidence of their
 //!   own ([`crate::common_cause`]);
-//! - a request that shares all its terminations with another held request is held in doubt and retried
-//!   soon, and so is one whose terminations all occurred at one moment. All held requests are in doubt while most terminations are explained by no held request, for
-//!   example when machines are reclaimed one after another.
+//! - a request that shares all its terminations with another held request is held in doubt and retried soon,
+//!   and so is one whose terminations all occurred at one moment. All held requests are in doubt while most
+//!   terminations are explained by no held request, for example when machines are reclaimed one after another.
 //!
 //! A held request is not exposed to further terminations, while an innocent request that is resent is
 //! exposed to those of other culprits. A termination attributed to a held request is therefore not
@@ -41,8 +41,10 @@
     pub endings: usize,
     /// Number of them that have no cause in common.
     pub independent_endings: usize,
-    /// The shortest and the longest time for which these back ends ran the request, in milliseconds; 0 if unknown.
-    pub exposures_ms: (u64, u64),
+    /// The shortest time for which one of these back ends ran the request, in milliseconds; 0 if unknown.
+    pub shortest_exposure_ms: u64,
+    /// The longest time for which one of these back ends ran the request, in milliseconds; 0 if unknown.
+    pub longest_exposure_ms: u64,
     /// Whether another request, or another cause, may explain all of them.
     pub is_in_doubt: bool,
     /// Number of trials granted.
@@ -106,9 +108,8 @@
         independent_times(selected.map(|(_, termination)| *termination)).len()
     }
 
-    fn exposure_range_ms(&self) -> (u64, u64) {
-        let exposures_ms = || self.terminations.values().map(|one| one.exposure_ms);
-        (exposures_ms().min().unwrap_or(0), exposures_ms().max().unwrap_or(0))
+    fn exposures_ms(&self) -> impl Iterator<Item = u64> {
+        self.terminations.values().map(|one| one.exposure_ms)
     }
 
     fn doubt(&self, confirmed: &[&Candidate<'_>], has_other_causes: bool) -> Doubt {
@@ -216,7 +217,8 @@
     HoldState {
         endings: one.terminations.len(),
         independent_endings: one.independent_terminations(|_| true),
-        exposures_ms: one.exposure_range_ms(),
+        shortest_exposure_ms: one.exposures_ms().min().unwrap_or(0),
+        longest_exposure_ms: one.exposures_ms().max().unwrap_or(0),
         is_in_doubt: doubt != Doubt::None,
         trials: one.suspect.trials,
         next_trial_ms: one.next_trial_ms(doubt),
