A node looks whether its start is the deployment's first one before it contends for the lease

What callers saw: after all gateways of a young deployment were killed, those who don't name their first try got 503 for each stream, although engines were only ever of one version. Cause: a first start is one without stored versions and without a lease; the node that took the lease looked for both in another task, and where it was slower it took its own lease for an earlier node's. Change: the duties begin once the stored versions were read; restore runs once for both tasks. The stand-in store can answer reads of one object later.

--- a/crates/beamwall-node/src/gateway/duties/mod.rs
+++ b/crates/beamwall-node/src/gateway/duties/mod.rs
@@ -175,6 +175,8 @@
     /// Contends for the lease and performs the duties that are due while holding it, until the task is
     /// aborted.
     pub async fn run(mut self) {
+        // A lease in the store says that this is not the first start, so it is not taken before this node has looked.
+        self.stored.versions.restore().await;
         let (lease, state) = Lease::with_store(LEASE_NAME, self.node.clone(), self.objects.clone());
         let lease = lease.with_address(self.address).with_checkpoint(self.checkpointer.clone());
         let _contending = AbortOnDrop(tokio::spawn(contend(
--- a/crates/beamwall-node/src/gateway/stored_versions.rs
+++ b/crates/beamwall-node/src/gateway/stored_versions.rs
@@ -15,6 +15,7 @@
 use beamwall_stream_origin::VersionAge;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use tokio::sync::OnceCell;
 use tokio::time::Instant;
 
 use crate::gateway::duties::LEASE_NAME;
@@ -55,17 +56,28 @@
     /// What this node wrote or read last, and the store's era in which it did: a later era may have lost it.
     written: Mutex<Option<(u64, StoredVersions)>>,
     write_throttle: Throttle,
+    restored: OnceCell<()>,
 }
 
 impl VersionStorage {
     /// Stores the history of `gateway`.
     pub fn new(objects: Arc<dyn VersionedObjects>, gateway: Arc<Gateway>) -> Self {
-        Self { objects, gateway, written: Mutex::default(), write_throttle: Throttle::default() }
+        Self {
+            objects,
+            gateway,
+            written: Mutex::default(),
+            write_throttle: Throttle::default(),
+            restored: OnceCell::new(),
+        }
     }
 
-    /// Restores the stored versions at the start. Without them, a stream that no peer knows is refused for as
-    /// long as a stream may last.
+    /// Restores the stored versions at the start, once; every caller waits until that is done. Without them, a
+    /// stream that no peer knows is refused for as long as a stream may last.
     pub async fn restore(&self) {
+        self.restored.get_or_init(|| self.read_stored()).await;
+    }
+
+    async fn read_stored(&self) {
         match read_at_start(self.objects.as_ref(), KEY, log_not_stored).await {
             ReadAtStart::Found(object) => self.merge(&parse(&object)),
             ReadAtStart::Absent if self.is_first_start().await => {
