A disproof makes a part only as sound at peers as what its survivor has proved

Cause: disproofs are told as completions, and a node takes a part for sound for a minute after a peer's completion. Change: a completion tells its basis (a whole answer; survived while writing, or running, and how long; recorded earlier). Peers note the time written, and nothing for the others. Earlier builds pass over the new fields. earlier_builds.rs and the two generators of evidence name the new fields; they compare as before. The part of a test that two now share is a method of the scene.

--- a/crates/beamwall-gateway/src/quarantine.rs
+++ b/crates/beamwall-gateway/src/quarantine.rs
@@ -20,8 +20,8 @@
 use beamwall_model::{BackendId, to_ms};
 use beamwall_quarantine::limits::SURVIVAL_MARGIN;
 use beamwall_quarantine::{
-    Admission, Evidence, Fingerprint, HeldRequest, OpenSuspect, QuarantineRegistry, RequestStatus,
-    SoundParts, Survival,
+    Admission, Completion, CompletionBasis, Evidence, Fingerprint, HeldRequest, OpenSuspect,
+    QuarantineRegistry, RequestStatus, SoundParts, Survival,
 };
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -345,8 +345,9 @@
     /// peers and sound here is told to them.
     pub fn merge_evidence(&self, evidence: Evidence) -> Evidence {
         let now_ms = self.now_ms();
-        let completed = evidence.completions.iter().filter_map(|completion| completion.request.part());
-        self.sound_parts.note_completed(completed, now_ms);
+        for completion in &evidence.completions {
+            self.note_sound(completion, now_ms);
+        }
         let new = self.registry.merge_evidence(evidence, now_ms);
         for suspect in new.endings.iter().flat_map(|termination| &termination.open) {
             if suspect.part().is_some_and(|part| self.sound_parts.is_sound(part, now_ms)) {
@@ -357,6 +358,19 @@
         new
     }
 
+    /// Takes a part for as sound as a peer tells: one that back ends wrote on for some time has proved less than one with a whole
+    /// answer, and one that they may not have begun has proved nothing.
+    fn note_sound(&self, completion: &Completion, now_ms: u64) {
+        let part = completion.request.part().into_iter();
+        match completion.basis {
+            CompletionBasis::Completed => self.sound_parts.note_completed(part, now_ms),
+            CompletionBasis::Survived(Survival::Writing(written_ms)) => {
+                self.sound_parts.note_written(part, written_ms, now_ms);
+            }
+            CompletionBasis::Survived(Survival::Running(_)) | CompletionBasis::Recorded => {}
+        }
+    }
+
     /// Removes expired evidence.
     pub fn remove_expired(&self) {
         self.registry.remove_expired(self.now_ms());
--- a/crates/beamwall-gateway/tests/quarantine_parts.rs
+++ b/crates/beamwall-gateway/tests/quarantine_parts.rs
@@ -14,7 +14,10 @@
 use beamwall_gateway::{Directory, Prompt, PromptPart, RemovalCause};
 use beamwall_http::Pool;
 use beamwall_model::BackendId;
-use beamwall_quarantine::{Admission, Fingerprint, FingerprintHasher, QuarantineRegistry};
+use beamwall_quarantine::limits::{EXPOSURES_KNOWN_AFTER, LATE_TERMINATIONS_MERGED_WITHIN};
+use beamwall_quarantine::{
+    Admission, Fingerprint, FingerprintHasher, QuarantineRegistry, Survival, TERMINATIONS_UNTIL_HELD,
+};
 
 const DEADLY: u64 = 0xdead;
 const SHARED: [u64; 3] = [0xc0ffee, 0xaa01, 0xaa02];
@@ -77,12 +80,17 @@
 
     /// An engine terminates while requests with these parts are open at nodes, and all are told.
     async fn terminate(&mut self, engine: usize, open: &[(usize, &[u64])]) {
+        self.terminate_after(Duration::ZERO, engine, open).await;
+    }
+
+    /// The same, of requests that were sent so long before.
+    async fn terminate_after(&mut self, exposure: Duration, engine: usize, open: &[(usize, &[u64])]) {
         // Two terminations are not at the same millisecond.
         tokio::time::sleep(Duration::from_millis(2)).await;
         let engine = BackendId::new(format!("i-{engine}"));
         for (node, parts) in open {
             let (suspects, _) = self.request(parts);
-            self.nodes[*node].note_lost(&suspects, &engine);
+            self.nodes[*node].note_lost_after(exposure, &suspects, &engine);
             self.nodes[*node].note_terminated(&engine);
         }
         self.exchange();
@@ -167,6 +175,29 @@
     assert_eq!(fleet.holding(DEADLY), 3);
 }
 
+/// Guards against: a part is sound for a minute at all nodes, since one of them has seen an engine survive it for longer than
+/// another one that was lost.
+#[tokio::test]
+async fn a_part_whose_terminations_are_disproved_is_held_for_later_ones_that_are_not() {
+    let survivals = [Survival::Writing(1_300), Survival::Running(3_300)];
+    for (survival, lost_after_ms) in survivals.into_iter().zip([100, 2_100]) {
+        let mut fleet = Fleet::new(3);
+        let deadly = [DEADLY];
+        fleet.terminate_after(Duration::from_millis(lost_after_ms), 0, &[(0, &deadly)]).await;
+        tokio::time::sleep(EXPOSURES_KNOWN_AFTER).await;
+        let (request, _) = fleet.request(&deadly);
+        fleet.nodes[1].note_survival(&request[0], [DEADLY].into_iter(), survival);
+        fleet.exchange();
+        assert!(!fleet.nodes[2].registry.is_suspected(&Fingerprint::of_part(DEADLY)), "it is disproved");
+        for engine in 1..=TERMINATIONS_UNTIL_HELD {
+            let exposure = Duration::from_millis(survival.time_ms());
+            fleet.terminate_after(exposure, engine, &[(engine % 3, &deadly)]).await;
+            tokio::time::sleep(LATE_TERMINATIONS_MERGED_WITHIN).await;
+        }
+        assert_eq!(fleet.holding(DEADLY), 3, "{survival:?}");
+    }
+}
+
 /// Guards against: of two deadly parts that share engines, the rare one is never held.
 #[tokio::test]
 async fn a_rare_deadly_part_is_held_beside_a_frequent_one() {
--- a/crates/beamwall-node/src/gateway/quarantine_wire.rs
+++ b/crates/beamwall-node/src/gateway/quarantine_wire.rs
@@ -2,11 +2,12 @@
 
 use beamwall_model::BackendId;
 use beamwall_peer::quarantine_message::{
-    CompletionMessage, ExposuresMessage, QuarantineUpdate, TerminationMessage, TrialMessage,
+    CompletionKind, CompletionMessage, ExposuresMessage, QuarantineUpdate, TerminationMessage, TrialMessage,
 };
 use beamwall_quarantine::fingerprint::FINGERPRINT_BYTES;
 use beamwall_quarantine::{
-    BackEndExposures, Completion, Evidence, Fingerprint, OpenSuspect, Termination, Trial,
+    BackEndExposures, Completion, CompletionBasis, Evidence, Fingerprint, OpenSuspect, Survival, Termination,
+    Trial,
 };
 
 /// Encodes evidence.
@@ -16,9 +17,14 @@
         at_ms: termination.at_ms,
         open: termination.open.iter().flat_map(|request| *request.as_bytes()).collect(),
     };
-    let completion = |completion: &Completion| CompletionMessage {
-        request: completion.request.as_bytes().to_vec(),
-        at_ms: completion.at_ms,
+    let completion = |completion: &Completion| {
+        let (kind, survived_ms) = encode_basis(completion.basis);
+        CompletionMessage {
+            request: completion.request.as_bytes().to_vec(),
+            at_ms: completion.at_ms,
+            kind: kind.into(),
+            survived_ms,
+        }
     };
     let trial = |trial: &Trial| TrialMessage {
         request: trial.request.as_bytes().to_vec(),
@@ -38,6 +44,24 @@
     }
 }
 
+fn encode_basis(basis: CompletionBasis) -> (CompletionKind, u64) {
+    match basis {
+        CompletionBasis::Completed => (CompletionKind::Completed, 0),
+        CompletionBasis::Survived(Survival::Writing(time_ms)) => (CompletionKind::Writing, time_ms),
+        CompletionBasis::Survived(Survival::Running(time_ms)) => (CompletionKind::Running, time_ms),
+        CompletionBasis::Recorded => (CompletionKind::Recorded, 0),
+    }
+}
+
+fn decode_basis(kind: CompletionKind, survived_ms: u64) -> CompletionBasis {
+    match kind {
+        CompletionKind::Completed => CompletionBasis::Completed,
+        CompletionKind::Writing => CompletionBasis::Survived(Survival::Writing(survived_ms)),
+        CompletionKind::Running => CompletionBasis::Survived(Survival::Running(survived_ms)),
+        CompletionKind::Recorded => CompletionBasis::Recorded,
+    }
+}
+
 /// Decodes evidence; entries without a valid fingerprint are skipped.
 pub fn decode(update: &QuarantineUpdate) -> Evidence {
     let termination = |wire_entry: &TerminationMessage| Termination {
@@ -46,7 +70,8 @@
         open: wire_entry.open.chunks(FINGERPRINT_BYTES).filter_map(fingerprint).collect(),
     };
     let completion = |wire_entry: &CompletionMessage| {
-        Some(Completion { request: fingerprint(&wire_entry.request)?, at_ms: wire_entry.at_ms })
+        let basis = decode_basis(wire_entry.kind(), wire_entry.survived_ms);
+        Some(Completion { request: fingerprint(&wire_entry.request)?, at_ms: wire_entry.at_ms, basis })
     };
     let trial = |wire_entry: &TrialMessage| {
         Some(Trial {
--- a/crates/beamwall-node/tests/earlier_builds.rs
+++ b/crates/beamwall-node/tests/earlier_builds.rs
@@ -252,7 +252,11 @@
             at_ms: 1_700_000_000_003,
             open: (0..32).collect(),
         }],
-        completions: vec![CompletionMessage { request: (0..16).collect(), at_ms: 1_700_000_000_004 }],
+        completions: vec![CompletionMessage {
+            request: (0..16).collect(),
+            at_ms: 1_700_000_000_004,
+            ..CompletionMessage::default()
+        }],
         trials: vec![TrialMessage { request: (16..32).collect(), number: 2, at_ms: 1_700_000_000_005 }],
         exposures: Vec::new(),
     };
--- a/crates/beamwall-peer/src/quarantine_message.rs
+++ b/crates/beamwall-peer/src/quarantine_message.rs
@@ -1,6 +1,6 @@
 //! Messages between gateways about requests during which back ends terminated.
 
-use prost::Message;
+use prost::{Enumeration, Message};
 
 /// Evidence that the sender observed, or all evidence that it holds.
 #[derive(Clone, PartialEq, Message)]
@@ -51,15 +51,36 @@
     pub exposure_ms: Vec<u64>,
 }
 
-/// The completion of a request.
+/// Why terminations up to a time do not count against a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Enumeration)]
+#[repr(i32)]
+pub enum CompletionKind {
+    /// The request completed. Earlier releases tell nothing else.
+    Completed = 0,
+    /// A back end that terminated had been writing the response for a shorter time than another one has.
+    Writing = 1,
+    /// A back end that terminated had been running the request for a shorter time than another one has.
+    Running = 2,
+    /// One of these, at an earlier time.
+    Recorded = 3,
+}
+
+/// The completion of a request, or what shows as well that terminations have another cause. Earlier releases take both for a
+/// completion.
 #[derive(Clone, PartialEq, Message)]
 pub struct CompletionMessage {
     /// The request's fingerprint.
     #[prost(bytes = "vec", tag = "1")]
     pub request: Vec<u8>,
-    /// When the request completed, in milliseconds since 1970.
+    /// Terminations up to this time, in milliseconds since 1970, do not count.
     #[prost(uint64, tag = "2")]
     pub at_ms: u64,
+    /// Why they do not.
+    #[prost(enumeration = "CompletionKind", tag = "3")]
+    pub kind: i32,
+    /// Time for which a back end has survived the request, in milliseconds; 0 where it completed.
+    #[prost(uint64, tag = "4")]
+    pub survived_ms: u64,
 }
 
 /// A trial granted to a held request.
--- a/crates/beamwall-quarantine/src/evidence.rs
+++ b/crates/beamwall-quarantine/src/evidence.rs
@@ -74,6 +74,19 @@
     pub request: Fingerprint,
     /// The terminations up to this time do not count.
     pub at_ms: u64,
+    /// Why they do not.
+    pub basis: CompletionBasis,
+}
+
+/// Why terminations do not count against a suspect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CompletionBasis {
+    /// A back end completed the request, or a whole answer on the part.
+    Completed,
+    /// A back end survived the suspect for longer than those that terminated.
+    Survived(Survival),
+    /// One of these, at an earlier time; nothing more is remembered.
+    Recorded,
 }
 
 /// A trial of a held request.
@@ -115,7 +128,8 @@
                 exposures.entry(backend).or_default().push(exposed);
             }
             if suspect.completed_ms > 0 {
-                evidence.completions.push(Completion { request: *request, at_ms: suspect.completed_ms });
+                let (at_ms, basis) = (suspect.completed_ms, CompletionBasis::Recorded);
+                evidence.completions.push(Completion { request: *request, at_ms, basis });
             }
             if suspect.trials > 0 {
                 let trial = Trial { request: *request, number: suspect.trials, at_ms: suspect.trial_ms };
--- a/crates/beamwall-quarantine/src/lib.rs
+++ b/crates/beamwall-quarantine/src/lib.rs
@@ -34,7 +34,9 @@
 pub mod suspect;
 
 pub use admission::{Admission, HeldRequest};
-pub use evidence::{BackEndExposures, Completion, Evidence, OpenSuspect, Survival, Termination, Trial};
+pub use evidence::{
+    BackEndExposures, Completion, CompletionBasis, Evidence, OpenSuspect, Survival, Termination, Trial,
+};
 pub use fingerprint::{Fingerprint, FingerprintHasher};
 pub use limits::TERMINATIONS_UNTIL_HELD;
 pub use registry::{QuarantineRegistry, RequestStatus};
--- a/crates/beamwall-quarantine/src/registry.rs
+++ b/crates/beamwall-quarantine/src/registry.rs
@@ -8,7 +8,9 @@
 use beamwall_model::{BackendId, to_ms};
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::evidence::{BackEndExposures, Completion, Evidence, OpenSuspect, Survival, Termination, Trial};
+use crate::evidence::{
+    BackEndExposures, Completion, CompletionBasis, Evidence, OpenSuspect, Survival, Termination, Trial,
+};
 use crate::fingerprint::Fingerprint;
 use crate::hold_decision::{self, HoldState};
 use crate::limits::{MAX_SUSPECTS, MAX_UNATTRIBUTED_TERMINATIONS, SUSPECT_RETENTION};
@@ -172,7 +174,8 @@
         let Some(until_ms) = known.and_then(|known| known.disproved_until_ms(survival, now_ms)) else {
             return false;
         };
-        let disproof = Completion { request: *suspect, at_ms: until_ms };
+        let basis = CompletionBasis::Survived(survival);
+        let disproof = Completion { request: *suspect, at_ms: until_ms, basis };
         self.note(Evidence { completions: vec![disproof], ..Evidence::default() }, now_ms)
     }
 
@@ -198,7 +201,7 @@
         if !self.is_suspected(request) {
             return false;
         }
-        let completion = Completion { request: *request, at_ms: now_ms };
+        let completion = Completion { request: *request, at_ms: now_ms, basis: CompletionBasis::Completed };
         self.note(Evidence { completions: vec![completion], ..Evidence::default() }, now_ms)
     }
 
--- a/crates/beamwall-quarantine/tests/registry.rs
+++ b/crates/beamwall-quarantine/tests/registry.rs
@@ -8,7 +8,7 @@
     HOLD_RETENTION, MAX_SUSPECTS, SUSPECT_RETENTION, TRIAL_DELAYS, TRIAL_DELAYS_IN_DOUBT,
 };
 use beamwall_quarantine::{
-    Completion, Evidence, Fingerprint, FingerprintHasher, QuarantineRegistry, RequestStatus,
+    Completion, CompletionBasis, Evidence, Fingerprint, FingerprintHasher, QuarantineRegistry, RequestStatus,
     TERMINATIONS_UNTIL_HELD, Termination, Trial,
 };
 use beamwall_seeds::on_seeds;
@@ -227,7 +227,9 @@
     let named = request(names[input.int_in_range(0..=3)?]);
     let mut evidence = Evidence::default();
     match input.int_in_range(0..=5)? {
-        0 => evidence.completions.push(Completion { request: named, at_ms }),
+        0 => {
+            evidence.completions.push(Completion { request: named, at_ms, basis: CompletionBasis::Completed })
+        }
         1 => evidence.trials.push(Trial { request: named, number: input.int_in_range(1..=2)?, at_ms }),
         _ => {
             let mut open = vec![named];
--- a/crates/beamwall-quarantine/tests/survivals.rs
+++ b/crates/beamwall-quarantine/tests/survivals.rs
@@ -8,8 +8,8 @@
     EXPOSURES_KNOWN_AFTER, LATE_EXPOSURE, SURVIVAL_MARGIN, TRIAL_DELAYS_SIMULTANEOUS,
 };
 use beamwall_quarantine::{
-    BackEndExposures, Completion, Evidence, Fingerprint, OpenSuspect, QuarantineRegistry, RequestStatus,
-    SoundParts, Survival, Termination,
+    BackEndExposures, Completion, CompletionBasis, Evidence, Fingerprint, OpenSuspect, QuarantineRegistry,
+    RequestStatus, SoundParts, Survival, Termination,
 };
 use beamwall_seeds::on_seeds;
 
@@ -151,7 +151,11 @@
     let at_ms = START_MS + u64::from(input.int_in_range(0..=8_000_u32)?);
     let mut evidence = Evidence::default();
     match input.int_in_range(0..=4)? {
-        0 => evidence.completions.push(Completion { request: suspect, at_ms }),
+        0 => evidence.completions.push(Completion {
+            request: suspect,
+            at_ms,
+            basis: CompletionBasis::Completed,
+        }),
         1 => {
             let exposure_ms = input.int_in_range(1..=6_000)?;
             let suspects = vec![OpenSuspect { suspect, exposure_ms }];
