What a back end wrote on a part before it terminated proves nothing for that part

Cause: the time written on a part was kept for a minute, also where the engine that wrote it terminated. Change: a termination whose exposure is as long as the time written on the part takes that back, here and at peers. The margin of a survival is compared in one place.

--- a/crates/beamwall-gateway/src/quarantine.rs
+++ b/crates/beamwall-gateway/src/quarantine.rs
@@ -349,6 +349,7 @@
             self.note_sound(completion, now_ms);
         }
         let new = self.registry.merge_evidence(evidence, now_ms);
+        new.exposures.iter().for_each(|exposures| self.forget_written(&exposures.suspects));
         for suspect in new.endings.iter().flat_map(|termination| &termination.open) {
             if suspect.part().is_some_and(|part| self.sound_parts.is_sound(part, now_ms)) {
                 self.note_completed(suspect);
@@ -358,6 +359,15 @@
         new
     }
 
+    /// A back end that terminated with these suspects open has survived none of them.
+    fn forget_written(&self, open: &[OpenSuspect]) {
+        for exposed in open {
+            if let Some(part) = exposed.suspect.part() {
+                self.sound_parts.note_terminated(part, exposed.exposure_ms);
+            }
+        }
+    }
+
     /// Takes a part for as sound as a peer tells: one that back ends wrote on for some time has proved less than one with a whole
     /// answer, and one that they may not have begun has proved nothing.
     fn note_sound(&self, completion: &Completion, now_ms: u64) {
@@ -382,6 +392,7 @@
             let outlives = |part| self.sound_parts.outlives(part, open.exposure_ms, at_ms);
             !open.suspect.part().is_some_and(outlives)
         });
+        self.forget_written(&open);
         let join = |field: fn(&OpenSuspect) -> String| open.iter().map(field).collect::<Vec<_>>().join(",");
         emit(&BackendEnded {
             backend: backend.to_string(),
--- a/crates/beamwall-gateway/tests/quarantine_parts.rs
+++ b/crates/beamwall-gateway/tests/quarantine_parts.rs
@@ -198,6 +198,23 @@
     }
 }
 
+/// Guards against: a part passes for a minute since an engine wrote on it for some time, although that engine ended under it.
+#[tokio::test]
+async fn what_an_engine_wrote_before_it_terminated_proves_nothing() {
+    for nodes_that_see in [[0, 0, 0], [0, 1, 2]] {
+        let mut fleet = Fleet::new(3);
+        let deadly = [DEADLY];
+        let (request, _) = fleet.request(&deadly);
+        fleet.nodes.iter().for_each(|node| {
+            node.note_survival(&request[0], [DEADLY].into_iter(), Survival::Writing(1_900));
+        });
+        for (engine, (node, exposure_ms)) in nodes_that_see.into_iter().zip([1_950, 400, 600]).enumerate() {
+            fleet.terminate_after(Duration::from_millis(exposure_ms), engine, &[(node, &deadly)]).await;
+        }
+        assert_eq!(fleet.holding(DEADLY), 3, "seen by {nodes_that_see:?}");
+    }
+}
+
 /// Guards against: of two deadly parts that share engines, the rare one is never held.
 #[tokio::test]
 async fn a_rare_deadly_part_is_held_beside_a_frequent_one() {
--- a/crates/beamwall-quarantine/src/common_cause.rs
+++ b/crates/beamwall-quarantine/src/common_cause.rs
@@ -28,11 +28,16 @@
     /// that may not have begun to run it proves that only of a late termination.
     pub fn is_disproved_by(&self, survival: Survival) -> bool {
         let has_begun = matches!(survival, Survival::Writing(_));
-        (has_begun || self.is_late())
-            && survival.time_ms() >= self.exposure_ms.saturating_add(to_ms(SURVIVAL_MARGIN))
+        (has_begun || self.is_late()) && outlives(survival.time_ms(), self.exposure_ms)
     }
 }
 
+/// Whether a back end that has survived a suspect for `survived_ms` has passed the point at which one terminated after
+/// `exposure_ms`.
+pub(crate) fn outlives(survived_ms: u64, exposure_ms: u64) -> bool {
+    survived_ms >= exposure_ms.saturating_add(to_ms(SURVIVAL_MARGIN))
+}
+
 /// Returns the times, in ascending order, of the terminations that have no cause in common. Of late terminations
 /// that occurred at about the same time, the first one stands for all.
 pub fn independent_times(terminations: impl Iterator<Item = CountedTermination>) -> Vec<u64> {
--- a/crates/beamwall-quarantine/src/sound_parts.rs
+++ b/crates/beamwall-quarantine/src/sound_parts.rs
@@ -8,7 +8,8 @@
 
 use beamwall_model::to_ms;
 
-use crate::limits::SURVIVAL_MARGIN;
+use crate::common_cause::outlives;
+
 /// Number of parts that are remembered. A part may displace another one, which is then known again at its
 /// next completion.
 const SLOTS: usize = 1 << SLOT_BITS;
@@ -69,6 +70,16 @@
         }
     }
 
+    /// Records that a back end terminated that had been running a part for `exposure_ms`: what it wrote on the part before proves
+    /// nothing. What a longer exposure elsewhere has proved stands, and so does a whole answer.
+    pub fn note_terminated(&self, part: u64, exposure_ms: u64) {
+        let mut slots = self.lock();
+        let slot = &mut slots[slot_of(part)];
+        if slot.part == part && slot.written_ms <= exposure_ms {
+            *slot = Slot::default();
+        }
+    }
+
     /// Whether an answer on a part was completed lately.
     pub fn is_sound(&self, part: u64, now_ms: u64) -> bool {
         let slot = self.lock()[slot_of(part)];
@@ -79,7 +90,7 @@
     /// part, since a back end wrote on it for longer lately, or a whole answer.
     pub fn outlives(&self, part: u64, exposure_ms: u64, now_ms: u64) -> bool {
         let slot = self.lock()[slot_of(part)];
-        slot.is_fresh(part, now_ms) && slot.written_ms >= exposure_ms.saturating_add(to_ms(SURVIVAL_MARGIN))
+        slot.is_fresh(part, now_ms) && outlives(slot.written_ms, exposure_ms)
     }
 }
 
--- a/crates/beamwall-quarantine/tests/survivals.rs
+++ b/crates/beamwall-quarantine/tests/survivals.rs
@@ -145,6 +145,22 @@
     assert!(parts.outlives(5, 1_000_000, START_MS + 4));
 }
 
+/// Guards against: a part is no suspect, since an engine wrote on it for some time that then ended under it.
+#[test]
+fn a_part_outlives_nothing_once_its_writer_has_terminated() {
+    let parts = SoundParts::default();
+    parts.note_written([5].into_iter(), 4_000, START_MS);
+    parts.note_terminated(5, 3_999);
+    assert!(parts.outlives(5, 1_000, START_MS), "another engine wrote on it for longer");
+    parts.note_terminated(6, 9_000);
+    assert!(parts.outlives(5, 1_000, START_MS), "another part");
+    parts.note_terminated(5, 4_000);
+    assert!(!parts.outlives(5, 1_000, START_MS));
+    parts.note_completed([5].into_iter(), START_MS);
+    parts.note_terminated(5, 9_000);
+    assert!(parts.is_sound(5, START_MS), "an answer was whole");
+}
+
 fn arbitrary_evidence(input: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<Evidence> {
     let suspect = Fingerprint::new([input.int_in_range(0..=2)?; 16]);
     let backend = engine(input.int_in_range(0..=5)?);
