The end of a back end is dated by connections that close, and its exposure goes back to the first try that left it

Cause: a try that leaves a slow engine is a lost answer as well. An end was dated by the first of a row of these, so ends of one moment looked seconds apart; and the exposure was that of the longest single try, though the engine had been running the part since the first. Change: a loss says whether the connection closed or the engine was silent; ends are dated by the former, exposures reach back to the first try remembered, and suspects are forgotten one by one after 10 s. lost_responses.rs and the others pass the kind of loss; they compare as before.

--- a/crates/beamwall-gateway/src/attempt.rs
+++ b/crates/beamwall-gateway/src/attempt.rs
@@ -15,6 +15,7 @@
 use crate::failover::FailedAttempt;
 use crate::forward::{Call, Forwarder, PermittedChoice};
 use crate::load::OpenRequestGuard;
+use crate::lost_responses::{LossKind, ResponseLoss};
 use crate::pacing;
 use crate::placement::Choice;
 use crate::ports::{ForwardHead, MemorySource, ResponseHead};
@@ -60,6 +61,8 @@
     /// Whether the connection closed or went silent before the whole response arrived, which may mean that
     /// the back end terminated.
     pub response_lost: bool,
+    /// Whether it was lost because the back end was silent for too long, not because the connection closed.
+    pub is_silent: bool,
     /// Whether no connection could be opened or used.
     pub is_connect_failure: bool,
     /// Time from sending the request until the attempt failed; zero if unknown.
@@ -78,6 +81,7 @@
             has_started: false,
             timed_out: false,
             response_lost: false,
+            is_silent: false,
             is_connect_failure: false,
             exposure: Duration::ZERO,
             reason,
@@ -90,6 +94,17 @@
         Self { response_lost: true, ..Self::may_have_run(reason) }
     }
 
+    /// A failure after which the request may have been executed, where the back end was silent for too long.
+    pub fn silent(reason: impl Into<String>) -> Self {
+        Self { is_silent: true, ..Self::lost(reason) }
+    }
+
+    /// How the response was lost; `None` if it was not.
+    pub(crate) fn loss(&self) -> Option<ResponseLoss> {
+        let kind = if self.is_silent { LossKind::Silent } else { LossKind::Closed };
+        self.response_lost.then_some(ResponseLoss { kind, exposure: self.exposure })
+    }
+
     /// The same failure, for a request that had started.
     pub fn after_start(self) -> Self {
         Self { has_started: true, ..self }
@@ -104,7 +119,7 @@
     }
 
     fn timed_out(limit: Duration) -> Self {
-        Self { timed_out: true, ..Self::lost(format!("no answer within {} ms", limit.as_millis())) }
+        Self { timed_out: true, ..Self::silent(format!("no answer within {} ms", limit.as_millis())) }
     }
 }
 
@@ -199,7 +214,7 @@
 ) -> FailedAttempt {
     forwarder.record_stream_response(call, backend, last_event, true);
     forwarder.backend_state.health.note_unreachable(backend, Instant::now());
-    let failure = AttemptFailure::lost("the engine is silent");
+    let failure = AttemptFailure::silent("the engine is silent");
     forwarder.note_reachability(&call.service, backend, Some(&failure));
     FailedAttempt { failure, next: Some(next) }
 }
--- a/crates/beamwall-gateway/src/attempts.rs
+++ b/crates/beamwall-gateway/src/attempts.rs
@@ -153,9 +153,9 @@
         backend: &BackendId,
         failure: AttemptFailure,
     ) {
-        if failure.response_lost {
+        if let Some(loss) = failure.loss() {
             let suspects: Vec<_> = call.suspects().collect();
-            forwarder.quarantine.note_lost_after(failure.exposure, &suspects, backend);
+            forwarder.quarantine.note_lost(&suspects, loss, backend);
         }
         emit(&AttemptFailed {
             request: call.log_id(),
--- a/crates/beamwall-gateway/src/lost_responses.rs
+++ b/crates/beamwall-gateway/src/lost_responses.rs
@@ -8,8 +8,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use beamwall_model::BackendId;
-use beamwall_quarantine::OpenSuspect;
+use beamwall_model::{BackendId, to_ms};
+use beamwall_quarantine::{Fingerprint, OpenSuspect};
 use tokio::time::Instant;
 
 /// Time for which a lost response is kept. A machine that goes silent is detected as dead and restarted
@@ -35,35 +35,105 @@
     Wait,
 }
 
+/// How a response was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LossKind {
+    /// Its connection closed, as at the moment at which a back end terminates.
+    Closed,
+    /// The back end was silent for too long, which a slow one is as well.
+    Silent,
+}
+
+/// The loss of a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ResponseLoss {
+    /// How it was lost.
+    pub kind: LossKind,
+    /// Time from sending the request until the loss; zero if unknown.
+    pub exposure: Duration,
+}
+
 /// Lost responses by back end.
 #[derive(Debug, Default)]
 pub struct LostResponses {
     back_ends: Mutex<HashMap<BackendId, BackendLosses>>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct BackendLosses {
-    requests: Vec<OpenSuspect>,
-    parts: Vec<OpenSuspect>,
-    /// When the first of the responses was lost that were lost together last.
-    since: Instant,
-    last: Instant,
+    requests: Vec<LostSuspect>,
+    parts: Vec<LostSuspect>,
+    closed: Option<LossPeriod>,
+    silent: Option<LossPeriod>,
     is_probed: bool,
     has_terminated: bool,
 }
 
+/// When responses were lost together in the same way.
+#[derive(Debug, Clone, Copy)]
+struct LossPeriod {
+    first: Instant,
+    last: Instant,
+}
+
+impl LossPeriod {
+    /// Records a further loss, or begins another period.
+    fn note(period: &mut Option<Self>, now: Instant) {
+        let is_together = |known: &Self| now.saturating_duration_since(known.last) <= LOST_TOGETHER_WITHIN;
+        let first = period.filter(is_together).map_or(now, |known| known.first);
+        *period = Some(Self { first, last: now });
+    }
+}
+
+/// A suspect whose responses from a back end were lost.
+#[derive(Debug)]
+struct LostSuspect {
+    suspect: Fingerprint,
+    /// When a request with it was first sent to the back end, of those whose responses were lost; `None` if unknown.
+    sent_at: Option<Instant>,
+    /// When its last response was lost.
+    last: Instant,
+}
+
 impl BackendLosses {
-    fn add(&mut self, open: OpenSuspect) {
-        let (kept, limit) = match open.suspect.part() {
+    fn add(&mut self, suspect: Fingerprint, sent_at: Option<Instant>, now: Instant) {
+        let (kept, limit) = match suspect.part() {
             None => (&mut self.requests, MAX_REQUESTS_PER_BACK_END),
             Some(_) => (&mut self.parts, MAX_PARTS_PER_BACK_END),
         };
-        if let Some(known) = kept.iter_mut().find(|other| other.suspect == open.suspect) {
-            known.exposure_ms = known.exposure_ms.max(open.exposure_ms);
+        kept.retain(|lost| is_remembered(lost.last, now));
+        if let Some(known) = kept.iter_mut().find(|other| other.suspect == suspect) {
+            known.sent_at = known.sent_at.into_iter().chain(sent_at).min();
+            known.last = now;
         } else if kept.len() < limit {
-            kept.push(open);
+            kept.push(LostSuspect { suspect, sent_at, last: now });
         }
     }
+
+    fn last(&self) -> Option<Instant> {
+        self.closed.into_iter().chain(self.silent).map(|period| period.last).max()
+    }
+
+    /// When the back end terminated, if it did: a connection that closes tells the moment, silence only that something is wrong.
+    fn terminated_at(&self) -> Option<Instant> {
+        self.closed.or(self.silent).map(|period| period.first)
+    }
+
+    /// Takes the suspects, with the exposures of a back end that terminated.
+    fn take_suspects(&mut self) -> Vec<OpenSuspect> {
+        let terminated_at = self.terminated_at();
+        let to_open = |lost: LostSuspect| {
+            let exposure =
+                terminated_at.zip(lost.sent_at).map(|(end, sent)| end.saturating_duration_since(sent));
+            OpenSuspect { suspect: lost.suspect, exposure_ms: to_ms(exposure.unwrap_or_default()) }
+        };
+        let requests = std::mem::take(&mut self.requests);
+        requests.into_iter().chain(std::mem::take(&mut self.parts)).map(to_open).collect()
+    }
+}
+
+fn is_remembered(lost_at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(lost_at) < LOSS_TTL
 }
 
 impl LostResponses {
@@ -72,36 +142,37 @@
     }
 
     /// Records that a back end's response was lost. `suspects`: the request and the shared parts of its prompt.
-    pub fn note(&self, backend: &BackendId, suspects: &[OpenSuspect], now: Instant) -> ProbeAction {
+    pub fn note(
+        &self,
+        backend: &BackendId,
+        suspects: &[Fingerprint],
+        loss: ResponseLoss,
+        now: Instant,
+    ) -> ProbeAction {
         let mut back_ends = self.lock();
-        back_ends.retain(|_, lost| now.saturating_duration_since(lost.last) < LOSS_TTL);
+        back_ends.retain(|_, lost| lost.last().is_some_and(|last| is_remembered(last, now)));
         if back_ends.len() >= MAX_BACK_ENDS && !back_ends.contains_key(backend) {
             return ProbeAction::Wait;
         }
-        let lost = back_ends.entry(backend.clone()).or_insert_with(|| BackendLosses {
-            requests: Vec::new(),
-            parts: Vec::new(),
-            since: now,
-            last: now,
-            is_probed: false,
-            has_terminated: false,
-        });
-        if now.saturating_duration_since(lost.last) > LOST_TOGETHER_WITHIN {
-            lost.since = now;
-        }
-        lost.last = now;
+        let lost = back_ends.entry(backend.clone()).or_default();
+        let period = match loss.kind {
+            LossKind::Closed => &mut lost.closed,
+            LossKind::Silent => &mut lost.silent,
+        };
+        LossPeriod::note(period, now);
         if lost.has_terminated {
             return ProbeAction::Count;
         }
-        suspects.iter().for_each(|suspect| lost.add(*suspect));
+        let sent_at = now.checked_sub(loss.exposure).filter(|_| !loss.exposure.is_zero());
+        suspects.iter().for_each(|suspect| lost.add(*suspect, sent_at, now));
         if std::mem::replace(&mut lost.is_probed, true) { ProbeAction::Wait } else { ProbeAction::Probe }
     }
 
-    /// Time for which a back end's responses have been lost: it is known to have terminated some time after it did. Zero
-    /// for a back end without lost responses.
+    /// Time since a back end with lost responses terminated, which is known some time after it did. Zero for one without lost
+    /// responses.
     pub fn lost_for(&self, backend: &BackendId, now: Instant) -> Duration {
-        let back_ends = self.lock();
-        back_ends.get(backend).map(|lost| now.saturating_duration_since(lost.since)).unwrap_or_default()
+        let terminated_at = self.lock().get(backend).and_then(BackendLosses::terminated_at);
+        terminated_at.map(|at| now.saturating_duration_since(at)).unwrap_or_default()
     }
 
     /// Whether a back end is currently probed.
@@ -122,8 +193,6 @@
         let mut back_ends = self.lock();
         let Some(lost) = back_ends.get_mut(backend) else { return Vec::new() };
         lost.has_terminated = true;
-        let mut suspects = std::mem::take(&mut lost.requests);
-        suspects.append(&mut lost.parts);
-        suspects
+        lost.take_suspects()
     }
 }
--- a/crates/beamwall-gateway/src/quarantine.rs
+++ b/crates/beamwall-gateway/src/quarantine.rs
@@ -28,7 +28,7 @@
 
 use crate::directory::Directory;
 use crate::fleet_clock::FleetClock;
-use crate::lost_responses::{LostResponses, ProbeAction};
+use crate::lost_responses::{LostResponses, ProbeAction, ResponseLoss};
 
 /// Delays before each probe of whether a back end with a lost response still accepts connections. A
 /// terminating process may close its listener some milliseconds after its connections.
@@ -248,28 +248,19 @@
     }
 
     /// Records that the response of a back end to a request was lost because the connection closed or went
-    /// silent, an unknown time after it was sent. `suspects`: the request and the shared parts of its prompt.
-    pub fn note_lost(self: &Arc<Self>, suspects: &[Fingerprint], backend: &BackendId) {
-        self.note_lost_after(Duration::ZERO, suspects, backend);
-    }
-
-    /// Records a lost response like [`Self::note_lost`], of a request that was sent `exposure` ago.
-    pub fn note_lost_after(
-        self: &Arc<Self>,
-        exposure: Duration,
-        suspects: &[Fingerprint],
-        backend: &BackendId,
-    ) {
+    /// silent. `suspects`: the request and the shared parts of its prompt.
+    pub fn note_lost(self: &Arc<Self>, suspects: &[Fingerprint], loss: ResponseLoss, backend: &BackendId) {
         if self.has_announced_departure(backend) {
             return;
         }
         // A back end that is no longer listed terminates for reasons of its own as well.
         let Some(listed) = self.backends.find(backend) else { return };
-        let exposure_ms = to_ms(exposure);
-        let open: Vec<OpenSuspect> =
-            suspects.iter().map(|suspect| OpenSuspect { suspect: *suspect, exposure_ms }).collect();
-        match self.lost_responses.note(backend, &open, Instant::now()) {
-            ProbeAction::Count => self.record_termination(backend, open, self.now_ms()),
+        match self.lost_responses.note(backend, suspects, loss, Instant::now()) {
+            ProbeAction::Count => {
+                let exposure_ms = to_ms(loss.exposure);
+                let to_open = |suspect: &Fingerprint| OpenSuspect { suspect: *suspect, exposure_ms };
+                self.record_termination(backend, suspects.iter().map(to_open).collect(), self.now_ms());
+            }
             ProbeAction::Probe => {
                 tokio::spawn(self.clone().probe(listed));
             }
@@ -277,17 +268,17 @@
         }
     }
 
-    /// Records a lost response like [`Self::note_lost_after`]. If the request is already suspected of a
+    /// Records a lost response like [`Self::note_lost`]. If the request is already suspected of a
     /// termination, also waits until the probe of this back end has ended; otherwise the next back end would
     /// be sent the request in the meantime.
     pub async fn note_lost_and_wait(
         self: &Arc<Self>,
         request: Fingerprint,
         backend: &BackendId,
-        exposure: Duration,
+        loss: ResponseLoss,
     ) {
         let was_suspected = self.registry.is_suspected(&request);
-        self.note_lost_after(exposure, &[request], backend);
+        self.note_lost(&[request], loss, backend);
         while was_suspected && self.lost_responses.is_probed(backend) && !self.is_held(&request) {
             tokio::time::sleep(PROBE_POLL_INTERVAL).await;
         }
--- a/crates/beamwall-gateway/src/stream/mod.rs
+++ b/crates/beamwall-gateway/src/stream/mod.rs
@@ -161,7 +161,7 @@
             return Err(attempt::abandon_silent(forwarder, call, &choice.backend, last_event, next));
         }
         () = call.deadline_elapsed() => {
-            Piece::Broken(AttemptFailure::lost("no first event in time"))
+            Piece::Broken(AttemptFailure::silent("no first event in time"))
         }
     };
     if let Piece::Broken(failure) = first {
--- a/crates/beamwall-gateway/src/stream/relay.rs
+++ b/crates/beamwall-gateway/src/stream/relay.rs
@@ -151,7 +151,7 @@
                     WaitOutcome::Piece(piece) => piece,
                     WaitOutcome::CallerGone => return Stop::CallerGone,
                     WaitOutcome::FailOver(next) => {
-                        let failure = AttemptFailure::lost("silent for too long");
+                        let failure = AttemptFailure::silent("silent for too long");
                         return Stop::Failed(FailedAttempt { failure, next: Some(*next) });
                     }
                     WaitOutcome::Relocation(RelocationEvent::Review) => {
@@ -254,7 +254,7 @@
             biased;
             piece = source.next_piece() => WaitOutcome::Piece(piece),
             () = sender.disconnected() => WaitOutcome::CallerGone,
-            () = time_is_up => WaitOutcome::Piece(Piece::Broken(AttemptFailure::lost("the time is up"))),
+            () = time_is_up => WaitOutcome::Piece(Piece::Broken(AttemptFailure::silent("the time is up"))),
             event = relocation.next() => WaitOutcome::Relocation(event),
             next = next_back_end => WaitOutcome::FailOver(Box::new(next)),
         }
--- a/crates/beamwall-gateway/src/unary.rs
+++ b/crates/beamwall-gateway/src/unary.rs
@@ -173,7 +173,8 @@
         }
         Err(error) => {
             forwarder.backend_state.health.note(&backend, true, Instant::now());
-            Err(AttemptFailure::lost(error.to_string()).after_start())
+            let is_silent = matches!(error, ReadError::TooSlow(_));
+            Err(AttemptFailure { is_silent, ..AttemptFailure::lost(error.to_string()) }.after_start())
         }
     }
 }
--- a/crates/beamwall-gateway/tests/quarantine.rs
+++ b/crates/beamwall-gateway/tests/quarantine.rs
@@ -8,6 +8,7 @@
 use arc_swap::ArcSwap;
 use async_trait::async_trait;
 use beamwall_engine_limits::KnownDepartures;
+use beamwall_gateway::lost_responses::{LossKind, ResponseLoss};
 use beamwall_gateway::ports::DirectorySnapshot;
 use beamwall_gateway::quarantine::{Quarantine, TrialPort};
 use beamwall_gateway::{Backend, Directory, RemovalCause};
@@ -44,6 +45,9 @@
     (Arc::new(quarantine), directory)
 }
 
+/// A connection that closed, of a request that was sent at an unknown time.
+const LOSS: ResponseLoss = ResponseLoss { kind: LossKind::Closed, exposure: Duration::ZERO };
+
 fn request() -> Fingerprint {
     FingerprintHasher::new(Some("alder"), "a.example", "/chat").finish()
 }
@@ -55,7 +59,7 @@
     update_directory(&directory, 1, names.iter().map(|name| backend(name, false)).collect());
     for name in names {
         assert_eq!(quarantine.admit(&request()).await, Ok(Admission::Normal));
-        quarantine.note_lost(&[request()], &BackendId::new(name));
+        quarantine.note_lost(&[request()], LOSS, &BackendId::new(name));
     }
     tokio::time::sleep(Duration::from_millis(500)).await;
     assert!(quarantine.admit(&request()).await.is_err());
@@ -69,7 +73,7 @@
     // An engine starts draining before its response is lost, or before its termination is known.
     update_directory(&directory, 2, names.iter().map(|name| backend(name, *name < "i-3")).collect());
     for name in names {
-        quarantine.note_lost(&[request()], &BackendId::new(name));
+        quarantine.note_lost(&[request()], LOSS, &BackendId::new(name));
     }
     update_directory(&directory, 3, names.iter().map(|name| backend(name, true)).collect());
     for name in names {
@@ -93,7 +97,7 @@
     update_directory(&directory, 1, names.iter().map(|name| backend(name, false)).collect());
     for name in names {
         departures.note(&BackendId::new(name), Instant::now());
-        quarantine.note_lost(&[request()], &BackendId::new(name));
+        quarantine.note_lost(&[request()], LOSS, &BackendId::new(name));
         quarantine.note_terminated(&BackendId::new(name));
     }
     assert_eq!(quarantine.registry.suspects(), 0);
--- a/crates/beamwall-gateway/tests/quarantine_parts.rs
+++ b/crates/beamwall-gateway/tests/quarantine_parts.rs
@@ -9,6 +9,7 @@
 use arc_swap::ArcSwap;
 use async_trait::async_trait;
 use beamwall_gateway::call::suspects;
+use beamwall_gateway::lost_responses::{LossKind, ResponseLoss};
 use beamwall_gateway::ports::DirectorySnapshot;
 use beamwall_gateway::quarantine::{Quarantine, TrialPort};
 use beamwall_gateway::{Directory, Prompt, PromptPart, RemovalCause};
@@ -90,7 +91,8 @@
         let engine = BackendId::new(format!("i-{engine}"));
         for (node, parts) in open {
             let (suspects, _) = self.request(parts);
-            self.nodes[*node].note_lost_after(exposure, &suspects, &engine);
+            let loss = ResponseLoss { kind: LossKind::Closed, exposure };
+            self.nodes[*node].note_lost(&suspects, loss, &engine);
             self.nodes[*node].note_terminated(&engine);
         }
         self.exchange();
--- a/crates/beamwall-node/src/tasks/quarantine.rs
+++ b/crates/beamwall-node/src/tasks/quarantine.rs
@@ -6,6 +6,7 @@
 use arc_swap::ArcSwap;
 use async_trait::async_trait;
 use beamwall_fleet::FleetView;
+use beamwall_gateway::lost_responses::{LossKind, ResponseLoss};
 use beamwall_gateway::quarantine::{BackendLookup, ListedBackend, Quarantine};
 use beamwall_model::{BackendId, to_ms};
 use beamwall_peer::quarantine_message::QuarantineUpdate;
@@ -55,7 +56,8 @@
     }
 
     async fn note_lost(&self, request: &Fingerprint, backend: &BackendId, exposure: Duration) {
-        self.quarantine.note_lost_and_wait(*request, backend, exposure).await;
+        let loss = ResponseLoss { kind: LossKind::Closed, exposure };
+        self.quarantine.note_lost_and_wait(*request, backend, loss).await;
     }
 
     fn note_writing(&self, request: &Fingerprint, written_for: Duration) {
