One type tells for how long a back end has been writing a response

What callers saw: nothing; behaviour stays. Cause: first, last and reported times, and the pause between two reports, stood in the source of a stream and in the pace of tokens. A survival copied what is known of its suspect.

--- a/crates/beamwall-gateway/src/stream/source.rs
+++ b/crates/beamwall-gateway/src/stream/source.rs
@@ -4,6 +4,7 @@
 
 use beamwall_clock::process_clock;
 use beamwall_http::PooledBody;
+use beamwall_quarantine::WritingProgress;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use tokio::time::Instant;
@@ -36,23 +37,10 @@
     pub(super) continued_after: Option<u64>,
     /// When the request was sent, by the process clock.
     pub(super) sent_at: Instant,
-    /// When the first and the last events were read.
-    written: Option<WritingTimes>,
+    /// By the clock that counts only while this process runs; `None` before the first event.
+    writing: Option<WritingProgress>,
 }
 
-/// When the first and the last events of an engine were read, by the clock that counts only while this process
-/// runs.
-#[derive(Debug, Clone, Copy)]
-struct WritingTimes {
-    first: Instant,
-    last: Instant,
-    /// When [`Source::take_writing_report`] gave a report last.
-    reported: Instant,
-}
-
-/// Minimum time between two reports that an engine writes on. A stream's events are much closer to each other.
-const WRITING_REPORT_INTERVAL: Duration = Duration::from_millis(250);
-
 impl Source {
     /// Creates the source for a response whose head was received. `is_framed`: its HTTP framing marks its
     /// end. `sent_at`: when the request was sent, by the process clock.
@@ -73,23 +61,18 @@
             is_framed,
             continued_after,
             sent_at,
-            written: None,
+            writing: None,
         }
     }
 
     fn note_written(&mut self) {
-        let now = process_clock::now();
-        self.written.get_or_insert(WritingTimes { first: now, last: now, reported: now }).last = now;
+        let now = process_clock::now().into_std();
+        self.writing.get_or_insert(WritingProgress::begun_at(now)).note(now);
     }
 
     /// Time for which the engine has been writing, if it is due to be reported.
     pub(super) fn take_writing_report(&mut self) -> Option<Duration> {
-        let times = self.written.as_mut()?;
-        if times.last.duration_since(times.reported) < WRITING_REPORT_INTERVAL {
-            return None;
-        }
-        times.reported = times.last;
-        Some(times.last.duration_since(times.first))
+        self.writing.as_mut()?.take_report()
     }
 
     /// Whether the end of the stream is told from a broken connection.
--- a/crates/beamwall-quarantine/src/lib.rs
+++ b/crates/beamwall-quarantine/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod registry;
 pub mod sound_parts;
 pub mod suspect;
+pub mod writing_progress;
 
 pub use admission::{Admission, HeldRequest};
 pub use evidence::{
@@ -42,3 +43,4 @@
 pub use registry::{QuarantineRegistry, RequestStatus};
 pub use sound_parts::SoundParts;
 pub use suspect::Suspect;
+pub use writing_progress::WritingProgress;
--- a/crates/beamwall-quarantine/src/registry.rs
+++ b/crates/beamwall-quarantine/src/registry.rs
@@ -170,10 +170,11 @@
         if !self.view.load().suspects.contains_key(suspect) {
             return false;
         }
-        let known = self.lock().suspects.get(suspect).cloned();
-        let Some(until_ms) = known.and_then(|known| known.disproved_until_ms(survival, now_ms)) else {
-            return false;
+        let disproved_until_ms = {
+            let state = self.lock();
+            state.suspects.get(suspect).and_then(|known| known.disproved_until_ms(survival, now_ms))
         };
+        let Some(until_ms) = disproved_until_ms else { return false };
         let basis = CompletionBasis::Survived(survival);
         let disproof = Completion { request: *suspect, at_ms: until_ms, basis };
         self.note(Evidence { completions: vec![disproof], ..Evidence::default() }, now_ms)
--- a/crates/beamwall-request/src/attempt.rs
+++ b/crates/beamwall-request/src/attempt.rs
@@ -12,7 +12,7 @@
 use beamwall_fleet::local_load::DispatchGuard;
 use beamwall_http::{PoolError, PooledBody};
 use beamwall_model::AttemptId;
-use beamwall_quarantine::Fingerprint;
+use beamwall_quarantine::{Fingerprint, WritingProgress};
 use beamwall_routing::Route;
 use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -26,8 +26,6 @@
 
 /// Time between looks at whether the engine is about to stop.
 const LEAVING_CHECK_PERIOD: Duration = Duration::from_millis(25);
-/// Minimum time between two reports that an engine writes on.
-const WRITING_REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// Longest control call to an engine.
 const CONTROL_LIMIT: Duration = Duration::from_secs(2);
 /// A stream is moved when it would not end this long before its engine stops.
@@ -235,16 +233,14 @@
 struct TokenPace {
     begun: Instant,
     last_line: Option<Instant>,
-    first: Option<Instant>,
     last: Option<Instant>,
-    /// When [`Self::take_writing_report`] gave a report last.
-    reported: Option<Instant>,
+    writing: Option<WritingProgress>,
     mean: Option<Duration>,
 }
 
 impl TokenPace {
     fn new() -> Self {
-        Self { begun: Instant::now(), last_line: None, first: None, last: None, reported: None, mean: None }
+        Self { begun: Instant::now(), last_line: None, last: None, writing: None, mean: None }
     }
 
     fn note_line(&mut self) {
@@ -278,18 +274,13 @@
             input.metrics.between_tokens(gap);
             self.mean = Some(self.mean.map_or(gap, |mean| (mean * 7 + gap) / 8));
         }
-        self.first.get_or_insert(now);
+        self.writing.get_or_insert(WritingProgress::begun_at(now.into_std())).note(now.into_std());
         self.last = Some(now);
     }
 
     /// Time for which the engine has been writing tokens, if it is due to be reported.
     fn take_writing_report(&mut self) -> Option<Duration> {
-        let (first, last) = (self.first?, self.last?);
-        if last.duration_since(self.reported.unwrap_or(first)) < WRITING_REPORT_INTERVAL {
-            return None;
-        }
-        self.reported = Some(last);
-        Some(last.duration_since(first))
+        self.writing.as_mut()?.take_report()
     }
 
     fn token_time(&self) -> Duration {
