Requests refused for what is freed later are counted and logged

Cause: what a wrong hold had cost could be seen by comparing log lines only. Requests that pass do nothing more than before. Measured: requests_refused_for_what_is_freed_later_are_counted.

--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -204,7 +204,7 @@
     /// A request is not sent any more, since back ends ended under it.
     5109 Warn RequestHeld "request held" { fingerprint, endings, independent, exposures_ms, in_doubt, trials }
     /// A request that was held may be sent again.
-    5110 Info RequestFreed "request freed" { fingerprint }
+    5110 Info RequestFreed "request freed" { fingerprint, refused }
     /// A held request is sent to one back end, to see whether it ends under it.
     5111 Warn TrialGranted "trial of a held request" { fingerprint, number }
     /// What is known of held requests can't be written to the store or read from it.
--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod group_queries;
 pub mod handler;
 pub mod health;
+pub mod hold_refusals;
 pub mod load;
 pub mod lost_responses;
 pub mod metrics;
--- a/crates/beamwall-gateway/src/quarantine.rs
+++ b/crates/beamwall-gateway/src/quarantine.rs
@@ -28,6 +28,7 @@
 
 use crate::directory::Directory;
 use crate::fleet_clock::FleetClock;
+use crate::hold_refusals::HoldRefusals;
 use crate::lost_responses::{LostResponses, ProbeAction, ResponseLoss};
 
 /// Delays before each probe of whether a back end with a lost response still accepts connections. A
@@ -81,6 +82,7 @@
     pub peer_notify: Notify,
     lost_responses: LostResponses,
     sound_parts: SoundParts,
+    hold_refusals: HoldRefusals,
     pool: Pool,
     backends: Arc<dyn BackendLookup>,
     /// Back ends that announced in a response that they leave.
@@ -107,6 +109,7 @@
             peer_notify,
             lost_responses,
             sound_parts,
+            hold_refusals: HoldRefusals::default(),
             pool,
             backends,
             departures: Arc::default(),
@@ -147,7 +150,7 @@
         for suspect in &held {
             let status = self.registry.request_status(suspect, self.now_ms());
             if let RequestStatus::Held { endings, retry_after } = status {
-                return Err(HeldRequest { held: *suspect, endings, retry_after });
+                return Err(self.refuse(HeldRequest { held: *suspect, endings, retry_after }));
             }
         }
         let mut admission = Admission::Normal;
@@ -168,17 +171,29 @@
         let held = *suspect;
         match self.registry.request_status(suspect, self.now_ms()) {
             RequestStatus::Free => Ok(Admission::Normal),
-            RequestStatus::Held { endings, retry_after } => Err(HeldRequest { held, endings, retry_after }),
+            RequestStatus::Held { endings, retry_after } => {
+                Err(self.refuse(HeldRequest { held, endings, retry_after }))
+            }
             RequestStatus::TrialDue { number, endings, is_in_doubt } => {
                 if self.try_claim_trial(suspect, number).await {
                     return Ok(Admission::Trial);
                 }
                 let retry_after = is_in_doubt.then_some(TRIAL_RETRY_AFTER);
-                Err(HeldRequest { held, endings, retry_after })
+                Err(self.refuse(HeldRequest { held, endings, retry_after }))
             }
         }
     }
 
+    fn refuse(&self, held: HeldRequest) -> HeldRequest {
+        self.hold_refusals.note(held.held);
+        held
+    }
+
+    /// Requests that this node refused for something that was held and is free now.
+    pub fn refused_by_freed_holds(&self) -> u64 {
+        self.hold_refusals.of_freed()
+    }
+
     async fn try_claim_trial(&self, request: &Fingerprint, number: u32) -> bool {
         let now_ms = self.now_ms();
         if !self.trial_throttle.admit(MIN_TRIAL_INTERVAL)
@@ -413,7 +428,8 @@
             });
         }
         for request in changes.freed {
-            emit(&RequestFreed { fingerprint: request.to_string() });
+            let refused = self.hold_refusals.note_freed(&request);
+            emit(&RequestFreed { fingerprint: request.to_string(), refused: refused.to_string() });
         }
     }
 }
--- a/crates/beamwall-gateway/tests/quarantine_parts.rs
+++ b/crates/beamwall-gateway/tests/quarantine_parts.rs
@@ -177,6 +177,29 @@
     assert_eq!(fleet.holding(DEADLY), 3);
 }
 
+/// Guards against: nobody can tell how many requests a hold cost that was wrong, or those count that a right one refuses.
+#[tokio::test]
+async fn requests_refused_for_what_is_freed_later_are_counted() {
+    let mut fleet = Fleet::new(3);
+    let deadly = with(DEADLY);
+    for engine in 0..3 {
+        fleet.terminate(engine, &[(engine, &deadly)]).await;
+    }
+    let refuse_at_first = async |fleet: &mut Fleet, parts: &[u64]| {
+        let (suspects, _) = fleet.request(parts);
+        assert!(fleet.nodes[0].admit_all(suspects.into_iter()).await.is_err());
+    };
+    refuse_at_first(&mut fleet, &SHARED).await;
+    refuse_at_first(&mut fleet, &[DEADLY]).await;
+    assert_eq!(fleet.nodes[0].refused_by_freed_holds(), 0, "nothing is free yet");
+    tokio::time::sleep(Duration::from_millis(2)).await;
+    fleet.complete(1, &SHARED);
+    fleet.exchange();
+    refuse_at_first(&mut fleet, &[DEADLY]).await;
+    let counted = fleet.nodes.iter().map(|node| node.refused_by_freed_holds());
+    assert_eq!(counted.collect::<Vec<_>>(), [1, 0, 0]);
+}
+
 /// Guards against: a part is sound for a minute at all nodes, since one of them has seen an engine survive it for longer than
 /// another one that was lost.
 #[tokio::test]
--- a/crates/beamwall-node/src/gateway/gauges.rs
+++ b/crates/beamwall-node/src/gateway/gauges.rs
@@ -42,6 +42,7 @@
     retries_left: GaugeVec,
     requests_held: IntGauge,
     requests_suspected: IntGauge,
+    refused_by_freed_holds: IntGauge,
 }
 
 fn gauge_by(label: &str, name: &str, help: &str, registry: &Registry) -> Result<GaugeVec, prometheus::Error> {
@@ -135,6 +136,10 @@
                 "beamwall_gateway_requests_suspected",
                 "requests that were open at back ends that ended lately, held ones included",
             )?,
+            refused_by_freed_holds: add(
+                "beamwall_gateway_refused_by_freed_holds",
+                "requests refused since start for what was held and is free now",
+            )?,
             nodes_heard: add("beamwall_gateway_nodes_heard", "nodes that share quotas and are heard")?,
             engine_model_known: gauge_by(
                 "service",
@@ -197,6 +202,7 @@
         let quarantine_registry = &gateway.forwarder.quarantine.registry;
         self.requests_held.set(quarantine_registry.held().len() as i64);
         self.requests_suspected.set(quarantine_registry.suspects() as i64);
+        self.refused_by_freed_holds.set(gateway.forwarder.quarantine.refused_by_freed_holds() as i64);
         self.peers_ended_abruptly.set(exchange.peer_restarts.ended_abruptly() as i64);
         // New quota accounts are otherwise opened with the heartbeat after a policy change; a scrape before
         // it shows them too.
