A suspect that ends back ends seconds after they began it is held in doubt at the first three ends

Cause: ends with 2 s of exposure or more within a second counted as one, since a loss of power ends engines together. So do requests that came to all engines together, and then a round of ends counted once.

--- a/crates/beamwall-quarantine/src/hold_decision.rs
+++ b/crates/beamwall-quarantine/src/hold_decision.rs
@@ -10,7 +10,7 @@
 //! - terminations after which other back ends wrote on, or that probably have one cause, are no evidence of their
 //!   own ([`crate::common_cause`]);
 //! - a request that shares all its terminations with another held request is held in doubt and retried soon,
-//!   and so is one whose terminations all occurred at one moment. All held requests are in doubt while most
+//!   and so is one whose terminations one outage may explain. All held requests are in doubt while most
 //!   terminations are explained by no held request, for example when machines are reclaimed one after another.
 //!
 //! A held request is not exposed to further terminations, while an innocent request that is resent is
@@ -26,11 +26,11 @@
 
 use beamwall_model::{BackendId, to_ms};
 
-use crate::common_cause::{CountedTermination, are_simultaneous, independent_times};
+use crate::common_cause::{CountedTermination, independent_times, may_have_one_cause};
 use crate::fingerprint::Fingerprint;
 use crate::limits::{
-    TERMINATIONS_UNTIL_CLEAR, TERMINATIONS_UNTIL_HELD, TRIAL_DELAYS, TRIAL_DELAYS_IN_DOUBT,
-    TRIAL_DELAYS_SIMULTANEOUS,
+    SIMULTANEOUS_WITHIN, TERMINATIONS_UNTIL_CLEAR, TERMINATIONS_UNTIL_HELD, TRIAL_DELAYS,
+    TRIAL_DELAYS_AFTER_OUTAGE, TRIAL_DELAYS_IN_DOUBT,
 };
 use crate::suspect::Suspect;
 
@@ -68,8 +68,8 @@
     None,
     /// Another held request was open at all of its terminations, or most terminations have other causes.
     OtherCause,
-    /// All of its terminations occurred at one moment.
-    Simultaneous,
+    /// One outage of back ends may explain all of its terminations.
+    Outage,
 }
 
 impl Doubt {
@@ -77,7 +77,7 @@
         match self {
             Self::None => &TRIAL_DELAYS,
             Self::OtherCause => &TRIAL_DELAYS_IN_DOUBT,
-            Self::Simultaneous => &TRIAL_DELAYS_SIMULTANEOUS,
+            Self::Outage => &TRIAL_DELAYS_AFTER_OUTAGE,
         }
     }
 }
@@ -105,7 +105,7 @@
     /// Number of its terminations that are evidence independently of one another, of those that `selects`.
     fn independent_terminations(&self, selects: impl Fn(&BackendId) -> bool) -> usize {
         let selected = self.terminations.iter().filter(|(backend, _)| selects(backend));
-        independent_times(selected.map(|(_, termination)| *termination)).len()
+        independent_times(selected.map(|(_, termination)| *termination), SIMULTANEOUS_WITHIN).len()
     }
 
     fn exposures_ms(&self) -> impl Iterator<Item = u64> {
@@ -115,8 +115,8 @@
     fn doubt(&self, confirmed: &[&Candidate<'_>], has_other_causes: bool) -> Doubt {
         if has_other_causes || self.unshared_terminations(confirmed) == 0 {
             Doubt::OtherCause
-        } else if are_simultaneous(self.terminations.values().copied()) {
-            Doubt::Simultaneous
+        } else if may_have_one_cause(self.terminations.values().copied()) {
+            Doubt::Outage
         } else {
             Doubt::None
         }
@@ -207,7 +207,7 @@
         (backend, CountedTermination { at_ms: times.get(backend).copied().unwrap_or(one.at_ms), ..one })
     });
     let terminations: HashMap<&BackendId, CountedTermination> = counted.collect();
-    let independent_ms = independent_times(terminations.values().copied());
+    let independent_ms = independent_times(terminations.values().copied(), SIMULTANEOUS_WITHIN);
     let threshold_reached_ms = *independent_ms.get(TERMINATIONS_UNTIL_HELD - 1)?;
     Some(Candidate { request: *request, suspect, terminations, threshold_reached_ms })
 }
--- a/crates/beamwall-quarantine/src/limits.rs
+++ b/crates/beamwall-quarantine/src/limits.rs
@@ -31,10 +31,10 @@
 /// is served again.
 pub const TRIAL_DELAYS_IN_DOUBT: [Duration; 2] = [Duration::from_secs(10), Duration::from_secs(10 * 60)];
 
-/// Trial delays of a request in doubt whose terminations all occurred at one moment. The first trial follows
-/// soon: back ends that lose their power at once are back after some seconds, and all callers of a shared part of
-/// prompts wait for it.
-pub const TRIAL_DELAYS_SIMULTANEOUS: [Duration; 3] =
+/// Trial delays of a request in doubt whose terminations one outage may explain. The first trial follows soon: back
+/// ends that lose their power at once are back after some seconds, and all callers of a shared part of prompts wait for
+/// it.
+pub const TRIAL_DELAYS_AFTER_OUTAGE: [Duration; 3] =
     [Duration::from_secs(2), Duration::from_secs(10), Duration::from_secs(10 * 60)];
 
 /// Terminations within this time of each other are simultaneous: nodes observe the loss of one rack's power some
@@ -45,8 +45,9 @@
 /// weak evidence.
 pub const LATE_EXPOSURE: Duration = Duration::from_secs(2);
 
-/// Time within which terminations after a late exposure count as one.
-pub const LATE_TERMINATIONS_MERGED_WITHIN: Duration = Duration::from_secs(1);
+/// Time within which terminations after a late exposure may have one cause. A back end that outlives them is known no
+/// sooner.
+pub const OUTAGE_WITHIN: Duration = SURVIVAL_MARGIN;
 
 /// How much longer than a terminated back end another one must survive a suspect to prove that the suspect did not
 /// terminate the first: back ends do not take equally long to terminate.
--- a/crates/beamwall-quarantine/src/suspect.rs
+++ b/crates/beamwall-quarantine/src/suspect.rs
@@ -8,8 +8,8 @@
 use crate::common_cause::{CountedTermination, independent_times};
 use crate::evidence::Survival;
 use crate::limits::{
-    EXPOSURES_KNOWN_AFTER, HOLD_RETENTION, MAX_TERMINATIONS_PER_REQUEST, SUSPECT_RETENTION,
-    TERMINATIONS_UNTIL_HELD,
+    EXPOSURES_KNOWN_AFTER, HOLD_RETENTION, MAX_TERMINATIONS_PER_REQUEST, SIMULTANEOUS_WITHIN,
+    SUSPECT_RETENTION, TERMINATIONS_UNTIL_HELD,
 };
 
 /// A request that was open at the termination of a back end.
@@ -108,7 +108,8 @@
 
     /// Whether enough terminations count for the request to be held.
     pub fn reaches_hold_threshold(&self) -> bool {
-        independent_times(self.counted_terminations().map(|(_, one)| one)).len() >= TERMINATIONS_UNTIL_HELD
+        let counted = self.counted_terminations().map(|(_, one)| one);
+        independent_times(counted, SIMULTANEOUS_WITHIN).len() >= TERMINATIONS_UNTIL_HELD
     }
 
     /// The time from which the retention period is measured.
