Many ends at one moment don't displace what is remembered of earlier moments

What callers saw: nothing yet. A suspect that ends eight engines or more at each of three moments was never held, or let go. Cause: 16 ends of a suspect are remembered, the latest. Ends that count as one displaced those of other moments, so that fewer than three counted. Class: a bound on memory that drops evidence by age, where it is weighed by moments. Change: of the ends within one period of 100 ms the first are kept, then the latest. The order depends on the ends alone and drops from a part of them what it drops from all, so nodes keep the same whatever they heard first. Measured: terminations_at_earlier_moments_are_not_displaced_by_many_at_one_moment fails on the code before, passes; nodes_that_hear_of_many_terminations_in_any_order_remember_the_same (1,000 seeds) passes; packages of the quarantine pass.

--- a/crates/beamwall-quarantine/src/suspect.rs
+++ b/crates/beamwall-quarantine/src/suspect.rs
@@ -1,5 +1,6 @@
 //! What is recorded about one suspected request. This is also the stored format.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use beamwall_model::{BackendId, to_ms};
@@ -47,14 +48,27 @@
             }
         };
         while self.endings.len() > MAX_TERMINATIONS_PER_REQUEST {
-            let earliest = self.endings.iter().min_by_key(|(backend, at)| (**at, (*backend).clone()));
-            let Some(earliest) = earliest.map(|(backend, _)| backend.clone()) else { break };
-            self.endings.remove(&earliest);
-            self.exposures_ms.remove(&earliest);
+            let Some(least) = self.least_telling() else { break };
+            self.endings.remove(&least);
+            self.exposures_ms.remove(&least);
         }
         is_new
     }
 
+    /// The termination that tells least. Of those within one period, the first tells most, since all may have one cause;
+    /// of equals, the latest does. What is dropped in this order from a part of all terminations would be dropped from
+    /// all of them, too, so nodes that heard of them in different orders keep the same ones.
+    fn least_telling(&self) -> Option<BackendId> {
+        let mut by_time: Vec<(u64, &BackendId)> =
+            self.endings.iter().map(|(backend, at_ms)| (*at_ms, backend)).collect();
+        by_time.sort_unstable();
+        let period_of = |(at_ms, _): &(u64, &BackendId)| at_ms / to_ms(SIMULTANEOUS_WITHIN);
+        let periods = by_time.chunk_by(|one, next| period_of(one) == period_of(next));
+        let ranked = periods.flat_map(|period| period.iter().enumerate());
+        let (_, (_, least)) = ranked.max_by_key(|(rank, one)| (*rank, Reverse(**one)))?;
+        Some((*least).clone())
+    }
+
     /// Records the exposure of a back end that terminated; returns whether that was new.
     pub fn note_exposure(&mut self, backend: &BackendId, exposure_ms: u64) -> bool {
         let is_new = exposure_ms > self.exposure_ms(backend) && self.endings.contains_key(backend);
--- a/crates/beamwall-quarantine/tests/survivals.rs
+++ b/crates/beamwall-quarantine/tests/survivals.rs
@@ -122,6 +122,18 @@
     assert!(!registry.is_held(&SUSPECT));
 }
 
+/// Guards against: a suspect that ends many engines at each of several moments passes, since only its latest terminations are
+/// remembered.
+#[test]
+fn terminations_at_earlier_moments_are_not_displaced_by_many_at_one_moment() {
+    let registry = QuarantineRegistry::default();
+    let engines_at_once = 20;
+    let moments = (0..3_u64).flat_map(|moment| (0..engines_at_once).map(move |_| (moment * 5_000, 3_500)));
+    let terminations: Vec<(u64, u64)> = moments.collect();
+    note_terminations(&registry, &terminations);
+    assert!(registry.is_held(&SUSPECT));
+}
+
 /// Guards against: a caller is told for good not to send a request again, although one loss of power explains all.
 #[test]
 fn early_terminations_at_one_moment_hold_in_doubt_until_a_trial_soon_after() {
@@ -230,3 +242,35 @@
         Ok(())
     });
 }
+
+/// Guards against: nodes that heard of more terminations than are remembered, in different orders, remember different ones and
+/// ask each other for all evidence again and again.
+#[test]
+fn nodes_that_hear_of_many_terminations_in_any_order_remember_the_same() {
+    on_seeds(1_000, |input| {
+        let mut times_ms = Vec::new();
+        for _ in 0..input.int_in_range(17..=60)? {
+            times_ms.push(START_MS + u64::from(input.int_in_range(0..=1_500_u32)?));
+        }
+        let terminations = times_ms.iter().enumerate().map(|(number, at_ms)| Termination {
+            backend: engine(number),
+            at_ms: *at_ms,
+            open: vec![SUSPECT],
+        });
+        let mut heard: Vec<Termination> = terminations.collect();
+        let mut digests = Vec::new();
+        for _ in 0..2 {
+            let node = QuarantineRegistry::default();
+            for termination in &heard {
+                let evidence = Evidence { endings: vec![termination.clone()], ..Evidence::default() };
+                node.merge_evidence(evidence, START_MS);
+            }
+            digests.push(node.digest());
+            for position in (1..heard.len()).rev() {
+                heard.swap(position, input.int_in_range(0..=position)?);
+            }
+        }
+        assert_eq!(digests[0], digests[1]);
+        Ok(())
+    });
+}
