--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -142,7 +142,7 @@
     /// An entry of the list of back ends can't be read.
     4108 Warn EntryUnreadable "entry of a back end unreadable" { entry, reason }
     /// A back end ended without having announced it.
-    4109 Warn BackendEnded "back end ended" { backend, open, exposure_ms }
+    4109 Warn BackendEnded "back end ended" { backend, version, open, exposure_ms }
     /// Something speaks against the list of back ends that is held here, so it is read anew.
     4110 Warn DirectoryDoubted "list of back ends doubted" { reason, revision }
     /// The list of back ends was read anew: it agrees with the one held, differs from it, or is of an earlier revision.
@@ -226,7 +226,7 @@
     /// A stream of an engine that is reclaimed could not be moved.
     5121 Warn StreamMoveFailed "stream not moved" { request, from, reason }
     /// A back end has run a request for longer than back ends did that ended, so that it did not end these.
-    5122 Info EndsDisproved "ends disproved" { fingerprint, survived_ms, writes }
+    5122 Info EndsDisproved "ends disproved" { fingerprint, version, survived_ms, writes }
     /// The platform stopped answering.
     6001 Warn PlatformAway "platform away" { reason }
     /// The platform answers again.
--- a/crates/beamwall-gateway/benches/admission.rs
+++ b/crates/beamwall-gateway/benches/admission.rs
@@ -43,7 +43,7 @@
         tokio::runtime::Builder::new_current_thread().build().expect("a current-thread runtime can be built");
     bencher.bench_local(|| {
         let admission = runtime.block_on(quarantine.admit(&request));
-        quarantine.note_completed(&request);
+        quarantine.note_completed(&request, None);
         admission.is_ok()
     });
 }
--- a/crates/beamwall-gateway/src/attempts.rs
+++ b/crates/beamwall-gateway/src/attempts.rs
@@ -7,7 +7,6 @@
 use beamwall_events::emit;
 use beamwall_events::internal_events::AttemptFailed;
 use beamwall_model::{BackendId, EngineVersion};
-use beamwall_quarantine::Admission;
 use tokio::time::Instant;
 
 use crate::attempt::{AttemptFailure, Execution};
@@ -180,8 +179,8 @@
     /// Which engines can take over the run; `None` if none may. Moving is no further run, so it neither needs
     /// an idempotent request nor counts towards the route's attempt limit.
     pub(crate) fn move_constraints(&self, forwarder: &Forwarder, call: &Call) -> Option<MoveConstraints> {
-        let may_move = !is_held(forwarder, call) && !call.remaining().is_zero();
         let version = self.stream_version.clone();
+        let may_move = !forwarder.is_held(call, version.as_ref()) && !call.remaining().is_zero();
         may_move.then(|| MoveConstraints { avoided: self.tried.clone(), version })
     }
 
@@ -194,7 +193,8 @@
 
     fn may_resend(&self, forwarder: &Forwarder, call: &Call) -> bool {
         let may_run_again = call.route.kind.is_idempotent() || !self.may_have_run;
-        !is_held(forwarder, call) && may_run_again && !call.remaining().is_zero()
+        let is_held = forwarder.is_held(call, self.stream_version.as_ref());
+        !is_held && may_run_again && !call.remaining().is_zero()
     }
 
     /// Chooses the back end of the first attempt.
@@ -293,7 +293,8 @@
         let directory = forwarder.directory.load();
         let is_usable = directory.get(abandoned).is_some_and(|listed| {
             let is_of_version = self.stream_version.as_ref().is_none_or(|version| listed.version == *version);
-            !listed.draining && is_of_version && forwarder.gate.check(abandoned).is_ok()
+            let is_held = forwarder.is_held(call, Some(&listed.version));
+            !listed.draining && is_of_version && !is_held && forwarder.gate.check(abandoned).is_ok()
         });
         was_refused && is_usable && self.may_resend(forwarder, call)
     }
@@ -330,8 +331,3 @@
         }
     }
 }
-
-/// Whether the request or a part of its prompt is held because back ends terminated under it.
-fn is_held(forwarder: &Forwarder, call: &Call) -> bool {
-    call.admission == Admission::Normal && forwarder.quarantine.is_any_held(call.suspects())
-}
--- a/crates/beamwall-gateway/src/blocked_engines.rs
+++ b/crates/beamwall-gateway/src/blocked_engines.rs
@@ -1,6 +1,10 @@
-//! Which engines a call may be sent to now, by what the engines say of themselves.
+//! Which engines a call may be sent to now, by what the engines say of themselves, and by what is known of those that
+//! ended under it.
 
-use beamwall_model::BackendId;
+use std::collections::BTreeSet;
+
+use beamwall_model::{BackendId, EngineVersion, ServiceName};
+use beamwall_quarantine::Admission;
 
 use crate::call::Call;
 use crate::engine_gate::{Blocked, SendPermit};
@@ -33,6 +37,38 @@
         blocked
     }
 
+    /// Engines of the call's service that are not sent it while it is held and proven for some versions: those of
+    /// other versions, or, for a trial, of these, where it would show nothing.
+    pub(crate) fn held_engines(&self, call: &Call) -> Vec<BackendId> {
+        let proven = self.quarantine.proven_versions(call.suspects()).unwrap_or_default();
+        if proven.is_empty() {
+            return Vec::new();
+        }
+        let is_trial = call.admission == Admission::Trial;
+        let directory = self.directory.load();
+        let of_service = directory.usable(&call.service);
+        let held = of_service.filter(|backend| proven.contains(&backend.version) == is_trial);
+        held.map(|backend| backend.id.clone()).collect()
+    }
+
+    /// Whether a call is held at all back ends that may serve it: those of its stream's version, or any.
+    pub(crate) fn is_held(&self, call: &Call, stream_version: Option<&EngineVersion>) -> bool {
+        if call.admission == Admission::Trial {
+            return false;
+        }
+        let Some(proven) = self.quarantine.proven_versions(call.suspects()) else { return false };
+        match stream_version {
+            Some(version) => !proven.contains(version),
+            None => !self.serving_versions(&call.service).iter().any(|version| proven.contains(version)),
+        }
+    }
+
+    /// The versions of the back ends of a service that accept requests.
+    pub(crate) fn serving_versions(&self, service: &ServiceName) -> BTreeSet<EngineVersion> {
+        let directory = self.directory.load();
+        directory.usable(service).map(|backend| backend.version.clone()).collect()
+    }
+
     /// Why no back end outside `avoided` takes a call: because of what the engines say of themselves, if their limits
     /// or rests will allow it later.
     pub(crate) fn no_back_end(&self, call: &Call, rank: u8, avoided: &[BackendId]) -> NoBackEnd {
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -129,7 +129,7 @@
         let versions = self.allowed_versions(&call.service, call.request_id.as_deref(), stream_version);
         let mut claim = self.capacity_claim(call, avoided, stream_version);
         let rank = claim.rank;
-        let mut blocked = self.blocked_engines(call, rank);
+        let mut blocked = [self.blocked_engines(call, rank), self.held_engines(call)].concat();
         let mut denials = 0;
         loop {
             let excluded = [avoided, &blocked].concat();
@@ -397,21 +397,27 @@
         self.estimates(&call.service).prefill_ms(whole)
     }
 
-    /// Records that a back end wrote a whole answer on a call's prompt.
-    pub(crate) fn note_parts_completed(&self, call: &Call) {
-        self.quarantine.note_parts_completed(call.known_parts());
+    /// Records that a back end of a version completed a call. `proves_parts`: it wrote a whole answer on the call's prompt.
+    pub(crate) fn note_completed(&self, call: &Call, version: &EngineVersion, proves_parts: bool) {
+        self.quarantine.note_completed(&call.fingerprint, Some(version));
+        if proves_parts {
+            self.quarantine.note_parts_completed(call.known_parts(), Some(version));
+        }
     }
 
-    /// Records that a back end has been writing a call's answer for a time and writes on.
-    pub(crate) fn note_writing(&self, call: &Call, written_for: Duration) {
+    /// Records that a back end of a version has been writing a call's answer for a time and writes on.
+    pub(crate) fn note_writing(&self, call: &Call, version: &EngineVersion, written_for: Duration) {
         let survival = Survival::Writing(to_ms(written_for));
-        self.quarantine.note_survival(&call.fingerprint, call.known_parts(), survival);
+        self.quarantine.note_survival(&call.fingerprint, call.known_parts(), Some(version), survival);
     }
 
     /// Records that a back end has been running a call for a time and has not terminated.
-    pub(crate) fn note_running(&self, call: &Call, ran_for: Duration) {
+    pub(crate) fn note_running(&self, call: &Call, backend: &BackendId, ran_for: Duration) {
+        let directory = self.directory.load();
+        let Some(listed) = directory.get(backend) else { return };
         let survival = Survival::Running(to_ms(ran_for));
-        self.quarantine.note_survival(&call.fingerprint, call.known_parts(), survival);
+        let version = Some(&listed.version);
+        self.quarantine.note_survival(&call.fingerprint, call.known_parts(), version, survival);
     }
 
     /// Counts a request that a back end started to execute.
--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -8,6 +8,7 @@
 use beamwall_events::internal_events::{CallerConnectionFailed, GatewayAnswered, GatewayRefused};
 use beamwall_http::body::ReadError;
 use beamwall_http::{Body, ConnectionFailure, Handler, read_limited_with};
+use beamwall_model::EngineVersion;
 use beamwall_policy::{PolicyIndex, Route, RouteKind, TenantRef};
 use beamwall_quarantine::{Fingerprint, FingerprintHasher};
 use beamwall_stream_origin::StreamOrigin;
@@ -171,6 +172,12 @@
         token.is_some_and(|token| self.forwarder.delegation.is_own_token(token))
     }
 
+    /// The versions of the back ends of all services to which a route leads.
+    fn serving_versions(&self, route: &Route) -> Vec<EngineVersion> {
+        let services = route.targets.iter().map(|target| &target.service);
+        services.flat_map(|service| self.forwarder.serving_versions(service)).collect()
+    }
+
     /// Whether a policy and back ends are known. No request can be served without both.
     fn has_policy_and_back_ends(&self) -> bool {
         self.policy.load().version() > 0 && self.forwarder.directory.load().is_known()
@@ -203,8 +210,9 @@
         let body = read.map_err(refusal_from_read_error)?;
         let fingerprint = fingerprint.finish();
         context.fingerprint = Some(fingerprint);
+        let suspects = suspects(fingerprint, head.prompt.as_ref());
         let admission =
-            self.forwarder.quarantine.admit_all(suspects(fingerprint, head.prompt.as_ref())).await?;
+            self.forwarder.quarantine.admit_all(suspects, || self.serving_versions(&route)).await?;
         let service = route.service_for(rand::random()).ok_or(Refusal::NoRoute)?;
         let stream = ResumedStream { route: &route, service, tenant: tenant_name, head: &head };
         let origin = self.find_origin(stream).await?;
--- a/crates/beamwall-gateway/src/quarantine.rs
+++ b/crates/beamwall-gateway/src/quarantine.rs
@@ -2,8 +2,10 @@
 //! terminated, and admits or holds requests according to the [`QuarantineRegistry`].
 //!
 //! What terminates back ends may be a whole request or a part of prompts that requests share. Both are
-//! suspects of the same registry. A part is no suspect while answers on it are completed ([`SoundParts`]).
+//! suspects of the same registry. A part is no suspect while answers on it are completed ([`SoundParts`]). Back ends of one
+//! software version may terminate under what others run, so a held request may be sent to versions for which it is proven.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,7 +19,7 @@
     BackendEnded, EndsDisproved, RequestFreed, RequestHeld, TrialGranted,
 };
 use beamwall_http::{Pool, Reachability};
-use beamwall_model::{BackendId, to_ms};
+use beamwall_model::{BackendId, EngineVersion, to_ms};
 use beamwall_quarantine::limits::SURVIVAL_MARGIN;
 use beamwall_quarantine::{
     Admission, Completion, CompletionBasis, Evidence, Fingerprint, HeldRequest, OpenSuspect,
@@ -56,6 +58,8 @@
     pub id: BackendId,
     /// The address on which it accepts connections.
     pub address: SocketAddr,
+    /// Its software version, if known.
+    pub version: Option<EngineVersion>,
     /// Whether it has announced that it is leaving.
     pub is_leaving: bool,
 }
@@ -64,13 +68,27 @@
 pub trait BackendLookup: Send + Sync + 'static {
     /// Returns a back end; `None` if it is not listed.
     fn find(&self, backend: &BackendId) -> Option<ListedBackend>;
+
+    /// Returns the software versions of all back ends, as far as they are known.
+    fn versions(&self) -> Vec<EngineVersion>;
 }
 
 impl BackendLookup for ArcSwap<Directory> {
     fn find(&self, backend: &BackendId) -> Option<ListedBackend> {
         let directory = self.load();
         let listed = directory.get(backend)?;
-        Some(ListedBackend { id: listed.id.clone(), address: listed.address, is_leaving: listed.draining })
+        Some(ListedBackend {
+            id: listed.id.clone(),
+            address: listed.address,
+            version: Some(listed.version.clone()),
+            is_leaving: listed.draining,
+        })
+    }
+
+    fn versions(&self) -> Vec<EngineVersion> {
+        let directory = self.load();
+        let versions: BTreeSet<&EngineVersion> = directory.versions().map(|(_, version)| version).collect();
+        versions.into_iter().cloned().collect()
     }
 }
 
@@ -135,17 +153,25 @@
         self.clock.now_ms()
     }
 
-    /// Decides whether a request may be sent: neither it nor a shared part of its prompt is held, or a trial is
-    /// granted for each that is.
+    /// Decides whether a request may be sent: neither it nor a shared part of its prompt is held, a trial is granted for
+    /// each that is, or each is proven for one of the versions that serve it, which `serving` returns.
     pub async fn admit_all(
         &self,
         suspects: impl Iterator<Item = Fingerprint>,
+        serving: impl FnOnce() -> Vec<EngineVersion>,
     ) -> Result<Admission, HeldRequest> {
         // Fast path for almost all requests.
         if !self.registry.has_held() {
             return Ok(Admission::Normal);
         }
         let held: Vec<Fingerprint> = suspects.filter(|suspect| self.is_held(suspect)).collect();
+        let Some(proven) = self.proven_versions(held.iter().copied()) else { return Ok(Admission::Normal) };
+        let (proven, unproven): (Vec<_>, Vec<_>) =
+            serving().into_iter().partition(|version| proven.contains(version));
+        if !proven.is_empty() {
+            let is_tried = !unproven.is_empty() && self.try_claim_trials(&held).await;
+            return Ok(if is_tried { Admission::Trial } else { Admission::Normal });
+        }
         // A trial is claimed only if nothing else refuses the request.
         for suspect in &held {
             let status = self.registry.request_status(suspect, self.now_ms());
@@ -194,6 +220,24 @@
         self.hold_refusals.of_freed()
     }
 
+    /// Claims a trial of each of these, if one is due for all; returns whether it was granted for each.
+    async fn try_claim_trials(&self, held: &[Fingerprint]) -> bool {
+        let now_ms = self.now_ms();
+        let mut due = Vec::new();
+        for suspect in held {
+            match self.registry.request_status(suspect, now_ms) {
+                RequestStatus::TrialDue { number, .. } => due.push((suspect, number)),
+                RequestStatus::Free | RequestStatus::Held { .. } => return false,
+            }
+        }
+        for (suspect, number) in due {
+            if !self.try_claim_trial(suspect, number).await {
+                return false;
+            }
+        }
+        true
+    }
+
     async fn try_claim_trial(&self, request: &Fingerprint, number: u32) -> bool {
         let now_ms = self.now_ms();
         if !self.trial_throttle.admit(MIN_TRIAL_INTERVAL)
@@ -212,31 +256,45 @@
         self.registry.is_held(suspect)
     }
 
-    /// Whether any of these is held now.
-    pub fn is_any_held(&self, mut suspects: impl Iterator<Item = Fingerprint>) -> bool {
-        self.registry.has_held() && suspects.any(|suspect| self.is_held(&suspect))
+    /// The versions to whose back ends a request may be sent although some of these are held now: those for which each of
+    /// them is proven. `None` if none is held.
+    pub fn proven_versions(&self, suspects: impl Iterator<Item = Fingerprint>) -> Option<Vec<EngineVersion>> {
+        if !self.registry.has_held() {
+            return None;
+        }
+        let of_each = suspects.filter_map(|suspect| self.registry.proven_versions(&suspect));
+        of_each.reduce(|mut common, versions| {
+            common.retain(|version| versions.contains(version));
+            common
+        })
     }
 
-    /// Records that a back end wrote a whole answer on the parts of a prompt, the last one included.
-    pub fn note_parts_completed(&self, parts: impl Iterator<Item = u64> + Clone) {
-        self.sound_parts.note_completed(parts.clone(), self.now_ms());
+    /// Records that a back end of a version, if that is known, wrote a whole answer on the parts of a prompt, the last one
+    /// included.
+    pub fn note_parts_completed(
+        &self,
+        parts: impl Iterator<Item = u64> + Clone,
+        version: Option<&EngineVersion>,
+    ) {
+        self.sound_parts.note_completed(parts.clone(), version, self.now_ms());
         if self.registry.suspects() > 0 {
-            parts.for_each(|part| self.note_completed(&Fingerprint::of_part(part)));
+            parts.for_each(|part| self.note_completed(&Fingerprint::of_part(part), version));
         }
     }
 
-    /// Records that a back end has survived a request so far. `parts`: those of its prompt, the last one included. It
-    /// has survived what the request or a part of its prompt may be suspected of.
+    /// Records that a back end of a version, if that is known, has survived a request so far. `parts`: those of its prompt,
+    /// the last one included. It has survived what the request or a part of its prompt may be suspected of.
     pub fn note_survival(
         &self,
         request: &Fingerprint,
         parts: impl Iterator<Item = u64> + Clone,
+        version: Option<&EngineVersion>,
         survival: Survival,
     ) {
         if let Survival::Writing(written_ms) = survival
             && written_ms >= to_ms(SURVIVAL_MARGIN)
         {
-            self.sound_parts.note_written(parts.clone(), written_ms, self.now_ms());
+            self.sound_parts.note_written(parts.clone(), version, written_ms, self.now_ms());
         }
         if self.registry.suspects() == 0 {
             return;
@@ -244,9 +302,10 @@
         let now_ms = self.now_ms();
         let survived = std::iter::once(*request).chain(parts.map(Fingerprint::of_part));
         for suspect in survived {
-            if self.registry.note_survival(&suspect, survival, now_ms) {
+            if self.registry.note_survival(&suspect, version, survival, now_ms) {
                 emit(&EndsDisproved {
                     fingerprint: suspect.to_string(),
+                    version: name_of(version),
                     survived_ms: survival.time_ms().to_string(),
                     writes: matches!(survival, Survival::Writing(_)).to_string(),
                 });
@@ -255,9 +314,11 @@
         }
     }
 
-    /// Records that a back end completed a request and is therefore alive.
-    pub fn note_completed(&self, request: &Fingerprint) {
-        if self.registry.is_suspected(request) && self.registry.note_completion(request, self.now_ms()) {
+    /// Records that a back end of a version, if that is known, completed a request and is therefore alive.
+    pub fn note_completed(&self, request: &Fingerprint, version: Option<&EngineVersion>) {
+        if self.registry.is_suspected(request)
+            && self.registry.note_completion(request, version, self.now_ms())
+        {
             self.publish_changes();
         }
     }
@@ -274,7 +335,8 @@
             ProbeAction::Count => {
                 let exposure_ms = to_ms(loss.exposure);
                 let to_open = |suspect: &Fingerprint| OpenSuspect { suspect: *suspect, exposure_ms };
-                self.record_termination(backend, suspects.iter().map(to_open).collect(), self.now_ms());
+                let open = suspects.iter().map(to_open).collect();
+                self.record_termination(backend, listed.version, open, self.now_ms());
             }
             ProbeAction::Probe => {
                 tokio::spawn(self.clone().probe(listed));
@@ -311,9 +373,13 @@
         self.lost_responses.finish_probe(&backend.id);
     }
 
-    /// Records that a back end terminated: it refuses connections, or a newer generation is listed under its
-    /// name.
+    /// Records that a back end terminated: it refuses connections.
     pub fn note_terminated(&self, backend: &BackendId) {
+        let version = self.backends.find(backend).and_then(|listed| listed.version);
+        self.note_terminated_of_version(backend, version);
+    }
+
+    fn note_terminated_of_version(&self, backend: &BackendId, version: Option<EngineVersion>) {
         let open = self.lost_responses.mark_terminated(backend);
         if self.has_announced_departure(backend) {
             return;
@@ -322,7 +388,7 @@
             self.registry.note_unattributed_termination(backend, self.now_ms());
         } else {
             let lost_ms = to_ms(self.lost_responses.lost_for(backend, Instant::now()));
-            self.record_termination(backend, open, self.now_ms().saturating_sub(lost_ms));
+            self.record_termination(backend, version, open, self.now_ms().saturating_sub(lost_ms));
         }
     }
 
@@ -332,7 +398,7 @@
         let restarted =
             before.backends().filter(|known| !known.draining && after.has_newer_generation(known));
         for backend in restarted {
-            self.note_terminated(&backend.id);
+            self.note_terminated_of_version(&backend.id, Some(backend.version.clone()));
         }
     }
 
@@ -355,21 +421,32 @@
             self.note_sound(completion, now_ms);
         }
         let new = self.registry.merge_evidence(evidence, now_ms);
-        new.exposures.iter().for_each(|exposures| self.forget_written(&exposures.suspects));
-        for suspect in new.endings.iter().flat_map(|termination| &termination.open) {
-            if suspect.part().is_some_and(|part| self.sound_parts.is_sound(part, now_ms)) {
-                self.note_completed(suspect);
-            }
+        for exposures in &new.exposures {
+            let listed = self.backends.find(&exposures.backend);
+            let version = listed.and_then(|listed| listed.version);
+            self.forget_written(&exposures.suspects, version.as_ref());
         }
+        let ended = new.endings.iter().flat_map(|termination| &termination.open);
+        ended.for_each(|suspect| self.note_sound_versions(suspect, now_ms));
         self.log_changes();
         new
     }
 
-    /// A back end that terminated with these suspects open has survived none of them.
-    fn forget_written(&self, open: &[OpenSuspect]) {
+    /// Records the versions whose back ends completed answers on a suspected part lately, as far as this node knows.
+    fn note_sound_versions(&self, suspect: &Fingerprint, now_ms: u64) {
+        let Some(part) = suspect.part() else { return };
+        let known = self.backends.versions();
+        let versions = known.iter().map(Some).chain(known.is_empty().then_some(None));
+        for version in versions.filter(|version| self.sound_parts.is_sound(part, *version, now_ms)) {
+            self.note_completed(suspect, version);
+        }
+    }
+
+    /// A back end of a version that terminated with these suspects open has survived none of them.
+    fn forget_written(&self, open: &[OpenSuspect], version: Option<&EngineVersion>) {
         for exposed in open {
             if let Some(part) = exposed.suspect.part() {
-                self.sound_parts.note_terminated(part, exposed.exposure_ms);
+                self.sound_parts.note_terminated(part, version, exposed.exposure_ms);
             }
         }
     }
@@ -377,11 +454,11 @@
     /// Takes a part for as sound as a peer tells: one that back ends wrote on for some time has proved less than one with a whole
     /// answer, and one that they may not have begun has proved nothing.
     fn note_sound(&self, completion: &Completion, now_ms: u64) {
-        let part = completion.request.part().into_iter();
+        let (part, version) = (completion.request.part().into_iter(), completion.version.as_ref());
         match completion.basis {
-            CompletionBasis::Completed => self.sound_parts.note_completed(part, now_ms),
+            CompletionBasis::Completed => self.sound_parts.note_completed(part, version, now_ms),
             CompletionBasis::Survived(Survival::Writing(written_ms)) => {
-                self.sound_parts.note_written(part, written_ms, now_ms);
+                self.sound_parts.note_written(part, version, written_ms, now_ms);
             }
             CompletionBasis::Survived(Survival::Running(_)) | CompletionBasis::Recorded => {}
         }
@@ -393,19 +470,27 @@
         self.log_changes();
     }
 
-    fn record_termination(&self, backend: &BackendId, mut open: Vec<OpenSuspect>, at_ms: u64) {
+    fn record_termination(
+        &self,
+        backend: &BackendId,
+        version: Option<EngineVersion>,
+        mut open: Vec<OpenSuspect>,
+        at_ms: u64,
+    ) {
         open.retain(|open| {
-            let outlives = |part| self.sound_parts.outlives(part, open.exposure_ms, at_ms);
+            let outlives = |part| self.sound_parts.outlives(part, version.as_ref(), open.exposure_ms, at_ms);
             !open.suspect.part().is_some_and(outlives)
         });
-        self.forget_written(&open);
+        self.forget_written(&open, version.as_ref());
         let join = |field: fn(&OpenSuspect) -> String| open.iter().map(field).collect::<Vec<_>>().join(",");
         emit(&BackendEnded {
             backend: backend.to_string(),
+            version: name_of(version.as_ref()),
             open: join(|open| open.suspect.to_string()),
             exposure_ms: join(|open| open.exposure_ms.to_string()),
         });
-        self.registry.note_termination_after(backend, &open, at_ms);
+        self.registry.note_termination_after(backend, version, &open, at_ms);
+        open.iter().for_each(|open| self.note_sound_versions(&open.suspect, at_ms));
         self.publish_changes();
     }
 
@@ -433,3 +518,8 @@
         }
     }
 }
+
+/// The name of a version, empty if it is unknown.
+fn name_of(version: Option<&EngineVersion>) -> String {
+    version.map(EngineVersion::to_string).unwrap_or_default()
+}
--- a/crates/beamwall-gateway/src/stream/relay.rs
+++ b/crates/beamwall-gateway/src/stream/relay.rs
@@ -7,7 +7,7 @@
 use beamwall_events::emit;
 use beamwall_events::internal_events::{CallerGone, StreamBroken, StreamContinued, StreamFinished};
 use beamwall_http::{Body, BodySender, channel};
-use beamwall_model::BackendId;
+use beamwall_model::{BackendId, EngineVersion};
 use hyper::Response;
 use tokio::time::Instant;
 
@@ -102,11 +102,13 @@
         loop {
             let stop = self.forward_pieces(&mut source, first.take()).await;
             let (choice, continued_after) = (source.choice.clone(), source.continued_after);
-            let sent_at = source.sent_at;
+            let (version, sent_at) = (source.version.clone(), source.sent_at);
             // Closes the connection before another engine is contacted.
             drop(source);
             let failed = match stop {
-                Stop::Finished { proves_parts } => return self.finish(&choice.backend, proves_parts),
+                Stop::Finished { proves_parts } => {
+                    return self.finish(&choice.backend, &version, proves_parts);
+                }
                 Stop::CallerGone => return self.note_caller_gone(&choice.backend),
                 Stop::Failed(failed) => failed,
                 Stop::Moved(stopped) => match self.continue_moved(&choice, *stopped).await {
@@ -175,7 +177,7 @@
                     let now = process_clock::now();
                     self.forwarder.backend_state.health.note_activity(&source.choice.backend, now);
                     if let Some(written_for) = source.take_writing_report() {
-                        self.forwarder.note_writing(&call, written_for);
+                        self.forwarder.note_writing(&call, &source.version, written_for);
                     }
                     let batch = scan_events(&events);
                     match &mut gap_meter {
@@ -311,12 +313,9 @@
         self.forwarder.metrics.streams_continued.inc();
     }
 
-    fn finish(&self, backend: &BackendId, proves_parts: bool) {
+    fn finish(&self, backend: &BackendId, version: &EngineVersion, proves_parts: bool) {
         self.note_finished_at(backend);
-        self.forwarder.quarantine.note_completed(&self.call.fingerprint);
-        if proves_parts {
-            self.forwarder.note_parts_completed(&self.call);
-        }
+        self.forwarder.note_completed(&self.call, version, proves_parts);
         if let Some(last) = self.last_event {
             self.forwarder.demand.note_events(&self.call.route.name, last);
         }
--- a/crates/beamwall-gateway/src/stream/source.rs
+++ b/crates/beamwall-gateway/src/stream/source.rs
@@ -4,6 +4,7 @@
 
 use beamwall_clock::process_clock;
 use beamwall_http::PooledBody;
+use beamwall_model::EngineVersion;
 use beamwall_quarantine::WritingProgress;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -28,6 +29,8 @@
 pub(super) struct Source {
     /// The chosen engine and the estimates behind the choice.
     pub(super) choice: Choice,
+    /// The engine's software version.
+    pub(super) version: EngineVersion,
     body: PooledBody,
     pub(super) work: OpenRequestGuard,
     splitter: EventSplitter,
@@ -46,6 +49,7 @@
     /// end. `sent_at`: when the request was sent, by the process clock.
     pub(super) fn new(
         choice: &Choice,
+        version: EngineVersion,
         body: PooledBody,
         work: OpenRequestGuard,
         is_framed: bool,
@@ -55,6 +59,7 @@
         let splitter = EventSplitter::default();
         Self {
             choice: choice.clone(),
+            version,
             body,
             work,
             splitter,
--- a/crates/beamwall-gateway/src/unary.rs
+++ b/crates/beamwall-gateway/src/unary.rs
@@ -5,6 +5,7 @@
 use beamwall_clock::{process_clock, timers};
 use beamwall_http::body::ReadError;
 use beamwall_http::{Body, full, read_limited};
+use beamwall_model::BackendId;
 use bytes::Bytes;
 use hyper::{Response, StatusCode, http::response::Parts};
 use tokio::time::Instant;
@@ -99,14 +100,19 @@
     let opened = attempt::open(forwarder, call, choice, permit, ResumePoint::default(), call.remaining());
     tokio::select! {
         biased;
-        opened = report_running(forwarder, call, opened) => Ok(opened?),
+        opened = report_running(forwarder, call, &choice.backend, opened) => Ok(opened?),
         next = next_back_end => Err(attempt::abandon_silent(forwarder, call, &choice.backend, None, next)),
     }
 }
 
 /// Waits for an attempt. Nothing of a single response can be seen before its end, so the time for which its back end
 /// has survived it is reported meanwhile.
-async fn report_running<T>(forwarder: &Forwarder, call: &Call, attempt: impl Future<Output = T>) -> T {
+async fn report_running<T>(
+    forwarder: &Forwarder,
+    call: &Call,
+    backend: &BackendId,
+    attempt: impl Future<Output = T>,
+) -> T {
     let sent_at = process_clock::now();
     let mut attempt = std::pin::pin!(attempt);
     loop {
@@ -114,7 +120,7 @@
             biased;
             result = attempt.as_mut() => return result,
             () = process_clock::sleep(RUNNING_REPORT_INTERVAL) => {
-                forwarder.note_running(call, process_clock::now().duration_since(sent_at));
+                forwarder.note_running(call, backend, process_clock::now().duration_since(sent_at));
             }
         }
     }
@@ -155,7 +161,7 @@
     call: &Call,
     opened: OpenResponse,
 ) -> Result<BufferedResponse, AttemptFailure> {
-    let OpenResponse { backend, response, work, .. } = opened;
+    let OpenResponse { backend, version, response, work } = opened;
     let (parts, body) = response.into_parts();
     let left = call.remaining();
     // The time limit of the body reader does not include the time for which the machine was suspended.
@@ -165,10 +171,8 @@
     match read {
         Ok(body) => {
             forwarder.record_usage(call);
-            forwarder.quarantine.note_completed(&call.fingerprint);
-            if parts.status.is_success() && attempt::is_framed(&parts.headers) {
-                forwarder.note_parts_completed(call);
-            }
+            let proves_parts = parts.status.is_success() && attempt::is_framed(&parts.headers);
+            forwarder.note_completed(call, &version, proves_parts);
             Ok(BufferedResponse { parts, body })
         }
         Err(error) => {
--- a/crates/beamwall-gateway/tests/quarantine_parts.rs
+++ b/crates/beamwall-gateway/tests/quarantine_parts.rs
@@ -14,7 +14,7 @@
 use beamwall_gateway::quarantine::{Quarantine, TrialPort};
 use beamwall_gateway::{Directory, Prompt, PromptPart, RemovalCause};
 use beamwall_http::Pool;
-use beamwall_model::BackendId;
+use beamwall_model::{BackendId, EngineVersion};
 use beamwall_quarantine::limits::{EXPOSURES_KNOWN_AFTER, OUTAGE_WITHIN};
 use beamwall_quarantine::{
     Admission, Fingerprint, FingerprintHasher, QuarantineRegistry, Survival, TERMINATIONS_UNTIL_HELD,
@@ -76,7 +76,7 @@
     /// A sound request with these parts is answered at a node.
     fn complete(&mut self, node: usize, parts: &[u64]) {
         let (_, prompt) = self.request(parts);
-        self.nodes[node].note_parts_completed(prompt.parts.iter().map(|part| part.id));
+        self.nodes[node].note_parts_completed(prompt.parts.iter().map(|part| part.id), None);
     }
 
     /// An engine terminates while requests with these parts are open at nodes, and all are told.
@@ -153,9 +153,10 @@
     }
     for node in 0..3 {
         let (sound, _) = fleet.request(&SHARED);
-        assert_eq!(fleet.nodes[node].admit_all(sound.into_iter()).await, Ok(Admission::Normal));
+        assert_eq!(fleet.nodes[node].admit_all(sound.into_iter(), Vec::new).await, Ok(Admission::Normal));
         let (deadly, _) = fleet.request(&deadly);
-        let refused = fleet.nodes[node].admit_all(deadly.into_iter()).await.expect_err("it is held");
+        let refused =
+            fleet.nodes[node].admit_all(deadly.into_iter(), Vec::new).await.expect_err("it is held");
         assert_eq!(refused.held, Fingerprint::of_part(DEADLY));
         assert!(refused.reason().contains("part dead of this prompt"), "{}", refused.reason());
     }
@@ -187,7 +188,7 @@
     }
     let refuse_at_first = async |fleet: &mut Fleet, parts: &[u64]| {
         let (suspects, _) = fleet.request(parts);
-        assert!(fleet.nodes[0].admit_all(suspects.into_iter()).await.is_err());
+        assert!(fleet.nodes[0].admit_all(suspects.into_iter(), Vec::new).await.is_err());
     };
     refuse_at_first(&mut fleet, &SHARED).await;
     refuse_at_first(&mut fleet, &[DEADLY]).await;
@@ -211,7 +212,7 @@
         fleet.terminate_after(Duration::from_millis(lost_after_ms), 0, &[(0, &deadly)]).await;
         tokio::time::sleep(EXPOSURES_KNOWN_AFTER).await;
         let (request, _) = fleet.request(&deadly);
-        fleet.nodes[1].note_survival(&request[0], [DEADLY].into_iter(), survival);
+        fleet.nodes[1].note_survival(&request[0], [DEADLY].into_iter(), None, survival);
         fleet.exchange();
         assert!(!fleet.nodes[2].registry.is_suspected(&Fingerprint::of_part(DEADLY)), "it is disproved");
         for engine in 1..=TERMINATIONS_UNTIL_HELD {
@@ -231,7 +232,7 @@
         let deadly = [DEADLY];
         let (request, _) = fleet.request(&deadly);
         fleet.nodes.iter().for_each(|node| {
-            node.note_survival(&request[0], [DEADLY].into_iter(), Survival::Writing(1_900));
+            node.note_survival(&request[0], [DEADLY].into_iter(), None, Survival::Writing(1_900));
         });
         for (engine, (node, exposure_ms)) in nodes_that_see.into_iter().zip([1_950, 400, 600]).enumerate() {
             fleet.terminate_after(Duration::from_millis(exposure_ms), engine, &[(node, &deadly)]).await;
@@ -240,6 +241,30 @@
     }
 }
 
+/// Guards against: a request with a held part is refused although back ends of another software version answer on the part, or
+/// passes where only back ends of a version serve that terminate under it.
+#[tokio::test]
+async fn a_held_part_passes_where_a_version_serves_that_answers_on_it() {
+    let mut fleet = Fleet::new(3);
+    let deadly = [DEADLY];
+    for engine in 0..TERMINATIONS_UNTIL_HELD {
+        fleet.terminate(engine, &[(engine, &deadly)]).await;
+    }
+    let (ending, other) = (support::backend("i-0").version, EngineVersion::new("other"));
+    let serving = [ending.clone(), other.clone()];
+    let admit = async |fleet: &mut Fleet, serving: &[EngineVersion]| {
+        let (suspects, _) = fleet.request(&deadly);
+        fleet.nodes[2].admit_all(suspects.into_iter(), || serving.to_vec()).await
+    };
+    assert!(admit(&mut fleet, &serving).await.is_err(), "no version is proven");
+    tokio::time::sleep(Duration::from_millis(2)).await;
+    fleet.nodes[0].note_parts_completed([DEADLY].into_iter(), Some(&other));
+    fleet.exchange();
+    assert_eq!(fleet.holding(DEADLY), 3);
+    assert_eq!(admit(&mut fleet, &serving).await, Ok(Admission::Normal));
+    assert!(admit(&mut fleet, &[ending]).await.is_err(), "the proven version is gone");
+}
+
 /// Guards against: of two deadly parts that share engines, the rare one is never held.
 #[tokio::test]
 async fn a_rare_deadly_part_is_held_beside_a_frequent_one() {
@@ -289,7 +314,7 @@
     for engine in 10..13 {
         fleet.terminate(engine, &[(0, &with(DEADLY))]).await;
     }
-    let refused = node.admit_all(suspects.into_iter()).await.expect_err("the part is held");
+    let refused = node.admit_all(suspects.into_iter(), Vec::new).await.expect_err("the part is held");
     assert_eq!(refused.held, Fingerprint::of_part(DEADLY));
     assert_eq!(fleet.trials.asked.load(Ordering::Relaxed), 0);
 }
--- a/crates/beamwall-node/src/gateway/quarantine_wire.rs
+++ b/crates/beamwall-node/src/gateway/quarantine_wire.rs
@@ -1,6 +1,6 @@
 //! Conversion of evidence against requests to and from messages.
 
-use beamwall_model::BackendId;
+use beamwall_model::{BackendId, EngineVersion};
 use beamwall_peer::quarantine_message::{
     CompletionKind, CompletionMessage, ExposuresMessage, QuarantineUpdate, TerminationMessage, TrialMessage,
 };
@@ -16,6 +16,7 @@
         backend: termination.backend.to_string(),
         at_ms: termination.at_ms,
         open: termination.open.iter().flat_map(|request| *request.as_bytes()).collect(),
+        version: encode_version(termination.version.as_ref()),
     };
     let completion = |completion: &Completion| {
         let (kind, survived_ms) = encode_basis(completion.basis);
@@ -24,6 +25,7 @@
             at_ms: completion.at_ms,
             kind: kind.into(),
             survived_ms,
+            version: encode_version(completion.version.as_ref()),
         }
     };
     let trial = |trial: &Trial| TrialMessage {
@@ -44,6 +46,14 @@
     }
 }
 
+fn encode_version(version: Option<&EngineVersion>) -> String {
+    version.map(EngineVersion::to_string).unwrap_or_default()
+}
+
+fn decode_version(name: &str) -> Option<EngineVersion> {
+    (!name.is_empty()).then(|| EngineVersion::new(name))
+}
+
 fn encode_basis(basis: CompletionBasis) -> (CompletionKind, u64) {
     match basis {
         CompletionBasis::Completed => (CompletionKind::Completed, 0),
@@ -66,12 +76,19 @@
 pub fn decode(update: &QuarantineUpdate) -> Evidence {
     let termination = |wire_entry: &TerminationMessage| Termination {
         backend: BackendId::new(&wire_entry.backend),
+        version: decode_version(&wire_entry.version),
         at_ms: wire_entry.at_ms,
         open: wire_entry.open.chunks(FINGERPRINT_BYTES).filter_map(fingerprint).collect(),
     };
     let completion = |wire_entry: &CompletionMessage| {
         let basis = decode_basis(wire_entry.kind(), wire_entry.survived_ms);
-        Some(Completion { request: fingerprint(&wire_entry.request)?, at_ms: wire_entry.at_ms, basis })
+        let version = decode_version(&wire_entry.version);
+        Some(Completion {
+            request: fingerprint(&wire_entry.request)?,
+            version,
+            at_ms: wire_entry.at_ms,
+            basis,
+        })
     };
     let trial = |wire_entry: &TrialMessage| {
         Some(Trial {
--- a/crates/beamwall-node/src/tasks/quarantine.rs
+++ b/crates/beamwall-node/src/tasks/quarantine.rs
@@ -8,7 +8,7 @@
 use beamwall_fleet::FleetView;
 use beamwall_gateway::lost_responses::{LossKind, ResponseLoss};
 use beamwall_gateway::quarantine::{BackendLookup, ListedBackend, Quarantine};
-use beamwall_model::{BackendId, to_ms};
+use beamwall_model::{BackendId, EngineVersion, to_ms};
 use beamwall_peer::quarantine_message::QuarantineUpdate;
 use beamwall_peer::{Body, Envelope, MemberState};
 use beamwall_quarantine::{Admission, Evidence, Fingerprint, HeldRequest, Survival};
@@ -40,9 +40,14 @@
         Some(ListedBackend {
             id: backend.clone(),
             address: listed.backend.address,
+            version: None,
             is_leaving: listed.leaving,
         })
     }
+
+    fn versions(&self) -> Vec<EngineVersion> {
+        Vec::new()
+    }
 }
 
 #[async_trait]
@@ -61,7 +66,8 @@
     }
 
     fn note_writing(&self, request: &Fingerprint, written_for: Duration) {
-        self.quarantine.note_survival(request, std::iter::empty(), Survival::Writing(to_ms(written_for)));
+        let survival = Survival::Writing(to_ms(written_for));
+        self.quarantine.note_survival(request, std::iter::empty(), None, survival);
     }
 
     fn note_refused(&self, backend: &BackendId) {
@@ -69,7 +75,7 @@
     }
 
     fn note_completed(&self, request: &Fingerprint) {
-        self.quarantine.note_completed(request);
+        self.quarantine.note_completed(request, None);
     }
 }
 
--- a/crates/beamwall-node/tests/earlier_builds.rs
+++ b/crates/beamwall-node/tests/earlier_builds.rs
@@ -251,6 +251,7 @@
             backend: "i-3".to_owned(),
             at_ms: 1_700_000_000_003,
             open: (0..32).collect(),
+            ..TerminationMessage::default()
         }],
         completions: vec![CompletionMessage {
             request: (0..16).collect(),
--- a/crates/beamwall-peer/src/quarantine_message.rs
+++ b/crates/beamwall-peer/src/quarantine_message.rs
@@ -35,6 +35,9 @@
     /// Fingerprints of the requests that were open there, 16 bytes each, concatenated.
     #[prost(bytes = "vec", tag = "3")]
     pub open: Vec<u8>,
+    /// The back end's software version; empty if unknown. Earlier releases tell none.
+    #[prost(string, tag = "4")]
+    pub version: String,
 }
 
 /// How long a back end that terminated had been running requests.
@@ -81,6 +84,10 @@
     /// Time for which a back end has survived the request, in milliseconds; 0 where it completed.
     #[prost(uint64, tag = "4")]
     pub survived_ms: u64,
+    /// The back end's software version: terminations of others count on. Empty if unknown. Earlier releases tell none, and
+    /// read a completion as one that concerns all versions.
+    #[prost(string, tag = "5")]
+    pub version: String,
 }
 
 /// A trial granted to a held request.
--- a/crates/beamwall-quarantine/src/evidence.rs
+++ b/crates/beamwall-quarantine/src/evidence.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use beamwall_model::BackendId;
+use beamwall_model::{BackendId, EngineVersion};
 
 use crate::fingerprint::Fingerprint;
 use crate::suspect::Suspect;
@@ -16,6 +16,8 @@
 pub struct Termination {
     /// The back end; an engine that restarts becomes a new back end.
     pub backend: BackendId,
+    /// Its software version, if known.
+    pub version: Option<EngineVersion>,
     /// When it terminated.
     pub at_ms: u64,
     /// Requests that had been sent to it and were not completely answered.
@@ -68,10 +70,13 @@
 
 /// A request that a back end completed without terminating, or that one has survived for so long that terminations have
 /// another cause.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Completion {
     /// The request.
     pub request: Fingerprint,
+    /// The software version of that back end: terminations of back ends of other versions count on. `None`: unknown, so that
+    /// none counts on.
+    pub version: Option<EngineVersion>,
     /// The terminations up to this time do not count.
     pub at_ms: u64,
     /// Why they do not.
@@ -100,6 +105,9 @@
     pub at_ms: u64,
 }
 
+/// A back end that terminated, when it did, and its version, as one suspect tells them.
+type TerminationKey<'a> = (&'a BackendId, u64, Option<&'a EngineVersion>);
+
 /// A set of observations.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Evidence {
@@ -116,28 +124,39 @@
 impl Evidence {
     /// Collects the evidence about the given suspects.
     pub fn from_suspects<'a>(suspects: impl Iterator<Item = (&'a Fingerprint, &'a Suspect)>) -> Self {
-        let mut terminations: BTreeMap<(&BackendId, u64), Vec<Fingerprint>> = BTreeMap::new();
+        let mut terminations: BTreeMap<TerminationKey<'a>, Vec<Fingerprint>> = BTreeMap::new();
         let mut exposures: BTreeMap<&BackendId, Vec<OpenSuspect>> = BTreeMap::new();
         let mut evidence = Self::default();
         for (request, suspect) in suspects {
             for (backend, at_ms) in &suspect.endings {
-                terminations.entry((backend, *at_ms)).or_default().push(*request);
+                let key = (backend, *at_ms, suspect.versions.get(backend));
+                terminations.entry(key).or_default().push(*request);
             }
             for (backend, exposure_ms) in &suspect.exposures_ms {
                 let exposed = OpenSuspect { suspect: *request, exposure_ms: *exposure_ms };
                 exposures.entry(backend).or_default().push(exposed);
             }
+            let recorded = |version: Option<EngineVersion>, at_ms: u64| Completion {
+                request: *request,
+                version,
+                at_ms,
+                basis: CompletionBasis::Recorded,
+            };
             if suspect.completed_ms > 0 {
-                let (at_ms, basis) = (suspect.completed_ms, CompletionBasis::Recorded);
-                evidence.completions.push(Completion { request: *request, at_ms, basis });
+                evidence.completions.push(recorded(None, suspect.completed_ms));
             }
+            let by_version = suspect.completed_by_version_ms.iter();
+            evidence
+                .completions
+                .extend(by_version.map(|(version, at_ms)| recorded(Some(version.clone()), *at_ms)));
             if suspect.trials > 0 {
                 let trial = Trial { request: *request, number: suspect.trials, at_ms: suspect.trial_ms };
                 evidence.trials.push(trial);
             }
         }
-        let to_termination = |((backend, at_ms), open): ((&BackendId, u64), _)| Termination {
+        let to_termination = |((backend, at_ms, version), open): (TerminationKey<'a>, _)| Termination {
             backend: backend.clone(),
+            version: version.cloned(),
             at_ms,
             open,
         };
--- a/crates/beamwall-quarantine/src/hold_decision.rs
+++ b/crates/beamwall-quarantine/src/hold_decision.rs
@@ -24,7 +24,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
-use beamwall_model::{BackendId, to_ms};
+use beamwall_model::{BackendId, EngineVersion, to_ms};
 
 use crate::common_cause::{CountedTermination, independent_times, may_be_outage};
 use crate::fingerprint::Fingerprint;
@@ -35,7 +35,7 @@
 use crate::suspect::Suspect;
 
 /// Why and for how long a request is held.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HoldState {
     /// Number of terminations that count against the request.
     pub endings: usize,
@@ -51,6 +51,8 @@
     pub trials: u32,
     /// When the next trial is due; `None` if there is no further trial.
     pub next_trial_ms: Option<u64>,
+    /// Software versions whose back ends run it and do not terminate: they may be sent it all the same.
+    pub proven_versions: Vec<EngineVersion>,
 }
 
 /// A request with enough terminations to be held.
@@ -222,5 +224,6 @@
         is_in_doubt: doubt != Doubt::None,
         trials: one.suspect.trials,
         next_trial_ms: one.next_trial_ms(doubt),
+        proven_versions: one.suspect.proven_versions(),
     }
 }
--- a/crates/beamwall-quarantine/src/limits.rs
+++ b/crates/beamwall-quarantine/src/limits.rs
@@ -67,6 +67,9 @@
 /// Recorded terminations without any known open request: far more than any held request explains.
 pub const MAX_UNATTRIBUTED_TERMINATIONS: usize = 1_024;
 
+/// Software versions of which the last completion of a request is remembered; of more, the latest.
+pub const MAX_COMPLETED_VERSIONS: usize = 8;
+
 /// Recorded terminations of one request; the latest are kept, and of those at one moment the first, since more do not
 /// change the decision.
 pub const MAX_TERMINATIONS_PER_REQUEST: usize = 16;
--- a/crates/beamwall-quarantine/src/registry.rs
+++ b/crates/beamwall-quarantine/src/registry.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use beamwall_model::{BackendId, to_ms};
+use beamwall_model::{BackendId, EngineVersion, to_ms};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::evidence::{
@@ -124,20 +124,26 @@
         self.view.load().has_held
     }
 
+    /// The versions to whose back ends a request may be sent although it is held; `None` if it is not held.
+    pub fn proven_versions(&self, request: &Fingerprint) -> Option<Vec<EngineVersion>> {
+        self.view.load().held(request).map(|held| held.proven_versions.clone())
+    }
+
     /// Whether any termination counts against a request.
     pub fn is_suspected(&self, request: &Fingerprint) -> bool {
+        self.is_suspected_at(request, None)
+    }
+
+    /// Whether any termination counts against a request which back ends of a version have not disproved.
+    fn is_suspected_at(&self, request: &Fingerprint, version: Option<&EngineVersion>) -> bool {
         let is_known = self.view.load().suspects.contains_key(request);
-        is_known
-            && self
-                .lock()
-                .suspects
-                .get(request)
-                .is_some_and(|suspect| suspect.counted_terminations().next().is_some())
+        let has_any = |suspect: &Suspect| suspect.terminations_counted_at(version).next().is_some();
+        is_known && self.lock().suspects.get(request).is_some_and(has_any)
     }
 
     /// Returns the held requests.
     pub fn held(&self) -> Vec<(Fingerprint, HoldState)> {
-        self.view.load().all_held().map(|(request, held)| (*request, *held)).collect()
+        self.view.load().all_held().map(|(request, held)| (*request, held.clone())).collect()
     }
 
     /// Number of suspects.
@@ -149,13 +155,20 @@
     /// there.
     pub fn note_termination(&self, backend: &BackendId, open: Vec<Fingerprint>, now_ms: u64) {
         let open: Vec<OpenSuspect> = open.into_iter().map(OpenSuspect::of_unknown_exposure).collect();
-        self.note_termination_after(backend, &open, now_ms);
+        self.note_termination_after(backend, None, &open, now_ms);
     }
 
-    /// Records a termination like [`Self::note_termination`], of a back end whose exposures to these suspects are known.
-    pub fn note_termination_after(&self, backend: &BackendId, open: &[OpenSuspect], now_ms: u64) {
+    /// Records a termination like [`Self::note_termination`], of a back end of a software version, if that is known, whose
+    /// exposures to these suspects are known.
+    pub fn note_termination_after(
+        &self,
+        backend: &BackendId,
+        version: Option<EngineVersion>,
+        open: &[OpenSuspect],
+        now_ms: u64,
+    ) {
         let suspects = open.iter().map(|open| open.suspect).collect();
-        let termination = Termination { backend: backend.clone(), at_ms: now_ms, open: suspects };
+        let termination = Termination { backend: backend.clone(), version, at_ms: now_ms, open: suspects };
         let mut evidence = Evidence { endings: vec![termination], ..Evidence::default() };
         let exposed: Vec<OpenSuspect> = open.iter().filter(|open| open.exposure_ms > 0).copied().collect();
         if !exposed.is_empty() {
@@ -164,19 +177,25 @@
         self.note(evidence, now_ms);
     }
 
-    /// Records that a back end has survived a suspect so far; returns whether that disproves terminations that counted
-    /// against it.
-    pub fn note_survival(&self, suspect: &Fingerprint, survival: Survival, now_ms: u64) -> bool {
+    /// Records that a back end of a version, if that is known, has survived a suspect so far; returns whether that disproves
+    /// terminations that counted against it at this version.
+    pub fn note_survival(
+        &self,
+        suspect: &Fingerprint,
+        version: Option<&EngineVersion>,
+        survival: Survival,
+        now_ms: u64,
+    ) -> bool {
         if !self.view.load().suspects.contains_key(suspect) {
             return false;
         }
         let disproved_until_ms = {
             let state = self.lock();
-            state.suspects.get(suspect).and_then(|known| known.disproved_until_ms(survival, now_ms))
+            state.suspects.get(suspect).and_then(|known| known.disproved_until_ms(survival, version, now_ms))
         };
         let Some(until_ms) = disproved_until_ms else { return false };
         let basis = CompletionBasis::Survived(survival);
-        let disproof = Completion { request: *suspect, at_ms: until_ms, basis };
+        let disproof = Completion { request: *suspect, version: version.cloned(), at_ms: until_ms, basis };
         self.note(Evidence { completions: vec![disproof], ..Evidence::default() }, now_ms)
     }
 
@@ -195,14 +214,24 @@
         }
     }
 
-    /// Records that a back end completed a request; returns whether that clears the request of a
-    /// suspicion.
-    pub fn note_completion(&self, request: &Fingerprint, now_ms: u64) -> bool {
+    /// Records that a back end of a version, if that is known, completed a request; returns whether that clears the
+    /// request of a suspicion at this version.
+    pub fn note_completion(
+        &self,
+        request: &Fingerprint,
+        version: Option<&EngineVersion>,
+        now_ms: u64,
+    ) -> bool {
         // Completions of requests without counted terminations are not sent to the peers.
-        if !self.is_suspected(request) {
+        if !self.is_suspected_at(request, version) {
             return false;
         }
-        let completion = Completion { request: *request, at_ms: now_ms, basis: CompletionBasis::Completed };
+        let completion = Completion {
+            request: *request,
+            version: version.cloned(),
+            at_ms: now_ms,
+            basis: CompletionBasis::Completed,
+        };
         self.note(Evidence { completions: vec![completion], ..Evidence::default() }, now_ms)
     }
 
@@ -284,7 +313,7 @@
         let held = hold_decision::held_requests(&state.suspects, &state.unattributed);
         let before = self.view.load();
         let newly = held.iter().filter(|(request, _)| before.held(request).is_none());
-        state.changes.held.extend(newly.map(|(request, held)| (*request, *held)));
+        state.changes.held.extend(newly.map(|(request, held)| (*request, held.clone())));
         let freed =
             before.all_held().map(|(request, _)| *request).filter(|request| !held.contains_key(request));
         state.changes.freed.extend(freed);
@@ -293,7 +322,7 @@
             has_held: !held.is_empty(),
             digest: digest(state.suspects.iter()),
             persistent_digest: digest(persistent),
-            suspects: state.suspects.keys().map(|request| (*request, held.get(request).copied())).collect(),
+            suspects: state.suspects.keys().map(|request| (*request, held.get(request).cloned())).collect(),
         };
         self.view.store(Arc::new(view));
     }
@@ -303,13 +332,11 @@
     /// Merges evidence; returns the part that was new.
     fn add_evidence(&mut self, evidence: Evidence, now_ms: u64) -> Evidence {
         let mut new = Evidence::default();
-        for Termination { backend, at_ms, open } in evidence.endings {
-            let open: Vec<Fingerprint> = open
-                .into_iter()
-                .filter(|request| self.merge_termination(request, &backend, at_ms, now_ms))
-                .collect();
+        for termination in evidence.endings {
+            let is_new = |request: &&Fingerprint| self.merge_termination(request, &termination, now_ms);
+            let open: Vec<Fingerprint> = termination.open.iter().filter(is_new).copied().collect();
             if !open.is_empty() {
-                new.endings.push(Termination { backend, at_ms, open });
+                new.endings.push(Termination { open, ..termination });
             }
         }
         for BackEndExposures { backend, suspects } in evidence.exposures {
@@ -326,7 +353,9 @@
         // be stored without need.
         for completion in evidence.completions {
             let suspect = self.suspects.get_mut(&completion.request);
-            if suspect.is_some_and(|suspect| suspect.note_completion(completion.at_ms)) {
+            if suspect
+                .is_some_and(|suspect| suspect.note_completion(completion.version.as_ref(), completion.at_ms))
+            {
                 new.completions.push(completion);
             }
         }
@@ -340,15 +369,12 @@
         new
     }
 
-    fn merge_termination(
-        &mut self,
-        request: &Fingerprint,
-        backend: &BackendId,
-        at_ms: u64,
-        now_ms: u64,
-    ) -> bool {
+    fn merge_termination(&mut self, request: &Fingerprint, termination: &Termination, now_ms: u64) -> bool {
+        let Termination { backend, version, at_ms, .. } = termination;
         let mut suspect = self.suspects.get(request).cloned().unwrap_or_default();
-        let is_new = suspect.note_termination(backend, at_ms) && !suspect.is_expired(now_ms);
+        let is_time_new = suspect.note_termination(backend, *at_ms);
+        let is_version_new = version.as_ref().is_some_and(|version| suspect.note_version(backend, version));
+        let is_new = (is_time_new || is_version_new) && !suspect.is_expired(now_ms);
         if is_new {
             self.suspects.insert(*request, suspect);
         }
@@ -385,6 +411,14 @@
         hasher.update(backend.as_str().as_bytes());
         hasher.update(&exposure_ms.to_le_bytes());
     }
+    for (backend, version) in &suspect.versions {
+        hasher.update(backend.as_str().as_bytes());
+        hasher.update(version.as_str().as_bytes());
+    }
+    for (version, completed_ms) in &suspect.completed_by_version_ms {
+        hasher.update(version.as_str().as_bytes());
+        hasher.update(&completed_ms.to_le_bytes());
+    }
     hasher.update(&suspect.completed_ms.to_le_bytes());
     hasher.update(&suspect.trials.to_le_bytes());
     hasher.update(&suspect.trial_ms.to_le_bytes());
--- a/crates/beamwall-quarantine/src/suspect.rs
+++ b/crates/beamwall-quarantine/src/suspect.rs
@@ -3,14 +3,14 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
-use beamwall_model::{BackendId, to_ms};
+use beamwall_model::{BackendId, EngineVersion, to_ms};
 use serde::{Deserialize, Serialize};
 
 use crate::common_cause::{CountedTermination, independent_times};
 use crate::evidence::Survival;
 use crate::limits::{
-    EXPOSURES_KNOWN_AFTER, HOLD_RETENTION, MAX_TERMINATIONS_PER_REQUEST, SIMULTANEOUS_WITHIN,
-    SUSPECT_RETENTION, TERMINATIONS_UNTIL_HELD,
+    EXPOSURES_KNOWN_AFTER, HOLD_RETENTION, MAX_COMPLETED_VERSIONS, MAX_TERMINATIONS_PER_REQUEST,
+    SIMULTANEOUS_WITHIN, SUSPECT_RETENTION, TERMINATIONS_UNTIL_HELD,
 };
 
 /// A request that was open at the termination of a back end.
@@ -23,9 +23,16 @@
     /// release observed the termination.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
     pub exposures_ms: BTreeMap<BackendId, u64>,
-    /// When the request last completed, or a back end had survived it for long enough; 0 if never. Terminations up
-    /// to then do not count.
+    /// Software versions of these back ends; absent if unknown.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub versions: BTreeMap<BackendId, EngineVersion>,
+    /// When the request last completed, or a back end had survived it for long enough, where the version of that back
+    /// end is unknown; 0 if never. Terminations up to then do not count.
     pub completed_ms: u64,
+    /// The same by the version of that back end. Terminations up to then do not count if they are of this version, or of an
+    /// unknown one.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub completed_by_version_ms: BTreeMap<EngineVersion, u64>,
     /// Number of trials granted.
     pub trials: u32,
     /// When the last trial was granted.
@@ -51,6 +58,7 @@
             let Some(least) = self.least_telling() else { break };
             self.endings.remove(&least);
             self.exposures_ms.remove(&least);
+            self.versions.remove(&least);
         }
         is_new
     }
@@ -69,6 +77,17 @@
         Some((*least).clone())
     }
 
+    /// Records the software version of a back end that terminated; returns whether that was new. Where nodes tell different
+    /// ones, all keep the first by name.
+    pub fn note_version(&mut self, backend: &BackendId, version: &EngineVersion) -> bool {
+        let is_before = self.versions.get(backend).is_none_or(|known| version < known);
+        let is_new = is_before && self.endings.contains_key(backend);
+        if is_new {
+            self.versions.insert(backend.clone(), version.clone());
+        }
+        is_new
+    }
+
     /// Records the exposure of a back end that terminated; returns whether that was new.
     pub fn note_exposure(&mut self, backend: &BackendId, exposure_ms: u64) -> bool {
         let is_new = exposure_ms > self.exposure_ms(backend) && self.endings.contains_key(backend);
@@ -82,10 +101,15 @@
         self.exposures_ms.get(backend).copied().unwrap_or(0)
     }
 
-    /// Returns the time of the last of the terminations that a survival disproves, all earlier ones included; `None` if
-    /// there is none.
-    pub fn disproved_until_ms(&self, survival: Survival, now_ms: u64) -> Option<u64> {
-        let mut counted: Vec<CountedTermination> = self.counted_terminations().map(|(_, one)| one).collect();
+    /// Returns the time of the last of the terminations that a survival at a version disproves, all earlier ones included;
+    /// `None` if there is none that was not disproved before.
+    pub fn disproved_until_ms(
+        &self,
+        survival: Survival,
+        version: Option<&EngineVersion>,
+        now_ms: u64,
+    ) -> Option<u64> {
+        let mut counted: Vec<CountedTermination> = self.terminations_counted_at(version).collect();
         counted.sort_unstable_by_key(|one| one.at_ms);
         let is_known =
             |one: &CountedTermination| now_ms >= one.at_ms.saturating_add(to_ms(EXPOSURES_KNOWN_AFTER));
@@ -96,11 +120,65 @@
             .map(|one| one.at_ms)
     }
 
-    /// Records that the request completed; returns whether that was new.
-    pub fn note_completion(&mut self, at_ms: u64) -> bool {
-        let is_new = at_ms > self.completed_ms;
-        self.completed_ms = self.completed_ms.max(at_ms);
-        is_new
+    /// The terminations that count, but for those before the last completion at a back end of a version. `None`: all that
+    /// count.
+    pub fn terminations_counted_at(
+        &self,
+        version: Option<&EngineVersion>,
+    ) -> impl Iterator<Item = CountedTermination> {
+        let completed_ms = version.map_or(0, |version| self.completed_by_ms(version));
+        self.counted_terminations().map(|(_, one)| one).filter(move |one| one.at_ms > completed_ms)
+    }
+
+    fn completed_by_ms(&self, version: &EngineVersion) -> u64 {
+        self.completed_by_version_ms.get(version).copied().unwrap_or(0)
+    }
+
+    /// Records that the request completed at a back end of a version; returns whether that was new.
+    pub fn note_completion(&mut self, version: Option<&EngineVersion>, at_ms: u64) -> bool {
+        let Some(version) = version else {
+            let is_new = at_ms > self.completed_ms;
+            self.completed_ms = self.completed_ms.max(at_ms);
+            return is_new;
+        };
+        if at_ms <= self.completed_by_ms(version) {
+            return false;
+        }
+        self.completed_by_version_ms.insert(version.clone(), at_ms);
+        self.forget_early_completions();
+        self.completed_by_version_ms.contains_key(version)
+    }
+
+    fn forget_early_completions(&mut self) {
+        while self.completed_by_version_ms.len() > MAX_COMPLETED_VERSIONS {
+            let earliest =
+                self.completed_by_version_ms.iter().min_by_key(|(version, at_ms)| (**at_ms, *version));
+            let Some(earliest) = earliest.map(|(version, _)| version.clone()) else { break };
+            self.completed_by_version_ms.remove(&earliest);
+        }
+    }
+
+    /// Until when terminations of a back end do not count: of its version, or of any if that is unknown.
+    fn disproved_ms(&self, backend: &BackendId) -> u64 {
+        let of_version = match self.versions.get(backend) {
+            Some(version) => self.completed_by_ms(version),
+            None => self.completed_by_version_ms.values().copied().max().unwrap_or(0),
+        };
+        of_version.max(self.completed_ms)
+    }
+
+    /// The versions whose back ends have run the request since the first termination that counts, or survived it for longer
+    /// than back ends that terminated, and of which none has terminated since, as far as versions are known.
+    pub fn proven_versions(&self) -> Vec<EngineVersion> {
+        let counted: Vec<(&BackendId, CountedTermination)> = self.counted_terminations().collect();
+        let first_ms = counted.iter().map(|(_, one)| one.at_ms).min().unwrap_or(0);
+        let terminates = |version: &EngineVersion| {
+            let may_be_of = |backend| self.versions.get(backend).is_none_or(|known| known == version);
+            counted.iter().any(|(backend, _)| may_be_of(*backend))
+        };
+        let ran = self.completed_by_version_ms.iter().filter(|(_, at_ms)| **at_ms >= first_ms);
+        let versions = ran.map(|(version, _)| version);
+        versions.filter(|version| !terminates(version)).cloned().collect()
     }
 
     /// Records a trial; returns whether it was new.
@@ -114,7 +192,7 @@
 
     /// Terminations that count towards the hold threshold: those after the last completion.
     pub fn counted_terminations(&self) -> impl Iterator<Item = (&BackendId, CountedTermination)> {
-        let counted = self.endings.iter().filter(|(_, at_ms)| **at_ms > self.completed_ms);
+        let counted = self.endings.iter().filter(|(backend, at_ms)| **at_ms > self.disproved_ms(backend));
         counted.map(|(backend, at_ms)| {
             (backend, CountedTermination { at_ms: *at_ms, exposure_ms: self.exposure_ms(backend) })
         })
--- a/crates/beamwall-quarantine/tests/registry.rs
+++ b/crates/beamwall-quarantine/tests/registry.rs
@@ -71,14 +71,14 @@
 fn a_completion_clears_earlier_terminations() {
     let registry = QuarantineRegistry::default();
     let now_ms = note_terminations(&registry, &[&["a"], &["a"]]);
-    assert!(registry.note_completion(&request("a"), now_ms + 1));
-    assert!(!registry.note_completion(&request("a"), now_ms + 2), "no termination counts any more");
+    assert!(registry.note_completion(&request("a"), None, now_ms + 1));
+    assert!(!registry.note_completion(&request("a"), None, now_ms + 2), "no termination counts any more");
     registry.note_termination(&engine(7), vec![request("a")], now_ms + 10);
     registry.note_termination(&engine(8), vec![request("a")], now_ms + 20);
     assert!(is_free(&registry, "a", now_ms + 30));
     registry.note_termination(&engine(9), vec![request("a")], now_ms + 30);
     assert!(!is_free(&registry, "a", now_ms + 30));
-    registry.note_completion(&request("a"), now_ms + 40);
+    registry.note_completion(&request("a"), None, now_ms + 40);
     assert!(is_free(&registry, "a", now_ms + 40), "a completion releases a held request, too");
 }
 
@@ -191,7 +191,7 @@
     registry.remove_expired(later_ms);
     assert_eq!((registry.suspects(), registry.digest()), (0, 0));
     // Evidence about it that arrives late does not restore it.
-    let old = Termination { backend: engine(1), at_ms: now_ms, open: vec![request("a")] };
+    let old = Termination { backend: engine(1), version: None, at_ms: now_ms, open: vec![request("a")] };
     let evidence = Evidence { endings: vec![old], ..Evidence::default() };
     assert!(registry.merge_evidence(evidence, later_ms).is_empty());
     assert_eq!(registry.suspects(), 0);
@@ -228,7 +228,8 @@
     let mut evidence = Evidence::default();
     match input.int_in_range(0..=5)? {
         0 => {
-            evidence.completions.push(Completion { request: named, at_ms, basis: CompletionBasis::Completed })
+            let (version, basis) = (None, CompletionBasis::Completed);
+            evidence.completions.push(Completion { request: named, version, at_ms, basis });
         }
         1 => evidence.trials.push(Trial { request: named, number: input.int_in_range(1..=2)?, at_ms }),
         _ => {
@@ -238,7 +239,8 @@
                     open.push(request(name));
                 }
             }
-            evidence.endings.push(Termination { backend: engine(input.int_in_range(0..=8)?), at_ms, open });
+            let backend = engine(input.int_in_range(0..=8)?);
+            evidence.endings.push(Termination { backend, version: None, at_ms, open });
         }
     }
     Ok(evidence)
--- a/crates/beamwall-quarantine/tests/simulation.rs
+++ b/crates/beamwall-quarantine/tests/simulation.rs
@@ -188,7 +188,7 @@
                 if self.engines[engine].generation == generation =>
             {
                 self.engines[engine].open.retain(|(other, _)| *other != request);
-                self.registry.note_completion(&self.fingerprints[request], START_MS + self.now_ms);
+                self.registry.note_completion(&self.fingerprints[request], None, START_MS + self.now_ms);
                 self.counts.remove(&self.fingerprints[request]);
             }
             Event::Terminates { .. } | Event::Completes { .. } => {}
@@ -326,7 +326,7 @@
             RequestStatus::Held { .. } => return false,
         };
         self.registry.note_trial(request, number, later_ms);
-        self.registry.note_completion(request, later_ms + 1);
+        self.registry.note_completion(request, None, later_ms + 1);
         self.registry.request_status(request, later_ms + 2) == RequestStatus::Free
     }
 }
--- a/crates/beamwall-quarantine/tests/sound_parts.rs
+++ b/crates/beamwall-quarantine/tests/sound_parts.rs
@@ -7,10 +7,10 @@
 #[test]
 fn a_part_is_sound_for_a_minute_after_an_answer_on_it() {
     let parts = SoundParts::default();
-    assert!([0, 7, u64::MAX].iter().all(|part| !parts.is_sound(*part, NOW_MS)));
-    parts.note_completed([0, 7, u64::MAX].into_iter(), NOW_MS);
-    assert!([0, 7, u64::MAX].iter().all(|part| parts.is_sound(*part, NOW_MS + 60_000)));
-    assert!(!parts.is_sound(7, NOW_MS + 60_001) && !parts.is_sound(8, NOW_MS));
+    assert!([0, 7, u64::MAX].iter().all(|part| !parts.is_sound(*part, None, NOW_MS)));
+    parts.note_completed([0, 7, u64::MAX].into_iter(), None, NOW_MS);
+    assert!([0, 7, u64::MAX].iter().all(|part| parts.is_sound(*part, None, NOW_MS + 60_000)));
+    assert!(!parts.is_sound(7, None, NOW_MS + 60_001) && !parts.is_sound(8, None, NOW_MS));
 }
 
 /// Guards against: parts that a tenant makes up fill the memory, or make another part sound.
@@ -18,10 +18,10 @@
 fn parts_that_are_made_up_displace_but_vouch_for_no_other() {
     let parts = SoundParts::default();
     for part in 0..100_000_u64 {
-        parts.note_completed(std::iter::once(part), NOW_MS);
+        parts.note_completed(std::iter::once(part), None, NOW_MS);
     }
-    assert!(parts.is_sound(99_999, NOW_MS));
-    assert!((200_000..300_000).all(|part| !parts.is_sound(part, NOW_MS)));
+    assert!(parts.is_sound(99_999, None, NOW_MS));
+    assert!((200_000..300_000).all(|part| !parts.is_sound(part, None, NOW_MS)));
 }
 
 /// Guards against: a part is taken for a request, or for another part, and logs don't show which it is.
--- a/crates/beamwall-quarantine/tests/survivals.rs
+++ b/crates/beamwall-quarantine/tests/survivals.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use arbtest::arbitrary::Unstructured;
-use beamwall_model::BackendId;
+use beamwall_model::{BackendId, EngineVersion};
 use beamwall_quarantine::limits::{
     EXPOSURES_KNOWN_AFTER, LATE_EXPOSURE, SURVIVAL_MARGIN, TRIAL_DELAYS_AFTER_OUTAGE,
 };
@@ -28,7 +28,7 @@
 fn note_terminations(registry: &QuarantineRegistry, terminations: &[(u64, u64)]) {
     for (number, (after_ms, exposure_ms)) in terminations.iter().enumerate() {
         let open = [OpenSuspect { suspect: SUSPECT, exposure_ms: *exposure_ms }];
-        registry.note_termination_after(&engine(number), &open, START_MS + after_ms);
+        registry.note_termination_after(&engine(number), None, &open, START_MS + after_ms);
     }
 }
 
@@ -40,11 +40,14 @@
     assert!(registry.is_held(&SUSPECT));
     let later_ms = START_MS + 3_000 + ms(EXPOSURES_KNOWN_AFTER);
     let enough_ms = 700 + ms(SURVIVAL_MARGIN);
-    assert!(!registry.note_survival(&SUSPECT, Survival::Writing(300), later_ms));
+    assert!(!registry.note_survival(&SUSPECT, None, Survival::Writing(300), later_ms));
     assert!(registry.is_held(&SUSPECT));
-    assert!(registry.note_survival(&SUSPECT, Survival::Writing(enough_ms), later_ms));
+    assert!(registry.note_survival(&SUSPECT, None, Survival::Writing(enough_ms), later_ms));
     assert!(!registry.is_held(&SUSPECT));
-    assert!(!registry.note_survival(&SUSPECT, Survival::Writing(enough_ms), later_ms), "nothing is left");
+    assert!(
+        !registry.note_survival(&SUSPECT, None, Survival::Writing(enough_ms), later_ms),
+        "nothing is left"
+    );
 }
 
 /// Guards against: an engine frees a suspect before all nodes have told for how long the ended ones had run it.
@@ -53,12 +56,12 @@
     let registry = QuarantineRegistry::default();
     note_terminations(&registry, &[(0, 10), (1_000, 10), (2_000, 10)]);
     let too_early_ms = START_MS + 2_000 + ms(EXPOSURES_KNOWN_AFTER) - 1;
-    registry.note_survival(&SUSPECT, Survival::Writing(60_000), too_early_ms);
+    registry.note_survival(&SUSPECT, None, Survival::Writing(60_000), too_early_ms);
     let exposed = OpenSuspect { suspect: SUSPECT, exposure_ms: 90_000 };
     let late_word = BackEndExposures { backend: engine(2), suspects: vec![exposed] };
     let evidence = Evidence { exposures: vec![late_word], ..Evidence::default() };
     registry.merge_evidence(evidence, too_early_ms);
-    assert!(!registry.note_survival(&SUSPECT, Survival::Writing(60_000), too_early_ms + 1));
+    assert!(!registry.note_survival(&SUSPECT, None, Survival::Writing(60_000), too_early_ms + 1));
     assert!(registry.is_suspected(&SUSPECT));
 }
 
@@ -71,7 +74,7 @@
         note_terminations(&registry, &[(0, exposure_ms), (2_000, exposure_ms), (4_000, exposure_ms)]);
         assert!(registry.is_held(&SUSPECT));
         let survival = Survival::Running(late_ms + ms(SURVIVAL_MARGIN));
-        registry.note_survival(&SUSPECT, survival, START_MS + 5_000);
+        registry.note_survival(&SUSPECT, None, survival, START_MS + 5_000);
         assert_eq!(!registry.is_held(&SUSPECT), is_freed, "{exposure_ms} ms");
     }
 }
@@ -84,7 +87,7 @@
     let moments = [(0, exposure_ms), (300, 5_400), (2_000, exposure_ms), (2_100, 5_400)];
     note_terminations(&registry, &moments);
     assert!(!registry.is_held(&SUSPECT), "two moments");
-    registry.note_survival(&SUSPECT, Survival::Writing(exposure_ms), START_MS + 3_000);
+    registry.note_survival(&SUSPECT, None, Survival::Writing(exposure_ms), START_MS + 3_000);
     note_terminations(&registry, &[moments.as_slice(), &[(4_000, exposure_ms)]].concat());
     assert!(registry.is_held(&SUSPECT));
 }
@@ -106,7 +109,7 @@
         registry.note_trial(&SUSPECT, trial as u32 + 1, due_ms);
         due_ms += 3_500;
         let open = [OpenSuspect { suspect: SUSPECT, exposure_ms: 3_500 }];
-        registry.note_termination_after(&engine(3 + trial), &open, due_ms);
+        registry.note_termination_after(&engine(3 + trial), None, &open, due_ms);
     }
     // Each trial has ended an engine, so the case is clear.
     let held = RequestStatus::Held { endings: 5, retry_after: None };
@@ -170,31 +173,116 @@
 #[test]
 fn a_part_outlives_shorter_exposures_for_a_minute() {
     let parts = SoundParts::default();
-    parts.note_written([5].into_iter(), 4_000, START_MS);
-    assert!(parts.outlives(5, 4_000 - ms(SURVIVAL_MARGIN), START_MS + 60_000));
-    assert!(!parts.outlives(5, 4_001 - ms(SURVIVAL_MARGIN), START_MS));
-    assert!(!parts.outlives(5, 0, START_MS + 60_001));
-    assert!(!parts.is_sound(5, START_MS), "no answer was whole");
-    parts.note_written([5].into_iter(), 1_000, START_MS + 1);
-    assert!(parts.outlives(5, 3_000, START_MS + 2), "the longest time counts");
-    parts.note_completed([5].into_iter(), START_MS + 3);
-    assert!(parts.outlives(5, 1_000_000, START_MS + 4));
+    parts.note_written([5].into_iter(), None, 4_000, START_MS);
+    assert!(parts.outlives(5, None, 4_000 - ms(SURVIVAL_MARGIN), START_MS + 60_000));
+    assert!(!parts.outlives(5, None, 4_001 - ms(SURVIVAL_MARGIN), START_MS));
+    assert!(!parts.outlives(5, None, 0, START_MS + 60_001));
+    assert!(!parts.is_sound(5, None, START_MS), "no answer was whole");
+    parts.note_written([5].into_iter(), None, 1_000, START_MS + 1);
+    assert!(parts.outlives(5, None, 3_000, START_MS + 2), "the longest time counts");
+    parts.note_completed([5].into_iter(), None, START_MS + 3);
+    assert!(parts.outlives(5, None, 1_000_000, START_MS + 4));
 }
 
 /// Guards against: a part is no suspect, since an engine wrote on it for some time that then ended under it.
 #[test]
 fn a_part_outlives_nothing_once_its_writer_has_terminated() {
     let parts = SoundParts::default();
-    parts.note_written([5].into_iter(), 4_000, START_MS);
-    parts.note_terminated(5, 3_999);
-    assert!(parts.outlives(5, 1_000, START_MS), "another engine wrote on it for longer");
-    parts.note_terminated(6, 9_000);
-    assert!(parts.outlives(5, 1_000, START_MS), "another part");
-    parts.note_terminated(5, 4_000);
-    assert!(!parts.outlives(5, 1_000, START_MS));
-    parts.note_completed([5].into_iter(), START_MS);
-    parts.note_terminated(5, 9_000);
-    assert!(parts.is_sound(5, START_MS), "an answer was whole");
+    parts.note_written([5].into_iter(), None, 4_000, START_MS);
+    parts.note_terminated(5, None, 3_999);
+    assert!(parts.outlives(5, None, 1_000, START_MS), "another engine wrote on it for longer");
+    parts.note_terminated(6, None, 9_000);
+    assert!(parts.outlives(5, None, 1_000, START_MS), "another part");
+    parts.note_terminated(5, None, 4_000);
+    assert!(!parts.outlives(5, None, 1_000, START_MS));
+    parts.note_completed([5].into_iter(), None, START_MS);
+    parts.note_terminated(5, None, 9_000);
+    assert!(parts.is_sound(5, None, START_MS), "an answer was whole");
+}
+
+/// Notes, on a registry, early terminations of back ends of this version at three moments.
+fn note_terminations_at(registry: &QuarantineRegistry, version: &str) {
+    for number in 0..3 {
+        let open = [OpenSuspect { suspect: SUSPECT, exposure_ms: 60 }];
+        let version = Some(EngineVersion::new(version));
+        registry.note_termination_after(&engine(number), version, &open, START_MS + 1_000 * number as u64);
+    }
+}
+
+/// Guards against: back ends of one software version that complete a request, or write on it for long, free it at back ends of
+/// another version, which it terminates.
+#[test]
+fn a_version_that_completes_a_suspect_proves_it_for_no_other_version() {
+    let (old, new) = (EngineVersion::new("v1"), EngineVersion::new("v2"));
+    let now_ms = START_MS + 5_000;
+    let completed = |registry: &QuarantineRegistry| registry.note_completion(&SUSPECT, Some(&old), now_ms);
+    let survived = |registry: &QuarantineRegistry| {
+        registry.note_survival(&SUSPECT, Some(&old), Survival::Writing(4_000), now_ms)
+    };
+    for proves in [&completed as &dyn Fn(&QuarantineRegistry) -> bool, &survived] {
+        let registry = QuarantineRegistry::default();
+        note_terminations_at(&registry, new.as_str());
+        assert_eq!(registry.proven_versions(&SUSPECT), Some(vec![]));
+        assert!(proves(&registry));
+        assert_eq!(registry.proven_versions(&SUSPECT), Some(vec![old.clone()]), "held for others");
+        assert!(!proves(&registry), "it is known");
+        // A node that hears all of it from a peer or the store knows the same.
+        let next = QuarantineRegistry::default();
+        next.merge_evidence(registry.all_evidence(), now_ms);
+        assert_eq!((next.held(), next.digest()), (registry.held(), registry.digest()));
+        // The new version completes it, too, as after a trial.
+        assert!(registry.note_completion(&SUSPECT, Some(&new), now_ms + 1));
+        assert!(!registry.is_held(&SUSPECT));
+    }
+}
+
+/// Guards against: a version stays proven although a back end of it has terminated since.
+#[test]
+fn a_version_is_proven_no_more_once_back_ends_have_terminated_since() {
+    let registry = QuarantineRegistry::default();
+    note_terminations_at(&registry, "v2");
+    registry.note_completion(&SUSPECT, Some(&EngineVersion::new("v1")), START_MS + 5_000);
+    let open = [OpenSuspect::of_unknown_exposure(SUSPECT)];
+    let note = |number, version: Option<&str>| {
+        let at_ms = START_MS + 600 * number as u64;
+        registry.note_termination_after(&engine(number), version.map(EngineVersion::new), &open, at_ms);
+        registry.proven_versions(&SUSPECT).expect("it is held").len()
+    };
+    assert_eq!(note(9, Some("v2")), 1, "of the other version, as in a trial");
+    assert_eq!(note(10, Some("v1")), 0);
+    registry.note_completion(&SUSPECT, Some(&EngineVersion::new("v1")), START_MS + 7_000);
+    assert_eq!(note(12, None), 0, "of an unknown version");
+}
+
+/// Guards against: what nodes of earlier releases tell, without a version, counts for none.
+#[test]
+fn what_is_told_without_a_version_counts_for_all() {
+    let registry = QuarantineRegistry::default();
+    note_terminations_at(&registry, "v2");
+    assert!(registry.note_completion(&SUSPECT, None, START_MS + 5_000));
+    assert!(!registry.is_held(&SUSPECT));
+    for number in 10..13 {
+        registry.note_termination(&engine(number), vec![SUSPECT], START_MS + 600 * number as u64);
+    }
+    assert!(registry.is_held(&SUSPECT));
+    assert!(registry.note_completion(&SUSPECT, Some(&EngineVersion::new("v1")), START_MS + 9_000));
+    assert!(!registry.is_held(&SUSPECT));
+}
+
+/// Guards against: a part that engines of one version write on is no suspect where those of another one terminate.
+#[test]
+fn a_part_is_sound_for_the_versions_that_wrote_on_it() {
+    let parts = SoundParts::default();
+    let (old, new) = (EngineVersion::new("v1"), EngineVersion::new("v2"));
+    parts.note_completed([5].into_iter(), Some(&old), START_MS);
+    assert!(parts.is_sound(5, Some(&old), START_MS) && !parts.is_sound(5, Some(&new), START_MS));
+    assert!(!parts.outlives(5, Some(&new), 0, START_MS));
+    parts.note_completed([6].into_iter(), None, START_MS);
+    assert!(parts.is_sound(6, Some(&new), START_MS), "told without a version");
+}
+
+fn arbitrary_version(input: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<Option<EngineVersion>> {
+    Ok(*input.choose(&[None, Some("v1"), Some("v2")])?).map(|name| name.map(EngineVersion::new))
 }
 
 fn arbitrary_evidence(input: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<Evidence> {
@@ -205,6 +293,7 @@
     match input.int_in_range(0..=4)? {
         0 => evidence.completions.push(Completion {
             request: suspect,
+            version: arbitrary_version(input)?,
             at_ms,
             basis: CompletionBasis::Completed,
         }),
@@ -213,7 +302,12 @@
             let suspects = vec![OpenSuspect { suspect, exposure_ms }];
             evidence.exposures.push(BackEndExposures { backend, suspects });
         }
-        _ => evidence.endings.push(Termination { backend, at_ms, open: vec![suspect] }),
+        _ => evidence.endings.push(Termination {
+            backend,
+            version: arbitrary_version(input)?,
+            at_ms,
+            open: vec![suspect],
+        }),
     }
     Ok(evidence)
 }
@@ -254,6 +348,7 @@
         }
         let terminations = times_ms.iter().enumerate().map(|(number, at_ms)| Termination {
             backend: engine(number),
+            version: None,
             at_ms: *at_ms,
             open: vec![SUSPECT],
         });
