What another version runs is held for the versions whose back ends ended under it, not for all but the proven ones

What callers saw: nothing yet. By the commit before, each later version of a service would have been left out for what was once held for ends of a version that is gone: its first requests with the part would have waited for one of three trials, for a week. Cause: by reading: a version had to prove itself, and ends of a version without engines are cleared by nobody. Change: once an engine of any version completes or outlives it, a suspect is held for the versions of the ends that count, and no others (HeldVersions, in place of a list of proven versions). A further version is left out at its first end.

--- a/crates/beamwall-gateway/src/blocked_engines.rs
+++ b/crates/beamwall-gateway/src/blocked_engines.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 
 use beamwall_model::{BackendId, EngineVersion, ServiceName};
-use beamwall_quarantine::Admission;
+use beamwall_quarantine::{Admission, HeldVersions};
 
 use crate::call::Call;
 use crate::engine_gate::{Blocked, SendPermit};
@@ -37,29 +37,29 @@
         blocked
     }
 
-    /// Engines of the call's service that are not sent it while it is held and proven for some versions: those of
-    /// other versions, or, for a trial, of these, where it would show nothing.
+    /// Engines of the call's service whose versions it is held for; for a trial, those of all other versions, where it
+    /// would show nothing.
     pub(crate) fn held_engines(&self, call: &Call) -> Vec<BackendId> {
-        let proven = self.quarantine.proven_versions(call.suspects()).unwrap_or_default();
-        if proven.is_empty() {
+        // What is held for all versions is refused on arrival, or tried at any.
+        let Some(HeldVersions::These(versions)) = self.quarantine.held_versions(call.suspects()) else {
             return Vec::new();
-        }
+        };
         let is_trial = call.admission == Admission::Trial;
         let directory = self.directory.load();
         let of_service = directory.usable(&call.service);
-        let held = of_service.filter(|backend| proven.contains(&backend.version) == is_trial);
+        let held = of_service.filter(|backend| versions.contains(&backend.version) != is_trial);
         held.map(|backend| backend.id.clone()).collect()
     }
 
-    /// Whether a call is held at all back ends that may serve it: those of its stream's version, or any.
+    /// Whether a call is held for the version that began its stream, or for all that serve it.
     pub(crate) fn is_held(&self, call: &Call, stream_version: Option<&EngineVersion>) -> bool {
         if call.admission == Admission::Trial {
             return false;
         }
-        let Some(proven) = self.quarantine.proven_versions(call.suspects()) else { return false };
+        let Some(held) = self.quarantine.held_versions(call.suspects()) else { return false };
         match stream_version {
-            Some(version) => !proven.contains(version),
-            None => !self.serving_versions(&call.service).iter().any(|version| proven.contains(version)),
+            Some(version) => held.contains(version),
+            None => self.serving_versions(&call.service).iter().all(|version| held.contains(version)),
         }
     }
 
--- a/crates/beamwall-gateway/src/quarantine.rs
+++ b/crates/beamwall-gateway/src/quarantine.rs
@@ -3,7 +3,7 @@
 //!
 //! What terminates back ends may be a whole request or a part of prompts that requests share. Both are
 //! suspects of the same registry. A part is no suspect while answers on it are completed ([`SoundParts`]). Back ends of one
-//! software version may terminate under what others run, so a held request may be sent to versions for which it is proven.
+//! software version may terminate under what others run, so a held request may be sent to versions for which it is not held.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -22,7 +22,7 @@
 use beamwall_model::{BackendId, EngineVersion, to_ms};
 use beamwall_quarantine::limits::SURVIVAL_MARGIN;
 use beamwall_quarantine::{
-    Admission, Completion, CompletionBasis, Evidence, Fingerprint, HeldRequest, OpenSuspect,
+    Admission, Completion, CompletionBasis, Evidence, Fingerprint, HeldRequest, HeldVersions, OpenSuspect,
     QuarantineRegistry, RequestStatus, SoundParts, Survival,
 };
 use tokio::sync::Notify;
@@ -154,7 +154,7 @@
     }
 
     /// Decides whether a request may be sent: neither it nor a shared part of its prompt is held, a trial is granted for
-    /// each that is, or each is proven for one of the versions that serve it, which `serving` returns.
+    /// each that is, or none is held for one of the versions that serve it, which `serving` returns.
     pub async fn admit_all(
         &self,
         suspects: impl Iterator<Item = Fingerprint>,
@@ -165,11 +165,11 @@
             return Ok(Admission::Normal);
         }
         let held: Vec<Fingerprint> = suspects.filter(|suspect| self.is_held(suspect)).collect();
-        let Some(proven) = self.proven_versions(held.iter().copied()) else { return Ok(Admission::Normal) };
-        let (proven, unproven): (Vec<_>, Vec<_>) =
-            serving().into_iter().partition(|version| proven.contains(version));
-        if !proven.is_empty() {
-            let is_tried = !unproven.is_empty() && self.try_claim_trials(&held).await;
+        let Some(versions) = self.held_versions(held.iter().copied()) else { return Ok(Admission::Normal) };
+        let (kept_away, serving): (Vec<_>, Vec<_>) =
+            serving().into_iter().partition(|version| versions.contains(version));
+        if !serving.is_empty() {
+            let is_tried = !kept_away.is_empty() && self.try_claim_trials(&held).await;
             return Ok(if is_tried { Admission::Trial } else { Admission::Normal });
         }
         // A trial is claimed only if nothing else refuses the request.
@@ -256,17 +256,12 @@
         self.registry.is_held(suspect)
     }
 
-    /// The versions to whose back ends a request may be sent although some of these are held now: those for which each of
-    /// them is proven. `None` if none is held.
-    pub fn proven_versions(&self, suspects: impl Iterator<Item = Fingerprint>) -> Option<Vec<EngineVersion>> {
+    /// The versions to whose back ends a request is not sent since some of these are held now; `None` if none is.
+    pub fn held_versions(&self, suspects: impl Iterator<Item = Fingerprint>) -> Option<HeldVersions> {
         if !self.registry.has_held() {
             return None;
         }
-        let of_each = suspects.filter_map(|suspect| self.registry.proven_versions(&suspect));
-        of_each.reduce(|mut common, versions| {
-            common.retain(|version| versions.contains(version));
-            common
-        })
+        suspects.filter_map(|suspect| self.registry.held_versions(&suspect)).reduce(HeldVersions::and)
     }
 
     /// Records that a back end of a version, if that is known, wrote a whole answer on the parts of a prompt, the last one
--- a/crates/beamwall-quarantine/src/hold_decision.rs
+++ b/crates/beamwall-quarantine/src/hold_decision.rs
@@ -24,10 +24,11 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
-use beamwall_model::{BackendId, EngineVersion, to_ms};
+use beamwall_model::{BackendId, to_ms};
 
 use crate::common_cause::{CountedTermination, independent_times, may_be_outage};
 use crate::fingerprint::Fingerprint;
+use crate::held_versions::HeldVersions;
 use crate::limits::{
     TERMINATIONS_UNTIL_CLEAR, TERMINATIONS_UNTIL_HELD, TRIAL_DELAYS, TRIAL_DELAYS_AFTER_OUTAGE,
     TRIAL_DELAYS_IN_DOUBT,
@@ -51,8 +52,8 @@
     pub trials: u32,
     /// When the next trial is due; `None` if there is no further trial.
     pub next_trial_ms: Option<u64>,
-    /// Software versions whose back ends run it and do not terminate: they may be sent it all the same.
-    pub proven_versions: Vec<EngineVersion>,
+    /// The software versions to whose back ends it is not sent.
+    pub held_versions: HeldVersions,
 }
 
 /// A request with enough terminations to be held.
@@ -224,6 +225,6 @@
         is_in_doubt: doubt != Doubt::None,
         trials: one.suspect.trials,
         next_trial_ms: one.next_trial_ms(doubt),
-        proven_versions: one.suspect.proven_versions(),
+        held_versions: one.suspect.held_versions(),
     }
 }
--- a/crates/beamwall-quarantine/src/lib.rs
+++ b/crates/beamwall-quarantine/src/lib.rs
@@ -16,6 +16,8 @@
 //! - a termination does not count against a suspect which another back end has survived for longer than the
 //!   terminated one ran it: it survived what the suspect is suspected of. Terminations that may have one cause outside
 //!   count once, or leave the suspect in doubt ([`common_cause`]);
+//! - back ends of one software version may terminate under what those of another run, so a request is held for the
+//!   versions that terminate only, once another one is known to run it ([`held_versions`]);
 //! - a held request is refused immediately, except for a few trials at long intervals ([`limits`]), so
 //!   that a request that only ran alongside the culprit is not refused permanently;
 //! - a [`QuarantineRegistry`] holds all of this state. Its memory is bounded, and nodes that received
@@ -27,6 +29,7 @@
 pub mod common_cause;
 pub mod evidence;
 pub mod fingerprint;
+pub mod held_versions;
 pub mod hold_decision;
 pub mod limits;
 pub mod registry;
@@ -39,6 +42,7 @@
     BackEndExposures, Completion, CompletionBasis, Evidence, OpenSuspect, Survival, Termination, Trial,
 };
 pub use fingerprint::{Fingerprint, FingerprintHasher};
+pub use held_versions::HeldVersions;
 pub use limits::TERMINATIONS_UNTIL_HELD;
 pub use registry::{QuarantineRegistry, RequestStatus};
 pub use sound_parts::SoundParts;
--- a/crates/beamwall-quarantine/src/registry.rs
+++ b/crates/beamwall-quarantine/src/registry.rs
@@ -12,6 +12,7 @@
     BackEndExposures, Completion, CompletionBasis, Evidence, OpenSuspect, Survival, Termination, Trial,
 };
 use crate::fingerprint::Fingerprint;
+use crate::held_versions::HeldVersions;
 use crate::hold_decision::{self, HoldState};
 use crate::limits::{MAX_SUSPECTS, MAX_UNATTRIBUTED_TERMINATIONS, SUSPECT_RETENTION};
 use crate::suspect::Suspect;
@@ -124,9 +125,9 @@
         self.view.load().has_held
     }
 
-    /// The versions to whose back ends a request may be sent although it is held; `None` if it is not held.
-    pub fn proven_versions(&self, request: &Fingerprint) -> Option<Vec<EngineVersion>> {
-        self.view.load().held(request).map(|held| held.proven_versions.clone())
+    /// The versions for which a request is held; `None` if it is not held.
+    pub fn held_versions(&self, request: &Fingerprint) -> Option<HeldVersions> {
+        self.view.load().held(request).map(|held| held.held_versions.clone())
     }
 
     /// Whether any termination counts against a request.
--- a/crates/beamwall-quarantine/src/suspect.rs
+++ b/crates/beamwall-quarantine/src/suspect.rs
@@ -8,6 +8,7 @@
 
 use crate::common_cause::{CountedTermination, independent_times};
 use crate::evidence::Survival;
+use crate::held_versions::HeldVersions;
 use crate::limits::{
     EXPOSURES_KNOWN_AFTER, HOLD_RETENTION, MAX_COMPLETED_VERSIONS, MAX_TERMINATIONS_PER_REQUEST,
     SIMULTANEOUS_WITHIN, SUSPECT_RETENTION, TERMINATIONS_UNTIL_HELD,
@@ -167,18 +168,15 @@
         of_version.max(self.completed_ms)
     }
 
-    /// The versions whose back ends have run the request since the first termination that counts, or survived it for longer
-    /// than back ends that terminated, and of which none has terminated since, as far as versions are known.
-    pub fn proven_versions(&self) -> Vec<EngineVersion> {
-        let counted: Vec<(&BackendId, CountedTermination)> = self.counted_terminations().collect();
-        let first_ms = counted.iter().map(|(_, one)| one.at_ms).min().unwrap_or(0);
-        let terminates = |version: &EngineVersion| {
-            let may_be_of = |backend| self.versions.get(backend).is_none_or(|known| known == version);
-            counted.iter().any(|(backend, _)| may_be_of(*backend))
+    /// The versions for which the request is held if enough terminations count.
+    pub fn held_versions(&self) -> HeldVersions {
+        let counted = || self.counted_terminations();
+        let Some(ended) = counted().map(|(backend, _)| self.versions.get(backend).cloned()).collect() else {
+            return HeldVersions::All;
         };
-        let ran = self.completed_by_version_ms.iter().filter(|(_, at_ms)| **at_ms >= first_ms);
-        let versions = ran.map(|(version, _)| version);
-        versions.filter(|version| !terminates(version)).cloned().collect()
+        let first_ms = counted().map(|(_, one)| one.at_ms).min().unwrap_or(0);
+        let is_proven = self.completed_by_version_ms.values().any(|at_ms| *at_ms >= first_ms);
+        if is_proven { HeldVersions::These(ended) } else { HeldVersions::All }
     }
 
     /// Records a trial; returns whether it was new.
