The quarantine of a node in three files: evidence, admission, ports

What callers saw: nothing; code is moved, none is changed. Change: quarantine/mod.rs (what is seen and told), admission.rs (what is admitted, refused, tried), ports.rs (back ends, trials).

--- a/crates/beamwall-gateway/src/quarantine.rs
+++ b/crates/beamwall-gateway/src/quarantine/mod.rs
@@ -3,27 +3,25 @@
 //!
 //! What terminates back ends may be a whole request or a part of prompts that requests share. Both are
 //! suspects of the same registry. A part is no suspect while answers on it are completed ([`SoundParts`]). Back ends of one
-//! software version may terminate under what others run, so a held request may be sent to versions for which it is not held.
+//! software version may terminate under what those of others run, so a request may be held for some versions only.
+
+mod admission;
+mod ports;
+
+pub use ports::{BackendLookup, ListedBackend, TrialPort};
 
-use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use arc_swap::ArcSwap;
-use async_trait::async_trait;
 use beamwall_clock::Throttle;
 use beamwall_engine_limits::KnownDepartures;
 use beamwall_events::emit;
-use beamwall_events::internal_events::{
-    BackendEnded, EndsDisproved, RequestFreed, RequestHeld, TrialGranted,
-};
+use beamwall_events::internal_events::{BackendEnded, EndsDisproved, RequestFreed, RequestHeld};
 use beamwall_http::{Pool, Reachability};
 use beamwall_model::{BackendId, EngineVersion, to_ms};
 use beamwall_quarantine::limits::SURVIVAL_MARGIN;
 use beamwall_quarantine::{
-    Admission, Completion, CompletionBasis, Evidence, Fingerprint, HeldRequest, HeldVersions, OpenSuspect,
-    QuarantineRegistry, RequestStatus, SoundParts, Survival,
+    Completion, CompletionBasis, Evidence, Fingerprint, OpenSuspect, QuarantineRegistry, SoundParts, Survival,
 };
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -39,58 +37,6 @@
     [Duration::from_millis(5), Duration::from_millis(50), Duration::from_millis(200)];
 /// Interval at which a waiting request checks whether the probe has ended.
 const PROBE_POLL_INTERVAL: Duration = Duration::from_millis(5);
-/// Minimum interval between two requests of this node for trials, each of which costs two calls to the store.
-const MIN_TRIAL_INTERVAL: Duration = Duration::from_millis(250);
-/// `retry_after` of a request whose trial could not be granted at present.
-const TRIAL_RETRY_AFTER: Duration = Duration::from_secs(1);
-
-/// Grants trials of held requests.
-#[async_trait]
-pub trait TrialPort: Send + Sync + 'static {
-    /// Claims the trial with this number for a request. At most one process of all nodes succeeds.
-    async fn claim_trial(&self, request: &Fingerprint, number: u32, now_ms: u64) -> bool;
-}
-
-/// The properties of a back end that are needed to attribute its termination to requests.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ListedBackend {
-    /// Identifier of the back end's generation.
-    pub id: BackendId,
-    /// The address on which it accepts connections.
-    pub address: SocketAddr,
-    /// Its software version, if known.
-    pub version: Option<EngineVersion>,
-    /// Whether it has announced that it is leaving.
-    pub is_leaving: bool,
-}
-
-/// Looks up the back ends that a node knows.
-pub trait BackendLookup: Send + Sync + 'static {
-    /// Returns a back end; `None` if it is not listed.
-    fn find(&self, backend: &BackendId) -> Option<ListedBackend>;
-
-    /// Returns the software versions of all back ends, as far as they are known.
-    fn versions(&self) -> Vec<EngineVersion>;
-}
-
-impl BackendLookup for ArcSwap<Directory> {
-    fn find(&self, backend: &BackendId) -> Option<ListedBackend> {
-        let directory = self.load();
-        let listed = directory.get(backend)?;
-        Some(ListedBackend {
-            id: listed.id.clone(),
-            address: listed.address,
-            version: Some(listed.version.clone()),
-            is_leaving: listed.draining,
-        })
-    }
-
-    fn versions(&self) -> Vec<EngineVersion> {
-        let directory = self.load();
-        let versions: BTreeSet<&EngineVersion> = directory.versions().map(|(_, version)| version).collect();
-        versions.into_iter().cloned().collect()
-    }
-}
 
 /// Quarantine of one node: holds requests suspected of terminating back ends.
 pub struct Quarantine {
@@ -153,117 +99,6 @@
         self.clock.now_ms()
     }
 
-    /// Decides whether a request may be sent: neither it nor a shared part of its prompt is held, a trial is granted for
-    /// each that is, or none is held for one of the versions that serve it, which `serving` returns.
-    pub async fn admit_all(
-        &self,
-        suspects: impl Iterator<Item = Fingerprint>,
-        serving: impl FnOnce() -> Vec<EngineVersion>,
-    ) -> Result<Admission, HeldRequest> {
-        // Fast path for almost all requests.
-        if !self.registry.has_held() {
-            return Ok(Admission::Normal);
-        }
-        let held: Vec<Fingerprint> = suspects.filter(|suspect| self.is_held(suspect)).collect();
-        let Some(versions) = self.held_versions(held.iter().copied()) else { return Ok(Admission::Normal) };
-        let (kept_away, serving): (Vec<_>, Vec<_>) =
-            serving().into_iter().partition(|version| versions.contains(version));
-        if !serving.is_empty() {
-            let is_tried = !kept_away.is_empty() && self.try_claim_trials(&held).await;
-            return Ok(if is_tried { Admission::Trial } else { Admission::Normal });
-        }
-        // A trial is claimed only if nothing else refuses the request.
-        for suspect in &held {
-            let status = self.registry.request_status(suspect, self.now_ms());
-            if let RequestStatus::Held { endings, retry_after } = status {
-                return Err(self.refuse(HeldRequest { held: *suspect, endings, retry_after }));
-            }
-        }
-        let mut admission = Admission::Normal;
-        for suspect in &held {
-            if self.admit(suspect).await? == Admission::Trial {
-                admission = Admission::Trial;
-            }
-        }
-        Ok(admission)
-    }
-
-    /// Decides whether a request may be sent as far as a single suspect is concerned.
-    pub async fn admit(&self, suspect: &Fingerprint) -> Result<Admission, HeldRequest> {
-        // Fast path for almost all requests: computing the fleet time takes longer than everything else here.
-        if !self.is_held(suspect) {
-            return Ok(Admission::Normal);
-        }
-        let held = *suspect;
-        match self.registry.request_status(suspect, self.now_ms()) {
-            RequestStatus::Free => Ok(Admission::Normal),
-            RequestStatus::Held { endings, retry_after } => {
-                Err(self.refuse(HeldRequest { held, endings, retry_after }))
-            }
-            RequestStatus::TrialDue { number, endings, is_in_doubt } => {
-                if self.try_claim_trial(suspect, number).await {
-                    return Ok(Admission::Trial);
-                }
-                let retry_after = is_in_doubt.then_some(TRIAL_RETRY_AFTER);
-                Err(self.refuse(HeldRequest { held, endings, retry_after }))
-            }
-        }
-    }
-
-    fn refuse(&self, held: HeldRequest) -> HeldRequest {
-        self.hold_refusals.note(held.held);
-        held
-    }
-
-    /// Requests that this node refused for something that was held and is free now.
-    pub fn refused_by_freed_holds(&self) -> u64 {
-        self.hold_refusals.of_freed()
-    }
-
-    /// Claims a trial of each of these, if one is due for all; returns whether it was granted for each.
-    async fn try_claim_trials(&self, held: &[Fingerprint]) -> bool {
-        let now_ms = self.now_ms();
-        let mut due = Vec::new();
-        for suspect in held {
-            match self.registry.request_status(suspect, now_ms) {
-                RequestStatus::TrialDue { number, .. } => due.push((suspect, number)),
-                RequestStatus::Free | RequestStatus::Held { .. } => return false,
-            }
-        }
-        for (suspect, number) in due {
-            if !self.try_claim_trial(suspect, number).await {
-                return false;
-            }
-        }
-        true
-    }
-
-    async fn try_claim_trial(&self, request: &Fingerprint, number: u32) -> bool {
-        let now_ms = self.now_ms();
-        if !self.trial_throttle.admit(MIN_TRIAL_INTERVAL)
-            || !self.trials.claim_trial(request, number, now_ms).await
-        {
-            return false;
-        }
-        emit(&TrialGranted { fingerprint: request.to_string(), number: number.to_string() });
-        self.registry.note_trial(request, number, now_ms);
-        self.peer_notify.notify_one();
-        true
-    }
-
-    /// Whether a request or part is held now, so that it must not be sent again.
-    pub fn is_held(&self, suspect: &Fingerprint) -> bool {
-        self.registry.is_held(suspect)
-    }
-
-    /// The versions to whose back ends a request is not sent since some of these are held now; `None` if none is.
-    pub fn held_versions(&self, suspects: impl Iterator<Item = Fingerprint>) -> Option<HeldVersions> {
-        if !self.registry.has_held() {
-            return None;
-        }
-        suspects.filter_map(|suspect| self.registry.held_versions(&suspect)).reduce(HeldVersions::and)
-    }
-
     /// Records that a back end of a version, if that is known, wrote a whole answer on the parts of a prompt, the last one
     /// included.
     pub fn note_parts_completed(
