A refused reservation of a retry no longer returns a retry that was never taken

What callers saw: while requests went on failing, every second one was sent to a second engine although the retry budget was empty. Cause: RetryBudgets::reserve built the ReservedRetry as the argument of then_some, before it was known whether the budget had a retry; where it had none, the argument was dropped, and dropping an unspent reservation returns a retry. Class: an owned guard whose drop has an effect exists before the condition of its existence is decided. Change: ReservedRetry has a file of its own and one way to come into being, which takes the retry first; it owns what it needs, so that it can be handed to another task. All other types with a Drop were read for the same (MonitorGuard, DispatchGuard, OpenRequestGuard, HeldMemory, OpenWork, AbortOnDrop, Session, CancelOnDrop, RequestReader, Permit, RemoveOnDrop, GatewayNode, Node): each is built after its condition holds.

--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod reachability_probe;
 pub mod refusal;
 pub mod reporter;
+pub mod reserved_retry;
 pub mod retries;
 pub mod scaling;
 pub mod sent_count;
--- a/crates/beamwall-gateway/src/retries.rs
+++ b/crates/beamwall-gateway/src/retries.rs
@@ -6,13 +6,15 @@
 //! because failures come in bursts: an engine that terminates interrupts all requests that it runs.
 
 use std::collections::{HashMap, VecDeque};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use beamwall_model::ServiceName;
 use beamwall_routing::RetryBudget;
 use tokio::time::Instant;
 
+use crate::reserved_retry::ReservedRetry;
+
 /// Number of buckets per window in which requests are counted.
 const WINDOW_BUCKETS: u32 = 10;
 
@@ -29,11 +31,11 @@
     pub window: Duration,
 }
 
-/// Retry budgets by service at one node.
-#[derive(Debug)]
+/// Retry budgets by service at one node. Clones share them.
+#[derive(Debug, Clone)]
 pub struct RetryBudgets {
     allowance: RetryAllowance,
-    state: Mutex<State>,
+    state: Arc<Mutex<State>>,
 }
 
 #[derive(Debug)]
@@ -74,7 +76,7 @@
     /// Budgets of a node in a fleet of `nodes` nodes.
     pub fn new(allowance: RetryAllowance, nodes: usize) -> Self {
         let state = State { nodes: nodes.max(1), services: HashMap::new() };
-        Self { allowance, state: Mutex::new(state) }
+        Self { allowance, state: Arc::new(Mutex::new(state)) }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -106,11 +108,12 @@
     }
 
     /// Reserves one retry, if available. It is returned to the budget unless it is spent.
-    pub fn reserve<'a>(&'a self, service: &'a ServiceName, now: Instant) -> Option<ReservedRetry<'a>> {
-        self.take(service, now).then_some(ReservedRetry { budgets: self, service, is_spent: false })
+    pub fn reserve(&self, service: &ServiceName, now: Instant) -> Option<ReservedRetry> {
+        ReservedRetry::take(self, service, now)
     }
 
-    fn put_back(&self, service: &ServiceName) {
+    /// Returns a retry that was taken and not spent.
+    pub(crate) fn put_back(&self, service: &ServiceName) {
         if let Some(retries) = self.lock().services.get_mut(service) {
             retries.budget.put_back();
             retries.counts.returned += 1;
@@ -158,29 +161,6 @@
     }
 }
 
-/// A reserved retry. If dropped unspent, it is returned to the budget.
-#[derive(Debug)]
-pub struct ReservedRetry<'a> {
-    budgets: &'a RetryBudgets,
-    service: &'a ServiceName,
-    is_spent: bool,
-}
-
-impl ReservedRetry<'_> {
-    /// Spends the retry; called when the request is sent again.
-    pub fn spend(mut self) {
-        self.is_spent = true;
-    }
-}
-
-impl Drop for ReservedRetry<'_> {
-    fn drop(&mut self) {
-        if !self.is_spent {
-            self.budgets.put_back(self.service);
-        }
-    }
-}
-
 /// Requests counted in buckets of a window: the start of each bucket and its number of requests.
 #[derive(Debug, Default)]
 struct RecentRequests {
--- a/crates/beamwall-gateway/tests/retries.rs
+++ b/crates/beamwall-gateway/tests/retries.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use beamwall_gateway::reserved_retry::ReservedRetry;
 use beamwall_gateway::retries::{RetryAllowance, RetryBudgets};
 use beamwall_model::ServiceName;
 use beamwall_seeds::on_seeds;
@@ -22,6 +23,65 @@
     (0..requests).for_each(|_| budgets.earn(service, now));
 }
 
+/// Guards against: an empty budget grants every second reservation, since each refused one returns a retry.
+#[test]
+fn a_refused_reservation_returns_nothing() {
+    let (budgets, service, now) = (RetryBudgets::new(earning(), 6), "one".into(), Instant::now());
+    take_all(&budgets, &service, now);
+    for _ in 0..100 {
+        assert!(budgets.reserve(&service, now).is_none());
+    }
+    assert_eq!(take_all(&budgets, &service, now), 0);
+}
+
+#[test]
+fn a_reservation_that_is_not_spent_is_returned_once() {
+    let (budgets, service, now) = (RetryBudgets::new(earning(), 6), "one".into(), Instant::now());
+    let reserved = budgets.reserve(&service, now).expect("one retry");
+    assert!(budgets.reserve(&service, now).is_none());
+    drop(reserved);
+    budgets.reserve(&service, now).expect("it is back").spend();
+    assert!(budgets.reserve(&service, now).is_none());
+    let counts = budgets.counts()[0].1;
+    assert_eq!((counts.granted, counts.refused, counts.returned), (2, 2, 1));
+}
+
+/// What happens to a budget in a random play.
+enum Step {
+    Earn,
+    Take,
+    Reserve,
+    Spend,
+    Drop,
+}
+
+/// Guards against: some order of requests, reservations, spending and dropping grants more than was earned.
+#[test]
+fn in_any_order_no_more_is_spent_than_was_earned() {
+    on_seeds(1_000, |random| {
+        let allowance = RetryAllowance { earned_percent: 20, saved_percent: 10, extra: 30.0, window: WINDOW };
+        let (budgets, service, now) = (RetryBudgets::new(allowance, 3), "one".into(), Instant::now());
+        let (mut requests, mut spent, mut reserved) = (0_u32, 0_u32, Vec::new());
+        for _ in 0..random.int_in_range(1..=400)? {
+            let step = random.choose(&[Step::Earn, Step::Take, Step::Reserve, Step::Spend, Step::Drop])?;
+            match step {
+                Step::Earn => {
+                    budgets.earn(&service, now);
+                    requests += 1;
+                }
+                Step::Take => spent += u32::from(budgets.take(&service, now)),
+                Step::Reserve => reserved.extend(budgets.reserve(&service, now)),
+                Step::Spend => spent += u32::from(reserved.pop().map(ReservedRetry::spend).is_some()),
+                Step::Drop => drop(reserved.pop()),
+            }
+            let earned = 1.0 + 0.2 * f64::from(requests);
+            let out = f64::from(spent) + reserved.len() as f64;
+            assert!(out <= earned + 1e-6, "{out} retries are out, {earned} were earned");
+        }
+        Ok(())
+    });
+}
+
 #[test]
 fn a_node_that_has_just_started_may_retry_once() {
     let (budgets, now) = (RetryBudgets::new(earning(), 6), Instant::now());
