A request passed to peers is charged for every arrival beyond its first, and earns at one node only

What callers saw: gateways that reach no engine pass requests to peers; while the engines refused these too, each request arrived up to four times more, and the engines were flooded. Cause: a request that a first peer's engines had refused went to a second peer, whose attempt there was its first and charged to nobody; and a request earned its fraction of a retry at each node that handled it. The limit is over all nodes; what counted was each node's own view. Change: a peer's refusal tells how often it sent the request. Whoever passes on a request that was sent before, here or by a peer, reserves a retry first, which pays for the next peer's first attempt and is returned where that peer sent nothing. A delegated request is marked once a node has earned for it. A peer of an earlier build tells nothing: it is taken to have sent it once, and what it earns a second time is given back here (DelegationOffer.heeds_earned, a new optional field).

--- a/crates/beamwall-gateway/src/attempt.rs
+++ b/crates/beamwall-gateway/src/attempt.rs
@@ -188,7 +188,7 @@
         Some(Ok(response)) => check_head(forwarder, call, target, sent_at, response, work),
     };
     if result.as_ref().is_err_and(|failure| !failure.sent) {
-        call.sent_count.note_unsent();
+        call.sends.note_unsent();
         forwarder.metrics.attempts_unsent.with_label_values(&[call.service.as_str()]).inc();
     }
     // While this process was stalled, a response may have arrived without being read, so the timeout says
@@ -209,7 +209,7 @@
 }
 
 fn note_sending(forwarder: &Forwarder, call: &Call) {
-    let order = if call.sent_count.note_sending() == 0 { "first" } else { "further" };
+    let order = if call.sends.note_sending() == 0 { "first" } else { "further" };
     forwarder.metrics.attempts.with_label_values(&[call.service.as_str(), order]).inc();
 }
 
--- a/crates/beamwall-gateway/src/call.rs
+++ b/crates/beamwall-gateway/src/call.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use crate::ports::{MAX_SHARED_PARTS, Prompt};
-use crate::sent_count::SentCount;
+use crate::send_record::SendRecord;
 
 pub use beamwall_admission::LOWEST_PRIORITY_RANK;
 
@@ -38,8 +38,8 @@
     pub fingerprint: Fingerprint,
     /// Whether a peer that can't reach the engines delegated it to this node.
     pub is_delegated: bool,
-    /// How often it was sent to back ends.
-    pub sent_count: SentCount,
+    /// What counts of it for the retry budgets.
+    pub sends: SendRecord,
     /// Whether it may be sent normally or only as a trial.
     pub admission: Admission,
     /// Method.
--- a/crates/beamwall-gateway/src/delegation.rs
+++ b/crates/beamwall-gateway/src/delegation.rs
@@ -6,6 +6,10 @@
 //!
 //! A request is delegated only while it is certain that it has not run, or if it may run again. A response
 //! that is lost on the way from the peer is a lost response, whatever the peer may have done.
+//!
+//! The retry budgets limit what all nodes together send. A request that was sent before, here or by a peer that
+//! refused it, is delegated at the cost of a retry of this node, which pays for the peer's first attempt. One node
+//! only earns the request's fraction of a retry: the first that sends it.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -23,11 +27,15 @@
 use crate::attempt::AttemptFailure;
 use crate::call::Call;
 use crate::forward::Forwarder;
+use crate::ports::DelegationMark;
 use crate::refusal::Refusal;
+use crate::reserved_retry::ReservedRetry;
 use crate::unary::MAX_RESPONSE_BYTES;
 
 /// Peers to which one request is delegated, one after another.
 const MAX_PEERS: usize = 2;
+/// How often a peer that doesn't say is assumed to have sent a request that it refused.
+const SENT_BY_EARLIER_BUILD: u32 = 1;
 /// Pieces of a stream buffered for a slow caller.
 const CHANNEL_CAPACITY: usize = 64;
 
@@ -40,6 +48,8 @@
     pub address: SocketAddr,
     /// The token by which it recognizes a delegated request.
     pub token: u64,
+    /// Whether it earns nothing for a request for which another node has earned. Earlier builds always earn.
+    pub heeds_earned: bool,
 }
 
 /// Finds peers that take delegated requests.
@@ -61,24 +71,77 @@
     let mut tried = Vec::new();
     let mut refused = None;
     while tried.len() < MAX_PEERS && !call.remaining().is_zero() {
+        let Some(fee) = Fee::reserve(forwarder, call) else { break };
         let Some(peer) = forwarder.delegation.find_peer(&call.service, &tried).await else { break };
         tried.push(peer.node.clone());
-        match send(forwarder, call, &peer).await {
-            Outcome::Answered(response) => return Some(Ok(response)),
-            Outcome::Refused(response) => refused = Some(Ok(response)),
+        let outcome = send(forwarder, call, &peer).await;
+        note_earned_by_peer(forwarder, call, &peer, &outcome);
+        match outcome {
+            Outcome::Answered(response) => {
+                fee.pay();
+                return Some(Ok(response));
+            }
+            Outcome::Refused { response, sent } => {
+                call.sends.note_sent_by_peer(sent);
+                if sent > 0 {
+                    fee.pay();
+                }
+                refused = Some(Ok(response));
+            }
             Outcome::NotSent => forwarder.delegation.note_unreachable(&peer.node),
-            Outcome::Lost(refusal) => return Some(Err(refusal)),
+            Outcome::Lost(refusal) => {
+                fee.pay();
+                return Some(Err(refusal));
+            }
         }
     }
     refused
 }
 
+/// The retry that pays for a peer's first attempt at a request that was sent before; none for any other.
+struct Fee {
+    retry: Option<ReservedRetry>,
+}
+
+impl Fee {
+    /// Reserves what is due; `None` if the budget doesn't have it.
+    fn reserve(forwarder: &Forwarder, call: &Call) -> Option<Self> {
+        if call.sends.sent() == 0 {
+            return Some(Self { retry: None });
+        }
+        let retry = forwarder.retries.reserve(&call.service, Instant::now())?;
+        Some(Self { retry: Some(retry) })
+    }
+
+    fn pay(self) {
+        if let Some(retry) = self.retry {
+            retry.spend();
+        }
+    }
+}
+
+/// Records that a peer that took a request has earned its fraction of a retry. If another node had earned it before,
+/// this node makes up for it.
+fn note_earned_by_peer(forwarder: &Forwarder, call: &Call, peer: &DelegationPeer, outcome: &Outcome) {
+    if matches!(outcome, Outcome::NotSent) {
+        return;
+    }
+    let is_first = call.sends.note_earned();
+    if !is_first && !peer.heeds_earned {
+        forwarder.retries.unearn(&call.service, Instant::now());
+    }
+}
+
 /// What became of a delegated request.
 enum Outcome {
     /// An engine responded, or the peer refused the request for a reason that holds at every node.
     Answered(Response<Body>),
     /// The peer proved that it did not run the request; another peer may.
-    Refused(Response<Body>),
+    Refused {
+        response: Response<Body>,
+        /// How often the peer had sent it to back ends, which rejected it.
+        sent: u32,
+    },
     /// The peer received nothing.
     NotSent,
     /// The peer may have run the request, and its response was lost.
@@ -91,7 +154,7 @@
         service: call.service.to_string(),
         peer: peer.node.to_string(),
         remaining_ms: call.remaining().as_millis().to_string(),
-        sent_before: call.sent_count.get().to_string(),
+        sent_before: call.sends.sent().to_string(),
     });
     let request = build_request(forwarder, call, peer);
     let sent = timers::timeout(call.remaining(), forwarder.pool.send(peer.address, request)).await;
@@ -109,7 +172,7 @@
     fn label(&self) -> &'static str {
         match self {
             Self::Answered(_) => "answered",
-            Self::Refused(_) => "refused",
+            Self::Refused { .. } => "refused",
             Self::NotSent => "not_sent",
             Self::Lost(_) => "lost",
         }
@@ -120,14 +183,15 @@
     let mut request = Request::new(full(call.body.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.target.clone();
-    *request.headers_mut() = forwarder.dialect.delegated_headers(&call.headers, call.remaining(), peer.token);
+    let mark = DelegationMark { token: peer.token, has_earned: call.sends.has_earned() };
+    *request.headers_mut() = forwarder.dialect.delegated_headers(&call.headers, call.remaining(), mark);
     request
 }
 
 /// Passes a peer's response on: streams piece by piece, others as a whole.
 async fn pass_on(forwarder: &Forwarder, call: &Arc<Call>, response: Response<PooledBody>) -> Outcome {
     let status = response.status();
-    let is_signed = forwarder.dialect.read_response_head(status, response.headers()).is_signed;
+    let head = forwarder.dialect.read_response_head(status, response.headers());
     let (parts, body) = response.into_parts();
     let body = if call.route.kind.is_stream() && status.is_success() {
         stream_on(call.clone(), body)
@@ -140,8 +204,9 @@
     let mut passed_on = Response::new(body);
     *passed_on.status_mut() = status;
     *passed_on.headers_mut() = forwarder.dialect.response_headers(&parts.headers);
-    if status == StatusCode::SERVICE_UNAVAILABLE && !is_signed {
-        return Outcome::Refused(passed_on);
+    if status == StatusCode::SERVICE_UNAVAILABLE && !head.is_signed {
+        let sent = head.sent_by_peer.unwrap_or(SENT_BY_EARLIER_BUILD);
+        return Outcome::Refused { response: passed_on, sent };
     }
     Outcome::Answered(passed_on)
 }
--- a/crates/beamwall-gateway/src/forward.rs
+++ b/crates/beamwall-gateway/src/forward.rs
@@ -245,7 +245,7 @@
             remaining_ms: call.remaining().as_millis().to_string(),
             limit_per_s: self.gate.limit(&choice.backend).map(|limit| limit.to_string()).unwrap_or_default(),
             passed_over: passed_over.to_string(),
-            sent_before: call.sent_count.get().to_string(),
+            sent_before: call.sends.sent().to_string(),
         });
     }
 
--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -20,10 +20,10 @@
 
 use crate::call::suspects;
 use crate::forward::{Call, Forwarder};
-use crate::ports::{CallHead, Prompt};
+use crate::ports::{CallHead, DelegationMark, Prompt};
 use crate::quota::{Charge, QuotaLimiter};
 use crate::refusal::Refusal;
-use crate::sent_count::SentCount;
+use crate::send_record::SendRecord;
 use crate::stream_origins::ResumedStream;
 use crate::{delegation, startup, stream, unary};
 
@@ -70,12 +70,14 @@
     async fn handle(self: &Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let received = Instant::now();
         let gateway = &self.gateway;
-        let head = gateway.forwarder.dialect.read_call(request.headers());
+        let mut head = gateway.forwarder.dialect.read_call(request.headers());
+        head.delegation = gateway.own_delegation(head.delegation);
+        let delegation = head.delegation;
         let request_id = head.request_id.clone();
         startup::wait_until_ready(|| gateway.has_policy_and_back_ends(), head.caller_timeout).await;
         let policy = gateway.policy.load_full();
-        let mut context =
-            ResponseLogContext { route: None, tenant: None, fingerprint: None, version: policy.version() };
+        let has_earned = delegation.is_some_and(|mark| mark.has_earned);
+        let mut context = ResponseLogContext::new(policy.version(), SendRecord::of_delegated(has_earned));
         let result = gateway.handle_request(request, head, &policy, received, &mut context).await;
         match result {
             Ok(response) => {
@@ -84,7 +86,12 @@
             }
             Err(refusal) => {
                 context.log_refusal(gateway, request_id.as_deref(), &refusal, received);
-                refusal.response(gateway.forwarder.dialect.as_ref(), request_id.as_deref())
+                let dialect = gateway.forwarder.dialect.as_ref();
+                let mut response = refusal.response(dialect, request_id.as_deref());
+                if delegation.is_some() {
+                    dialect.mark_sent(response.headers_mut(), context.sends.sent());
+                }
+                response
             }
         }
     }
@@ -109,10 +116,15 @@
     tenant: Option<TenantRef>,
     /// Equal for all tries of one request; known once its body has been received.
     fingerprint: Option<Fingerprint>,
+    sends: SendRecord,
     version: u64,
 }
 
 impl ResponseLogContext {
+    fn new(version: u64, sends: SendRecord) -> Self {
+        Self { route: None, tenant: None, fingerprint: None, sends, version }
+    }
+
     fn route_name(&self) -> String {
         self.route.as_ref().map(|route| route.name.clone()).unwrap_or_default()
     }
@@ -168,9 +180,9 @@
 }
 
 impl Gateway {
-    /// Whether a peer delegated a request with this token to this node.
-    fn is_delegated(&self, token: Option<u64>) -> bool {
-        token.is_some_and(|token| self.forwarder.delegation.is_own_token(token))
+    /// The mark of a request that a peer delegated to this node; `None` for any other, whatever its caller claims.
+    fn own_delegation(&self, mark: Option<DelegationMark>) -> Option<DelegationMark> {
+        mark.filter(|mark| self.forwarder.delegation.is_own_token(mark.token))
     }
 
     /// The versions of the back ends of all services to which a route leads.
@@ -224,8 +236,8 @@
             deadline: deadline(&route, &head, received),
             request_id: head.request_id,
             fingerprint,
-            is_delegated: self.is_delegated(head.delegation_token),
-            sent_count: SentCount::default(),
+            is_delegated: head.delegation.is_some(),
+            sends: context.sends.clone(),
             admission,
             method: parts.method,
             target: parts.uri,
@@ -289,14 +301,12 @@
     }
 
     /// Whether a call that got no response from an engine may be passed to a peer: if it was not sent, or if
-    /// it may run again, at the cost of a retry, while no engine is reached.
+    /// it may run again while no engine is reached.
     fn may_delegate_after(&self, call: &Call, refusal: &Refusal) -> bool {
         match refusal {
             Refusal::Unreachable(_) => true,
             Refusal::ResponseLost(_) => {
-                call.route.kind.is_idempotent()
-                    && self.forwarder.reachability.is_unreachable(&call.service)
-                    && self.forwarder.retries.take(&call.service, Instant::now())
+                call.route.kind.is_idempotent() && self.forwarder.reachability.is_unreachable(&call.service)
             }
             _ => false,
         }
@@ -304,7 +314,9 @@
 
     async fn forward_to_engines(&self, call: &Arc<Call>) -> Result<Response<Body>, Refusal> {
         let charge = self.charge(call).await?;
-        self.forwarder.retries.earn(&call.service, Instant::now());
+        if call.sends.note_earned() {
+            self.forwarder.retries.earn(&call.service, Instant::now());
+        }
         self.forwarder.rollouts.note_request(&call.service);
         let result = if call.route.kind.is_stream() {
             stream::forward(&self.forwarder, call).await
--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -54,7 +54,7 @@
 pub mod reserved_retry;
 pub mod retries;
 pub mod scaling;
-pub mod sent_count;
+pub mod send_record;
 pub mod sizing;
 pub mod startup;
 pub mod stream;
--- a/crates/beamwall-gateway/src/retries.rs
+++ b/crates/beamwall-gateway/src/retries.rs
@@ -97,6 +97,15 @@
         });
     }
 
+    /// Gives back what one request has earned here, since a peer has earned for it as well.
+    pub fn unearn(&self, service: &ServiceName, now: Instant) {
+        self.with_service(service, now, |retries| {
+            retries.recent.take_back();
+            retries.budget.unearn(self.allowance.earned_percent);
+            retries.counts.earned_by = retries.counts.earned_by.saturating_sub(1);
+        });
+    }
+
     /// Takes one retry from the budget; returns whether one was available.
     pub fn take(&self, service: &ServiceName, now: Instant) -> bool {
         self.with_service(service, now, |retries| {
@@ -178,6 +187,13 @@
         }
     }
 
+    /// Takes back a request that was counted last.
+    fn take_back(&mut self) {
+        if let Some((_, count)) = self.buckets.back_mut() {
+            *count = count.saturating_sub(1);
+        }
+    }
+
     /// Number of requests in the last window.
     fn count(&mut self, now: Instant, window: Duration) -> u32 {
         while self
--- a/crates/beamwall-gateway/tests/support/forwarder.rs
+++ b/crates/beamwall-gateway/tests/support/forwarder.rs
@@ -12,7 +12,7 @@
 use beamwall_gateway::fleet_clock::FleetClock;
 use beamwall_gateway::forward::Forwarder;
 use beamwall_gateway::metrics::GatewayMetrics;
-use beamwall_gateway::ports::{MoveReply, MoveRequest};
+use beamwall_gateway::ports::{DelegationMark, MoveReply, MoveRequest};
 use beamwall_gateway::quarantine::{Quarantine, TrialPort};
 use beamwall_gateway::retries::{RetryAllowance, RetryBudgets};
 use beamwall_gateway::usage::UsageLedger;
@@ -43,7 +43,7 @@
     fn read_response_head(&self, _: StatusCode, _: &HeaderMap) -> ResponseHead {
         ResponseHead::default()
     }
-    fn delegated_headers(&self, _: &HeaderMap, _: Duration, _: u64) -> HeaderMap {
+    fn delegated_headers(&self, _: &HeaderMap, _: Duration, _: DelegationMark) -> HeaderMap {
         HeaderMap::new()
     }
     fn probe_headers(&self) -> HeaderMap {
@@ -62,6 +62,7 @@
         Request::default()
     }
     fn mark_refusal(&self, _: &mut HeaderMap, _: &str) {}
+    fn mark_sent(&self, _: &mut HeaderMap, _: u32) {}
 }
 
 #[async_trait]
--- a/crates/beamwall-gateway/tests/support/mod.rs
+++ b/crates/beamwall-gateway/tests/support/mod.rs
@@ -167,7 +167,7 @@
     Call {
         fingerprint: Default::default(),
         is_delegated: false,
-        sent_count: Default::default(),
+        sends: Default::default(),
         admission: Admission::Normal,
         request_id: None,
         method: hyper::Method::POST,
--- a/crates/beamwall-node/src/gateway/peer_delegation.rs
+++ b/crates/beamwall-node/src/gateway/peer_delegation.rs
@@ -90,7 +90,13 @@
 
     /// The answer to a peer that asks for help with a service.
     pub fn offer(&self, is_able: bool, open_requests: u32) -> DelegationOffer {
-        DelegationOffer { is_able, callers: self.callers.to_string(), token: self.token, open_requests }
+        DelegationOffer {
+            is_able,
+            callers: self.callers.to_string(),
+            token: self.token,
+            open_requests,
+            heeds_earned: true,
+        }
     }
 
     fn valid_offers(&self, service: &ServiceName) -> Option<Vec<Offer>> {
@@ -140,7 +146,8 @@
     let answer = network.ask(peer.address, envelope, OFFER_TIMEOUT).await.ok()?;
     let Some(Body::DelegationOffer(offer)) = answer.body else { return None };
     let address = offer.callers.parse().ok().filter(|_| offer.is_able)?;
-    let peer = DelegationPeer { node: peer.node, address, token: offer.token };
+    let peer =
+        DelegationPeer { node: peer.node, address, token: offer.token, heeds_earned: offer.heeds_earned };
     Some(Offer { peer, open_requests: offer.open_requests })
 }
 
--- a/crates/beamwall-peer/src/gateway_message.rs
+++ b/crates/beamwall-peer/src/gateway_message.rs
@@ -253,6 +253,9 @@
     /// Requests that it has open at back ends.
     #[prost(uint32, tag = "4")]
     pub open_requests: u32,
+    /// Whether it earns no retry for a request for which another node has earned.
+    #[prost(bool, tag = "5")]
+    pub heeds_earned: bool,
 }
 
 /// Requests a permit to send one request to an engine that names a limit, from the engine's permit node.
--- a/crates/beamwall-routing/src/retry.rs
+++ b/crates/beamwall-routing/src/retry.rs
@@ -48,6 +48,14 @@
         });
     }
 
+    /// Takes back what a first attempt earned, as far as it is not spent.
+    pub fn unearn(&self, percent: u32) {
+        let earned = i64::from(percent) * RETRY_COST / 100;
+        let _ = self
+            .credit
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |credit| Some((credit - earned).max(0)));
+    }
+
     /// Retries available now, including fractions.
     pub fn available_retries(&self) -> f64 {
         self.credit.load(Ordering::Relaxed) as f64 / RETRY_COST as f64
