A run that returns to its engine after a failed move is charged for that arrival

What callers saw: nothing; engines got more repeats than the gateways had charged. Cause: a move reserved one retry, for the engine that gets the copy. Where that engine rejected the run, it went back to the engine that had stopped it, a further arrival that nobody charged. Evidence: runs_that_return_to_their_engine_after_a_failed_move_are_charged failed before: 32 arrivals beyond the first, 16 charged. Change: two retries are reserved before the move begins; the second pays for the return, or is given back. Measured: 32 arrivals, 32 charged.

--- a/crates/beamwall-gateway/src/stream/memory_move.rs
+++ b/crates/beamwall-gateway/src/stream/memory_move.rs
@@ -18,6 +18,7 @@
 
 use crate::forward::{Call, Forwarder, PermittedChoice};
 use crate::ports::{MemorySource, MoveReply, MoveRequest};
+use crate::reserved_retry::ReservedRetry;
 
 /// Longest body of a reply that is read.
 const MAX_REPLY_BYTES: usize = 4 << 10;
@@ -88,6 +89,8 @@
     pub(super) memory: HeldMemory,
     /// The engine that holds the copy; `None` if there is no copy.
     pub(super) target: Option<PermittedChoice>,
+    /// Pays for the run's return to the engine that ran it, if the one with the copy rejects it.
+    pub(super) return_retry: Option<ReservedRetry>,
 }
 
 /// Result of a move.
@@ -146,7 +149,9 @@
 
 /// Moves the memory of a run and stops it. Until the last call is made, the run is not affected.
 pub(super) async fn move_run(forwarder: Arc<Forwarder>, call: Arc<Call>, order: MoveOrder) -> MoveResult {
-    let retry = forwarder.retries.reserve(&call.service, Instant::now()).ok_or(MoveFailure::RetryBudget)?;
+    let reserve = || forwarder.retries.reserve(&call.service, Instant::now()).ok_or(MoveFailure::RetryBudget);
+    let retry = reserve()?;
+    let return_retry = reserve()?;
     let target = forwarder.choose(&call, &order.avoided, order.version.as_ref()).await;
     let target = target.map_err(|_| MoveFailure::NoTarget)?;
     let source = MoveCalls::new(&forwarder, &order, &target)?;
@@ -154,13 +159,14 @@
     if order.copies_ahead {
         ahead = Some(source.copy_ahead().await?);
     }
-    let stopped = source.stop_and_copy(target).await;
+    let mut stopped = source.stop_and_copy(target).await;
     if let (Ok(_), Some(ahead)) = (&stopped, &mut ahead) {
         // Freeing the earlier copy would free the last one with it.
         ahead.note_used();
     }
-    if stopped.is_ok() {
+    if let Ok(stopped) = &mut stopped {
         retry.spend();
+        stopped.return_retry = Some(return_retry).filter(|_| stopped.target.is_some());
     }
     stopped
 }
@@ -204,10 +210,10 @@
         let reply = self.order(true, self.time_left()).await.map_err(failure_after_stop_order)?;
         match reply {
             MoveReply::Copied { handle } => {
-                Ok(StoppedRun { memory: self.held(handle), target: Some(target) })
+                Ok(StoppedRun { memory: self.held(handle), target: Some(target), return_retry: None })
             }
             MoveReply::Refused { handle: Some(handle) } => {
-                Ok(StoppedRun { memory: self.held(handle), target: None })
+                Ok(StoppedRun { memory: self.held(handle), target: None, return_retry: None })
             }
             MoveReply::Refused { handle: None } => {
                 Err(MoveFailure::MaybeStopped("refused without a handle".to_owned()))
--- a/crates/beamwall-gateway/src/stream/moved_stream.rs
+++ b/crates/beamwall-gateway/src/stream/moved_stream.rs
@@ -189,11 +189,16 @@
         from: &Choice,
         stopped: StoppedRun,
     ) -> Result<StartedStream, MovedStreamEnd> {
-        let StoppedRun { mut memory, target } = stopped;
+        let StoppedRun { mut memory, target, return_retry } = stopped;
         let mut reason = "there is no copy".to_owned();
         if let Some(target) = target {
             match self.open_moved(from, target, &mut memory).await {
-                Err(MovedStreamEnd::Failed(failed)) => reason = failed.failure.reason,
+                Err(MovedStreamEnd::Failed(failed)) => {
+                    if let (true, Some(retry)) = (failed.failure.sent, return_retry) {
+                        retry.spend();
+                    }
+                    reason = failed.failure.reason;
+                }
                 opened => return opened,
             }
         }
