A run is moved with one retry left, and returns only when that arrival is paid for

What callers saw: with a gateway that had just started, which has one retry, moved no run at all, and streams broke off with their reclaimed engine (nine tests of stream_moves failed). Cause: asked for two retries before a move. That is stricter than needed: most moves succeed and need one. Change: a second retry is reserved where there is one; a return without it takes another one then, or the run is lost.

--- a/crates/beamwall-gateway/src/stream/memory_move.rs
+++ b/crates/beamwall-gateway/src/stream/memory_move.rs
@@ -89,7 +89,8 @@
     pub(super) memory: HeldMemory,
     /// The engine that holds the copy; `None` if there is no copy.
     pub(super) target: Option<PermittedChoice>,
-    /// Pays for the run's return to the engine that ran it, if the one with the copy rejects it.
+    /// Pays for the run's return to the engine that ran it, if the one with the copy rejects it. `None` if the budget
+    /// had no second retry when the move began.
     pub(super) return_retry: Option<ReservedRetry>,
 }
 
@@ -149,9 +150,9 @@
 
 /// Moves the memory of a run and stops it. Until the last call is made, the run is not affected.
 pub(super) async fn move_run(forwarder: Arc<Forwarder>, call: Arc<Call>, order: MoveOrder) -> MoveResult {
-    let reserve = || forwarder.retries.reserve(&call.service, Instant::now()).ok_or(MoveFailure::RetryBudget);
-    let retry = reserve()?;
-    let return_retry = reserve()?;
+    let reserve = || forwarder.retries.reserve(&call.service, Instant::now());
+    let retry = reserve().ok_or(MoveFailure::RetryBudget)?;
+    let return_retry = reserve();
     let target = forwarder.choose(&call, &order.avoided, order.version.as_ref()).await;
     let target = target.map_err(|_| MoveFailure::NoTarget)?;
     let source = MoveCalls::new(&forwarder, &order, &target)?;
@@ -166,7 +167,7 @@
     }
     if let Ok(stopped) = &mut stopped {
         retry.spend();
-        stopped.return_retry = Some(return_retry).filter(|_| stopped.target.is_some());
+        stopped.return_retry = return_retry.filter(|_| stopped.target.is_some());
     }
     stopped
 }
--- a/crates/beamwall-gateway/src/stream/moved_stream.rs
+++ b/crates/beamwall-gateway/src/stream/moved_stream.rs
@@ -14,6 +14,7 @@
 use crate::failover::FailedAttempt;
 use crate::forward::PermittedChoice;
 use crate::placement::Choice;
+use crate::reserved_retry::ReservedRetry;
 use crate::stream::event_gap::EventGapMeter;
 use crate::stream::memory_move::{HeldMemory, MoveFailure, MoveOrder, MoveResult, StoppedRun, move_run};
 use crate::stream::relay::{Relay, Stop};
@@ -194,10 +195,10 @@
         if let Some(target) = target {
             match self.open_moved(from, target, &mut memory).await {
                 Err(MovedStreamEnd::Failed(failed)) => {
-                    if let (true, Some(retry)) = (failed.failure.sent, return_retry) {
-                        retry.spend();
-                    }
                     reason = failed.failure.reason;
+                    if failed.failure.sent && !self.pay_return(return_retry) {
+                        return Err(self.lost_run(&from.backend, &format!("{reason}; no retry is left")));
+                    }
                 }
                 opened => return opened,
             }
@@ -215,6 +216,13 @@
         }
     }
 
+    /// Pays for one more arrival of a run, with the retry that was reserved for it or with another; returns whether there
+    /// was one.
+    fn pay_return(&self, reserved: Option<ReservedRetry>) -> bool {
+        let reserve = || self.forwarder.retries.reserve(&self.call.service, Instant::now());
+        reserved.or_else(reserve).map(ReservedRetry::spend).is_some()
+    }
+
     /// Opens the stream of a stopped run where its memory is.
     async fn open_moved(
         &mut self,
