A gateway that is out of step no longer continues a stream at the only version that it knows

Cause: "all engines were of one version" was told by a node's own list, however old. A caller that doesn't name its first try was served by it without a question to anyone; and a gateway whose peers were all dead to it counted as one that has no peers. Class: absence of news taken for news. Change: a list tells of an only version while the store has confirmed it within 2 s (by whatever way confirmations travel), or answers nobody that may be serving; peers are asked for versions also for callers that name no try, and answer by the same rule. Nodes whose list is not current send the records of their streams to the holders.

--- a/crates/beamwall-config/src/gateway.rs
+++ b/crates/beamwall-config/src/gateway.rs
@@ -28,6 +28,12 @@
     required("listen.readiness", ValueKind::Address, "address that tells whether the node takes callers"),
     required("listen.peers", ValueKind::Address, "address for other nodes"),
     required("listen.metrics", ValueKind::Address, "address for metrics"),
+    optional(
+        "peers.advertised",
+        ValueKind::Address,
+        "\"0.0.0.0:0\"",
+        "address told to other nodes, where they reach this one by another than listen.peers; absent: the same",
+    ),
     optional("peers.seeds", ValueKind::AddressList, "[]", "peer addresses tried at start"),
     optional(
         "peers.expected",
@@ -159,6 +165,8 @@
     pub readiness: SocketAddr,
     /// Where other nodes connect.
     pub peers: SocketAddr,
+    /// Where other nodes are told to connect: the same unless addresses are translated on the way.
+    pub advertised_peers: SocketAddr,
     /// Where metrics are read.
     pub metrics: SocketAddr,
     /// Peer addresses tried at start.
@@ -232,6 +240,8 @@
         let number = |key| settings.number_or_default(key, GATEWAY_RULES);
         let flag = |key| settings.boolean(key).unwrap_or(false);
         let duties = settings.address("duties.address");
+        let peers = settings.address("listen.peers");
+        let advertised = settings.address("peers.advertised");
         Self {
             node: NodeId::new(settings.text("node.name").unwrap_or_default()),
             zone: ZoneName::new(settings.text("node.zone").unwrap_or_default()),
@@ -239,7 +249,8 @@
             link_mbps: number("node.link_mbps").round() as u32,
             callers: settings.address("listen.callers"),
             readiness: settings.address("listen.readiness"),
-            peers: settings.address("listen.peers"),
+            peers,
+            advertised_peers: if advertised.port() == 0 { peers } else { advertised },
             metrics: settings.address("listen.metrics"),
             seeds: settings.list("peers.seeds").iter().filter_map(|text| text.parse().ok()).collect(),
             expected_nodes: number("peers.expected") as usize,
--- a/crates/beamwall-gateway/src/stream_origins.rs
+++ b/crates/beamwall-gateway/src/stream_origins.rs
@@ -3,7 +3,8 @@
 //! A node records which version began each stream that may be resumed, and its peers hold copies
 //! ([`beamwall_stream_origin`]). For a stream that a caller takes up again, the version is looked up here and
 //! then at the peers. If nobody holds a record, the stream goes on only if all engines of its service have
-//! been of one version for as long as it can have lasted.
+//! been of one version for as long as it can have lasted. That is told only by nodes whose list of back ends is
+//! current: a node that is cut off does not hear of new versions.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -59,6 +60,8 @@
     /// Asks for the origin of a stream, and for the versions that the service's engines have had within
     /// `span`.
     async fn ask(&self, key: &StreamKey, service: &ServiceName, span: Duration) -> PeerAnswer;
+    /// Whether this node's list of back ends is as new as that of any other node, as far as it can know.
+    fn is_list_current(&self) -> bool;
 }
 
 /// A stream that a caller takes up again.
@@ -140,12 +143,21 @@
         }
     }
 
+    /// The versions that a service's engines have had within `span`. That they were of one version only is known
+    /// while this node's list of back ends is current.
+    pub fn known_versions(&self, service: &ServiceName, span: Duration, now: Instant) -> ServiceVersions {
+        match self.history.within(service, span, now) {
+            ServiceVersions::One(_) if !self.peers.is_list_current() => ServiceVersions::Unknown,
+            versions => versions,
+        }
+    }
+
     /// Whether peers need records of a service's streams: its engines have not been of one version for as
-    /// long as a stream can last.
+    /// long as a stream can last, or this node can't tell.
     fn are_records_needed(&self, service: &ServiceName) -> bool {
         let lifetimes = self.lifetimes.lock().unwrap_or_else(PoisonError::into_inner);
         let lifetime = lifetimes.get(service).copied().unwrap_or_default();
-        let versions = self.history.within(service, lifetime, Instant::now());
+        let versions = self.known_versions(service, lifetime, Instant::now());
         !matches!(versions, ServiceVersions::One(_))
     }
 
@@ -182,12 +194,10 @@
 
     async fn look_up(&self, stream: ResumedStream<'_>) -> Result<FoundOrigin, UnknownOrigin> {
         let lifetime = lifetime(stream.route);
-        let own = self.history.within(stream.service, lifetime, Instant::now());
-        let Some(first_try) = &stream.head.resumes else {
-            // Nothing can be looked up for a caller that does not name its first try.
-            return self.found_by_versions(stream.service, own);
-        };
-        let key = StreamKey::of_stream(stream.tenant, first_try);
+        let own = self.known_versions(stream.service, lifetime, Instant::now());
+        // A caller that does not name its first try asks for a stream that nobody knows, and so for versions only.
+        let first_try = stream.head.resumes.as_ref().or(stream.head.request_id.as_ref());
+        let key = StreamKey::of_stream(stream.tenant, first_try.map_or("", String::as_str));
         match self.registry.find(&key, Instant::now()) {
             OriginLookup::Known(KnownOrigin { origin, age }) => {
                 return Ok(FoundOrigin { origin, known_from: "own".to_owned(), age });
--- a/crates/beamwall-gateway/tests/support/forwarder.rs
+++ b/crates/beamwall-gateway/tests/support/forwarder.rs
@@ -98,6 +98,9 @@
     async fn ask(&self, _: &StreamKey, _: &ServiceName, _: Duration) -> PeerAnswer {
         PeerAnswer::NoPeers
     }
+    fn is_list_current(&self) -> bool {
+        true
+    }
 }
 
 #[async_trait]
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -188,7 +188,9 @@
         let placement = Arc::new(PeerPlacement::new(&settings, network.clone(), members.clone()));
         let permits = Box::new(PeerPermits::new(&settings, network.clone(), members.clone()));
         let delegation = Arc::new(PeerDelegation::new(&settings, network.clone(), members.clone()));
-        let origins = Arc::new(PeerOrigins::new(&settings, network.clone(), members.clone()));
+        let origins =
+            PeerOrigins::new(&settings, network.clone(), members.clone(), status.clone(), freshness.clone());
+        let origins = Arc::new(origins);
         let peers = PeerPorts { placement, permits, delegation: delegation.clone(), origins };
         let (quarantine_registry, clock): (Arc<QuarantineRegistry>, Arc<FleetClock>) = Default::default();
         let stored_quarantine =
@@ -358,7 +360,7 @@
     Envelope {
         sender: settings.node.to_string(),
         zone: settings.zone.to_string(),
-        address: settings.peers.to_string(),
+        address: settings.advertised_peers.to_string(),
         link_mbps: settings.link_mbps,
         ..Envelope::default()
     }
@@ -485,7 +487,7 @@
         MembershipTiming::default(),
     )
     .with_link(settings.link_mbps)
-    .with_seeds(&settings.seeds, settings.peers)
+    .with_seeds(&settings.seeds, settings.advertised_peers)
     .with_broadcast();
     let directory = gateway.forwarder.directory.clone();
     let versions_changed: Arc<Notify> = Arc::default();
@@ -495,7 +497,7 @@
         node: settings.node.clone(),
         zone: settings.zone.clone(),
         link_mbps: settings.link_mbps,
-        address: settings.peers,
+        address: settings.advertised_peers,
         seeds: settings.seeds.clone(),
         expected_nodes: settings.expected_nodes,
         generation,
--- a/crates/beamwall-node/src/gateway/peer_origins.rs
+++ b/crates/beamwall-node/src/gateway/peer_origins.rs
@@ -19,12 +19,19 @@
 use tokio::time::Instant;
 
 use crate::gateway::exchange::PeerExchange;
+use crate::gateway::sharing::may_still_serve;
+use crate::gateway::store_freshness::StoreFreshness;
+use crate::gateway::store_status::StoreStatus;
+use crate::gateway::watches::BACKENDS;
 use crate::gateway::{peer_envelope, stream_origin_wire};
 use crate::shared::MembershipView;
 
 /// Minimum time between two messages with origins to the same node. A caller that lost its connection is back
 /// after some tens of milliseconds.
 const SEND_INTERVAL: Duration = Duration::from_millis(10);
+/// Time since the store confirmed the list of back ends until the list no longer tells that there is one version only.
+/// Nodes that are not cut off hear a confirmation at least each second and a heartbeat period.
+const MAX_LIST_AGE: Duration = Duration::from_secs(2);
 /// Timeout for the answers of the nodes that are asked for an origin.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -35,6 +42,8 @@
     zone: ZoneName,
     network: Arc<PeerNetwork>,
     members: Arc<ArcSwap<MembershipView>>,
+    store: Arc<StoreStatus>,
+    freshness: Arc<StoreFreshness>,
 }
 
 impl PeerOrigins {
@@ -43,9 +52,19 @@
         settings: &GatewaySettings,
         network: Arc<PeerNetwork>,
         members: Arc<ArcSwap<MembershipView>>,
+        store: Arc<StoreStatus>,
+        freshness: Arc<StoreFreshness>,
     ) -> Self {
         let (node, zone) = (settings.node.clone(), settings.zone.clone());
-        Self { envelope: peer_envelope(settings), node, zone, network, members }
+        Self { envelope: peer_envelope(settings), node, zone, network, members, store, freshness }
+    }
+
+    /// Whether the store answers neither this node nor any other that may be serving, so that nobody hears of changes.
+    fn is_store_lost_everywhere(&self) -> bool {
+        let now = Instant::now();
+        let view = self.members.load();
+        let mut others = view.members.iter().filter(|member| may_still_serve(member, now));
+        self.store.is_lost() && others.all(|member| member.state == MemberState::Alive && member.store_lost)
     }
 }
 
@@ -72,6 +91,12 @@
         }
         first_known(replies).await
     }
+
+    fn is_list_current(&self) -> bool {
+        let confirmed = self.freshness.newest(BACKENDS);
+        let is_confirmed = confirmed.is_some_and(|confirmation| confirmation.age() <= MAX_LIST_AGE);
+        is_confirmed || self.is_store_lost_everywhere()
+    }
 }
 
 async fn ask_one(
@@ -136,7 +161,7 @@
         let now = Instant::now();
         let key = stream_origin_wire::key(&request.stream);
         let span = Duration::from_millis(request.span_ms);
-        let versions = || origins.history.within(&ServiceName::new(&request.service), span, now);
+        let versions = || origins.known_versions(&ServiceName::new(&request.service), span, now);
         let reply = match key.map_or(OriginLookup::Unknown, |key| origins.registry.find(&key, now)) {
             OriginLookup::Known(known) => stream_origin_wire::encode_reply(Some(known), versions()),
             OriginLookup::Ambiguous => stream_origin_wire::encode_reply(None, ServiceVersions::Several),
--- a/crates/beamwall-node/src/gateway/sharing.rs
+++ b/crates/beamwall-node/src/gateway/sharing.rs
@@ -98,7 +98,7 @@
 }
 
 /// Whether a member may still be serving callers.
-fn may_still_serve(member: &Member, now: Instant) -> bool {
+pub(super) fn may_still_serve(member: &Member, now: Instant) -> bool {
     match member.state {
         MemberState::Left => false,
         MemberState::Dead => now.duration_since(member.since) < DEAD_MEMBER_RETENTION,
