Take back that requests are given up when engines are silent and a peer offers help

Cause: took a silence of one objective as a failure to reach the engine. In a small service whose engines are only slow, two such silences made it count as unreachable; the request was abandoned while its engine worked, and passed to a peer beyond its attempts. Silent engines are kept as before.

--- a/crates/beamwall-gateway/src/attempt.rs
+++ b/crates/beamwall-gateway/src/attempt.rs
@@ -12,8 +12,8 @@
 
 use crate::directory::Backend;
 use crate::engine_gate::SendPermit;
-use crate::failover::{FailedAttempt, NextAttempt};
-use crate::forward::{Call, Forwarder};
+use crate::failover::FailedAttempt;
+use crate::forward::{Call, Forwarder, PermittedChoice};
 use crate::load::OpenRequestGuard;
 use crate::lost_responses::{LossKind, ResponseLoss};
 use crate::pacing;
@@ -214,19 +214,19 @@
 }
 
 /// Records that a back end is abandoned because it was silent before it started its response. `last_event` is
-/// the last event delivered, when a stream is continued.
+/// the last event delivered, when a stream is continued. `next` is reserved for the next attempt.
 pub(crate) fn abandon_silent(
     forwarder: &Forwarder,
     call: &Call,
     backend: &BackendId,
     last_event: Option<u64>,
-    next: NextAttempt,
+    next: PermittedChoice,
 ) -> FailedAttempt {
     forwarder.record_stream_response(call, backend, last_event, true);
     forwarder.backend_state.health.note_unreachable(backend, Instant::now());
     let failure = AttemptFailure::silent("the engine is silent");
     forwarder.note_reachability(&call.service, backend, Some(&failure));
-    FailedAttempt { failure, next }
+    FailedAttempt { failure, next: Some(next) }
 }
 
 fn build_request(
--- a/crates/beamwall-gateway/src/attempts.rs
+++ b/crates/beamwall-gateway/src/attempts.rs
@@ -12,7 +12,7 @@
 use crate::attempt::{AttemptFailure, Execution};
 use crate::engine_availability::Unavailable;
 use crate::engine_gate::Blocked;
-use crate::failover::{FailedAttempt, NextAttempt};
+use crate::failover::FailedAttempt;
 use crate::forward::{Call, Forwarder, NoBackEnd, PermittedChoice};
 use crate::placement::Choice;
 use crate::refusal::Refusal;
@@ -202,22 +202,19 @@
         self.choose(forwarder, call, Vec::new()).await.ok()
     }
 
-    /// Returns the choice that follows an attempt at `choice`: what was `decided` if `choice` was silent,
-    /// otherwise a back end that was not tried yet, otherwise the one that was abandoned for being silent.
+    /// Returns the choice that follows an attempt at `choice`: the `reserved` back end if `choice` was
+    /// silent, otherwise one that was not tried yet, otherwise the back end that was abandoned for being
+    /// silent.
     pub(crate) async fn next_choice(
         &mut self,
         forwarder: &Forwarder,
         call: &Call,
         choice: &Choice,
-        decided: NextAttempt,
+        reserved: Option<PermittedChoice>,
     ) -> Option<PermittedChoice> {
-        match decided {
-            NextAttempt::Reserved(next) => {
-                self.abandoned = Some(choice.clone());
-                return Some(next);
-            }
-            NextAttempt::Partitioned => return None,
-            NextAttempt::Undecided => {}
+        if reserved.is_some() {
+            self.abandoned = Some(choice.clone());
+            return reserved;
         }
         match self.reserve(forwarder, call, self.sent, Vec::new()).await {
             Ok(choice) => Some(choice),
--- a/crates/beamwall-gateway/src/failover.rs
+++ b/crates/beamwall-gateway/src/failover.rs
@@ -17,22 +17,12 @@
 /// Interval between tries to reserve another back end.
 const RESERVE_RETRY_INTERVAL: Duration = Duration::from_millis(400);
 
-/// A failed attempt, and what was already decided about the next one.
+/// A failed attempt and the back end reserved for the next one, if any.
 pub struct FailedAttempt {
     /// Why the attempt failed.
     pub failure: AttemptFailure,
-    /// What was decided.
-    pub next: NextAttempt,
-}
-
-/// What was decided about the attempt that follows a failed one.
-pub enum NextAttempt {
-    /// Nothing yet.
-    Undecided,
-    /// This back end is reserved for it.
-    Reserved(PermittedChoice),
-    /// There is none from this node, which is partitioned from the engines.
-    Partitioned,
+    /// The back end of the next attempt.
+    pub next: Option<PermittedChoice>,
 }
 
 impl FailedAttempt {
@@ -45,7 +35,7 @@
 
 impl From<AttemptFailure> for FailedAttempt {
     fn from(failure: AttemptFailure) -> Self {
-        Self { failure, next: NextAttempt::Undecided }
+        Self { failure, next: None }
     }
 }
 
@@ -77,34 +67,6 @@
     }
 }
 
-/// What follows an attempt at `silent` that has begun no response for too long: another back end, or nothing once it is
-/// known that this node is partitioned from the engines while peers are not. Waiting would be in vain then.
-pub(crate) async fn leave_silent_back_end(
-    forwarder: &Forwarder,
-    call: &Call,
-    attempts: &mut Attempts,
-    sent: u32,
-    silent: &BackendId,
-) -> NextAttempt {
-    forwarder.note_reachability(&call.service, silent, Some(&AttemptFailure::silent("the engine is silent")));
-    tokio::select! {
-        biased;
-        () = partition_from_engines(forwarder, call) => NextAttempt::Partitioned,
-        next = reserve_next_back_end(forwarder, call, attempts, sent, silent) => NextAttempt::Reserved(next),
-    }
-}
-
-/// Completes once this node reaches no engine of a call's service and a peer does.
-async fn partition_from_engines(forwarder: &Forwarder, call: &Call) {
-    loop {
-        let is_unreachable = forwarder.reachability.is_unreachable(&call.service);
-        if is_unreachable && forwarder.delegation.find_peer(&call.service, &[]).await.is_some() {
-            return;
-        }
-        process_clock::sleep(RESERVE_RETRY_INTERVAL).await;
-    }
-}
-
 fn report_kept(forwarder: &Forwarder, call: &Call, silent: &BackendId, blocker: RetryBlocker) {
     forwarder.metrics.silent_back_ends.with_label_values(&[blocker.as_str()]).inc();
     emit(&SilentBackendKept {
--- a/crates/beamwall-gateway/src/stream/first_event_wait.rs
+++ b/crates/beamwall-gateway/src/stream/first_event_wait.rs
@@ -6,6 +6,7 @@
 use beamwall_model::BackendId;
 use tokio::time::Instant;
 
+use crate::attempts::Attempts;
 use crate::forward::{Call, Forwarder};
 use crate::placement::Choice;
 
@@ -19,12 +20,12 @@
 /// Interval at which a silent engine is checked again.
 const POLL_INTERVAL: Duration = Duration::from_millis(400);
 
-/// The wait for the first events of a stream. It is unlimited if the request may run once only or the engine
+/// The wait for the first events of a stream. It is unlimited if the request may not fail over or the engine
 /// still sends to other requests; otherwise it ends well after the expected time.
 pub(super) struct FirstEventWait<'a> {
     forwarder: &'a Forwarder,
     backend: &'a BackendId,
-    may_run_again: bool,
+    can_fail_over: bool,
     /// Time after which an engine confirmed to be silent is abandoned. As all times here, it is read from the
     /// clock that counts only while this process runs.
     soft_deadline: Instant,
@@ -33,7 +34,12 @@
 }
 
 impl<'a> FirstEventWait<'a> {
-    pub(super) fn new(forwarder: &'a Forwarder, call: &Call, choice: &'a Choice) -> Self {
+    pub(super) fn new(
+        forwarder: &'a Forwarder,
+        call: &Call,
+        choice: &'a Choice,
+        attempts: &Attempts,
+    ) -> Self {
         let objective = Duration::from_millis(call.route.objective_ms);
         let now = process_clock::now();
         let expected_ms = choice.expected_ms.unwrap_or(0.0);
@@ -41,15 +47,15 @@
         Self {
             forwarder,
             backend: &choice.backend,
-            may_run_again: call.route.kind.is_idempotent(),
+            can_fail_over: call.may_fail_over(attempts.sent + 1),
             soft_deadline: now + (objective * FIRST_EVENT_PERCENT / 100).max(expected),
             hard_deadline: now + (objective * UNCONFIRMED_SILENCE_PERCENT / 100).max(expected),
         }
     }
 
-    /// Completes when the request should leave its engine, if it may run again and has somewhere to go.
+    /// Completes when the request should fail over to another engine.
     pub(super) async fn expired(&self) {
-        if !self.may_run_again {
+        if !self.can_fail_over {
             return std::future::pending().await;
         }
         process_clock::sleep(self.soft_deadline.saturating_duration_since(process_clock::now())).await;
--- a/crates/beamwall-gateway/src/stream/mod.rs
+++ b/crates/beamwall-gateway/src/stream/mod.rs
@@ -131,12 +131,12 @@
     sent_at: Instant,
 ) -> Result<AttemptStart, FailedAttempt> {
     let last_event = resume.last_event;
-    let first_event_wait = FirstEventWait::new(forwarder, call, choice);
+    let first_event_wait = FirstEventWait::new(forwarder, call, choice, attempts);
     let limit = call.remaining();
     let sent = attempts.sent + 1;
     let mut next_back_end = std::pin::pin!(async {
         first_event_wait.expired().await;
-        failover::leave_silent_back_end(forwarder, call, attempts, sent, &choice.backend).await
+        failover::reserve_next_back_end(forwarder, call, attempts, sent, &choice.backend).await
     });
     let opened = tokio::select! {
         biased;
--- a/crates/beamwall-gateway/src/stream/relay.rs
+++ b/crates/beamwall-gateway/src/stream/relay.rs
@@ -13,7 +13,7 @@
 
 use crate::attempt::{AttemptFailure, ResumePoint};
 use crate::attempts::Attempts;
-use crate::failover::{self, FailedAttempt, NextAttempt};
+use crate::failover::{self, FailedAttempt};
 use crate::forward::{Call, Forwarder, PermittedChoice};
 use crate::placement::Choice;
 use crate::stream::event_gap::EventGapMeter;
@@ -154,7 +154,7 @@
                     WaitOutcome::CallerGone => return Stop::CallerGone,
                     WaitOutcome::FailOver(next) => {
                         let failure = AttemptFailure::silent("silent for too long");
-                        return Stop::Failed(FailedAttempt { failure, next: NextAttempt::Reserved(*next) });
+                        return Stop::Failed(FailedAttempt { failure, next: Some(*next) });
                     }
                     WaitOutcome::Relocation(RelocationEvent::Review) => {
                         self.review_relocation(source, gap_meter.as_ref());
--- a/crates/beamwall-gateway/src/unary.rs
+++ b/crates/beamwall-gateway/src/unary.rs
@@ -88,14 +88,14 @@
     permit: SendPermit,
     attempts: &mut Attempts,
 ) -> Result<OpenResponse, FailedAttempt> {
-    let failover_delay = failover_delay(call);
+    let failover_delay = failover_delay(call, attempts);
     let sent = attempts.sent + 1;
     let next_back_end = async {
         match failover_delay {
             Some(failover_delay) => process_clock::sleep(failover_delay).await,
             None => std::future::pending().await,
         }
-        failover::leave_silent_back_end(forwarder, call, attempts, sent, &choice.backend).await
+        failover::reserve_next_back_end(forwarder, call, attempts, sent, &choice.backend).await
     };
     let opened = attempt::open(forwarder, call, choice, permit, ResumePoint::default(), call.remaining());
     tokio::select! {
@@ -126,10 +126,10 @@
     }
 }
 
-/// How long a repeatable call waits before it looks for another back end, leaving time for another attempt. `None`
-/// for any other call, which waits until its deadline.
-fn failover_delay(call: &Call) -> Option<Duration> {
-    if !call.route.kind.is_idempotent() {
+/// How long a repeatable call waits before failover starts, leaving time for another attempt. `None` for any
+/// other call, which waits until its deadline.
+fn failover_delay(call: &Call, attempts: &Attempts) -> Option<Duration> {
+    if !call.may_fail_over(attempts.sent + 1) {
         return None;
     }
     let usual = Duration::from_millis(call.route.objective_ms) * FAILOVER_DELAY_OBJECTIVES;
