A stopped run is boxed where it is made; a test of what a request gives back

What callers saw: nothing. Cause: with the retry for the return, the result of a move made two enums lopsided, which the lints refuse.

--- a/crates/beamwall-gateway/src/stream/memory_move.rs
+++ b/crates/beamwall-gateway/src/stream/memory_move.rs
@@ -95,7 +95,7 @@
 }
 
 /// Result of a move.
-pub(super) type MoveResult = Result<StoppedRun, MoveFailure>;
+pub(super) type MoveResult = Result<Box<StoppedRun>, MoveFailure>;
 
 /// The memory of a stopped run. Frees it at both engines when dropped, unless it was used.
 pub(super) struct HeldMemory {
@@ -210,12 +210,8 @@
     async fn stop_and_copy(&self, target: PermittedChoice) -> MoveResult {
         let reply = self.order(true, self.time_left()).await.map_err(failure_after_stop_order)?;
         match reply {
-            MoveReply::Copied { handle } => {
-                Ok(StoppedRun { memory: self.held(handle), target: Some(target), return_retry: None })
-            }
-            MoveReply::Refused { handle: Some(handle) } => {
-                Ok(StoppedRun { memory: self.held(handle), target: None, return_retry: None })
-            }
+            MoveReply::Copied { handle } => Ok(self.stopped(handle, Some(target))),
+            MoveReply::Refused { handle: Some(handle) } => Ok(self.stopped(handle, None)),
             MoveReply::Refused { handle: None } => {
                 Err(MoveFailure::MaybeStopped("refused without a handle".to_owned()))
             }
@@ -227,6 +223,10 @@
         self.gone_at.saturating_duration_since(Instant::now()).saturating_sub(OPENING_TIME)
     }
 
+    fn stopped(&self, handle: String, target: Option<PermittedChoice>) -> Box<StoppedRun> {
+        Box::new(StoppedRun { memory: self.held(handle), target, return_retry: None })
+    }
+
     fn held(&self, handle: String) -> HeldMemory {
         HeldMemory::new(self.forwarder, MemorySource { engine: self.source, handle })
     }
--- a/crates/beamwall-gateway/src/stream/moved_stream.rs
+++ b/crates/beamwall-gateway/src/stream/moved_stream.rs
@@ -133,7 +133,7 @@
     }
 
     /// Delivers what a stopped engine still sends.
-    async fn deliver_rest(&mut self, source: &mut Source, stopped: StoppedRun) -> Stop {
+    async fn deliver_rest(&mut self, source: &mut Source, stopped: Box<StoppedRun>) -> Stop {
         let until = Instant::now() + REST_TIMEOUT;
         loop {
             match tokio::time::timeout_at(until, source.next_piece()).await {
@@ -145,7 +145,7 @@
                     self.last_event = last.or(self.last_event);
                 }
                 Ok(Piece::End) if source.has_marked_end() => return Stop::Finished { proves_parts: true },
-                Ok(Piece::End | Piece::Broken(_)) | Err(_) => return Stop::Moved(Box::new(stopped)),
+                Ok(Piece::End | Piece::Broken(_)) | Err(_) => return Stop::Moved(stopped),
             }
         }
     }
@@ -164,7 +164,7 @@
             () = self.sender.disconnected() => return Err(Stop::CallerGone),
         };
         match result {
-            Ok(stopped) => Err(Stop::Moved(Box::new(stopped))),
+            Ok(stopped) => Err(Stop::Moved(stopped)),
             Err(failure) => {
                 self.note_move_failure(backend, &failure);
                 self.may_be_stopped |= matches!(failure, MoveFailure::MaybeStopped(_));
--- a/crates/beamwall-gateway/tests/retries.rs
+++ b/crates/beamwall-gateway/tests/retries.rs
@@ -46,6 +46,19 @@
     assert_eq!((counts.granted, counts.refused, counts.returned), (2, 2, 1));
 }
 
+/// Guards against: a request that a peer has counted as well earns retries at both nodes.
+#[test]
+fn what_a_request_has_earned_is_given_back_as_far_as_it_is_not_spent() {
+    let (budgets, service, now) = (RetryBudgets::new(earning(), 6), "one".into(), Instant::now());
+    take_all(&budgets, &service, now);
+    earn(&budgets, &service, 10, now);
+    (0..5).for_each(|_| budgets.unearn(&service, now));
+    assert_eq!(take_all(&budgets, &service, now), 1, "five of ten requests are left");
+    (0..5).for_each(|_| budgets.unearn(&service, now));
+    earn(&budgets, &service, 5, now);
+    assert_eq!(take_all(&budgets, &service, now), 1, "what was spent is no debt");
+}
+
 /// What happens to a budget in a random play.
 enum Step {
     Earn,
