--- a/crates/beamwall-gateway/src/delegation.rs
+++ b/crates/beamwall-gateway/src/delegation.rs
@@ -63,7 +63,7 @@
     fn is_own_token(&self, token: u64) -> bool;
 }
 
-/// Delegates a call; `None` if no peer takes it and it was not sent.
+/// Delegates a call; `None` if no peer took it, or if it was sent before and no retry is left to pay for a peer.
 pub async fn delegate(forwarder: &Forwarder, call: &Arc<Call>) -> Option<Result<Response<Body>, Refusal>> {
     if call.is_delegated {
         return None;
