--- a/review/stand-ins-2/src/bin/mixed_versions.rs
+++ b/review/stand-ins-2/src/bin/mixed_versions.rs
@@ -9,10 +9,11 @@
 use beamwall_lab::running::{free_addresses, loopback};
 use beamwall_platform_stand_ins::store_entrance::{Refusal, StoreEntrances};
 use beamwall_platform_stand_ins::{DutiesStandIn, EngineStandIn, ObjectsStandIn};
-use review_stand_ins_2::client::{Client, Outcome, Request};
+use review_stand_ins_2::client::Client;
 use review_stand_ins_2::has_trouble;
 use review_stand_ins_2::machine::{Bounds, Machine, Plan};
 use review_stand_ins_2::record::Record;
+use review_stand_ins_2::streams::{Kind, Stream};
 use serde_json::{Value, json};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
@@ -28,7 +29,7 @@
 const STREAMS: usize = 56;
 const STREAM_GAP: Duration = Duration::from_millis(50);
 /// Events of each.
-const EVENTS: u64 = 60;
+const KIND: Kind = Kind { host: HOST, key: KEY, events: 60, max_tries: 6, deadline: Duration::from_secs(15) };
 const EVENT_GAP: Duration = Duration::from_millis(60);
 /// The store turns the machine that leads away; `platform_down`, nodes leader busy: 7 s at most.
 const TURNED_AWAY_BEFORE: Duration = Duration::from_millis(300);
@@ -37,9 +38,6 @@
 const STREAMS_BEFORE: Duration = Duration::from_millis(300);
 /// Time without any machine; `herd_kill`: 2.6 s at most.
 const DOWN: Duration = Duration::from_millis(2_000);
-/// A caller whose stream broke off takes it up again, at most so often and so long.
-const MAX_TRIES: usize = 6;
-const DEADLINE: Duration = Duration::from_secs(15);
 /// ORDER: more than two streams hold events of two versions.
 const MIXED_ALLOWED: usize = 2;
 
@@ -110,7 +108,7 @@
     let clients: Vec<Client> = machines.iter().map(|machine| Client::new(machine.plan.listen[0])).collect();
     let mut begun = JoinSet::new();
     for number in 0..STREAMS {
-        let mut stream = Stream::new(number);
+        let mut stream = Stream::new(KIND, number);
         let client = clients[number % clients.len()].clone();
         let record = record.clone();
         begun.spawn(async move {
@@ -167,6 +165,7 @@
             zone: ZONES_OF_MACHINES[number].to_owned(),
             listen: [four[0], four[1], four[2], four[3]],
             seeds: seeds.clone(),
+            advertised: None,
             store: entrances.address(number),
             duties,
             bounds,
@@ -203,106 +202,6 @@
     Err("nobody leads".to_owned())
 }
 
-/// A caller's stream over all its tries.
-struct Stream {
-    number: usize,
-    tries: usize,
-    /// The try that brought the first event.
-    first_try: Option<String>,
-    events: Vec<u64>,
-    writers: Vec<String>,
-    is_whole: bool,
-    started: Instant,
-}
-
-impl Stream {
-    fn new(number: usize) -> Self {
-        Self {
-            number,
-            tries: 0,
-            first_try: None,
-            events: Vec::new(),
-            writers: Vec::new(),
-            is_whole: false,
-            started: Instant::now(),
-        }
-    }
-
-    /// Begins the stream, or takes it up after the last event that came.
-    async fn ask(&mut self, client: &Client, record: &Record) {
-        self.tries += 1;
-        let id = format!("s{}-{}", self.number, self.tries);
-        let prompt = 1_000_000 + self.number;
-        let mut headers = vec![
-            ("X-Model".to_owned(), "m".to_owned()),
-            ("X-Token-Counts".to_owned(), "715,180".to_owned()),
-            ("X-Prefix-Hash".to_owned(), format!("{prompt:x}:715")),
-        ];
-        if let (Some(first), Some(last)) = (&self.first_try, self.events.last()) {
-            headers.push(("Last-Event-Id".to_owned(), last.to_string()));
-            headers.push(("Resumes".to_owned(), first.clone()));
-        }
-        let request = Request {
-            method: "POST",
-            path: format!("/hints/stream-{EVENTS}"),
-            host: HOST,
-            id: id.clone(),
-            key: KEY.to_owned(),
-            deadline: DEADLINE.saturating_sub(self.started.elapsed()),
-            headers,
-            body: format!("hint {}", self.number).into_bytes(),
-        };
-        let outcome = client.send(&request).await;
-        self.note(&id, &outcome);
-        let last = self.events.last().copied().unwrap_or(0);
-        let status = outcome.status;
-        record.note(&format!(
-            "{id}: {status:?}, whole {}, events through {last} by {:?}",
-            self.is_whole,
-            self.engines()
-        ));
-    }
-
-    fn note(&mut self, id: &str, outcome: &Outcome) {
-        if outcome.status != Some(200) {
-            return;
-        }
-        let text = String::from_utf8_lossy(&outcome.body).into_owned();
-        for event in text.split("\n\n") {
-            let number = event.lines().find_map(|line| line.strip_prefix("id: ")?.parse().ok());
-            let writer = event.lines().find_map(|line| line.strip_prefix("data: piece ")?.split_once(" of "));
-            if let (Some(number), Some((_, writer))) = (number, writer) {
-                self.first_try.get_or_insert_with(|| id.to_owned());
-                self.events.push(number);
-                self.writers.push(writer.to_owned());
-            }
-        }
-        self.is_whole = outcome.whole;
-    }
-
-    fn engines(&self) -> Vec<&str> {
-        let mut engines: Vec<&str> = self.writers.iter().map(String::as_str).collect();
-        engines.dedup();
-        engines
-    }
-
-    async fn take_up(&mut self, clients: &[Client], place: usize, record: &Record) {
-        while !self.is_whole && self.tries < MAX_TRIES && self.started.elapsed() < DEADLINE {
-            sleep(Duration::from_millis(700)).await;
-            self.ask(&clients[(place + self.tries) % clients.len()], record).await;
-        }
-    }
-
-    /// Whether it holds events of engines of two versions.
-    fn is_mixed(&self) -> bool {
-        let mut versions: Vec<&str> =
-            self.writers.iter().filter_map(|writer| writer.split('-').next()).collect();
-        versions.sort_unstable();
-        versions.dedup();
-        versions.len() > 1
-    }
-}
-
 fn judge(streams: &[Stream], record: &Record) -> u8 {
     let mixed: Vec<String> = streams
         .iter()
--- a/review/stand-ins-2/src/lib.rs
+++ b/review/stand-ins-2/src/lib.rs
@@ -3,7 +3,9 @@
 
 pub mod client;
 pub mod machine;
+pub mod proxy;
 pub mod record;
+pub mod streams;
 
 use std::path::PathBuf;
 
--- a/review/stand-ins-2/src/machine.rs
+++ b/review/stand-ins-2/src/machine.rs
@@ -29,6 +29,8 @@
     /// Callers, readiness, peers, metrics.
     pub listen: [SocketAddr; 4],
     pub seeds: Vec<SocketAddr>,
+    /// Where the others reach it, if a proxy stands before it.
+    pub advertised: Option<SocketAddr>,
     pub store: SocketAddr,
     pub duties: SocketAddr,
     pub bounds: Bounds,
@@ -38,12 +40,14 @@
     /// `deploy/gateway.toml` with its gaps filled.
     fn settings(&self) -> String {
         let [callers, readiness, peers, metrics] = self.listen;
+        let advertised =
+            self.advertised.map(|address| format!("advertised = \"{address}\"\n")).unwrap_or_default();
         let seeds: Vec<String> = self.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let Bounds { retry_extra, quota_slack, report_window_s, grace_s } = self.bounds;
         format!(
             "[node]\nname = \"{}\"\nzone = \"{}\"\nthreads = 1\nlink_mbps = 1000.0\n\
              [listen]\ncallers = \"{callers}\"\nreadiness = \"{readiness}\"\npeers = \"{peers}\"\nmetrics = \"{metrics}\"\n\
-             [peers]\nseeds = [{}]\n[store]\naddress = \"{}\"\n\
+             [peers]\n{advertised}seeds = [{}]\n[store]\naddress = \"{}\"\n\
              [duties]\naddress = \"{}\"\nreport_usage = true\norder_capacity = true\n\
              [capacity]\nahead = false\n[usage]\nwindow_s = {report_window_s}\n\
              [retries]\nratio = 0.2\nextra = {retry_extra}\nwindow_s = 10\n\
