--- a/review/stand-ins-2/src/bin/young_part.rs
+++ b/review/stand-ins-2/src/bin/young_part.rs
@@ -67,7 +67,9 @@
 async fn start_engines(store: &ObjectsStandIn) -> Result<Vec<Option<EngineStandIn>>, String> {
     let mut engines = Vec::new();
     for number in 0..ENGINES {
-        let engine = EngineStandIn::start(&format!("i-{number}"), loopback()).await.map_err(|error| error.to_string())?;
+        let engine = EngineStandIn::start(&format!("i-{number}"), loopback())
+            .await
+            .map_err(|error| error.to_string())?;
         engine.set_event_gap(EVENT_GAP);
         let entry = json!({"service": SERVICE, "address": engine.address.to_string(), "zone": ZONES[number % ZONES.len()],
             "version": "v1", "slots": 128, "state": "ready", "cold_left_ms": 0, "seq": 1});
@@ -115,7 +117,8 @@
         for at in CRASH_AT {
             sleep_until(begun + NEW_PART_AT + at).await;
             let crashing = busiest(&engines);
-            let runs: Vec<usize> = crashing.iter().map(|number| runs_of_new_part(&engines[*number])).collect();
+            let runs: Vec<usize> =
+                crashing.iter().map(|number| runs_of_new_part(&engines[*number])).collect();
             for number in &crashing {
                 // Dropping it closes its listener and all its connections.
                 drop(engines[*number].take());
