--- a/crates/beamwall-config/src/gateway.rs
+++ b/crates/beamwall-config/src/gateway.rs
@@ -13,6 +13,8 @@
     ValueKind::Number { minimum, maximum }
 }
 
+const BYTES_PER_MB: usize = 1 << 20;
+
 /// The keys of a gateway's settings file.
 pub const GATEWAY_RULES: &[KeyRule] = &[
     required("node.name", ValueKind::Text, "name of the node, unique in the deployment"),
@@ -139,6 +141,18 @@
         "8",
         "time from SIGTERM to the end of the process in seconds",
     ),
+    optional(
+        "limits.memory_mb",
+        seconds(1.0, 1e9),
+        "256",
+        "memory that the process may take, in MB; callers hold a part of it at most",
+    ),
+    optional(
+        "limits.descriptors",
+        seconds(1.0, 1e9),
+        "4096",
+        "descriptors that the process may open; callers' connections take a part of them at most",
+    ),
     optional("log.format", ValueKind::Choice(&["json", "text"]), "\"json\"", "form of log lines"),
     optional(
         "log.level",
@@ -219,6 +233,10 @@
     pub move_on_reclaim: bool,
     /// Time from SIGTERM to the end of the process.
     pub drain_limit: Duration,
+    /// Memory that the process may take.
+    pub memory_bytes: usize,
+    /// Descriptors that the process may open.
+    pub descriptors: usize,
     /// Whether log lines are JSON.
     pub log_json: bool,
     /// Least urgent level logged.
@@ -277,6 +295,8 @@
             admission: flag("admission.enabled"),
             move_on_reclaim: flag("streams.move_on_reclaim"),
             drain_limit: Duration::from_secs_f64(number("limits.drain_s")),
+            memory_bytes: number("limits.memory_mb") as usize * BYTES_PER_MB,
+            descriptors: number("limits.descriptors") as usize,
             log_json: settings.text("log.format") != Some("text"),
             log_level: settings.text("log.level").unwrap_or("info").to_owned(),
         }
