One bound over all that a gateway holds for its callers

What callers saw: heads and empty lines without end, and many legal bodies at once that stop just short of their end, took a process over the memory of its machine; idle connections took its descriptors.

Cause: every limit was one of a single request or connection. A head was kept up to 400 KB, whatever the operator's limit; a body up to its limit, for 10 s; connections and their sum were not bounded at all.

Change: a new package counts connections and the buffers of requests, answers and pieces of streams by capacity, from their allocation until the last user drops them. At the bound whoever keeps the process waiting gives way: the connection that has waited longest, or the one that holds most while its caller moves less than 16 KB in 500 ms. A whole request never does. Large requests leave a quarter of the memory to small ones. What finds no room is refused with 503 and Retry-After. A head ends at the operator's limit. The constants (half of the memory beside 32 MB, 48 KB a connection, 500 ms, 16 KB, 64 KB) are chosen, not measured.

--- a/crates/beamwall-gateway/src/call.rs
+++ b/crates/beamwall-gateway/src/call.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use beamwall_admission::CapacityClaim;
+use beamwall_caller_budget::CallerConnection;
 use beamwall_clock::timers;
 use beamwall_model::{EngineVersion, ServiceName};
 use beamwall_policy::{EngineTraits, Route, TenantRef};
@@ -36,6 +37,8 @@
     pub request_id: Option<String>,
     /// Identifies the request across its retries by the caller.
     pub fingerprint: Fingerprint,
+    /// The caller's connection, for which its bodies are held.
+    pub caller: CallerConnection,
     /// Whether a peer that can't reach the engines delegated it to this node.
     pub is_delegated: bool,
     /// What counts of it for the retry budgets.
--- a/crates/beamwall-gateway/src/delegation.rs
+++ b/crates/beamwall-gateway/src/delegation.rs
@@ -18,8 +18,9 @@
 use beamwall_clock::timers;
 use beamwall_events::emit;
 use beamwall_events::internal_events::{EnginesReachable, EnginesUnreachable, RequestDelegated};
-use beamwall_http::{Body, PooledBody, channel, full, read_limited};
+use beamwall_http::{Body, PooledBody, channel, full, read_response};
 use beamwall_model::{BackendId, NodeId, ServiceName};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{Request, Response, StatusCode};
 use tokio::time::Instant;
@@ -196,7 +197,7 @@
     let body = if call.route.kind.is_stream() && status.is_success() {
         stream_on(call.clone(), body)
     } else {
-        match read_limited(body, MAX_RESPONSE_BYTES, call.remaining()).await {
+        match read_response(body, &call.caller, MAX_RESPONSE_BYTES, call.remaining()).await {
             Ok(bytes) => full(bytes),
             Err(error) => return Outcome::Lost(Refusal::ResponseLost(error.to_string())),
         }
@@ -229,7 +230,11 @@
                 Some(Err(error)) => return sender.abort(&error.to_string()).await,
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
-                    if sender.send(data).await.is_err() {
+                    let held = match call.caller.hold_bytes(Bytes::copy_from_slice(&data)) {
+                        Ok(held) => held,
+                        Err(shortage) => return sender.abort(&shortage.to_string()).await,
+                    };
+                    if sender.send(held).await.is_err() {
                         return;
                     }
                 }
--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -4,10 +4,13 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use beamwall_caller_budget::{CallerBudget, CallerConnection, Phase, Shortage};
 use beamwall_events::emit;
-use beamwall_events::internal_events::{CallerConnectionFailed, GatewayAnswered, GatewayRefused};
+use beamwall_events::internal_events::{
+    CallerConnectionEvicted, CallerConnectionFailed, GatewayAnswered, GatewayRefused,
+};
 use beamwall_http::body::ReadError;
-use beamwall_http::{Body, ConnectionFailure, Handler, read_limited_with};
+use beamwall_http::{Body, ConnectionFailure, Handler, read_request};
 use beamwall_model::EngineVersion;
 use beamwall_policy::{PolicyIndex, Route, RouteKind, TenantRef};
 use beamwall_quarantine::{Fingerprint, FingerprintHasher};
@@ -50,6 +53,8 @@
     pub quotas: QuotaLimiter,
     /// Forwards requests to back ends.
     pub forwarder: Arc<Forwarder>,
+    /// What all callers of this node hold.
+    pub caller_budget: CallerBudget,
     /// Notified when peers should be sent this node's state immediately.
     pub peer_notify: Arc<Notify>,
 }
@@ -103,6 +108,16 @@
         Duration::from_millis(limits.idle_ms.max(limits.head_ms))
     }
 
+    fn max_request_head_bytes(&self) -> usize {
+        self.gateway.policy.load().policy().caller_limits.head_bytes
+    }
+
+    fn connection_evicted(&self, shortage: Shortage) {
+        let shortage = shortage.as_str();
+        self.gateway.forwarder.metrics.caller_connections_evicted.with_label_values(&[shortage]).inc();
+        emit(&CallerConnectionEvicted { shortage: shortage.to_owned() });
+    }
+
     fn connection_failed(&self, failure: ConnectionFailure, error: &hyper::Error) {
         let kind = failure.as_str();
         self.gateway.forwarder.metrics.caller_connections_failed.with_label_values(&[kind]).inc();
@@ -219,8 +234,10 @@
         let path_and_query = parts.uri.path_and_query().map_or("", |target| target.as_str());
         let mut fingerprint = FingerprintHasher::new(tenant_name, &host, path_and_query);
         let hash_body_part = |part: &[u8]| fingerprint.update(part);
-        let read = read_limited_with(body, body_limit, BODY_READ_TIMEOUT, hash_body_part).await;
+        let caller = parts.extensions.get().cloned().unwrap_or_else(CallerConnection::unlimited);
+        let read = read_request(body, &caller, body_limit, BODY_READ_TIMEOUT, hash_body_part).await;
         let body = read.map_err(refusal_from_read_error)?;
+        caller.begin(Phase::Serving);
         let fingerprint = fingerprint.finish();
         context.fingerprint = Some(fingerprint);
         let suspects = suspects(fingerprint, head.prompt.as_ref());
@@ -236,6 +253,7 @@
             deadline: deadline(&route, &head, received),
             request_id: head.request_id,
             fingerprint,
+            caller,
             is_delegated: head.delegation.is_some(),
             sends: context.sends.clone(),
             admission,
@@ -385,6 +403,7 @@
 fn refusal_from_read_error(error: ReadError) -> Refusal {
     match error {
         ReadError::TooLarge(_) => Refusal::BodyTooLarge,
+        ReadError::NoRoom(shortage) => Refusal::NoRoom(shortage),
         other => Refusal::BadBody(other.to_string()),
     }
 }
--- a/crates/beamwall-gateway/src/metrics.rs
+++ b/crates/beamwall-gateway/src/metrics.rs
@@ -29,6 +29,8 @@
     pub silent_back_ends: IntCounterVec,
     /// Failed connections to callers by kind of failure.
     pub caller_connections_failed: IntCounterVec,
+    /// Connections to callers that were closed, or not taken, for want of room, by what was short.
+    pub caller_connections_evicted: IntCounterVec,
     /// Requests delegated to peers by outcome.
     pub delegated: IntCounterVec,
     /// Permits that were denied because of the limits that engines name, by service.
@@ -87,6 +89,13 @@
             ),
             &["kind"],
         )?;
+        let caller_connections_evicted = IntCounterVec::new(
+            Opts::new(
+                "beamwall_gateway_caller_connections_evicted_total",
+                "connections to callers closed, or not taken, for want of room, by what was short",
+            ),
+            &["shortage"],
+        )?;
         let silent_back_ends = IntCounterVec::new(
             Opts::new(
                 "beamwall_gateway_silent_back_ends_total",
@@ -122,6 +131,7 @@
         registry.register(Box::new(quota_refusals.clone()))?;
         registry.register(Box::new(silent_back_ends.clone()))?;
         registry.register(Box::new(caller_connections_failed.clone()))?;
+        registry.register(Box::new(caller_connections_evicted.clone()))?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(latency.clone()))?;
         registry.register(Box::new(streams_continued.clone()))?;
@@ -139,6 +149,7 @@
             streams_broken,
             silent_back_ends,
             caller_connections_failed,
+            caller_connections_evicted,
             permits_denied,
             quota_refusals,
             delegated,
--- a/crates/beamwall-gateway/src/refusal.rs
+++ b/crates/beamwall-gateway/src/refusal.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use beamwall_admission::Rejection;
+use beamwall_caller_budget::Shortage;
 use beamwall_http::{Body, full};
 use beamwall_model::EngineVersion;
 use beamwall_quarantine::HeldRequest;
@@ -22,6 +23,9 @@
 /// seconds.
 const VERSION_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// `retry_after` of a request for which callers left no room: callers that pause give way after that time.
+const ROOM_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Longest wait for engines in need or at rest that a refused caller is asked for, before the spread.
 const MAX_LIMIT_WAIT: Duration = Duration::from_secs(4);
 /// Time over which the callers refused by engines in need return.
@@ -67,6 +71,8 @@
     BadBody(String),
     /// The body is too large.
     BodyTooLarge,
+    /// Callers hold all that there is for them; it was not sent.
+    NoRoom(Shortage),
     /// The tenant is beyond its quota.
     QuotaExceeded(QuotaExceeded),
     /// No back end accepted it, and it was not executed.
@@ -106,6 +112,7 @@
     pub fn status(&self) -> StatusCode {
         match self {
             Self::NotReady
+            | Self::NoRoom(_)
             | Self::NotRun(_)
             | Self::Unreachable(_)
             | Self::TooLate
@@ -139,6 +146,7 @@
             Self::LimitReached(limit) => Some(limit.wait.min(MAX_LIMIT_WAIT) + random_spread()),
             Self::EnginesRest(left) => Some(spread_return((*left).min(MAX_LIMIT_WAIT))),
             Self::VersionUnavailable(_) => Some(VERSION_RETRY_AFTER),
+            Self::NoRoom(_) => Some(spread_return(ROOM_RETRY_AFTER)),
             Self::NotReady | Self::NotRun(_) | Self::Unreachable(_) | Self::UnknownOrigin(_) => {
                 Some(TRANSIENT_RETRY_AFTER)
             }
@@ -168,6 +176,7 @@
             Self::UnknownKey => "the key is missing or unknown".to_owned(),
             Self::BadBody(reason) => reason.clone(),
             Self::BodyTooLarge => "the body is too large".to_owned(),
+            Self::NoRoom(shortage) => format!("not run: {shortage}"),
             Self::QuotaExceeded(exceeded) => quota_reason(exceeded),
             Self::NotRun(reason) | Self::Unreachable(reason) => format!("not run: {reason}"),
             Self::ResponseLost(reason) => format!("the answer is lost: {reason}"),
--- a/crates/beamwall-gateway/src/stream/relay.rs
+++ b/crates/beamwall-gateway/src/stream/relay.rs
@@ -184,6 +184,12 @@
                         None => gap_meter = Some(EventGapMeter::new(now)),
                         Some(gap_meter) => self.measure_event_gap(gap_meter, source, batch.count, now),
                     }
+                    let events = match call.caller.hold_bytes(events) {
+                        Ok(events) => events,
+                        Err(shortage) => {
+                            return Stop::Failed(AttemptFailure::may_have_run(shortage.to_string()).into());
+                        }
+                    };
                     if self.sender.send(events).await.is_err() {
                         return Stop::CallerGone;
                     }
--- a/crates/beamwall-gateway/src/unary.rs
+++ b/crates/beamwall-gateway/src/unary.rs
@@ -4,7 +4,7 @@
 
 use beamwall_clock::{process_clock, timers};
 use beamwall_http::body::ReadError;
-use beamwall_http::{Body, full, read_limited};
+use beamwall_http::{Body, full, read_response};
 use beamwall_model::BackendId;
 use bytes::Bytes;
 use hyper::{Response, StatusCode, http::response::Parts};
@@ -165,7 +165,7 @@
     let (parts, body) = response.into_parts();
     let left = call.remaining();
     // The time limit of the body reader does not include the time for which the machine was suspended.
-    let read = timers::timeout(left, read_limited(body, MAX_RESPONSE_BYTES, left)).await;
+    let read = timers::timeout(left, read_response(body, &call.caller, MAX_RESPONSE_BYTES, left)).await;
     let read = read.unwrap_or(Err(ReadError::TooSlow(left)));
     drop(work);
     match read {
@@ -175,6 +175,10 @@
             forwarder.note_completed(call, &version, proves_parts);
             Ok(BufferedResponse { parts, body })
         }
+        // The back end is not to blame.
+        Err(ReadError::NoRoom(shortage)) => {
+            Err(AttemptFailure::may_have_run(shortage.to_string()).after_start())
+        }
         Err(error) => {
             forwarder.backend_state.health.note(&backend, true, Instant::now());
             let is_silent = matches!(error, ReadError::TooSlow(_));
--- a/crates/beamwall-gateway/tests/support/mod.rs
+++ b/crates/beamwall-gateway/tests/support/mod.rs
@@ -6,6 +6,7 @@
 
 use std::sync::Arc;
 
+use beamwall_caller_budget::CallerConnection;
 use beamwall_engine_model::{
     EngineModels, FirstEventInputs, PrefillWork, ServiceEstimates, ServiceStatistics,
 };
@@ -166,6 +167,7 @@
     };
     Call {
         fingerprint: Default::default(),
+        caller: CallerConnection::unlimited(),
         is_delegated: false,
         sends: Default::default(),
         admission: Admission::Normal,
--- a/crates/beamwall-http/src/body.rs
+++ b/crates/beamwall-http/src/body.rs
@@ -3,7 +3,8 @@
 use std::convert::Infallible;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use beamwall_caller_budget::{CallerConnection, HeldBuffer, Shortage};
+use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Empty, Full};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -32,6 +33,10 @@
         TooSlow(time_limit: Duration) {
             display("body was not received within {} ms", time_limit.as_millis())
         }
+        /// Callers hold all the memory that there is for them.
+        NoRoom(shortage: Shortage) {
+            display("{}", shortage)
+        }
         /// The connection failed or the message framing was invalid.
         Broken(reason: String) {
             display("body could not be read: {}", reason)
@@ -68,12 +73,14 @@
     B: hyper::body::Body<Data = Bytes> + Unpin,
     B::Error: std::fmt::Display,
 {
-    read_limited_with(body, limit_bytes, time_limit, |_| {}).await
+    read_request(body, &CallerConnection::unlimited(), limit_bytes, time_limit, |_| {}).await
 }
 
-/// Reads a whole body like [`read_limited`] and passes each chunk to `on_chunk` as it arrives.
-pub async fn read_limited_with<B>(
-    body: B,
+/// Reads a whole request body like [`read_limited`] into memory that is held for its caller, and passes each chunk to
+/// `on_chunk` as it arrives. The rest of a rejected body is read and discarded.
+pub async fn read_request<B>(
+    mut body: B,
+    caller: &CallerConnection,
     limit_bytes: usize,
     time_limit: Duration,
     on_chunk: impl FnMut(&[u8]),
@@ -82,18 +89,30 @@
     B: hyper::body::Body<Data = Bytes> + Unpin,
     B::Error: std::fmt::Display,
 {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let mut body = body;
-    if body.size_hint().lower() > limit_bytes as u64 {
-        let _ = tokio::time::timeout(time_limit, discard(&mut body, limit_bytes)).await;
-        return Err(ReadError::TooLarge(limit_bytes));
-    }
-    match tokio::time::timeout(time_limit, collect(body, limit_bytes, on_chunk)).await {
-        Ok(result) => result,
-        Err(_) => Err(ReadError::TooSlow(time_limit)),
-    }
+    let read = async {
+        let read = collect(&mut body, caller, limit_bytes, on_chunk).await;
+        if matches!(read, Err(ReadError::TooLarge(_) | ReadError::NoRoom(_))) {
+            discard(&mut body, limit_bytes).await;
+        }
+        read
+    };
+    tokio::time::timeout(time_limit, read).await.unwrap_or(Err(ReadError::TooSlow(time_limit)))
+}
+
+/// Reads a whole response body within a size limit and a time limit into memory that is held for a caller. The rest of
+/// a rejected body is left unread.
+pub async fn read_response<B>(
+    mut body: B,
+    caller: &CallerConnection,
+    limit_bytes: usize,
+    time_limit: Duration,
+) -> Result<Bytes, ReadError>
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin,
+    B::Error: std::fmt::Display,
+{
+    let read = collect(&mut body, caller, limit_bytes, |_| {});
+    tokio::time::timeout(time_limit, read).await.unwrap_or(Err(ReadError::TooSlow(time_limit)))
 }
 
 /// Reads and discards the rest of a rejected body, up to a limit: a sender whose connection is closed while
@@ -113,7 +132,8 @@
 }
 
 async fn collect<B>(
-    mut body: B,
+    body: &mut B,
+    caller: &CallerConnection,
     limit_bytes: usize,
     mut on_chunk: impl FnMut(&[u8]),
 ) -> Result<Bytes, ReadError>
@@ -121,24 +141,23 @@
     B: hyper::body::Body<Data = Bytes> + Unpin,
     B::Error: std::fmt::Display,
 {
-    let mut first: Option<Bytes> = None;
-    let mut rest = BytesMut::new();
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let size = body.size_hint();
+    if size.lower() > limit_bytes as u64 {
+        return Err(ReadError::TooLarge(limit_bytes));
+    }
+    let most_bytes = size.upper().map_or(limit_bytes, |upper| limit_bytes.min(upper as usize));
+    let mut buffer = HeldBuffer::new(caller, most_bytes);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| ReadError::Broken(error.to_string()))?;
         let Ok(data) = frame.into_data() else { continue };
-        on_chunk(&data);
-        match first.take() {
-            None if rest.is_empty() => first = Some(data),
-            None => rest.extend_from_slice(&data),
-            Some(head) => {
-                rest.extend_from_slice(&head);
-                rest.extend_from_slice(&data);
-            }
-        }
-        if first.as_ref().map_or(rest.len(), Bytes::len) > limit_bytes {
-            discard(&mut body, limit_bytes).await;
+        if buffer.len().saturating_add(data.len()) > limit_bytes {
             return Err(ReadError::TooLarge(limit_bytes));
         }
+        on_chunk(&data);
+        buffer.push(data).map_err(ReadError::NoRoom)?;
     }
-    Ok(first.unwrap_or_else(|| rest.freeze()))
+    Ok(buffer.into_bytes())
 }
--- a/crates/beamwall-http/src/lib.rs
+++ b/crates/beamwall-http/src/lib.rs
@@ -7,13 +7,15 @@
 mod cause;
 pub mod channel;
 pub mod client;
+mod counted_stream;
 mod head_limit;
 pub mod pool;
 pub mod query;
+mod served_body;
 pub mod server;
 
-pub use body::{Body, empty, full, json_response, read_limited, read_limited_with};
+pub use body::{Body, empty, full, json_response, read_limited, read_request, read_response};
 pub use channel::{BodySender, Disconnected, channel};
 pub use client::{ClientError, JsonClient};
 pub use pool::{Pool, PoolError, PooledBody, Reachability};
-pub use server::{ConnectionFailure, Handler, serve};
+pub use server::{ConnectionFailure, Handler, serve, serve_within};
--- a/crates/beamwall-http/src/server.rs
+++ b/crates/beamwall-http/src/server.rs
@@ -1,4 +1,7 @@
 //! The server's accept loop; each connection is served by its own task.
+//!
+//! A server within a [`CallerBudget`] takes room there for each connection, and closes those that give way. A request
+//! carries its [`CallerConnection`] as an extension.
 
 use std::convert::Infallible;
 use std::future::Future;
@@ -6,19 +9,32 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use beamwall_caller_budget::{CallerBudget, CallerConnection, Phase, Shortage};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use crate::Body;
 use crate::cause::has_io_cause;
+use crate::counted_stream::CountedStream;
+use crate::served_body::ServedBody;
 
 /// Default of [`Handler::request_head_timeout`].
 const DEFAULT_REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Default of [`Handler::max_request_head_bytes`].
+const DEFAULT_REQUEST_HEAD_BYTES: usize = 64 << 10;
+/// Least size of the buffer for a request head, in bytes; the HTTP library takes no smaller one.
+const MIN_HEAD_BUFFER_BYTES: usize = 8 << 10;
+/// Room for the lines between head and body and for a request head that is counted without them, in bytes.
+const HEAD_MARGIN_BYTES: usize = 1 << 10;
+/// What a connection's socket holds unread at most, in bytes.
+const SOCKET_BUFFER_BYTES: usize = 64 << 10;
 /// Delay after a failed accept, for example when the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -33,6 +49,15 @@
         DEFAULT_REQUEST_HEAD_TIMEOUT
     }
 
+    /// Largest request head in bytes; a longer one is refused. It is read once for each connection, when the connection
+    /// is accepted.
+    fn max_request_head_bytes(&self) -> usize {
+        DEFAULT_REQUEST_HEAD_BYTES
+    }
+
+    /// Called when a connection is closed, or not taken at all, for want of room for all callers.
+    fn connection_evicted(&self, _shortage: Shortage) {}
+
     /// Called when a connection ends with an error. An idle timeout is not an error.
     fn connection_failed(&self, _failure: ConnectionFailure, _error: &hyper::Error) {}
 }
@@ -85,19 +110,39 @@
 
 /// Accepts connections until `stop` becomes true. Open connections then complete their current request and
 /// close; the function returns once all of them are closed.
-pub async fn serve<H: Handler>(listener: TcpListener, handler: Arc<H>, mut stop: watch::Receiver<bool>) {
+pub async fn serve<H: Handler>(listener: TcpListener, handler: Arc<H>, stop: watch::Receiver<bool>) {
+    serve_within(CallerBudget::unlimited(), listener, handler, stop).await;
+}
+
+/// The same, with no more connections than the budget has room for.
+pub async fn serve_within<H: Handler>(
+    budget: CallerBudget,
+    listener: TcpListener,
+    handler: Arc<H>,
+    mut stop: watch::Receiver<bool>,
+) {
+    // Accepted sockets have the listener's buffer. A system that refuses has one of its own, and nothing else depends on it.
+    let _ = SockRef::from(&listener).set_recv_buffer_size(SOCKET_BUFFER_BYTES);
     let connections = Arc::new(());
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|stopped| *stopped) => break,
         };
-        match accepted {
-            Ok((stream, _)) => {
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            continue;
+        };
+        match budget.open(head_buffer_bytes(handler.as_ref())) {
+            Ok(connection) => {
                 let guard = connections.clone();
-                tokio::spawn(serve_connection(stream, handler.clone(), stop.clone(), guard));
+                let served = serve_connection(stream, connection, handler.clone(), stop.clone());
+                tokio::spawn(async move {
+                    served.await;
+                    drop(guard);
+                });
             }
-            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+            Err(shortage) => handler.connection_evicted(shortage),
         }
     }
     drop(listener);
@@ -106,27 +151,49 @@
     }
 }
 
+/// Size of the buffer for a request head, in bytes.
+fn head_buffer_bytes<H: Handler>(handler: &H) -> usize {
+    handler.max_request_head_bytes().saturating_add(HEAD_MARGIN_BYTES).max(MIN_HEAD_BUFFER_BYTES)
+}
+
 async fn serve_connection<H: Handler>(
     stream: TcpStream,
+    connection: CallerConnection,
     handler: Arc<H>,
     mut stop: watch::Receiver<bool>,
-    _guard: Arc<()>,
 ) {
     let _ = stream.set_nodelay(true);
-    let service_handler = handler.clone();
+    let (service_handler, service_connection) = (handler.clone(), connection.clone());
     let service = service_fn(move |request| {
-        let handler = service_handler.clone();
-        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+        let (handler, connection) = (service_handler.clone(), service_connection.clone());
+        async move { Ok::<_, Infallible>(handle(handler, connection, request).await) }
     });
-    let connection = http1::Builder::new()
+    let served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(handler.request_head_timeout())
+        .max_buf_size(head_buffer_bytes(handler.as_ref()))
         .half_close(false)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
+        .serve_connection(TokioIo::new(CountedStream::new(stream, connection.clone())), service);
+    tokio::pin!(served);
+    tokio::select! {
+        result = served.as_mut() => return report_failure(handler.as_ref(), result),
+        shortage = connection.evicted() => return handler.connection_evicted(shortage),
+        _ = stop.wait_for(|stopped| *stopped) => served.as_mut().graceful_shutdown(),
+    }
     tokio::select! {
-        result = connection.as_mut() => return report_failure(handler.as_ref(), result),
-        _ = stop.wait_for(|stopped| *stopped) => connection.as_mut().graceful_shutdown(),
+        result = served => report_failure(handler.as_ref(), result),
+        shortage = connection.evicted() => handler.connection_evicted(shortage),
     }
-    report_failure(handler.as_ref(), connection.await);
+}
+
+/// Handles one request, and keeps account of whose turn it is meanwhile.
+async fn handle<H: Handler>(
+    handler: Arc<H>,
+    connection: CallerConnection,
+    mut request: Request<Incoming>,
+) -> Response<Body> {
+    connection.begin(Phase::ReceivingBody);
+    request.extensions_mut().insert(connection.clone());
+    let response = handler.handle(request).await;
+    response.map(|body| ServedBody::new(body, connection).boxed_unsync())
 }
--- a/crates/beamwall-node/src/callers/api_error.rs
+++ b/crates/beamwall-node/src/callers/api_error.rs
@@ -93,6 +93,7 @@
         let status = match &error {
             ReadError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             ReadError::TooSlow(_) => StatusCode::REQUEST_TIMEOUT,
+            ReadError::NoRoom(_) => StatusCode::SERVICE_UNAVAILABLE,
             ReadError::Broken(_) => StatusCode::BAD_REQUEST,
         };
         Self::refused(status, "unreadable_body", error.to_string())
--- a/crates/beamwall-node/src/gateway/gauges.rs
+++ b/crates/beamwall-node/src/gateway/gauges.rs
@@ -29,6 +29,8 @@
     members_known: IntGauge,
     ready: IntGauge,
     open_requests: IntGauge,
+    caller_connections: IntGauge,
+    caller_memory_bytes: IntGauge,
     paced_back_ends: IntGauge,
     log_lines_dropped: IntGauge,
     peer_messages_dropped: IntGauge,
@@ -120,6 +122,14 @@
             members_known: add("beamwall_gateway_members_known", "nodes known, this one included")?,
             ready: add("beamwall_gateway_ready", "1 while this node takes callers")?,
             open_requests: add("beamwall_gateway_open_requests", "requests open at back ends")?,
+            caller_connections: add(
+                "beamwall_gateway_caller_connections",
+                "connections to callers that are open",
+            )?,
+            caller_memory_bytes: add(
+                "beamwall_gateway_caller_memory_bytes",
+                "what is held for callers: connections, and bodies of requests and answers",
+            )?,
             paced_back_ends: add(
                 "beamwall_gateway_paced_back_ends",
                 "back ends that have just started or recovered and get a share of their requests",
@@ -206,6 +216,9 @@
         self.members_known.set(view.members.len() as i64 + 1);
         self.ready.set(i64::from(readiness.is_ready()));
         self.open_requests.set(i64::from(exchange.open_requests()));
+        let held = gateway.caller_budget.usage();
+        self.caller_connections.set(held.connections as i64);
+        self.caller_memory_bytes.set(held.memory_bytes as i64);
         let paced = gateway.forwarder.backend_state.pace.paced(Instant::now());
         self.paced_back_ends.set(paced as i64);
         self.log_lines_dropped.set(beamwall_events::dropped_lines() as i64);
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -54,6 +54,7 @@
 use std::time::{Duration, SystemTime};
 
 use arc_swap::ArcSwap;
+use beamwall_caller_budget::{BudgetLimits, CallerBudget};
 use beamwall_config::GatewaySettings;
 use beamwall_events::emit;
 use beamwall_events::internal_events::NodeStarted;
@@ -76,7 +77,7 @@
     ControlStore, DelegationPort, Dialect, Directory, DutyPort, EngineGate, Gateway, GatewayHandler,
     OriginPort, PermitPort, PlacementPort, StreamOrigins,
 };
-use beamwall_http::{Pool, serve};
+use beamwall_http::{Pool, serve, serve_within};
 use beamwall_model::since_1970_ms;
 use beamwall_pace::PaceTracker;
 use beamwall_peer::{Envelope, Membership, MembershipTiming, PeerNetwork, TransferPacer};
@@ -210,8 +211,9 @@
         let exchange =
             Arc::new(assemble_exchange(&settings, links, &gateway, &readiness, &status, generation));
         let stopping = watch::channel(false).0;
-        let callers =
-            tokio::spawn(serve(callers, GatewayHandler::new(gateway.clone()), stopping.subscribe()));
+        let handler = GatewayHandler::new(gateway.clone());
+        let budget = gateway.caller_budget.clone();
+        let callers = tokio::spawn(serve_within(budget, callers, handler, stopping.subscribe()));
         let capacity_metrics = CapacityMetrics::new(&registry)?;
         let lease_epoch = metrics::gauge(
             "beamwall_gateway_lease_epoch",
@@ -459,7 +461,9 @@
         .with_tolerance(tolerance)
         .with_overdraft(settings.quota_overdraft)
         .with_generation(generation);
-    Ok(Arc::new(Gateway { policy, quotas, forwarder, peer_notify }))
+    let caller_limits = BudgetLimits::of_process(settings.memory_bytes, settings.descriptors);
+    let caller_budget = CallerBudget::new(caller_limits);
+    Ok(Arc::new(Gateway { policy, quotas, forwarder, caller_budget, peer_notify }))
 }
 
 fn assemble_pace(settings: &GatewaySettings) -> PaceTracker {
