--- a/crates/beamwall-caller-budget/src/budget.rs
+++ b/crates/beamwall-caller-budget/src/budget.rs
@@ -153,16 +153,32 @@
 impl MemoryHold {
     /// Takes so many bytes more.
     pub fn grow(&mut self, bytes: usize) -> Result<(), Shortage> {
+        if bytes == 0 {
+            return Ok(());
+        }
         self.connection.take(bytes)?;
         self.bytes += bytes;
         Ok(())
     }
 
+    /// Takes or gives back what it needs to hold so many bytes.
+    pub fn resize(&mut self, bytes: usize) -> Result<(), Shortage> {
+        match bytes.checked_sub(self.bytes) {
+            Some(more) => self.grow(more),
+            None => {
+                self.shrink(self.bytes - bytes);
+                Ok(())
+            }
+        }
+    }
+
     /// Gives so many bytes back.
     pub fn shrink(&mut self, bytes: usize) {
         let bytes = bytes.min(self.bytes);
-        self.bytes -= bytes;
-        self.connection.give_back(bytes);
+        if bytes > 0 {
+            self.bytes -= bytes;
+            self.connection.give_back(bytes);
+        }
     }
 }
 
--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -228,7 +228,7 @@
     /// A back end has run a request for longer than back ends did that ended, so that it did not end these.
     5122 Info EndsDisproved "ends disproved" { fingerprint, version, survived_ms, writes }
     /// Callers hold all that there is for them, so a connection to one was closed or not taken.
-    5123 Warn CallerConnectionEvicted "connection to a caller closed for want of room" { shortage }
+    5123 Info CallerConnectionEvicted "connection to a caller closed for want of room" { shortage }
     /// The platform stopped answering.
     6001 Warn PlatformAway "platform away" { reason }
     /// The platform answers again.
--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -35,6 +35,8 @@
 /// Longest wait for a report of this node's quota usage to its peers: the heartbeat interval in the largest
 /// zone whose nodes all report to each other directly.
 const REPORT_WAIT_LIMIT: Duration = Duration::from_millis(350);
+/// Largest request head while the operator's limit is not known, in bytes.
+const HEAD_BYTES_WITHOUT_POLICY: usize = 64 << 10;
 /// Label of a kind of route in metrics.
 const fn kind_name(kind: RouteKind) -> &'static str {
     match kind {
@@ -109,7 +111,11 @@
     }
 
     fn max_request_head_bytes(&self) -> usize {
-        self.gateway.policy.load().policy().caller_limits.head_bytes
+        let policy = self.gateway.policy.load();
+        match policy.version() {
+            0 => HEAD_BYTES_WITHOUT_POLICY,
+            _ => policy.policy().caller_limits.head_bytes,
+        }
     }
 
     fn connection_evicted(&self, shortage: Shortage) {
--- a/crates/beamwall-gateway/src/stream/mod.rs
+++ b/crates/beamwall-gateway/src/stream/mod.rs
@@ -153,7 +153,9 @@
     let OpenResponse { response, work, version, .. } = opened;
     let (parts, body) = response.into_parts();
     let is_framed = attempt::is_framed(&parts.headers);
-    let mut source = Source::new(choice, version.clone(), body, work, is_framed, last_event, sent_at);
+    let pending = call.caller.hold();
+    let mut source =
+        Source::new(choice, version.clone(), body, work, is_framed, last_event, sent_at, pending);
     let first = tokio::select! {
         biased;
         piece = source.next_piece() => piece,
--- a/crates/beamwall-gateway/src/stream/source.rs
+++ b/crates/beamwall-gateway/src/stream/source.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use beamwall_caller_budget::MemoryHold;
 use beamwall_clock::process_clock;
 use beamwall_http::PooledBody;
 use beamwall_model::EngineVersion;
@@ -42,11 +43,14 @@
     pub(super) sent_at: Instant,
     /// By the clock that counts only while this process runs; `None` before the first event.
     writing: Option<WritingProgress>,
+    /// Memory of an event that has not ended.
+    pending: MemoryHold,
 }
 
 impl Source {
     /// Creates the source for a response whose head was received. `is_framed`: its HTTP framing marks its
-    /// end. `sent_at`: when the request was sent, by the process clock.
+    /// end. `sent_at`: when the request was sent, by the process clock. `pending`: holds nothing yet.
+    #[allow(clippy::too_many_arguments, reason = "each is a part of the response that was opened")]
     pub(super) fn new(
         choice: &Choice,
         version: EngineVersion,
@@ -55,6 +59,7 @@
         is_framed: bool,
         continued_after: Option<u64>,
         sent_at: Instant,
+        pending: MemoryHold,
     ) -> Self {
         let splitter = EventSplitter::default();
         Self {
@@ -67,6 +72,7 @@
             continued_after,
             sent_at,
             writing: None,
+            pending,
         }
     }
 
@@ -100,6 +106,9 @@
                     if let Some(data) = frame.data_ref() {
                         self.splitter.push(data);
                     }
+                    if let Err(shortage) = self.pending.resize(self.splitter.rest().len()) {
+                        return Piece::Broken(AttemptFailure::may_have_run(shortage.to_string()));
+                    }
                 }
                 Some(Err(error)) => return Piece::Broken(AttemptFailure::lost(error.to_string())),
                 None => return self.end(),
--- a/crates/beamwall-http/src/head_limit.rs
+++ b/crates/beamwall-http/src/head_limit.rs
@@ -2,14 +2,10 @@
 //!
 //! The HTTP client bounds each head, but not the number of informational responses before the final one.
 
-use std::io::{self, IoSlice};
-use std::pin::Pin;
-use std::sync::Arc;
+use std::io;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::task::{Context, Poll};
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use crate::observed_stream::StreamObserver;
 
 /// Largest number of bytes read from the time when a request is sent until its response head is complete.
 /// More than the client buffers of one head, since the body may arrive with the head.
@@ -33,8 +29,11 @@
     pub(crate) fn finish(&self) {
         self.is_awaiting.store(false, Ordering::Relaxed);
     }
+}
 
-    fn add(&self, bytes: usize) -> io::Result<()> {
+impl StreamObserver for HeadLimit {
+    /// Fails beyond the limit.
+    fn note_read(&self, bytes: usize) -> io::Result<()> {
         if !self.is_awaiting.load(Ordering::Relaxed) {
             return Ok(());
         }
@@ -46,60 +45,3 @@
         Ok(())
     }
 }
-
-/// A connection whose reads fail beyond the limit.
-pub(crate) struct HeadLimitedStream {
-    inner: TcpStream,
-    limit: Arc<HeadLimit>,
-}
-
-impl HeadLimitedStream {
-    pub(crate) fn new(inner: TcpStream, limit: Arc<HeadLimit>) -> Self {
-        Self { inner, limit }
-    }
-}
-
-impl AsyncRead for HeadLimitedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
-        if let Poll::Ready(Ok(())) = polled {
-            return Poll::Ready(self.limit.add(buffer.filled().len() - before));
-        }
-        polled
-    }
-}
-
-impl AsyncWrite for HeadLimitedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(context, buffers)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.inner.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(context)
-    }
-}
--- a/crates/beamwall-http/src/counted_stream.rs
+++ b/crates/beamwall-http/src/observed_stream.rs
@@ -1,32 +1,64 @@
-//! A caller's connection that reports how much its caller sends and reads.
+//! A connection whose observer is told of the bytes that are read and written.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
+use std::sync::Arc;
+
 use beamwall_caller_budget::CallerConnection;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// A connection whose moved bytes are counted.
-pub(crate) struct CountedStream {
+/// Is told of the bytes that a connection moves.
+pub(crate) trait StreamObserver {
+    /// Bytes were read. An error fails the read.
+    fn note_read(&self, bytes: usize) -> io::Result<()>;
+
+    /// Bytes were written.
+    fn note_written(&self, _bytes: usize) {}
+}
+
+impl<O: StreamObserver> StreamObserver for Arc<O> {
+    fn note_read(&self, bytes: usize) -> io::Result<()> {
+        self.as_ref().note_read(bytes)
+    }
+
+    fn note_written(&self, bytes: usize) {
+        self.as_ref().note_written(bytes);
+    }
+}
+
+impl StreamObserver for CallerConnection {
+    fn note_read(&self, bytes: usize) -> io::Result<()> {
+        self.note_moved(bytes);
+        Ok(())
+    }
+
+    fn note_written(&self, bytes: usize) {
+        self.note_moved(bytes);
+    }
+}
+
+/// A connection with an observer.
+pub(crate) struct ObservedStream<O> {
     inner: TcpStream,
-    connection: CallerConnection,
+    observer: O,
 }
 
-impl CountedStream {
-    pub(crate) fn new(inner: TcpStream, connection: CallerConnection) -> Self {
-        Self { inner, connection }
+impl<O: StreamObserver> ObservedStream<O> {
+    pub(crate) fn new(inner: TcpStream, observer: O) -> Self {
+        Self { inner, observer }
     }
 
     fn note_written(&self, polled: &Poll<io::Result<usize>>) {
         if let Poll::Ready(Ok(bytes)) = polled {
-            self.connection.note_moved(*bytes);
+            self.observer.note_written(*bytes);
         }
     }
 }
 
-impl AsyncRead for CountedStream {
+impl<O: StreamObserver + Unpin> AsyncRead for ObservedStream<O> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -35,14 +67,14 @@
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
         let bytes = buffer.filled().len() - before;
-        if bytes > 0 {
-            self.connection.note_moved(bytes);
+        match polled {
+            Poll::Ready(Ok(())) if bytes > 0 => Poll::Ready(self.observer.note_read(bytes)),
+            other => other,
         }
-        polled
     }
 }
 
-impl AsyncWrite for CountedStream {
+impl<O: StreamObserver + Unpin> AsyncWrite for ObservedStream<O> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/crates/beamwall-http/src/pool.rs
+++ b/crates/beamwall-http/src/pool.rs
@@ -24,7 +24,8 @@
 
 use crate::Body;
 use crate::cause::has_io_cause;
-use crate::head_limit::{HeadLimit, HeadLimitedStream};
+use crate::head_limit::HeadLimit;
+use crate::observed_stream::ObservedStream;
 
 /// Idle connections kept for one address.
 const MAX_IDLE_PER_ADDRESS: usize = 256;
@@ -171,7 +172,7 @@
         let _ = stream.set_nodelay(true);
         let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
         let head_limit: Arc<HeadLimit> = Arc::default();
-        let stream = HeadLimitedStream::new(stream, head_limit.clone());
+        let stream = ObservedStream::new(stream, head_limit.clone());
         let (requests, connection) =
             http1::handshake(TokioIo::new(stream)).await.map_err(|error| connect_error(error.to_string()))?;
         tokio::spawn(connection);
--- a/crates/beamwall-http/src/server.rs
+++ b/crates/beamwall-http/src/server.rs
@@ -12,6 +12,7 @@
 use beamwall_caller_budget::{CallerBudget, CallerConnection, Phase, Shortage};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -22,13 +23,13 @@
 
 use crate::Body;
 use crate::cause::has_io_cause;
-use crate::counted_stream::CountedStream;
+use crate::observed_stream::ObservedStream;
 use crate::served_body::ServedBody;
 
 /// Default of [`Handler::request_head_timeout`].
 const DEFAULT_REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-/// Default of [`Handler::max_request_head_bytes`].
-const DEFAULT_REQUEST_HEAD_BYTES: usize = 64 << 10;
+/// Default of [`Handler::max_request_head_bytes`]: the HTTP library's own limit.
+const DEFAULT_REQUEST_HEAD_BYTES: usize = 400 << 10;
 /// Least size of the buffer for a request head, in bytes; the HTTP library takes no smaller one.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 << 10;
 /// Room for the lines between head and body and for a request head that is counted without them, in bytes.
@@ -49,8 +50,8 @@
         DEFAULT_REQUEST_HEAD_TIMEOUT
     }
 
-    /// Largest request head in bytes; a longer one is refused. It is read once for each connection, when the connection
-    /// is accepted.
+    /// Largest request head in bytes; a longer one is refused. It is read for each connection when the connection is
+    /// accepted; once it has grown, the connection closes with its next response.
     fn max_request_head_bytes(&self) -> usize {
         DEFAULT_REQUEST_HEAD_BYTES
     }
@@ -133,10 +134,11 @@
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        match budget.open(head_buffer_bytes(handler.as_ref())) {
+        let head_bytes = handler.max_request_head_bytes();
+        match budget.open(head_buffer_bytes(head_bytes)) {
             Ok(connection) => {
                 let guard = connections.clone();
-                let served = serve_connection(stream, connection, handler.clone(), stop.clone());
+                let served = serve_connection(stream, connection, head_bytes, handler.clone(), stop.clone());
                 tokio::spawn(async move {
                     served.await;
                     drop(guard);
@@ -151,14 +153,15 @@
     }
 }
 
-/// Size of the buffer for a request head, in bytes.
-fn head_buffer_bytes<H: Handler>(handler: &H) -> usize {
-    handler.max_request_head_bytes().saturating_add(HEAD_MARGIN_BYTES).max(MIN_HEAD_BUFFER_BYTES)
+/// Size of the buffer for a request head of at most so many bytes.
+fn head_buffer_bytes(head_bytes: usize) -> usize {
+    head_bytes.saturating_add(HEAD_MARGIN_BYTES).max(MIN_HEAD_BUFFER_BYTES)
 }
 
 async fn serve_connection<H: Handler>(
     stream: TcpStream,
     connection: CallerConnection,
+    head_bytes: usize,
     handler: Arc<H>,
     mut stop: watch::Receiver<bool>,
 ) {
@@ -166,14 +169,14 @@
     let (service_handler, service_connection) = (handler.clone(), connection.clone());
     let service = service_fn(move |request| {
         let (handler, connection) = (service_handler.clone(), service_connection.clone());
-        async move { Ok::<_, Infallible>(handle(handler, connection, request).await) }
+        async move { Ok::<_, Infallible>(handle(handler, connection, head_bytes, request).await) }
     });
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(handler.request_head_timeout())
-        .max_buf_size(head_buffer_bytes(handler.as_ref()))
+        .max_buf_size(head_buffer_bytes(head_bytes))
         .half_close(false)
-        .serve_connection(TokioIo::new(CountedStream::new(stream, connection.clone())), service);
+        .serve_connection(TokioIo::new(ObservedStream::new(stream, connection.clone())), service);
     tokio::pin!(served);
     tokio::select! {
         result = served.as_mut() => return report_failure(handler.as_ref(), result),
@@ -190,10 +193,14 @@
 async fn handle<H: Handler>(
     handler: Arc<H>,
     connection: CallerConnection,
+    head_bytes: usize,
     mut request: Request<Incoming>,
 ) -> Response<Body> {
     connection.begin(Phase::ReceivingBody);
     request.extensions_mut().insert(connection.clone());
-    let response = handler.handle(request).await;
+    let mut response = handler.handle(request).await;
+    if handler.max_request_head_bytes() > head_bytes {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     response.map(|body| ServedBody::new(body, connection).boxed_unsync())
 }
