A request whose connection gave way just before it was whole isn't sent on

What callers would have seen: under a crowd, a proper request that became whole in the moment in which its connection was closed for others went to an engine, and its answer was lost with the connection.

Cause: giving way is told to the connection's task, which may finish reading the body first.

Evidence: by reading. The new test of the ledger (a_request_of_a_connection_that_gave_way_is_not_served) states the rule; there was nothing to ask before, so it couldn't be run against the earlier code.

Change: whoever has read a whole request asks whether its connection still stands, and refuses the request (503) where it doesn't. A connection that gave way is closed before anything else is done for it.

--- a/crates/beamwall-caller-budget/src/budget.rs
+++ b/crates/beamwall-caller-budget/src/budget.rs
@@ -106,9 +106,20 @@
         Self { place: Arc::new(Place { budget, id, evicted: Arc::default() }) }
     }
 
-    /// Records whose turn it is.
-    pub fn begin(&self, phase: Phase) {
-        self.place.budget.lock().ledger.begin(self.place.id, phase, Instant::now());
+    /// Records that it is the caller's turn, to send a request or its body.
+    pub fn begin_waiting(&self, phase: Phase) {
+        // One that gave way is closed before it is served.
+        let _ = self.begin(phase);
+    }
+
+    /// Records that a whole request was received. It fails where the connection gave way meanwhile: its request must
+    /// not be sent on, since the connection is closed without a response.
+    pub fn begin_serving(&self) -> Result<(), Shortage> {
+        self.begin(Phase::Serving)
+    }
+
+    fn begin(&self, phase: Phase) -> Result<(), Shortage> {
+        self.place.budget.lock().ledger.begin(self.place.id, phase, Instant::now())
     }
 
     /// Records bytes that the caller sent or read.
--- a/crates/beamwall-caller-budget/src/ledger.rs
+++ b/crates/beamwall-caller-budget/src/ledger.rs
@@ -177,13 +177,13 @@
         }
     }
 
-    /// Records whose turn it is on a connection.
-    pub fn begin(&mut self, id: ConnectionId, phase: Phase, now: Instant) {
-        if let Some(connection) = self.connections.get_mut(&id) {
-            connection.phase = phase;
-            connection.progressed = now;
-            connection.moved_bytes = 0;
-        }
+    /// Records whose turn it is on a connection. It fails for one that gave way and is about to be closed.
+    pub fn begin(&mut self, id: ConnectionId, phase: Phase, now: Instant) -> Result<(), Shortage> {
+        let Some(connection) = self.connections.get_mut(&id) else { return Ok(()) };
+        connection.phase = phase;
+        connection.progressed = now;
+        connection.moved_bytes = 0;
+        connection.evicted.map_or(Ok(()), Err)
     }
 
     /// Records bytes that a caller sent or read.
--- a/crates/beamwall-caller-budget/tests/ledger.rs
+++ b/crates/beamwall-caller-budget/tests/ledger.rs
@@ -28,7 +28,7 @@
 /// A connection in a phase that holds so much.
 fn holder(ledger: &mut Ledger, phase: Phase, bytes: usize, now: Instant) -> ConnectionId {
     let id = open(ledger, now);
-    ledger.begin(id, phase, now);
+    ledger.begin(id, phase, now).expect("it is open");
     ledger.take(id, bytes, now).expect("there is room");
     id
 }
@@ -90,7 +90,7 @@
         0 => {
             chosen.is_served = input.arbitrary()?;
             let phase = if chosen.is_served { Phase::Serving } else { Phase::ReceivingBody };
-            ledger.begin(chosen.id, phase, now);
+            ledger.begin(chosen.id, phase, now).expect("it is open");
         }
         1 | 2 => {
             let bytes = input.int_in_range(1..=MB)?;
@@ -115,7 +115,7 @@
     let start = Instant::now();
     let all: Vec<ConnectionId> =
         (0..LIMITS.connections as u32).map(|number| open(&mut ledger, start + LONG * number)).collect();
-    ledger.begin(all[0], Phase::Serving, start);
+    ledger.begin(all[0], Phase::Serving, start).expect("it is open");
     open(&mut ledger, start + LONG * 20);
     assert_eq!(ledger.take_evicted(), [all[1]]);
     assert_eq!(ledger.eviction(all[1]), Some(Shortage::Connections));
@@ -142,7 +142,7 @@
     let large = holder(&mut ledger, Phase::ReceivingBody, 4 * MB, start);
     let served = holder(&mut ledger, Phase::Serving, 4 * MB, start);
     let newcomer = open(&mut ledger, start + LONG);
-    ledger.begin(newcomer, Phase::ReceivingBody, start + LONG);
+    ledger.begin(newcomer, Phase::ReceivingBody, start + LONG).expect("it is open");
     ledger.take(newcomer, 4 * MB, start + LONG).expect("one gives way");
     assert_eq!(ledger.take_evicted(), [large]);
     for kept in [small, served, newcomer] {
@@ -161,7 +161,7 @@
     ledger.note_moved(dripping, 1, later);
     ledger.note_moved(flowing, 16 * KB, later);
     let newcomer = open(&mut ledger, later);
-    ledger.begin(newcomer, Phase::ReceivingBody, later);
+    ledger.begin(newcomer, Phase::ReceivingBody, later).expect("it is open");
     ledger.take(newcomer, 4 * MB, later).expect("one gives way");
     assert_eq!(ledger.take_evicted(), [dripping]);
 }
@@ -175,7 +175,7 @@
         holder(&mut ledger, Phase::Serving, 5 * MB, now);
     }
     let newcomer = open(&mut ledger, now);
-    ledger.begin(newcomer, Phase::ReceivingBody, now);
+    ledger.begin(newcomer, Phase::ReceivingBody, now).expect("it is open");
     assert_eq!(ledger.take(newcomer, 4 * MB, now), Err(Shortage::Memory));
     assert_eq!(ledger.take(newcomer, 32 * KB, now), Ok(()));
 }
@@ -186,7 +186,18 @@
     let mut ledger = Ledger::new(LIMITS);
     let start = Instant::now();
     let unread = holder(&mut ledger, Phase::Serving, 11 * MB, start);
-    ledger.begin(unread, Phase::AwaitingRequest, start);
+    ledger.begin(unread, Phase::AwaitingRequest, start).expect("it is open");
     holder(&mut ledger, Phase::ReceivingBody, 4 * MB, start + LONG);
     assert_eq!(ledger.take_evicted(), [unread]);
 }
+
+/// Guards against: a request is sent on whose connection gave way just before it was whole, and is lost with it.
+#[test]
+fn a_request_of_a_connection_that_gave_way_is_not_served() {
+    let mut ledger = Ledger::new(LIMITS);
+    let start = Instant::now();
+    let receiving = holder(&mut ledger, Phase::ReceivingBody, 11 * MB, start);
+    holder(&mut ledger, Phase::ReceivingBody, 4 * MB, start + LONG);
+    assert_eq!(ledger.take_evicted(), [receiving]);
+    assert_eq!(ledger.begin(receiving, Phase::Serving, start + LONG), Err(Shortage::Memory));
+}
--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use beamwall_caller_budget::{CallerBudget, CallerConnection, Phase, Shortage};
+use beamwall_caller_budget::{CallerBudget, CallerConnection, Shortage};
 use beamwall_events::emit;
 use beamwall_events::internal_events::{
     CallerConnectionEvicted, CallerConnectionFailed, GatewayAnswered, GatewayRefused,
@@ -243,7 +243,7 @@
         let caller = parts.extensions.get().cloned().unwrap_or_else(CallerConnection::unlimited);
         let read = read_request(body, &caller, body_limit, BODY_READ_TIMEOUT, hash_body_part).await;
         let body = read.map_err(refusal_from_read_error)?;
-        caller.begin(Phase::Serving);
+        caller.begin_serving().map_err(Refusal::NoRoom)?;
         let fingerprint = fingerprint.finish();
         context.fingerprint = Some(fingerprint);
         let suspects = suspects(fingerprint, head.prompt.as_ref());
--- a/crates/beamwall-http/src/served_body.rs
+++ b/crates/beamwall-http/src/served_body.rs
@@ -23,7 +23,7 @@
 
 impl Drop for ServedBody {
     fn drop(&mut self) {
-        self.connection.begin(Phase::AwaitingRequest);
+        self.connection.begin_waiting(Phase::AwaitingRequest);
     }
 }
 
--- a/crates/beamwall-http/src/server.rs
+++ b/crates/beamwall-http/src/server.rs
@@ -179,13 +179,15 @@
         .serve_connection(TokioIo::new(ObservedStream::new(stream, connection.clone())), service);
     tokio::pin!(served);
     tokio::select! {
-        result = served.as_mut() => return report_failure(handler.as_ref(), result),
+        biased;
         shortage = connection.evicted() => return handler.connection_evicted(shortage),
+        result = served.as_mut() => return report_failure(handler.as_ref(), result),
         _ = stop.wait_for(|stopped| *stopped) => served.as_mut().graceful_shutdown(),
     }
     tokio::select! {
-        result = served => report_failure(handler.as_ref(), result),
+        biased;
         shortage = connection.evicted() => handler.connection_evicted(shortage),
+        result = served => report_failure(handler.as_ref(), result),
     }
 }
 
@@ -196,7 +198,7 @@
     head_bytes: usize,
     mut request: Request<Incoming>,
 ) -> Response<Body> {
-    connection.begin(Phase::ReceivingBody);
+    connection.begin_waiting(Phase::ReceivingBody);
     request.extensions_mut().insert(connection.clone());
     let mut response = handler.handle(request).await;
     if handler.max_request_head_bytes() > head_bytes {
