A gateway that has started and is not ready says what it waits for

What callers saw: nothing; operators saw a failed readiness check and no reason.

Cause: readiness was one condition, told only as a status; why calls to the store failed was logged per call and not beside what was missing.

Change: readiness names what is missing (policy, back ends, an answer of the store, not draining).

--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -77,6 +77,10 @@
     1008 Warn MachineSuspended "machine was suspended" { asleep_ms }
     /// The process did not run for a while and runs again.
     1009 Warn ProcessStoodStill "process stood still" { late_ms }
+    /// A gateway is ready for callers for the first time in its life.
+    1010 Info GatewayReady "gateway ready" { after_ms, policy, backends }
+    /// A gateway that has started is not ready for callers yet.
+    1011 Warn GatewayNotReady "gateway not ready" { missing, after_ms, backends, last_failures }
     /// A settings revision came into force on this node.
     2001 Info RevisionActivated "settings revision in force" { revision, digest, source }
     /// An operator's edit was committed.
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 pub mod rollouts;
 mod sharing;
 pub mod stall_monitor;
+pub mod start_progress;
 pub mod store_freshness;
 pub mod store_status;
 mod stored_models;
@@ -85,6 +86,7 @@
 use crate::gateway::readiness::{Readiness, StatusHandler};
 use crate::gateway::rollouts::WatchedOrders;
 use crate::gateway::stall_monitor::StallMonitor;
+use crate::gateway::start_progress::StartProgress;
 use crate::gateway::store_freshness::StoreFreshness;
 use crate::gateway::store_status::StoreStatus;
 use crate::gateway::stored_quarantine::StoredQuarantine;
@@ -156,6 +158,7 @@
         let gateway = assemble_gateway(&settings, &ports, &registry, generation, peers, quarantine)?;
         let directory = gateway.forwarder.directory.clone();
         let readiness = Arc::new(Readiness::new(gateway.policy.clone(), directory, status.clone()));
+        let start_progress = StartProgress::new(readiness.clone(), &registry)?;
         let links = PeerLinks {
             network,
             members,
@@ -223,6 +226,7 @@
             tokio::spawn(exchange.clone().send_heartbeats()),
             tokio::spawn(exchange.clone().receive(inbox)),
         ];
+        tasks.push(tokio::spawn(start_progress.report()));
         tasks.push(tokio::spawn(store_freshness::log_overdue(freshness.clone())));
         tasks.push(tokio::spawn(probe_unreachable_engines(gateway.clone())));
         tasks.push(tokio::spawn(exchange.clone().recover_usage()));
--- a/crates/beamwall-node/src/gateway/readiness.rs
+++ b/crates/beamwall-node/src/gateway/readiness.rs
@@ -18,6 +18,34 @@
 
 const METRICS_PATH: &str = "/metrics";
 
+/// Something that a node needs before it accepts callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Missing {
+    /// A traffic policy.
+    Policy,
+    /// A list of back ends.
+    Backends,
+    /// An answer of the store on both, or a failed call: what peers have told may be older.
+    StoreAnswer,
+    /// Not to be draining.
+    NotDraining,
+}
+
+impl Missing {
+    /// All of them.
+    pub const ALL: [Self; 4] = [Self::Policy, Self::Backends, Self::StoreAnswer, Self::NotDraining];
+
+    /// The name used in logs and metric labels.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Policy => "policy",
+            Self::Backends => "back ends",
+            Self::StoreAnswer => "answer of the store",
+            Self::NotDraining => "not draining",
+        }
+    }
+}
+
 /// Decides whether the node accepts callers.
 pub struct Readiness {
     policy: Arc<ArcSwap<PolicyIndex>>,
@@ -38,8 +66,36 @@
 
     /// Whether the node accepts callers. State received from peers is sufficient only if the store failed.
     pub fn is_ready(&self) -> bool {
-        let knows = self.policy.load().version() > 0 && self.directory.load().is_fully_loaded();
-        knows && self.status.has_settled(&[POLICY, BACKENDS]) && !self.is_draining()
+        !Missing::ALL.into_iter().any(|what| self.is_missing(what))
+    }
+
+    /// What the node needs and doesn't have.
+    pub fn missing(&self) -> Vec<Missing> {
+        Missing::ALL.into_iter().filter(|what| self.is_missing(*what)).collect()
+    }
+
+    fn is_missing(&self, what: Missing) -> bool {
+        match what {
+            Missing::Policy => self.policy_version() == 0,
+            Missing::Backends => !self.directory.load().is_fully_loaded(),
+            Missing::StoreAnswer => !self.status.has_settled(&[POLICY, BACKENDS]),
+            Missing::NotDraining => self.is_draining(),
+        }
+    }
+
+    /// Version of the policy in force; 0 while none is.
+    pub fn policy_version(&self) -> u64 {
+        self.policy.load().version()
+    }
+
+    /// Number of back ends that are known, those of a list that was read in part included.
+    pub fn known_backends(&self) -> usize {
+        self.directory.load().known().count()
+    }
+
+    /// How the last failed call for each subject failed, as one text; empty if none did.
+    pub fn last_store_failures(&self) -> String {
+        self.status.last_failures()
     }
 
     /// Whether the node is draining.
--- a/crates/beamwall-node/src/gateway/store_status.rs
+++ b/crates/beamwall-node/src/gateway/store_status.rs
@@ -25,6 +25,7 @@
     failures_in_a_row: u32,
     failing_since: Option<Instant>,
     last_failure: Option<Instant>,
+    last_failure_reason: Option<String>,
     /// When the store answered again after it had been lost.
     regained: Option<Instant>,
 }
@@ -118,12 +119,25 @@
         let subject = subjects.entry(subject_name.to_owned()).or_default();
         subject.failures_in_a_row += 1;
         subject.last_failure = Some(Instant::now());
+        subject.last_failure_reason = Some(reason.to_owned());
         subject.failing_since.get_or_insert_with(Instant::now);
         if subject.failures_in_a_row == LOST_AFTER_FAILURES {
             emit(&ControlStoreLost { what: subject_name.to_owned(), reason: reason.to_owned() });
         }
     }
 
+    /// How the last failed call for each subject failed, as one text; empty if none did.
+    pub fn last_failures(&self) -> String {
+        let subjects = self.lock();
+        let failures = subjects.iter().filter_map(|(name, subject)| {
+            let reason = subject.last_failure_reason.as_ref()?;
+            Some(format!("{name}: {reason}"))
+        });
+        let mut failures: Vec<String> = failures.collect();
+        failures.sort_unstable();
+        failures.join("; ")
+    }
+
     /// Whether the store is lost for `subject_name`, or came back no longer than `ago` before.
     pub fn was_unavailable(&self, subject_name: &str, ago: Duration) -> bool {
         let subjects = self.lock();
