--- a/crates/beamwall-node/src/gateway/start_progress.rs
+++ b/crates/beamwall-node/src/gateway/start_progress.rs
@@ -71,7 +71,9 @@
     fn refresh_metrics(&self) {
         let missing = self.readiness.missing();
         for what in Missing::ALL {
-            self.missing.with_label_values(&[what.as_str()]).set(f64::from(u8::from(missing.contains(&what))));
+            self.missing
+                .with_label_values(&[what.as_str()])
+                .set(f64::from(u8::from(missing.contains(&what))));
         }
         self.ready_after_ms.set(i64::try_from(self.elapsed_ms()).unwrap_or(i64::MAX));
     }
