--- a/crates/beamwall-node/src/gateway/unreadable_entries.rs
+++ b/crates/beamwall-node/src/gateway/unreadable_entries.rs
@@ -11,6 +11,8 @@
 /// Limit of the entries remembered as logged; beyond it all are forgotten, and those still present are logged
 /// again.
 const MAX_REMEMBERED: usize = 1_024;
+/// Longest name and reason that are logged, in characters: another writer's text, which they repeat, may take a megabyte.
+const MAX_TEXT_CHARS: usize = 120;
 
 /// Counts and logs unreadable entries.
 #[derive(Debug)]
@@ -36,9 +38,14 @@
             if logged.len() >= MAX_REMEMBERED {
                 logged.clear();
             }
-            if logged.insert(entry.name.clone()) {
-                emit(&EntryUnreadable { entry: entry.name.clone(), reason: entry.reason.clone() });
+            let name = shortened(&entry.name);
+            if logged.insert(name.clone()) {
+                emit(&EntryUnreadable { entry: name, reason: shortened(&entry.reason) });
             }
         }
     }
 }
+
+fn shortened(text: &str) -> String {
+    text.chars().take(MAX_TEXT_CHARS).collect()
+}
