--- a/crates/beamwall-events/src/internal_events.rs
+++ b/crates/beamwall-events/src/internal_events.rs
@@ -277,6 +277,8 @@
     6114 Warn ConfirmationOverdue "confirmation by the store overdue" { what, age_ms }
     /// The store has confirmed again, to this node or a peer, that this node holds the newest state.
     6115 Info ConfirmationResumed "confirmation by the store resumed" { what, overdue_ms }
+    /// A list of the store could be read in part only.
+    6116 Warn ListIncomplete "list of the store incomplete" { what, after, read, reason }
     /// An invariant was broken: a fault in the program, to be reported.
     9001 Error InvariantBroken "invariant broken" { invariant, detail }
 }
--- a/crates/beamwall-node/src/gateway/listing.rs
+++ b/crates/beamwall-node/src/gateway/listing.rs
@@ -6,15 +6,18 @@
 //! it after 1.2 s. All nodes read the first pages, which is the whole list of a small deployment. The rest is
 //! read by the nodes selected to watch the store for their zone; the others pause between pages, and receive
 //! the list from peers meanwhile. A rejected page is retried by itself, without restarting the list. The
-//! entries read so far serve callers until the list is complete.
+//! entries read so far serve callers until the list is complete, also where a page can't be read for good.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use beamwall_events::emit;
+use beamwall_events::internal_events::ListIncomplete;
 use beamwall_gateway::directory::digest_of;
 use beamwall_gateway::ports::{DirectoryPage, DirectorySnapshot};
-use beamwall_gateway::{ControlStore, ControlStoreError, Directory};
+use beamwall_gateway::{Backend, ControlStore, ControlStoreError, Directory};
 use beamwall_model::StoreRevision;
 use kameo::actor::ActorRef;
 use rand::RngExt;
@@ -39,6 +42,8 @@
 /// Pause between two pages on a node that does not watch for its zone, so that 300 such nodes request at most
 /// 600 pages a second.
 const PAGE_PAUSE: Duration = Duration::from_millis(500);
+/// Longest name of an entry that is logged, in characters; another writer's may take a megabyte.
+const MAX_LOGGED_NAME_CHARS: usize = 120;
 /// Attempts to read a page after the first one.
 const MAX_ATTEMPTS: u32 = 5;
 /// Upper bound of the random delay after a rejected page; it doubles with each further attempt.
@@ -77,6 +82,8 @@
     pub status: Arc<StoreStatus>,
     /// Records the entries that can't be parsed.
     pub unreadable: Arc<UnreadableEntries>,
+    /// Whether the last attempt to read the list stopped before its end, and was logged.
+    pub is_incomplete: AtomicBool,
 }
 
 impl DirectoryReader {
@@ -98,21 +105,39 @@
             {
                 return Ok(ListRead::FromPeer(peer_revision));
             }
-            let next = self.page_after(&after).await?;
-            if next.last.as_ref() == Some(&after) {
-                return Err(ControlStoreError::Unreadable(format!("the list does not go on after {after}")));
-            }
-            if next.revision.era != snapshot.revision.era {
-                return Err(ControlStoreError::HistoryGone);
-            }
+            let next = match self.next_page(&after, snapshot.revision).await {
+                Ok(next) => next,
+                Err(error) => {
+                    self.use_incomplete_list(snapshot, &after, &error).await;
+                    return Err(error);
+                }
+            };
             self.unreadable.note(&next.unreadable);
             snapshot.backends.extend(next.backends);
             last = next.last;
             pages += 1;
         }
+        self.is_incomplete.store(false, Ordering::Relaxed);
         Ok(ListRead::Whole(snapshot))
     }
 
+    /// Reads the page after an entry of a list that is read at `revision`.
+    async fn next_page(
+        &self,
+        after: &str,
+        revision: StoreRevision,
+    ) -> Result<DirectoryPage, ControlStoreError> {
+        let next = self.page_after(after).await?;
+        if next.last.as_deref() == Some(after) {
+            let name: String = after.chars().take(MAX_LOGGED_NAME_CHARS).collect();
+            return Err(ControlStoreError::Unreadable(format!("the list does not go on after {name}")));
+        }
+        if next.revision.era != revision.era {
+            return Err(ControlStoreError::HistoryGone);
+        }
+        Ok(next)
+    }
+
     /// Reads a list that may be seconds old; returns its digest, which is equal for lists with equal
     /// contents.
     pub async fn recent_digest(&self) -> Result<u64, ControlStoreError> {
@@ -128,11 +153,32 @@
         }
     }
 
-    /// Serves callers from the entries read so far while no whole list is available.
+    /// Serves callers from the entries read so far while no whole list is available, unless more are known from an
+    /// earlier attempt.
     async fn use_partial_list(&self, read: &DirectorySnapshot) {
+        if read.backends.len() >= self.current.load().known().count() {
+            self.publish_partial_list(read.backends.clone()).await;
+        }
+    }
+
+    /// Serves callers from the entries that can be read, while no whole list is available. Says so once, until a list
+    /// is read whole.
+    async fn use_incomplete_list(&self, read: DirectorySnapshot, after: &str, error: &ControlStoreError) {
+        if !self.is_incomplete.swap(true, Ordering::Relaxed) {
+            emit(&ListIncomplete {
+                what: BACKENDS.to_owned(),
+                after: after.chars().take(MAX_LOGGED_NAME_CHARS).collect(),
+                read: read.backends.len().to_string(),
+                reason: error.to_string(),
+            });
+        }
+        self.publish_partial_list(read.backends).await;
+    }
+
+    async fn publish_partial_list(&self, read: Vec<Backend>) {
         if !self.current.load().is_fully_loaded() {
             // The actor stops only together with the node.
-            let _ = self.directory_updates.tell(UseMeanwhile { read: read.backends.clone() }).await;
+            let _ = self.directory_updates.tell(UseMeanwhile { read }).await;
         }
     }
 
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -52,6 +52,7 @@
 pub mod zones;
 
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::SystemTime;
 
@@ -199,6 +200,7 @@
             selector: exchange.selector.clone(),
             status: status.clone(),
             unreadable,
+            is_incomplete: AtomicBool::default(),
         };
         let watched_backends = Arc::new(WatchedBackends {
             store: ports.store,
--- a/crates/beamwall-node/src/gateway/readiness.rs
+++ b/crates/beamwall-node/src/gateway/readiness.rs
@@ -77,12 +77,19 @@
     fn is_missing(&self, what: Missing) -> bool {
         match what {
             Missing::Policy => self.policy_version() == 0,
-            Missing::Backends => !self.directory.load().is_fully_loaded(),
+            Missing::Backends => !self.knows_backends(),
             Missing::StoreAnswer => !self.status.has_settled(&[POLICY, BACKENDS]),
             Missing::NotDraining => self.is_draining(),
         }
     }
 
+    /// Whether the list of back ends is known, or a part of it and the rest can't be read: whoever is served from a part
+    /// is better off than with no node at all.
+    fn knows_backends(&self) -> bool {
+        let directory = self.directory.load();
+        directory.is_fully_loaded() || (directory.is_known() && self.status.is_failing(BACKENDS))
+    }
+
     /// Version of the policy in force; 0 while none is.
     pub fn policy_version(&self) -> u64 {
         self.policy.load().version()
--- a/crates/beamwall-node/src/gateway/store_status.rs
+++ b/crates/beamwall-node/src/gateway/store_status.rs
@@ -138,6 +138,11 @@
         failures.join("; ")
     }
 
+    /// Whether several calls for `subject_name` have failed in a row and none has been answered since.
+    pub fn is_failing(&self, subject_name: &str) -> bool {
+        self.lock().get(subject_name).is_some_and(Subject::is_lost)
+    }
+
     /// Whether the store is lost for `subject_name`, or came back no longer than `ago` before.
     pub fn was_unavailable(&self, subject_name: &str, ago: Duration) -> bool {
         let subjects = self.lock();
