LOST: a request that is completed late in a planned stop reaches no engine unless it can be answered

What callers saw: in a planned stop of one gateway, in calm, requests whose rest came late on a connection opened before got no answer when the process ended, although an engine ran them, among them requests that may not be repeated.

Cause: the graceful end of a connection lets a head that has begun go on, without a limit of its own, and nothing behind it knew that the process ends, so nothing compared the time left with what the request may take.

Change: from the moment at which the balancer sends nobody any more, a request is taken only if its deadline lies before the last answer; otherwise it gets 503 with Retry-After at once and reaches no engine. Before that moment nothing has changed.

--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -23,6 +23,7 @@
 
 use crate::call::suspects;
 use crate::forward::{Call, Forwarder};
+use crate::planned_stop::PlannedStop;
 use crate::ports::{CallHead, DelegationMark, Prompt};
 use crate::quota::{Charge, QuotaLimiter};
 use crate::refusal::Refusal;
@@ -59,6 +60,8 @@
     pub caller_budget: CallerBudget,
     /// Notified when peers should be sent this node's state immediately.
     pub peer_notify: Arc<Notify>,
+    /// Whether this node stops, and until when it answers.
+    pub planned_stop: PlannedStop,
 }
 
 /// HTTP handler for callers.
@@ -243,6 +246,10 @@
         let caller = parts.extensions.get().cloned().unwrap_or_else(CallerConnection::unlimited);
         let read = read_request(body, &caller, body_limit, BODY_READ_TIMEOUT, hash_body_part).await;
         let body = read.map_err(refusal_from_read_error)?;
+        let deadline = deadline(&route, &head, received);
+        if !self.planned_stop.leaves_time_until(deadline) {
+            return Err(Refusal::Stopping);
+        }
         caller.begin_serving().map_err(Refusal::NoRoom)?;
         let fingerprint = fingerprint.finish();
         context.fingerprint = Some(fingerprint);
@@ -256,7 +263,7 @@
         let call = Call {
             engine: policy.service(&service).and_then(|service| service.engine),
             service,
-            deadline: deadline(&route, &head, received),
+            deadline,
             request_id: head.request_id,
             fingerprint,
             caller,
--- a/crates/beamwall-gateway/src/lib.rs
+++ b/crates/beamwall-gateway/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod placement;
 pub mod placement_groups;
 mod placement_node;
+pub mod planned_stop;
 pub mod ports;
 pub mod prefill_queues;
 pub mod prefix_cache;
--- a/crates/beamwall-gateway/src/refusal.rs
+++ b/crates/beamwall-gateway/src/refusal.rs
@@ -63,6 +63,8 @@
 pub enum Refusal {
     /// No policy is known yet.
     NotReady,
+    /// This node stops before the request's time is over; it was not sent.
+    Stopping,
     /// No route matches.
     NoRoute,
     /// The key is missing or unknown.
@@ -112,6 +114,7 @@
     pub fn status(&self) -> StatusCode {
         match self {
             Self::NotReady
+            | Self::Stopping
             | Self::NoRoom(_)
             | Self::NotRun(_)
             | Self::Unreachable(_)
@@ -147,9 +150,11 @@
             Self::EnginesRest(left) => Some(spread_return((*left).min(MAX_LIMIT_WAIT))),
             Self::VersionUnavailable(_) => Some(VERSION_RETRY_AFTER),
             Self::NoRoom(_) => Some(spread_return(ROOM_RETRY_AFTER)),
-            Self::NotReady | Self::NotRun(_) | Self::Unreachable(_) | Self::UnknownOrigin(_) => {
-                Some(TRANSIENT_RETRY_AFTER)
-            }
+            Self::NotReady
+            | Self::Stopping
+            | Self::NotRun(_)
+            | Self::Unreachable(_)
+            | Self::UnknownOrigin(_) => Some(TRANSIENT_RETRY_AFTER),
             _ => None,
         }
     }
@@ -172,6 +177,7 @@
     pub fn reason(&self) -> String {
         match self {
             Self::NotReady => "this node knows no policy yet".to_owned(),
+            Self::Stopping => "not run: this node stops before the request's time is over".to_owned(),
             Self::NoRoute => "no route matches".to_owned(),
             Self::UnknownKey => "the key is missing or unknown".to_owned(),
             Self::BadBody(reason) => reason.clone(),
--- a/crates/beamwall-node/src/gateway/assembly.rs
+++ b/crates/beamwall-node/src/gateway/assembly.rs
@@ -14,6 +14,7 @@
 use beamwall_gateway::forward::Forwarder;
 use beamwall_gateway::group_admission::GroupAdmission;
 use beamwall_gateway::metrics::GatewayMetrics;
+use beamwall_gateway::planned_stop::PlannedStop;
 use beamwall_gateway::ports::StoreEras;
 use beamwall_gateway::quarantine::{Quarantine, TrialPort};
 use beamwall_gateway::quota::{QuotaLimiter, Tolerance};
@@ -162,7 +163,8 @@
         .with_generation(generation);
     let caller_limits = BudgetLimits::of_process(settings.memory_bytes, settings.descriptors);
     let caller_budget = CallerBudget::new(caller_limits);
-    Ok(Arc::new(Gateway { policy, quotas, forwarder, caller_budget, peer_notify }))
+    let planned_stop = PlannedStop::default();
+    Ok(Arc::new(Gateway { policy, quotas, forwarder, caller_budget, peer_notify, planned_stop }))
 }
 
 fn assemble_pace(settings: &GatewaySettings) -> PaceTracker {
--- a/crates/beamwall-node/src/gateway/drain.rs
+++ b/crates/beamwall-node/src/gateway/drain.rs
@@ -1,4 +1,5 @@
-//! Draining: the load balancer is notified first, then connections are closed and open requests finish.
+//! Draining: the load balancer is notified first, then connections are closed and open requests finish. Requests that
+//! arrive later, on connections that had begun one, are taken if they can be answered in the time left.
 
 use std::time::Duration;
 
@@ -18,6 +19,8 @@
 const BALANCER_DIVISOR: u32 = 2;
 /// Time reserved at the end for the final heartbeat.
 const FINAL_HEARTBEAT_TIME: Duration = Duration::from_millis(300);
+/// Time that an answer may take to be written and read by its caller.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
 
 /// Drains a node within `limit`.
 pub async fn run(
@@ -39,8 +42,10 @@
     });
     exchange.send_heartbeat().await;
     tokio::time::sleep(BALANCER_NOTICE_TIME.min(limit / BALANCER_DIVISOR)).await;
+    let callers_end_at = deadline - FINAL_HEARTBEAT_TIME.min(limit);
+    exchange.gateway.planned_stop.begin(callers_end_at - ANSWER_TIME.min(limit));
     stopping.send_replace(true);
-    let ended = tokio::time::timeout_at(deadline - FINAL_HEARTBEAT_TIME.min(limit), callers).await.is_ok();
+    let ended = tokio::time::timeout_at(callers_end_at, callers).await.is_ok();
     let abandoned = if ended { 0 } else { exchange.open_requests() };
     // Peers need the final counts of this node.
     exchange.send_heartbeat().await;
