Bytes without end from engines stay within the memory of a gateway's machine

What callers saw: engines in trouble send bytes without end; the gateway's memory passes the machine's, so that the platform kills it, and the requests of all its callers end with it.

Cause: the budget counted what a gateway keeps, by length, and not what stands beside it. Each connection to an engine read up to 400 KB ahead of whoever takes the response, its socket held what the kernel gave it, and the buffer of an event without an end grows to twice its length.

Change: a connection to an engine reads 32 KB ahead, which bounds a response's head too, and its socket holds 32 KB; each request takes those 64 KB from the budget while it is served, or gets 503; an unfinished event counts by its capacity.

--- a/crates/beamwall-gateway/src/call.rs
+++ b/crates/beamwall-gateway/src/call.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use beamwall_admission::CapacityClaim;
-use beamwall_caller_budget::CallerConnection;
+use beamwall_caller_budget::{CallerConnection, MemoryHold};
 use beamwall_clock::timers;
 use beamwall_model::{EngineVersion, ServiceName};
 use beamwall_policy::{EngineTraits, Route, TenantRef};
@@ -39,6 +39,8 @@
     pub fingerprint: Fingerprint,
     /// The caller's connection, for which its bodies are held.
     pub caller: CallerConnection,
+    /// Memory for what the connection to a back end holds of a response that the caller doesn't take yet.
+    pub response_buffers: Arc<MemoryHold>,
     /// Whether a peer that can't reach the engines delegated it to this node.
     pub is_delegated: bool,
     /// What counts of it for the retry budgets.
--- a/crates/beamwall-gateway/src/event_stream.rs
+++ b/crates/beamwall-gateway/src/event_stream.rs
@@ -49,6 +49,11 @@
         &self.pending
     }
 
+    /// Memory that the incomplete event takes, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.pending.capacity()
+    }
+
     /// Whether more bytes are pending than an event may have.
     pub fn exceeds_limit(&self) -> bool {
         self.pending.len() > MAX_EVENT_BYTES
--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -10,6 +10,7 @@
     CallerConnectionEvicted, CallerConnectionFailed, GatewayAnswered, GatewayRefused,
 };
 use beamwall_http::body::ReadError;
+use beamwall_http::pool::CONNECTION_BUFFER_BYTES;
 use beamwall_http::{Body, ConnectionFailure, Handler, read_request};
 use beamwall_model::EngineVersion;
 use beamwall_policy::{PolicyIndex, Route, RouteKind, TenantRef};
@@ -251,6 +252,8 @@
             return Err(Refusal::Stopping);
         }
         caller.begin_serving().map_err(Refusal::NoRoom)?;
+        let mut response_buffers = caller.hold();
+        response_buffers.grow(CONNECTION_BUFFER_BYTES).map_err(Refusal::NoRoom)?;
         let fingerprint = fingerprint.finish();
         context.fingerprint = Some(fingerprint);
         let suspects = suspects(fingerprint, head.prompt.as_ref());
@@ -267,6 +270,7 @@
             request_id: head.request_id,
             fingerprint,
             caller,
+            response_buffers: Arc::new(response_buffers),
             is_delegated: head.delegation.is_some(),
             sends: context.sends.clone(),
             admission,
--- a/crates/beamwall-gateway/src/stream/source.rs
+++ b/crates/beamwall-gateway/src/stream/source.rs
@@ -106,7 +106,7 @@
                     if let Some(data) = frame.data_ref() {
                         self.splitter.push(data);
                     }
-                    if let Err(shortage) = self.pending.resize(self.splitter.rest().len()) {
+                    if let Err(shortage) = self.pending.resize(self.splitter.held_bytes()) {
                         return Piece::Broken(AttemptFailure::may_have_run(shortage.to_string()));
                     }
                 }
--- a/crates/beamwall-gateway/tests/support/mod.rs
+++ b/crates/beamwall-gateway/tests/support/mod.rs
@@ -168,6 +168,7 @@
     Call {
         fingerprint: Default::default(),
         caller: CallerConnection::unlimited(),
+        response_buffers: Arc::new(CallerConnection::unlimited().hold()),
         is_delegated: false,
         sends: Default::default(),
         admission: Admission::Normal,
--- a/crates/beamwall-http/src/pool.rs
+++ b/crates/beamwall-http/src/pool.rs
@@ -29,6 +29,12 @@
 
 /// Idle connections kept for one address.
 const MAX_IDLE_PER_ADDRESS: usize = 256;
+/// What a connection reads ahead of whoever takes the response, in bytes; a response head may be as long.
+const READ_AHEAD_BYTES: usize = 32 << 10;
+/// What a connection's socket holds unread at most, in bytes.
+const SOCKET_BUFFER_BYTES: usize = 32 << 10;
+/// What a connection holds at most of a response that nobody takes, in bytes.
+pub const CONNECTION_BUFFER_BYTES: usize = READ_AHEAD_BYTES + SOCKET_BUFFER_BYTES;
 /// TCP_USER_TIMEOUT: time for which sent bytes may stay unacknowledged before the connection is closed.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Assumed keep-alive timeout of a server that sends no `keep-alive` header.
@@ -170,11 +176,18 @@
         let connect_error = |reason: String| PoolError::Connect(address, reason);
         let stream = self.connect_tcp(address).await?;
         let _ = stream.set_nodelay(true);
-        let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
+        let socket = SockRef::from(&stream);
+        // A system that refuses has defaults of its own, and nothing else depends on these.
+        let _ = socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
+        let _ = socket.set_recv_buffer_size(SOCKET_BUFFER_BYTES);
         let head_limit: Arc<HeadLimit> = Arc::default();
         let stream = ObservedStream::new(stream, head_limit.clone());
-        let (requests, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|error| connect_error(error.to_string()))?;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(READ_AHEAD_BYTES);
+        let (requests, connection) = builder
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| connect_error(error.to_string()))?;
         tokio::spawn(connection);
         Ok(Sender { requests, head_limit })
     }
