RECOVER: a store that takes longer for each answer than a call waits is read

What callers saw: after a restart of all gateways none was ready for as long as the store took 1.5 s for each answer; those that ran before had served on with what they held.

Cause: a call is given up after store.timeout_ms (1 s) and made anew, so a store that is slower than that never gets an answer to anybody who starts. Calls must be short for a store that is silent and comes back, so a longer timeout is no mend.

Change: the response of one call that timed out is awaited up to 4 s more, only to learn how long it takes; while the last response took longer than half of the timeout, calls to the store wait for twice its time, watches so much longer, 8 s at most. A silent server teaches nothing, so calls to it fail as early as before. Only the gateways' store client does so.

--- a/crates/beamwall-config/src/gateway.rs
+++ b/crates/beamwall-config/src/gateway.rs
@@ -44,7 +44,12 @@
         "nodes assumed to share quotas until more are known",
     ),
     required("store.address", ValueKind::Address, "address of the store of decisions"),
-    optional("store.timeout_ms", integer(10, 60_000), "1000", "longest call to the store"),
+    optional(
+        "store.timeout_ms",
+        integer(10, 60_000),
+        "1000",
+        "longest call to the store; a store that is seen to take longer is waited for, 8 s at most",
+    ),
     optional(
         "duties.address",
         ValueKind::Address,
--- a/crates/beamwall-http/src/client.rs
+++ b/crates/beamwall-http/src/client.rs
@@ -1,6 +1,7 @@
 //! A JSON client on top of the connection pool, for control calls between processes.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,8 +10,10 @@
 use quick_error::quick_error;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::time::Instant;
 
 use crate::body::{ReadError, full, read_limited};
+use crate::patience::{LATE_RESPONSE_LIMIT, Patience};
 use crate::pool::{Pool, PoolError};
 
 /// Maximum size of the response body of a control call.
@@ -83,13 +86,21 @@
     pool: Pool,
     address: SocketAddr,
     call_timeout: Duration,
+    /// What is known of the server's speed; `None`: calls time out as early however slow it is.
+    patience: Option<Arc<Patience>>,
     bearer: Option<String>,
 }
 
 impl JsonClient {
     /// Creates a client of `address` whose calls time out after `call_timeout`.
     pub fn new(pool: Pool, address: SocketAddr, call_timeout: Duration) -> Self {
-        Self { pool, address, call_timeout, bearer: None }
+        Self { pool, address, call_timeout, patience: None, bearer: None }
+    }
+
+    /// Waits longer than the timeout for a server that is seen to take longer.
+    pub fn with_patience(mut self) -> Self {
+        self.patience = Some(Arc::new(Patience::new(self.call_timeout)));
+        self
     }
 
     /// Sends `key` as bearer token with every call.
@@ -98,7 +109,7 @@
         self
     }
 
-    /// The same client with another timeout.
+    /// The same client with another timeout, for calls that the server holds open.
     pub fn with_timeout(mut self, call_timeout: Duration) -> Self {
         self.call_timeout = call_timeout;
         self
@@ -135,10 +146,27 @@
     ) -> Result<ClientResponse, ClientError> {
         let mut request = self.request(method, path, body)?;
         request.headers_mut().extend(headers);
-        match tokio::time::timeout(self.call_timeout, self.exchange(request)).await {
-            Ok(result) => result,
-            Err(_) => Err(ClientError::TimedOut(self.call_timeout)),
+        let limit = self.patience.as_ref().map_or(self.call_timeout, |known| known.limit(self.call_timeout));
+        let sent = Instant::now();
+        let mut exchange = Box::pin(self.clone().exchange(request, limit + LATE_RESPONSE_LIMIT));
+        let Ok(result) = tokio::time::timeout(limit, &mut exchange).await else {
+            if let Some(patience) = self.observed_patience() {
+                patience.await_late_response(sent, exchange);
+            }
+            return Err(ClientError::TimedOut(limit));
+        };
+        if result.is_ok()
+            && let Some(patience) = self.observed_patience()
+        {
+            patience.note_response(sent.elapsed());
         }
+        result
+    }
+
+    /// What is known of the server's speed, if the time of this client's calls tells more: not if the server holds them
+    /// open.
+    fn observed_patience(&self) -> Option<&Arc<Patience>> {
+        self.patience.as_ref().filter(|patience| patience.usual_timeout() == self.call_timeout)
     }
 
     fn request(&self, method: Method, path: &str, body: Bytes) -> Result<Request<crate::Body>, ClientError> {
@@ -153,10 +181,14 @@
         builder.body(full(body)).map_err(|error| ClientError::Malformed(error.to_string()))
     }
 
-    async fn exchange(&self, request: Request<crate::Body>) -> Result<ClientResponse, ClientError> {
+    async fn exchange(
+        self,
+        request: Request<crate::Body>,
+        body_limit: Duration,
+    ) -> Result<ClientResponse, ClientError> {
         let response = self.pool.send(self.address, request).await?;
         let (parts, body) = response.into_parts();
-        let body = read_limited(body, MAX_RESPONSE_BYTES, self.call_timeout).await?;
+        let body = read_limited(body, MAX_RESPONSE_BYTES, body_limit).await?;
         Ok(ClientResponse { status: parts.status, headers: parts.headers, body })
     }
 }
--- a/crates/beamwall-http/src/lib.rs
+++ b/crates/beamwall-http/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod client;
 mod head_limit;
 mod observed_stream;
+mod patience;
 pub mod pool;
 pub mod query;
 mod served_body;
--- a/crates/beamwall-node/src/gateway_process.rs
+++ b/crates/beamwall-node/src/gateway_process.rs
@@ -49,7 +49,7 @@
 fn connect_platform(settings: &GatewaySettings) -> Ports {
     let pool = Pool::new(CONNECT_LIMIT);
     let client = |address| JsonClient::new(pool.clone(), address, settings.store_timeout);
-    let objects = ObjectsClient::new(client(settings.store));
+    let objects = ObjectsClient::new(client(settings.store).with_patience());
     let duties =
         settings.duties.map(|address| Arc::new(PlatformDuties::new(client(address))) as Arc<dyn DutyPort>);
     let follows_rollouts = settings.exposure_share > 0.0;
