--- a/crates/beamwall-node/src/gateway/listing.rs
+++ b/crates/beamwall-node/src/gateway/listing.rs
@@ -24,6 +24,7 @@
 use tokio::time::Instant;
 
 use crate::actors::directory::{DirectoryActor, UseMeanwhile};
+use crate::gateway::log_text::shortened;
 use crate::gateway::node_selector::NodeSelector;
 use crate::gateway::store_status::StoreStatus;
 use crate::gateway::unreadable_entries::UnreadableEntries;
@@ -42,8 +43,6 @@
 /// Pause between two pages on a node that does not watch for its zone, so that 300 such nodes request at most
 /// 600 pages a second.
 const PAGE_PAUSE: Duration = Duration::from_millis(500);
-/// Longest name of an entry that is logged, in characters; another writer's may take a megabyte.
-const MAX_LOGGED_NAME_CHARS: usize = 120;
 /// Attempts to read a page after the first one.
 const MAX_ATTEMPTS: u32 = 5;
 /// Upper bound of the random delay after a rejected page; it doubles with each further attempt.
@@ -129,8 +128,8 @@
     ) -> Result<DirectoryPage, ControlStoreError> {
         let next = self.page_after(after).await?;
         if next.last.as_deref() == Some(after) {
-            let name: String = after.chars().take(MAX_LOGGED_NAME_CHARS).collect();
-            return Err(ControlStoreError::Unreadable(format!("the list does not go on after {name}")));
+            let reason = format!("the list does not go on after {}", shortened(after));
+            return Err(ControlStoreError::Unreadable(reason));
         }
         if next.revision.era != revision.era {
             return Err(ControlStoreError::HistoryGone);
@@ -167,7 +166,7 @@
         if !self.is_incomplete.swap(true, Ordering::Relaxed) {
             emit(&ListIncomplete {
                 what: BACKENDS.to_owned(),
-                after: after.chars().take(MAX_LOGGED_NAME_CHARS).collect(),
+                after: shortened(after),
                 read: read.backends.len().to_string(),
                 reason: error.to_string(),
             });
--- a/crates/beamwall-node/src/gateway/mod.rs
+++ b/crates/beamwall-node/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod heartbeat_wire;
 mod known_usage;
 pub mod listing;
+mod log_text;
 pub mod node_selector;
 pub mod observations;
 pub mod peer_delegation;
--- a/crates/beamwall-node/src/gateway/store_status.rs
+++ b/crates/beamwall-node/src/gateway/store_status.rs
@@ -11,6 +11,8 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::gateway::log_text::shortened;
+
 /// Consecutive failed calls after which the store counts as lost: a single watch may be cut.
 const LOST_AFTER_FAILURES: u32 = 2;
 
@@ -119,7 +121,7 @@
         let subject = subjects.entry(subject_name.to_owned()).or_default();
         subject.failures_in_a_row += 1;
         subject.last_failure = Some(Instant::now());
-        subject.last_failure_reason = Some(reason.to_owned());
+        subject.last_failure_reason = Some(shortened(reason));
         subject.failing_since.get_or_insert_with(Instant::now);
         if subject.failures_in_a_row == LOST_AFTER_FAILURES {
             emit(&ControlStoreLost { what: subject_name.to_owned(), reason: reason.to_owned() });
--- a/crates/beamwall-node/src/gateway/unreadable_entries.rs
+++ b/crates/beamwall-node/src/gateway/unreadable_entries.rs
@@ -8,11 +8,11 @@
 use beamwall_gateway::ports::UnreadableEntry;
 use prometheus::{IntCounter, Registry};
 
+use crate::gateway::log_text::shortened;
+
 /// Limit of the entries remembered as logged; beyond it all are forgotten, and those still present are logged
 /// again.
 const MAX_REMEMBERED: usize = 1_024;
-/// Longest name and reason that are logged, in characters: another writer's text, which they repeat, may take a megabyte.
-const MAX_TEXT_CHARS: usize = 120;
 
 /// Counts and logs unreadable entries.
 #[derive(Debug)]
@@ -45,7 +45,3 @@
         }
     }
 }
-
-fn shortened(text: &str) -> String {
-    text.chars().take(MAX_TEXT_CHARS).collect()
-}
