--- a/crates/beamwall-gateway/src/call.rs
+++ b/crates/beamwall-gateway/src/call.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use beamwall_admission::CapacityClaim;
-use beamwall_caller_budget::{CallerConnection, MemoryHold};
 use beamwall_clock::timers;
+use beamwall_http::caller_budget::{CallerConnection, MemoryHold};
 use beamwall_model::{EngineVersion, ServiceName};
 use beamwall_policy::{EngineTraits, Route, TenantRef};
 use beamwall_quarantine::{Admission, Fingerprint};
--- a/crates/beamwall-gateway/src/handler.rs
+++ b/crates/beamwall-gateway/src/handler.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use beamwall_caller_budget::{CallerBudget, CallerConnection, Shortage};
 use beamwall_events::emit;
 use beamwall_events::internal_events::{
     CallerConnectionEvicted, CallerConnectionFailed, GatewayAnswered, GatewayRefused,
 };
 use beamwall_http::body::ReadError;
+use beamwall_http::caller_budget::{CallerBudget, CallerConnection, Shortage};
 use beamwall_http::pool::CONNECTION_BUFFER_BYTES;
 use beamwall_http::{Body, ConnectionFailure, Handler, read_request};
 use beamwall_model::EngineVersion;
--- a/crates/beamwall-gateway/src/refusal.rs
+++ b/crates/beamwall-gateway/src/refusal.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use beamwall_admission::Rejection;
-use beamwall_caller_budget::Shortage;
+use beamwall_http::caller_budget::Shortage;
 use beamwall_http::{Body, full};
 use beamwall_model::EngineVersion;
 use beamwall_quarantine::HeldRequest;
--- a/crates/beamwall-gateway/src/stream/source.rs
+++ b/crates/beamwall-gateway/src/stream/source.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use beamwall_caller_budget::MemoryHold;
 use beamwall_clock::process_clock;
 use beamwall_http::PooledBody;
+use beamwall_http::caller_budget::MemoryHold;
 use beamwall_model::EngineVersion;
 use beamwall_quarantine::WritingProgress;
 use bytes::{Bytes, BytesMut};
--- a/crates/beamwall-gateway/tests/support/mod.rs
+++ b/crates/beamwall-gateway/tests/support/mod.rs
@@ -6,7 +6,6 @@
 
 use std::sync::Arc;
 
-use beamwall_caller_budget::CallerConnection;
 use beamwall_engine_model::{
     EngineModels, FirstEventInputs, PrefillWork, ServiceEstimates, ServiceStatistics,
 };
@@ -17,6 +16,7 @@
 use beamwall_gateway::placement_groups::EngineGroup;
 use beamwall_gateway::ports::DirectorySnapshot;
 use beamwall_gateway::{Backend, Directory, Prompt, PromptPart, RemovalCause, Reporter};
+use beamwall_http::caller_budget::CallerConnection;
 use beamwall_model::BackendId;
 use beamwall_policy::{Route, RouteKind, Tenant, TenantRef};
 use beamwall_quarantine::Admission;
--- a/crates/beamwall-http/src/body.rs
+++ b/crates/beamwall-http/src/body.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::time::Duration;
 
-use beamwall_caller_budget::{CallerConnection, HeldBuffer, Shortage};
+use crate::caller_budget::{CallerConnection, HeldBuffer, Shortage};
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Empty, Full};
--- a/crates/beamwall-caller-budget/src/budget.rs
+++ b/crates/beamwall-http/src/caller_budget/budget.rs
@@ -6,8 +6,8 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::ledger::{ConnectionId, Ledger, Phase, Shortage, Usage};
-use crate::limits::BudgetLimits;
+use super::ledger::{ConnectionId, Ledger, Phase, Shortage, Usage};
+use super::limits::BudgetLimits;
 
 /// Charge for a connection besides the buffer of its request head, in bytes: its task, a buffer for writing, and what
 /// its socket holds.
--- a/crates/beamwall-caller-budget/src/held_bytes.rs
+++ b/crates/beamwall-http/src/caller_budget/held_bytes.rs
@@ -2,8 +2,8 @@
 
 use bytes::Bytes;
 
-use crate::budget::{CallerConnection, MemoryHold};
-use crate::ledger::Shortage;
+use super::budget::{CallerConnection, MemoryHold};
+use super::ledger::Shortage;
 
 /// Least capacity of a buffer that grows, in bytes.
 const MIN_CAPACITY_BYTES: usize = 4 << 10;
--- a/crates/beamwall-caller-budget/src/ledger.rs
+++ b/crates/beamwall-http/src/caller_budget/ledger.rs
@@ -6,7 +6,7 @@
 use quick_error::quick_error;
 use tokio::time::Instant;
 
-use crate::limits::BudgetLimits;
+use super::limits::BudgetLimits;
 
 /// Connections take at most the memory divided by this; the rest is for bodies.
 const CONNECTIONS_DIVISOR: usize = 2;
--- a/crates/beamwall-http/src/lib.rs
+++ b/crates/beamwall-http/src/lib.rs
@@ -4,6 +4,7 @@
 //! rule that a connection with an unread response is never reused are implemented in one place.
 
 pub mod body;
+pub mod caller_budget;
 mod cause;
 pub mod channel;
 pub mod client;
--- a/crates/beamwall-http/src/observed_stream.rs
+++ b/crates/beamwall-http/src/observed_stream.rs
@@ -6,7 +6,7 @@
 
 use std::sync::Arc;
 
-use beamwall_caller_budget::CallerConnection;
+use crate::caller_budget::CallerConnection;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
--- a/crates/beamwall-http/src/served_body.rs
+++ b/crates/beamwall-http/src/served_body.rs
@@ -3,7 +3,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use beamwall_caller_budget::{CallerConnection, Phase};
+use crate::caller_budget::{CallerConnection, Phase};
 use bytes::Bytes;
 use hyper::body::{Frame, SizeHint};
 
--- a/crates/beamwall-http/src/server.rs
+++ b/crates/beamwall-http/src/server.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use beamwall_caller_budget::{CallerBudget, CallerConnection, Phase, Shortage};
+use crate::caller_budget::{CallerBudget, CallerConnection, Phase, Shortage};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
--- a/crates/beamwall-caller-budget/tests/ledger.rs
+++ b/crates/beamwall-http/tests/caller_budget_ledger.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use arbtest::arbitrary::{Result, Unstructured};
-use beamwall_caller_budget::{BudgetLimits, ConnectionId, Ledger, Phase, Shortage, Usage};
+use beamwall_http::caller_budget::{BudgetLimits, ConnectionId, Ledger, Phase, Shortage, Usage};
 use beamwall_seeds::on_seeds;
 use tokio::time::Instant;
 
--- a/crates/beamwall-caller-budget/tests/held_bytes.rs
+++ b/crates/beamwall-http/tests/held_bytes.rs
@@ -1,6 +1,6 @@
 //! Buffers take their memory from the budget, and give it back when nobody uses their bytes any more.
 
-use beamwall_caller_budget::{BudgetLimits, CallerBudget, HeldBuffer, Shortage};
+use beamwall_http::caller_budget::{BudgetLimits, CallerBudget, HeldBuffer, Shortage};
 use bytes::Bytes;
 
 const MB: usize = 1 << 20;
--- a/crates/beamwall-node/src/gateway/assembly.rs
+++ b/crates/beamwall-node/src/gateway/assembly.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use beamwall_caller_budget::{BudgetLimits, CallerBudget};
 use beamwall_config::GatewaySettings;
 use beamwall_gateway::admission_metrics::AdmissionMetrics;
 use beamwall_gateway::candidates::BackendState;
@@ -25,6 +24,7 @@
     DelegationPort, Directory, EngineGate, Gateway, OriginPort, PermitPort, PlacementPort, StreamOrigins,
 };
 use beamwall_http::Pool;
+use beamwall_http::caller_budget::{BudgetLimits, CallerBudget};
 use beamwall_pace::PaceTracker;
 use beamwall_peer::{Membership, MembershipTiming, PeerNetwork, TransferPacer};
 use beamwall_policy::{PolicyHistory, PolicyIndex};
